Lay the foundations: manifest, timer, telemetry, settings, peer links

Models check the manifest and settings at the border; peers prove the cluster key before the first message.

--- /dev/null
+++ b/godwitshunt/manifest/__init__.py
@@ -0,0 +1,39 @@
+"""The operator's manifest: models that check it, its digest, its residency."""
+
+from godwitshunt.manifest.documents import (
+    canonical_bytes,
+    manifest_digest,
+    parse_manifest,
+)
+from godwitshunt.manifest.models import (
+    Caller,
+    Manifest,
+    ModelDeclaration,
+    Objective,
+    Region,
+    RequestClass,
+    ResidencyRule,
+    Service,
+    ServiceKind,
+)
+from godwitshunt.manifest.residency import (
+    ResidencyRefusal,
+    allowed_regions,
+)
+
+__all__ = [
+    'Caller',
+    'Manifest',
+    'ModelDeclaration',
+    'Objective',
+    'Region',
+    'RequestClass',
+    'ResidencyRule',
+    'Service',
+    'ServiceKind',
+    'ResidencyRefusal',
+    'allowed_regions',
+    'canonical_bytes',
+    'manifest_digest',
+    'parse_manifest',
+]
--- /dev/null
+++ b/godwitshunt/manifest/residency.py
@@ -0,0 +1,44 @@
+"""Which regions may serve a caller's request."""
+
+from dataclasses import dataclass
+
+from godwitshunt.manifest.models import Caller, Manifest
+
+
+@dataclass(frozen=True)
+class ResidencyRefusal:
+    """No region is allowed to serve this request."""
+
+    caller: str
+    model: str | None
+
+
+def allowed_regions(
+    manifest: Manifest,
+    caller: Caller,
+    model: str | None = None,
+) -> frozenset[str]:
+    """Return the regions that may serve a caller's request.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        The manifest in force.
+    caller : Caller
+        Who asks.
+    model : str or None
+        The model asked for; None for plain services.
+
+    Returns
+    -------
+    frozenset of str
+        Empty where no region is allowed.
+    """
+    regions = frozenset(region.name for region in manifest.regions)
+    for rule in manifest.residency:
+        if rule.name == caller.residency:
+            regions &= frozenset(rule.regions)
+    for declared in manifest.models:
+        if declared.name == model and declared.regions:
+            regions &= frozenset(declared.regions)
+    return regions
--- /dev/null
+++ b/godwitshunt/peer/__init__.py
@@ -0,0 +1,21 @@
+"""Links between the system's processes: frames, handshake, calls."""
+
+from godwitshunt.peer.codec import decode, encode
+from godwitshunt.peer.links import PeerLinks, PeerOptions
+from godwitshunt.peer.messages import (
+    CallFailed,
+    MessageKind,
+    NotSent,
+    OutcomeUnknown,
+)
+
+__all__ = [
+    'CallFailed',
+    'MessageKind',
+    'NotSent',
+    'OutcomeUnknown',
+    'PeerLinks',
+    'PeerOptions',
+    'decode',
+    'encode',
+]
--- /dev/null
+++ b/godwitshunt/peer/messages.py
@@ -0,0 +1,42 @@
+"""Message kinds and typed failures of peer calls."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class MessageKind(IntEnum):
+    """Which slice and handler a frame is for."""
+
+    consensus = 100
+    configuration_fetch = 200
+    configuration_news = 201
+    configuration_applied = 202
+    operator_call = 210
+    vm_heartbeat = 300
+    upstream_gossip = 301
+    region_summary = 302
+    claim_request = 400
+    claim_finish = 401
+    claim_release = 402
+    claim_epoch = 403
+    limit_gossip = 500
+    placement_report = 600
+
+
+@dataclass(frozen=True)
+class NotSent:
+    """The call never left this process; the peer cannot have acted on it."""
+
+    peer: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class OutcomeUnknown:
+    """The call was sent and no reply came; the peer may have acted on it."""
+
+    peer: str
+    reason: str
+
+
+CallFailed = NotSent | OutcomeUnknown
--- /dev/null
+++ b/godwitshunt/peer/tests/test_links.py
@@ -0,0 +1,135 @@
+"""Links between processes, over real sockets on free ports."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+
+from godwitshunt.peer import (
+    MessageKind,
+    NotSent,
+    OutcomeUnknown,
+    PeerLinks,
+    PeerOptions,
+)
+from godwitshunt.peer.frames import frame
+from godwitshunt.settings import Address
+from godwitshunt.telemetry import Metrics
+
+KIND = MessageKind.vm_heartbeat
+
+
+def free_address() -> Address:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return Address(host='127.0.0.1', port=probe.getsockname()[1])
+
+
+@asynccontextmanager
+async def started_links(name: str, key: bytes = b'key'):
+    """Yield links that listen, and close them."""
+    links = PeerLinks.from_config(
+        PeerOptions(name=name, listen=free_address(), key=key),
+        Metrics(),
+    )
+    await links.start()
+    try:
+        yield links
+    finally:
+        await links.close()
+
+
+async def test_call_gets_its_own_reply():
+    """Replies that come in another order reach the right calls."""
+    async with started_links('a') as first, started_links('b') as second:
+
+        async def echo(sender: str, body: bytes) -> bytes:
+            await asyncio.sleep(0.02 if body == b'slow' else 0)
+            return sender.encode() + body
+
+        second.subscribe(KIND, echo)
+        address = second.options.listen
+        replies = await asyncio.gather(
+            first.call(address, KIND, b'slow', 5),
+            first.call(address, KIND, b'fast', 5),
+        )
+        assert [reply.ok_value for reply in replies] == [b'aslow', b'afast']
+
+
+async def test_wrong_key_is_refused():
+    """A process with another key is started by mistake.
+
+    Its calls fail as not sent, and the other side counts the handshake.
+    """
+    async with (
+        started_links('a', b'one') as first,
+        started_links('b', b'two') as second,
+    ):
+        reply = await first.call(second.options.listen, KIND, b'', 5)
+        assert isinstance(reply.err_value, NotSent)
+        text = second.metrics.render()
+        assert b'peer_handshakes_refused_total' in text
+
+
+async def test_peer_that_dies_after_the_call_leaves_the_outcome_unknown():
+    """The peer stops between receiving a call and replying.
+
+    The sender must not take the call for one that never ran.
+    """
+    async with started_links('a') as first, started_links('b') as second:
+        received = asyncio.Event()
+
+        async def never(sender: str, body: bytes) -> bytes:
+            received.set()
+            await asyncio.sleep(60)
+            return b''
+
+        second.subscribe(KIND, never)
+        call = asyncio.create_task(
+            first.call(second.options.listen, KIND, b'', 60),
+        )
+        await received.wait()
+        await second.close()
+        reply = await call
+        assert isinstance(reply.err_value, OutcomeUnknown)
+
+
+async def test_unreachable_peer_fails_as_not_sent():
+    """Nothing listens at the address, as after a VM was stopped."""
+    async with started_links('a') as first:
+        reply = await first.call(free_address(), KIND, b'', 5)
+        assert isinstance(reply.err_value, NotSent)
+
+
+@pytest.mark.parametrize(
+    'garbage',
+    [
+        b'GET / HTTP/1.1\r\n\r\n',
+        b'\xff\xff\xff\xff',
+        frame(b''),
+        frame(b'\xff' * 64),
+        b'\x00\x00',
+    ],
+)
+async def test_garbage_closes_only_its_own_connection(garbage):
+    """A scanner or a broken process sends bytes that are no frames.
+
+    Its connection is closed; calls of real peers go on.
+    """
+    async with started_links('a') as first, started_links('b') as second:
+
+        async def echo(sender: str, body: bytes) -> bytes:
+            return body
+
+        second.subscribe(KIND, echo)
+        listen = second.options.listen
+        reader, writer = await asyncio.open_connection(listen.host, listen.port)
+        writer.write(garbage)
+        writer.write_eof()
+        async with asyncio.timeout(10):
+            await reader.read()
+        writer.close()
+        reply = await first.call(listen, KIND, b'still here', 5)
+        assert reply.ok_value == b'still here'
--- /dev/null
+++ b/godwitshunt/settings/models.py
@@ -0,0 +1,118 @@
+"""Models of the settings files. Durations are seconds, sizes are bytes."""
+
+from pathlib import Path
+
+from pydantic import Field
+
+from godwitshunt.manifest.models import Name, StrictModel
+
+KIBIBYTE = 1024
+MEBIBYTE = KIBIBYTE * KIBIBYTE
+
+
+class Address(StrictModel):
+    """An IP address and a TCP port to listen on or to reach."""
+
+    host: str
+    port: int = Field(ge=1, le=65535)
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+class TlsSettings(StrictModel):
+    """Files of a certificate, its key, and the authority that peers trust."""
+
+    certificate: Path
+    key: Path
+    authority: Path | None = None
+
+
+class LimitSettings(StrictModel):
+    """Bounds on what a process reads from outside."""
+
+    header_bytes: int = Field(default=16 * KIBIBYTE, ge=KIBIBYTE)
+    body_bytes: int = Field(default=8 * MEBIBYTE, ge=KIBIBYTE)
+    answer_bytes: int = Field(default=8 * MEBIBYTE, ge=KIBIBYTE)
+    frame_bytes: int = Field(default=4 * MEBIBYTE, ge=KIBIBYTE)
+    read_timeout_s: float = Field(default=10.0, gt=0)
+    connections: int = Field(default=4096, ge=1)
+
+
+class LogSettings(StrictModel):
+    """Where log lines go; None is standard error."""
+
+    path: Path | None = None
+
+
+class NodeSettings(StrictModel):
+    """What every process of the system is told about itself.
+
+    Parameters
+    ----------
+    name : str
+        The VM's name, unique in the deployment.
+    region : str
+        The region it stands in.
+    failure_domain : str
+        The failure domain it stands in.
+    http : Address
+        Where callers, upstreams and operators reach it.
+    peer : Address
+        Where other processes of the system reach it.
+    control : tuple of Address
+        Peer addresses of the control replicas.
+    cluster_key_file : Path
+        File with the key that processes of one deployment share.
+    data_folder : Path or None
+        Folder for state that must survive; None where the VM has no disk.
+    """
+
+    name: Name
+    region: Name
+    failure_domain: Name
+    http: Address
+    peer: Address
+    control: tuple[Address, ...] = Field(min_length=1)
+    cluster_key_file: Path
+    data_folder: Path | None = None
+    tls: TlsSettings | None = None
+    limits: LimitSettings = LimitSettings()
+    log: LogSettings = LogSettings()
+
+
+class EntrySettings(NodeSettings):
+    """Settings of ``godwitshunt-entry``.
+
+    Parameters
+    ----------
+    isolation_lease_s : float
+        Seconds without news of a control quorum until the VM holds itself
+        isolated.
+    upstream_lease_s : float
+        Seconds after the last announcement until an upstream gets no work.
+    drain_limit_s : float or None
+        Seconds after which a graceful shutdown cuts what is in progress;
+        None waits for the end of every request.
+    """
+
+    isolation_lease_s: float = Field(default=3.0, gt=0)
+    upstream_lease_s: float = Field(default=2.5, gt=0, le=3)
+    drain_limit_s: float | None = None
+
+
+class ControlSettings(NodeSettings):
+    """Settings of ``godwitshunt-control``.
+
+    Parameters
+    ----------
+    operator_token_sha256 : str
+        SHA-256 of the token that operators send, in hexadecimal.
+    election_timeout_s : float
+        Shortest time without a leader until a replica asks for votes.
+    """
+
+    data_folder: Path
+    operator_token_sha256: str = Field(pattern='^[0-9a-f]{64}$')
+    election_timeout_s: float = Field(default=1.0, gt=0)
+    heartbeat_s: float = Field(default=0.2, gt=0)
--- /dev/null
+++ b/godwitshunt/telemetry/__init__.py
@@ -0,0 +1,6 @@
+"""Counters, histograms and log lines for changes of state."""
+
+from godwitshunt.telemetry.metrics import Metrics
+from godwitshunt.telemetry.records import log_change, open_log
+
+__all__ = ['Metrics', 'log_change', 'open_log']
--- /dev/null
+++ b/godwitshunt/telemetry/records.py
@@ -0,0 +1,29 @@
+"""Log lines, as JSON, for changes of state only."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import eliot
+
+
+def open_log(path: Path | None) -> None:
+    """Write log lines to a file, or to standard error without one."""
+    if path is None:
+        eliot.to_file(sys.stderr)
+        return
+    path.parent.mkdir(parents=True, exist_ok=True)
+    eliot.to_file(path.open('a', buffering=1))
+
+
+def log_change(change: str, **fields: Any) -> None:
+    """Write one log line.
+
+    Parameters
+    ----------
+    change : str
+        Slice and change, such as ``membership:upstream_expired``.
+    **fields
+        Values that tell what changed; names carry units.
+    """
+    eliot.log_message(message_type=change, **fields)
--- /dev/null
+++ b/godwitshunt/timer/service.py
@@ -0,0 +1,148 @@
+"""Real and virtual timers with one interface.
+
+All times are seconds on a monotonic clock that starts at an arbitrary point;
+they are never compared between processes.
+"""
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+Notice = Callable[[], None]
+
+
+@dataclass
+class Subscription:
+    """A notice that will be given until it is cancelled.
+
+    Parameters
+    ----------
+    notice : callable
+        Called without arguments when the time has come.
+    period_s : float or None
+        Seconds between notices; None for a notice that is given once.
+    """
+
+    notice: Notice
+    period_s: float | None = None
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Give this notice no more."""
+        self.cancelled = True
+
+
+class Timer(Protocol):
+    """What parts of the system ask of time."""
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+
+    def after(self, delay_s: float, notice: Notice) -> Subscription:
+        """Give a notice once, `delay_s` seconds from now."""
+
+    def every(self, period_s: float, notice: Notice) -> Subscription:
+        """Give a notice each `period_s` seconds, first one period from now."""
+
+
+class TimerService:
+    """A timer on the running asyncio loop."""
+
+    def __init__(self) -> None:
+        self.subscriptions: set[Subscription] = set()
+        self.handles: dict[int, asyncio.TimerHandle] = {}
+
+    def now(self) -> float:
+        """Return the loop's monotonic time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def after(self, delay_s: float, notice: Notice) -> Subscription:
+        """Give a notice once, `delay_s` seconds from now."""
+        subscription = Subscription(notice)
+        self.arm(subscription, delay_s)
+        return subscription
+
+    def every(self, period_s: float, notice: Notice) -> Subscription:
+        """Give a notice each `period_s` seconds."""
+        subscription = Subscription(notice, period_s)
+        self.arm(subscription, period_s)
+        return subscription
+
+    def arm(self, subscription: Subscription, delay_s: float) -> None:
+        """Wait for the next notice of a subscription."""
+        loop = asyncio.get_running_loop()
+        self.handles[id(subscription)] = loop.call_later(
+            delay_s,
+            self.give,
+            subscription,
+        )
+
+    def give(self, subscription: Subscription) -> None:
+        """Give one notice and wait for the next where there is one."""
+        self.handles.pop(id(subscription), None)
+        if subscription.cancelled:
+            return
+        if subscription.period_s is not None:
+            self.arm(subscription, subscription.period_s)
+        subscription.notice()
+
+    def close(self) -> None:
+        """Give no more notices."""
+        for handle in self.handles.values():
+            handle.cancel()
+        self.handles.clear()
+
+
+@dataclass
+class VirtualTimerService:
+    """A timer for tests whose time passes only by `advance`.
+
+    Examples
+    --------
+    >>> timer = VirtualTimerService()
+    >>> seen = []
+    >>> subscription = timer.every(2.0, lambda: seen.append(timer.now()))
+    >>> timer.advance(5.0)
+    >>> seen
+    [2.0, 4.0]
+    """
+
+    time_s: float = 0.0
+    queue: list[tuple[float, int, Subscription]] = field(default_factory=list)
+    order: itertools.count = field(default_factory=itertools.count)
+
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.time_s
+
+    def after(self, delay_s: float, notice: Notice) -> Subscription:
+        """Give a notice once, `delay_s` virtual seconds from now."""
+        subscription = Subscription(notice)
+        self.push(self.time_s + delay_s, subscription)
+        return subscription
+
+    def every(self, period_s: float, notice: Notice) -> Subscription:
+        """Give a notice each `period_s` virtual seconds."""
+        subscription = Subscription(notice, period_s)
+        self.push(self.time_s + period_s, subscription)
+        return subscription
+
+    def push(self, due_s: float, subscription: Subscription) -> None:
+        """Queue a notice for the given virtual time."""
+        heapq.heappush(self.queue, (due_s, next(self.order), subscription))
+
+    def advance(self, duration_s: float) -> None:
+        """Let virtual seconds pass, giving each notice at its time."""
+        end_s = self.time_s + duration_s
+        while self.queue and self.queue[0][0] <= end_s:
+            due_s, _, subscription = heapq.heappop(self.queue)
+            self.time_s = due_s
+            if subscription.cancelled:
+                continue
+            if subscription.period_s is not None:
+                self.push(due_s + subscription.period_s, subscription)
+            subscription.notice()
+        self.time_s = end_s
