--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a whole deployment on loopback addresses."""
--- /dev/null
+++ b/godwitshunt/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent calls."""
--- /dev/null
+++ b/godwitshunt/claims/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this slice."""
--- /dev/null
+++ b/godwitshunt/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accepting, distributing and applying configuration."""
--- /dev/null
+++ b/godwitshunt/configuration/revision.py
@@ -0,0 +1,75 @@
+"""What is in force: one revision of the whole configuration."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from godwitshunt.manifest import Manifest
+from godwitshunt.settings import Address
+
+
+class VmRole(StrEnum):
+    """What a VM's process does."""
+
+    entry = 'entry'
+    control = 'control'
+
+
+@dataclass(frozen=True)
+class VmRecord:
+    """A VM of the system, as committed in the replicated log.
+
+    Parameters
+    ----------
+    name, region, failure_domain : str
+        As in the VM's settings.
+    role : VmRole
+        Entry or control process.
+    http, peer : Address
+        Where callers and where peers reach it.
+    """
+
+    name: str
+    region: str
+    failure_domain: str
+    role: VmRole
+    http: Address
+    peer: Address
+
+
+@dataclass(frozen=True)
+class HolderSet:
+    """The claim holders of a region under one generation number.
+
+    A key is bound for ever to the generation that it was stamped under, so
+    that two VMs with different views of the holders never count different
+    majorities for one key.
+    """
+
+    region: str
+    generation: int
+    names: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Revision:
+    """One committed configuration.
+
+    Parameters
+    ----------
+    revision : int
+        Position in the order of accepted changes; only a higher one applies.
+    digest : str
+        SHA-256 of the manifest's canonical form, in hexadecimal.
+    manifest : Manifest
+        The operator's manifest.
+    vms : tuple of VmRecord
+        Every admitted VM.
+    holders : tuple of HolderSet
+        Current and still valid earlier claim holders of each region.
+    """
+
+    revision: int
+    digest: str
+    manifest: Manifest
+    vms: tuple[VmRecord, ...] = ()
+    holders: tuple[HolderSet, ...] = ()
--- /dev/null
+++ b/godwitshunt/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: entry VMs, upstreams with leases, other regions in sum."""
--- /dev/null
+++ b/godwitshunt/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to upstreams: fencing numbers and the weight store rate."""
--- /dev/null
+++ b/godwitshunt/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The command line programs."""
--- /dev/null
+++ b/godwitshunt/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where a request goes: policy, limits, retry budget, entry directory."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that the gateway serves."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system as separate processes."""
