--- a/godwitshunt/peer/links.py
+++ b/godwitshunt/peer/links.py
@@ -153,6 +153,8 @@
                 self.address.host,
                 self.address.port,
                 ssl=self.options.client_tls,
+                # Peers and firewalls know a VM by its own address.
+                local_addr=(self.options.listen.host, 0),
             )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -66,6 +66,9 @@
         File with the key that processes of one deployment share.
     data_folder : Path or None
         Folder for state that must survive; None where the VM has no disk.
+    http_advertised, peer_advertised : Address or None
+        Where others reach the two listeners, where that is another address
+        than the one listened on (address translation); None where it is not.
     """
 
     name: Name
@@ -76,10 +79,22 @@
     control: tuple[Address, ...] = Field(min_length=1)
     cluster_key_file: Path
     data_folder: Path | None = None
+    http_advertised: Address | None = None
+    peer_advertised: Address | None = None
     tls: TlsSettings | None = None
     limits: LimitSettings = LimitSettings()
     log: LogSettings = LogSettings()
 
+    @property
+    def http_reached(self) -> Address:
+        """Where others reach the HTTP listener."""
+        return self.http_advertised or self.http
+
+    @property
+    def peer_reached(self) -> Address:
+        """Where others reach the peer listener."""
+        return self.peer_advertised or self.peer
+
 
 class EntrySettings(NodeSettings):
     """Settings of ``godwitshunt-entry``.
