--- a/godwitshunt/peer/__init__.py
+++ b/godwitshunt/peer/__init__.py
@@ -8,6 +8,7 @@
     NotSent,
     OutcomeUnknown,
 )
+from godwitshunt.peer.tls import client_context, server_context
 
 __all__ = [
     'CallFailed',
@@ -16,6 +17,8 @@
     'OutcomeUnknown',
     'PeerLinks',
     'PeerOptions',
+    'client_context',
     'decode',
     'encode',
+    'server_context',
 ]
--- a/godwitshunt/peer/tests/test_links.py
+++ b/godwitshunt/peer/tests/test_links.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+import trustme
 
 from godwitshunt.peer import (
     MessageKind,
@@ -12,9 +13,11 @@
     OutcomeUnknown,
     PeerLinks,
     PeerOptions,
+    client_context,
+    server_context,
 )
 from godwitshunt.peer.frames import frame
-from godwitshunt.settings import Address
+from godwitshunt.settings import Address, TlsSettings
 from godwitshunt.telemetry import Metrics
 
 KIND = MessageKind.vm_heartbeat
@@ -28,10 +31,20 @@
 
 
 @asynccontextmanager
-async def started_links(name: str, key: bytes = b'key'):
+async def started_links(
+    name: str,
+    key: bytes = b'key',
+    tls: TlsSettings | None = None,
+):
     """Yield links that listen, and close them."""
     links = PeerLinks.from_config(
-        PeerOptions(name=name, listen=free_address(), key=key),
+        PeerOptions(
+            name=name,
+            listen=free_address(),
+            key=key,
+            server_tls=server_context(tls),
+            client_tls=client_context(tls),
+        ),
         Metrics(),
     )
     await links.start()
@@ -133,3 +146,43 @@
         writer.close()
         reply = await first.call(listen, KIND, b'still here', 5)
         assert reply.ok_value == b'still here'
+
+
+def make_tls(folder, authority: trustme.CA, name: str) -> TlsSettings:
+    """Write a certificate for the loopback address and return its settings."""
+    certificate = authority.issue_cert('127.0.0.1')
+    paths = TlsSettings(
+        certificate=folder / f'{name}.pem',
+        key=folder / f'{name}.key',
+        authority=folder / f'{name}.ca',
+    )
+    certificate.cert_chain_pems[0].write_to_path(paths.certificate)
+    certificate.private_key_pem.write_to_path(paths.key)
+    authority.cert_pem.write_to_path(paths.authority)
+    return paths
+
+
+async def test_links_over_tls_need_a_certificate_of_the_authority(tmp_path):
+    """A VM of another deployment knows the key but has another authority.
+
+    It is refused before any message; VMs with the right authority talk.
+    """
+    authority = trustme.CA()
+    own = make_tls(tmp_path, authority, 'own')
+    other = make_tls(tmp_path, authority, 'other')
+    strange = make_tls(tmp_path, trustme.CA(), 'strange')
+    async with (
+        started_links('a', tls=own) as first,
+        started_links('b', tls=other) as second,
+        started_links('c', tls=strange) as third,
+    ):
+
+        async def echo(sender: str, body: bytes) -> bytes:
+            return body
+
+        second.subscribe(KIND, echo)
+        listen = second.options.listen
+        reply = await first.call(listen, KIND, b'known', 5)
+        assert reply.ok_value == b'known'
+        refused = await third.call(listen, KIND, b'unknown', 5)
+        assert isinstance(refused.err_value, NotSent)
