--- a/tests/callers.py
+++ b/tests/callers.py
@@ -14,6 +14,7 @@
 RESEND_PAUSE_S = 0.3
 READ_BYTES = 65536
 LOST = (OSError, h11.RemoteProtocolError)
+DIRECTORY_LOST = (*LOST, LookupError, ValueError)
 
 
 class Kind(StrEnum):
@@ -120,14 +121,11 @@
     host, port = entry.split(':')
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         reader, writer = await asyncio.open_connection(host, int(port))
+    connection = h11.Connection(h11.CLIENT)
+    fields = [('Host', entry), ('Content-Length', str(len(body)))]
+    fields += headers
+    request = h11.Request(method=method, target=path, headers=fields)
     try:
-        connection = h11.Connection(h11.CLIENT)
-        fields = [('Host', entry), ('Content-Length', str(len(body)))]
-        request = h11.Request(
-            method=method,
-            target=path,
-            headers=[*fields, *headers],
-        )
         writer.write(wire_bytes(connection, request, body))
         return await read_answer(reader, connection)
     finally:
@@ -189,26 +187,30 @@
         """Ask for the directory; keep the old list where none answers."""
         for entry in (*self.entries, *self.known):
             try:
-                async with asyncio.timeout(2):
-                    _, _, body = await exchange(
-                        entry,
-                        'GET',
-                        '/v1/entries',
-                        credentials(caller),
-                        b'',
-                    )
-                document = json.loads(body)
-                listed = [
-                    '{host}:{port}'.format(**listed['address'])
-                    for listed in document['entries']
-                ]
-            except (*LOST, LookupError, ValueError):
+                document = await self.ask_directory(entry, caller)
+            except DIRECTORY_LOST:
                 continue
+            listed = [
+                '{host}:{port}'.format(**listed['address'])
+                for listed in document['entries']
+            ]
             self.entries = tuple(listed)
             self.stamp = document['key_stamp'] or self.stamp
             return bool(listed)
         return False
 
+    async def ask_directory(self, entry: str, caller: str) -> dict:
+        """Ask one entry VM for its list of entry VMs."""
+        async with asyncio.timeout(2):
+            answer = await exchange(
+                entry,
+                'GET',
+                '/v1/entries',
+                credentials(caller),
+                b'',
+            )
+        return json.loads(answer[2])
+
     async def send(self, request: Request) -> None:
         """Send a request, and again elsewhere until it is decided.
 
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -97,7 +97,7 @@
     networks: tuple[int, ...],
 ) -> Fault:
     """Draw one fault."""
-    match draw.randrange(8):
+    match draw.randrange(9):
         case 0 | 1:
             return Kill(draw.choice(vms), draw.uniform(0.2, 4))
         case 2:
@@ -110,8 +110,8 @@
             return Cut(isolate(network, networks), draw.uniform(2, 8))
         case 6:
             one_way = (draw.choice(networks), draw.choice(networks))
-            return Cut(frozenset({one_way}), draw.uniform(1, 5))
+            return Cut(frozenset((one_way,)), draw.uniform(1, 5))
+        case 7:
+            return Restart(draw.choice(vms))
         case _:
-            if draw.random() < 0.5:
-                return Restart(draw.choice(vms))
             return Leave(draw.choice(upstreams), draw.uniform(1, 4))
