--- /dev/null
+++ b/godwitshunt/exchange/attempts.py
@@ -0,0 +1,260 @@
+"""One attempt at one upstream or VM: sending, reading, relaying."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Protocol
+
+from result import Err, Ok
+
+from godwitshunt.exchange import messages as msg
+from godwitshunt.exchange.outgoing import (
+    OWN_PREFIX,
+    RESUME_HEADER,
+    passed_on,
+)
+from godwitshunt.exchange.problems import (
+    TYPE_PREFIX,
+    Headers,
+    Outcome,
+    Problem,
+    ProblemKind,
+    WholeAnswer,
+)
+from godwitshunt.exchange.relay import EVENT_STREAM, EventSplitter
+from godwitshunt.exchange.upstream_pool import (
+    AnswerHead,
+    BrokenAnswerError,
+    OutgoingRequest,
+    UpstreamCall,
+    UpstreamPool,
+)
+from godwitshunt.routing.messages import Forward
+from godwitshunt.settings import Address
+
+OK = 200
+TRANSIENT = frozenset((502, 503, 504))
+OUTCOME_HEADER = b'godwitshunt-outcome'
+NOT_TOLD = frozenset((RESUME_HEADER, b'godwitshunt-entry'))
+KIND_BY_TYPE = MappingProxyType(
+    {TYPE_PREFIX + kind.slug: kind for kind in ProblemKind},
+)
+
+
+class StreamWriter(Protocol):
+    """Where a relayed stream goes."""
+
+    begun: bool
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+
+
+@dataclass
+class Attempt:
+    """One sending of a request.
+
+    Parameters
+    ----------
+    target : Serve or Forward
+        Where it goes.
+    address : Address
+        The target's address.
+    request : OutgoingRequest
+        What is sent.
+    served : tuple of (bytes, bytes)
+        Headers that tell the caller who served.
+    streams : bool
+        False where an answer is read whole even if it is a stream, since it
+        has to be kept.
+    repeatable : bool
+        True where an upstream's transient error is answered by a retry.
+    answer_bytes : int
+        Longest answer that is read whole.
+    resume_offset : int
+        Whole events that the caller already has.
+    """
+
+    target: msg.Target
+    address: Address
+    request: OutgoingRequest
+    served: Headers
+    streams: bool
+    repeatable: bool
+    answer_bytes: int
+    resume_offset: int = 0
+    call: UpstreamCall | None = None
+    head: AnswerHead | None = None
+    events: EventSplitter = field(default_factory=EventSplitter)
+
+    async def dispatch(self, pool: UpstreamPool) -> msg.Event:
+        """Send the request; read the head, and the body where unary."""
+        match await pool.open(self.address, self.request):
+            case Err(failed):
+                return msg.AttemptFailed(sent=False, reason=failed.reason)
+            case Ok(call):
+                self.call = call
+        try:
+            await self.call.send(self.request)
+            self.head = await self.call.head(self.request.request_id)
+            return await self.hear_head(self.head)
+        except (BrokenAnswerError, ConnectionError) as broken:
+            self.cancel()
+            return msg.AttemptFailed(sent=True, reason=str(broken))
+
+    async def hear_head(self, head: AnswerHead) -> msg.Event:
+        """Decide by the head how the body is read."""
+        if self.streams and is_event_stream(head):
+            self.check_resumed(head)
+            self.events.delivered = self.resume_offset
+            return msg.HeadArrived()
+        body = await self.read_whole()
+        if isinstance(self.target, Forward):
+            told = read_refusal(head, body)
+            if told is not None:
+                return told
+        if self.repeatable and head.status in TRANSIENT:
+            return msg.AttemptFailed(sent=True, reason=f'status {head.status}')
+        answer = WholeAnswer(head.status, self.told_headers(head), body)
+        return msg.AnswerArrived(answer)
+
+    def check_resumed(self, head: AnswerHead) -> None:
+        """Refuse a stream that does not go on where the caller stands.
+
+        An engine that ignores the offset would start anew, and the caller
+        would get the beginning twice. The engine repeats the offset that it
+        resumes at, and only that is believed.
+        """
+        if not self.resume_offset:
+            return
+        told = dict(head.headers).get(RESUME_HEADER)
+        if told != str(self.resume_offset).encode():
+            raise BrokenAnswerError('resumed at another offset')
+
+    async def read_whole(self) -> bytes:
+        """Return the whole body, bounded, its length checked by h11."""
+        parts = []
+        size = 0
+        while True:
+            chunk = await self.call.chunk()
+            if not chunk:
+                break
+            size += len(chunk)
+            if size > self.answer_bytes:
+                raise BrokenAnswerError('the answer is too long')
+            parts.append(chunk)
+        if not self.call.release():
+            raise BrokenAnswerError('more came than the answer')
+        return b''.join(parts)
+
+    async def relay(
+        self,
+        writer: StreamWriter,
+        on_begun: Callable[[], None],
+    ) -> msg.Event:
+        """Pass a stream on to the caller as it comes.
+
+        The head goes out with the first whole event, so that a stream which
+        breaks before it can be tried elsewhere.
+        """
+        try:
+            await self.relay_events(writer, on_begun)
+        except BrokenAnswerError as broken:
+            self.cancel()
+            return self.broke(writer, str(broken))
+        if not self.events.finished or self.events.rest:
+            self.cancel()
+            return self.broke(writer, 'ended without its final event')
+        self.call.release()
+        return msg.StreamEnded()
+
+    async def relay_events(
+        self,
+        writer: StreamWriter,
+        on_begun: Callable[[], None],
+    ) -> None:
+        """Pass on whole events until the stream's end."""
+        while chunk := await self.call.chunk():
+            whole = self.events.take(chunk)
+            if len(self.events.rest) > self.answer_bytes:
+                raise BrokenAnswerError('an event is too long')
+            if not whole:
+                continue
+            if not writer.begun:
+                headers = self.told_headers(self.head)
+                on_begun()
+                await writer.begin(self.head.status, headers)
+            await writer.send(whole)
+
+    def broke(self, writer: StreamWriter, reason: str) -> msg.StreamBroke:
+        """Return the event of a stream that broke."""
+        return msg.StreamBroke(self.events.delivered, writer.begun, reason)
+
+    def told_headers(self, head: AnswerHead) -> Headers:
+        """Return the head's headers as the caller gets them.
+
+        Only this system's own VMs may tell who served; the same names from
+        an upstream are dropped, so that none can claim another's place.
+        """
+        headers = passed_on(head.headers)
+        if isinstance(self.target, Forward):
+            headers = (*headers, *own_headers(head.headers))
+        return (*headers, *self.served)
+
+    def cancel(self) -> None:
+        """Close the connection where it is still this attempt's."""
+        if self.call is not None:
+            self.call.abandon()
+
+
+def is_event_stream(head: AnswerHead) -> bool:
+    """Tell whether an answer is a stream of events."""
+    kind = dict(head.headers).get(b'content-type', b'')
+    return head.status == OK and kind.startswith(EVENT_STREAM)
+
+
+def own_headers(headers: Headers) -> Headers:
+    """Return the headers that a VM of this system told a caller."""
+    return tuple(
+        (name, content)
+        for name, content in headers
+        if name.startswith(OWN_PREFIX) and name not in NOT_TOLD
+    )
+
+
+def read_refusal(head: AnswerHead, body: bytes) -> msg.Event | None:
+    """Return what a VM's refusal means; None for an upstream's answer.
+
+    VMs drop the outcome header from answers of upstreams, so where it is
+    present the VM itself speaks.
+    """
+    outcome = dict(head.headers).get(OUTCOME_HEADER)
+    if outcome is None:
+        return None
+    problem = read_problem(body)
+    if outcome == Outcome.not_run.value.encode():
+        return msg.NotRunTold(problem)
+    return msg.AttemptFailed(sent=True, reason=problem.kind.slug)
+
+
+def read_problem(body: bytes) -> Problem:
+    """Return the problem in a refusal of another VM."""
+    try:
+        document = json.loads(body)
+    except ValueError:
+        document = None
+    if not isinstance(document, dict):
+        return Problem(ProblemKind.upstream_broken, 'a malformed refusal')
+    kind = KIND_BY_TYPE.get(document.get('type'), ProblemKind.upstream_broken)
+    retry_after_s = document.get('retry_after_s')
+    if not isinstance(retry_after_s, int | float):
+        retry_after_s = None
+    return Problem(
+        kind,
+        str(document.get('detail', '')),
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/godwitshunt/exchange/exchange.thrift
@@ -0,0 +1,22 @@
+/** What travels with a request that is forwarded to another region. */
+namespace py wire
+
+struct ForwardNote {
+  /** Names of the VMs that had the request, in order. */
+  1: list<string> path
+  /** Regions of those VMs; the first is where the request arrived. */
+  2: list<string> regions
+  /** The VM that the request is sent to; it accepts no other's note. */
+  3: string receiver
+  4: string caller
+  5: string request_class
+  6: i64 remaining_ms
+  /** The revision under which the sender decided. */
+  7: i64 revision
+  /** SHA-256 of method, target and body: a note fits one request only. */
+  8: binary request_digest
+  /** True where the sender holds a claim for the call. */
+  9: bool claimed
+  /** Whole events of a stream that the caller already has. */
+  10: i64 resume_offset
+}
--- /dev/null
+++ b/godwitshunt/exchange/listener.py
@@ -0,0 +1,315 @@
+"""An HTTP/1.1 listener (h11) that bounds everything that it reads."""
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+import h11
+
+from godwitshunt.exchange.channel import Channel
+from godwitshunt.exchange.problems import (
+    Problem,
+    ProblemKind,
+    render_problem,
+)
+from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
+from godwitshunt.settings import Address, LimitSettings
+from godwitshunt.telemetry import Metrics
+
+RequestHandler = Callable[[HttpRequest, AnswerWriter], Awaitable[None]]
+
+IDLE_TIMEOUT_S = 75.0
+BODY_TIMEOUTS = 6
+LINGER_S = 0.2
+BACKLOG = 1024
+
+
+class RefusedInput(Exception):  # carries the refusal outwards
+    """Input that ends the connection after one typed answer."""
+
+    def __init__(self, kind: ProblemKind, detail: str) -> None:
+        super().__init__(detail)
+        self.kind = kind
+        self.detail = detail
+
+
+@dataclass(frozen=True)
+class ListenerOptions:
+    """Where a listener listens and what it bounds.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    limits : LimitSettings
+        Bounds in bytes, seconds and connections.
+    tls : ssl.SSLContext or None
+        None talks plain TCP.
+    idle_timeout_s : float
+        Seconds that a connection without a request is kept.
+    """
+
+    address: Address
+    limits: LimitSettings
+    tls: ssl.SSLContext | None = None
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
+class Listener:
+    """Accepts connections and hands whole requests to a handler.
+
+    Parameters
+    ----------
+    options : ListenerOptions
+        Address and bounds.
+    metrics : Metrics
+        Counts connections and each type of refused input.
+    handler : callable
+        Answers one request; called one at a time on each connection.
+    """
+
+    def __init__(
+        self,
+        options: ListenerOptions,
+        metrics: Metrics,
+        handler: RequestHandler,
+    ) -> None:
+        self.options = options
+        self.metrics = metrics
+        self.handler = handler
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.idle: set[Channel] = set()
+        self.draining = False
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: Channel(self.accept),
+            self.options.address.host,
+            self.options.address.port,
+            ssl=self.options.tls,
+            backlog=BACKLOG,
+        )
+
+    def drain(self) -> None:
+        """Close idle connections, and each other one after its answer."""
+        self.draining = True
+        for channel in tuple(self.idle):
+            channel.close()
+
+    async def close(self) -> None:
+        """Take no connections; wait until every request has its answer."""
+        self.drain()
+        if self.server is not None:
+            self.server.close()
+        while self.tasks:
+            await asyncio.wait(tuple(self.tasks))
+
+    def accept(self, channel: Channel) -> None:
+        """Start the task that owns a new connection."""
+        task = asyncio.get_running_loop().create_task(self.serve(channel))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, channel: Channel) -> None:
+        """Serve one connection until it ends."""
+        self.metrics.count('http_connections_total')
+        connection = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self.options.limits.header_bytes,
+        )
+        try:
+            await self.serve_requests(connection, channel)
+        except RefusedInput as refused:
+            self.metrics.count('http_refused_total', kind=refused.kind.slug)
+            await self.refuse(connection, channel, refused)
+        except (ConnectionError, TimeoutError):
+            self.metrics.count('http_connections_broken_total')
+        finally:
+            channel.close()
+
+    async def serve_requests(
+        self,
+        connection: h11.Connection,
+        channel: Channel,
+    ) -> None:
+        """Read and answer requests in turn."""
+        if len(self.tasks) > self.options.limits.connections:
+            raise RefusedInput(ProblemKind.connections, 'connection limit')
+        while await self.wait_for_request(connection, channel):
+            request = await self.read_request(connection, channel)
+            answer = AnswerWriter(connection, channel)
+            answer.closing = self.draining
+            await self.handler(request, answer)
+            if not is_reusable(connection) or self.draining:
+                return
+            connection.start_next_cycle()
+
+    async def wait_for_request(
+        self,
+        connection: h11.Connection,
+        channel: Channel,
+    ) -> bool:
+        """Wait for the first byte of a request; False where none comes."""
+        if connection.trailing_data[0]:
+            return True
+        self.idle.add(channel)
+        try:
+            async with asyncio.timeout(self.options.idle_timeout_s):
+                chunk = await channel.read()
+        except TimeoutError:
+            return False
+        finally:
+            self.idle.discard(channel)
+        if chunk:
+            connection.receive_data(chunk)
+        return bool(chunk)
+
+    async def read_request(
+        self,
+        connection: h11.Connection,
+        channel: Channel,
+    ) -> HttpRequest:
+        """Read one whole request within the time and size bounds."""
+        limits = self.options.limits
+        try:
+            async with asyncio.timeout(limits.read_timeout_s):
+                head = await next_event(connection, channel)
+            check_head(head)
+            if connection.they_are_waiting_for_100_continue:
+                proceed = h11.InformationalResponse(status_code=100, headers=[])
+                channel.write(connection.send(proceed))
+            async with asyncio.timeout(limits.read_timeout_s * BODY_TIMEOUTS):
+                body = await self.read_body(connection, channel, head)
+        except TimeoutError:
+            raise RefusedInput(
+                ProblemKind.timeout,
+                'the request was not whole in time',
+            ) from None
+        path, _, query = head.target.decode('latin-1').partition('?')
+        return HttpRequest(
+            method=head.method.decode('latin-1'),
+            path=path,
+            query=query,
+            headers=tuple(head.headers),
+            body=body,
+        )
+
+    async def read_body(
+        self,
+        connection: h11.Connection,
+        channel: Channel,
+        head: h11.Request,
+    ) -> bytes:
+        """Read the body; refuse it as soon as it is known to be too long."""
+        limit = self.options.limits.body_bytes
+        too_long = RefusedInput(
+            ProblemKind.body_too_large,
+            f'more than {limit} bytes',
+        )
+        for name, content in head.headers:
+            if name == b'content-length' and int(content) > limit:
+                raise too_long
+        parts = []
+        size = 0
+        while True:
+            async with asyncio.timeout(self.options.limits.read_timeout_s):
+                event = await next_event(connection, channel)
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            size += len(event.data)
+            if size > limit:
+                raise too_long
+            parts.append(bytes(event.data))
+
+    async def refuse(
+        self,
+        connection: h11.Connection,
+        channel: Channel,
+        refused: RefusedInput,
+    ) -> None:
+        """Send one typed answer, then let the connection end.
+
+        Closing while the other side still sends would reset the connection
+        and destroy the answer before it is read; so we read on for a moment.
+        """
+        if connection.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        answer = AnswerWriter(connection, channel)
+        answer.closing = True
+        with suppress(ConnectionError, TimeoutError):
+            await answer.whole(
+                render_problem(Problem(refused.kind, refused.detail)),
+            )
+            async with asyncio.timeout(LINGER_S):
+                await read_to_end(channel)
+
+
+def is_reusable(connection: h11.Connection) -> bool:
+    """Tell whether both sides ended their message cleanly."""
+    states = (connection.our_state, connection.their_state)
+    return states == (h11.DONE, h11.DONE)
+
+
+async def next_event(
+    connection: h11.Connection,
+    channel: Channel,
+) -> h11.Request | h11.Data | h11.EndOfMessage:
+    """Return the next part of a request, reading where more is needed."""
+    event = parse_event(connection)
+    while event is h11.NEED_DATA:
+        chunk = await channel.read()
+        if not chunk:
+            raise ConnectionResetError('ended within a request')
+        connection.receive_data(chunk)
+        event = parse_event(connection)
+    if isinstance(event, h11.ConnectionClosed):
+        raise ConnectionResetError('ended before a request')
+    return event
+
+
+def parse_event(connection: h11.Connection) -> h11.Event | type[h11.NEED_DATA]:
+    """Return the next event; refuse input that is not HTTP/1.1."""
+    try:
+        return connection.next_event()
+    except h11.RemoteProtocolError as wrong:
+        raise RefusedInput(kind_of_fault(wrong), str(wrong)) from None
+
+
+async def read_to_end(channel: Channel) -> None:
+    """Read and drop what still comes."""
+    chunk = await channel.read()
+    while chunk:
+        chunk = await channel.read()
+
+
+def kind_of_fault(wrong: h11.RemoteProtocolError) -> ProblemKind:
+    """Return the problem type of input that h11 does not accept."""
+    if wrong.error_status_hint == ProblemKind.header_too_large.status:
+        return ProblemKind.header_too_large
+    if 'Content-Length' in str(wrong):
+        return ProblemKind.ambiguous_length
+    return ProblemKind.malformed
+
+
+def check_head(head: h11.Request) -> None:
+    """Refuse heads that another server might read in another way.
+
+    Two ways to tell the length let a request hide within another one's body
+    where two servers disagree; so a request that has both is never answered.
+    An HTTP/1.0 caller could not tell a broken answer from a whole one.
+    """
+    if head.http_version != b'1.1':
+        raise RefusedInput(ProblemKind.http_version, 'HTTP/1.0')
+    names = [name for name, _ in head.headers]
+    if b'content-length' in names and b'transfer-encoding' in names:
+        raise RefusedInput(
+            ProblemKind.ambiguous_length,
+            'Content-Length beside Transfer-Encoding',
+        )
+    if head.method == b'CONNECT' or not head.target.startswith(b'/'):
+        raise RefusedInput(ProblemKind.malformed, 'the target is no path')
--- /dev/null
+++ b/godwitshunt/exchange/request_task.py
@@ -0,0 +1,406 @@
+"""The task of one request: carries out what the state machine decides."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from godwitshunt.claims.messages import KeptAnswer
+from godwitshunt.exchange import messages as msg
+from godwitshunt.exchange.admission import AdmittedRequest, CallerIndex
+from godwitshunt.exchange.attempts import Attempt
+from godwitshunt.exchange.forwarding import request_digest
+from godwitshunt.exchange.lifecycle import RequestState, advance
+from godwitshunt.exchange.outgoing import (
+    RESUME_HEADER,
+    forward_note,
+    forwarded_request,
+    served_headers,
+    upstream_request,
+)
+from godwitshunt.exchange.ports import Ports
+from godwitshunt.exchange.problems import (
+    Headers,
+    Problem,
+    WholeAnswer,
+    render_problem,
+)
+from godwitshunt.exchange.requests import AnswerWriter
+from godwitshunt.exchange.residency import check_decision, newest_route
+from godwitshunt.exchange.upstream_pool import OutgoingRequest, UpstreamPool
+from godwitshunt.routing.messages import (
+    Decision,
+    Forward,
+    RefusalReason,
+    Refuse,
+    Serve,
+)
+from godwitshunt.settings import Address, EntrySettings
+from godwitshunt.telemetry import Metrics
+
+KEPT_HEADER = (b'godwitshunt-kept', b'true')
+
+
+@dataclass
+class RequestParts:
+    """What every request's task works with.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        The VM's name, region and bounds.
+    cluster_key : bytes
+        Signs forward notes.
+    ports : Ports
+        The other slices.
+    pool : UpstreamPool
+        Connections to upstreams.
+    vms : UpstreamPool
+        Connections to other VMs, which talk TLS where the settings say so.
+    metrics : Metrics
+        Counts attempts, refusals and durations.
+    callers : CallerIndex
+        Callers of the revision in force.
+    chance : random.Random
+        Chance for routing decisions.
+    """
+
+    settings: EntrySettings
+    cluster_key: bytes
+    ports: Ports
+    pool: UpstreamPool
+    vms: UpstreamPool
+    metrics: Metrics
+    callers: CallerIndex = field(default_factory=CallerIndex)
+    chance: random.Random = field(default_factory=random.Random)
+
+
+class RequestTask:
+    """One request from its admission to its end.
+
+    Parameters
+    ----------
+    parts : RequestParts
+        What every request's task works with.
+    admitted : AdmittedRequest
+        The request.
+    writer : AnswerWriter
+        Where its answer goes.
+    """
+
+    def __init__(
+        self,
+        parts: RequestParts,
+        admitted: AdmittedRequest,
+        writer: AnswerWriter,
+    ) -> None:
+        self.parts = parts
+        self.admitted = admitted
+        self.writer = writer
+        self.started_s = parts.ports.timer.now()
+        self.state = RequestState(
+            admitted.facts,
+            delivered=admitted.resume_offset,
+        )
+        self.attempt: Attempt | None = None
+        self.operation: asyncio.Task[msg.Event] | None = None
+        self.interruption: msg.Event | None = None
+
+    async def run(self) -> None:
+        """Live the request's life."""
+        timer = self.parts.ports.timer
+        deadline = timer.after(
+            self.admitted.deadline_s,
+            lambda: self.interrupt(msg.DeadlinePassed()),
+        )
+        channel = self.writer.channel
+        channel.on_lost = lambda: self.interrupt(msg.CallerGone())
+        try:
+            await self.live()
+        finally:
+            deadline.cancel()
+            self.end_attempt()
+        channel.on_lost = None
+        self.observe('request_seconds')
+
+    async def live(self) -> None:
+        """Take events to actions until none follows."""
+        event = msg.Admitted()
+        while event is not None:
+            step = advance(self.state, event)
+            self.state = step[0]
+            event = await self.carry_out_all(step[1])
+
+    def interrupt(self, event: msg.Event) -> None:
+        """Stop the operation under way, where the event changes anything."""
+        _, actions = advance(self.state, event)
+        if not actions or self.interruption is not None:
+            return
+        self.interruption = event
+        if self.operation is not None:
+            self.operation.cancel()
+
+    async def carry_out_all(
+        self,
+        actions: tuple[msg.Action, ...],
+    ) -> msg.Event | None:
+        """Carry out actions in order; return the event that follows."""
+        event = None
+        for action in actions:
+            # A caller that is gone must not keep a claim from being settled.
+            with suppress(ConnectionError):
+                event = await self.carry_out(action)
+        return event
+
+    async def carry_out(self, action: msg.Action) -> msg.Event | None:
+        """Carry out one action."""
+        match action:
+            case msg.Claim():
+                return await self.claim()
+            case msg.Choose():
+                return self.choose(action)
+            case msg.Pause(delay_s):
+                return await self.interruptible(pause(delay_s))
+            case msg.Dispatch():
+                return await self.interruptible(self.dispatch(action))
+            case msg.Relay():
+                return await self.interruptible(self.relay())
+            case msg.CancelAttempt():
+                self.end_attempt()
+            case _:
+                await self.answer_caller(action)
+        return None
+
+    async def answer_caller(self, action: msg.Action) -> None:
+        """Carry out an action that ends the answer, or the claim."""
+        match action:
+            case msg.SendWhole(answer):
+                await self.writer.whole(answer)
+            case msg.SendKept(kept):
+                headers = (*kept.headers, KEPT_HEADER)
+                answer = WholeAnswer(kept.status, headers, kept.body)
+                await self.writer.whole(answer)
+            case msg.RefuseWith(problem):
+                await self.refuse(problem)
+            case msg.EndStream():
+                await self.writer.finish()
+            case msg.BreakOff():
+                self.writer.break_off()
+            case _:
+                await self.settle_claim(action)
+
+    async def settle_claim(self, action: msg.Action) -> None:
+        """Tell the holders how the claimed call ended."""
+        claims = self.parts.ports.claims
+        key = self.admitted.key
+        match action:
+            case msg.KeepAnswer(answer):
+                kept = KeptAnswer(answer.status, answer.headers, answer.body)
+                await claims.finish(key, kept)
+            case msg.AbandonClaim():
+                await claims.finish(key, None)
+            case msg.ReleaseClaim():
+                await claims.release(key)
+
+    async def interruptible(
+        self,
+        step: Coroutine[Any, Any, msg.Event],
+    ) -> msg.Event:
+        """Run an operation that the deadline or the caller can stop."""
+        if self.interruption is not None:
+            step.close()
+            return self.take_interruption()
+        self.operation = asyncio.create_task(step)
+        try:
+            return await self.operation
+        except asyncio.CancelledError:
+            if self.interruption is None:
+                raise
+            return self.take_interruption()
+        finally:
+            self.operation = None
+
+    def take_interruption(self) -> msg.Event:
+        """Return what stopped the operation."""
+        event = self.interruption
+        self.interruption = None
+        return event
+
+    async def claim(self) -> msg.Event:
+        """Ask the claim holders; never stopped, so that the grant is known."""
+        request = self.admitted.request
+        digest = request_digest(request.method, request.target, request.body)
+        claims = self.parts.ports.claims
+        outcome = await claims.claim(self.admitted.key, digest)
+        return msg.ClaimSettled(outcome)
+
+    def choose(self, action: msg.Choose) -> msg.Event:
+        """Decide on the newest revision, and check the decision on it."""
+        if self.interruption is not None:
+            return self.take_interruption()
+        ports = self.parts.ports
+        now = ports.timer.now()
+        if action.spend_retry and not ports.retries.spend(now):
+            self.parts.metrics.count('retries_denied_total')
+            return msg.RetryDenied()
+        return msg.Decided(self.decide(action.excluded, now))
+
+    def decide(self, excluded: frozenset[str], now: float) -> Decision:
+        """Return the checked routing decision."""
+        ports = self.parts.ports
+        revision = ports.configuration.current()
+        self.parts.callers.refresh(revision)
+        caller = self.parts.callers.by_name.get(self.admitted.route.caller)
+        if caller is None:
+            return Refuse(RefusalReason.residency)
+        route = replace(
+            newest_route(self.admitted.route, revision, caller),
+            excluded=excluded,
+            deadline_s=self.remaining_s(now),
+        )
+        age_s = ports.configuration.quorum_age_s()
+        isolated = age_s > self.parts.settings.isolation_lease_s
+        view = replace(ports.membership.view(), isolated=isolated)
+        decision = ports.choose(
+            view,
+            route,
+            revision.manifest.objective,
+            self.parts.chance,
+        )
+        return check_decision(
+            decision,
+            route,
+            self.parts.settings.region,
+            isolated=isolated,
+        )
+
+    def remaining_s(self, now: float) -> float:
+        """Return seconds until the deadline."""
+        return max(0.0, self.started_s + self.admitted.deadline_s - now)
+
+    async def dispatch(self, action: msg.Dispatch) -> msg.Event:
+        """Send the request to an upstream or to a VM."""
+        self.end_attempt()
+        self.parts.metrics.count('attempts_total')
+        membership = self.parts.ports.membership
+        match action.target:
+            case Serve(upstream):
+                self.attempt = self.upstream_attempt(action)
+                pool = self.parts.pool
+                tokens = self.admitted.route.prompt_tokens
+                membership.note_sent(upstream.name, tokens)
+            case Forward():
+                self.attempt = self.forward_attempt(action)
+                pool = self.parts.vms
+                self.parts.metrics.count('forwards_total')
+        event = await self.attempt.dispatch(pool)
+        if not isinstance(event, msg.HeadArrived):
+            self.end_attempt()
+        return event
+
+    def upstream_attempt(self, action: msg.Dispatch) -> Attempt:
+        """Return the attempt at an upstream of this region."""
+        now = self.parts.ports.timer.now()
+        revision = self.parts.ports.configuration.current()
+        upstream = action.target.upstream
+        served = served_headers(
+            self.parts.settings,
+            upstream.name,
+            revision.revision,
+        )
+        if self.admitted.resume_offset:
+            offset = str(self.admitted.resume_offset).encode()
+            served = (*served, (RESUME_HEADER, offset))
+        request = upstream_request(
+            self.admitted,
+            self.remaining_s(now),
+            action.resume_offset,
+        )
+        return self.make_attempt(action, upstream.address, request, served)
+
+    def forward_attempt(self, action: msg.Dispatch) -> Attempt:
+        """Return the attempt at a VM of another region."""
+        note = forward_note(
+            self.admitted,
+            action.target,
+            self.parts.settings,
+            self.remaining_s(self.parts.ports.timer.now()),
+            action.resume_offset,
+            self.parts.ports.configuration.current().revision,
+        )
+        request = forwarded_request(
+            self.admitted,
+            note,
+            self.parts.cluster_key,
+        )
+        entry = self.parts.settings.name.encode()
+        served = ((b'godwitshunt-entry', entry),)
+        return self.make_attempt(action, action.target.address, request, served)
+
+    def make_attempt(
+        self,
+        action: msg.Dispatch,
+        address: Address,
+        request: OutgoingRequest,
+        served: Headers,
+    ) -> Attempt:
+        """Return an attempt at a target."""
+        return Attempt(
+            target=action.target,
+            address=address,
+            request=request,
+            served=served,
+            streams=self.admitted.streams,
+            repeatable=self.admitted.facts.repeatable,
+            answer_bytes=self.parts.settings.limits.answer_bytes,
+            resume_offset=action.resume_offset,
+        )
+
+    def end_attempt(self) -> None:
+        """Close the present attempt and count its end, once."""
+        if self.attempt is None:
+            return
+        self.attempt.cancel()
+        if isinstance(self.attempt.target, Serve):
+            self.parts.ports.membership.note_finished(
+                self.attempt.target.upstream.name,
+                self.admitted.route.prompt_tokens,
+            )
+        self.attempt = None
+
+    async def relay(self) -> msg.Event:
+        """Pass the stream on."""
+        event = await self.attempt.relay(
+            self.writer,
+            lambda: self.observe('first_token_seconds'),
+        )
+        self.end_attempt()
+        return event
+
+    async def refuse(self, problem: Problem) -> None:
+        """Send a refusal."""
+        self.parts.metrics.count('refusals_total', kind=problem.kind.slug)
+        answer = render_problem(problem)
+        entry = (b'godwitshunt-entry', self.parts.settings.name.encode())
+        await self.writer.whole(
+            replace(answer, headers=(*answer.headers, entry)),
+        )
+
+    def observe(self, name: str) -> None:
+        """Add the time since admission to a histogram."""
+        route = self.admitted.route
+        now = self.parts.ports.timer.now()
+        self.parts.metrics.observe(
+            name,
+            now - self.started_s,
+            caller=route.caller,
+            request_class=route.request_class,
+        )
+
+
+async def pause(delay_s: float) -> msg.Event:
+    """Wait."""
+    await asyncio.sleep(delay_s)
+    return msg.PauseEnded()
--- /dev/null
+++ b/godwitshunt/exchange/requests.py
@@ -0,0 +1,99 @@
+"""A request as it was read, and the answer that is written to it."""
+
+import json
+from dataclasses import dataclass
+
+import h11
+
+from godwitshunt.exchange.channel import Channel
+from godwitshunt.exchange.problems import Headers, WholeAnswer
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """One whole request.
+
+    Parameters
+    ----------
+    method, path, query : str
+        Parts of the request line; the query without its question mark.
+    headers : tuple of (bytes, bytes)
+        Names in lower case, in the order of arrival.
+    body : bytes
+        The whole body.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: Headers
+    body: bytes
+
+    @property
+    def target(self) -> str:
+        """Return path and query as they stood in the request line."""
+        return f'{self.path}?{self.query}' if self.query else self.path
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first value of a header; None where it is missing."""
+        for known, content in self.headers:
+            if known == name:
+                return content.decode('latin-1')
+        return None
+
+    def document(self) -> object:
+        """Return the JSON body; raise ValueError where it is not JSON."""
+        return json.loads(self.body)
+
+
+class AnswerWriter:
+    """Writes one answer on a caller's connection.
+
+    Every method raises `ConnectionResetError` where the caller is gone.
+    """
+
+    def __init__(self, connection: h11.Connection, channel: Channel) -> None:
+        self.connection = connection
+        self.channel = channel
+        self.begun = False
+        self.closing = False
+
+    async def whole(self, answer: WholeAnswer) -> None:
+        """Send an answer in one piece, with its length."""
+        length = str(len(answer.body)).encode()
+        headers = [*answer.headers, (b'content-length', length)]
+        if self.closing:
+            headers.append((b'connection', b'close'))
+        self.begun = True
+        head = h11.Response(status_code=answer.status, headers=headers)
+        parts = [self.connection.send(head)]
+        if answer.body and self.connection.our_state is h11.SEND_BODY:
+            parts.append(self.connection.send(h11.Data(data=answer.body)))
+        parts.append(self.connection.send(h11.EndOfMessage()))
+        self.channel.write(b''.join(parts))
+        await self.channel.drain()
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer that comes in chunks."""
+        told = [*headers, (b'transfer-encoding', b'chunked')]
+        if self.closing:
+            told.append((b'connection', b'close'))
+        self.begun = True
+        head = h11.Response(status_code=status, headers=told)
+        self.channel.write(self.connection.send(head))
+        await self.channel.drain()
+
+    async def send(self, chunk: bytes) -> None:
+        """Send one chunk; wait where the caller reads slowly."""
+        self.channel.write(self.connection.send(h11.Data(data=chunk)))
+        if self.channel.write_paused or self.channel.ended:
+            await self.channel.drain()
+
+    async def finish(self) -> None:
+        """Send the final chunk: the answer is whole."""
+        self.channel.write(self.connection.send(h11.EndOfMessage()))
+        await self.channel.drain()
+
+    def break_off(self) -> None:
+        """Close without a final chunk, so that the caller sees the break."""
+        self.channel.close()
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -109,11 +109,18 @@
     drain_limit_s : float or None
         Seconds after which a graceful shutdown cuts what is in progress;
         None waits for the end of every request.
+    upstream_token_sha256 : str or None
+        SHA-256 of the token that upstreams announce themselves with, in
+        hexadecimal; None takes announcements from everyone who can connect.
     """
 
     isolation_lease_s: float = Field(default=3.0, gt=0)
     upstream_lease_s: float = Field(default=2.5, gt=0, le=3)
     drain_limit_s: float | None = None
+    upstream_token_sha256: str | None = Field(
+        default=None,
+        pattern='^[0-9a-f]{64}$',
+    )
 
 
 class ControlSettings(NodeSettings):
