--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -20,7 +20,11 @@
     refuse_early,
 )
 from godwitshunt.exchange.announcements import UpstreamAnnouncement
-from godwitshunt.exchange.forwarding import FORWARD_HEADER, read_note
+from godwitshunt.exchange.forwarding import (
+    FORWARD_HEADER,
+    ForwardRefused,
+    read_note,
+)
 from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
 from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.exchange.ports import Ports
@@ -159,30 +163,17 @@
 
     async def admit(self, request: HttpRequest) -> Admission:
         """Find out who asks for what; refuse where that is not allowed."""
+        signed = request.header(FORWARD_HEADER)
+        if signed is not None:
+            return await self.admit_forward(request, signed)
         if self.draining:
-            self.metrics.count('requests_while_draining_total')
-            return Err(
-                refuse_early(
-                    request,
-                    ProblemKind.draining,
-                    'ask another entry VM',
-                    RETRY_AFTER_S,
-                ),
-            )
+            return Err(refuse_early(request, *self.refuse_draining()))
         revision = self.ports.configuration.current()
         if revision is None:
-            return Err(
-                refuse_early(
-                    request,
-                    ProblemKind.not_ready,
-                    'no revision is in force here yet',
-                    RETRY_AFTER_S,
-                ),
-            )
+            kind = ProblemKind.not_ready
+            told = 'no revision is in force here yet'
+            return Err(refuse_early(request, kind, told, RETRY_AFTER_S))
         self.parts.callers.refresh(revision)
-        signed = request.header(FORWARD_HEADER)
-        if signed is not None:
-            return await self.admit_forward(request, signed)
         caller = self.parts.callers.of_request(request)
         if caller is None:
             return Err(unauthorized(request))
@@ -191,6 +182,11 @@
             lambda ready: self.limit(ready, caller),
         )
 
+    def refuse_draining(self) -> tuple[ProblemKind, str, float]:
+        """Count a request that came too late; return why it is refused."""
+        self.metrics.count('requests_while_draining_total')
+        return ProblemKind.draining, 'ask another entry VM', RETRY_AFTER_S
+
     def limit(self, admitted: AdmittedRequest, caller: Caller) -> Admission:
         """Hold a caller to its limits."""
         self.metrics.count(
@@ -216,54 +212,61 @@
         request: HttpRequest,
         signed: str,
     ) -> Admission:
-        """Check a forwarded request on this VM's own newest revision."""
+        """Check a forwarded request on this VM's own newest revision.
+
+        The sender holds the claim of a call with a key: what this VM refuses
+        did not run under that claim, so *not run* is true of it.
+        """
         own = self.settings.name
-        key = self.parts.cluster_key
-        match read_note(signed, key, own, request):
+        match read_note(signed, self.parts.cluster_key, own, request):
             case Err(refused):
-                self.metrics.count(
-                    'forwards_refused_total',
-                    reason=refused.reason,
-                )
-                kind = ProblemKind.forbidden
-                if refused.reason == 'loop':
-                    kind = ProblemKind.loop
-                return Err(Problem(kind, refused.reason, Outcome.not_run))
+                return Err(self.refuse_note(request, refused))
             case Ok(note):
-                revision = await self.revision_from(note.revision or 0)
-        if revision is None:
-            self.metrics.count('forwards_refused_total', reason='revision')
-            return Err(
-                Problem(
-                    ProblemKind.revision_behind,
-                    f'revision {note.revision} is not in force here yet',
-                    Outcome.not_run,
-                    RETRY_AFTER_S,
-                ),
-            )
-        self.metrics.count('forwards_received_total')
-        return self.admit_note(request, note, revision)
+                admitted = await self.admit_note(request, note)
+        return admitted.map_err(
+            lambda problem: replace(problem, outcome=Outcome.not_run),
+        )
 
-    def admit_note(
+    def refuse_note(
+        self,
+        request: HttpRequest,
+        refused: ForwardRefused,
+    ) -> Problem:
+        """Return the refusal of a note; only a signed one is from a VM."""
+        self.metrics.count('forwards_refused_total', reason=refused.reason)
+        if refused.reason == 'signature':
+            told = 'the forward note is not signed with the cluster key'
+            return refuse_early(request, ProblemKind.forbidden, told)
+        kind = ProblemKind.forbidden
+        if refused.reason == 'loop':
+            kind = ProblemKind.loop
+        return Problem(kind, refused.reason, Outcome.not_run)
+
+    async def admit_note(
         self,
         request: HttpRequest,
         note: ForwardNote,
-        revision: Revision,
     ) -> Admission:
         """Admit a request whose note is right."""
+        if self.draining:
+            return Err(refuse_early(request, *self.refuse_draining()))
+        revision = await self.revision_from(note.revision or 0)
+        if revision is None:
+            self.metrics.count('forwards_refused_total', reason='revision')
+            kind = ProblemKind.revision_behind
+            told = f'revision {note.revision} is not in force here yet'
+            return Err(refuse_early(request, kind, told, RETRY_AFTER_S))
         self.parts.callers.refresh(revision)
         caller = self.parts.callers.by_name.get(note.caller)
         if caller is None:
-            detail = 'the caller is not known here'
-            return Err(Problem(ProblemKind.residency, detail, Outcome.not_run))
+            told = 'the caller is not known here'
+            return Err(refuse_early(request, ProblemKind.residency, told))
+        if (note.remaining_ms or 0) <= 0:
+            told = 'the deadline passed on the way'
+            return Err(refuse_early(request, ProblemKind.deadline, told))
+        self.metrics.count('forwards_received_total')
         admitted = admit(request, revision.manifest, caller)
-        return admitted.map(
-            lambda ready: admit_forwarded(ready, note),
-        ).map_err(
-            # The sender holds the claim: what this VM refuses did not run
-            # under it, whatever the request's key.
-            lambda problem: replace(problem, outcome=Outcome.not_run),
-        )
+        return admitted.map(lambda ready: admit_forwarded(ready, note))
 
     async def revision_from(self, lowest: int) -> Revision | None:
         """Return the revision in force, once it is as new as the sender's.
--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -81,7 +81,9 @@
         self.handler = handler
         self.tasks: set[asyncio.Task[None]] = set()
         self.idle: set[Channel] = set()
+        self.answering: set[AnswerWriter] = set()
         self.draining = False
+        self.quiet = asyncio.Event()
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -96,16 +98,28 @@
         )
 
     def drain(self) -> None:
-        """Close idle connections, and each other one after its answer."""
+        """Close idle connections, and each other one after its answer.
+
+        New connections are still taken, so that a caller with an old list of
+        entries is told to go elsewhere.
+        """
         self.draining = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close connections that wait for a request."""
         for channel in tuple(self.idle):
             channel.close()
 
     async def close(self) -> None:
-        """Take no connections; wait until every request has its answer."""
+        """Wait until every request has its answer, then take no more."""
         self.drain()
+        while self.answering:
+            self.quiet.clear()
+            await self.quiet.wait()
         if self.server is not None:
             self.server.close()
+        self.close_idle()
         while self.tasks:
             await asyncio.wait(tuple(self.tasks))
 
@@ -142,13 +156,22 @@
             raise RefusedInput(ProblemKind.connections, 'connection limit')
         while await self.wait_for_request(connection, channel):
             request = await self.read_request(connection, channel)
-            answer = AnswerWriter(connection, channel)
-            answer.closing = self.draining
-            await self.handler(request, answer)
+            await self.handle(request, AnswerWriter(connection, channel))
             if not is_reusable(connection) or self.draining:
                 return
             connection.start_next_cycle()
 
+    async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
+        """Have one request answered."""
+        answer.closing = self.draining
+        self.answering.add(answer)
+        try:
+            await self.handler(request, answer)
+        finally:
+            self.answering.discard(answer)
+            if not self.answering:
+                self.quiet.set()
+
     async def wait_for_request(
         self,
         connection: h11.Connection,
@@ -157,6 +180,8 @@
         """Wait for the first byte of a request; False where none comes."""
         if connection.trailing_data[0]:
             return True
+        if self.server is not None and not self.server.is_serving():
+            return False
         self.idle.add(channel)
         try:
             async with asyncio.timeout(self.options.idle_timeout_s):
--- a/godwitshunt/exchange/tests/fakes.py
+++ b/godwitshunt/exchange/tests/fakes.py
@@ -88,6 +88,7 @@
 class FixedMembership:
     """Upstreams that the test sets."""
 
+    region: str = 'kochi'
     upstreams: tuple[UpstreamView, ...] = ()
     in_progress: Counter = field(default_factory=Counter)
     announced: list = field(default_factory=list)
@@ -100,7 +101,7 @@
         self.announced.append((name, incarnation))
 
     def view(self) -> RegionView:
-        return RegionView('kochi', self.upstreams)
+        return RegionView(self.region, self.upstreams)
 
     def note_sent(self, name: str, tokens: int) -> None:
         self.in_progress[name] += 1
@@ -168,7 +169,7 @@
     vm = Vm(
         exchange=None,
         configuration=FixedConfiguration(Revision(7, '', manifest, (record,))),
-        membership=FixedMembership(),
+        membership=FixedMembership(region),
         choose=InOrder(),
         claims=LocalClaims(settings),
         metrics=metrics,
@@ -209,6 +210,7 @@
     name: str
     script: Script
     service: str = 'chat'
+    region: str = 'kochi'
     read_requests: bool = True
     address: Address = field(default_factory=free_address)
     requests: list[bytes] = field(default_factory=list)
@@ -220,7 +222,7 @@
     def view(self) -> UpstreamView:
         return UpstreamView(
             self.name,
-            'kochi',
+            self.region,
             self.service,
             self.address,
             1,
