Measure an entry against the stand-ins, and free cancelled notices

A cancelled deadline stayed in the timer until its time had come and kept its request, body and connection in memory; cancelling now frees it.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of one part at a time, as ratios within one run."""
--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -1,6 +1,7 @@
 """``godwitshunt-entry``: the process of an entry VM."""
 
 import asyncio
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -68,6 +69,9 @@
     async def start(self) -> None:
         """Start every part."""
         await self.exchange.start()
+        # What lives as long as the process is not searched again at each
+        # collection, which would stop every stream for milliseconds.
+        gc.freeze()
         log_change('entry:started', vm=self.settings.name)
 
     async def run(self) -> None:
--- a/godwitshunt/timer/service.py
+++ b/godwitshunt/timer/service.py
@@ -9,6 +9,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Protocol
 
 Notice = Callable[[], None]
@@ -24,15 +25,21 @@
         Called without arguments when the time has come.
     period_s : float or None
         Seconds between notices; None for a notice that is given once.
+    release : callable or None
+        Frees what the timer holds for the notice. Without it a cancelled
+        deadline would keep its request in memory until its time had come.
     """
 
     notice: Notice
     period_s: float | None = None
     cancelled: bool = False
+    release: Notice | None = None
 
     def cancel(self) -> None:
-        """Give this notice no more."""
+        """Give this notice no more, and hold nothing for it."""
         self.cancelled = True
+        if self.release is not None:
+            self.release()
 
 
 class Timer(Protocol):
@@ -74,11 +81,19 @@
     def arm(self, subscription: Subscription, delay_s: float) -> None:
         """Wait for the next notice of a subscription."""
         loop = asyncio.get_running_loop()
-        self.handles[id(subscription)] = loop.call_later(
+        number = id(subscription)
+        self.handles[number] = loop.call_later(
             delay_s,
             self.give,
             subscription,
         )
+        subscription.release = partial(self.drop, number)
+
+    def drop(self, number: int) -> None:
+        """Forget a notice that is not to be given."""
+        handle = self.handles.pop(number, None)
+        if handle is not None:
+            handle.cancel()
 
     def give(self, subscription: Subscription) -> None:
         """Give one notice and wait for the next where there is one."""
--- a/godwitshunt/timer/tests/test_service.py
+++ b/godwitshunt/timer/tests/test_service.py
@@ -44,6 +44,16 @@
     assert not seen
 
 
+async def test_cancelled_notice_is_not_held(real_timer):
+    """Each request has a deadline far away and ends long before it.
+
+    Held until then, a busy VM's memory would fill with requests of the past.
+    """
+    for _ in range(3):
+        real_timer.after(3600.0, asyncio.Event().set).cancel()
+    assert not real_timer.handles
+
+
 def test_virtual_time_orders_notices():
     """Notices come in order of time, then of subscription."""
     timer = VirtualTimerService()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import dataclass
 
 import defopt
@@ -73,6 +74,9 @@
         Cost of 1,000 generated tokens.
     fencing
         Refuse orders with an old fencing number.
+    stamped
+        Begin each token's event with a comment that tells when it was sent,
+        in seconds of the machine's monotonic clock; for measurements.
     """
 
     serves: str = 'chat'
@@ -85,6 +89,7 @@
     load_lag_s: float = 0.2
     price: float = 1.0
     fencing: bool = False
+    stamped: bool = False
 
 
 def answer_events(model: str, prompt: str, count: int) -> list[bytes]:
@@ -235,7 +240,8 @@
         count = document.output_tokens
         if document.stream:
             events = answer_events(document.model, prompt, count)
-            return await stream(events, offset, job, writer)
+            stamped = self.options.stamped
+            return await stream(events, offset, job, writer, stamped=stamped)
         while not job.finished:
             await wait(job)
         told = unary_answer(document.model, prompt, count)
@@ -268,6 +274,8 @@
     offset: int,
     job: Job,
     writer: AnswerWriter,
+    *,
+    stamped: bool,
 ) -> None:
     """Send events as their tokens are made, from an offset on."""
     headers = [STREAM_TYPE]
@@ -277,7 +285,11 @@
     position = offset
     while not job.finished:
         count = await wait(job)
-        await writer.send(b''.join(events[position : position + count]))
+        made = events[position : position + count]
+        if stamped:
+            mark = b': at %.6f\n' % time.monotonic()
+            made = [b''.join((mark, event)) for event in made]
+        await writer.send(b''.join(made))
         position += count
     rest = b''.join(events[position:])
     if rest:
