Relay streams within the callback that received them

A token waited for one more turn of the event loop, behind all other streams' tokens. Back-pressure is kept and has its own test.

--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import MappingProxyType
-from typing import Protocol
 
 from result import Err, Ok
 
@@ -22,7 +21,12 @@
     ProblemKind,
     WholeAnswer,
 )
-from godwitshunt.exchange.relay import EVENT_STREAM, EventSplitter
+from godwitshunt.exchange.relay import (
+    EVENT_STREAM,
+    EventSplitter,
+    StreamPipe,
+)
+from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.upstream_pool import (
     AnswerHead,
     BrokenAnswerError,
@@ -42,18 +46,6 @@
 )
 
 
-class StreamWriter(Protocol):
-    """Where a relayed stream goes."""
-
-    begun: bool
-
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Send the head."""
-
-    async def send(self, chunk: bytes) -> None:
-        """Send a part of the body."""
-
-
 @dataclass
 class Attempt:
     """One sending of a request.
@@ -153,46 +145,29 @@
 
     async def relay(
         self,
-        writer: StreamWriter,
+        writer: AnswerWriter,
         on_begun: Callable[[], None],
     ) -> msg.Event:
-        """Pass a stream on to the caller as it comes.
-
-        The head goes out with the first whole event, so that a stream which
-        breaks before it can be tried elsewhere.
-        """
+        """Pass a stream on to the caller as it comes, until it ends."""
+        pipe = StreamPipe(
+            call=self.call,
+            writer=writer,
+            status=self.head.status,
+            headers=self.told_headers(self.head),
+            events=self.events,
+            longest_event=self.answer_bytes,
+            on_begun=on_begun,
+        )
+        pipe.open()
         try:
-            await self.relay_events(writer, on_begun)
-        except BrokenAnswerError as broken:
-            self.cancel()
-            return self.broke(writer, str(broken))
-        if not self.events.finished or self.events.rest:
-            self.cancel()
-            return self.broke(writer, 'ended without its final event')
-        self.call.release()
-        return msg.StreamEnded()
-
-    async def relay_events(
-        self,
-        writer: StreamWriter,
-        on_begun: Callable[[], None],
-    ) -> None:
-        """Pass on whole events until the stream's end."""
-        while chunk := await self.call.chunk():
-            whole = self.events.take(chunk)
-            if len(self.events.rest) > self.answer_bytes:
-                raise BrokenAnswerError('an event is too long')
-            if not whole:
-                continue
-            if not writer.begun:
-                headers = self.told_headers(self.head)
-                on_begun()
-                await writer.begin(self.head.status, headers)
-            await writer.send(whole)
-
-    def broke(self, writer: StreamWriter, reason: str) -> msg.StreamBroke:
-        """Return the event of a stream that broke."""
-        return msg.StreamBroke(self.events.delivered, writer.begun, reason)
+            fault = await pipe.done
+        finally:
+            pipe.close()
+        if fault is None:
+            self.call.release()
+            return msg.StreamEnded()
+        self.cancel()
+        return msg.StreamBroke(self.events.delivered, writer.begun, fault)
 
     def told_headers(self, head: AnswerHead) -> Headers:
         """Return the head's headers as the caller gets them.
--- a/godwitshunt/exchange/channel.py
+++ b/godwitshunt/exchange/channel.py
@@ -20,7 +20,9 @@
     -----
     The other side's going away is seen at once, also while nobody reads:
     `on_lost` is then called. Reading stops while more than 64 KiB wait, so
-    that a slow reader slows its sender and memory stays bounded.
+    that a slow reader slows its sender and memory stays bounded. While a
+    `sink` is set it gets the bytes as they come, and empty bytes at the end;
+    `on_writable` is called when the other side has caught up.
     """
 
     def __init__(
@@ -36,6 +38,8 @@
         self.read_paused = False
         self.write_paused = False
         self.on_lost: Callable[[], None] | None = None
+        self.on_writable: Callable[[], None] | None = None
+        self.sink: Callable[[bytes], None] | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Take over a new connection."""
@@ -45,11 +49,13 @@
             self.accepted(self)
 
     def data_received(self, chunk: bytes) -> None:
-        """Keep bytes for the reading task."""
+        """Give bytes to the sink, or keep them for the reading task."""
+        if self.sink is not None:
+            self.sink(chunk)
+            return
         self.received += chunk
         if len(self.received) > READ_HIGH_WATER_BYTES:
-            self.read_paused = True
-            self.transport.pause_reading()
+            self.pause()
         wake(self.reading)
 
     def eof_received(self) -> bool:
@@ -70,6 +76,20 @@
         """Let the writing task go on."""
         self.write_paused = False
         wake(self.writing)
+        if self.on_writable is not None:
+            self.on_writable()
+
+    def pause(self) -> None:
+        """Take no more bytes for now; the sender is slowed by TCP."""
+        if not self.read_paused:
+            self.read_paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Take bytes again."""
+        if self.read_paused and not self.ended:
+            self.read_paused = False
+            self.transport.resume_reading()
 
     def end(self) -> None:
         """Note that no more bytes will come."""
@@ -77,6 +97,8 @@
             return
         self.ended = True
         wake(self.reading)
+        if self.sink is not None:
+            self.sink(b'')
         if self.on_lost is not None:
             self.on_lost()
 
@@ -85,11 +107,13 @@
         while not self.received and not self.ended:
             self.reading = asyncio.get_running_loop().create_future()
             await self.reading
+        return self.take_received()
+
+    def take_received(self) -> bytes:
+        """Return what has come and was not read yet."""
         chunk = bytes(self.received)
         self.received.clear()
-        if self.read_paused and not self.ended:
-            self.read_paused = False
-            self.transport.resume_reading()
+        self.resume()
         return chunk
 
     def write(self, chunk: bytes) -> None:
--- a/godwitshunt/exchange/relay.py
+++ b/godwitshunt/exchange/relay.py
@@ -1,6 +1,12 @@
 """Passing on streams of server-sent events without reading each token."""
 
-from dataclasses import dataclass
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from godwitshunt.exchange.problems import Headers
+from godwitshunt.exchange.requests import AnswerWriter
+from godwitshunt.exchange.upstream_pool import BrokenAnswerError, UpstreamCall
 
 EVENT_END = b'\n\n'
 FINAL_EVENT = b'data: [DONE]\n\n'
@@ -49,3 +55,101 @@
         self.delivered += whole.count(EVENT_END)
         self.finished = whole.endswith(FINAL_EVENT)
         return whole
+
+
+@dataclass
+class StreamPipe:
+    """Passes a stream on as its bytes come, without waking a task for each.
+
+    A token is sent to its caller within the callback that received it. With
+    a task between, each token waited for one more turn of the event loop,
+    behind the tokens of every other stream.
+
+    Parameters
+    ----------
+    call : UpstreamCall
+        Where the stream comes from.
+    writer : AnswerWriter
+        Where it goes.
+    status, headers : int, tuple of (bytes, bytes)
+        The head that goes out with the first whole event, so that a stream
+        which breaks before it can be tried elsewhere.
+    events : EventSplitter
+        Counts what was delivered.
+    longest_event : int
+        Bytes of an event that are kept at most.
+    on_begun : callable
+        Told when the head goes out.
+    done : asyncio.Future
+        None where the stream came to its clean end, else why it broke.
+    """
+
+    call: UpstreamCall
+    writer: AnswerWriter
+    status: int
+    headers: Headers
+    events: EventSplitter
+    longest_event: int
+    on_begun: Callable[[], None]
+    done: asyncio.Future[str | None] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future(),
+    )
+
+    def open(self) -> None:
+        """Start to pass on, beginning with what came behind the head."""
+        source = self.call.channel
+        pending = source.take_received()
+        source.sink = self.take
+        self.writer.channel.on_writable = source.resume
+        self.pass_on()
+        if pending:
+            self.take(pending)
+        if source.ended:
+            self.take(b'')
+
+    def close(self) -> None:
+        """Pass on no more."""
+        self.call.channel.sink = None
+        self.writer.channel.on_writable = None
+
+    def take(self, received: bytes) -> None:
+        """Take bytes as they come; empty bytes where the connection ended."""
+        if self.done.done():
+            # Surplus bytes: the connection must not be used again.
+            self.call.channel.received += received
+            return
+        try:
+            self.call.feed(received)
+        except BrokenAnswerError as broken:
+            self.done.set_result(str(broken))
+            return
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        """Send every whole event that has come."""
+        try:
+            whole = self.events.take(self.call.available())
+        except BrokenAnswerError as broken:
+            self.done.set_result(str(broken))
+            return
+        if whole and not self.writer.channel.ended:
+            self.put(whole)
+        if self.call.whole:
+            self.done.set_result(self.fault_at_end())
+        elif len(self.events.rest) > self.longest_event:
+            self.done.set_result('an event is too long')
+
+    def put(self, whole: bytes) -> None:
+        """Queue whole events; slow the upstream where the caller is slow."""
+        if not self.writer.begun:
+            self.on_begun()
+            self.writer.put_head(self.status, self.headers)
+        self.writer.put(whole)
+        if self.writer.channel.write_paused:
+            self.call.channel.pause()
+
+    def fault_at_end(self) -> str | None:
+        """Return what is wrong with a stream that ended; None for nothing."""
+        if self.events.finished and not self.events.rest:
+            return None
+        return 'ended without its final event'
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -75,19 +75,27 @@
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of an answer that comes in chunks."""
+        self.put_head(status, headers)
+        await self.channel.drain()
+
+    async def send(self, chunk: bytes) -> None:
+        """Send one chunk; wait where the caller reads slowly."""
+        self.put(chunk)
+        if self.channel.write_paused or self.channel.ended:
+            await self.channel.drain()
+
+    def put_head(self, status: int, headers: Headers) -> None:
+        """Queue the head of an answer that comes in chunks."""
         told = [*headers, (b'transfer-encoding', b'chunked')]
         if self.closing:
             told.append((b'connection', b'close'))
         self.begun = True
         head = h11.Response(status_code=status, headers=told)
         self.channel.write(self.connection.send(head))
-        await self.channel.drain()
 
-    async def send(self, chunk: bytes) -> None:
-        """Send one chunk; wait where the caller reads slowly."""
+    def put(self, chunk: bytes) -> None:
+        """Queue one chunk; the channel tells when to pause."""
         self.channel.write(self.connection.send(h11.Data(data=chunk)))
-        if self.channel.write_paused or self.channel.ended:
-            await self.channel.drain()
 
     async def finish(self) -> None:
         """Send the final chunk: the answer is whole."""
--- a/godwitshunt/exchange/tests/test_contract.py
+++ b/godwitshunt/exchange/tests/test_contract.py
@@ -294,3 +294,37 @@
         assert b'x-secret' not in head
         assert b'x-other: o' in head
         assert b'godwitshunt-priority: 3' in head
+
+
+async def test_slow_caller_slows_its_engine_only():
+    """A caller reads nothing for a while; the VM must not hold its answer.
+
+    Memory would fill with the answers of slow callers until the VM dies.
+    """
+    taken = 0
+    size = 32 * 1024 * 1024
+
+    async def endless(upstream, writer, request):
+        nonlocal taken
+        writer.write(scripts.stream_head(request)[0])
+        while taken < size:
+            writer.write(scripts.chunk(b'data: %s\n\n' % (b'a' * 4000)))
+            await writer.drain()
+            taken += 4000
+
+    async with AsyncExitStack() as stack:
+        deployed = await deploy(stack, endless)
+        address = deployed.vm.address
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(chat_bytes(PROMPT, stream=True))
+        async with asyncio.timeout(5):
+            await deployed.first.arrived.wait()
+        deployed.vm.membership.upstreams = (deployed.second.view,)
+        other = await deployed.ask(chat_bytes(PROMPT, stream=True))
+        assert other.body == WHOLE_STREAM
+        held = -1
+        while held < taken:
+            held = taken
+            await asyncio.sleep(0.1)
+        assert taken < size
+        writer.transport.abort()
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -130,6 +130,15 @@
 
     async def chunk(self) -> bytes:
         """Return the next bytes of the body; empty at its clean end."""
+        while not self.whole:
+            content = self.available()
+            if content or self.whole:
+                return content
+            self.feed(await self.channel.read())
+        return b''
+
+    def available(self) -> bytes:
+        """Return the part of the body that has come; note its clean end."""
         parts = []
         while not self.whole:
             event = self.next_event()
@@ -138,19 +147,19 @@
                     parts.append(event.data)
                 case h11.EndOfMessage():
                     self.whole = True
-                case _ if parts:
-                    break
+                case h11.ConnectionClosed():
+                    raise BrokenAnswerError('ended within the answer')
                 case _:
-                    await self.receive(event)
+                    break
         return b''.join(parts)
 
     async def event(self) -> object:
         """Return the next event, reading where more is needed."""
-        while True:
+        event = self.next_event()
+        while event is h11.NEED_DATA:
+            self.feed(await self.channel.read())
             event = self.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            await self.receive(event)
+        return event
 
     def next_event(self) -> object:
         """Return the next event, or NEED_DATA."""
@@ -159,11 +168,8 @@
         except h11.RemoteProtocolError as wrong:
             raise BrokenAnswerError(str(wrong)) from None
 
-    async def receive(self, event: object) -> None:
-        """Read more bytes; raise where the answer ended before its end."""
-        if event is not h11.NEED_DATA:
-            raise BrokenAnswerError('ended within the answer')
-        received = await self.channel.read()
+    def feed(self, received: bytes) -> None:
+        """Take bytes of the answer; empty where the connection ended."""
         if not received and self.connection.their_state is h11.SEND_RESPONSE:
             raise BrokenAnswerError('ended before an answer')
         self.connection.receive_data(received)
@@ -171,6 +177,7 @@
     def release(self) -> bool:
         """Give the connection back; False where more than the answer came."""
         self.released = True
+        self.channel.resume()
         surplus = self.connection.trailing_data[0] or self.channel.received
         states = (self.connection.our_state, self.connection.their_state)
         if surplus or self.channel.ended or states != (h11.DONE, h11.DONE):
