Add the replicated log: pure replica, data folder, task

The replica is Raft with pre-vote, check-quorum and a leader lease; a data folder's incarnation is part of the voter's identity, so a lost disk comes back as a learner.

--- /dev/null
+++ b/godwitshunt/consensus/tests/test_task.py
@@ -0,0 +1,176 @@
+"""Replicas as tasks over real sockets and real folders."""
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+from random import Random
+
+from result import Err, Ok
+
+from godwitshunt.consensus import (
+    AlreadyInitialised,
+    ConsensusOptions,
+    ConsensusTask,
+    DiskFileSystem,
+    NotLeader,
+    ReplicaOptions,
+    StorageFailed,
+    bootstrap,
+)
+from godwitshunt.peer import PeerLinks, PeerOptions
+from godwitshunt.settings import Address
+from godwitshunt.telemetry import Metrics
+from godwitshunt.timer import TimerService
+
+FAST = ReplicaOptions(
+    election_timeout_s=0.3,
+    heartbeat_s=0.05,
+    retained_entries=5,
+)
+
+
+def free_address() -> Address:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return Address(host='127.0.0.1', port=probe.getsockname()[1])
+
+
+class Machine:
+    """A state machine that keeps every payload."""
+
+    def __init__(self) -> None:
+        self.payloads: list[bytes] = []
+
+    def apply(self, index: int, term: int, payload: bytes) -> None:
+        """Keep a payload."""
+        self.payloads.append(payload)
+
+    def take(self) -> bytes:
+        """Return all payloads."""
+        return b','.join(self.payloads)
+
+    def install(self, state: bytes) -> None:
+        """Replace all payloads."""
+        self.payloads = state.split(b',') if state else []
+
+
+@asynccontextmanager
+async def started(name: str, folder: Path, address: Address):
+    """Yield a running replica with its state machine, and close it."""
+    links = PeerLinks.from_config(
+        PeerOptions(name=name, listen=address, key=b'key'),
+        Metrics(),
+    )
+    timer = TimerService()
+    task = ConsensusTask.from_config(
+        ConsensusOptions(
+            name,
+            address,
+            FAST,
+            snapshot_entries=20,
+            outcome_timeout_s=10,
+        ),
+        DiskFileSystem.from_config(folder),
+        links,
+        timer,
+        Metrics(),
+        Random(name),
+    )
+    machine = Machine()
+    task.subscribe(machine.apply, machine.take, machine.install)
+    task.kept = machine
+    await links.start()
+    await task.start()
+    async with AsyncExitStack() as stack:
+        stack.callback(timer.close)
+        stack.push_async_callback(links.close)
+        stack.push_async_callback(task.close)
+        yield task
+
+
+async def until(condition) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(30):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+
+
+async def commit(tasks, payload: bytes) -> None:
+    """Commit a payload at whichever replica leads."""
+    async with asyncio.timeout(30):
+        while True:
+            for task in tasks:
+                if isinstance(await task.propose(payload), Ok):
+                    return
+            await asyncio.sleep(0.02)
+
+
+async def test_cluster_elects_commits_snapshots_and_restarts(tmp_path):
+    """Three replicas start, one after the other is restarted.
+
+    Every payload whose commit was told is on each replica, in one order, and
+    a replica whose entries were compacted meanwhile gets a snapshot.
+    """
+    addresses = {name: free_address() for name in 'abc'}
+    async with AsyncExitStack() as stack:
+        tasks = [
+            await stack.enter_async_context(
+                started(name, tmp_path / name, addresses[name]),
+            )
+            for name in 'abc'
+        ]
+        voters = await bootstrap(tasks[0], tuple(addresses.values())[1:])
+        assert len(voters.ok_value.voters) == 3
+        refused = await bootstrap(tasks[1], (addresses['a'],))
+        assert isinstance(refused, Err)
+        assert isinstance(refused.err_value, AlreadyInitialised)
+        assert isinstance((await tasks[1].propose(b'x')).err_value, NotLeader)
+        await asyncio.gather(
+            *(tasks[0].propose(b'p%d' % number) for number in range(10)),
+        )
+        assert (await tasks[0].read_barrier()).is_ok()
+        await tasks[2].close()
+        for number in range(10, 60):
+            await commit(tasks[:2], b'p%d' % number)
+        assert tasks[0].survives_one_loss() is False
+    async with AsyncExitStack() as stack:
+        tasks = [
+            await stack.enter_async_context(
+                started(name, tmp_path / name, addresses[name]),
+            )
+            for name in 'cba'
+        ]
+        assert not tasks[2].identity().unused
+        await commit(tasks, b'last')
+        await until(lambda: all(b'last' in x.kept.payloads for x in tasks))
+        first = tasks[0].kept.payloads
+        assert {b'p%d' % number for number in range(60)} < set(first)
+        assert all(x.kept.payloads == first for x in tasks)
+        await until(lambda: any(x.survives_one_loss() for x in tasks))
+        ages = [x.leadership().quorum_age_s for x in tasks]
+        assert max(ages) < 10
+
+
+async def test_disk_that_fails_stops_the_replica(tmp_path, monkeypatch):
+    """The disk fails while a replica of one voter runs.
+
+    Its operator sees a typed failure; the replica leads no more, since it
+    cannot know what the failed sync left behind.
+    """
+    async with started('a', tmp_path / 'a', free_address()) as task:
+        assert (await bootstrap(task, ())).is_ok()
+        await commit([task], b'one')
+
+        def full(descriptor, blob):
+            raise OSError(28, 'No space left on device')
+
+        monkeypatch.setattr('os.write', full)
+        failed = await task.propose(b'two')
+        monkeypatch.undo()
+        assert failed.is_err()
+        assert task.leadership().is_leader is False
+        assert isinstance((await task.propose(b'x')).err_value, StorageFailed)
--- a/godwitshunt/exceptions.py
+++ b/godwitshunt/exceptions.py
@@ -14,6 +14,10 @@
     'FrameError',
     'HandshakeError',
     'StorageError',
+    'StorageCorrupt',
+    'StorageFull',
+    'StorageLocked',
+    'StorageReadOnly',
 ]
 
 
@@ -95,3 +99,22 @@
 
     path: str
     reason: str
+
+    def __str__(self) -> str:
+        return f'{self.path}: {self.reason}'
+
+
+class StorageCorrupt(StorageError):
+    """What the data folder holds is not what was written there."""
+
+
+class StorageFull(StorageError):
+    """The disk has no room for what must be written."""
+
+
+class StorageLocked(StorageError):
+    """Another process uses the data folder."""
+
+
+class StorageReadOnly(StorageError):
+    """The data folder cannot be written."""
