--- /dev/null
+++ b/godwitshunt/configuration/wire.py
@@ -0,0 +1,178 @@
+"""Between this slice's data classes and its thrift structs."""
+
+import secrets
+from dataclasses import asdict
+from typing import Any
+
+from result import Err, Ok, Result
+
+from godwitshunt.configuration import commands
+from godwitshunt.configuration.document import (
+    DocumentMalformed,
+    pack,
+    plain,
+    read_plain,
+    unpack,
+)
+from godwitshunt.configuration.gen.wire import ttypes
+from godwitshunt.configuration.revision import VmRecord, VmRole
+from godwitshunt.configuration.state import ControlState, NumberRecord
+from godwitshunt.exceptions import FrameError
+from godwitshunt.peer import decode, encode
+from godwitshunt.settings import Address
+
+PROPOSAL_BYTES = 12
+
+
+def encode_command(command: commands.Command) -> tuple[str, bytes]:
+    """Return a new proposal's name and its log entry."""
+    proposal = secrets.token_hex(PROPOSAL_BYTES)
+    entry = ttypes.Command(proposal=proposal)
+    match command:
+        case commands.AcceptManifest():
+            entry.accept_manifest = accept_to_wire(command)
+        case commands.ConfirmManifest(number):
+            entry.confirm_manifest = ttypes.ConfirmManifest(number=number)
+        case commands.ChangeVms(admitted, removed):
+            entry.change_vms = ttypes.ChangeVms(
+                admitted=[vm_to_wire(vm) for vm in admitted],
+                removed=list(removed),
+            )
+        case commands.ChangeHolders(region, names):
+            entry.change_holders = ttypes.ChangeHolders(region, list(names))
+        case commands.IssueOrder():
+            entry.issue_order = ttypes.IssueOrder(**asdict(command))
+    return proposal, encode(entry)
+
+
+def accept_to_wire(command: commands.AcceptManifest) -> ttypes.AcceptManifest:
+    """Return the struct of an accept command."""
+    return ttypes.AcceptManifest(
+        number=command.number,
+        digest=command.digest,
+        base_digest=command.base_digest,
+        body=command.body,
+        awaited=list(command.awaited),
+    )
+
+
+def decode_command(payload: bytes) -> tuple[str, commands.Command | None]:
+    """Read a log entry; the command is None where its kind is unknown."""
+    entry = decode(ttypes.Command, payload)
+    return entry.proposal or '', command_of(entry)
+
+
+def command_of(entry: ttypes.Command) -> commands.Command | None:
+    """Return the command that is set in an entry."""
+    if entry.accept_manifest is not None:
+        accept = entry.accept_manifest
+        return commands.AcceptManifest(
+            accept.number,
+            accept.digest,
+            accept.base_digest,
+            accept.body,
+            tuple(accept.awaited),
+        )
+    if entry.confirm_manifest is not None:
+        return commands.ConfirmManifest(entry.confirm_manifest.number)
+    if entry.change_vms is not None:
+        return commands.ChangeVms(
+            tuple(vm_from_wire(vm) for vm in entry.change_vms.admitted),
+            tuple(entry.change_vms.removed),
+        )
+    if entry.change_holders is not None:
+        change = entry.change_holders
+        return commands.ChangeHolders(change.region, tuple(change.names))
+    if entry.issue_order is not None:
+        order = entry.issue_order
+        return commands.IssueOrder(
+            order.order,
+            order.upstream,
+            order.action,
+            order.subject,
+            order.weight_units,
+        )
+    return None
+
+
+def vm_to_wire(vm: VmRecord) -> ttypes.VmInfo:
+    """Return a VM's record as a struct."""
+    return ttypes.VmInfo(
+        name=vm.name,
+        region=vm.region,
+        failure_domain=vm.failure_domain,
+        role=vm.role.value,
+        http=ttypes.Endpoint(vm.http.host, vm.http.port),
+        peer=ttypes.Endpoint(vm.peer.host, vm.peer.port),
+    )
+
+
+def vm_from_wire(info: ttypes.VmInfo) -> VmRecord:
+    """Read a VM's record.
+
+    Raises
+    ------
+    FrameError
+        Where a field is missing or out of its range.
+    """
+    try:
+        return VmRecord(
+            name=info.name,
+            region=info.region,
+            failure_domain=info.failure_domain,
+            role=VmRole(info.role),
+            http=Address(host=info.http.host, port=info.http.port),
+            peer=Address(host=info.peer.host, port=info.peer.port),
+        )
+    except (ValueError, AttributeError) as bad:
+        raise FrameError(f'VmInfo: {bad!r}') from None
+
+
+def pack_state(state: ControlState) -> bytes:
+    """Return the control state for a snapshot."""
+    fields: dict[str, Any] = {
+        'revision': state.revision,
+        'document': plain(state.document),
+        'highest': state.highest,
+        'numbers': [
+            [number, known.digest, known.revision, known.awaited]
+            for number, known in state.numbers.items()
+        ],
+        'fencing': state.fencing,
+        'orders': [asdict(order) for order in state.orders.values()],
+        'weight_units': state.weight_units,
+    }
+    return pack(fields)
+
+
+def unpack_state(body: bytes) -> Result[ControlState, DocumentMalformed]:
+    """Read the control state of a snapshot."""
+    match unpack(body):
+        case Err(fault):
+            return Err(fault)
+        case Ok(fields):
+            return read_state(fields)
+
+
+def read_state(
+    fields: dict[str, Any],
+) -> Result[ControlState, DocumentMalformed]:
+    """Read the control state from plain JSON fields."""
+    document = read_plain(fields['document'])
+    if isinstance(document, Err):
+        return document
+    orders = [commands.OrderIssued(**order) for order in fields['orders']]
+    return Ok(
+        ControlState(
+            revision=fields['revision'],
+            document=document.ok_value,
+            highest=fields['highest'],
+            numbers={
+                number: NumberRecord(digest, revision, tuple(awaited))
+                for number, digest, revision, awaited in fields['numbers']
+            },
+            fencing=fields['fencing'],
+            orders={order.order: order for order in orders},
+            weight_units=fields['weight_units'],
+        ),
+    )
