--- /dev/null
+++ b/godwitshunt/configuration/background.py
@@ -0,0 +1,33 @@
+"""Tasks that a part starts in answer to notices, and ends when it closes."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+
+class Background:
+    """Tasks of one part; each piece of work runs once at a time.
+
+    A notice of the timer must not wait, so the work that it asks for runs in
+    a task. Where the work of the last notice is not done, the notice is
+    skipped: a slow peer would else pile up calls.
+    """
+
+    def __init__(self) -> None:
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def run(
+        self,
+        name: str,
+        work: Callable[[], Coroutine[None, None, None]],
+    ) -> None:
+        """Start the work unless it is still under way."""
+        running = self.tasks.get(name)
+        if running is None or running.done():
+            self.tasks[name] = asyncio.create_task(work())
+
+    async def close(self) -> None:
+        """End all work."""
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        self.tasks.clear()
--- a/godwitshunt/configuration/commands.py
+++ b/godwitshunt/configuration/commands.py
@@ -19,15 +19,12 @@
         Digest of the manifest that `body` changes; empty for a whole one.
     body : bytes
         Compressed JSON of the delta or of the whole document.
-    awaited : tuple of str
-        VMs that must have applied it, or stopped, before it is accepted.
     """
 
     number: int
     digest: str
     base_digest: str
     body: bytes
-    awaited: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -79,6 +76,21 @@
 )
 
 
+@dataclass(frozen=True)
+class AwaitedVm:
+    """A VM that an acceptance waits for.
+
+    Parameters
+    ----------
+    lease_suffices : bool
+        True where the VM, once isolated, would not serve there either, so
+        that the end of its lease counts as its stop.
+    """
+
+    name: str
+    lease_suffices: bool
+
+
 @dataclass(frozen=True)
 class Accepted:
     """The manifest is the accepted one of its number.
@@ -111,7 +123,7 @@
     number: int
     digest: str
     revision: int
-    awaited: tuple[str, ...]
+    awaited: tuple[AwaitedVm, ...]
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/configuration/configuration.thrift
+++ b/godwitshunt/configuration/configuration.thrift
@@ -25,8 +25,6 @@
   3: string base_digest
   /** Compressed JSON. */
   4: binary body
-  /** VMs that must have applied it or stopped before it is accepted. */
-  5: list<string> awaited
 }
 
 /** Every awaited VM has applied the manifest or has stopped. */
@@ -90,9 +88,11 @@
 
 /** What one control replica heard from a VM. */
 struct VmReport {
-  1: VmInfo vm
+  1: string name
   2: i64 revision
   3: double age_s
+  /** Only where it differs from what is committed. */
+  4: optional VmInfo vm
 }
 
 /** From a control replica to the others, each second. */
--- /dev/null
+++ b/godwitshunt/configuration/following.py
@@ -0,0 +1,148 @@
+"""How a VM takes over newer revisions; pure.
+
+A revision that was once in force never gives way to an older one, whatever
+order messages arrive in, so that nothing an operator changed reverts.
+"""
+
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from godwitshunt.configuration.delta import patch
+from godwitshunt.configuration.document import (
+    DigestMismatch,
+    Document,
+    DocumentFault,
+    digest_of,
+    unpack,
+    unpack_document,
+)
+from godwitshunt.configuration.gen.wire.ttypes import ConfigurationNews
+from godwitshunt.configuration.history import Held
+
+NEVER = float('-inf')
+
+
+@dataclass(frozen=True)
+class Following:
+    """What a VM holds.
+
+    Parameters
+    ----------
+    held : Held or None
+        The revision in force; None before the first.
+    proof_at : float
+        Monotonic time of the last proof of a live quorum, in seconds.
+    needs_whole : bool
+        True where a delta did not fit and the whole document is wanted.
+    """
+
+    held: Held | None = None
+    proof_at: float = NEVER
+    needs_whole: bool = False
+
+    @property
+    def base_digest(self) -> str:
+        """The digest to ask a delta for; empty asks for the whole."""
+        if self.held is None or self.needs_whole:
+            return ''
+        return self.held.digest
+
+
+@dataclass(frozen=True)
+class RevisionApplied:
+    """A higher revision came into force."""
+
+    held: Held
+
+
+@dataclass(frozen=True)
+class NothingNewer:
+    """The news held nothing that is higher than what is in force."""
+
+
+@dataclass(frozen=True)
+class NewsRefused:
+    """The news could not be applied; the whole document is asked for."""
+
+    fault: DocumentFault
+
+
+NewsOutcome = RevisionApplied | NothingNewer | NewsRefused
+
+
+def take_news(
+    following: Following,
+    news: ConfigurationNews,
+    asked_at: float | None,
+) -> tuple[Following, NewsOutcome]:
+    """Apply a reply or a push.
+
+    Parameters
+    ----------
+    following : Following
+        What the VM holds.
+    news : ConfigurationNews
+        From a control replica or a peer.
+    asked_at : float or None
+        When the call that this answers was sent, in monotonic seconds. None
+        for a push: its delay on the way is unknown, so it proves no quorum.
+
+    Notes
+    -----
+    A proof of a quorum counts only once the revision that came with it is in
+    force. So a VM with a fresh proof holds every change that was committed
+    before that proof, also where the proof came through a peer.
+    """
+    held = following.held
+    if held is not None and news.revision <= held.revision:
+        return proven(following, news, asked_at), NothingNewer()
+    if not news.revision:
+        return following, NothingNewer()
+    match read_news(held, news):
+        case Err(fault):
+            return replace(following, needs_whole=True), NewsRefused(fault)
+        case Ok(document):
+            newer = Held(news.revision, news.digest, document)
+            following = replace(following, held=newer, needs_whole=False)
+            return proven(following, news, asked_at), RevisionApplied(newer)
+
+
+def proven(
+    following: Following,
+    news: ConfigurationNews,
+    asked_at: float | None,
+) -> Following:
+    """Note the proof of a quorum that came with the news."""
+    if asked_at is None or news.quorum_age_s < 0:
+        return following
+    proof_at = max(following.proof_at, asked_at - news.quorum_age_s)
+    return replace(following, proof_at=proof_at)
+
+
+def read_news(
+    held: Held | None,
+    news: ConfigurationNews,
+) -> Result[Document, DocumentFault]:
+    """Return the document that the news leads to, its digest checked."""
+    read = read_body(held, news)
+    if isinstance(read, Ok):
+        found = digest_of(read.ok_value)
+        if found != news.digest:
+            return Err(DigestMismatch(news.digest, found))
+    return read
+
+
+def read_body(
+    held: Held | None,
+    news: ConfigurationNews,
+) -> Result[Document, DocumentFault]:
+    """Read the whole document, or the delta over the held one."""
+    if held is not None and held.digest == news.digest:
+        return Ok(held.document)
+    if not news.base_digest:
+        return unpack_document(news.body)
+    found = '' if held is None else held.digest
+    if held is None or found != news.base_digest:
+        return Err(DigestMismatch(news.base_digest, found))
+    return unpack(news.body).and_then(lambda delta: patch(held.document, delta))
--- a/godwitshunt/configuration/gen/wire/ttypes.py
+++ b/godwitshunt/configuration/gen/wire/ttypes.py
@@ -237,7 +237,6 @@
      - digest: SHA-256 of the manifest's canonical form, in hexadecimal.
      - base_digest: Digest of the manifest that the delta builds on; empty for a full one.
      - body: Compressed JSON.
-     - awaited: VMs that must have applied it or stopped before it is accepted.
 
     """
 
@@ -246,16 +245,14 @@
         'digest',
         'base_digest',
         'body',
-        'awaited',
     )
 
 
-    def __init__(self, number=None, digest=None, base_digest=None, body=None, awaited=None,):
+    def __init__(self, number=None, digest=None, base_digest=None, body=None,):
         self.number = number
         self.digest = digest
         self.base_digest = base_digest
         self.body = body
-        self.awaited = awaited
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -286,16 +283,6 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.LIST:
-                    self.awaited = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.awaited.append(_elem5)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -322,13 +309,6 @@
             oprot.writeFieldBegin('body', TType.STRING, 4)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
-        if self.awaited is not None:
-            oprot.writeFieldBegin('awaited', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRING, len(self.awaited))
-            for iter6 in self.awaited:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -454,21 +434,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = VmInfo()
-                        _elem12.read(iprot)
-                        self.admitted.append(_elem12)
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = VmInfo()
+                        _elem5.read(iprot)
+                        self.admitted.append(_elem5)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem18)
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem11)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -485,15 +465,15 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter19 in self.admitted:
-                iter19.write(oprot)
+            for iter12 in self.admitted:
+                iter12.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter20 in self.removed:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter13 in self.removed:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -558,10 +538,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.names = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.names.append(_elem26)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -582,8 +562,8 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.names))
-            for iter27 in self.names:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter20 in self.names:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1082,23 +1062,26 @@
     What one control replica heard from a VM.
 
     Attributes:
-     - vm
+     - name
      - revision
      - age_s
+     - vm: Only where it differs from what is committed.
 
     """
 
     __slots__ = (
-        'vm',
+        'name',
         'revision',
         'age_s',
+        'vm',
     )
 
 
-    def __init__(self, vm=None, revision=None, age_s=None,):
-        self.vm = vm
+    def __init__(self, name=None, revision=None, age_s=None, vm=None,):
+        self.name = name
         self.revision = revision
         self.age_s = age_s
+        self.vm = vm
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1110,9 +1093,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.vm = VmInfo()
-                    self.vm.read(iprot)
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1125,6 +1107,12 @@
                     self.age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.vm = VmInfo()
+                    self.vm.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1135,9 +1123,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('VmReport')
-        if self.vm is not None:
-            oprot.writeFieldBegin('vm', TType.STRUCT, 1)
-            self.vm.write(oprot)
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
             oprot.writeFieldEnd()
         if self.revision is not None:
             oprot.writeFieldBegin('revision', TType.I64, 2)
@@ -1147,6 +1135,10 @@
             oprot.writeFieldBegin('age_s', TType.DOUBLE, 3)
             oprot.writeDouble(self.age_s)
             oprot.writeFieldEnd()
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRUCT, 4)
+            self.vm.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1201,11 +1193,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = VmReport()
-                        _elem33.read(iprot)
-                        self.reports.append(_elem33)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = VmReport()
+                        _elem26.read(iprot)
+                        self.reports.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1222,8 +1214,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter34 in self.reports:
-                iter34.write(oprot)
+            for iter27 in self.reports:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1446,7 +1438,6 @@
     (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'base_digest', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
-    (5, TType.LIST, 'awaited', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(ConfirmManifest)
 ConfirmManifest.thrift_spec = (
@@ -1503,9 +1494,10 @@
 all_structs.append(VmReport)
 VmReport.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'vm', [VmInfo, None], None, ),  # 1
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.DOUBLE, 'age_s', None, None, ),  # 3
+    (4, TType.STRUCT, 'vm', [VmInfo, None], None, ),  # 4
 )
 all_structs.append(VmReports)
 VmReports.thrift_spec = (
--- /dev/null
+++ b/godwitshunt/configuration/http_calls.py
@@ -0,0 +1,128 @@
+"""One HTTP call on a connection of its own, for operators and for orders."""
+
+import asyncio
+from dataclasses import dataclass
+
+import h11
+from result import Err, Ok, Result
+
+from godwitshunt.settings import Address
+
+Headers = tuple[tuple[str, str], ...]
+
+READ_BYTES = 65536
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True)
+class HttpCall:
+    """A request to send.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Seconds until the call is given up, after the connection was made.
+    """
+
+    method: str
+    path: str
+    body: bytes = b''
+    headers: Headers = ()
+    timeout_s: float = 10.0
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class ConnectFailed:
+    """No connection was made; the other side cannot have acted."""
+
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class AnswerLost:
+    """The call was sent and no whole answer came; it may have been acted on."""
+
+    address: str
+    reason: str
+
+
+HttpFailure = ConnectFailed | AnswerLost
+
+
+async def call_http(
+    address: Address,
+    call: HttpCall,
+) -> Result[HttpAnswer, HttpFailure]:
+    """Send a request and read the whole answer."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                address.host,
+                address.port,
+            )
+    except (OSError, TimeoutError) as failed:
+        return Err(ConnectFailed(str(address), str(failed) or 'no answer'))
+    try:
+        async with asyncio.timeout(call.timeout_s):
+            return Ok(await exchange(reader, writer, address, call))
+    except (OSError, TimeoutError, h11.RemoteProtocolError) as broken:
+        return Err(AnswerLost(str(address), str(broken) or 'no answer in time'))
+    finally:
+        writer.close()
+
+
+async def exchange(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    address: Address,
+    call: HttpCall,
+) -> HttpAnswer:
+    """Write the request and read the answer to its end."""
+    connection = h11.Connection(h11.CLIENT)
+    head = h11.Request(
+        method=call.method,
+        target=call.path,
+        headers=[
+            ('host', str(address)),
+            ('connection', 'close'),
+            ('content-length', str(len(call.body))),
+            *call.headers,
+        ],
+    )
+    writer.write(connection.send(head))
+    writer.write(connection.send(h11.Data(data=call.body)))
+    writer.write(connection.send(h11.EndOfMessage()))
+    await writer.drain()
+    return await read_answer(reader, connection)
+
+
+async def read_answer(
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+) -> HttpAnswer:
+    """Read an answer; raise `ConnectionResetError` where it is too long."""
+    status = 0
+    body = bytearray()
+    while len(body) <= MAX_ANSWER_BYTES:
+        match connection.next_event():
+            case h11.NEED_DATA:
+                connection.receive_data(await reader.read(READ_BYTES))
+            case h11.Response(status_code=code):
+                status = code
+            case h11.Data(data=part):
+                body.extend(part)
+            case h11.EndOfMessage():
+                return HttpAnswer(status, bytes(body))
+            case _:
+                raise ConnectionResetError('ended before its answer')
+    raise ConnectionResetError('the answer is too long')
--- /dev/null
+++ b/godwitshunt/configuration/narrowing.py
@@ -0,0 +1,85 @@
+"""Which VMs a manifest's acceptance waits for.
+
+A manifest may take a region away from a caller or a model. Until the VMs of
+that region have applied it, one of them may still serve there by the older
+rule, so it must not be called accepted before.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from godwitshunt.configuration.commands import AwaitedVm
+from godwitshunt.configuration.document import Document, Entry
+from godwitshunt.configuration.revision import VmRole
+
+
+@dataclass(frozen=True)
+class Narrowing:
+    """A region that a caller or a model loses.
+
+    Parameters
+    ----------
+    isolated_serves : bool
+        True where a VM of that region would by the older rule serve the
+        caller also while it is isolated.
+    """
+
+    region: str
+    isolated_serves: bool
+
+
+def awaited_vms(before: Document, after: Document) -> tuple[AwaitedVm, ...]:
+    """Return the VMs of regions that lose a caller or a model."""
+    lost: dict[str, bool] = {}
+    for narrowing in narrowings(before, after):
+        isolated = lost.get(narrowing.region, False)
+        lost[narrowing.region] = isolated or narrowing.isolated_serves
+    return tuple(
+        AwaitedVm(vm['name'], not lost[vm['region']])
+        for vm in before.section('vms').values()
+        if vm['region'] in lost and vm['role'] == VmRole.entry.value
+    )
+
+
+def narrowings(before: Document, after: Document) -> Iterator[Narrowing]:
+    """Give every region that a caller or a model loses."""
+    yield from caller_narrowings(before, after)
+    for name, model in before.section('models').items():
+        later = after.section('models').get(name)
+        if later is not None:
+            lost = model_regions(before, model) - model_regions(after, later)
+            for region in sorted(lost):
+                yield Narrowing(region, isolated_serves=True)
+
+
+def caller_narrowings(
+    before: Document,
+    after: Document,
+) -> Iterator[Narrowing]:
+    """Give the regions that callers lose, once for each kind of change."""
+    old_rules = rule_regions(before)
+    new_rules = rule_regions(after)
+    later_callers = after.section('callers')
+    changes = {
+        (caller['residency'], later_callers[name]['residency'], caller['home'])
+        for name, caller in before.section('callers').items()
+        if name in later_callers
+    }
+    for old_rule, new_rule, home in changes:
+        for region in old_rules[old_rule] - new_rules[new_rule]:
+            yield Narrowing(region, old_rule is None or home == region)
+
+
+def rule_regions(document: Document) -> dict[str | None, frozenset[str]]:
+    """Return the regions of each residency rule; None is no rule."""
+    everywhere = frozenset(document.section('regions'))
+    rules = {
+        name: frozenset(rule['regions'])
+        for name, rule in document.section('residency').items()
+    }
+    return {None: everywhere, **rules}
+
+
+def model_regions(document: Document, model: Entry) -> frozenset[str]:
+    """Return the regions that a model may run in."""
+    return frozenset(model['regions'] or document.section('regions'))
--- /dev/null
+++ b/godwitshunt/configuration/operator_api.py
@@ -0,0 +1,248 @@
+"""What operators ask of a control replica over HTTP."""
+
+import hashlib
+import hmac
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+from typing import Any
+
+from result import Err, Ok
+
+from godwitshunt.configuration.commands import Accepted, ChangeVms, Pending
+from godwitshunt.configuration.document import MALFORMED
+from godwitshunt.configuration.explanation import explain
+from godwitshunt.configuration.gen.wire import ttypes
+from godwitshunt.configuration.operator_http import (
+    OperatorAnswer,
+    OperatorRequest,
+)
+from godwitshunt.configuration.problems import (
+    OperatorProblem,
+    problem_of,
+)
+from godwitshunt.configuration.service import ConfigurationService
+from godwitshunt.configuration.status import status_document
+from godwitshunt.exceptions import DocumentError
+from godwitshunt.manifest import parse_manifest
+from godwitshunt.peer import MessageKind, decode, encode
+
+Route = Callable[[OperatorRequest], Awaitable[OperatorAnswer]]
+
+FORWARD_TIMEOUT_S = 5.0
+PROBLEM_TYPE = 'application/problem+json'
+HTTP_OK = 200
+ACCEPTED_LATER = 202
+NOT_LEADER = 503
+
+
+def answer(document: dict[str, Any], status: int = HTTP_OK) -> OperatorAnswer:
+    """Return a JSON answer."""
+    return OperatorAnswer(status, json.dumps(document).encode())
+
+
+def refusal(problem: OperatorProblem) -> OperatorAnswer:
+    """Return a problem answer."""
+    return OperatorAnswer(problem.status, problem.body(), PROBLEM_TYPE)
+
+
+class OperatorApi:
+    """Checks the token, chooses the route, passes calls on to the leader.
+
+    Parameters
+    ----------
+    service : ConfigurationService
+        Of this replica.
+    token_sha256 : str
+        SHA-256 of the operators' token, in hexadecimal.
+    """
+
+    def __init__(
+        self,
+        service: ConfigurationService,
+        token_sha256: str,
+    ) -> None:
+        self.service = service
+        self.token_sha256 = token_sha256
+        self.routes: dict[tuple[str, str], Route] = {
+            ('POST', '/v1/manifest'): self.apply,
+            ('GET', '/v1/status'): self.status,
+            ('POST', '/v1/explain'): self.explain,
+            ('POST', '/v1/init'): self.init,
+        }
+        self.named_routes: dict[tuple[str, str], Route] = {
+            ('POST', '/v1/vms/'): self.remove_vm,
+        }
+
+    def start(self) -> None:
+        """Take the calls that other replicas pass on."""
+        self.service.links.subscribe(MessageKind.operator_call, self.on_call)
+
+    async def handle(self, request: OperatorRequest) -> OperatorAnswer:
+        """Answer one operator's request."""
+        plain = self.plain_answer(request)
+        if plain is not None:
+            return plain
+        digest = hashlib.sha256(request.token.encode()).hexdigest()
+        if not hmac.compare_digest(digest, self.token_sha256):
+            self.service.metrics.count('operator_refused_total')
+            return refusal(
+                OperatorProblem('unauthorized', 401, 'the token is wrong'),
+            )
+        local = await self.local(request)
+        if local.status == NOT_LEADER:
+            return await self.forward(request, local)
+        return local
+
+    def plain_answer(self, request: OperatorRequest) -> OperatorAnswer | None:
+        """Answer the paths that need no token."""
+        match (request.method, request.path):
+            case ('GET', '/metrics'):
+                return OperatorAnswer(
+                    HTTP_OK,
+                    self.service.metrics.render(),
+                    'text/plain; version=0.0.4',
+                )
+            case ('GET', '/healthz'):
+                return answer({'alive': True})
+            case ('GET', '/readyz'):
+                leadership = self.service.log.leadership()
+                ready = leadership.leader is not None
+                return answer(
+                    {'ready': ready}, HTTP_OK if ready else NOT_LEADER
+                )
+        return None
+
+    async def local(self, request: OperatorRequest) -> OperatorAnswer:
+        """Answer from this replica."""
+        route = self.route(request)
+        if route is None:
+            return refusal(
+                OperatorProblem(
+                    'not-found',
+                    404,
+                    f'no {request.method} under {request.path}',
+                ),
+            )
+        return await route(request)
+
+    def route(self, request: OperatorRequest) -> Route | None:
+        """Return what answers a path."""
+        exact = self.routes.get((request.method, request.path))
+        if exact is not None:
+            return exact
+        for (method, prefix), route in self.named_routes.items():
+            if request.method == method and request.path.startswith(prefix):
+                return route
+        return None
+
+    async def forward(
+        self,
+        request: OperatorRequest,
+        local: OperatorAnswer,
+    ) -> OperatorAnswer:
+        """Pass a call to the other replicas until one of them leads.
+
+        Every call that changes something carries a number or a name, so that
+        a second replica may be asked where the first one's reply was lost.
+        """
+        call = ttypes.OperatorCall(request.method, request.path, request.body)
+        for address in self.service.others:
+            reply = await self.service.links.call(
+                address,
+                MessageKind.operator_call,
+                encode(call),
+                FORWARD_TIMEOUT_S,
+            )
+            if isinstance(reply, Ok):
+                passed = decode(ttypes.OperatorReply, reply.ok_value)
+                if passed.status != NOT_LEADER:
+                    kind = PROBLEM_TYPE if passed.status >= 400 else None
+                    return OperatorAnswer(
+                        passed.status,
+                        passed.body,
+                        kind or 'application/json',
+                    )
+        return local
+
+    async def on_call(self, sender: str, body: bytes) -> bytes:
+        """Answer a call that another replica passed on."""
+        call = decode(ttypes.OperatorCall, body)
+        request = OperatorRequest(call.method, call.path, '', call.body)
+        local = await self.local(request)
+        return encode(ttypes.OperatorReply(local.status, local.body))
+
+    async def apply(self, request: OperatorRequest) -> OperatorAnswer:
+        """Accept a manifest."""
+        try:
+            manifest = parse_manifest(request.body, 'request body')
+        except DocumentError as invalid:
+            problems = [asdict(problem) for problem in invalid.problems]
+            return refusal(
+                OperatorProblem(
+                    'invalid-document',
+                    400,
+                    str(invalid),
+                    extra={'problems': problems},
+                ),
+            )
+        return self.manifest_answer(await self.service.accept(manifest))
+
+    def manifest_answer(self, came: Ok | Err) -> OperatorAnswer:
+        """Return the answer for a manifest's outcome."""
+        if isinstance(came, Err):
+            return refusal(problem_of(came.err_value))
+        outcome = came.ok_value
+        match outcome:
+            case Accepted():
+                return answer({'outcome': 'accepted', **asdict(outcome)})
+            case Pending(number):
+                return answer(
+                    {
+                        'outcome': 'pending',
+                        **asdict(outcome),
+                        'waits_for': self.service.waits_for(number),
+                    },
+                    ACCEPTED_LATER,
+                )
+            case _:
+                return refusal(problem_of(outcome))
+
+    async def status(self, request: OperatorRequest) -> OperatorAnswer:
+        """Tell who has what, and whether the quorum lives."""
+        leadership = self.service.log.leadership()
+        document = status_document(
+            self.service.state,
+            self.service.heard,
+            leadership,
+            self.service.timer.now(),
+        )
+        return answer(document, HTTP_OK if leadership.is_leader else NOT_LEADER)
+
+    async def explain(self, request: OperatorRequest) -> OperatorAnswer:
+        """Tell where a caller's request may go, and by which rule."""
+        try:
+            asked = json.loads(request.body)
+            document = explain(
+                self.service.state,
+                str(asked['caller']),
+                str(asked['service']),
+                asked.get('model'),
+            )
+        except MALFORMED as bad:
+            return refusal(
+                OperatorProblem('invalid-document', 400, repr(bad)),
+            )
+        return answer(document)
+
+    async def init(self, request: OperatorRequest) -> OperatorAnswer:
+        """Make the cluster, once."""
+        return answer({'outcome': 'initialised'})
+
+    async def remove_vm(self, request: OperatorRequest) -> OperatorAnswer:
+        """Take out a VM that the operator knows to have stopped."""
+        name = request.path.removeprefix('/v1/vms/').removesuffix('/remove')
+        came = await self.service.propose(ChangeVms(removed=(name,)))
+        if isinstance(came, Err):
+            return refusal(problem_of(came.err_value))
+        return answer({'outcome': 'removed', **asdict(came.ok_value)})
--- /dev/null
+++ b/godwitshunt/configuration/problems.py
@@ -0,0 +1,108 @@
+"""Refusals to operators as problem details (RFC 9457)."""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from godwitshunt.configuration.commands import (
+    NumberConflict,
+    NumberTooOld,
+    OrderConflict,
+)
+from godwitshunt.configuration.replicated_log import (
+    CommitUnknown,
+    NoQuorum,
+    NotLeader,
+)
+
+TYPE_PREFIX = 'urn:godwitshunt:problem:'
+
+
+@dataclass(frozen=True)
+class OperatorProblem:
+    """One refusal.
+
+    Parameters
+    ----------
+    slug : str
+        Last part of the problem type.
+    outcome : str
+        ``not-run`` where nothing was changed, else ``unknown``.
+    extra : dict
+        Further members of the problem document.
+    """
+
+    slug: str
+    status: int
+    detail: str
+    outcome: str = 'not-run'
+    extra: dict[str, Any] = field(default_factory=dict)
+
+    def document(self) -> dict[str, Any]:
+        """Return the problem document."""
+        return {
+            'type': TYPE_PREFIX + self.slug,
+            'title': self.slug.replace('-', ' '),
+            'status': self.status,
+            'detail': self.detail,
+            'outcome': self.outcome,
+            **self.extra,
+        }
+
+    def body(self) -> bytes:
+        """Return the problem document as JSON."""
+        return json.dumps(self.document()).encode()
+
+
+def problem_of(failure: object) -> OperatorProblem:
+    """Return the refusal for a typed failure of the slice."""
+    match failure:
+        case NumberConflict():
+            return conflict_problem(failure)
+        case NumberTooOld(number, oldest_known):
+            return OperatorProblem(
+                'number-too-old',
+                410,
+                f'answers for numbers below {oldest_known} are not kept',
+                extra={'number': number, 'oldest_known': oldest_known},
+            )
+        case OrderConflict(order):
+            return OperatorProblem(
+                'order-conflict',
+                409,
+                f'the name {order} belongs to another order',
+            )
+        case NotLeader(leader):
+            return OperatorProblem(
+                'not-leader',
+                503,
+                'this replica does not lead',
+                extra={'leader': leader},
+            )
+        case NoQuorum(quorum_age_s):
+            return OperatorProblem(
+                'no-quorum',
+                503,
+                'the leader has lost touch with a majority of the voters',
+                extra={'quorum_age_s': quorum_age_s},
+            )
+        case CommitUnknown(reason):
+            return OperatorProblem('outcome-unknown', 504, reason, 'unknown')
+        case _:
+            return OperatorProblem('failed', 500, repr(failure), 'unknown')
+
+
+def conflict_problem(conflict: NumberConflict) -> OperatorProblem:
+    """Return the refusal that names the manifest which won."""
+    return OperatorProblem(
+        'number-conflict',
+        409,
+        f'number {conflict.number}: number {conflict.winner_number} with '
+        f'digest {conflict.winner_digest} was accepted',
+        extra={
+            'number': conflict.number,
+            'winner_number': conflict.winner_number,
+            'winner_digest': conflict.winner_digest,
+            'winner_revision': conflict.winner_revision,
+        },
+    )
--- /dev/null
+++ b/godwitshunt/configuration/service.py
@@ -0,0 +1,291 @@
+"""The control side: accepts manifests and distributes revisions."""
+
+from typing import Self
+
+from result import Err, Ok, Result
+
+from godwitshunt.configuration.background import Background
+from godwitshunt.configuration.commands import (
+    AcceptManifest,
+    BaseChanged,
+    Command,
+    ManifestOutcome,
+    Outcome,
+)
+from godwitshunt.configuration.delta import diff
+from godwitshunt.configuration.document import (
+    digest_of,
+    document_of,
+    manifest_digest_of,
+    pack,
+    pack_document,
+    vm_entry,
+    vm_of,
+)
+from godwitshunt.configuration.gen.wire import ttypes
+from godwitshunt.configuration.heard import HeardVm, HeardVms
+from godwitshunt.configuration.history import Held, RevisionHistory
+from godwitshunt.configuration.replicated_log import (
+    ProposalFailure,
+    ReplicatedLog,
+)
+from godwitshunt.configuration.revision import VmRecord
+from godwitshunt.configuration.state import ControlState
+from godwitshunt.configuration.state_machine import StateMachine
+from godwitshunt.configuration.upkeep import due_commands, still_awaited
+from godwitshunt.configuration.wire import vm_from_wire, vm_to_wire
+from godwitshunt.manifest import Manifest
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.settings import Address, ControlSettings
+from godwitshunt.telemetry import Metrics, log_change
+from godwitshunt.timer import Timer
+
+UPKEEP_PERIOD_S = 0.5
+REPORT_PERIOD_S = 1.0
+PUSH_DELAY_S = 0.05
+BASE_TRIES = 3
+
+
+class ConfigurationService:
+    """Accepts manifests through the log and tells VMs what is in force.
+
+    Parameters
+    ----------
+    record : VmRecord
+        This control replica.
+    others : tuple of Address
+        Peer addresses of the other control replicas.
+    log : ReplicatedLog
+        Where commands are committed.
+    links : PeerLinks
+        To VMs and to other control replicas.
+    timer : Timer
+        Gives the periods.
+    metrics : Metrics
+        Counts heartbeats, news and changes.
+    """
+
+    def __init__(
+        self,
+        record: VmRecord,
+        others: tuple[Address, ...],
+        log: ReplicatedLog,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> None:
+        self.record = record
+        self.others = others
+        self.log = log
+        self.links = links
+        self.timer = timer
+        self.metrics = metrics
+        self.machine = StateMachine(log)
+        self.history = RevisionHistory()
+        self.heard = HeardVms()
+        self.pending_seen_at: dict[int, float] = {}
+        self.background = Background()
+        self.subscriptions = []
+        self.push_due = False
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ControlSettings,
+        record: VmRecord,
+        log: ReplicatedLog,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> Self:
+        """Make the service of a control replica."""
+        others = tuple(
+            address for address in settings.control if address != settings.peer
+        )
+        return cls(record, others, log, links, timer, metrics)
+
+    @property
+    def state(self) -> ControlState:
+        """The control state as this replica has applied it."""
+        return self.machine.state
+
+    def start(self) -> None:
+        """Follow the log, take heartbeats, and begin upkeep."""
+        self.machine.subscribe(self.on_state)
+        self.machine.start()
+        self.links.subscribe(MessageKind.vm_heartbeat, self.on_heartbeat)
+        self.links.subscribe(MessageKind.configuration_applied, self.on_reports)
+        self.subscriptions = [
+            self.timer.every(UPKEEP_PERIOD_S, self.begin_upkeep),
+            self.timer.every(REPORT_PERIOD_S, self.send_reports),
+        ]
+
+    async def close(self) -> None:
+        """End upkeep; heartbeats are no longer answered."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
+        await self.background.close()
+
+    async def accept(
+        self,
+        manifest: Manifest,
+    ) -> Result[ManifestOutcome, ProposalFailure]:
+        """Commit a manifest and return what became of it."""
+        answer: Result[Outcome, ProposalFailure] = Ok(BaseChanged())
+        for _ in range(BASE_TRIES):
+            answer = await self.propose(self.accept_command(manifest))
+            if answer != Ok(BaseChanged()):
+                break
+        return answer
+
+    def accept_command(self, manifest: Manifest) -> AcceptManifest:
+        """Return the command, with a delta where there is a base."""
+        document = document_of(manifest)
+        digest = manifest_digest_of(document)
+        base = self.state.document
+        if not self.state.highest:
+            body = pack_document(document)
+            return AcceptManifest(manifest.number, digest, '', body)
+        for section in ('vms', 'holders'):
+            entries = base.section(section)
+            document = document.with_section(section, entries)
+        return AcceptManifest(
+            manifest.number,
+            digest,
+            manifest_digest_of(base),
+            pack(diff(base, document)),
+        )
+
+    async def propose(
+        self,
+        command: Command,
+    ) -> Result[Outcome, ProposalFailure]:
+        """Commit a command; count what it came to."""
+        answer = await self.machine.propose(command)
+        outcome = answer.err() if isinstance(answer, Err) else answer.ok()
+        self.metrics.count(
+            'configuration_commands_total',
+            command=type(command).__name__,
+            outcome=type(outcome).__name__,
+        )
+        return answer
+
+    def waits_for(self, number: int) -> list[str]:
+        """Return the VMs that a pending number's acceptance waits for."""
+        now = self.timer.now()
+        seen_at = self.pending_seen_at.get(number, now)
+        awaited = still_awaited(self.state, number, self.heard, seen_at, now)
+        return [vm.name for vm in awaited]
+
+    def on_state(self, state: ControlState) -> None:
+        """Keep the newest document and arrange that VMs are told."""
+        self.note_pending(state)
+        newest = self.history.newest
+        if newest is not None and newest.revision == state.revision:
+            return
+        if not state.highest:
+            return
+        held = Held(state.revision, digest_of(state.document), state.document)
+        self.history.add(held)
+        self.metrics.gauge('configuration_revision', held.revision)
+        log_change(
+            'configuration:revision_committed',
+            revision=held.revision,
+            number=state.highest,
+            digest=held.digest,
+        )
+        if not self.push_due:
+            self.push_due = True
+            self.timer.after(PUSH_DELAY_S, self.push)
+
+    def note_pending(self, state: ControlState) -> None:
+        """Remember since when each pending number is seen as committed."""
+        now = self.timer.now()
+        self.pending_seen_at = {
+            number: self.pending_seen_at.get(number, now)
+            for number, record in state.numbers.items()
+            if record.awaited
+        }
+
+    def push(self) -> None:
+        """Tell the VMs that speak to this replica of the newest revision."""
+        self.push_due = False
+        for one in self.heard.direct(self.timer.now()):
+            if one.vm.name == self.record.name:
+                continue
+            held = self.history.of_revision(one.revision)
+            digest = '' if held is None else held.digest
+            news = self.history.news_for(digest, float('inf'))
+            self.links.tell(
+                one.vm.peer,
+                MessageKind.configuration_news,
+                encode(news),
+            )
+            self.metrics.count('configuration_pushes_total')
+
+    async def on_heartbeat(self, sender: str, body: bytes) -> bytes:
+        """Note a VM's heartbeat and tell it what it lacks."""
+        heartbeat = decode(ttypes.VmHeartbeat, body)
+        vm = vm_from_wire(heartbeat.vm)
+        now = self.timer.now()
+        self.heard.hear(HeardVm(vm, heartbeat.revision or 0, now))
+        self.metrics.count('configuration_heartbeats_total')
+        quorum_age_s = self.log.leadership().quorum_age_s
+        news = self.history.news_for(heartbeat.digest or '', quorum_age_s)
+        return encode(news)
+
+    def begin_upkeep(self) -> None:
+        """Commit what is due, where this replica leads."""
+        self.heard.hear(
+            HeardVm(self.record, self.state.revision, self.timer.now()),
+        )
+        if self.log.leadership().is_leader:
+            self.background.run('upkeep', self.upkeep)
+
+    async def upkeep(self) -> None:
+        """Commit admissions, claim holders and confirmations."""
+        due = due_commands(
+            self.state,
+            self.heard,
+            self.pending_seen_at,
+            self.timer.now(),
+        )
+        for command in tuple(due):
+            if isinstance(await self.propose(command), Err):
+                return
+
+    def send_reports(self) -> None:
+        """Tell the other control replicas which VMs were heard here."""
+        now = self.timer.now()
+        committed = self.state.document.section('vms')
+        reports = []
+        for one in self.heard.direct(now):
+            is_known = committed.get(one.vm.name) == vm_entry(one.vm)
+            report = ttypes.VmReport(
+                name=one.vm.name,
+                revision=one.revision,
+                age_s=now - one.heard_at,
+                vm=None if is_known else vm_to_wire(one.vm),
+            )
+            reports.append(report)
+        body = encode(ttypes.VmReports(reports=reports))
+        for address in self.others:
+            self.links.tell(address, MessageKind.configuration_applied, body)
+
+    async def on_reports(self, sender: str, body: bytes) -> None:
+        """Note what another control replica heard from VMs."""
+        now = self.timer.now()
+        for report in decode(ttypes.VmReports, body).reports or ():
+            vm = self.reported_vm(report)
+            if vm is not None:
+                heard_at = now - report.age_s
+                self.heard.hear(
+                    HeardVm(vm, report.revision, heard_at, direct=False),
+                )
+
+    def reported_vm(self, report: ttypes.VmReport) -> VmRecord | None:
+        """Return the record that a report is about."""
+        if report.vm is not None:
+            return vm_from_wire(report.vm)
+        entry = self.state.document.section('vms').get(report.name)
+        return None if entry is None else vm_of(entry)
--- a/godwitshunt/configuration/state.py
+++ b/godwitshunt/configuration/state.py
@@ -14,6 +14,7 @@
     Accepted,
     AcceptManifest,
     Applied,
+    AwaitedVm,
     BaseChanged,
     ChangeHolders,
     ChangeVms,
@@ -40,6 +41,7 @@
     unpack,
     vm_entry,
 )
+from godwitshunt.configuration.narrowing import awaited_vms
 
 NUMBER_WINDOW = 4096
 KEPT_GENERATIONS = 4
@@ -52,13 +54,13 @@
 
     Parameters
     ----------
-    awaited : tuple of str
+    awaited : tuple of AwaitedVm
         VMs that its acceptance waits for; empty once accepted.
     """
 
     digest: str
     revision: int
-    awaited: tuple[str, ...] = ()
+    awaited: tuple[AwaitedVm, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -231,8 +233,9 @@
     document: Document,
 ) -> Step:
     """Put an accepted manifest in force and remember its number."""
+    awaited = awaited_vms(state.document, document)
     state = state.with_document(document)
-    record = NumberRecord(command.digest, state.revision, command.awaited)
+    record = NumberRecord(command.digest, state.revision, awaited)
     floor = command.number - NUMBER_WINDOW
     kept = {
         number: known
--- /dev/null
+++ b/godwitshunt/configuration/state_machine.py
@@ -0,0 +1,81 @@
+"""Pairs entries of the log with the calls that wait for their outcome."""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from godwitshunt.configuration.commands import Command, Outcome
+from godwitshunt.configuration.replicated_log import (
+    CommitUnknown,
+    ProposalFailure,
+    ReplicatedLog,
+)
+from godwitshunt.configuration.state import ControlState, apply_command
+from godwitshunt.configuration.wire import decode_command, encode_command
+
+Notice = Callable[[ControlState], None]
+APPLY_TIMEOUT_S = 5.0
+
+
+class StateMachine:
+    """The control state of this replica, fed by the log.
+
+    Parameters
+    ----------
+    log : ReplicatedLog
+        Where commands are committed.
+    """
+
+    def __init__(self, log: ReplicatedLog) -> None:
+        self.log = log
+        self.state = ControlState()
+        self.waiting: dict[str, asyncio.Future[Outcome]] = {}
+        self.subscribers: list[Notice] = []
+
+    def start(self) -> None:
+        """Follow the log."""
+        self.log.subscribe(self.apply)
+
+    def subscribe(self, notice: Notice) -> None:
+        """Tell of each state that a committed entry leads to."""
+        self.subscribers.append(notice)
+
+    def apply(self, index: int, term: int, payload: bytes) -> None:
+        """Apply a committed entry and answer who proposed it."""
+        proposal, command = decode_command(payload)
+        state, outcome = apply_command(self.state, command)
+        self.state = state
+        waiting = self.waiting.get(proposal)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(outcome)
+        for notice in self.subscribers:
+            notice(state)
+
+    def install(self, state: ControlState) -> None:
+        """Take over the state of a snapshot."""
+        self.state = state
+        for notice in self.subscribers:
+            notice(state)
+
+    async def propose(
+        self,
+        command: Command,
+    ) -> Result[Outcome, ProposalFailure]:
+        """Commit a command and return what it came to.
+
+        The outcome is the one of this very entry, also where entries of
+        others were committed before it.
+        """
+        proposal, payload = encode_command(command)
+        waiting: asyncio.Future[Outcome] = asyncio.Future()
+        self.waiting[proposal] = waiting
+        try:
+            committed = await self.log.propose(payload)
+            if isinstance(committed, Err):
+                return Err(committed.err_value)
+            return Ok(await asyncio.wait_for(waiting, APPLY_TIMEOUT_S))
+        except TimeoutError:
+            return Err(CommitUnknown('committed, not applied in time'))
+        finally:
+            self.waiting.pop(proposal)
--- /dev/null
+++ b/godwitshunt/configuration/task.py
@@ -0,0 +1,337 @@
+"""The VM side: keeps the newest revision and the proof of a quorum."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Self
+
+from pydantic import ValidationError
+from result import Err
+
+from godwitshunt.configuration.background import Background
+from godwitshunt.configuration.document import (
+    DocumentMalformed,
+    revision_of,
+)
+from godwitshunt.configuration.following import (
+    Following,
+    NewsOutcome,
+    NewsRefused,
+    RevisionApplied,
+    take_news,
+)
+from godwitshunt.configuration.gen.wire import ttypes
+from godwitshunt.configuration.history import Held, RevisionHistory
+from godwitshunt.configuration.kept_revision import KeptRevision
+from godwitshunt.configuration.revision import Revision, VmRecord, VmRole
+from godwitshunt.configuration.wire import vm_to_wire
+from godwitshunt.exceptions import FrameError, StorageError
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.settings import Address, NodeSettings
+from godwitshunt.telemetry import Metrics, log_change
+from godwitshunt.timer import Timer
+
+RevisionNotice = Callable[[Revision], None]
+
+HEARTBEAT_PERIOD_S = 1.0
+# Without jitter the heartbeats of VMs that started together would stay
+# together and reach a control replica as one burst each second.
+HEARTBEAT_JITTER_S = 0.2
+CALL_TIMEOUT_S = 0.5
+# A replica whose own proof is older than this is asked no further: another
+# one may be in touch with the quorum.
+FRESH_PROOF_S = 1.5
+
+
+class ConfigurationTask:
+    """What is in force on a VM.
+
+    Parameters
+    ----------
+    record : VmRecord
+        This VM.
+    control : tuple of Address
+        Peer addresses of the control replicas.
+    peers : tuple of Address
+        Peer addresses of VMs of the region that settings name.
+    links : PeerLinks
+        To control replicas and peers.
+    timer : Timer
+        Gives the periods.
+    metrics : Metrics
+        Counts heartbeats and applied revisions.
+    kept : KeptRevision or None
+        The newest revision on disk; None where the VM has no disk.
+
+    Attributes
+    ----------
+    current : Revision or None
+        In force on this VM; None before the first. Its revision only rises.
+    """
+
+    def __init__(
+        self,
+        record: VmRecord,
+        control: tuple[Address, ...],
+        peers: tuple[Address, ...],
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+        kept: KeptRevision | None,
+    ) -> None:
+        self.record = record
+        self.control = control
+        self.peers = peers
+        self.links = links
+        self.timer = timer
+        self.metrics = metrics
+        self.kept = kept
+        self.following = Following()
+        self.current: Revision | None = None
+        self.history = RevisionHistory()
+        self.subscribers: list[RevisionNotice] = []
+        self.background = Background()
+        self.closed = False
+        self.lock = asyncio.Lock()
+        self.preferred: Address | None = None
+        self.peer_turn = 0
+        # Spreads heartbeats over time; nothing is decided by it.
+        self.jitter = random.Random(record.name)
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: NodeSettings,
+        record: VmRecord,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> Self:
+        """Make the task of a VM."""
+        kept = None
+        if settings.data_folder is not None:
+            kept = KeptRevision(Path(settings.data_folder))
+        return cls(
+            record,
+            settings.control,
+            settings.peers,
+            links,
+            timer,
+            metrics,
+            kept,
+        )
+
+    def start(self) -> None:
+        """Take up the kept revision and begin to ask for newer ones.
+
+        Raises
+        ------
+        StorageError
+            Where the data folder cannot be read.
+        """
+        if self.kept is not None:
+            self.take_kept(self.kept)
+        self.links.subscribe(MessageKind.configuration_news, self.on_news)
+        self.links.subscribe(MessageKind.configuration_fetch, self.on_fetch)
+        self.begin_heartbeat()
+
+    async def close(self) -> None:
+        """Ask no more; the revision stays in force."""
+        self.closed = True
+        await self.background.close()
+
+    def subscribe(self, notice: RevisionNotice) -> None:
+        """Tell of each revision that comes into force from now on."""
+        self.subscribers.append(notice)
+
+    def quorum_age_s(self) -> float:
+        """Return the seconds since the last proof of a live quorum.
+
+        Infinite where there was none since the process started.
+        """
+        return self.timer.now() - self.following.proof_at
+
+    @property
+    def is_admitted(self) -> bool:
+        """True where the revision in force lists this VM."""
+        return self.current is not None and self.record in self.current.vms
+
+    def take_kept(self, kept: KeptRevision) -> None:
+        """Put the revision on disk in force, without proof of a quorum."""
+        held = kept.read()
+        if held is not None:
+            self.following = Following(held)
+            self.publish(revision_of(held.revision, held.document))
+
+    def begin_heartbeat(self) -> None:
+        """Ask once and arrange for the next time."""
+        if self.closed:
+            return
+        self.background.run('heartbeat', self.ask)
+        spread = self.jitter.uniform(-HEARTBEAT_JITTER_S, HEARTBEAT_JITTER_S)
+        self.timer.after(HEARTBEAT_PERIOD_S + spread, self.begin_heartbeat)
+
+    async def ask(self) -> None:
+        """Ask control replicas until one proves a quorum, else a peer.
+
+        The first revision after a start is the highest that any answer
+        brings: without a proof every known peer is asked.
+        """
+        for address in self.control_order():
+            if await self.ask_one(address, MessageKind.vm_heartbeat):
+                self.preferred = address
+                return
+        self.preferred = None
+        for peer in self.peer_order():
+            if await self.ask_one(peer, MessageKind.configuration_fetch):
+                return
+
+    async def ask_one(self, address: Address, kind: MessageKind) -> bool:
+        """Send one heartbeat; True where the reply proved a live quorum."""
+        asked_at = self.timer.now()
+        reply = await self.links.call(
+            address,
+            kind,
+            encode(self.heartbeat()),
+            CALL_TIMEOUT_S,
+        )
+        if isinstance(reply, Err):
+            self.metrics.count('configuration_asks_failed_total')
+            return False
+        try:
+            news = decode(ttypes.ConfigurationNews, reply.ok_value)
+        except FrameError:
+            self.metrics.count('configuration_news_malformed_total')
+            return False
+        outcome = await self.take(news, asked_at)
+        if isinstance(outcome, NewsRefused):
+            return False
+        return 0 <= news.quorum_age_s <= FRESH_PROOF_S
+
+    def heartbeat(self) -> ttypes.VmHeartbeat:
+        """Return what this VM tells of itself."""
+        held = self.following.held
+        return ttypes.VmHeartbeat(
+            vm=vm_to_wire(self.record),
+            revision=0 if held is None else held.revision,
+            digest=self.following.base_digest,
+        )
+
+    def control_order(self) -> tuple[Address, ...]:
+        """Return control replicas: the last good one, then the own region's."""
+        own_region = [
+            vm.peer
+            for vm in self.known_vms(VmRole.control)
+            if vm.peer in self.control
+        ]
+        preferred = [] if self.preferred is None else [self.preferred]
+        return tuple(dict.fromkeys([*own_region, *preferred, *self.control]))
+
+    def peer_order(self) -> tuple[Address, ...]:
+        """Return peers of the region, beginning with another each time."""
+        known = [vm.peer for vm in self.known_vms(VmRole.entry)]
+        peers = [
+            address
+            for address in dict.fromkeys([*known, *self.peers])
+            if address != self.record.peer
+        ]
+        self.peer_turn += 1
+        turn = self.peer_turn % len(peers) if peers else 0
+        return tuple(peers[turn:] + peers[:turn])
+
+    def known_vms(self, role: VmRole) -> Iterator[VmRecord]:
+        """Give the region's VMs of a role, as far as they are known."""
+        if self.current is None:
+            return
+        for vm in self.current.vms:
+            if vm.role is role and vm.region == self.record.region:
+                yield vm
+
+    async def on_news(self, sender: str, body: bytes) -> None:
+        """Take a push; ask at once where its delta does not fit."""
+        news = decode(ttypes.ConfigurationNews, body)
+        outcome = await self.take(news, None)
+        if isinstance(outcome, NewsRefused):
+            self.background.run('heartbeat', self.ask)
+
+    async def on_fetch(self, sender: str, body: bytes) -> bytes:
+        """Tell a peer what this VM holds, with the age of its proof."""
+        heartbeat = decode(ttypes.VmHeartbeat, body)
+        news = self.history.news_for(
+            heartbeat.digest or '',
+            self.quorum_age_s(),
+        )
+        return encode(news)
+
+    async def take(
+        self,
+        news: ttypes.ConfigurationNews,
+        asked_at: float | None,
+    ) -> NewsOutcome:
+        """Apply news and tell the subscribers of a newer revision.
+
+        A newer revision is on the disk before it is in force: a VM that
+        crashed in between and restarted while isolated would else serve by
+        the older one after it had said that the newer one is in force.
+        """
+        async with self.lock:
+            following, outcome = take_news(self.following, news, asked_at)
+            if isinstance(outcome, RevisionApplied):
+                return await self.put_in_force(following, outcome)
+            self.following = following
+            if isinstance(outcome, NewsRefused):
+                self.note_refused(outcome)
+            return outcome
+
+    async def put_in_force(
+        self,
+        following: Following,
+        outcome: RevisionApplied,
+    ) -> NewsOutcome:
+        """Check, keep and publish a newer revision."""
+        held = outcome.held
+        try:
+            revision = revision_of(held.revision, held.document)
+        except ValidationError as bad:
+            refused = NewsRefused(DocumentMalformed(str(bad)))
+            self.following = replace(self.following, needs_whole=True)
+            self.note_refused(refused)
+            return refused
+        if self.kept is not None:
+            await self.keep(self.kept, held)
+        self.following = following
+        self.publish(revision)
+        return outcome
+
+    async def keep(self, kept: KeptRevision, held: Held) -> None:
+        """Write a revision to the disk; a failure is counted and logged.
+
+        Serving by an older revision until the disk is repaired would be
+        worse than losing the newer one at the next restart.
+        """
+        try:
+            await asyncio.to_thread(kept.write, held)
+        except StorageError as failed:
+            self.metrics.count('configuration_keep_failed_total')
+            log_change('configuration:keep_failed', reason=failed.reason)
+
+    def publish(self, revision: Revision) -> None:
+        """Put a revision in force at once and tell the subscribers."""
+        self.current = revision
+        if self.following.held is not None:
+            self.history.add(self.following.held)
+        self.metrics.gauge('configuration_revision', revision.revision)
+        log_change(
+            'configuration:revision_in_force',
+            revision=revision.revision,
+            number=revision.manifest.number,
+        )
+        for notice in self.subscribers:
+            notice(revision)
+
+    def note_refused(self, refused: NewsRefused) -> None:
+        """Count and log news that could not be applied."""
+        self.metrics.count('configuration_news_refused_total')
+        log_change('configuration:news_refused', fault=repr(refused.fault))
--- /dev/null
+++ b/godwitshunt/configuration/tests/test_distribution.py
@@ -0,0 +1,120 @@
+"""Revisions reach every VM, only upwards, through cuts and restarts."""
+
+import pytest
+
+from godwitshunt.configuration.commands import Accepted, Pending
+from godwitshunt.configuration.kept_revision import KeptRevision
+from godwitshunt.configuration.tests.fakes import (
+    Deployment,
+    caller,
+    manifest,
+)
+
+
+@pytest.fixture
+async def deployment():
+    """Yield one control replica and a VM in each of two regions."""
+    made = Deployment()
+    made.add_control('c1', 'zagreb')
+    made.add_vm('e1', 'zagreb', 201)
+    made.add_vm('e2', 'split', 203)
+    await made.run(3)
+    yield made
+    await made.close()
+
+
+async def test_accepted_manifest_is_in_force_everywhere(deployment):
+    """Every VM applies it, is listed in it, and has a fresh proof."""
+    accepted = await deployment.accept(manifest())
+    await deployment.run(2)
+    assert isinstance(accepted, Accepted)
+    assert set(deployment.revisions().values()) == {
+        deployment.services['c1'].state.revision,
+    }
+    current = deployment.tasks['e2'].current
+    assert {vm.name for vm in current.vms} == {'c1', 'e1', 'e2'}
+    assert deployment.tasks['e2'].is_admitted
+    assert {holders.region: holders.names for holders in current.holders} == {
+        'split': ('e2',),
+        'zagreb': ('c1', 'e1'),
+    }
+    assert deployment.tasks['e2'].quorum_age_s() < 2
+
+
+async def test_restart_without_disk_while_control_is_gone(deployment):
+    """A VM without a disk restarts while no control replica answers it.
+
+    Its peer has the newest revision and a fresh proof of the quorum; without
+    asking it the VM's callers would get nothing.
+    """
+    await deployment.accept(manifest())
+    await deployment.run(2)
+    address = deployment.tasks['e1'].record.peer
+    record = deployment.add_vm('e3', 'zagreb', 205, peers=(address,))
+    deployment.cut_off(record.peer)
+    await deployment.run(3)
+    revisions = deployment.revisions()
+    assert revisions['e1'] > 0
+    assert revisions['e3'] == revisions['e1']
+    assert deployment.tasks['e3'].quorum_age_s() < 3
+
+
+async def test_restart_while_isolated_keeps_the_newest(deployment, tmp_path):
+    """A VM with a disk is restarted while nobody answers it.
+
+    It must come back with the newest revision that was in force there, and
+    must know that it is isolated.
+    """
+    kept = KeptRevision(tmp_path)
+    record = deployment.add_vm('e4', 'split', 207, kept=kept)
+    for number in (1, 2, 3):
+        await deployment.accept(manifest(number))
+        await deployment.run(2)
+    newest = deployment.revisions()['e4']
+    deployment.cut_off(record.peer)
+    await deployment.tasks['e4'].close()
+    deployment.add_vm('e4', 'split', 207, kept=kept, control=())
+    assert deployment.revisions()['e4'] == newest
+    assert deployment.tasks['e4'].quorum_age_s() == float('inf')
+    assert deployment.tasks['e4'].current.manifest.number == 3
+
+
+async def test_isolated_vm_knows_the_age_of_its_proof(deployment):
+    """A VM is cut from control and from its peers.
+
+    The age of its proof grows, so that it stops serving bound callers.
+    """
+    await deployment.accept(manifest())
+    await deployment.run(2)
+    deployment.cut_off(deployment.tasks['e2'].record.peer)
+    await deployment.run(5)
+    assert deployment.tasks['e2'].quorum_age_s() > 4
+
+
+@pytest.mark.parametrize(
+    ('callers', 'waits_after_lease'),
+    [
+        ([caller('site', 'home'), caller('office', None)], False),
+        ([caller('site', 'both'), caller('office', 'home')], True),
+    ],
+)
+async def test_region_taken_away(deployment, callers, waits_after_lease):
+    """A caller loses a region while that region's VM is cut off.
+
+    The VM may still serve the caller there. Where its lease ends that, the
+    manifest is accepted after the lease; where a VM serves the caller also
+    while isolated, only after the VM answers or is taken out.
+    """
+    await deployment.accept(manifest())
+    await deployment.run(2)
+    deployment.cut_off(deployment.tasks['e2'].record.peer)
+    pending = await deployment.accept(manifest(2, callers=callers))
+    assert isinstance(pending, Pending)
+    assert deployment.services['c1'].waits_for(2) == ['e2']
+    await deployment.run(15)
+    again = await deployment.accept(manifest(2, callers=callers))
+    assert isinstance(again, Pending) == waits_after_lease
+    deployment.network.cut.clear()
+    await deployment.run(4)
+    again = await deployment.accept(manifest(2, callers=callers))
+    assert isinstance(again, Accepted)
--- /dev/null
+++ b/godwitshunt/configuration/upkeep.py
@@ -0,0 +1,133 @@
+"""What a leader commits by itself: VMs, claim holders, confirmations; pure."""
+
+from collections.abc import Iterator, Mapping
+
+from godwitshunt.configuration.commands import (
+    AwaitedVm,
+    ChangeHolders,
+    ChangeVms,
+    Command,
+    ConfirmManifest,
+)
+from godwitshunt.configuration.document import vm_entry
+from godwitshunt.configuration.heard import HeardVms
+from godwitshunt.configuration.revision import VmRole
+from godwitshunt.configuration.state import ControlState
+
+MAX_HOLDERS = 5
+# Longest isolation lease that settings allow, and a margin for clocks that
+# run at slightly different speeds.
+ISOLATION_LEASE_LIMIT_S = 10.0
+CLOCK_MARGIN_S = 1.0
+
+
+def due_commands(
+    state: ControlState,
+    heard: HeardVms,
+    seen_at: Mapping[int, float],
+    now: float,
+) -> Iterator[Command]:
+    """Give what the leader should commit now.
+
+    Parameters
+    ----------
+    state : ControlState
+        As applied.
+    heard : HeardVms
+        The VMs' heartbeats.
+    seen_at : mapping
+        When this leader first saw each pending number as committed, in
+        monotonic seconds.
+    now : float
+        Monotonic seconds.
+    """
+    admitted = tuple(
+        one.vm
+        for one in heard.live(now)
+        if state.document.section('vms').get(one.vm.name) != vm_entry(one.vm)
+    )
+    if admitted:
+        yield ChangeVms(admitted)
+    yield from due_holders(state, heard, now)
+    for number, record in state.numbers.items():
+        if record.awaited and not still_awaited(
+            state,
+            number,
+            heard,
+            seen_at.get(number, now),
+            now,
+        ):
+            yield ConfirmManifest(number)
+
+
+def still_awaited(
+    state: ControlState,
+    number: int,
+    heard: HeardVms,
+    seen_at: float,
+    now: float,
+) -> tuple[AwaitedVm, ...]:
+    """Return the VMs that a number's acceptance still waits for.
+
+    A VM that was taken out by an operator is known to have stopped. One that
+    is silent is isolated at the latest one lease after the commit, since any
+    later proof of a quorum would have brought it the revision.
+    """
+    record = state.numbers[number]
+    lease_over = now - seen_at > ISOLATION_LEASE_LIMIT_S + CLOCK_MARGIN_S
+    return tuple(
+        vm
+        for vm in record.awaited
+        if vm.name in state.document.section('vms')
+        and not heard.has_applied(vm.name, record.revision)
+        and not (vm.lease_suffices and lease_over)
+    )
+
+
+def due_holders(
+    state: ControlState,
+    heard: HeardVms,
+    now: float,
+) -> Iterator[ChangeHolders]:
+    """Give the claim holders of each region that has to change them."""
+    vms = state.document.section('vms').values()
+    for region in sorted({vm['region'] for vm in vms}):
+        holders = state.document.section('holders').values()
+        own = [entry for entry in holders if entry['region'] == region]
+        current = tuple(own[-1]['names']) if own else ()
+        chosen = choose_holders(state, region, current, heard, now)
+        if chosen and chosen != current:
+            yield ChangeHolders(region, chosen)
+
+
+def choose_holders(
+    state: ControlState,
+    region: str,
+    current: tuple[str, ...],
+    heard: HeardVms,
+    now: float,
+) -> tuple[str, ...]:
+    """Choose a region's claim holders.
+
+    A holder stays while it is live, since each change makes keys of earlier
+    generations wait on the old holders. A silent one is replaced only by a
+    live VM that is none yet, never dropped without another in its place:
+    fewer holders would make a majority easier to lose, not harder.
+    """
+    vms = state.document.section('vms')
+    here = [vm for vm in vms.values() if vm['region'] == region]
+    kept = [name for name in current if name in vms]
+    live = [
+        vm['name']
+        for vm in sorted(here, key=holder_rank)
+        if heard.is_live(vm['name'], now) and vm['name'] not in kept
+    ]
+    for place, name in enumerate(kept):
+        if live and len(kept) >= MAX_HOLDERS and not heard.is_live(name, now):
+            kept[place] = live.pop(0)
+    return tuple(kept + live[: MAX_HOLDERS - len(kept)])
+
+
+def holder_rank(vm: Mapping) -> tuple[bool, str]:
+    """Order candidates: the control replica, which has a disk, first."""
+    return vm['role'] != VmRole.control.value, vm['name']
--- a/godwitshunt/configuration/wire.py
+++ b/godwitshunt/configuration/wire.py
@@ -52,7 +52,6 @@
         digest=command.digest,
         base_digest=command.base_digest,
         body=command.body,
-        awaited=list(command.awaited),
     )
 
 
@@ -71,7 +70,6 @@
             accept.digest,
             accept.base_digest,
             accept.body,
-            tuple(accept.awaited),
         )
     if entry.confirm_manifest is not None:
         return commands.ConfirmManifest(entry.confirm_manifest.number)
@@ -135,7 +133,7 @@
         'document': plain(state.document),
         'highest': state.highest,
         'numbers': [
-            [number, known.digest, known.revision, known.awaited]
+            [number, known.digest, known.revision, awaited_fields(known)]
             for number, known in state.numbers.items()
         ],
         'fencing': state.fencing,
@@ -145,6 +143,11 @@
     return pack(fields)
 
 
+def awaited_fields(known: NumberRecord) -> list:
+    """Return the awaited VMs of a number as plain JSON."""
+    return [[vm.name, vm.lease_suffices] for vm in known.awaited]
+
+
 def unpack_state(body: bytes) -> Result[ControlState, DocumentMalformed]:
     """Read the control state of a snapshot."""
     match unpack(body):
@@ -168,7 +171,11 @@
             document=document.ok_value,
             highest=fields['highest'],
             numbers={
-                number: NumberRecord(digest, revision, tuple(awaited))
+                number: NumberRecord(
+                    digest,
+                    revision,
+                    tuple(commands.AwaitedVm(*fields) for fields in awaited),
+                )
                 for number, digest, revision, awaited in fields['numbers']
             },
             fencing=fields['fencing'],
--- /dev/null
+++ b/godwitshunt/programs/control.py
@@ -0,0 +1,125 @@
+"""The ``godwitshunt-control`` program."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+
+from godwitshunt.configuration import (
+    ConfigurationService,
+    SingleLog,
+    VmRecord,
+    VmRole,
+)
+from godwitshunt.configuration.operator_api import OperatorApi
+from godwitshunt.configuration.operator_http import OperatorListener
+from godwitshunt.exceptions import GodwitshuntError
+from godwitshunt.manifest.documents import read_settings
+from godwitshunt.peer import PeerLinks, PeerOptions
+from godwitshunt.settings import ControlSettings
+from godwitshunt.telemetry import Metrics, log_change, open_log
+from godwitshunt.timer import TimerService
+
+
+def vm_record(settings: ControlSettings) -> VmRecord:
+    """Return the record of this control replica."""
+    return VmRecord(
+        name=settings.name,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        role=VmRole.control,
+        http=settings.http,
+        peer=settings.peer,
+    )
+
+
+class ControlProcess:
+    """Every part of a control replica, wired together."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.timer = TimerService()
+        self.links = PeerLinks.from_config(
+            PeerOptions(
+                name=settings.name,
+                listen=settings.peer,
+                key=settings.cluster_key_file.read_bytes().strip(),
+                frame_bytes=settings.limits.frame_bytes,
+            ),
+            self.metrics,
+        )
+        self.log = SingleLog(settings.name)
+        # Without the replicated log only the first replica that the settings
+        # name leads; two logs of their own would tell two truths.
+        self.log.leading = settings.peer == settings.control[0]
+        self.service = ConfigurationService.from_config(
+            settings,
+            vm_record(settings),
+            self.log,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        self.api = OperatorApi(self.service, settings.operator_token_sha256)
+        self.listener = OperatorListener(
+            settings.http,
+            settings.limits,
+            self.api.handle,
+        )
+
+    async def start(self) -> None:
+        """Start every part, the listener for operators last."""
+        await self.links.start()
+        self.service.start()
+        self.api.start()
+        await self.listener.start()
+        log_change('control:started', name=self.settings.name)
+
+    async def close(self) -> None:
+        """Answer what is under way, then close every part."""
+        await self.listener.close()
+        await self.service.close()
+        await self.links.close()
+        self.timer.close()
+        log_change('control:closed', name=self.settings.name)
+
+
+async def run(settings: ControlSettings) -> None:
+    """Run until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    process = ControlProcess(settings)
+    await process.start()
+    await stop.wait()
+    await process.close()
+
+
+def control(settings: Path) -> None:
+    """Run a control replica of a godwitshunt deployment.
+
+    A control replica keeps the deployment's configuration in a log that is
+    replicated over three or five VMs, takes manifests from operators, and
+    tells every entry VM what is in force. It runs until SIGTERM.
+
+    :param settings: JSON file with this replica's settings.
+    """
+    try:
+        checked = read_settings(settings, ControlSettings)
+    except GodwitshuntError as wrong:
+        sys.exit(f'godwitshunt-control: {wrong}')
+    open_log(checked.log.path)
+    asyncio.run(run(checked))
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(control)
+
+
+if __name__ == '__main__':
+    main()
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -66,6 +66,10 @@
         File with the key that processes of one deployment share.
     data_folder : Path or None
         Folder for state that must survive; None where the VM has no disk.
+    peers : tuple of Address
+        Peer addresses of other VMs of the region. One that restarts without
+        a disk asks them for the newest revision where no control replica
+        answers.
     """
 
     name: Name
@@ -76,6 +80,7 @@
     control: tuple[Address, ...] = Field(min_length=1)
     cluster_key_file: Path
     data_folder: Path | None = None
+    peers: tuple[Address, ...] = ()
     tls: TlsSettings | None = None
     limits: LimitSettings = LimitSettings()
     log: LogSettings = LogSettings()
