--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -100,7 +100,9 @@
     ) -> Self:
         """Make the service of a control replica."""
         others = tuple(
-            address for address in settings.control if address != settings.peer
+            address
+            for address in settings.control
+            if address != settings.peer_reached
         )
         return cls(record, others, log, links, timer, metrics)
 
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -17,7 +17,12 @@
 from godwitshunt.configuration.operator_http import OperatorListener
 from godwitshunt.exceptions import GodwitshuntError
 from godwitshunt.manifest.documents import read_settings
-from godwitshunt.peer import PeerLinks, PeerOptions
+from godwitshunt.peer import (
+    PeerLinks,
+    PeerOptions,
+    client_context,
+    server_context,
+)
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
 from godwitshunt.timer import TimerService
@@ -30,8 +35,8 @@
         region=settings.region,
         failure_domain=settings.failure_domain,
         role=VmRole.control,
-        http=settings.http,
-        peer=settings.peer,
+        http=settings.http_reached,
+        peer=settings.peer_reached,
     )
 
 
@@ -48,13 +53,15 @@
                 listen=settings.peer,
                 key=settings.cluster_key_file.read_bytes().strip(),
                 frame_bytes=settings.limits.frame_bytes,
+                server_tls=server_context(settings.tls),
+                client_tls=client_context(settings.tls),
             ),
             self.metrics,
         )
         self.log = SingleLog(settings.name)
         # Without the replicated log only the first replica that the settings
         # name leads; two logs of their own would tell two truths.
-        self.log.leading = settings.peer == settings.control[0]
+        self.log.leading = settings.peer_reached == settings.control[0]
         self.service = ConfigurationService.from_config(
             settings,
             vm_record(settings),
--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -4,7 +4,6 @@
 import json
 import sys
 import time
-from collections.abc import Sequence
 from enum import IntEnum
 from pathlib import Path
 from types import MappingProxyType
@@ -54,8 +53,8 @@
 class Session:
     """Calls to the control replicas with the operator's token."""
 
-    def __init__(self, control: Sequence[str], token_file: Path) -> None:
-        self.control = tuple(parse_address(text) for text in control)
+    def __init__(self, control: str, token_file: Path) -> None:
+        self.control = tuple(parse_address(text) for text in control.split(','))
         self.token = read_token(token_file)
 
     def call(
@@ -148,7 +147,7 @@
 def apply(
     *,
     manifest: Path,
-    control: Sequence[str],
+    control: str,
     token_file: Path,
     wait: bool = False,
     timeout_s: float = 60.0,
@@ -163,7 +162,8 @@
     not in force everywhere in time, 15 refused.
 
     :param manifest: JSON file with the manifest.
-    :param control: HTTP addresses (HOST:PORT) of the control replicas.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
     :param wait: wait until the manifest is in force on every VM.
     :param timeout_s: seconds that --wait, or an acceptance that depends on
@@ -204,13 +204,14 @@
         time.sleep(WAIT_PERIOD_S)
 
 
-def status(*, control: Sequence[str], token_file: Path) -> None:
+def status(*, control: str, token_file: Path) -> None:
     """Print the revision in force on each VM and the state of the quorum.
 
     Names the VMs that lag or are silent, the voters and learners, and tells
     whether one more loss is survivable.
 
-    :param control: HTTP addresses (HOST:PORT) of the control replicas.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
     """
     show(Session(control, token_file).require('GET', '/v1/status'))
@@ -220,7 +221,7 @@
     *,
     caller: str,
     service: str,
-    control: Sequence[str],
+    control: str,
     token_file: Path,
     model: str | None = None,
 ) -> None:
@@ -228,7 +229,8 @@
 
     :param caller: name of the caller in the manifest.
     :param service: name of the service in the manifest.
-    :param control: HTTP addresses (HOST:PORT) of the control replicas.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
     :param model: name of the model; leave out for plain services.
     """
@@ -237,13 +239,14 @@
     show(session.require('POST', '/v1/explain', asked))
 
 
-def init(*, control: Sequence[str], token_file: Path) -> None:
+def init(*, control: str, token_file: Path) -> None:
     """Make the cluster from control replicas with empty data folders, once.
 
     A replica with an empty folder never starts a cluster by itself: it may
     have lost its disk. Run this only for a new deployment.
 
-    :param control: HTTP addresses (HOST:PORT) of the control replicas.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
     """
     show(Session(control, token_file).require('POST', '/v1/init'))
@@ -252,7 +255,7 @@
 def remove_vm(
     *,
     name: str,
-    control: Sequence[str],
+    control: str,
     token_file: Path,
 ) -> None:
     """Take out a VM that has stopped for good.
@@ -262,7 +265,8 @@
     old data folder.
 
     :param name: the VM's name.
-    :param control: HTTP addresses (HOST:PORT) of the control replicas.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
     """
     session = Session(control, token_file)
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -70,6 +70,9 @@
         Peer addresses of other VMs of the region. One that restarts without
         a disk asks them for the newest revision where no control replica
         answers.
+    http_advertised, peer_advertised : Address or None
+        Where others reach the two listeners, where that is another address
+        than the one listened on (address translation); None where it is not.
     """
 
     name: Name
@@ -81,10 +84,22 @@
     cluster_key_file: Path
     data_folder: Path | None = None
     peers: tuple[Address, ...] = ()
+    http_advertised: Address | None = None
+    peer_advertised: Address | None = None
     tls: TlsSettings | None = None
     limits: LimitSettings = LimitSettings()
     log: LogSettings = LogSettings()
 
+    @property
+    def http_reached(self) -> Address:
+        """Where others reach the HTTP listener."""
+        return self.http_advertised or self.http
+
+    @property
+    def peer_reached(self) -> Address:
+        """Where others reach the peer listener."""
+        return self.peer_advertised or self.peer
+
 
 class EntrySettings(NodeSettings):
     """Settings of ``godwitshunt-entry``.
