--- /dev/null
+++ b/godwitshunt/configuration/tests/test_following.py
@@ -0,0 +1,91 @@
+"""Deltas give the same document, and news in any order never goes back."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from godwitshunt.configuration.delta import diff, patch
+from godwitshunt.configuration.document import (
+    Document,
+    by_name,
+    digest_of,
+    pack,
+    unpack,
+)
+from godwitshunt.configuration.following import Following, take_news
+from godwitshunt.configuration.history import Held, RevisionHistory
+
+entries = st.lists(
+    st.builds(
+        lambda name, cost: {'name': name, 'cost': cost},
+        st.sampled_from('abcdef'),
+        st.integers(0, 2),
+    ),
+    unique_by=lambda entry: entry['name'],
+)
+documents = st.builds(
+    lambda number, callers, vms: Document(
+        {'number': number},
+        {'callers': by_name('callers', callers), 'vms': by_name('vms', vms)},
+    ),
+    st.integers(1, 9),
+    entries,
+    entries,
+)
+SETTINGS = settings(max_examples=150, deadline=None, derandomize=True)
+
+
+@given(documents, documents)
+@SETTINGS
+def test_delta_gives_the_target(base, target):
+    """Whatever entries change, move, come or go, the digests agree."""
+    delta = unpack(pack(diff(base, target))).ok_value
+    assert digest_of(patch(base, delta).ok_value) == digest_of(target)
+
+
+@given(st.lists(documents, min_size=2, max_size=8), st.data())
+@SETTINGS
+def test_news_out_of_order_never_reverts(versions, data):
+    """News is delayed, doubled, lost and overtaken on its way to a VM.
+
+    The revision in force never falls, every one is a committed one, and after
+    one whole exchange the VM has the newest.
+    """
+    history = RevisionHistory()
+    committed = {}
+    sent = []
+    following = Following()
+    for revision, document in enumerate(versions, start=1):
+        held = Held(revision, digest_of(document), document)
+        committed[revision] = held.digest
+        bases = ['', *history.held]
+        history.add(held)
+        sent += [history.news_for(base, 0) for base in bases]
+    for news in data.draw(st.lists(st.sampled_from(sent), max_size=12)):
+        before = following.held.revision if following.held else 0
+        following, _ = take_news(following, news, 0)
+        if following.held:
+            assert following.held.revision >= before
+            digest = digest_of(following.held.document)
+            assert digest == committed[following.held.revision]
+    for _ in range(2):
+        answer = history.news_for(following.base_digest, 0)
+        following, _ = take_news(following, answer, 5)
+    assert following.held.revision == len(versions)
+    assert following.proof_at == 5
+
+
+def test_proof_counts_only_with_its_revision():
+    """A VM hears of a live quorum together with a delta that does not fit.
+
+    If the proof counted, the VM would serve by an older rule while a change
+    that was committed before the proof is already accepted.
+    """
+    history = RevisionHistory()
+    for number in (1, 2):
+        document = Document({'number': number}, {})
+        history.add(Held(number, digest_of(document), document))
+    delta = history.news_for(next(iter(history.held)), 0)
+    following, _ = take_news(Following(), delta, 5)
+    assert following.held is None
+    assert following.proof_at < 0
+    assert following.needs_whole
