--- a/godwitshunt/configuration/__init__.py
+++ b/godwitshunt/configuration/__init__.py
@@ -1,7 +1,6 @@
 """Accepting, distributing and applying configuration."""
 
 from godwitshunt.configuration.replicated_log import (
-    Leadership,
     ReplicatedLog,
     SingleLog,
 )
@@ -12,15 +11,15 @@
     VmRole,
 )
 from godwitshunt.configuration.service import ConfigurationService
-from godwitshunt.configuration.state import ControlState, apply_command
+from godwitshunt.configuration.state import ControlState
 from godwitshunt.configuration.task import ConfigurationTask
+from godwitshunt.configuration.transitions import apply_command
 
 __all__ = [
     'ConfigurationService',
     'ConfigurationTask',
     'ControlState',
     'HolderSet',
-    'Leadership',
     'ReplicatedLog',
     'Revision',
     'SingleLog',
--- a/godwitshunt/configuration/commands.py
+++ b/godwitshunt/configuration/commands.py
@@ -1,6 +1,7 @@
 """Commands of the replicated log, and what each comes back with."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from godwitshunt.configuration.revision import VmRecord
 
@@ -71,8 +72,35 @@
     weight_units: int = 0
 
 
+class OrderEnding(StrEnum):
+    """What became of an order.
+
+    `open` orders are sent again until the upstream has answered; `fenced` ones
+    were refused since the upstream had seen a higher number; `failed` ones
+    were refused for another reason.
+    """
+
+    open = 'open'
+    done = 'done'
+    fenced = 'fenced'
+    failed = 'failed'
+
+
+@dataclass(frozen=True)
+class FinishOrder:
+    """The upstream has answered an order."""
+
+    order: str
+    ending: OrderEnding
+
+
 Command = (
-    AcceptManifest | ConfirmManifest | ChangeVms | ChangeHolders | IssueOrder
+    AcceptManifest
+    | ConfirmManifest
+    | ChangeVms
+    | ChangeHolders
+    | IssueOrder
+    | FinishOrder
 )
 
 
@@ -172,9 +200,17 @@
     action: str
     subject: str
     fencing: int
+    ending: OrderEnding = OrderEnding.open
     repeated: bool = False
 
 
+@dataclass(frozen=True)
+class OrderUnknown:
+    """No order of this name is kept."""
+
+    order: str
+
+
 @dataclass(frozen=True)
 class OrderConflict:
     """The order's name belongs to another order."""
@@ -196,5 +232,10 @@
     | ManifestUnreadable
 )
 Outcome = (
-    ManifestOutcome | Applied | OrderIssued | OrderConflict | CommandUnknown
+    ManifestOutcome
+    | Applied
+    | OrderIssued
+    | OrderUnknown
+    | OrderConflict
+    | CommandUnknown
 )
--- a/godwitshunt/configuration/configuration.thrift
+++ b/godwitshunt/configuration/configuration.thrift
@@ -54,6 +54,12 @@
   5: i32 weight_units
 }
 
+/** What became of an order that was sent. */
+struct FinishOrder {
+  1: string order
+  2: string ending
+}
+
 /** One entry of the replicated log; exactly one command is set. */
 struct Command {
   /** Random; pairs the entry with the call that waits for its outcome. */
@@ -63,6 +69,7 @@
   4: optional ChangeVms change_vms
   5: optional ChangeHolders change_holders
   6: optional IssueOrder issue_order
+  7: optional FinishOrder finish_order
 }
 
 /** From a VM to a control replica or a peer of its region, each second. */
--- a/godwitshunt/configuration/gen/wire/ttypes.py
+++ b/godwitshunt/configuration/gen/wire/ttypes.py
@@ -709,6 +709,88 @@
         return not (self == other)
 
 
+class FinishOrder(object):
+    """
+    What became of an order that was sent.
+
+    Attributes:
+     - order
+     - ending
+
+    """
+
+    __slots__ = (
+        'order',
+        'ending',
+    )
+
+
+    def __init__(self, order=None, ending=None,):
+        self.order = order
+        self.ending = ending
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.order = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.ending = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FinishOrder')
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.STRING, 1)
+            oprot.writeString(self.order.encode('utf-8') if sys.version_info[0] == 2 else self.order)
+            oprot.writeFieldEnd()
+        if self.ending is not None:
+            oprot.writeFieldBegin('ending', TType.STRING, 2)
+            oprot.writeString(self.ending.encode('utf-8') if sys.version_info[0] == 2 else self.ending)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Command(object):
     """
     One entry of the replicated log; exactly one command is set.
@@ -720,6 +802,7 @@
      - change_vms
      - change_holders
      - issue_order
+     - finish_order
 
     """
 
@@ -730,16 +813,18 @@
         'change_vms',
         'change_holders',
         'issue_order',
+        'finish_order',
     )
 
 
-    def __init__(self, proposal=None, accept_manifest=None, confirm_manifest=None, change_vms=None, change_holders=None, issue_order=None,):
+    def __init__(self, proposal=None, accept_manifest=None, confirm_manifest=None, change_vms=None, change_holders=None, issue_order=None, finish_order=None,):
         self.proposal = proposal
         self.accept_manifest = accept_manifest
         self.confirm_manifest = confirm_manifest
         self.change_vms = change_vms
         self.change_holders = change_holders
         self.issue_order = issue_order
+        self.finish_order = finish_order
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -785,6 +870,12 @@
                     self.issue_order.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.finish_order = FinishOrder()
+                    self.finish_order.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -819,6 +910,10 @@
             oprot.writeFieldBegin('issue_order', TType.STRUCT, 6)
             self.issue_order.write(oprot)
             oprot.writeFieldEnd()
+        if self.finish_order is not None:
+            oprot.writeFieldBegin('finish_order', TType.STRUCT, 7)
+            self.finish_order.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1465,6 +1560,12 @@
     (4, TType.STRING, 'subject', 'UTF8', None, ),  # 4
     (5, TType.I32, 'weight_units', None, None, ),  # 5
 )
+all_structs.append(FinishOrder)
+FinishOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'order', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'ending', 'UTF8', None, ),  # 2
+)
 all_structs.append(Command)
 Command.thrift_spec = (
     None,  # 0
@@ -1474,6 +1575,7 @@
     (4, TType.STRUCT, 'change_vms', [ChangeVms, None], None, ),  # 4
     (5, TType.STRUCT, 'change_holders', [ChangeHolders, None], None, ),  # 5
     (6, TType.STRUCT, 'issue_order', [IssueOrder, None], None, ),  # 6
+    (7, TType.STRUCT, 'finish_order', [FinishOrder, None], None, ),  # 7
 )
 all_structs.append(VmHeartbeat)
 VmHeartbeat.thrift_spec = (
--- /dev/null
+++ b/godwitshunt/configuration/members.py
@@ -0,0 +1,53 @@
+"""Admitted VMs and the claim holders of each region."""
+
+from godwitshunt.configuration.commands import Applied, ChangeVms
+from godwitshunt.configuration.document import vm_entry
+from godwitshunt.configuration.state import (
+    KEPT_GENERATIONS,
+    ControlState,
+    Step,
+)
+
+
+def change_vms(state: ControlState, command: ChangeVms) -> Step:
+    """Admit and remove VMs; without a difference the revision stays."""
+    before = state.document.section('vms')
+    after = {
+        name: entry
+        for name, entry in before.items()
+        if name not in command.removed
+    }
+    for vm in command.admitted:
+        after[vm.name] = vm_entry(vm)
+    if after != before:
+        state = state.with_document(state.document.with_section('vms', after))
+    return state, Applied(state.revision)
+
+
+def change_holders(
+    state: ControlState,
+    region: str,
+    names: tuple[str, ...],
+) -> Step:
+    """Begin a new generation of a region's claim holders.
+
+    Keys stay bound to the generation that they were stamped under; the last
+    `KEPT_GENERATIONS` stay listed so that their claims can still be found.
+    """
+    before = state.document.section('holders')
+    own = [entry for entry in before.values() if entry['region'] == region]
+    if own and own[-1]['names'] == list(names):
+        return state, Applied(state.revision)
+    generation = own[-1]['generation'] + 1 if own else 1
+    dropped = {
+        f'{region}.{entry["generation"]}'
+        for entry in own[: 1 - KEPT_GENERATIONS]
+    }
+    after = {key: entry for key, entry in before.items() if key not in dropped}
+    after[f'{region}.{generation}'] = {
+        'region': region,
+        'generation': generation,
+        'names': list(names),
+    }
+    state = state.with_document(state.document.with_section('holders', after))
+    return state, Applied(state.revision)
--- /dev/null
+++ b/godwitshunt/configuration/numbers.py
@@ -0,0 +1,162 @@
+"""Manifest numbers: one contents each, and the same answer for ever."""
+
+from dataclasses import replace
+from typing import Any
+
+from result import Err, Ok, Result
+
+from godwitshunt.configuration.commands import (
+    Accepted,
+    AcceptManifest,
+    BaseChanged,
+    ManifestOutcome,
+    ManifestUnreadable,
+    NumberConflict,
+    NumberTooOld,
+    Pending,
+)
+from godwitshunt.configuration.delta import patch
+from godwitshunt.configuration.document import (
+    DigestMismatch,
+    Document,
+    DocumentFault,
+    manifest_digest_of,
+    read_plain,
+    unpack,
+)
+from godwitshunt.configuration.narrowing import awaited_vms
+from godwitshunt.configuration.state import (
+    NUMBER_WINDOW,
+    ControlState,
+    NumberRecord,
+    Step,
+)
+
+
+def accept_manifest(state: ControlState, command: AcceptManifest) -> Step:
+    """Accept a manifest, or answer for the number's first contents."""
+    earlier = earlier_answer(state, command.number, command.digest)
+    if earlier is not None:
+        return state, earlier
+    if command.base_digest not in {'', manifest_digest_of(state.document)}:
+        return state, BaseChanged()
+    match manifest_document(state.document, command):
+        case Err(fault):
+            return state, ManifestUnreadable(repr(fault))
+        case Ok(document):
+            return record_manifest(state, command, document)
+
+
+def earlier_answer(
+    state: ControlState,
+    number: int,
+    digest: str,
+) -> ManifestOutcome | None:
+    """Return the answer for a number that is taken or passed.
+
+    An operator who lost the answer sends the same manifest again, perhaps
+    long after; he must get the first answer and change nothing. Two operators
+    who race under one number must not both be told that theirs is in force.
+    """
+    known = state.numbers.get(number)
+    if known is not None and known.digest == digest:
+        return answer_of(state, number, repeated=True)
+    if number > state.highest:
+        return None
+    if known is None and number <= state.highest - NUMBER_WINDOW:
+        return NumberTooOld(number, state.highest - NUMBER_WINDOW + 1)
+    winner_number = state.highest if known is None else number
+    winner = state.numbers[winner_number]
+    return NumberConflict(
+        number,
+        winner_number,
+        winner.digest,
+        winner.revision,
+    )
+
+
+def answer_of(
+    state: ControlState,
+    number: int,
+    *,
+    repeated: bool,
+) -> Accepted | Pending:
+    """Return the answer for a number that stands in the state."""
+    known = state.numbers[number]
+    if known.awaited:
+        return Pending(number, known.digest, known.revision, known.awaited)
+    superseded_by = state.highest if state.highest > number else None
+    return Accepted(
+        number,
+        known.digest,
+        known.revision,
+        superseded_by,
+        repeated,
+    )
+
+
+def manifest_document(
+    base: Document,
+    command: AcceptManifest,
+) -> Result[Document, DocumentFault]:
+    """Return the base with the command's manifest in it."""
+    match unpack(command.body):
+        case Err(fault):
+            return Err(fault)
+        case Ok(fields):
+            read = read_manifest(base, command, fields)
+    if isinstance(read, Ok):
+        found = manifest_digest_of(read.ok_value)
+        if found != command.digest:
+            return Err(DigestMismatch(command.digest, found))
+    return read
+
+
+def read_manifest(
+    base: Document,
+    command: AcceptManifest,
+    fields: dict[str, Any],
+) -> Result[Document, DocumentFault]:
+    """Read a whole manifest or a delta, leaving VMs and holders as they are."""
+    if command.base_digest:
+        return patch(base, fields)
+    whole = read_plain(fields)
+    if isinstance(whole, Err):
+        return whole
+    document = whole.ok_value
+    for name in ('vms', 'holders'):
+        document = document.with_section(name, base.section(name))
+    return Ok(document)
+
+
+def record_manifest(
+    state: ControlState,
+    command: AcceptManifest,
+    document: Document,
+) -> Step:
+    """Put an accepted manifest in force and remember its number."""
+    awaited = awaited_vms(state.document, document)
+    state = state.with_document(document)
+    record = NumberRecord(command.digest, state.revision, awaited)
+    floor = command.number - NUMBER_WINDOW
+    kept = {
+        number: known
+        for number, known in state.numbers.items()
+        if number > floor
+    }
+    state = replace(
+        state,
+        highest=command.number,
+        numbers={**kept, command.number: record},
+    )
+    return state, answer_of(state, command.number, repeated=False)
+
+
+def confirm_manifest(state: ControlState, number: int) -> Step:
+    """Accept a pending manifest for good."""
+    known = state.numbers.get(number)
+    if known is None:
+        return state, NumberTooOld(number, state.highest - NUMBER_WINDOW + 1)
+    confirmed = {**state.numbers, number: replace(known, awaited=())}
+    state = replace(state, numbers=confirmed)
+    return state, answer_of(state, number, repeated=False)
--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -7,8 +7,10 @@
 from dataclasses import asdict
 from typing import Any
 
+from pydantic import ValidationError
 from result import Err, Ok
 
+from godwitshunt.configuration.cluster import Cluster, ReplaceRequest
 from godwitshunt.configuration.commands import Accepted, ChangeVms, Pending
 from godwitshunt.configuration.document import MALFORMED
 from godwitshunt.configuration.explanation import explain
@@ -23,6 +25,7 @@
 )
 from godwitshunt.configuration.service import ConfigurationService
 from godwitshunt.configuration.status import status_document
+from godwitshunt.consensus import NotLeader
 from godwitshunt.exceptions import DocumentError
 from godwitshunt.manifest import parse_manifest
 from godwitshunt.peer import MessageKind, decode, encode
@@ -55,14 +58,18 @@
         Of this replica.
     token_sha256 : str
         SHA-256 of the operators' token, in hexadecimal.
+    cluster : Cluster or None
+        The replicas of the log; None where it is not replicated.
     """
 
     def __init__(
         self,
         service: ConfigurationService,
         token_sha256: str,
+        cluster: Cluster | None = None,
     ) -> None:
         self.service = service
+        self.cluster = cluster
         self.token_sha256 = token_sha256
         self.routes: dict[tuple[str, str], Route] = {
             ('POST', '/v1/manifest'): self.apply,
@@ -72,6 +79,7 @@
         }
         self.named_routes: dict[tuple[str, str], Route] = {
             ('POST', '/v1/vms/'): self.remove_vm,
+            ('POST', '/v1/replicas/'): self.replace,
         }
 
     def start(self) -> None:
@@ -107,7 +115,7 @@
                 return answer({'alive': True})
             case ('GET', '/readyz'):
                 leadership = self.service.log.leadership()
-                ready = leadership.leader is not None
+                ready = leadership.name is not None
                 return answer(
                     {'ready': ready}, HTTP_OK if ready else NOT_LEADER
                 )
@@ -217,6 +225,8 @@
             leadership,
             self.service.timer.now(),
         )
+        if self.cluster is not None:
+            document |= self.cluster.describe()
         return answer(document, HTTP_OK if leadership.is_leader else NOT_LEADER)
 
     async def explain(self, request: OperatorRequest) -> OperatorAnswer:
@@ -236,8 +246,32 @@
         return answer(document)
 
     async def init(self, request: OperatorRequest) -> OperatorAnswer:
-        """Make the cluster, once."""
-        return answer({'outcome': 'initialised'})
+        """Make the cluster, once; only the first named replica does."""
+        if self.cluster is None:
+            return answer({'outcome': 'initialised'})
+        if not self.cluster.is_first:
+            return refusal(problem_of(NotLeader(None)))
+        made = await self.cluster.initialise()
+        if isinstance(made, Err):
+            return refusal(problem_of(made.err_value))
+        return answer({'outcome': 'initialised', **self.cluster.describe()})
+
+    async def replace(self, request: OperatorRequest) -> OperatorAnswer:
+        """Put a replica with an empty folder in the place of a lost one."""
+        path = request.path.removeprefix('/v1/replicas/')
+        if self.cluster is None:
+            return refusal(problem_of(NotLeader(None)))
+        try:
+            asked = ReplaceRequest.model_validate_json(request.body or b'{}')
+        except ValidationError as bad:
+            return refusal(OperatorProblem('invalid-document', 400, str(bad)))
+        made = await self.cluster.replace(
+            path.removesuffix('/replace'),
+            asked.address,
+        )
+        if isinstance(made, Err):
+            return refusal(problem_of(made.err_value))
+        return answer({'outcome': 'replaced', **self.cluster.describe()})
 
     async def remove_vm(self, request: OperatorRequest) -> OperatorAnswer:
         """Take out a VM that the operator knows to have stopped."""
--- /dev/null
+++ b/godwitshunt/configuration/orders.py
@@ -0,0 +1,70 @@
+"""Orders to upstreams: one fencing number each, given once."""
+
+from dataclasses import replace
+
+from godwitshunt.configuration.commands import (
+    IssueOrder,
+    OrderConflict,
+    OrderEnding,
+    OrderIssued,
+    OrderUnknown,
+    Outcome,
+)
+from godwitshunt.configuration.state import KEPT_ORDERS, ControlState, Step
+
+
+def issue_order(state: ControlState, command: IssueOrder) -> Step:
+    """Give an order its fencing number, once."""
+    known = state.orders.get(command.order)
+    if known is not None:
+        return state, repeated_order(known, command)
+    issued = OrderIssued(
+        command.order,
+        command.upstream,
+        command.action,
+        command.subject,
+        state.fencing + 1,
+    )
+    orders = dict(state.orders)
+    if len(orders) >= KEPT_ORDERS:
+        drop_oldest(orders)
+    orders[command.order] = issued
+    state = replace(
+        state,
+        fencing=issued.fencing,
+        orders=orders,
+        weight_units=state.weight_units + command.weight_units,
+    )
+    return state, issued
+
+
+def drop_oldest(orders: dict[str, OrderIssued]) -> None:
+    """Drop the oldest order that is finished, else the oldest of all."""
+    finished = (
+        name
+        for name, issued in orders.items()
+        if issued.ending is not OrderEnding.open
+    )
+    orders.pop(next(finished, next(iter(orders))))
+
+
+def finish_order(
+    state: ControlState,
+    order: str,
+    ending: OrderEnding,
+) -> Step:
+    """Note an upstream's answer, so that no later leader sends it again."""
+    known = state.orders.get(order)
+    if known is None:
+        return state, OrderUnknown(order)
+    finished = replace(known, ending=ending)
+    orders = {**state.orders, order: finished}
+    return replace(state, orders=orders), finished
+
+
+def repeated_order(known: OrderIssued, command: IssueOrder) -> Outcome:
+    """Answer for an order whose name was used before."""
+    first = (known.upstream, known.action, known.subject)
+    if first == (command.upstream, command.action, command.subject):
+        return replace(known, repeated=True)
+    return OrderConflict(command.order)
--- a/godwitshunt/configuration/problems.py
+++ b/godwitshunt/configuration/problems.py
@@ -9,10 +9,15 @@
     NumberTooOld,
     OrderConflict,
 )
-from godwitshunt.configuration.replicated_log import (
+from godwitshunt.consensus import (
+    AlreadyInitialised,
     CommitUnknown,
     NoQuorum,
+    NotCaughtUp,
     NotLeader,
+    StorageFailed,
+    UnknownMember,
+    Unreachable,
 )
 
 TYPE_PREFIX = 'urn:godwitshunt:problem:'
@@ -55,7 +60,18 @@
 
 
 def problem_of(failure: object) -> OperatorProblem:
-    """Return the refusal for a typed failure of the slice."""
+    """Return the refusal for a typed failure."""
+    known = command_problem(failure) or log_problem(failure)
+    if known is not None:
+        return known
+    known = cluster_problem(failure)
+    if known is not None:
+        return known
+    return OperatorProblem('failed', 500, repr(failure), 'unknown')
+
+
+def command_problem(failure: object) -> OperatorProblem | None:
+    """Return the refusal for an outcome of the control state."""
     match failure:
         case NumberConflict():
             return conflict_problem(failure)
@@ -72,6 +88,12 @@
                 409,
                 f'the name {order} belongs to another order',
             )
+    return None
+
+
+def log_problem(failure: object) -> OperatorProblem | None:
+    """Return the refusal for a proposal that was not committed."""
+    match failure:
         case NotLeader(leader):
             return OperatorProblem(
                 'not-leader',
@@ -88,8 +110,41 @@
             )
         case CommitUnknown(reason):
             return OperatorProblem('outcome-unknown', 504, reason, 'unknown')
-        case _:
-            return OperatorProblem('failed', 500, repr(failure), 'unknown')
+        case StorageFailed(reason):
+            return OperatorProblem('storage-failed', 503, reason)
+    return None
+
+
+def cluster_problem(failure: object) -> OperatorProblem | None:
+    """Return the refusal for a change of the cluster's replicas."""
+    match failure:
+        case AlreadyInitialised(replica):
+            return OperatorProblem(
+                'already-initialised',
+                409,
+                f'{replica} belongs to a cluster already',
+            )
+        case NotCaughtUp(missing):
+            return OperatorProblem(
+                'not-caught-up',
+                504,
+                f'the new replica still lacks {missing} entries; it stays a '
+                'learner until the command is repeated',
+                'unknown',
+            )
+        case Unreachable(address):
+            return OperatorProblem(
+                'replica-unreachable',
+                503,
+                f'{address} does not answer',
+            )
+        case UnknownMember(replica):
+            return OperatorProblem(
+                'unknown-replica',
+                404,
+                f'{replica.name} is no voter and no learner',
+            )
+    return None
 
 
 def conflict_problem(conflict: NumberConflict) -> OperatorProblem:
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -25,15 +25,13 @@
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.heard import HeardVm, HeardVms
 from godwitshunt.configuration.history import Held, RevisionHistory
-from godwitshunt.configuration.replicated_log import (
-    ProposalFailure,
-    ReplicatedLog,
-)
+from godwitshunt.configuration.replicated_log import ReplicatedLog
 from godwitshunt.configuration.revision import VmRecord
 from godwitshunt.configuration.state import ControlState
 from godwitshunt.configuration.state_machine import StateMachine
 from godwitshunt.configuration.upkeep import due_commands, still_awaited
 from godwitshunt.configuration.wire import vm_from_wire, vm_to_wire
+from godwitshunt.consensus import ProposalFailure
 from godwitshunt.manifest import Manifest
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.settings import Address, ControlSettings
--- a/godwitshunt/configuration/state_machine.py
+++ b/godwitshunt/configuration/state_machine.py
@@ -6,13 +6,17 @@
 from result import Err, Ok, Result
 
 from godwitshunt.configuration.commands import Command, Outcome
-from godwitshunt.configuration.replicated_log import (
-    CommitUnknown,
-    ProposalFailure,
-    ReplicatedLog,
+from godwitshunt.configuration.replicated_log import ReplicatedLog
+from godwitshunt.configuration.state import ControlState
+from godwitshunt.configuration.transitions import apply_command
+from godwitshunt.configuration.wire import (
+    decode_command,
+    encode_command,
+    pack_state,
+    unpack_state,
 )
-from godwitshunt.configuration.state import ControlState, apply_command
-from godwitshunt.configuration.wire import decode_command, encode_command
+from godwitshunt.consensus import CommitUnknown, ProposalFailure
+from godwitshunt.exceptions import StorageError
 
 Notice = Callable[[ControlState], None]
 APPLY_TIMEOUT_S = 5.0
@@ -35,7 +39,7 @@
 
     def start(self) -> None:
         """Follow the log."""
-        self.log.subscribe(self.apply)
+        self.log.subscribe(self.apply, self.take, self.install)
 
     def subscribe(self, notice: Notice) -> None:
         """Tell of each state that a committed entry leads to."""
@@ -52,11 +56,26 @@
         for notice in self.subscribers:
             notice(state)
 
-    def install(self, state: ControlState) -> None:
-        """Take over the state of a snapshot."""
-        self.state = state
+    def take(self) -> bytes:
+        """Return the state for a snapshot."""
+        return pack_state(self.state)
+
+    def install(self, snapshot: bytes) -> None:
+        """Take over the state of a snapshot.
+
+        Raises
+        ------
+        StorageError
+            Where the snapshot cannot be read: going on without it would give
+            wrong answers.
+        """
+        match unpack_state(snapshot):
+            case Err(fault):
+                raise StorageError('snapshot', repr(fault))
+            case Ok(state):
+                self.state = state
         for notice in self.subscribers:
-            notice(state)
+            notice(self.state)
 
     async def propose(
         self,
--- a/godwitshunt/configuration/status.py
+++ b/godwitshunt/configuration/status.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from godwitshunt.configuration.heard import HeardVms
-from godwitshunt.configuration.replicated_log import Leadership
 from godwitshunt.configuration.state import ControlState
+from godwitshunt.consensus import Leadership
 
 IN_FORCE = 'in force'
 LAGGING = 'lagging'
@@ -25,7 +25,7 @@
     return {
         'revision': state.revision,
         'number': state.highest,
-        'leader': leadership.leader,
+        'leader': leadership.name,
         'quorum_age_s': finite(leadership.quorum_age_s),
         'vms': vms,
         'lagging': names_in(vms, LAGGING),
--- a/godwitshunt/configuration/tests/test_state.py
+++ b/godwitshunt/configuration/tests/test_state.py
@@ -23,8 +23,9 @@
     pack_document,
     revision_of,
 )
-from godwitshunt.configuration.state import ControlState, apply_command
+from godwitshunt.configuration.state import ControlState
 from godwitshunt.configuration.tests.fakes import manifest, vm
+from godwitshunt.configuration.transitions import apply_command
 from godwitshunt.configuration.wire import (
     decode_command,
     encode_command,
--- a/godwitshunt/configuration/wire.py
+++ b/godwitshunt/configuration/wire.py
@@ -42,6 +42,8 @@
             entry.change_holders = ttypes.ChangeHolders(region, list(names))
         case commands.IssueOrder():
             entry.issue_order = ttypes.IssueOrder(**asdict(command))
+        case commands.FinishOrder(order, ending):
+            entry.finish_order = ttypes.FinishOrder(order, ending.value)
     return proposal, encode(entry)
 
 
@@ -63,33 +65,46 @@
 
 def command_of(entry: ttypes.Command) -> commands.Command | None:
     """Return the command that is set in an entry."""
-    if entry.accept_manifest is not None:
-        accept = entry.accept_manifest
-        return commands.AcceptManifest(
-            accept.number,
-            accept.digest,
-            accept.base_digest,
-            accept.body,
-        )
-    if entry.confirm_manifest is not None:
-        return commands.ConfirmManifest(entry.confirm_manifest.number)
-    if entry.change_vms is not None:
-        return commands.ChangeVms(
-            tuple(vm_from_wire(vm) for vm in entry.change_vms.admitted),
-            tuple(entry.change_vms.removed),
-        )
-    if entry.change_holders is not None:
-        change = entry.change_holders
-        return commands.ChangeHolders(change.region, tuple(change.names))
-    if entry.issue_order is not None:
-        order = entry.issue_order
-        return commands.IssueOrder(
-            order.order,
-            order.upstream,
-            order.action,
-            order.subject,
-            order.weight_units,
-        )
+    for body in (
+        entry.accept_manifest,
+        entry.confirm_manifest,
+        entry.change_vms,
+        entry.change_holders,
+        entry.issue_order,
+        entry.finish_order,
+    ):
+        if body is not None:
+            return read_body(body)
+    return None
+
+
+def read_body(body: object) -> commands.Command | None:
+    """Return the command of an entry's body."""
+    match body:
+        case ttypes.AcceptManifest():
+            return commands.AcceptManifest(
+                body.number,
+                body.digest,
+                body.base_digest,
+                body.body,
+            )
+        case ttypes.ConfirmManifest(number=number):
+            return commands.ConfirmManifest(number)
+        case ttypes.ChangeVms(admitted=admitted, removed=removed):
+            vms = tuple(vm_from_wire(vm) for vm in admitted)
+            return commands.ChangeVms(vms, tuple(removed))
+        case ttypes.ChangeHolders(region=region, names=names):
+            return commands.ChangeHolders(region, tuple(names))
+        case ttypes.IssueOrder():
+            return commands.IssueOrder(
+                body.order,
+                body.upstream,
+                body.action,
+                body.subject,
+                body.weight_units,
+            )
+        case ttypes.FinishOrder(order=order, ending=ending):
+            return commands.FinishOrder(order, commands.OrderEnding(ending))
     return None
 
 
@@ -164,7 +179,12 @@
     document = read_plain(fields['document'])
     if isinstance(document, Err):
         return document
-    orders = [commands.OrderIssued(**order) for order in fields['orders']]
+    orders = [
+        commands.OrderIssued(
+            **{**order, 'ending': commands.OrderEnding(order['ending'])},
+        )
+        for order in fields['orders']
+    ]
     return Ok(
         ControlState(
             revision=fields['revision'],
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -9,12 +9,17 @@
 
 from godwitshunt.configuration import (
     ConfigurationService,
-    SingleLog,
     VmRecord,
     VmRole,
 )
+from godwitshunt.configuration.cluster import Cluster
 from godwitshunt.configuration.operator_api import OperatorApi
 from godwitshunt.configuration.operator_http import OperatorListener
+from godwitshunt.consensus import (
+    ConsensusOptions,
+    ConsensusTask,
+    DiskFileSystem,
+)
 from godwitshunt.exceptions import GodwitshuntError
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.peer import (
@@ -58,19 +63,26 @@
             ),
             self.metrics,
         )
-        self.log = SingleLog(settings.name)
-        # Without the replicated log only the first replica that the settings
-        # name leads; two logs of their own would tell two truths.
-        self.log.leading = settings.peer_reached == settings.control[0]
+        self.consensus = ConsensusTask.from_config(
+            ConsensusOptions.from_settings(settings),
+            DiskFileSystem(settings.data_folder),
+            self.links,
+            self.timer,
+            self.metrics,
+        )
         self.service = ConfigurationService.from_config(
             settings,
             vm_record(settings),
-            self.log,
+            self.consensus,
             self.links,
             self.timer,
             self.metrics,
         )
-        self.api = OperatorApi(self.service, settings.operator_token_sha256)
+        self.api = OperatorApi(
+            self.service,
+            settings.operator_token_sha256,
+            Cluster(self.consensus, settings.control, settings.peer_reached),
+        )
         self.listener = OperatorListener(
             settings.http,
             settings.limits,
@@ -81,6 +93,7 @@
         """Start every part, the listener for operators last."""
         await self.links.start()
         self.service.start()
+        await self.consensus.start()
         self.api.start()
         await self.listener.start()
         log_change('control:started', name=self.settings.name)
@@ -89,6 +102,7 @@
         """Answer what is under way, then close every part."""
         await self.listener.close()
         await self.service.close()
+        await self.consensus.close()
         await self.links.close()
         self.timer.close()
         log_change('control:closed', name=self.settings.name)
--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -252,6 +252,33 @@
     show(Session(control, token_file).require('POST', '/v1/init'))
 
 
+def replace(
+    *,
+    name: str,
+    control: str,
+    token_file: Path,
+    address: str | None = None,
+) -> None:
+    """Put a control replica with an empty data folder in a lost one's place.
+
+    Start the new replica first. It gets the whole log as a learner, becomes
+    a voter once it has caught up, and only then is the lost one taken out.
+    Running the command again after a lost answer is safe.
+
+    :param name: name of the VM whose replica or disk was lost.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
+    :param token_file: file with the operator's token.
+    :param address: peer address (HOST:PORT) of the new replica; leave out
+        where it has the address of the lost one.
+    """
+    asked = {}
+    if address is not None:
+        asked['address'] = parse_address(address).model_dump()
+    session = Session(control, token_file)
+    show(session.require('POST', f'/v1/replicas/{name}/replace', asked))
+
+
 def remove_vm(
     *,
     name: str,
@@ -275,7 +302,7 @@
 
 def main() -> None:
     """Run the command line."""
-    commands = [check, apply, status, explain, init, remove_vm]
+    commands = [check, apply, status, explain, init, replace, remove_vm]
     try:
         defopt.run(commands, short={})
     except SettingsError as wrong:
