Keep upstream leases in a region and gossip them with their age

Cause: callers need every VM of a region to know its upstreams, and a late message must not give work to one that is gone. Clocks of VMs are not compared: a message echoes the receiver's clock, which bounds its transit, and news of unknown age is dropped. Ruled out: trusting the age that a sender wrote, since a frozen link delivers it minutes later as if fresh.

--- /dev/null
+++ b/godwitshunt/membership/task.py
@@ -0,0 +1,249 @@
+"""The task that keeps a VM's view of upstreams and regions."""
+
+from typing import Self
+
+from result import Err, Ok, Result
+
+from godwitshunt.configuration.revision import Revision
+from godwitshunt.membership.announcements import (
+    AnnounceAccepted,
+    AnnounceRefused,
+    StaleAnnouncement,
+    TableFull,
+    UpstreamAnnouncement,
+)
+from godwitshunt.membership.events import (
+    Announced,
+    DetailsMissing,
+    Finished,
+    Full,
+    Joined,
+    Lapsed,
+    Late,
+    Left,
+    Sent,
+    Stale,
+    UpstreamChange,
+    UpstreamEvent,
+    Withdrawn,
+)
+from godwitshunt.membership.isolation import (
+    Connection,
+    News,
+    connection,
+    holds_itself_isolated,
+)
+from godwitshunt.membership.peers import RegionPeers
+from godwitshunt.membership.region_gossip import RegionGossip
+from godwitshunt.membership.regions import RegionWatch
+from godwitshunt.membership.summaries import RegionReport, summarize
+from godwitshunt.membership.table import MAX_UPSTREAMS, UpstreamTable
+from godwitshunt.membership.views import RegionView
+from godwitshunt.membership.wire import report_to_wire
+from godwitshunt.peer import MessageKind, PeerLinks, encode
+from godwitshunt.settings import EntrySettings
+from godwitshunt.telemetry import Metrics, log_change
+from godwitshunt.timer import Subscription, Timer
+
+REGION_CHECK_S = 0.5
+# Summaries in a view may be this much older than they say.
+SUMMARY_REFRESH_S = 0.2
+
+
+class MembershipTask:
+    """Keeps upstream leases, gossips them, and exchanges summaries.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        The VM's name, region and leases.
+    links : PeerLinks
+        Links to the other VMs.
+    timer : Timer
+        Monotonic time.
+    metrics : Metrics
+        Counts changes and dropped messages.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.links = links
+        self.timer = timer
+        self.metrics = metrics
+        self.table = UpstreamTable(settings.region, settings.upstream_lease_s)
+        self.peers = RegionPeers(settings.name, settings.region)
+        self.watch = RegionWatch(self.peers, links, timer, metrics)
+        self.gossip = RegionGossip(
+            self.peers,
+            self.table,
+            self.take,
+            self.watch,
+        )
+        self.subscriptions: list[Subscription] = []
+        self.connection = Connection.connected
+        self.cached_view = RegionView(settings.region)
+        self.summaries_built_s = float('-inf')
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: EntrySettings,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> Self:
+        """Make the task of an entry VM."""
+        return cls(settings, links, timer, metrics)
+
+    async def start(self) -> None:
+        """Take messages of peers and begin to gossip."""
+        self.links.subscribe(MessageKind.region_summary, self.answer_summary)
+        self.subscriptions = [
+            self.timer.every(REGION_CHECK_S, self.watch.ask_regions),
+        ]
+        self.gossip.start()
+
+    async def close(self) -> None:
+        """Send and ask no more."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
+        await self.gossip.close()
+        await self.watch.close()
+
+    def apply_revision(self, revision: Revision) -> None:
+        """Follow the admitted VMs of a newer revision."""
+        known = frozenset(self.peers.own)
+        self.peers.apply_revision(revision)
+        self.gossip.follow_peers(known)
+
+    def announce(
+        self,
+        name: str,
+        announcement: UpstreamAnnouncement,
+    ) -> Result[AnnounceAccepted, AnnounceRefused]:
+        """Take an announcement that an upstream sent to this VM."""
+        changes = self.take(Announced(name, announcement))
+        match changes[-1]:
+            case Stale() as stale:
+                return Err(StaleAnnouncement(stale.incarnation, stale.sequence))
+            case Full():
+                return Err(TableFull(MAX_UPSTREAMS))
+            case Left() as left:
+                self.gossip.sender.note_left(left)
+                self.gossip.flush()
+                return Ok(AnnounceAccepted(0))
+        self.gossip.sender.note_load(name)
+        self.gossip.sender.note_prefixes(
+            name,
+            announcement.cached_added,
+            announcement.cached_dropped,
+        )
+        if isinstance(changes[-1], Joined):
+            self.gossip.flush()
+        return Ok(AnnounceAccepted(self.table.lease_s))
+
+    def withdraw(
+        self,
+        name: str,
+        incarnation: int,
+    ) -> Result[AnnounceAccepted, AnnounceRefused]:
+        """End an upstream's incarnation; it gets no new work."""
+        change = self.take(Withdrawn(name, incarnation))[-1]
+        if isinstance(change, Stale):
+            return Err(StaleAnnouncement(change.incarnation, change.sequence))
+        self.gossip.sender.note_left(change)
+        self.gossip.flush()
+        return Ok(AnnounceAccepted(0))
+
+    def view(self, quorum_age_s: float) -> RegionView:
+        """Return what a routing decision needs; the same object if unchanged.
+
+        Parameters
+        ----------
+        quorum_age_s : float
+            Seconds since a control quorum was known to be alive.
+        """
+        now_s = self.timer.now()
+        upstreams = self.table.views(now_s)
+        isolated = self.is_isolated(quorum_age_s, now_s)
+        cached = self.cached_view
+        summaries = cached.summaries
+        if now_s - self.summaries_built_s >= SUMMARY_REFRESH_S:
+            summaries = self.watch.table.views(self.peers.http, now_s)
+            self.summaries_built_s = now_s
+        if (
+            upstreams is cached.upstreams
+            and summaries is cached.summaries
+            and isolated == cached.isolated
+        ):
+            return cached
+        self.cached_view = RegionView(
+            region=self.settings.region,
+            upstreams=upstreams,
+            summaries=summaries,
+            isolated=isolated,
+        )
+        return self.cached_view
+
+    def is_isolated(self, quorum_age_s: float, now_s: float) -> bool:
+        """Return whether this VM keeps to its region; log a change."""
+        news = News(quorum_age_s, self.watch.table.youngest_age_s(now_s))
+        state = connection(news, self.settings.isolation_lease_s)
+        if state is not self.connection:
+            log_change('membership:connection', state=str(state))
+            self.connection = state
+        return holds_itself_isolated(state)
+
+    def note_sent(self, upstream: str, tokens: int) -> None:
+        """Count a request sent to an upstream of this region."""
+        self.table.apply(Sent(upstream, tokens), self.timer.now())
+
+    def note_finished(self, upstream: str, tokens: int) -> None:
+        """Stop counting a request that is over."""
+        self.table.apply(Finished(upstream, tokens), self.timer.now())
+
+    def leave(self) -> None:
+        """Tell the region that this VM takes no new requests."""
+        self.gossip.leave()
+
+    def absent_vms(self) -> frozenset[str]:
+        """Return the region's VMs that drain or are not heard of."""
+        return self.gossip.absent_vms()
+
+    def take(self, event: UpstreamEvent) -> tuple[UpstreamChange, ...]:
+        """Apply an event to the table; count and log what it changed."""
+        changes = self.table.apply(event, self.timer.now())
+        for change in changes:
+            self.record(change)
+        return changes
+
+    def record(self, change: UpstreamChange) -> None:
+        """Count a change, and log it where an upstream comes or goes."""
+        match change:
+            case Joined() | Left() | Lapsed():
+                kind = type(change).__name__.lower()
+                self.metrics.count('membership_upstreams_total', change=kind)
+                log_change(f'membership:upstream_{kind}', upstream=change.name)
+            case Stale() | Late() | DetailsMissing() | Full():
+                reason = type(change).__name__.lower()
+                self.metrics.count('membership_dropped_total', reason=reason)
+
+    async def answer_summary(self, sender: str, body: bytes) -> bytes | None:
+        """Answer another region's VM with this region in sum."""
+        if sender not in self.peers.everywhere:
+            return None
+        now_s = self.timer.now()
+        report = RegionReport(
+            region=self.settings.region,
+            made_s=now_s,
+            round_trip_s=0,
+            capacities=summarize(self.table.views(now_s)),
+            absent=self.absent_vms(),
+        )
+        return encode(report_to_wire(report, now_s))
--- a/godwitshunt/peer/messages.py
+++ b/godwitshunt/peer/messages.py
@@ -15,10 +15,13 @@
     vm_heartbeat = 300
     upstream_gossip = 301
     region_summary = 302
+    upstream_fetch = 303
     claim_request = 400
     claim_finish = 401
     claim_release = 402
     claim_epoch = 403
+    claim_query = 404
+    claim_recovery = 405
     limit_gossip = 500
     placement_report = 600
 
