Claim idempotency keys by a majority of holders that may forget

Cause: a caller that resends a call that pages a doctor must never have it run twice, also where holders have no disk.

Ruled out: counting acknowledged epochs without incarnations, where five holders let a stale acknowledgement lower the floor.

--- /dev/null
+++ b/godwitshunt/claims/claims.thrift
@@ -0,0 +1,75 @@
+/** Claims on idempotency keys, between claimants and holders of a region. */
+namespace py wire
+
+/** What a holder knows of its fellow holders' incarnations. */
+struct Standing {
+  /** The holder's own incarnation in this generation. */
+  1: i64 incarnation
+  /** The highest incarnations that it has heard of, by holder name. */
+  2: map<string, i64> known
+  3: i64 epoch
+}
+
+struct Answer {
+  1: i32 status
+  2: list<Header> headers
+  3: binary body
+}
+
+struct Header {
+  1: binary name
+  2: binary text
+}
+
+/** Claim, query, release and finish carry the same head. */
+struct ClaimCall {
+  1: string key
+  2: binary request_digest
+  3: string vm
+  4: i64 attempt
+  /** Highest epoch that the sender heard of from holders. */
+  5: i64 epoch
+  /** On finish: the answer, or why none is kept. */
+  6: optional Answer answer
+  7: optional string unknown
+}
+
+struct ClaimReply {
+  /** The name of a verdict; see godwitshunt.claims.verdicts. */
+  1: i32 verdict
+  2: optional Standing standing
+  3: optional string vm
+  4: optional i64 attempt
+  5: optional Answer answer
+  6: optional string reason
+}
+
+/** Between holders: epochs, and the recovery of one that forgot. */
+struct HolderCall {
+  1: string region
+  2: i64 generation
+  3: i64 epoch
+  /** On recovery: the incarnation that the sender takes; 0 asks only. */
+  4: optional i64 incarnation
+}
+
+struct HolderReply {
+  1: Standing standing
+}
+
+/** One record of the claim journal. */
+struct JournalRecord {
+  1: string region
+  2: i64 generation
+  /** Present where the holder's standing changed. */
+  3: optional Standing standing
+  4: optional i64 floor
+  /** Present where a claim changed. */
+  5: optional string key
+  6: optional binary request_digest
+  7: optional string vm
+  8: optional i64 attempt
+  9: optional Answer answer
+  10: optional string unknown
+  11: optional list<i64> withdrawn
+}
--- a/godwitshunt/configuration/revision.py
+++ b/godwitshunt/configuration/revision.py
@@ -43,11 +43,22 @@
     A key is bound for ever to the generation that it was stamped under, so
     that two VMs with different views of the holders never count different
     majorities for one key.
+
+    Parameters
+    ----------
+    names : tuple of str
+        The holders' VMs; never changed under one generation.
+    sessions : tuple of str
+        For each name, the session (drawn at the process's start, told in its
+        heartbeats) that was running when the set was committed. A process of
+        another session may have forgotten votes of the one that is listed,
+        and abstains until it has recovered.
     """
 
     region: str
     generation: int
     names: tuple[str, ...]
+    sessions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/membership/jobs.py
+++ b/godwitshunt/membership/jobs.py
@@ -11,11 +11,12 @@
 
     running: set[asyncio.Task[None]] = field(default_factory=set)
 
-    def run(self, work: Coroutine[None, None, None]) -> None:
+    def run(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run a coroutine until it ends or `close`."""
         job = asyncio.get_running_loop().create_task(work)
         self.running.add(job)
         job.add_done_callback(self.running.discard)
+        return job
 
     async def close(self) -> None:
         """Cancel what runs and wait for its end."""
