Decide where a request goes, and limit callers over all VMs

Cause: an entry VM had nothing to choose an upstream, a region or a refusal by, and a caller's limit held in each VM alone.

choose() compares few candidates (the prefix's owner within a load bound, who reported most of the prefix cached, a random pair) by predicted time to the first token, price and a penalty for leaving home; residency, isolation and the one hop are checked before and never weighed. CallerLimits lends quotas by leases, so a lost message never lifts the total; ruled out: shares computed from gossip alone, which two parts of a cut network would both take. Additive: RouteRequest.restricted (default True), for the isolated VM's rule.

--- /dev/null
+++ b/godwitshunt/routing/directory.py
@@ -0,0 +1,57 @@
+"""The order in which a caller should use the entry VMs."""
+
+from collections.abc import Collection
+
+from godwitshunt.configuration.revision import VmRecord, VmRole
+from godwitshunt.routing.hashing import name_hash, rank_weight
+
+
+def order_entries(
+    vms: tuple[VmRecord, ...],
+    region: str,
+    key: str,
+    draining: Collection[str] = (),
+    alive: Collection[str] | None = None,
+) -> tuple[VmRecord, ...]:
+    """Return entry VMs for a caller, nearest first.
+
+    Parameters
+    ----------
+    vms : tuple of VmRecord
+        Every admitted VM.
+    region : str
+        The caller's region, or the asked VM's where that is not known.
+    key : str
+        The caller's name with whatever tells its clients apart.
+    draining : collection of str
+        Names of VMs that shut down gracefully.
+    alive : collection of str or None
+        Names of VMs that were heard of lately; None holds all for alive.
+
+    Returns
+    -------
+    tuple of VmRecord
+        VMs of the region first, then the others; each part in the order of
+        its weight for the key, which is even over keys. A VM that joins,
+        drains or dies moves only the keys that ranked it first.
+
+    Notes
+    -----
+    Where no VM seems alive the list is made as if all were: an asker that is
+    cut off must not send its callers away from every other VM.
+    """
+    serving = [
+        vm for vm in vms if vm.role is VmRole.entry and vm.name not in draining
+    ]
+    heard = [vm for vm in serving if alive is None or vm.name in alive]
+    hashed = name_hash(key)
+    return tuple(
+        sorted(
+            heard or serving,
+            key=lambda vm: (
+                vm.region != region,
+                -rank_weight(hashed, vm.name),
+                vm.name,
+            ),
+        ),
+    )
--- /dev/null
+++ b/godwitshunt/routing/limits_task.py
@@ -0,0 +1,148 @@
+"""The task that exchanges limit news with peers.
+
+It owns the state of `CallerLimits` and talks by messages; the logic is pure.
+"""
+
+import secrets
+from typing import Self
+
+from godwitshunt.configuration.revision import Revision, VmRecord
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.routing.gen.wire.ttypes import LimitGossip
+from godwitshunt.routing.limits import (
+    Admission,
+    CallerLimits,
+    Limited,
+    LimitNews,
+    Stamp,
+)
+from godwitshunt.routing.quotas import (
+    caller_quotas,
+    entry_vms,
+    gossip_partners,
+)
+from godwitshunt.settings import NodeSettings
+from godwitshunt.telemetry import Metrics
+from godwitshunt.timer import Subscription, Timer
+
+GOSSIP_PERIOD_S = 1.0
+INCARNATION_BITS = 62
+
+
+class LimitsTask:
+    """Limits of this VM's callers, kept in step with its peers.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        The VM's name and region.
+    links : PeerLinks
+        Links to the other VMs.
+    timer : Timer
+        Gives the time and the gossip's period.
+    metrics : Metrics
+        Counts what is admitted and limited, by caller.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.links = links
+        self.timer = timer
+        self.metrics = metrics
+        incarnation = secrets.randbits(INCARNATION_BITS)
+        self.limits = CallerLimits.from_config({}, incarnation)
+        self.vms: dict[str, VmRecord] = {}
+        self.partners: tuple[VmRecord, ...] = ()
+        self.subscription: Subscription | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: NodeSettings,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> Self:
+        """Make the task of an entry VM."""
+        return cls(settings, links, timer, metrics)
+
+    async def start(self) -> None:
+        """Begin to exchange news."""
+        self.links.subscribe(MessageKind.limit_gossip, self.receive)
+        self.subscription = self.timer.every(GOSSIP_PERIOD_S, self.tell_peers)
+
+    async def close(self) -> None:
+        """Exchange no more news."""
+        if self.subscription is not None:
+            self.subscription.cancel()
+
+    def configure(self, revision: Revision) -> None:
+        """Take a newer revision's limits and VMs."""
+        own = self.settings
+        self.limits.configure(caller_quotas(revision, own.region))
+        self.vms = {vm.name: vm for vm in entry_vms(revision.vms)}
+        self.partners = gossip_partners(revision.vms, own.name, own.region)
+
+    def admit(self, caller: str) -> Admission:
+        """Take one request of a caller, or tell when to come back."""
+        admission = self.limits.admit(caller, self.timer.now())
+        if isinstance(admission, Limited):
+            self.metrics.count('limit_refusals_total', caller=caller)
+        return admission
+
+    def tell_peers(self) -> None:
+        """Send each partner, and each peer that asked, its own message."""
+        now = self.timer.now()
+        self.limits.forget(now)
+        names = {vm.name for vm in self.partners}
+        names.update(self.limits.peers)
+        for name in sorted(names):
+            vm = self.vms.get(name)
+            if vm is not None:
+                news = self.limits.compose(name, now)
+                body = encode(news_struct(news))
+                self.links.tell(vm.peer, MessageKind.limit_gossip, body)
+
+    async def receive(self, sender: str, body: bytes) -> None:
+        """Take a peer's news; only admitted VMs are listened to."""
+        news = read_news(decode(LimitGossip, body))
+        if sender in self.vms:
+            self.limits.receive(sender, news, self.timer.now())
+
+
+def news_struct(news: LimitNews) -> LimitGossip:
+    """Return the thrift struct of a message."""
+    echo = news.echo or Stamp(0, 0.0)
+    return LimitGossip(
+        incarnation=news.stamp.incarnation,
+        stamp_s=news.stamp.time_s,
+        echo_incarnation=echo.incarnation,
+        echo_stamp_s=echo.time_s,
+        unmet_per_s=dict(news.unmet),
+        lent_per_s=dict(news.lent),
+    )
+
+
+def read_news(wire: LimitGossip) -> LimitNews:
+    """Return the message of a thrift struct; absent fields mean nothing."""
+    return LimitNews(
+        stamp=Stamp(wire.incarnation or 0, wire.stamp_s or 0.0),
+        echo=Stamp(wire.echo_incarnation or 0, wire.echo_stamp_s or 0.0),
+        unmet=positive(wire.unmet_per_s),
+        lent=positive(wire.lent_per_s),
+    )
+
+
+def positive(rates: dict[str, float] | None) -> dict[str, float]:
+    """Return rates that are finite and above zero."""
+    return {
+        caller: rate
+        for caller, rate in (rates or {}).items()
+        if 0 < rate < float('inf')
+    }
--- a/godwitshunt/routing/messages.py
+++ b/godwitshunt/routing/messages.py
@@ -37,6 +37,9 @@
         Regions of those VMs, the first being where it arrived.
     excluded : frozenset of str
         Upstreams that already failed this request.
+    restricted : bool
+        True where a residency rule binds the caller. An isolated VM cannot
+        know whether the rule still stands, so it is the safe default.
     """
 
     caller: str
@@ -54,6 +57,7 @@
     path: tuple[str, ...] = ()
     regions_visited: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
+    restricted: bool = True
 
 
 class RefusalReason(StrEnum):
--- /dev/null
+++ b/godwitshunt/routing/policy.py
@@ -0,0 +1,251 @@
+"""Where a request goes: a pure function of what the VM knows.
+
+The score of a place is the objective's weighted sum of the predicted time to
+the first token, the price, and a penalty for leaving the home region. Rules
+that must always hold (residency, isolation, one hop) are checked first and
+never weighed.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+from godwitshunt.manifest import Objective
+from godwitshunt.membership.views import RegionView, UpstreamView
+from godwitshunt.routing.candidates import (
+    Candidate,
+    candidates,
+    eligible_upstreams,
+)
+from godwitshunt.routing.messages import (
+    Decision,
+    RefusalReason,
+    Refuse,
+    RouteRequest,
+    Serve,
+    Wait,
+)
+from godwitshunt.routing.prediction import Work, open_slots
+from godwitshunt.routing.regions import (
+    Target,
+    away_penalty,
+    came_back,
+    crossed_regions,
+    forward,
+    price_of,
+    takes_now,
+    targets,
+)
+
+WAIT_S = 0.05
+SHORTEST_RETRY_S = 1.0
+LONGEST_RETRY_S = 30.0
+
+
+@dataclass(frozen=True)
+class Local:
+    """An upstream of the own region with its score; lower is better.
+
+    Parameters
+    ----------
+    predicted_s, needed_s : float
+        Seconds to the first token and to the end of the answer.
+    """
+
+    upstream: UpstreamView
+    score: float
+    predicted_s: float
+    needed_s: float
+
+
+def choose(
+    view: RegionView,
+    request: RouteRequest,
+    objective: Objective,
+    random: Random,
+) -> Decision:
+    """Decide where a request goes.
+
+    Parameters
+    ----------
+    view : RegionView
+        Own upstreams in full, other regions as summaries.
+    request : RouteRequest
+        What is asked.
+    objective : Objective
+        Weights from the manifest.
+    random : random.Random
+        The only source of chance: equal inputs and seeds decide equally.
+
+    Returns
+    -------
+    Decision
+        `Serve`, `Forward`, `Wait` or `Refuse`.
+    """
+    refusal = forbidden(view, request)
+    if refusal is not None:
+        return refusal
+    local = best_local(view, request, objective, random)
+    others = [] if view.isolated else targets(view, request, objective)
+    return decide(request, local, others, random)
+
+
+def forbidden(view: RegionView, request: RouteRequest) -> Refuse | None:
+    """Return a refusal that no free capacity could change."""
+    if came_back(view, request):
+        return Refuse(RefusalReason.loop)
+    if not request.allowed:
+        return Refuse(RefusalReason.residency)
+    if view.isolated:
+        return isolated_refusal(view, request)
+    here = view.region in request.allowed
+    if not here and crossed_regions(view, request):
+        return Refuse(RefusalReason.residency)
+    return None
+
+
+def isolated_refusal(view: RegionView, request: RouteRequest) -> Refuse | None:
+    """Return a refusal where an isolated VM must not serve.
+
+    A newer manifest may have taken this region away from a restricted caller
+    of another home, and an isolated VM would not have heard of it. Callers
+    that are homed here keep being served: their rule is accepted only after
+    this region's VMs have acknowledged it.
+    """
+    bound_elsewhere = request.restricted and request.home != view.region
+    if bound_elsewhere or view.region not in request.allowed:
+        return Refuse(RefusalReason.isolated)
+    return None
+
+
+@dataclass(frozen=True)
+class LocalChoice:
+    """What the own region offers.
+
+    Parameters
+    ----------
+    best : Local or None
+        The best upstream with a slot for the class.
+    served : bool
+        Whether the region has any upstream for the request.
+    """
+
+    best: Local | None
+    served: bool
+
+
+def best_local(
+    view: RegionView,
+    request: RouteRequest,
+    objective: Objective,
+    random: Random,
+) -> LocalChoice:
+    """Return the best of a few upstreams of the own region."""
+    if view.region not in request.allowed:
+        return LocalChoice(None, served=False)
+    eligible = eligible_upstreams(view, request)
+    usable = with_room(eligible, request)
+    if not usable:
+        return LocalChoice(None, served=bool(eligible))
+    work = Work(
+        request.prompt_tokens,
+        request.output_tokens,
+        request.deadline_s,
+    )
+    scored = [
+        score_local(candidate, work, request, objective)
+        for candidate in candidates(usable, request, random)
+    ]
+    return LocalChoice(min(scored, key=local_order), served=True)
+
+
+def with_room(
+    upstreams: tuple[UpstreamView, ...],
+    request: RouteRequest,
+) -> tuple[UpstreamView, ...]:
+    """Return upstreams that take the class now.
+
+    A class that may fill every slot may also queue at the upstream, where the
+    predicted wait decides; a class with a smaller share waits in the VM.
+    """
+    if request.slot_share >= 1:
+        return upstreams
+    return tuple(
+        upstream
+        for upstream in upstreams
+        if open_slots(upstream, request.slot_share) > 0
+    )
+
+
+def local_order(local: Local) -> tuple[float, str]:
+    """Return the order of preference; names settle equal scores."""
+    return (local.score, local.upstream.name)
+
+
+def score_local(
+    candidate: Candidate,
+    work: Work,
+    request: RouteRequest,
+    objective: Objective,
+) -> Local:
+    """Return an upstream with its score."""
+    upstream = candidate.upstream
+    predicted_s = work.first_token_s(upstream, candidate.cached)
+    score = (
+        objective.latency * predicted_s
+        + objective.cost * price_of(upstream.price, request)
+        + away_penalty(upstream.region, request, objective)
+    )
+    finish_s = work.finish_s(upstream.decode_tokens_per_s)
+    return Local(upstream, score, predicted_s, predicted_s + finish_s)
+
+
+def decide(
+    request: RouteRequest,
+    local: LocalChoice,
+    others: list[Target],
+    random: Random,
+) -> Decision:
+    """Return the better of serving here and forwarding, or the alternative."""
+    here = serve_in_time(local, request)
+    limit = float('inf') if here is None else local.best.score
+    for target in others:
+        if target.score < limit and takes_now(target, request):
+            decision = forward(target, request, random)
+            if decision is not None:
+                return decision
+    return here or without_place(request, local, others, random)
+
+
+def serve_in_time(local: LocalChoice, request: RouteRequest) -> Serve | None:
+    """Return the best upstream here where it is predicted to be in time."""
+    best = local.best
+    if best is None or best.needed_s > request.deadline_s:
+        return None
+    return Serve(best.upstream, best.predicted_s)
+
+
+def without_place(
+    request: RouteRequest,
+    local: LocalChoice,
+    others: list[Target],
+    random: Random,
+) -> Decision:
+    """Return a wait or a refusal where nothing can take a request now."""
+    if local.served and local.best is None and request.deadline_s > WAIT_S:
+        return Wait(WAIT_S * random.uniform(0.5, 1.5))
+    if not local.served and not others:
+        return Refuse(RefusalReason.no_upstream, SHORTEST_RETRY_S)
+    late_s = LONGEST_RETRY_S
+    if local.best is not None:
+        late_s = local.best.needed_s - request.deadline_s
+    return Refuse(RefusalReason.overloaded, retry_after_s(late_s, random))
+
+
+def retry_after_s(late_s: float, random: Random) -> float:
+    """Return when to come back, spread so that callers do not return at once.
+
+    Callers refused in one moment that return in one moment would overload the
+    upstreams again, for ever; the spread breaks that rhythm.
+    """
+    bounded = min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, late_s))
+    return bounded * random.uniform(1.0, 2.0)
--- /dev/null
+++ b/godwitshunt/routing/prediction.py
@@ -0,0 +1,101 @@
+"""Prediction of the time to the first token at one upstream.
+
+Load reports lag, so a prediction adds what this VM has sent since to what the
+upstream last reported.
+"""
+
+from dataclasses import dataclass
+
+from godwitshunt.membership.views import UpstreamView
+
+TYPICAL_OUTPUT_TOKENS = 128
+PLAIN_HOLD_S = 0.05
+MAX_FINISH_SHARE = 0.5
+
+
+def occupancy(upstream: UpstreamView) -> int:
+    """Return the requests that an upstream holds, as far as is known here."""
+    return upstream.running + upstream.queued + upstream.sent_since
+
+
+def open_slots(upstream: UpstreamView, slot_share: float) -> int:
+    """Return the slots of a class that are free; zero or less where none is.
+
+    A share below 1 keeps the last slots of each upstream for classes with a
+    larger one, so that long jobs never hold them all.
+    """
+    usable = max(1, int(upstream.slots * slot_share))
+    return usable - occupancy(upstream)
+
+
+def hold_s(upstream: UpstreamView) -> float:
+    """Return the seconds that a typical request holds a slot."""
+    if upstream.models:
+        return TYPICAL_OUTPUT_TOKENS / upstream.decode_tokens_per_s
+    return PLAIN_HOLD_S
+
+
+def slot_wait_s(upstream: UpstreamView) -> float:
+    """Return the seconds until a slot is free for a new request."""
+    excess = occupancy(upstream) - upstream.slots + 1
+    if excess <= 0:
+        return 0.0
+    return excess * hold_s(upstream) / max(1, upstream.slots)
+
+
+def cached_share(upstream: UpstreamView, blocks: tuple[int, ...]) -> float:
+    """Return the reported share of a prompt's blocks that is cached, 0 to 1.
+
+    Blocks are hashed over the prompt up to their end, so the deepest cached
+    block tells all: events of shallower ones may have been lost.
+    """
+    if not upstream.cached_prefixes:
+        return 0.0
+    for depth in range(len(blocks), 0, -1):
+        if blocks[depth - 1] in upstream.cached_prefixes:
+            return depth / len(blocks)
+    return 0.0
+
+
+@dataclass(frozen=True)
+class Work:
+    """The part of a request that a prediction needs.
+
+    Parameters
+    ----------
+    prompt_tokens, output_tokens : int
+        Estimated lengths in tokens.
+    deadline_s : float
+        Seconds that remain.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    deadline_s: float
+
+    def first_token_s(self, upstream: UpstreamView, cached: float) -> float:
+        """Return the predicted seconds to the first token.
+
+        Parameters
+        ----------
+        upstream : UpstreamView
+            Where the request would go.
+        cached : float
+            Share of the prompt that need not be computed, 0 to 1.
+        """
+        if not upstream.models:
+            return slot_wait_s(upstream) + PLAIN_HOLD_S
+        backlog = upstream.queued_tokens + upstream.sent_tokens_since
+        uncached = self.prompt_tokens * (1.0 - cached)
+        prefill_s = (backlog + uncached) / upstream.prefill_tokens_per_s
+        return slot_wait_s(upstream) + prefill_s
+
+    def finish_s(self, decode_tokens_per_s: float) -> float:
+        """Return the seconds kept for the answer after its first token.
+
+        The length is an estimate, often the caller's upper bound: it never
+        takes more than half of the deadline, so that a generous bound alone
+        does not get a request refused.
+        """
+        decode_s = self.output_tokens / decode_tokens_per_s
+        return min(decode_s, self.deadline_s * MAX_FINISH_SHARE)
--- /dev/null
+++ b/godwitshunt/routing/regions.py
@@ -0,0 +1,135 @@
+"""Other regions that a request may be forwarded to."""
+
+from dataclasses import dataclass
+from random import Random
+
+from godwitshunt.manifest import Objective
+from godwitshunt.membership.views import RegionSummary, RegionView
+from godwitshunt.routing.messages import Forward, RouteRequest
+
+MAX_SUMMARY_AGE_S = 5.0
+TOKENS_PER_PRICE = 1000
+
+
+@dataclass(frozen=True)
+class Target:
+    """A region that could take a request.
+
+    Parameters
+    ----------
+    score : float
+        The objective's weighted sum; lower is better.
+    predicted_s : float
+        Seconds to the first token, network included.
+    """
+
+    summary: RegionSummary
+    score: float
+    predicted_s: float
+
+
+def away_penalty(
+    region: str,
+    request: RouteRequest,
+    objective: Objective,
+) -> float:
+    """Return what serving a request in a region costs beside time and price."""
+    if region == request.home:
+        return 0.0
+    return objective.share_away
+
+
+def price_of(price: float, request: RouteRequest) -> float:
+    """Return the price of a request's answer."""
+    return price * request.output_tokens / TOKENS_PER_PRICE
+
+
+def crossed_regions(view: RegionView, request: RouteRequest) -> bool:
+    """Return whether a request already made its one hop between regions."""
+    return any(region != view.region for region in request.regions_visited)
+
+
+def came_back(view: RegionView, request: RouteRequest) -> bool:
+    """Return whether a request returns to a region that sent it away."""
+    return view.region in request.regions_visited[:-1]
+
+
+def can_take(summary: RegionSummary, request: RouteRequest) -> bool:
+    """Return whether a region may and can take a request.
+
+    A summary that has not been renewed for a while speaks of a region that is
+    cut off or gone: forwarding there would cost the caller a timeout.
+    """
+    if summary.region not in request.allowed:
+        return False
+    asked = (request.service, request.model)
+    if (summary.service, summary.model) != asked:
+        return False
+    return summary.slots > 0 and summary.age_s <= MAX_SUMMARY_AGE_S
+
+
+def targets(
+    view: RegionView,
+    request: RouteRequest,
+    objective: Objective,
+) -> list[Target]:
+    """Return regions to forward to, the best first."""
+    if crossed_regions(view, request):
+        return []
+    found = [
+        scored(summary, request, objective)
+        for summary in view.summaries
+        if summary.region != view.region and can_take(summary, request)
+    ]
+    return sorted(
+        found,
+        key=lambda target: (target.score, target.summary.region),
+    )
+
+
+def scored(
+    summary: RegionSummary,
+    request: RouteRequest,
+    objective: Objective,
+) -> Target:
+    """Return a region with its score."""
+    predicted_s = summary.round_trip_s + summary.wait_s
+    score = (
+        objective.latency * predicted_s
+        + objective.cost * price_of(summary.price, request)
+        + away_penalty(summary.region, request, objective)
+    )
+    return Target(summary, score, predicted_s)
+
+
+def takes_now(target: Target, request: RouteRequest) -> bool:
+    """Return whether a region has a free slot for a class, in time."""
+    summary = target.summary
+    kept = summary.slots * (1.0 - request.slot_share)
+    in_time = target.predicted_s <= request.deadline_s
+    return in_time and summary.free_slots > kept
+
+
+def forward(
+    target: Target,
+    request: RouteRequest,
+    random: Random,
+) -> Forward | None:
+    """Return a forward to one of a region's VMs, chosen evenly.
+
+    None where every VM of the region already had the request.
+    """
+    vms = sorted(
+        (name, address)
+        for name, address in target.summary.vms
+        if name not in request.path and name not in request.excluded
+    )
+    if not vms:
+        return None
+    name, address = random.choice(vms)
+    return Forward(
+        target.summary.region,
+        name,
+        address,
+        target.predicted_s,
+    )
