--- a/godwitshunt/routing/__init__.py
+++ b/godwitshunt/routing/__init__.py
@@ -1,5 +1,6 @@
 """Where a request goes: policy, limits, retry budget, entry directory."""
 
+from godwitshunt.routing.admission import AdmissionQueue, Queued, Ticket
 from godwitshunt.routing.directory import order_entries
 from godwitshunt.routing.limits import (
     Admission,
@@ -17,23 +18,32 @@
     Serve,
     Wait,
 )
+from godwitshunt.routing.outliers import Answered, Failed, OutlierDetector
 from godwitshunt.routing.policy import choose
 from godwitshunt.routing.quotas import caller_quotas
+from godwitshunt.routing.ramp import ColdRamp
 from godwitshunt.routing.retry_budget import RetryBudget
 
 __all__ = [
     'Admission',
+    'AdmissionQueue',
     'Admitted',
+    'Answered',
     'CallerLimits',
     'CallerQuota',
+    'ColdRamp',
     'Decision',
+    'Failed',
     'Forward',
     'Limited',
+    'OutlierDetector',
+    'Queued',
     'RefusalReason',
     'Refuse',
     'RetryBudget',
     'RouteRequest',
     'Serve',
+    'Ticket',
     'Wait',
     'caller_quotas',
     'choose',
--- a/godwitshunt/routing/limits.py
+++ b/godwitshunt/routing/limits.py
@@ -177,6 +177,7 @@
         if quota is None:
             return Limited(LOAN_S)
         meter = self.meters.setdefault(caller, DemandMeter())
+        # Limited requests count as well: demand is what callers want.
         meter.note(now)
         rate = self.rate(caller, now)
         bucket = self.buckets.get(caller)
--- a/godwitshunt/routing/meters.py
+++ b/godwitshunt/routing/meters.py
@@ -62,11 +62,19 @@
 class DemandMeter:
     """Requests a second, with exponential forgetting.
 
-    Limited requests count as well: demand is what callers want.
+    Parameters
+    ----------
+    weight : float
+        What was counted, less what is forgotten.
+    updated_s : float
+        When it was last counted.
+    memory_s : float
+        Seconds after which a count weighs 1/e.
     """
 
     weight: float = 0.0
     updated_s: float = 0.0
+    memory_s: float = DEMAND_MEMORY_S
 
     def note(self, now: float) -> None:
         """Count one request."""
@@ -75,7 +83,7 @@
 
     def per_s(self, now: float) -> float:
         """Return the requests a second of late."""
-        return self.decayed(now) / DEMAND_MEMORY_S
+        return self.decayed(now) / self.memory_s
 
     def idle(self, now: float) -> bool:
         """Return whether nothing was counted for long."""
@@ -84,4 +92,4 @@
     def decayed(self, now: float) -> float:
         """Return the count as it weighs now."""
         passed_s = max(0.0, now - self.updated_s)
-        return self.weight * math.exp(-passed_s / DEMAND_MEMORY_S)
+        return self.weight * math.exp(-passed_s / self.memory_s)
