--- a/godwitshunt/routing/__init__.py
+++ b/godwitshunt/routing/__init__.py
@@ -1,1 +1,51 @@
 """Where a request goes: policy, limits, retry budget, entry directory."""
+
+from godwitshunt.routing.admission import AdmissionQueue, Queued, Ticket
+from godwitshunt.routing.directory import order_entries
+from godwitshunt.routing.limits import (
+    Admission,
+    Admitted,
+    CallerLimits,
+    CallerQuota,
+    Limited,
+)
+from godwitshunt.routing.messages import (
+    Decision,
+    Forward,
+    RefusalReason,
+    Refuse,
+    RouteRequest,
+    Serve,
+    Wait,
+)
+from godwitshunt.routing.outliers import Answered, Failed, OutlierDetector
+from godwitshunt.routing.policy import choose
+from godwitshunt.routing.quotas import caller_quotas
+from godwitshunt.routing.ramp import ColdRamp
+from godwitshunt.routing.retry_budget import RetryBudget
+
+__all__ = [
+    'Admission',
+    'AdmissionQueue',
+    'Admitted',
+    'Answered',
+    'CallerLimits',
+    'CallerQuota',
+    'ColdRamp',
+    'Decision',
+    'Failed',
+    'Forward',
+    'Limited',
+    'OutlierDetector',
+    'Queued',
+    'RefusalReason',
+    'Refuse',
+    'RetryBudget',
+    'RouteRequest',
+    'Serve',
+    'Ticket',
+    'Wait',
+    'caller_quotas',
+    'choose',
+    'order_entries',
+]
