Wire the whole path: entry and control processes on the real slices

Entry VMs now take the configuration from control, vote on claims, gossip upstreams and decide by the routing policy; control VMs vote on claims too. VM records carry the process's session: a holder that restarted has forgotten its votes, so control begins a new generation with its new session. The upstream announcement stood in two slices and is now membership's. The in-process stand-ins of slices moved to the exchange's tests.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -20,9 +20,9 @@
 
     Parameters
     ----------
-    keep : Path
+    keep
         Leave everything running; write addresses.json and manifest.json there.
-    stop : Path
+    stop
         End a deployment that an earlier --keep left running, and do no more.
 
     Returns
--- a/godwitshunt/configuration/configuration.thrift
+++ b/godwitshunt/configuration/configuration.thrift
@@ -14,6 +14,8 @@
   4: string role
   5: Endpoint http
   6: Endpoint peer
+  /** Drawn at each start of the VM's process. */
+  7: string session
 }
 
 /** Accept a manifest, as a delta over the one before it or in full. */
--- a/godwitshunt/configuration/document.py
+++ b/godwitshunt/configuration/document.py
@@ -204,6 +204,7 @@
                 entry['region'],
                 entry['generation'],
                 tuple(entry['names']),
+                tuple(entry['sessions']),
             )
             for entry in document.section('holders').values()
         ),
@@ -219,6 +220,7 @@
         role=VmRole(entry['role']),
         http=Address.model_validate(entry['http']),
         peer=Address.model_validate(entry['peer']),
+        session=entry['session'],
     )
 
 
@@ -231,4 +233,5 @@
         'role': vm.role.value,
         'http': vm.http.model_dump(),
         'peer': vm.peer.model_dump(),
+        'session': vm.session,
     }
--- a/godwitshunt/configuration/gen/wire/ttypes.py
+++ b/godwitshunt/configuration/gen/wire/ttypes.py
@@ -107,6 +107,7 @@
      - role
      - http
      - peer
+     - session: Drawn at each start of the VM's process.
 
     """
 
@@ -117,16 +118,18 @@
         'role',
         'http',
         'peer',
+        'session',
     )
 
 
-    def __init__(self, name=None, region=None, failure_domain=None, role=None, http=None, peer=None,):
+    def __init__(self, name=None, region=None, failure_domain=None, role=None, http=None, peer=None, session=None,):
         self.name = name
         self.region = region
         self.failure_domain = failure_domain
         self.role = role
         self.http = http
         self.peer = peer
+        self.session = session
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -169,6 +172,11 @@
                     self.peer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.session = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -203,6 +211,10 @@
             oprot.writeFieldBegin('peer', TType.STRUCT, 6)
             self.peer.write(oprot)
             oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 7)
+            oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1525,6 +1537,7 @@
     (4, TType.STRING, 'role', 'UTF8', None, ),  # 4
     (5, TType.STRUCT, 'http', [Endpoint, None], None, ),  # 5
     (6, TType.STRUCT, 'peer', [Endpoint, None], None, ),  # 6
+    (7, TType.STRING, 'session', 'UTF8', None, ),  # 7
 )
 all_structs.append(AcceptManifest)
 AcceptManifest.thrift_spec = (
--- a/godwitshunt/configuration/members.py
+++ b/godwitshunt/configuration/members.py
@@ -1,5 +1,8 @@
 """Admitted VMs and the claim holders of each region."""
 
+from collections.abc import Mapping
+from typing import Any
+
 from godwitshunt.configuration.commands import Applied, ChangeVms
 from godwitshunt.configuration.document import vm_entry
 from godwitshunt.configuration.state import (
@@ -31,12 +34,15 @@
 ) -> Step:
     """Begin a new generation of a region's claim holders.
 
-    Keys stay bound to the generation that they were stamped under; the last
+    A VM that restarts has another session and may have forgotten votes; a new
+    generation, in which nobody voted yet, lets it vote at once. Keys stay
+    bound to the generation that they were stamped under; the last
     `KEPT_GENERATIONS` stay listed so that their claims can still be found.
     """
     before = state.document.section('holders')
     own = [entry for entry in before.values() if entry['region'] == region]
-    if own and own[-1]['names'] == list(names):
+    sessions = sessions_of(state, names)
+    if own and is_unchanged(own[-1], names, sessions):
         return state, Applied(state.revision)
     generation = own[-1]['generation'] + 1 if own else 1
     dropped = {
@@ -48,6 +54,22 @@
         'region': region,
         'generation': generation,
         'names': list(names),
+        'sessions': sessions,
     }
     state = state.with_document(state.document.with_section('holders', after))
     return state, Applied(state.revision)
+
+
+def sessions_of(state: ControlState, names: tuple[str, ...]) -> list[str]:
+    """Return the committed session of each named VM."""
+    vms = state.document.section('vms')
+    return [vms.get(name, {}).get('session', '') for name in names]
+
+
+def is_unchanged(
+    entry: Mapping[str, Any],
+    names: tuple[str, ...],
+    sessions: list[str],
+) -> bool:
+    """Tell whether a generation has these holders in these sessions."""
+    return entry['names'] == list(names) and entry['sessions'] == sessions
--- a/godwitshunt/configuration/revision.py
+++ b/godwitshunt/configuration/revision.py
@@ -1,5 +1,6 @@
 """What is in force: one revision of the whole configuration."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -26,6 +27,9 @@
         Entry or control process.
     http, peer : Address
         Where callers and where peers reach it.
+    session : str
+        Drawn anew at each start of the process; empty where it keeps no
+        claims.
     """
 
     name: str
@@ -34,6 +38,7 @@
     role: VmRole
     http: Address
     peer: Address
+    session: str = ''
 
 
 @dataclass(frozen=True)
@@ -84,3 +89,6 @@
     manifest: Manifest
     vms: tuple[VmRecord, ...] = ()
     holders: tuple[HolderSet, ...] = ()
+
+
+RevisionNotice = Callable[[Revision], None]
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -19,6 +19,7 @@
     manifest_digest_of,
     pack,
     pack_document,
+    revision_of,
     vm_entry,
     vm_of,
 )
@@ -26,7 +27,7 @@
 from godwitshunt.configuration.heard import HeardVm, HeardVms
 from godwitshunt.configuration.history import Held, RevisionHistory
 from godwitshunt.configuration.replicated_log import ReplicatedLog
-from godwitshunt.configuration.revision import VmRecord
+from godwitshunt.configuration.revision import RevisionNotice, VmRecord
 from godwitshunt.configuration.state import ControlState
 from godwitshunt.configuration.state_machine import StateMachine
 from godwitshunt.configuration.upkeep import due_commands, still_awaited
@@ -85,6 +86,7 @@
         self.background = Background()
         self.subscriptions = []
         self.push_due = False
+        self.subscribers: list[RevisionNotice] = []
 
     @classmethod
     def from_config(
@@ -187,6 +189,7 @@
             return
         held = Held(state.revision, digest_of(state.document), state.document)
         self.history.add(held)
+        self.publish(held)
         self.metrics.gauge('configuration_revision', held.revision)
         log_change(
             'configuration:revision_committed',
@@ -198,6 +201,18 @@
             self.push_due = True
             self.timer.after(PUSH_DELAY_S, self.push)
 
+    def subscribe(self, notice: RevisionNotice) -> None:
+        """Tell of each revision that this replica applies from now on."""
+        self.subscribers.append(notice)
+
+    def publish(self, held: Held) -> None:
+        """Tell the parts of this process of a newer revision."""
+        if not self.subscribers:
+            return
+        revision = revision_of(held.revision, held.document)
+        for notice in self.subscribers:
+            notice(revision)
+
     def note_pending(self, state: ControlState) -> None:
         """Remember since when each pending number is seen as committed."""
         now = self.timer.now()
--- a/godwitshunt/configuration/state.py
+++ b/godwitshunt/configuration/state.py
@@ -11,7 +11,7 @@
 from godwitshunt.configuration.document import Document
 
 NUMBER_WINDOW = 4096
-KEPT_GENERATIONS = 4
+KEPT_GENERATIONS = 8
 KEPT_ORDERS = 1024
 
 
--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Self
@@ -25,7 +25,12 @@
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.history import Held, RevisionHistory
 from godwitshunt.configuration.kept_revision import KeptRevision
-from godwitshunt.configuration.revision import Revision, VmRecord, VmRole
+from godwitshunt.configuration.revision import (
+    Revision,
+    RevisionNotice,
+    VmRecord,
+    VmRole,
+)
 from godwitshunt.configuration.wire import vm_to_wire
 from godwitshunt.exceptions import FrameError, StorageError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
@@ -33,8 +38,6 @@
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Timer
 
-RevisionNotice = Callable[[Revision], None]
-
 HEARTBEAT_PERIOD_S = 1.0
 # Without jitter the heartbeats of VMs that started together would stay
 # together and reach a control replica as one burst each second.
--- a/godwitshunt/configuration/tests/test_state.py
+++ b/godwitshunt/configuration/tests/test_state.py
@@ -1,6 +1,6 @@
 """The control state: one contents a number, orders once, snapshots whole."""
 
-from dataclasses import asdict
+from dataclasses import asdict, replace
 
 import pytest
 
@@ -126,16 +126,17 @@
 def test_vms_and_holders_keep_the_last_generations():
     """Holders change often while keys of earlier generations are in use.
 
-    The last four generations stay listed, so that their claims are found.
+    The last eight generations stay listed, so that their claims are found.
     """
     state, _ = run(
         ControlState(), accept(1), ChangeVms((vm('e1', 'split', 1),))
     )
     names = [('e1',), ('e1', 'e2'), ('e2',), ('e2',), ('e3',), ('e4',)]
+    names += [('e5',), ('e6',), ('e7',), ('e8',)]
     for chosen in names:
         state, _ = run(state, ChangeHolders('split', chosen))
     holders = revision_of(state.revision, state.document).holders
-    assert [one.generation for one in holders] == [2, 3, 4, 5]
+    assert [one.generation for one in holders] == [2, 3, 4, 5, 6, 7, 8, 9]
     same, outcome = run(state, ChangeHolders('split', ('e4',)))
     assert same == state
     assert outcome == Applied(state.revision)
@@ -156,3 +157,25 @@
     assert state.weight_units == 5
     clash = IssueOrder('o1', 'engine-2', 'load', 'review', 3)
     assert run(state, clash) == (state, OrderConflict('o1'))
+
+
+def test_restarted_holder_begins_a_new_generation():
+    """A holder's process restarts and has forgotten votes of its keys.
+
+    A new generation lists its new session, so that it votes on new keys at
+    once; the old generation keeps the old session, in which it must abstain.
+    """
+    first = replace(vm('e1', 'split', 1), session='before')
+    again = replace(first, session='after')
+    state, _ = run(
+        ControlState(),
+        accept(1),
+        ChangeVms((first,)),
+        ChangeHolders('split', ('e1',)),
+        ChangeVms((again,)),
+        ChangeHolders('split', ('e1',)),
+        ChangeHolders('split', ('e1',)),
+    )
+    holders = revision_of(state.revision, state.document).holders
+    sessions = [(one.generation, one.sessions) for one in holders]
+    assert sessions == [(1, ('before',)), (2, ('after',))]
--- a/godwitshunt/configuration/upkeep.py
+++ b/godwitshunt/configuration/upkeep.py
@@ -11,6 +11,7 @@
 )
 from godwitshunt.configuration.document import vm_entry
 from godwitshunt.configuration.heard import HeardVms
+from godwitshunt.configuration.members import is_unchanged, sessions_of
 from godwitshunt.configuration.revision import VmRole
 from godwitshunt.configuration.state import ControlState
 
@@ -96,7 +97,8 @@
         own = [entry for entry in holders if entry['region'] == region]
         current = tuple(own[-1]['names']) if own else ()
         chosen = choose_holders(state, region, current, heard, now)
-        if chosen and chosen != current:
+        sessions = sessions_of(state, chosen)
+        if chosen and not (own and is_unchanged(own[-1], chosen, sessions)):
             yield ChangeHolders(region, chosen)
 
 
--- a/godwitshunt/configuration/wire.py
+++ b/godwitshunt/configuration/wire.py
@@ -117,6 +117,7 @@
         role=vm.role.value,
         http=ttypes.Endpoint(vm.http.host, vm.http.port),
         peer=ttypes.Endpoint(vm.peer.host, vm.peer.port),
+        session=vm.session,
     )
 
 
@@ -136,6 +137,7 @@
             role=VmRole(info.role),
             http=Address(host=info.http.host, port=info.http.port),
             peer=Address(host=info.peer.host, port=info.peer.port),
+            session=info.session or '',
         )
     except (ValueError, AttributeError) as bad:
         raise FrameError(f'VmInfo: {bad!r}') from None
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -19,7 +19,6 @@
     admit_forwarded,
     refuse_early,
 )
-from godwitshunt.exchange.announcements import UpstreamAnnouncement
 from godwitshunt.exchange.forwarding import (
     FORWARD_HEADER,
     ForwardRefused,
@@ -41,6 +40,7 @@
 from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.manifest import Caller
 from godwitshunt.manifest.documents import parse_document
+from godwitshunt.membership.announcements import UpstreamAnnouncement
 from godwitshunt.peer import client_context, server_context
 from godwitshunt.settings import EntrySettings, TlsSettings
 from godwitshunt.telemetry import Metrics
--- a/godwitshunt/exchange/ports.py
+++ b/godwitshunt/exchange/ports.py
@@ -9,9 +9,9 @@
 
 from godwitshunt.claims.messages import ClaimOutcome, KeptAnswer
 from godwitshunt.configuration.revision import Revision, VmRecord
-from godwitshunt.exchange.announcements import UpstreamAnnouncement
 from godwitshunt.exchange.problems import Problem
 from godwitshunt.manifest import Objective
+from godwitshunt.membership.announcements import UpstreamAnnouncement
 from godwitshunt.membership.views import RegionView
 from godwitshunt.routing.messages import Decision, RouteRequest
 from godwitshunt.timer import Timer
--- a/godwitshunt/exchange/tests/fakes.py
+++ b/godwitshunt/exchange/tests/fakes.py
@@ -15,13 +15,13 @@
 from godwitshunt.configuration.revision import Revision, VmRecord, VmRole
 from godwitshunt.exchange.gateway import ExchangeTask
 from godwitshunt.exchange.ports import Ports
-from godwitshunt.manifest import parse_manifest
-from godwitshunt.membership.views import RegionView, UpstreamView
-from godwitshunt.programs.interim import (
+from godwitshunt.exchange.tests.local_slices import (
     FreeRetries,
     LocalClaims,
     NoLimits,
 )
+from godwitshunt.manifest import parse_manifest
+from godwitshunt.membership.views import RegionView, UpstreamView
 from godwitshunt.routing.messages import Forward, RefusalReason, Refuse, Serve
 from godwitshunt.settings import Address, EntrySettings, LimitSettings
 from godwitshunt.telemetry import Metrics
--- a/godwitshunt/programs/interim.py
+++ b/godwitshunt/exchange/tests/local_slices.py
@@ -1,8 +1,4 @@
-"""One-VM versions of slices, used where the real ones are not wired.
-
-With ``--manifest`` an entry process runs alone: a developer tries a manifest,
-or measures the path of a request, without a control VM.
-"""
+"""One-VM versions of the other slices, for tests of the exchange alone."""
 
 import random
 import secrets
@@ -22,9 +18,9 @@
     RunUnknown,
 )
 from godwitshunt.configuration.revision import Revision, VmRecord, VmRole
-from godwitshunt.exchange.announcements import UpstreamAnnouncement
 from godwitshunt.exchange.problems import Problem
 from godwitshunt.manifest import Objective, manifest_digest, parse_manifest
+from godwitshunt.membership.announcements import UpstreamAnnouncement
 from godwitshunt.membership.views import RegionView, UpstreamView
 from godwitshunt.routing.messages import (
     Decision,
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -7,6 +7,7 @@
 
 import defopt
 
+from godwitshunt.claims import ClaimsTask
 from godwitshunt.configuration import (
     ConfigurationService,
     VmRecord,
@@ -33,7 +34,7 @@
 from godwitshunt.timer import TimerService
 
 
-def vm_record(settings: ControlSettings) -> VmRecord:
+def vm_record(settings: ControlSettings, session: str) -> VmRecord:
     """Return the record of this control replica."""
     return VmRecord(
         name=settings.name,
@@ -42,6 +43,7 @@
         role=VmRole.control,
         http=settings.http_reached,
         peer=settings.peer_reached,
+        session=session,
     )
 
 
@@ -70,9 +72,15 @@
             self.timer,
             self.metrics,
         )
+        self.claims = ClaimsTask.from_config(
+            settings,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
         self.service = ConfigurationService.from_config(
             settings,
-            vm_record(settings),
+            vm_record(settings, self.claims.session),
             self.consensus,
             self.links,
             self.timer,
@@ -92,6 +100,8 @@
     async def start(self) -> None:
         """Start every part, the listener for operators last."""
         await self.links.start()
+        self.service.subscribe(self.claims.apply_revision)
+        await self.claims.start()
         self.service.start()
         await self.consensus.start()
         self.api.start()
@@ -102,6 +112,7 @@
         """Answer what is under way, then close every part."""
         await self.listener.close()
         await self.service.close()
+        await self.claims.close()
         await self.consensus.close()
         await self.links.close()
         self.timer.close()
--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -7,18 +7,34 @@
 
 import defopt
 
+from godwitshunt.claims import ClaimsTask
+from godwitshunt.configuration import (
+    ConfigurationTask,
+    Revision,
+    VmRecord,
+    VmRole,
+)
 from godwitshunt.exceptions import GodwitshuntError
 from godwitshunt.exchange.gateway import ExchangeTask
-from godwitshunt.exchange.ports import Ports
+from godwitshunt.exchange.ports import ChoosePort, Ports
 from godwitshunt.manifest.documents import read_settings
-from godwitshunt.programs.interim import (
-    FileConfiguration,
-    FreeRetries,
-    LocalClaims,
-    LocalMembership,
-    NoLimits,
-    choose_least_loaded,
+from godwitshunt.membership import MembershipTask
+from godwitshunt.peer import (
+    PeerLinks,
+    PeerOptions,
+    client_context,
+    server_context,
+)
+from godwitshunt.programs.entry_ports import (
+    ClaimsAdapter,
+    ConfigurationAdapter,
+    DirectoryAdapter,
+    LimitsAdapter,
+    MembershipAdapter,
+    RetriesAdapter,
 )
+from godwitshunt.routing import RetryBudget, choose
+from godwitshunt.routing.limits_task import LimitsTask
 from godwitshunt.settings import EntrySettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
 from godwitshunt.timer import TimerService
@@ -33,40 +49,83 @@
     ----------
     settings : EntrySettings
         The settings file.
-    manifest : Path
-        The manifest that is in force from the start.
+    decide : callable
+        The routing decision; another one only in measurements.
     """
 
     def __init__(
         self,
         settings: EntrySettings,
-        manifest: Path,
+        decide: ChoosePort = choose,
     ) -> None:
         self.settings = settings
         self.timer = TimerService()
         self.metrics = Metrics()
         self.stopping = asyncio.Event()
-        configuration = FileConfiguration.from_config(settings, manifest)
-        ports = Ports(
-            configuration=configuration,
-            membership=LocalMembership(settings, self.timer),
-            claims=LocalClaims(settings),
-            limits=NoLimits(),
-            retries=FreeRetries(),
-            choose=choose_least_loaded,
-            entries=configuration.entries,
-            timer=self.timer,
+        self.key = settings.cluster_key_file.read_bytes().strip()
+        self.links = PeerLinks.from_config(
+            PeerOptions(
+                name=settings.name,
+                listen=settings.peer,
+                key=self.key,
+                frame_bytes=settings.limits.frame_bytes,
+                server_tls=server_context(settings.tls),
+                client_tls=client_context(settings.tls),
+            ),
+            self.metrics,
         )
-        key = settings.cluster_key_file.read_bytes().strip()
+        parts = (settings, self.links, self.timer, self.metrics)
+        self.claims = ClaimsTask.from_config(*parts)
+        self.membership = MembershipTask.from_config(*parts)
+        self.limits = LimitsTask.from_config(*parts)
+        self.configuration = ConfigurationTask.from_config(
+            settings,
+            vm_record(settings, self.claims.session),
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        self.retries = RetriesAdapter(RetryBudget.from_config(0))
         self.exchange = ExchangeTask.from_config(
             settings,
-            key,
-            ports,
+            self.key,
+            self.make_ports(decide),
             self.metrics,
         )
 
+    def make_ports(self, decide: ChoosePort) -> Ports:
+        """Return the other slices as the exchange's ports."""
+        directory = DirectoryAdapter(
+            self.settings.region,
+            self.configuration,
+            self.membership,
+        )
+        return Ports(
+            configuration=ConfigurationAdapter(self.configuration),
+            membership=MembershipAdapter(self.membership, self.configuration),
+            claims=ClaimsAdapter(self.claims),
+            limits=LimitsAdapter(self.limits),
+            retries=self.retries,
+            choose=decide,
+            entries=directory.entries,
+            timer=self.timer,
+        )
+
+    def apply_revision(self, revision: Revision) -> None:
+        """Tell every part of a newer revision."""
+        self.membership.apply_revision(revision)
+        self.claims.apply_revision(revision)
+        self.limits.configure(revision)
+        self.retries.apply_revision(revision)
+
     async def start(self) -> None:
-        """Start every part."""
+        """Start every part, the callers' listener last."""
+        self.configuration.subscribe(self.apply_revision)
+        await self.links.start()
+        await self.membership.start()
+        await self.claims.start()
+        await self.limits.start()
+        self.configuration.start()
         await self.exchange.start()
         log_change('entry:started', vm=self.settings.name)
 
@@ -83,25 +142,44 @@
         log_change('entry:stopped', vm=self.settings.name)
 
     async def close(self) -> None:
-        """Finish every request, within the settings' limit if there is one."""
+        """Finish every request, then close every part.
+
+        The exchange goes first: calls in progress still need their claims
+        settled and the configuration's news.
+        """
+        self.membership.leave()
         try:
             async with asyncio.timeout(self.settings.drain_limit_s):
                 await self.exchange.close()
         except TimeoutError:
             log_change('entry:drain_cut', vm=self.settings.name)
+        await self.configuration.close()
+        await self.limits.close()
+        await self.claims.close()
+        await self.membership.close()
+        await self.links.close()
         self.timer.close()
 
 
-async def run_entry(settings: EntrySettings, manifest: Path) -> None:
-    """Run an entry process to its end."""
-    await EntryProcess(settings, manifest).run()
+def vm_record(settings: EntrySettings, session: str) -> VmRecord:
+    """Return the record that this VM tells control of itself."""
+    return VmRecord(
+        name=settings.name,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        role=VmRole.entry,
+        http=settings.http_reached,
+        peer=settings.peer_reached,
+        session=session,
+    )
 
 
-class ManifestMissingError(GodwitshuntError):
-    """No manifest was named, and no control VM is wired yet."""
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry process to its end."""
+    await EntryProcess(settings).run()
 
 
-def entry(settings: Path, *, manifest: Path | None = None) -> int:
+def entry(settings: Path) -> int:
     """Run the process of an entry VM.
 
     It takes callers' requests and upstreams' announcements. SIGTERM lets it
@@ -111,8 +189,6 @@
     ----------
     settings : Path
         The settings file, in JSON; docs/operators/settings.md tells each field.
-    manifest
-        Run alone under this manifest, without control VMs; for trials.
 
     Returns
     -------
@@ -120,11 +196,9 @@
         0 after a graceful shutdown, 2 for wrong settings.
     """
     try:
-        if manifest is None:
-            raise ManifestMissingError('--manifest FILE is needed')
         loaded = read_settings(settings, EntrySettings)
         open_log(loaded.log.path)
-        asyncio.run(run_entry(loaded, manifest))
+        asyncio.run(run_entry(loaded))
     except GodwitshuntError as wrong:
         print(wrong, file=sys.stderr)
         return WRONG_INPUT
--- a/godwitshunt/routing/ramp.py
+++ b/godwitshunt/routing/ramp.py
@@ -71,7 +71,9 @@
             for known, warming in self.warming.items()
             if known in present and now < warming.until_s
         }
-        self.known = {name: each.incarnation for name, each in present.items()}
+        self.known = {
+            each: upstream.incarnation for each, upstream in present.items()
+        }
         self.started = True
 
     def warm(self, upstream: UpstreamView, now: float) -> Warming:
