--- a/godwitshunt/configuration/tests/test_state.py
+++ b/godwitshunt/configuration/tests/test_state.py
@@ -137,7 +137,7 @@
         state, _ = run(state, ChangeHolders('split', chosen))
     holders = revision_of(state.revision, state.document).holders
     assert [one.generation for one in holders] == [2, 3, 4, 5, 6, 7, 8, 9]
-    same, outcome = run(state, ChangeHolders('split', ('e4',)))
+    same, outcome = run(state, ChangeHolders('split', ('e8',)))
     assert same == state
     assert outcome == Applied(state.revision)
 
--- a/godwitshunt/routing/ramp.py
+++ b/godwitshunt/routing/ramp.py
@@ -72,7 +72,7 @@
             if known in present and now < warming.until_s
         }
         self.known = {
-            each: upstream.incarnation for each, upstream in present.items()
+            each: newest.incarnation for each, newest in present.items()
         }
         self.started = True
 
