--- a/godwitshunt/configuration/revision.py
+++ b/godwitshunt/configuration/revision.py
@@ -1,5 +1,6 @@
 """What is in force: one revision of the whole configuration."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -26,6 +27,9 @@
         Entry or control process.
     http, peer : Address
         Where callers and where peers reach it.
+    session : str
+        Drawn anew at each start of the process; empty where it keeps no
+        claims.
     """
 
     name: str
@@ -34,6 +38,7 @@
     role: VmRole
     http: Address
     peer: Address
+    session: str = ''
 
 
 @dataclass(frozen=True)
@@ -43,11 +48,22 @@
     A key is bound for ever to the generation that it was stamped under, so
     that two VMs with different views of the holders never count different
     majorities for one key.
+
+    Parameters
+    ----------
+    names : tuple of str
+        The holders' VMs; never changed under one generation.
+    sessions : tuple of str
+        For each name, the session (drawn at the process's start, told in its
+        heartbeats) that was running when the set was committed. A process of
+        another session may have forgotten votes of the one that is listed,
+        and abstains until it has recovered.
     """
 
     region: str
     generation: int
     names: tuple[str, ...]
+    sessions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -73,3 +89,6 @@
     manifest: Manifest
     vms: tuple[VmRecord, ...] = ()
     holders: tuple[HolderSet, ...] = ()
+
+
+RevisionNotice = Callable[[Revision], None]
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -66,6 +66,10 @@
         File with the key that processes of one deployment share.
     data_folder : Path or None
         Folder for state that must survive; None where the VM has no disk.
+    peers : tuple of Address
+        Peer addresses of other VMs of the region. One that restarts without
+        a disk asks them for the newest revision where no control replica
+        answers.
     http_advertised, peer_advertised : Address or None
         Where others reach the two listeners, where that is another address
         than the one listened on (address translation); None where it is not.
@@ -79,6 +83,7 @@
     control: tuple[Address, ...] = Field(min_length=1)
     cluster_key_file: Path
     data_folder: Path | None = None
+    peers: tuple[Address, ...] = ()
     http_advertised: Address | None = None
     peer_advertised: Address | None = None
     tls: TlsSettings | None = None
