Bound what a silent caller holds, and end a fault of ours in one request

A caller that never reads could hold a whole answer, or a closing connection, for ever. A plain service's event stream was held to the model's final marker and would have ended broken; only models' streams are relayed now. Isolation is membership's to tell; the exchange kept a second rule of its own.

--- a/godwitshunt/exchange/admission.py
+++ b/godwitshunt/exchange/admission.py
@@ -70,8 +70,12 @@
 
     @property
     def streams(self) -> bool:
-        """Tell whether the answer may go out before it is whole."""
-        return self.key is None
+        """Tell whether the answer may go out before it is whole.
+
+        Only of a model's stream is the final event known, by which a whole
+        stream is told from a broken one.
+        """
+        return self.key is None and self.route.model is not None
 
 
 class CallerIndex:
--- a/godwitshunt/exchange/channel.py
+++ b/godwitshunt/exchange/channel.py
@@ -6,6 +6,7 @@
 
 READ_HIGH_WATER_BYTES = 64 * 1024
 WRITE_HIGH_WATER_BYTES = 64 * 1024
+CLOSE_LINGER_S = 30.0
 
 
 class Channel(asyncio.Protocol):
@@ -135,9 +136,14 @@
             raise ConnectionResetError('the other side is gone')
 
     def close(self) -> None:
-        """Send what is queued, then close."""
-        if self.transport is not None:
-            self.transport.close()
+        """Send what is queued, for a bounded time, then close."""
+        if self.transport is None:
+            return
+        self.transport.close()
+        if self.transport.get_write_buffer_size():
+            # The other side may never read: its answer must not be held.
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSE_LINGER_S, self.transport.abort)
 
     def abort(self) -> None:
         """Close at once; what is queued is lost."""
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -265,6 +265,7 @@
             told = 'the deadline passed on the way'
             return Err(refuse_early(request, ProblemKind.deadline, told))
         self.metrics.count('forwards_received_total')
+        self.ports.retries.note_first(self.ports.timer.now())
         admitted = admit(request, revision.manifest, caller)
         return admitted.map(lambda ready: admit_forwarded(ready, note))
 
--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -16,7 +16,7 @@
 )
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
 from godwitshunt.settings import Address, LimitSettings
-from godwitshunt.telemetry import Metrics
+from godwitshunt.telemetry import Metrics, log_change
 
 RequestHandler = Callable[[HttpRequest, AnswerWriter], Awaitable[None]]
 
@@ -167,6 +167,12 @@
         self.answering.add(answer)
         try:
             await self.handler(request, answer)
+        except (ConnectionError, TimeoutError):
+            raise
+        except Exception as fault:
+            # A fault of ours must end one request only, and be seen.
+            log_change('exchange:request_failed', error=repr(fault))
+            raise RefusedInput(ProblemKind.internal, 'see the log') from fault
         finally:
             self.answering.discard(answer)
             if not self.answering:
--- a/godwitshunt/exchange/ports.py
+++ b/godwitshunt/exchange/ports.py
@@ -23,9 +23,6 @@
     def current(self) -> Revision | None:
         """Return the newest applied revision; None before the first."""
 
-    def quorum_age_s(self) -> float:
-        """Return seconds since the last proof of a control quorum."""
-
 
 class MembershipPort(Protocol):
     """Upstreams of this region, and summaries of the others."""
--- a/godwitshunt/exchange/problems.py
+++ b/godwitshunt/exchange/problems.py
@@ -42,11 +42,17 @@
     timeout = ('read-timeout', 408, 'The request did not arrive in time')
     in_progress = ('in-progress', 409, 'The same key runs at this moment')
     key_reused = ('key-reused', 409, 'The key was used for another request')
+    stale_announcement = (
+        'stale-announcement',
+        409,
+        'A newer announcement is known',
+    )
     run_unknown = ('run-unknown', 409, 'The call may have run already')
     key_expired = ('key-expired', 410, 'The key is older than kept claims')
     body_too_large = ('body-too-large', 413, 'The body is too large')
     limited = ('limited', 429, 'The caller sends more than its limit')
     header_too_large = ('header-too-large', 431, 'The headers are too large')
+    internal = ('internal', 500, 'A fault of the gateway')
     upstream_broken = ('upstream-broken', 502, 'The upstream broke off')
     no_upstream = ('no-upstream', 503, 'No upstream can take this request')
     overloaded = ('overloaded', 503, 'The deadline cannot be met')
@@ -58,6 +64,7 @@
     connections = ('too-many-connections', 503, 'Too many connections')
     deadline = ('deadline', 504, 'The deadline passed')
     http_version = ('http-version', 505, 'HTTP/1.1 is needed')
+    table_full = ('table-full', 507, 'Too many upstreams are known')
     loop = ('loop', 508, 'The request came back to this VM')
 
     def __init__(self, slug: str, status: int, title: str) -> None:
--- a/godwitshunt/exchange/request_task.py
+++ b/godwitshunt/exchange/request_task.py
@@ -260,9 +260,7 @@
             excluded=excluded,
             deadline_s=self.remaining_s(now),
         )
-        age_s = ports.configuration.quorum_age_s()
-        isolated = age_s > self.parts.settings.isolation_lease_s
-        view = replace(ports.membership.view(), isolated=isolated)
+        view = ports.membership.view()
         decision = ports.choose(
             view,
             route,
@@ -273,7 +271,7 @@
             decision,
             route,
             self.parts.settings.region,
-            isolated=isolated,
+            isolated=view.isolated,
         )
 
     def remaining_s(self, now: float) -> float:
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -1,5 +1,6 @@
 """A request as it was read, and the answer that is written to it."""
 
+import asyncio
 import json
 from dataclasses import dataclass
 
@@ -8,6 +9,9 @@
 from godwitshunt.exchange.channel import Channel
 from godwitshunt.exchange.problems import Headers, WholeAnswer
 
+BODYLESS = frozenset((204, 304))
+STALL_S = 60.0
+
 
 @dataclass(frozen=True)
 class HttpRequest:
@@ -49,6 +53,9 @@
 class AnswerWriter:
     """Writes one answer on a caller's connection.
 
+    A caller that takes nothing of a whole answer for a minute is cut off;
+    else its answer would stay in memory as long as it likes.
+
     Every method raises `ConnectionResetError` where the caller is gone.
     """
 
@@ -60,8 +67,10 @@
 
     async def whole(self, answer: WholeAnswer) -> None:
         """Send an answer in one piece, with its length."""
-        length = str(len(answer.body)).encode()
-        headers = [*answer.headers, (b'content-length', length)]
+        headers = list(answer.headers)
+        if answer.status not in BODYLESS:
+            length = str(len(answer.body)).encode()
+            headers.append((b'content-length', length))
         if self.closing:
             headers.append((b'connection', b'close'))
         self.begun = True
@@ -71,7 +80,12 @@
             parts.append(self.connection.send(h11.Data(data=answer.body)))
         parts.append(self.connection.send(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
-        await self.channel.drain()
+        try:
+            async with asyncio.timeout(STALL_S):
+                await self.channel.drain()
+        except TimeoutError:
+            self.channel.abort()
+            raise ConnectionResetError('the caller does not read') from None
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of an answer that comes in chunks."""
--- a/godwitshunt/exchange/tests/fakes.py
+++ b/godwitshunt/exchange/tests/fakes.py
@@ -75,20 +75,17 @@
     """A revision that the test sets."""
 
     revision: Revision | None
-    age_s: float = 0.0
 
     def current(self) -> Revision | None:
         return self.revision
 
-    def quorum_age_s(self) -> float:
-        return self.age_s
-
 
 @dataclass
 class FixedMembership:
     """Upstreams that the test sets."""
 
     region: str = 'kochi'
+    isolated: bool = False
     upstreams: tuple[UpstreamView, ...] = ()
     in_progress: Counter = field(default_factory=Counter)
     announced: list = field(default_factory=list)
@@ -101,7 +98,11 @@
         self.announced.append((name, incarnation))
 
     def view(self) -> RegionView:
-        return RegionView(self.region, self.upstreams)
+        return RegionView(
+            self.region,
+            self.upstreams,
+            isolated=self.isolated,
+        )
 
     def note_sent(self, name: str, tokens: int) -> None:
         self.in_progress[name] += 1
--- a/godwitshunt/exchange/tests/test_contract.py
+++ b/godwitshunt/exchange/tests/test_contract.py
@@ -328,3 +328,14 @@
             await asyncio.sleep(0.1)
         assert taken < size
         writer.transport.abort()
+
+
+async def test_fault_of_ours_ends_one_request_only():
+    """A bug is met by one request; the others and the VM go on."""
+    async with AsyncExitStack() as stack:
+        deployed = await deploy(stack, scripts.good)
+        deployed.vm.membership.upstreams = None
+        reply = await deployed.ask(chat_bytes(PROMPT))
+        assert (reply.kind, reply.outcome) == ('internal', 'unknown')
+        deployed.vm.membership.upstreams = (deployed.second.view,)
+        assert (await deployed.ask(chat_bytes(PROMPT))).status == 200
--- a/godwitshunt/exchange/tests/test_forwarding.py
+++ b/godwitshunt/exchange/tests/test_forwarding.py
@@ -118,7 +118,7 @@
 
 async def isolate(regions: TwoRegions) -> None:
     """Let the far VM hear nothing of a quorum, and the caller be bound."""
-    regions.far.configuration.age_s = 60.0
+    regions.far.membership.isolated = True
     callers = [
         {**caller, 'residency': 'away'} for caller in MANIFEST['callers']
     ]
@@ -220,24 +220,24 @@
 
 
 @pytest.mark.parametrize(
-    ('caller', 'age_s', 'kind'),
+    ('caller', 'isolated', 'kind'),
     [
-        ('ward', 0.0, None),
-        ('office', 0.0, None),
-        ('desk', 0.0, 'residency'),
-        ('ward', 60.0, None),
-        ('office', 60.0, None),
-        ('desk', 60.0, 'isolated'),
+        ('ward', False, None),
+        ('office', False, None),
+        ('desk', False, 'residency'),
+        ('ward', True, None),
+        ('office', True, None),
+        ('desk', True, 'isolated'),
     ],
 )
-async def test_isolated_region_serves_its_own(caller, age_s, kind):
+async def test_isolated_region_serves_its_own(caller, isolated, kind):
     """A region is cut off; its own callers go on, others' rules are unknown."""
     async with AsyncExitStack() as stack:
         upstream = Upstream('ku', scripts.good)
         await stack.enter_async_context(started_upstream(upstream))
         vm = await stack.enter_async_context(started_vm())
         vm.membership.upstreams = (upstream.view,)
-        vm.configuration.age_s = age_s
+        vm.membership.isolated = isolated
         reply = await raw(vm.address, chat_bytes(PROMPT, caller=caller))
         if kind is None:
             assert reply.status == 200
@@ -250,7 +250,7 @@
     """A cut-off VM may hold an old revision; it sends nobody elsewhere."""
     async with AsyncExitStack() as stack:
         regions = await two_regions(stack)
-        regions.near.configuration.age_s = 60.0
+        regions.near.membership.isolated = True
         reply = await raw(regions.near.address, chat_bytes(PROMPT))
         assert (reply.kind, reply.outcome) == ('isolated', 'not-run')
 
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -10,6 +10,7 @@
 
 from godwitshunt.exchange.channel import Channel
 from godwitshunt.exchange.problems import Headers
+from godwitshunt.exchange.requests import BODYLESS
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics
 
@@ -17,7 +18,6 @@
 IDLE_LIMIT_S = 10.0
 IDLE_EACH = 256
 HEAD_BYTES = 64 * 1024
-BODYLESS = frozenset((204, 304))
 REQUEST_ID = b'godwitshunt-request'
 
 
--- a/godwitshunt/programs/entry_ports.py
+++ b/godwitshunt/programs/entry_ports.py
@@ -12,6 +12,8 @@
     AnnounceRefused,
     MembershipTask,
     RegionView,
+    StaleAnnouncement,
+    TableFull,
     UpstreamAnnouncement,
 )
 from godwitshunt.routing import Limited, RetryBudget, order_entries
@@ -30,10 +32,6 @@
         """Return the newest applied revision; None before the first."""
         return self.task.current
 
-    def quorum_age_s(self) -> float:
-        """Return seconds since the last proof of a control quorum."""
-        return self.task.quorum_age_s()
-
 
 @dataclass
 class MembershipAdapter:
@@ -75,11 +73,14 @@
 
 def announcement_problem(refused: AnnounceRefused) -> Problem:
     """Return the refusal of an announcement."""
-    return Problem(
-        ProblemKind.invalid_document,
-        repr(refused),
-        Outcome.not_run,
-    )
+    match refused:
+        case StaleAnnouncement(incarnation, sequence):
+            kind = ProblemKind.stale_announcement
+            told = f'incarnation {incarnation}, sequence {sequence} is known'
+        case TableFull(limit):
+            kind = ProblemKind.table_full
+            told = f'{limit} upstreams are known'
+    return Problem(kind, told, Outcome.not_run)
 
 
 @dataclass
