--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -35,6 +35,39 @@
 FINAL = b'0\r\n\r\n'
 
 
+def sha256(text: bytes) -> str:
+    """Return a digest in hexadecimal."""
+    return hashlib.sha256(text).hexdigest()
+
+
+MANIFEST = {
+    'number': 1,
+    'deployment': 'benchmark',
+    'regions': [{'name': 'home', 'failure_domains': ['a']}],
+    'services': [
+        {'name': 'chat', 'kind': 'model'},
+        {'name': 'archive', 'kind': 'plain'},
+    ],
+    'models': [{'name': 'review', 'service': 'chat'}],
+    'classes': [{'name': 'urgent', 'deadline_s': 600}],
+    'callers': [
+        {
+            'name': 'caller',
+            'key_sha256': sha256(b'key'),
+            'home': 'home',
+            'request_class': 'urgent',
+            'requests_per_s': 100000,
+            'burst': 100000,
+        },
+    ],
+}
+
+
+def place(port: int) -> dict:
+    """Return a loopback address."""
+    return {'host': '127.0.0.1', 'port': port}
+
+
 @dataclass
 class Places:
     """Processes of a measurement."""
@@ -46,70 +79,96 @@
     processes: list[subprocess.Popen] = field(default_factory=list)
 
     def start(self, decode_rate: float, engine_count: int, slots: int) -> None:
-        """Start an entry and its engines."""
+        """Start a control VM, an entry VM, a service and engines."""
         self.entry = free_port()
-        self.write_files()
+        control = free_port()
+        peer = free_port()
+        shared = {
+            'region': 'home',
+            'failure_domain': 'a',
+            'control': [place(peer)],
+            'cluster_key_file': str(self.folder / 'key'),
+        }
+        self.write('key', 'cluster')
+        self.write('token', 'token')
+        self.write('manifest.json', MANIFEST)
+        self.write(
+            'control.json',
+            {
+                **shared,
+                'name': 'control-1',
+                'http': place(control),
+                'peer': place(peer),
+                'data_folder': str(self.folder / 'data'),
+                'operator_token_sha256': sha256(b'token'),
+                'log': {'path': str(self.folder / 'control.log')},
+            },
+        )
+        self.write(
+            'entry.json',
+            {
+                **shared,
+                'name': 'entry-1',
+                'http': place(self.entry),
+                'peer': place(free_port()),
+                'log': {'path': str(self.folder / 'entry.log')},
+            },
+        )
+        self.run('godwitshunt.programs.entry', str(self.folder / 'entry.json'))
         self.run(
-            'godwitshunt.programs.entry',
-            str(self.folder / 'settings.json'),
-            '--manifest',
-            str(self.folder / 'manifest.json'),
+            'godwitshunt.programs.control',
+            str(self.folder / 'control.json'),
         )
+        self.operate(control, 'init')
+        manifest = str(self.folder / 'manifest.json')
+        self.operate(control, 'apply', '--manifest', manifest)
+        self.start_upstreams(decode_rate, engine_count, slots)
+
+    def start_upstreams(
+        self,
+        decode_rate: float,
+        engine_count: int,
+        slots: int,
+    ) -> None:
+        """Start the stand-ins."""
+        entries = f'127.0.0.1:{self.entry}'
+        told = ('--region', 'home', '--entries', entries)
         self.service = free_port()
+        listen = f'127.0.0.1:{self.service}'
         self.run(
             'standins.service',
-            *('--name', 'service-1', '--region', 'home'),
-            *('--entries', f'127.0.0.1:{self.entry}'),
-            *('--listen', f'127.0.0.1:{self.service}'),
+            *('--name', 'service-1', '--listen', listen, *told),
         )
         for index in range(engine_count):
             port = free_port()
             self.engines.append(port)
             self.run(
                 'standins.engine',
-                *('--name', f'engine-{index}', '--region', 'home'),
-                *('--entries', f'127.0.0.1:{self.entry}'),
+                *('--name', f'engine-{index}', *told),
                 *('--listen', f'127.0.0.1:{port}'),
                 *('--decode-rate', str(decode_rate), '--slots', str(slots)),
                 *('--prefill-rate', '10000000', '--load-lag-s', '0'),
                 '--stamped',
             )
 
-    def write_files(self) -> None:
-        """Write settings, manifest and key."""
-        here = {'host': '127.0.0.1', 'port': self.entry}
-        settings = {
-            'name': 'entry-1',
-            'region': 'home',
-            'failure_domain': 'a',
-            'http': here,
-            'peer': here,
-            'control': [here],
-            'cluster_key_file': str(self.folder / 'key'),
-            'log': {'path': str(self.folder / 'entry.log')},
-        }
-        manifest = {
-            'number': 1,
-            'deployment': 'benchmark',
-            'regions': [{'name': 'home'}],
-            'services': [
-                {'name': 'chat', 'kind': 'model'},
-                {'name': 'archive', 'kind': 'plain'},
-            ],
-            'models': [{'name': 'review', 'service': 'chat'}],
-            'classes': [{'name': 'urgent', 'deadline_s': 600}],
-            'callers': [
-                {
-                    'name': 'caller',
-                    'key_sha256': hashlib.sha256(b'key').hexdigest(),
-                    'home': 'home',
-                    'request_class': 'urgent',
-                },
-            ],
-        }
-        (self.folder / 'key').write_text('cluster')
-        (self.folder / 'settings.json').write_text(json.dumps(settings))
-        (self.folder / 'manifest.json').write_text(json.dumps(manifest))
+    def write(self, name: str, content: str | dict) -> None:
+        """Write a file."""
+        text = content if isinstance(content, str) else json.dumps(content)
+        (self.folder / name).write_text(text)
+
+    def operate(self, control: int, command: str, *options: str) -> None:
+        """Run the operator's command line until it succeeds."""
+        line = [
+            *(sys.executable, '-m', 'godwitshunt.programs.operator', command),
+            *options,
+            *('--control', f'127.0.0.1:{control}'),
+            *('--token-file', str(self.folder / 'token')),
+        ]
+        end_s = time.perf_counter() + READY_S
+        while subprocess.run(line, capture_output=True, check=False).returncode:
+            if time.perf_counter() > end_s:
+                raise TimeoutError(command)
+            time.sleep(0.1)
 
     def run(self, *command: str) -> None:
         """Start a process."""
