--- a/standins/engine.py
+++ b/standins/engine.py
@@ -28,7 +28,7 @@
 from standins.host import Host, HostOptions
 
 CHAT_PATH = '/v1/chat/completions'
-ORDERS_PATH = '/v1/orders'
+ORDERS_PREFIX = '/v1/orders/'
 RESUME_HEADER = b'godwitshunt-resume-offset'
 PRIORITY_HEADER = b'godwitshunt-priority'
 FENCING_HEADER = b'godwitshunt-fencing'
@@ -192,7 +192,7 @@
         match request.method, request.path:
             case 'POST', path if path == CHAT_PATH:
                 await self.chat(request, writer)
-            case 'POST', path if path == ORDERS_PATH:
+            case 'PUT', path if path.startswith(ORDERS_PREFIX):
                 await writer.whole(self.take_order(request))
             case _:
                 await writer.whole(refusal(ProblemKind.not_found, request.path))
@@ -260,11 +260,11 @@
         self.highest_fencing = max(self.highest_fencing, fencing)
         self.orders.append({**order, 'fencing': fencing})
         match order:
-            case {'kind': 'load_model', 'model': str(model)}:
+            case {'action': 'load-model', 'subject': str(model)}:
                 self.models = sorted({*self.models, model})
-            case {'kind': 'load_adapter', 'adapter': str(adapter)}:
+            case {'action': 'load-adapter', 'subject': str(adapter)}:
                 self.adapters = sorted({*self.adapters, adapter})
-            case {'kind': 'change_role', 'role': str(role)}:
+            case {'action': 'change-role', 'subject': str(role)}:
                 self.role = role
         return json_answer({'accepted': True})
 
