Give key stamps of the generation before while a new one is not yet heard

Ruled out: a lost holder majority (the next poll always succeeded). The demonstration's caller now also comes back when a refusal names a time.

--- a/demo/caller.py
+++ b/demo/caller.py
@@ -2,6 +2,7 @@
 
 import json
 import secrets
+import time
 from dataclasses import dataclass
 from http.client import HTTPConnection
 from typing import Any, Self
@@ -9,6 +10,8 @@
 from demo.layout import caller_key
 
 TIMEOUT_S = 30.0
+RETRIES = 8
+RETRY_PAUSE_S = 0.1
 STREAM_END = b'data: [DONE]'
 
 
@@ -71,8 +74,12 @@
     @classmethod
     def from_directory(cls, name: str, known_entry: str) -> Self:
         """Ask any known entry VM for the list and take the first."""
-        answer = send(known_entry, 'GET', '/v1/entries', caller=name)
-        document = answer.document
+        document = {'key_stamp': None}
+        while document['key_stamp'] is None:
+            # A VM that has just started knows no stamp yet.
+            time.sleep(RETRY_PAUSE_S)
+            answer = send(known_entry, 'GET', '/v1/entries', caller=name)
+            document = answer.document
         first = document['entries'][0]
         entry = '{host}:{port}'.format(**first['address'])
         return cls(name, entry, document['key_stamp'])
@@ -126,6 +133,23 @@
     caller: str,
     body: bytes = b'',
     key: str | None = None,
+) -> Answer:
+    """Send a request, again where a refusal says when to come back."""
+    for _ in range(RETRIES):
+        answer = send_once(entry, method, path, caller, body, key)
+        if 'retry-after' not in answer.headers:
+            break
+        time.sleep(float(answer.headers['retry-after']))
+    return answer
+
+
+def send_once(
+    entry: str,
+    method: str,
+    path: str,
+    caller: str,
+    body: bytes,
+    key: str | None,
 ) -> Answer:
     """Send one request and read the whole answer."""
     headers = {
--- a/godwitshunt/claims/task.py
+++ b/godwitshunt/claims/task.py
@@ -125,26 +125,30 @@
 
     def newest_set(self) -> HolderSet | None:
         """Return the newest holder set of the own region."""
-        return max(
-            (
-                one
-                for one in self.sets.values()
-                if one.region == self.settings.region
-            ),
-            key=lambda one: one.generation,
-            default=None,
+        own = self.own_sets()
+        return own[-1] if own else None
+
+    def own_sets(self) -> list[HolderSet]:
+        """Return the holder sets of the own region, the newest last."""
+        own = (
+            one
+            for one in self.sets.values()
+            if one.region == self.settings.region
         )
+        return sorted(own, key=lambda one: one.generation)
 
     def stamp(self) -> str | None:
         """Return what keys begin with; None while the epoch is not known."""
-        newest = self.newest_set()
-        if newest is None:
-            return None
-        generation = (newest.region, newest.generation)
-        heard_s = self.links.heard_s.get(generation)
-        if heard_s is None or self.timer.now() - heard_s > STAMP_LIMIT_S:
-            return None
-        return make_stamp(*generation, self.links.epochs[generation])
+        # Holders of a generation that was committed a moment ago may not have
+        # heard of it: until a majority has, the one before gives the stamps.
+        # Without that callers would get none at each restart of a holder.
+        for one in reversed(self.own_sets()):
+            generation = (one.region, one.generation)
+            heard_s = self.links.heard_s.get(generation)
+            if heard_s is None or self.timer.now() - heard_s > STAMP_LIMIT_S:
+                continue
+            return make_stamp(*generation, self.links.epochs[generation])
+        return None
 
     async def claim(
         self,
--- a/godwitshunt/claims/tests/test_task.py
+++ b/godwitshunt/claims/tests/test_task.py
@@ -391,3 +391,19 @@
             await tasks[kinds.index(Granted)].finish(key, ANSWER)
             again = await tasks[2].claim(key, DIGEST, 5)
             assert again == AlreadyAnswered(ANSWER)
+
+
+async def test_new_holder_set_leaves_callers_no_moment_without_a_stamp():
+    """A holder restarts and control commits a new set with its session.
+
+    Until a majority of the new set has been heard, the directory goes on
+    giving the stamp before; without one, callers could file nothing.
+    """
+    region = await Region(3).start_all()
+    await region.network.advance(3)
+    before = region.tasks['a'].stamp()
+    region.commit()
+    at_once = region.tasks['a'].stamp()
+    await region.network.advance(3)
+    assert at_once == before
+    assert region.tasks['a'].stamp() > before
