--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -27,6 +27,7 @@
 PERCENT_50 = 0.5
 PERCENT_99 = 0.99
 MILLISECONDS = 1000
+MICROSECONDS = 1_000_000
 KIBIBYTE = 1024
 RATE_S = 4.0
 RATE_WORKERS = 32
@@ -410,12 +411,13 @@
     await asyncio.sleep(0.5)
     held_bytes = places.entry_memory() - idle_bytes
     rate, through_s = await streaming
-    spent = places.entry_cpu_s() - begin_cpu_s
-    spent /= time.perf_counter() - begin_s
+    spent_s = places.entry_cpu_s() - begin_cpu_s
+    share = spent_s / (time.perf_counter() - begin_s)
     print(
         f'{streams} streams: direct {direct_rate:.0f} tokens/s, '
         f'through {rate:.0f}, ratio {rate / direct_rate:.2f}, '
-        f'entry {spent:.0%} of a core',
+        f'entry {share:.0%} of a core, '
+        f'{spent_s / len(through_s) * MICROSECONDS:.0f} us a token',
     )
     tell('delay of a token', direct_s, through_s)
     print(f'memory: {held_bytes / streams / KIBIBYTE:.1f} KiB a stream')
