--- a/godwitshunt/exchange/tests/test_forwarding.py
+++ b/godwitshunt/exchange/tests/test_forwarding.py
@@ -347,6 +347,7 @@
         refused = await raw(regions.near.address, chat_bytes(PROMPT))
         assert (refused.kind, refused.outcome) == ('draining', 'not-run')
         assert refused.headers['connection'] == 'close'
+        assert regions.near.count('requests_while_draining_total 1')
         ready = await raw(regions.near.address, request_bytes('GET', '/readyz'))
         assert json.loads(ready.body)['reason'] == 'draining'
         regions.near.exchange.drain()
