Refuse to remove a voter where the rest has no majority that answers

The search over schedules found a cluster that could not go on: a folder was lost, and the operator removed a voter that worked in place of the lost one; the set that was left had no live majority, so no later change could mend it. The leader now refuses such a removal. Besides, a leader that removed itself and restarted before the commit held the longest log and asked nobody for votes; a replica that is a voter by its last committed membership does now.

--- a/godwitshunt/consensus/__init__.py
+++ b/godwitshunt/consensus/__init__.py
@@ -18,6 +18,7 @@
     NotCaughtUp,
     NotLeader,
     ProposalFailure,
+    QuorumWouldBeLost,
     StorageFailed,
     UnknownMember,
     Unreachable,
@@ -69,6 +70,7 @@
     'UnknownMember',
     'AlreadyMember',
     'LastVoter',
+    'QuorumWouldBeLost',
     'AlreadyInitialised',
     'Unreachable',
 ]
--- a/godwitshunt/consensus/driver.py
+++ b/godwitshunt/consensus/driver.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from godwitshunt.consensus.batches import arrange, merge_proposals
 from godwitshunt.consensus.events import (
     Action,
     Apply,
@@ -11,14 +12,10 @@
     InstallState,
     ProposalAccepted,
     ProposalRefused,
-    Proposed,
     ReadReady,
     ReadRefused,
     Received,
     Save,
-    SaveEntries,
-    SaveSnapshot,
-    SaveVote,
     Send,
     SnapshotTaken,
     Synced,
@@ -33,7 +30,6 @@
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Timer
 
-SAVES = (SaveVote, SaveEntries, SaveSnapshot)
 INBOX_EVENTS = 8192
 
 
@@ -119,16 +115,14 @@
 
     async def carry_out(self, actions: list[Action]) -> list[Action]:
         """Carry actions out; return those that follow from them."""
-        first_save = first_save_at(actions)
-        for early in actions[:first_save]:
+        batch = arrange(actions)
+        for early in batch.early:
             self.act(early)
-        rest = actions[first_save:]
-        saves = [action for action in rest if isinstance(action, SAVES)]
-        if saves:
-            await self.save(saves)
-        for late in rest:
+        if batch.saves:
+            await self.save(batch.saves)
+        for late in batch.late:
             self.act(late)
-        return self.synced() if saves else self.snapshot_when_due()
+        return self.synced() if batch.saves else self.snapshot_when_due()
 
     def synced(self) -> list[Action]:
         """Tell the replica that all it asked to save is on disk."""
@@ -151,7 +145,7 @@
         event = SnapshotTaken(state.applied_index, take_snapshot())
         return list(self.replica.step(event, self.timer.now()))
 
-    async def save(self, saves: list[Save]) -> None:
+    async def save(self, saves: tuple[Save, ...]) -> None:
         """Put saves on disk in a thread, all with one sync."""
         started_s = self.timer.now()
         await asyncio.to_thread(self.folder.save, saves)
@@ -197,23 +191,3 @@
         self.metrics.count('consensus_leader_changes_total')
         self.metrics.gauge('consensus_term', state.term)
         log_change('consensus:leader', leader=leader, term=state.term)
-
-
-def first_save_at(actions: list[Action]) -> int:
-    """Return the position of the first save, or the number of actions."""
-    for position, action in enumerate(actions):
-        if isinstance(action, SAVES):
-            return position
-    return len(actions)
-
-
-def merge_proposals(events: list[Event]) -> list[Event]:
-    """Join neighbouring proposals, so that they share entries and a sync."""
-    merged: list[Event] = []
-    for event in events:
-        last = merged[-1] if merged else None
-        if isinstance(event, Proposed) and isinstance(last, Proposed):
-            merged[-1] = Proposed(last.payloads + event.payloads)
-        else:
-            merged.append(event)
-    return merged
--- a/godwitshunt/consensus/election.py
+++ b/godwitshunt/consensus/election.py
@@ -22,7 +22,7 @@
     """
     if now_s < state.election_due_s:
         return
-    if not state.membership.is_voter(state.identity):
+    if not state.may_lead():
         return
     state.draw_election_due(now_s)
     state.role = Role.pre_candidate
--- a/godwitshunt/consensus/failures.py
+++ b/godwitshunt/consensus/failures.py
@@ -78,6 +78,22 @@
     replica: ReplicaId
 
 
+@dataclass(frozen=True)
+class QuorumWouldBeLost:
+    """Too few of the voters that would be left answer.
+
+    Parameters
+    ----------
+    answering : int
+        Voters that would be left and answer.
+    quorum : int
+        Voters that must.
+    """
+
+    answering: int
+    quorum: int
+
+
 @dataclass(frozen=True)
 class AlreadyInitialised:
     """A replica that was named for a new cluster belongs to one already."""
@@ -100,5 +116,6 @@
     | UnknownMember
     | AlreadyMember
     | LastVoter
+    | QuorumWouldBeLost
 )
 BootstrapFailure = AlreadyInitialised | Unreachable | ChangeFailure
--- a/godwitshunt/consensus/state.py
+++ b/godwitshunt/consensus/state.py
@@ -208,6 +208,21 @@
         own = (self.log.last_term, self.log.last_index)
         return (last_term, last_index) >= own
 
+    def may_lead(self) -> bool:
+        """Tell whether this replica is a voter, or still one of the last.
+
+        A voter whose removal is not committed may be the only one that can
+        win: its log is longer by the removal than any other.
+        """
+        last = self.configurations[-1][0]
+        memberships = [self.membership_at(self.commit_index), self.membership]
+        memberships.extend(
+            membership
+            for stated_at, membership in self.configurations
+            if self.commit_index < stated_at < last
+        )
+        return any(one.is_voter(self.identity) for one in memberships)
+
     def membership_at(self, index: int) -> Membership:
         """Return the membership in force at an index."""
         found = self.configurations[0][1]
--- a/godwitshunt/consensus/voters.py
+++ b/godwitshunt/consensus/voters.py
@@ -1,6 +1,6 @@
 """Changes of the membership: one at a time, learners before voters."""
 
-from godwitshunt.consensus import replication
+from godwitshunt.consensus import lease, replication
 from godwitshunt.consensus.codec import encode_membership
 from godwitshunt.consensus.events import (
     AddLearner,
@@ -20,6 +20,7 @@
     LastVoter,
     NotCaughtUp,
     NotLeader,
+    QuorumWouldBeLost,
     UnknownMember,
 )
 from godwitshunt.consensus.members import Membership, ReplicaId
@@ -61,7 +62,7 @@
         case PromoteLearner(replica):
             return promotion_refusal(state, replica, now_s)
         case RemoveMember(replica):
-            return removal_refusal(state, replica)
+            return removal_refusal(state, replica, now_s)
 
 
 def is_change_underway(state: ReplicaState) -> bool:
@@ -101,13 +102,30 @@
 def removal_refusal(
     state: ReplicaState,
     replica: ReplicaId,
+    now_s: float,
 ) -> ChangeFailure | None:
-    """Return why a member cannot be removed."""
+    """Return why a member cannot be removed.
+
+    Removing a voter that answers, in place of one that is lost, would leave
+    a set without a majority, and no further change could mend it.
+    """
     if state.membership.find(replica) is None:
         return UnknownMember(replica)
     if state.membership.voters == (replica,):
         return LastVoter(replica)
-    return None
+    left = state.membership.without(replica)
+    answering = {
+        voter for voter in left.voters if is_answering(state, voter, now_s)
+    }
+    if left.has_quorum(answering):
+        return None
+    return QuorumWouldBeLost(len(answering), left.quorum)
+
+
+def is_answering(state: ReplicaState, voter: ReplicaId, now_s: float) -> bool:
+    """Tell whether a voter has answered within an election timeout."""
+    answered_s = lease.voter_acknowledged_s(state, voter, now_s)
+    return now_s - answered_s <= state.options.election_timeout_s
 
 
 def changed(membership: Membership, change: MemberChange) -> Membership:
