--- a/godwitshunt/configuration/background.py
+++ b/godwitshunt/configuration/background.py
@@ -21,10 +21,14 @@
         work: Callable[[], Coroutine[None, None, None]],
     ) -> None:
         """Start the work unless it is still under way."""
-        running = self.tasks.get(name)
-        if running is None or running.done():
+        if not self.is_running(name):
             self.tasks[name] = asyncio.create_task(work())
 
+    def is_running(self, name: str) -> bool:
+        """Tell whether work of a name is under way."""
+        running = self.tasks.get(name)
+        return running is not None and not running.done()
+
     async def close(self) -> None:
         """End all work."""
         for task in self.tasks.values():
--- a/godwitshunt/configuration/http_calls.py
+++ b/godwitshunt/configuration/http_calls.py
@@ -1,6 +1,9 @@
 """One HTTP call on a connection of its own, for operators and for orders."""
 
 import asyncio
+import socket
+import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -56,14 +59,43 @@
     reason: str
 
 
-HttpFailure = ConnectFailed | AnswerLost
+@dataclass(frozen=True)
+class NotPermitted:
+    """The call was held back at the last moment; nothing was sent."""
+
+    address: str
+
+
+HttpFailure = ConnectFailed | AnswerLost | NotPermitted
+Permit = Callable[[], bool]
+
+# With this a closed socket drops what it has not sent yet, so that a call
+# that was given up does not arrive later.
+DROP_UNSENT = struct.pack('ii', 1, 0)
+
+
+def always() -> bool:
+    """Permit every call."""
+    return True
 
 
 async def call_http(
     address: Address,
     call: HttpCall,
+    permit: Permit = always,
 ) -> Result[HttpAnswer, HttpFailure]:
-    """Send a request and read the whole answer."""
+    """Send a request and read the whole answer.
+
+    Parameters
+    ----------
+    address : Address
+        Where to send it.
+    call : HttpCall
+        The request.
+    permit : callable
+        Asked once the connection is there, as the last step before the first
+        byte is written.
+    """
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
@@ -74,13 +106,24 @@
         return Err(ConnectFailed(str(address), str(failed) or 'no answer'))
     try:
         async with asyncio.timeout(call.timeout_s):
+            if not permit():
+                return Err(NotPermitted(str(address)))
             return Ok(await exchange(reader, writer, address, call))
     except (OSError, TimeoutError, h11.RemoteProtocolError) as broken:
+        drop_unsent(writer)
         return Err(AnswerLost(str(address), str(broken) or 'no answer in time'))
     finally:
         writer.close()
 
 
+def drop_unsent(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that nothing more of it arrives."""
+    raw = writer.get_extra_info('socket')
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DROP_UNSENT)
+    writer.transport.abort()
+
+
 async def exchange(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -30,6 +30,7 @@
 from godwitshunt.manifest import parse_manifest
 from godwitshunt.peer import MessageKind, decode, encode
 
+StatusPart = Callable[[], dict[str, Any]]
 Route = Callable[[OperatorRequest], Awaitable[OperatorAnswer]]
 
 FORWARD_TIMEOUT_S = 5.0
@@ -71,6 +72,9 @@
         self.service = service
         self.cluster = cluster
         self.token_sha256 = token_sha256
+        self.status_parts: list[StatusPart] = []
+        if cluster is not None:
+            self.status_parts.append(cluster.describe)
         self.routes: dict[tuple[str, str], Route] = {
             ('POST', '/v1/manifest'): self.apply,
             ('GET', '/v1/status'): self.status,
@@ -82,6 +86,14 @@
             ('POST', '/v1/replicas/'): self.replace,
         }
 
+    def add_route(self, method: str, path: str, route: Route) -> None:
+        """Answer one more path; for slices that build on this one."""
+        self.routes[method, path] = route
+
+    def add_status(self, part: StatusPart) -> None:
+        """Add a part to the status document."""
+        self.status_parts.append(part)
+
     def start(self) -> None:
         """Take the calls that other replicas pass on."""
         self.service.links.subscribe(MessageKind.operator_call, self.on_call)
@@ -225,8 +237,8 @@
             leadership,
             self.service.timer.now(),
         )
-        if self.cluster is not None:
-            document |= self.cluster.describe()
+        for part in self.status_parts:
+            document |= part()
         return answer(document, HTTP_OK if leadership.is_leader else NOT_LEADER)
 
     async def explain(self, request: OperatorRequest) -> OperatorAnswer:
--- a/godwitshunt/placement/__init__.py
+++ b/godwitshunt/placement/__init__.py
@@ -1,1 +1,14 @@
-"""Orders to upstreams: fencing numbers and the weight store rate."""
+"""Orders to upstreams with fencing numbers, and the weight store's bucket."""
+
+from godwitshunt.placement.api import PlacementApi
+from godwitshunt.placement.bucket import BucketOptions, WeightBucket
+from godwitshunt.placement.reports import PlacementReporter
+from godwitshunt.placement.task import PlacementTask
+
+__all__ = [
+    'BucketOptions',
+    'PlacementApi',
+    'PlacementReporter',
+    'PlacementTask',
+    'WeightBucket',
+]
--- /dev/null
+++ b/godwitshunt/placement/task.py
@@ -0,0 +1,317 @@
+"""Sends committed orders to upstreams, where this replica leads."""
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, Self
+
+from result import Err, Ok, Result
+
+from godwitshunt.configuration import ConfigurationService
+from godwitshunt.configuration.background import Background
+from godwitshunt.configuration.commands import (
+    FinishOrder,
+    IssueOrder,
+    OrderEnding,
+    Outcome,
+)
+from godwitshunt.configuration.http_calls import (
+    HttpAnswer,
+    HttpCall,
+    HttpFailure,
+    Permit,
+    call_http,
+)
+from godwitshunt.consensus import NoQuorum, NotLeader, ProposalFailure
+from godwitshunt.peer import MessageKind, PeerLinks
+from godwitshunt.placement.bucket import BucketOptions, WeightBucket
+from godwitshunt.placement.decisions import (
+    ORDER_TRANSIT_S,
+    KnownUpstream,
+    PlacementState,
+    SendOrder,
+    begin_sending,
+    due_orders,
+    end_sending,
+    ending_of,
+    may_send,
+    note_leadership,
+)
+from godwitshunt.placement.reports import decode_report
+from godwitshunt.settings import Address, ControlSettings
+from godwitshunt.telemetry import Metrics, log_change
+from godwitshunt.timer import Subscription, Timer
+
+TICK_S = 0.1
+UPSTREAM_SILENT_S = 30.0
+FENCING_HEADER = 'godwitshunt-fencing'
+
+CallUpstream = Callable[
+    [Address, HttpCall, Permit],
+    Awaitable[Result[HttpAnswer, HttpFailure]],
+]
+
+
+@dataclass(frozen=True)
+class WeightStoreBusy:
+    """The weight store's bucket lacks units; no order was committed.
+
+    Parameters
+    ----------
+    wait_s : float
+        Seconds until it would have them.
+    """
+
+    wait_s: float
+
+
+@dataclass(frozen=True)
+class UpstreamUnknown:
+    """No entry VM reported an upstream of this name lately."""
+
+    upstream: str
+
+
+IssueFailure = ProposalFailure | WeightStoreBusy | UpstreamUnknown
+
+
+@dataclass(frozen=True)
+class PlacementOptions:
+    """What placement is told by settings.
+
+    Parameters
+    ----------
+    old_lease_s : float
+        Longest lease of a leader before this one, in seconds.
+    bucket : BucketOptions
+        What the weight store allows.
+    """
+
+    old_lease_s: float
+    bucket: BucketOptions
+
+
+class PlacementTask:
+    """Gives orders fencing numbers through the log, then sends them.
+
+    Parameters
+    ----------
+    options : PlacementOptions
+        Lease and weight store.
+    service : ConfigurationService
+        Commits commands and holds the control state.
+    links : PeerLinks
+        Bring the reports of entry VMs.
+    timer : Timer
+        Gives the period.
+    metrics : Metrics
+        Counts orders by ending.
+    call : callable
+        Sends one HTTP call to an upstream.
+    """
+
+    def __init__(
+        self,
+        options: PlacementOptions,
+        service: ConfigurationService,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+        call: CallUpstream = call_http,
+    ) -> None:
+        self.options = options
+        self.service = service
+        self.links = links
+        self.timer = timer
+        self.metrics = metrics
+        self.call = call
+        self.placement = PlacementState()
+        self.bucket = WeightBucket.empty(options.bucket, 0, 0)
+        self.reserved = 0
+        self.upstreams: dict[str, KnownUpstream] = {}
+        self.reported_at: dict[str, float] = {}
+        self.background = Background()
+        self.subscription: Subscription | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ControlSettings,
+        service: ConfigurationService,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> Self:
+        """Make the task of a control replica."""
+        bucket = BucketOptions(
+            settings.weight_store_units_per_s,
+            settings.weight_store_burst,
+        )
+        options = PlacementOptions(settings.election_timeout_s, bucket)
+        return cls(options, service, links, timer, metrics)
+
+    def start(self) -> None:
+        """Take reports and begin to send what is due."""
+        self.links.subscribe(MessageKind.placement_report, self.on_report)
+        self.subscription = self.timer.every(TICK_S, self.tick)
+
+    async def close(self) -> None:
+        """Send no more; orders on their way are given up."""
+        if self.subscription is not None:
+            self.subscription.cancel()
+        await self.background.close()
+
+    async def on_report(self, sender: str, body: bytes) -> None:
+        """Note the upstreams of a region."""
+        now = self.timer.now()
+        for upstream in decode_report(body):
+            self.upstreams[upstream.name] = upstream
+            self.reported_at[upstream.name] = now
+
+    def look(self) -> None:
+        """Note who leads, what the weight store has, and who is silent."""
+        now = self.timer.now()
+        taken = self.service.state.weight_units
+        before = self.placement.reign
+        leadership = self.service.log.leadership()
+        self.placement = note_leadership(self.placement, leadership, now)
+        if self.placement.reign == before:
+            self.bucket = self.bucket.observe(taken, now)
+        else:
+            self.bucket = WeightBucket.empty(self.options.bucket, taken, now)
+        for name, reported_at in tuple(self.reported_at.items()):
+            if now - reported_at > UPSTREAM_SILENT_S:
+                self.reported_at.pop(name)
+                self.upstreams.pop(name)
+
+    def tick(self) -> None:
+        """Begin to send what is due."""
+        self.look()
+        due = due_orders(
+            self.placement,
+            self.service.state,
+            self.service.log.leadership(),
+            self.upstreams,
+            self.options.old_lease_s,
+            self.timer.now(),
+        )
+        for send in tuple(due):
+            if not self.background.is_running(send.upstream.name):
+                self.placement = begin_sending(self.placement, send)
+                work = partial(self.send, send)
+                self.background.run(send.upstream.name, work)
+
+    async def issue(
+        self,
+        order: IssueOrder,
+    ) -> Result[Outcome, IssueFailure]:
+        """Commit an order with its fencing number; `tick` sends it.
+
+        Returns
+        -------
+        Result
+            `OrderIssued` or `OrderConflict`; no order is committed without a
+            live quorum lease or without units of the weight store.
+        """
+        self.look()
+        leadership = self.service.log.leadership()
+        if not leadership.is_leader:
+            return Err(NotLeader(leadership.name))
+        if leadership.lease_remaining_s <= 0:
+            return Err(NoQuorum(leadership.quorum_age_s))
+        if order.order in self.service.state.orders:
+            return await self.service.propose(order)
+        if order.upstream not in self.upstreams:
+            return Err(UpstreamUnknown(order.upstream))
+        units = order.weight_units
+        wait_s = self.bucket.wait_s(units + self.reserved) if units else 0
+        if wait_s > 0:
+            return Err(WeightStoreBusy(wait_s))
+        self.reserved += units
+        try:
+            return await self.service.propose(order)
+        finally:
+            self.reserved -= units
+
+    def is_permitted(self, send: SendOrder) -> bool:
+        """Tell, as the last step before the first byte, whether to send.
+
+        This process may have been frozen since it decided; by now another
+        leader may have sent a newer order. Monotonic time went on meanwhile,
+        so the lease shows it.
+        """
+        leadership = self.service.log.leadership()
+        now = self.timer.now()
+        return may_send(
+            note_leadership(self.placement, leadership, now),
+            leadership,
+            send.upstream,
+            self.options.old_lease_s,
+            now,
+        )
+
+    async def send(self, send: SendOrder) -> None:
+        """Send one order and commit what the upstream answered."""
+        call = order_call(send)
+        answer = await self.call(
+            send.upstream.address,
+            call,
+            partial(self.is_permitted, send),
+        )
+        ending = OrderEnding.open
+        if isinstance(answer, Ok):
+            ending = ending_of(answer.ok_value.status)
+        self.metrics.count('placement_orders_sent_total', ending=ending.value)
+        answered = ending is not OrderEnding.open
+        if answered:
+            finish = FinishOrder(send.order.order, ending)
+            answered = isinstance(await self.service.propose(finish), Ok)
+            log_change(
+                'placement:order_answered',
+                order=send.order.order,
+                fencing=send.order.fencing,
+                ending=ending.value,
+            )
+        self.placement = end_sending(
+            self.placement,
+            send,
+            self.timer.now(),
+            answered=answered,
+        )
+
+    def describe(self) -> dict[str, Any]:
+        """Return orders and the weight store's level as JSON fields."""
+        self.look()
+        orders = self.service.state.orders.values()
+        return {
+            'open_orders': [
+                order.order
+                for order in orders
+                if order.ending is OrderEnding.open
+            ],
+            'last_fencing': self.service.state.fencing,
+            'weight_store_level': self.bucket.level,
+            'upstreams_known': len(self.upstreams),
+        }
+
+
+def order_call(send: SendOrder) -> HttpCall:
+    """Return the HTTP call that carries an order."""
+    order = send.order
+    body = {
+        'order': order.order,
+        'fencing': order.fencing,
+        'action': order.action,
+        'subject': order.subject,
+    }
+    return HttpCall(
+        'PUT',
+        f'/v1/orders/{order.fencing}',
+        json.dumps(body).encode(),
+        headers=(
+            ('content-type', 'application/json'),
+            (FENCING_HEADER, str(order.fencing)),
+        ),
+        timeout_s=ORDER_TRANSIT_S,
+    )
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -28,6 +28,7 @@
     client_context,
     server_context,
 )
+from godwitshunt.placement import PlacementApi, PlacementTask
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
 from godwitshunt.timer import TimerService
@@ -83,6 +84,16 @@
             settings.operator_token_sha256,
             Cluster(self.consensus, settings.control, settings.peer_reached),
         )
+        self.placement = PlacementTask.from_config(
+            settings,
+            self.service,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        orders = PlacementApi(self.placement)
+        self.api.add_route('POST', '/v1/orders', orders.order)
+        self.api.add_status(self.placement.describe)
         self.listener = OperatorListener(
             settings.http,
             settings.limits,
@@ -94,6 +105,7 @@
         await self.links.start()
         self.service.start()
         await self.consensus.start()
+        self.placement.start()
         self.api.start()
         await self.listener.start()
         log_change('control:started', name=self.settings.name)
@@ -101,6 +113,7 @@
     async def close(self) -> None:
         """Answer what is under way, then close every part."""
         await self.listener.close()
+        await self.placement.close()
         await self.service.close()
         await self.consensus.close()
         await self.links.close()
--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -279,6 +279,41 @@
     show(session.require('POST', f'/v1/replicas/{name}/replace', asked))
 
 
+def order(
+    *,
+    name: str,
+    upstream: str,
+    action: str,
+    subject: str,
+    control: str,
+    token_file: Path,
+    weight_units: int = 0,
+) -> None:
+    """Order an upstream to load something or to change its role.
+
+    The order gets a fencing number, is committed, and is then sent by the
+    leader as soon as that is safe. The same name is never issued twice:
+    running the command again prints the first answer.
+
+    :param name: a name for this order, chosen by you.
+    :param upstream: the upstream's name.
+    :param action: load-model, load-adapter, load-version or change-role.
+    :param subject: the model, adapter or version to load, or the role.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
+    :param token_file: file with the operator's token.
+    :param weight_units: units that it takes from the weight store.
+    """
+    asked = {
+        'order': name,
+        'upstream': upstream,
+        'action': action,
+        'subject': subject,
+        'weight_units': weight_units,
+    }
+    show(Session(control, token_file).require('POST', '/v1/orders', asked))
+
+
 def remove_vm(
     *,
     name: str,
@@ -302,7 +337,16 @@
 
 def main() -> None:
     """Run the command line."""
-    commands = [check, apply, status, explain, init, replace, remove_vm]
+    commands = [
+        check,
+        apply,
+        status,
+        explain,
+        init,
+        replace,
+        order,
+        remove_vm,
+    ]
     try:
         defopt.run(commands, short={})
     except SettingsError as wrong:
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -116,7 +116,7 @@
         None waits for the end of every request.
     """
 
-    isolation_lease_s: float = Field(default=3.0, gt=0)
+    isolation_lease_s: float = Field(default=3.0, gt=0, le=10)
     upstream_lease_s: float = Field(default=2.5, gt=0, le=3)
     drain_limit_s: float | None = None
 
@@ -130,9 +130,16 @@
         SHA-256 of the token that operators send, in hexadecimal.
     election_timeout_s : float
         Shortest time without a leader until a replica asks for votes.
+    weight_store_units_per_s : float
+        Units (loads of weights) that the weight store allows each second, for
+        the whole deployment; the same on every control replica.
+    weight_store_burst : float
+        Units that it allows at once.
     """
 
     data_folder: Path
     operator_token_sha256: str = Field(pattern='^[0-9a-f]{64}$')
     election_timeout_s: float = Field(default=1.0, gt=0)
     heartbeat_s: float = Field(default=0.2, gt=0)
+    weight_store_units_per_s: float = Field(default=1.0, gt=0)
+    weight_store_burst: float = Field(default=10.0, ge=1)
