--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -18,6 +18,8 @@
 from godwitshunt.configuration.operator_http import (
     OperatorAnswer,
     OperatorRequest,
+    read_request,
+    whole_answer,
 )
 from godwitshunt.configuration.problems import (
     OperatorProblem,
@@ -27,6 +29,7 @@
 from godwitshunt.configuration.status import status_document
 from godwitshunt.consensus import NotLeader
 from godwitshunt.exceptions import DocumentError
+from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
 from godwitshunt.manifest import parse_manifest
 from godwitshunt.peer import MessageKind, decode, encode
 
@@ -98,6 +101,11 @@
         """Take the calls that other replicas pass on."""
         self.service.links.subscribe(MessageKind.operator_call, self.on_call)
 
+    async def serve(self, request: HttpRequest, writer: AnswerWriter) -> None:
+        """Answer one request of the listener."""
+        came = await self.handle(read_request(request))
+        await writer.whole(whole_answer(came))
+
     async def handle(self, request: OperatorRequest) -> OperatorAnswer:
         """Answer one operator's request."""
         plain = self.plain_answer(request)
--- a/godwitshunt/configuration/problems.py
+++ b/godwitshunt/configuration/problems.py
@@ -19,8 +19,7 @@
     UnknownMember,
     Unreachable,
 )
-
-TYPE_PREFIX = 'urn:godwitshunt:problem:'
+from godwitshunt.exchange.problems import TYPE_PREFIX
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -14,13 +14,13 @@
 )
 from godwitshunt.configuration.cluster import Cluster
 from godwitshunt.configuration.operator_api import OperatorApi
-from godwitshunt.configuration.operator_http import OperatorListener
 from godwitshunt.consensus import (
     ConsensusOptions,
     ConsensusTask,
     DiskFileSystem,
 )
 from godwitshunt.exceptions import GodwitshuntError
+from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.peer import (
     PeerLinks,
@@ -94,10 +94,10 @@
         orders = PlacementApi(self.placement)
         self.api.add_route('POST', '/v1/orders', orders.order)
         self.api.add_status(self.placement.describe)
-        self.listener = OperatorListener(
-            settings.http,
-            settings.limits,
-            self.api.handle,
+        self.listener = Listener(
+            ListenerOptions(settings.http, settings.limits),
+            self.metrics,
+            self.api.serve,
         )
 
     async def start(self) -> None:
