--- a/godwitshunt/configuration/http_calls.py
+++ b/godwitshunt/configuration/http_calls.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import h11
@@ -119,7 +120,8 @@
 def drop_unsent(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that nothing more of it arrives."""
     raw = writer.get_extra_info('socket')
-    if raw is not None:
+    # A connection that the other side has reset is closed already.
+    with suppress(OSError):
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DROP_UNSENT)
     writer.transport.abort()
 
--- /dev/null
+++ b/tests/control_processes.py
@@ -0,0 +1,187 @@
+"""Three control replicas as processes, for tests that kill and freeze them."""
+
+import asyncio
+import hashlib
+import json
+import shutil
+import signal
+import socket
+import subprocess  # the tests start the product's programs
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from result import Ok
+
+from godwitshunt.configuration.http_calls import HttpCall
+from godwitshunt.configuration.operator_client import call_any
+from godwitshunt.settings import Address
+
+TOKEN = 'token'
+KEY = b'cluster-key'
+REGIONS = ('zagreb', 'split', 'rijeka')
+STEP_S = 0.05
+PATIENCE_S = 30
+
+
+def free_address() -> Address:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return Address(host='127.0.0.1', port=probe.getsockname()[1])
+
+
+def manifest(number: int, cost: float = 0) -> dict[str, Any]:
+    """Return a manifest; another cost gives other contents."""
+    return {
+        'number': number,
+        'deployment': 'statika',
+        'regions': [{'name': region} for region in REGIONS],
+        'services': [{'name': 'chat', 'kind': 'model'}],
+        'classes': [{'name': 'urgent'}],
+        'objective': {'cost': cost},
+    }
+
+
+@dataclass
+class ControlProcesses:
+    """The processes, and calls to them as an operator makes them."""
+
+    folder: Path
+    http: list[Address] = field(default_factory=list)
+    peer: list[Address] = field(default_factory=list)
+    running: dict[int, subprocess.Popen] = field(default_factory=dict)
+
+    def prepare(self) -> None:
+        """Write keys and settings."""
+        for _ in REGIONS:
+            self.http.append(free_address())
+            self.peer.append(free_address())
+        (self.folder / 'key').write_bytes(KEY)
+        (self.folder / 'token').write_text(TOKEN)
+        for place, region in enumerate(REGIONS):
+            settings = {
+                'name': f'c{place}',
+                'region': region,
+                'failure_domain': f'{region}-a',
+                'http': self.http[place].model_dump(),
+                'peer': self.peer[place].model_dump(),
+                'control': [address.model_dump() for address in self.peer],
+                'cluster_key_file': str(self.folder / 'key'),
+                'data_folder': str(self.data(place)),
+                'operator_token_sha256': hashlib.sha256(
+                    TOKEN.encode(),
+                ).hexdigest(),
+                'election_timeout_s': 0.5,
+                'heartbeat_s': 0.1,
+                'log': {'path': str(self.folder / f'c{place}.log')},
+            }
+            self.settings(place).write_text(json.dumps(settings))
+
+    def settings(self, place: int) -> Path:
+        """Return the path of a replica's settings."""
+        return self.folder / f'c{place}.json'
+
+    def data(self, place: int) -> Path:
+        """Return a replica's data folder."""
+        return self.folder / f'd{place}'
+
+    def start(self, *places: int) -> None:
+        """Start replicas."""
+        for place in places:
+            self.running[place] = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'godwitshunt.programs.control',
+                    str(self.settings(place)),
+                ],
+            )
+
+    def kill(self, place: int) -> None:
+        """End a replica without warning."""
+        process = self.running.pop(place)
+        process.kill()
+        process.wait()
+
+    def lose_disk(self, place: int) -> None:
+        """Delete a replica's data folder."""
+        shutil.rmtree(self.data(place))
+
+    def signal(self, place: int, number: signal.Signals) -> None:
+        """Freeze or wake a replica."""
+        self.running[place].send_signal(number)
+
+    def close(self) -> None:
+        """End all replicas."""
+        for process in self.running.values():
+            process.kill()
+            process.wait()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        document: object = None,
+        at: int | None = None,
+    ) -> tuple[int, dict[str, Any]]:
+        """Make an operator's call; 0 where no replica could act."""
+        body = b'' if document is None else json.dumps(document).encode()
+        addresses = self.http if at is None else [self.http[at]]
+        call = HttpCall(method, path, body, timeout_s=8)
+        reply = await call_any(tuple(addresses), call, TOKEN)
+        if isinstance(reply, Ok):
+            return reply.ok_value.status, reply.ok_value.document
+        return 0, {}
+
+    async def apply(
+        self,
+        number: int,
+        cost: float = 0,
+        at: int | None = None,
+    ) -> tuple[int, dict[str, Any]]:
+        """Send a manifest until some replica acts on it."""
+        return await self.until(
+            'POST', '/v1/manifest', manifest(number, cost), at
+        )
+
+    async def until(
+        self,
+        method: str,
+        path: str,
+        document: object = None,
+        at: int | None = None,
+    ) -> tuple[int, dict[str, Any]]:
+        """Repeat a call until some replica acts on it."""
+        for _ in range(int(PATIENCE_S / STEP_S)):
+            status, answer = await self.call(method, path, document, at)
+            if status not in {0, 504}:
+                return status, answer
+            await asyncio.sleep(STEP_S)
+        raise AssertionError(f'nobody acts on {path}')
+
+    async def ready(self, *places: int) -> None:
+        """Wait until replicas answer."""
+        for place in places:
+            await self.until('GET', '/healthz', at=place)
+
+    async def leader(self, *, but: int | None = None) -> int:
+        """Wait for a leader, other than a named one; return its place."""
+        others = [place for place in self.running if place != but]
+        for attempt in range(int(PATIENCE_S / STEP_S)):
+            place = others[attempt % len(others)]
+            status, answer = await self.call('GET', '/v1/status', at=place)
+            if status == 200 and answer['leader'] != f'c{but}':
+                return int(answer['leader'].removeprefix('c'))
+            await asyncio.sleep(STEP_S)
+        raise AssertionError('no leader')
+
+    async def logged(self, place: int, text: str) -> None:
+        """Wait until a replica's log holds a text."""
+        path = self.folder / f'c{place}.log'
+        for _ in range(int(PATIENCE_S / STEP_S)):
+            if text in path.read_text():
+                return
+            await asyncio.sleep(STEP_S)
+        raise AssertionError(f'{text} is not in {path}')
--- /dev/null
+++ b/tests/test_control_processes.py
@@ -0,0 +1,285 @@
+"""Control replicas as processes that are killed, frozen and robbed of disks."""
+
+import asyncio
+import json
+import signal
+import sys
+from contextlib import asynccontextmanager, closing
+
+import pytest
+
+from godwitshunt.membership.views import UpstreamView
+from godwitshunt.peer import MessageKind, PeerLinks, PeerOptions
+from godwitshunt.placement.reports import encode_report
+from godwitshunt.settings import Address
+from godwitshunt.telemetry import Metrics
+from tests.control_processes import (
+    KEY,
+    TOKEN,
+    ControlProcesses,
+    free_address,
+    manifest,
+)
+
+
+@pytest.fixture
+async def control(tmp_path):
+    """Yield three replicas that form a cluster."""
+    processes = ControlProcesses(tmp_path)
+    processes.prepare()
+    with closing(processes):
+        processes.start(0, 1, 2)
+        await processes.ready(0, 1, 2)
+        status, made = await processes.until('POST', '/v1/init')
+        assert (status, len(made['voters'])) == (200, 3)
+        yield processes
+
+
+async def send_without_reading(address: Address, document: dict) -> None:
+    """Send a manifest and never read the answer."""
+    body = json.dumps(document).encode()
+    _, writer = await asyncio.open_connection(address.host, address.port)
+    head = (
+        'POST /v1/manifest HTTP/1.1\r\n'
+        f'host: x\r\nauthorization: Bearer {TOKEN}\r\n'
+        f'content-length: {len(body)}\r\n\r\n'
+    )
+    writer.write(head.encode() + body)
+    await writer.drain()
+
+
+async def test_leader_dies_between_commit_and_answer(control):
+    """The leader is killed after the commit; the operator has no answer.
+
+    He sends the same manifest again: it is the accepted one, with the
+    revision of the first commit, also for a resend after a later change.
+    """
+    await control.apply(1)
+    leader = await control.leader()
+    await send_without_reading(control.http[leader], manifest(2))
+    await control.logged(leader, '"number":2')
+    control.kill(leader)
+    _, first = await control.apply(2)
+    assert (first['outcome'], first['number']) == ('accepted', 2)
+    assert first['repeated']
+    assert await other_contents(control, 2) == 409
+    await control.apply(3)
+    _, again = await control.apply(2)
+    assert again['revision'] == first['revision']
+    assert again['superseded_by'] == 3
+
+
+async def other_contents(control: ControlProcesses, number: int) -> int:
+    """Return the status for another manifest under a number."""
+    status, _ = await control.apply(number, cost=9)
+    return status
+
+
+async def test_operators_race_under_equal_numbers(control):
+    """Two operators send other contents under one number to two replicas.
+
+    One wins in every round; the other is told whose manifest won.
+    """
+    for number in range(1, 6):
+        answers = await asyncio.gather(
+            control.apply(number, cost=1, at=1),
+            control.apply(number, cost=2, at=2),
+        )
+        by_status = dict(answers)
+        assert set(by_status) == {200, 409}
+        assert by_status[409]['winner_digest'] == by_status[200]['digest']
+
+
+async def test_second_loss_right_after_a_repair(control):
+    """A disk is lost and repaired, and a second replica dies right then.
+
+    Nothing accepted is lost, and changes go on.
+    """
+    _, first = await control.apply(1)
+    lost = 2 if await control.leader() != 2 else 1
+    control.kill(lost)
+    control.lose_disk(lost)
+    control.start(lost)
+    await control.ready(lost)
+    status, repaired = await control.until(
+        'POST',
+        f'/v1/replicas/c{lost}/replace',
+    )
+    assert status == 200
+    assert len(repaired['voters']) == 3
+    assert not repaired['learners']
+    control.kill(await control.leader())
+    _, again = await control.apply(1)
+    assert again['revision'] == first['revision']
+    status, _ = await control.apply(2)
+    assert status == 200
+
+
+async def test_changes_with_restarts_among_them(control):
+    """Replicas are killed and restarted in turn between changes.
+
+    After each the newest number is current everywhere, revisions only rise,
+    and the first number still has its first answer.
+    """
+    revisions = []
+    for number in range(1, 31):
+        status, answer = await control.apply(number)
+        assert status == 200
+        revisions.append(answer['revision'])
+        if not number % 6:
+            place = (number // 6) % 3
+            control.kill(place)
+            control.start(place)
+    assert revisions == sorted(set(revisions))
+    _, again = await control.apply(1)
+    assert (again['revision'], again['superseded_by']) == (revisions[0], 30)
+    assert await other_contents(control, 30) == 409
+
+
+def entry_links() -> PeerLinks:
+    """Return links that an entry VM would have."""
+    options = PeerOptions(name='e1', listen=free_address(), key=KEY)
+    return PeerLinks.from_config(options, Metrics())
+
+
+@asynccontextmanager
+async def reported_upstream(control: ControlProcesses):
+    """Yield an upstream that an entry VM keeps reporting to all replicas."""
+    upstream = Upstream()
+    await upstream.start()
+    entry = entry_links()
+    reporting = asyncio.create_task(report(control, entry, upstream.address))
+    try:
+        yield upstream
+    finally:
+        reporting.cancel()
+        await asyncio.gather(reporting, entry.close(), return_exceptions=True)
+
+
+async def test_frozen_leader_wakes_past_its_lease(control):
+    """The leader is frozen with an order on its way, and wakes much later.
+
+    Meanwhile another replica leads, and an operator gave a newer order. The
+    upstream ignores numbers; it must end with the newer one, and the woken
+    replica must not answer with what was current before.
+    """
+    await control.apply(1)
+    frozen = await control.leader()
+    async with reported_upstream(control) as upstream:
+        await order(control, 'first')
+        await upstream.reached.wait()
+        control.signal(frozen, signal.SIGSTOP)
+        leader = await control.leader(but=frozen)
+        await order(control, 'second', at=leader)
+        status, _ = await control.apply(2, at=leader)
+        assert status == 200
+        await upstream.newest.wait()
+        control.signal(frozen, signal.SIGCONT)
+        _, woken = await control.until('GET', '/v1/status', at=frozen)
+        assert woken['number'] == 2
+        await control.apply(3)
+        assert upstream.numbers == sorted(upstream.numbers)
+        assert upstream.numbers[-1] == 2
+
+
+async def order(
+    control: ControlProcesses,
+    name: str,
+    at: int | None = None,
+) -> None:
+    """Give an order until a leader takes it."""
+    asked = {
+        'order': name,
+        'upstream': 'engine',
+        'action': 'load-version',
+        'subject': name,
+    }
+    status = 404
+    while status == 404:
+        status, _ = await control.until('POST', '/v1/orders', asked, at)
+    assert status == 200
+
+
+async def report(
+    control: ControlProcesses,
+    entry: PeerLinks,
+    address: Address,
+) -> None:
+    """Tell all replicas of an upstream, as an entry VM does."""
+    view = UpstreamView('engine', 'split', 'chat', address, 1)
+    while True:
+        for peer in control.peer:
+            kind = MessageKind.placement_report
+            entry.tell(peer, kind, encode_report([view]))
+        await asyncio.sleep(0.2)
+
+
+class Upstream:
+    """Takes orders and ignores their numbers; the first answer is held."""
+
+    def __init__(self) -> None:
+        self.address = free_address()
+        self.numbers: list[int] = []
+        self.reached = asyncio.Event()
+        self.newest = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen."""
+        await asyncio.start_server(
+            self.take,
+            self.address.host,
+            self.address.port,
+        )
+
+    async def take(self, reader, writer) -> None:
+        """Note an order's number; answer all but the first."""
+        request = await reader.readuntil(b'\r\n\r\n')
+        number = int(request.split(b' ')[1].rpartition(b'/')[2])
+        self.numbers.append(number)
+        if self.reached.is_set():
+            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+            await writer.drain()
+        self.reached.set()
+        if number == 2:
+            self.newest.set()
+
+
+async def test_command_line(control, tmp_path):
+    """An operator's pipeline reads the exit code of each outcome."""
+    (tmp_path / 'm1.json').write_text(json.dumps(manifest(1)))
+    (tmp_path / 'clash.json').write_text(json.dumps(manifest(1, cost=3)))
+    (tmp_path / 'bad.json').write_text('{"number": "x"}')
+    (tmp_path / 'wrong').write_text('another token')
+    addresses = ','.join(str(address) for address in control.http)
+    dead = str(free_address())
+    token = str(tmp_path / 'token')
+    wrong = str(tmp_path / 'wrong')
+    table = (
+        ('apply', 'm1.json', addresses, token, 0),
+        ('apply', 'm1.json', addresses, token, 0),
+        ('apply', 'clash.json', addresses, token, 11),
+        ('apply', 'bad.json', addresses, token, 10),
+        ('apply', 'm1.json', dead, token, 12),
+        ('apply', 'm1.json', addresses, wrong, 15),
+        ('apply', 'm1.json', 'nonsense', token, 2),
+    )
+    for command, name, control_addresses, token_file, expected in table:
+        done = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'godwitshunt.programs.operator',
+            command,
+            '--manifest',
+            str(tmp_path / name),
+            '--wait',
+            '--control',
+            control_addresses,
+            '--token-file',
+            token_file,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, told = await done.communicate()
+        assert done.returncode == expected, (name, told)
+        assert bool(told) == bool(expected)
+        assert b'Traceback' not in told
