--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -7,6 +7,7 @@
 
 import defopt
 
+from godwitshunt.claims import ClaimsTask
 from godwitshunt.configuration import (
     ConfigurationService,
     VmRecord,
@@ -34,7 +35,7 @@
 from godwitshunt.timer import TimerService
 
 
-def vm_record(settings: ControlSettings) -> VmRecord:
+def vm_record(settings: ControlSettings, session: str) -> VmRecord:
     """Return the record of this control replica."""
     return VmRecord(
         name=settings.name,
@@ -43,6 +44,7 @@
         role=VmRole.control,
         http=settings.http_reached,
         peer=settings.peer_reached,
+        session=session,
     )
 
 
@@ -71,9 +73,15 @@
             self.timer,
             self.metrics,
         )
+        self.claims = ClaimsTask.from_config(
+            settings,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
         self.service = ConfigurationService.from_config(
             settings,
-            vm_record(settings),
+            vm_record(settings, self.claims.session),
             self.consensus,
             self.links,
             self.timer,
@@ -103,6 +111,8 @@
     async def start(self) -> None:
         """Start every part, the listener for operators last."""
         await self.links.start()
+        self.service.subscribe(self.claims.apply_revision)
+        await self.claims.start()
         self.service.start()
         await self.consensus.start()
         self.placement.start()
@@ -115,6 +125,7 @@
         await self.listener.close()
         await self.placement.close()
         await self.service.close()
+        await self.claims.close()
         await self.consensus.close()
         await self.links.close()
         self.timer.close()
