Count a proof of a quorum only once its revision is applied

Cause: a follower may hear of a live quorum before it has the entries that the quorum committed; passed on with an older revision, that proof let a VM go on by a rule that an accepted manifest had taken away. Ruled out: the age that consensus tells, which does not say which entries it covers.

--- a/godwitshunt/configuration/replicated_log.py
+++ b/godwitshunt/configuration/replicated_log.py
@@ -26,6 +26,9 @@
     ) -> Result[Committed, ProposalFailure]:
         """Commit an entry."""
 
+    async def read_barrier(self) -> Result[Committed, ProposalFailure]:
+        """Wait until the state includes every commit before the call."""
+
     def leadership(self) -> Leadership:
         """Tell who leads and how old the last proof of a quorum is."""
 
@@ -66,6 +69,12 @@
             apply(index, self.term, payload)
         return Ok(Committed(index))
 
+    async def read_barrier(self) -> Result[Committed, ProposalFailure]:
+        """Return at once: every entry is applied."""
+        if not self.leading:
+            return Err(NotLeader(None))
+        return Ok(Committed(len(self.entries)))
+
     def leadership(self) -> Leadership:
         """Tell whether this process leads."""
         if not self.leading:
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -23,9 +23,14 @@
     vm_entry,
     vm_of,
 )
+from godwitshunt.configuration.freshness import Freshness
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.heard import HeardVm, HeardVms
-from godwitshunt.configuration.history import Held, RevisionHistory
+from godwitshunt.configuration.history import (
+    UNKNOWN_AGE_S,
+    Held,
+    RevisionHistory,
+)
 from godwitshunt.configuration.replicated_log import ReplicatedLog
 from godwitshunt.configuration.revision import RevisionNotice, VmRecord
 from godwitshunt.configuration.state import ControlState
@@ -42,6 +47,8 @@
 UPKEEP_PERIOD_S = 0.5
 REPORT_PERIOD_S = 1.0
 PUSH_DELAY_S = 0.05
+PROOF_PERIOD_S = 0.25
+PROOF_TIMEOUT_S = 1.0
 BASE_TRIES = 3
 
 
@@ -86,6 +93,7 @@
         self.background = Background()
         self.subscriptions = []
         self.push_due = False
+        self.freshness = Freshness()
         self.subscribers: list[RevisionNotice] = []
 
     @classmethod
@@ -117,7 +125,9 @@
         self.machine.start()
         self.links.subscribe(MessageKind.vm_heartbeat, self.on_heartbeat)
         self.links.subscribe(MessageKind.configuration_applied, self.on_reports)
+        self.links.subscribe(MessageKind.configuration_fetch, self.on_fetch)
         self.subscriptions = [
+            self.timer.every(PROOF_PERIOD_S, self.begin_proof),
             self.timer.every(UPKEEP_PERIOD_S, self.begin_upkeep),
             self.timer.every(REPORT_PERIOD_S, self.send_reports),
         ]
@@ -182,6 +192,7 @@
     def on_state(self, state: ControlState) -> None:
         """Keep the newest document and arrange that VMs are told."""
         self.note_pending(state)
+        self.freshness = self.freshness.catch_up(state.revision)
         newest = self.history.newest
         if newest is not None and newest.revision == state.revision:
             return
@@ -245,8 +256,64 @@
         now = self.timer.now()
         self.heard.hear(HeardVm(vm, heartbeat.revision or 0, now))
         self.metrics.count('configuration_heartbeats_total')
-        quorum_age_s = self.log.leadership().quorum_age_s
-        news = self.history.news_for(heartbeat.digest or '', quorum_age_s)
+        news = self.history.news_for(
+            heartbeat.digest or '',
+            self.quorum_age_s(),
+        )
+        return encode(news)
+
+    def quorum_age_s(self) -> float:
+        """Return for how many seconds a commit may be missing here.
+
+        Infinite where this replica never knew that it has every commit.
+        """
+        return self.timer.now() - self.freshness.current_at
+
+    def begin_proof(self) -> None:
+        """Find out whether this replica has every commit."""
+        self.background.run('proof', self.prove)
+
+    async def prove(self) -> None:
+        """Ask the log where this replica leads, else the leader."""
+        asked_at = self.timer.now()
+        leadership = self.log.leadership()
+        if leadership.is_leader:
+            newest = await self.newest_revision()
+        else:
+            newest = await self.ask_leader(leadership.name)
+        if newest is not None:
+            applied = self.state.revision
+            self.freshness = self.freshness.prove(newest, asked_at, applied)
+
+    async def newest_revision(self) -> int | None:
+        """Return the revision that includes every commit so far."""
+        if isinstance(await self.log.read_barrier(), Err):
+            return None
+        return self.state.revision
+
+    async def ask_leader(self, name: str | None) -> int | None:
+        """Return the leader's revision, once it has every commit."""
+        leader = self.state.document.section('vms').get(name or '')
+        if leader is None:
+            return None
+        reply = await self.links.call(
+            vm_of(leader).peer,
+            MessageKind.configuration_fetch,
+            b'',
+            PROOF_TIMEOUT_S,
+        )
+        if isinstance(reply, Err):
+            return None
+        news = decode(ttypes.ConfigurationNews, reply.ok_value)
+        return news.revision if news.quorum_age_s == 0 else None
+
+    async def on_fetch(self, sender: str, body: bytes) -> bytes:
+        """Tell another control replica which revision is the newest."""
+        newest = None
+        if self.log.leadership().is_leader:
+            newest = await self.newest_revision()
+        age_s = UNKNOWN_AGE_S if newest is None else 0
+        news = ttypes.ConfigurationNews(newest or 0, '', '', b'', age_s)
         return encode(news)
 
     def begin_upkeep(self) -> None:
--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from pathlib import Path
 from typing import Self
+from zlib import crc32
 
 from pydantic import ValidationError
 from result import Err
@@ -230,7 +231,11 @@
             if vm.peer in self.control
         ]
         preferred = [] if self.preferred is None else [self.preferred]
-        return tuple(dict.fromkeys([*own_region, *preferred, *self.control]))
+        # Without the turn every VM of a region that has no control replica
+        # would speak to the one that the settings name first.
+        turn = crc32(self.record.name.encode()) % max(1, len(self.control))
+        turned = (*self.control[turn:], *self.control[:turn])
+        return tuple(dict.fromkeys([*own_region, *preferred, *turned]))
 
     def peer_order(self) -> tuple[Address, ...]:
         """Return peers of the region, beginning with another each time."""
