--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -18,6 +18,8 @@
 from godwitshunt.configuration.operator_http import (
     OperatorAnswer,
     OperatorRequest,
+    read_request,
+    whole_answer,
 )
 from godwitshunt.configuration.problems import (
     OperatorProblem,
@@ -27,9 +29,11 @@
 from godwitshunt.configuration.status import status_document
 from godwitshunt.consensus import NotLeader
 from godwitshunt.exceptions import DocumentError
+from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
 from godwitshunt.manifest import parse_manifest
 from godwitshunt.peer import MessageKind, decode, encode
 
+StatusPart = Callable[[], dict[str, Any]]
 Route = Callable[[OperatorRequest], Awaitable[OperatorAnswer]]
 
 FORWARD_TIMEOUT_S = 5.0
@@ -71,6 +75,9 @@
         self.service = service
         self.cluster = cluster
         self.token_sha256 = token_sha256
+        self.status_parts: list[StatusPart] = []
+        if cluster is not None:
+            self.status_parts.append(cluster.describe)
         self.routes: dict[tuple[str, str], Route] = {
             ('POST', '/v1/manifest'): self.apply,
             ('GET', '/v1/status'): self.status,
@@ -82,10 +89,23 @@
             ('POST', '/v1/replicas/'): self.replace,
         }
 
+    def add_route(self, method: str, path: str, route: Route) -> None:
+        """Answer one more path; for slices that build on this one."""
+        self.routes[method, path] = route
+
+    def add_status(self, part: StatusPart) -> None:
+        """Add a part to the status document."""
+        self.status_parts.append(part)
+
     def start(self) -> None:
         """Take the calls that other replicas pass on."""
         self.service.links.subscribe(MessageKind.operator_call, self.on_call)
 
+    async def serve(self, request: HttpRequest, writer: AnswerWriter) -> None:
+        """Answer one request of the listener."""
+        came = await self.handle(read_request(request))
+        await writer.whole(whole_answer(came))
+
     async def handle(self, request: OperatorRequest) -> OperatorAnswer:
         """Answer one operator's request."""
         plain = self.plain_answer(request)
@@ -225,8 +245,8 @@
             leadership,
             self.service.timer.now(),
         )
-        if self.cluster is not None:
-            document |= self.cluster.describe()
+        for part in self.status_parts:
+            document |= part()
         return answer(document, HTTP_OK if leadership.is_leader else NOT_LEADER)
 
     async def explain(self, request: OperatorRequest) -> OperatorAnswer:
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -15,13 +15,13 @@
 )
 from godwitshunt.configuration.cluster import Cluster
 from godwitshunt.configuration.operator_api import OperatorApi
-from godwitshunt.configuration.operator_http import OperatorListener
 from godwitshunt.consensus import (
     ConsensusOptions,
     ConsensusTask,
     DiskFileSystem,
 )
 from godwitshunt.exceptions import GodwitshuntError
+from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.peer import (
     PeerLinks,
@@ -29,6 +29,7 @@
     client_context,
     server_context,
 )
+from godwitshunt.placement import PlacementApi, PlacementTask
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
 from godwitshunt.timer import TimerService
@@ -91,10 +92,20 @@
             settings.operator_token_sha256,
             Cluster(self.consensus, settings.control, settings.peer_reached),
         )
-        self.listener = OperatorListener(
-            settings.http,
-            settings.limits,
-            self.api.handle,
+        self.placement = PlacementTask.from_config(
+            settings,
+            self.service,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        orders = PlacementApi(self.placement)
+        self.api.add_route('POST', '/v1/orders', orders.order)
+        self.api.add_status(self.placement.describe)
+        self.listener = Listener(
+            ListenerOptions(settings.http, settings.limits),
+            self.metrics,
+            self.api.serve,
         )
 
     async def start(self) -> None:
@@ -104,6 +115,7 @@
         await self.claims.start()
         self.service.start()
         await self.consensus.start()
+        self.placement.start()
         self.api.start()
         await self.listener.start()
         log_change('control:started', name=self.settings.name)
@@ -111,6 +123,7 @@
     async def close(self) -> None:
         """Answer what is under way, then close every part."""
         await self.listener.close()
+        await self.placement.close()
         await self.service.close()
         await self.claims.close()
         await self.consensus.close()
