--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import dataclass
 
 import defopt
@@ -27,7 +28,7 @@
 from standins.host import Host, HostOptions
 
 CHAT_PATH = '/v1/chat/completions'
-ORDERS_PATH = '/v1/orders'
+ORDERS_PREFIX = '/v1/orders/'
 RESUME_HEADER = b'godwitshunt-resume-offset'
 PRIORITY_HEADER = b'godwitshunt-priority'
 FENCING_HEADER = b'godwitshunt-fencing'
@@ -73,6 +74,9 @@
         Cost of 1,000 generated tokens.
     fencing
         Refuse orders with an old fencing number.
+    stamped
+        Begin each token's event with a comment that tells when it was sent,
+        in seconds of the machine's monotonic clock; for measurements.
     """
 
     serves: str = 'chat'
@@ -85,6 +89,7 @@
     load_lag_s: float = 0.2
     price: float = 1.0
     fencing: bool = False
+    stamped: bool = False
 
 
 def answer_events(model: str, prompt: str, count: int) -> list[bytes]:
@@ -187,7 +192,7 @@
         match request.method, request.path:
             case 'POST', path if path == CHAT_PATH:
                 await self.chat(request, writer)
-            case 'POST', path if path == ORDERS_PATH:
+            case 'PUT', path if path.startswith(ORDERS_PREFIX):
                 await writer.whole(self.take_order(request))
             case _:
                 await writer.whole(refusal(ProblemKind.not_found, request.path))
@@ -235,7 +240,8 @@
         count = document.output_tokens
         if document.stream:
             events = answer_events(document.model, prompt, count)
-            return await stream(events, offset, job, writer)
+            stamped = self.options.stamped
+            return await stream(events, offset, job, writer, stamped=stamped)
         while not job.finished:
             await wait(job)
         told = unary_answer(document.model, prompt, count)
@@ -254,11 +260,11 @@
         self.highest_fencing = max(self.highest_fencing, fencing)
         self.orders.append({**order, 'fencing': fencing})
         match order:
-            case {'kind': 'load_model', 'model': str(model)}:
+            case {'action': 'load-model', 'subject': str(model)}:
                 self.models = sorted({*self.models, model})
-            case {'kind': 'load_adapter', 'adapter': str(adapter)}:
+            case {'action': 'load-adapter', 'subject': str(adapter)}:
                 self.adapters = sorted({*self.adapters, adapter})
-            case {'kind': 'change_role', 'role': str(role)}:
+            case {'action': 'change-role', 'subject': str(role)}:
                 self.role = role
         return json_answer({'accepted': True})
 
@@ -268,6 +274,8 @@
     offset: int,
     job: Job,
     writer: AnswerWriter,
+    *,
+    stamped: bool,
 ) -> None:
     """Send events as their tokens are made, from an offset on."""
     headers = [STREAM_TYPE]
@@ -277,7 +285,11 @@
     position = offset
     while not job.finished:
         count = await wait(job)
-        await writer.send(b''.join(events[position : position + count]))
+        made = events[position : position + count]
+        if stamped:
+            mark = b': at %.6f\n' % time.monotonic()
+            made = [b''.join((mark, event)) for event in made]
+        await writer.send(b''.join(made))
         position += count
     rest = b''.join(events[position:])
     if rest:
