--- /dev/null
+++ b/godwitshunt/programs/entry.py
@@ -0,0 +1,214 @@
+"""``godwitshunt-entry``: the process of an entry VM."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+
+from godwitshunt.claims import ClaimsTask
+from godwitshunt.configuration import (
+    ConfigurationTask,
+    Revision,
+    VmRecord,
+    VmRole,
+)
+from godwitshunt.exceptions import GodwitshuntError
+from godwitshunt.exchange.gateway import ExchangeTask
+from godwitshunt.exchange.ports import ChoosePort, Ports
+from godwitshunt.manifest.documents import read_settings
+from godwitshunt.membership import MembershipTask
+from godwitshunt.peer import (
+    PeerLinks,
+    PeerOptions,
+    client_context,
+    server_context,
+)
+from godwitshunt.programs.entry_ports import (
+    ClaimsAdapter,
+    ConfigurationAdapter,
+    DirectoryAdapter,
+    LimitsAdapter,
+    MembershipAdapter,
+    RetriesAdapter,
+)
+from godwitshunt.routing import RetryBudget, choose
+from godwitshunt.routing.limits_task import LimitsTask
+from godwitshunt.settings import EntrySettings
+from godwitshunt.telemetry import Metrics, log_change, open_log
+from godwitshunt.timer import TimerService
+
+WRONG_INPUT = 2
+
+
+class EntryProcess:
+    """All parts of an entry VM's process.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        The settings file.
+    decide : callable
+        The routing decision; another one only in measurements.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        decide: ChoosePort = choose,
+    ) -> None:
+        self.settings = settings
+        self.timer = TimerService()
+        self.metrics = Metrics()
+        self.stopping = asyncio.Event()
+        self.key = settings.cluster_key_file.read_bytes().strip()
+        self.links = PeerLinks.from_config(
+            PeerOptions(
+                name=settings.name,
+                listen=settings.peer,
+                key=self.key,
+                frame_bytes=settings.limits.frame_bytes,
+                server_tls=server_context(settings.tls),
+                client_tls=client_context(settings.tls),
+            ),
+            self.metrics,
+        )
+        parts = (settings, self.links, self.timer, self.metrics)
+        self.claims = ClaimsTask.from_config(*parts)
+        self.membership = MembershipTask.from_config(*parts)
+        self.limits = LimitsTask.from_config(*parts)
+        self.configuration = ConfigurationTask.from_config(
+            settings,
+            vm_record(settings, self.claims.session),
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        self.retries = RetriesAdapter(RetryBudget.from_config(0))
+        self.exchange = ExchangeTask.from_config(
+            settings,
+            self.key,
+            self.make_ports(decide),
+            self.metrics,
+        )
+
+    def make_ports(self, decide: ChoosePort) -> Ports:
+        """Return the other slices as the exchange's ports."""
+        directory = DirectoryAdapter(
+            self.settings.region,
+            self.configuration,
+            self.membership,
+        )
+        return Ports(
+            configuration=ConfigurationAdapter(self.configuration),
+            membership=MembershipAdapter(self.membership, self.configuration),
+            claims=ClaimsAdapter(self.claims),
+            limits=LimitsAdapter(self.limits),
+            retries=self.retries,
+            choose=decide,
+            entries=directory.entries,
+            timer=self.timer,
+        )
+
+    def apply_revision(self, revision: Revision) -> None:
+        """Tell every part of a newer revision."""
+        self.membership.apply_revision(revision)
+        self.claims.apply_revision(revision)
+        self.limits.configure(revision)
+        self.retries.apply_revision(revision)
+
+    async def start(self) -> None:
+        """Start every part, the callers' listener last."""
+        self.configuration.subscribe(self.apply_revision)
+        await self.links.start()
+        await self.membership.start()
+        await self.claims.start()
+        await self.limits.start()
+        self.configuration.start()
+        await self.exchange.start()
+        log_change('entry:started', vm=self.settings.name)
+
+    async def run(self) -> None:
+        """Serve until told to stop, then finish what is in progress."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # A second signal sets what is set already: nothing is cut.
+            loop.add_signal_handler(number, self.stopping.set)
+        await self.start()
+        await self.stopping.wait()
+        log_change('entry:draining', vm=self.settings.name)
+        await self.close()
+        log_change('entry:stopped', vm=self.settings.name)
+
+    async def close(self) -> None:
+        """Finish every request, then close every part.
+
+        The exchange goes first: calls in progress still need their claims
+        settled and the configuration's news.
+        """
+        self.membership.leave()
+        try:
+            async with asyncio.timeout(self.settings.drain_limit_s):
+                await self.exchange.close()
+        except TimeoutError:
+            log_change('entry:drain_cut', vm=self.settings.name)
+        await self.configuration.close()
+        await self.limits.close()
+        await self.claims.close()
+        await self.membership.close()
+        await self.links.close()
+        self.timer.close()
+
+
+def vm_record(settings: EntrySettings, session: str) -> VmRecord:
+    """Return the record that this VM tells control of itself."""
+    return VmRecord(
+        name=settings.name,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        role=VmRole.entry,
+        http=settings.http_reached,
+        peer=settings.peer_reached,
+        session=session,
+    )
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry process to its end."""
+    await EntryProcess(settings).run()
+
+
+def entry(settings: Path) -> int:
+    """Run the process of an entry VM.
+
+    It takes callers' requests and upstreams' announcements. SIGTERM lets it
+    finish every request in progress and end.
+
+    Parameters
+    ----------
+    settings : Path
+        The settings file, in JSON; docs/operators/settings.md tells each field.
+
+    Returns
+    -------
+    int
+        0 after a graceful shutdown, 2 for wrong settings.
+    """
+    try:
+        loaded = read_settings(settings, EntrySettings)
+        open_log(loaded.log.path)
+        asyncio.run(run_entry(loaded))
+    except GodwitshuntError as wrong:
+        print(wrong, file=sys.stderr)
+        return WRONG_INPUT
+    return 0
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(defopt.run(entry))
+
+
+if __name__ == '__main__':
+    main()
