--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -17,6 +17,7 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import MappingProxyType
 
 import defopt
 
@@ -40,27 +41,29 @@
     return hashlib.sha256(text).hexdigest()
 
 
-MANIFEST = {
-    'number': 1,
-    'deployment': 'benchmark',
-    'regions': [{'name': 'home', 'failure_domains': ['a']}],
-    'services': [
-        {'name': 'chat', 'kind': 'model'},
-        {'name': 'archive', 'kind': 'plain'},
-    ],
-    'models': [{'name': 'review', 'service': 'chat'}],
-    'classes': [{'name': 'urgent', 'deadline_s': 600}],
-    'callers': [
-        {
-            'name': 'caller',
-            'key_sha256': sha256(b'key'),
-            'home': 'home',
-            'request_class': 'urgent',
-            'requests_per_s': 100000,
-            'burst': 100000,
-        },
-    ],
-}
+MANIFEST = MappingProxyType(
+    {
+        'number': 1,
+        'deployment': 'benchmark',
+        'regions': [{'name': 'home', 'failure_domains': ['a']}],
+        'services': [
+            {'name': 'chat', 'kind': 'model'},
+            {'name': 'archive', 'kind': 'plain'},
+        ],
+        'models': [{'name': 'review', 'service': 'chat'}],
+        'classes': [{'name': 'urgent', 'deadline_s': 600}],
+        'callers': [
+            {
+                'name': 'caller',
+                'key_sha256': sha256(b'key'),
+                'home': 'home',
+                'request_class': 'urgent',
+                'requests_per_s': 100000,
+                'burst': 100000,
+            },
+        ],
+    },
+)
 
 
 def place(port: int) -> dict:
@@ -91,7 +94,7 @@
         }
         self.write('key', 'cluster')
         self.write('token', 'token')
-        self.write('manifest.json', MANIFEST)
+        self.write('manifest.json', dict(MANIFEST))
         self.write(
             'control.json',
             {
@@ -137,17 +140,30 @@
         listen = f'127.0.0.1:{self.service}'
         self.run(
             'standins.service',
-            *('--name', 'service-1', '--listen', listen, *told),
+            '--name',
+            'service-1',
+            '--listen',
+            listen,
+            *told,
         )
         for index in range(engine_count):
             port = free_port()
             self.engines.append(port)
             self.run(
                 'standins.engine',
-                *('--name', f'engine-{index}', *told),
-                *('--listen', f'127.0.0.1:{port}'),
-                *('--decode-rate', str(decode_rate), '--slots', str(slots)),
-                *('--prefill-rate', '10000000', '--load-lag-s', '0'),
+                '--name',
+                f'engine-{index}',
+                *told,
+                '--listen',
+                f'127.0.0.1:{port}',
+                '--decode-rate',
+                str(decode_rate),
+                '--slots',
+                str(slots),
+                '--prefill-rate',
+                '10000000',
+                '--load-lag-s',
+                '0',
                 '--stamped',
             )
 
