--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: decisions side by side with simpler ones, and their cost."""
--- a/godwitshunt/routing/messages.py
+++ b/godwitshunt/routing/messages.py
@@ -27,6 +27,8 @@
         Estimated lengths in tokens.
     deadline_s : float
         Seconds that remain until the request is given up.
+    waited_s : float
+        Seconds that have passed since it arrived.
     priority : int
         The class's priority; higher is served first.
     slot_share : float
@@ -58,6 +60,7 @@
     regions_visited: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
     restricted: bool = True
+    waited_s: float = 0.0
 
 
 class RefusalReason(StrEnum):
--- a/godwitshunt/routing/policy.py
+++ b/godwitshunt/routing/policy.py
@@ -24,7 +24,7 @@
     Serve,
     Wait,
 )
-from godwitshunt.routing.prediction import Work, open_slots
+from godwitshunt.routing.prediction import Work, open_slots, usable_share
 from godwitshunt.routing.regions import (
     Target,
     away_penalty,
@@ -169,10 +169,9 @@
     """
     if request.slot_share >= 1:
         return upstreams
+    share = usable_share(request)
     return tuple(
-        upstream
-        for upstream in upstreams
-        if open_slots(upstream, request.slot_share) > 0
+        upstream for upstream in upstreams if open_slots(upstream, share) > 0
     )
 
 
@@ -189,9 +188,10 @@
 ) -> Local:
     """Return an upstream with its score."""
     upstream = candidate.upstream
-    predicted_s = work.first_token_s(upstream, candidate.cached)
+    cached = candidate.cached
+    predicted_s = work.first_token_s(upstream, cached)
     score = (
-        objective.latency * predicted_s
+        objective.latency * (predicted_s + work.miss_s(upstream, cached))
         + objective.cost * price_of(upstream.price, request)
         + away_penalty(upstream.region, request, objective)
     )
--- a/godwitshunt/routing/prediction.py
+++ b/godwitshunt/routing/prediction.py
@@ -7,10 +7,16 @@
 from dataclasses import dataclass
 
 from godwitshunt.membership.views import UpstreamView
+from godwitshunt.routing.messages import RouteRequest
 
 TYPICAL_OUTPUT_TOKENS = 128
 PLAIN_HOLD_S = 0.05
+MISS_WEIGHT = 1.0
 MAX_FINISH_SHARE = 0.5
+# A request has aged fully after this part of its time.
+AGED_SHARE = 0.1
+AGED_SLOT_SHARE = 1.25
+SHORTEST_S = 0.001
 
 
 def occupancy(upstream: UpstreamView) -> int:
@@ -28,6 +34,19 @@
     return usable - occupancy(upstream)
 
 
+def usable_share(request: RouteRequest) -> float:
+    """Return the share of slots that a request may use now.
+
+    The share of its class grows while the request waits, to a little more
+    than the whole: then it queues at the upstream, where the next slot is its
+    own. So a long job is not starved by urgent ones that come without end.
+    """
+    allowed_s = request.waited_s + request.deadline_s
+    aged = request.waited_s / max(AGED_SHARE * allowed_s, SHORTEST_S)
+    gain = AGED_SLOT_SHARE - request.slot_share
+    return request.slot_share + gain * min(1.0, aged)
+
+
 def hold_s(upstream: UpstreamView) -> float:
     """Return the seconds that a typical request holds a slot."""
     if upstream.models:
@@ -90,6 +109,17 @@
         prefill_s = (backlog + uncached) / upstream.prefill_tokens_per_s
         return slot_wait_s(upstream) + prefill_s
 
+    def miss_s(self, upstream: UpstreamView, cached: float) -> float:
+        """Return the seconds that a cache miss costs later requests.
+
+        What this request has computed, others wait for; what it puts into
+        the cache pushes out a prefix that another one will compute again.
+        """
+        if not upstream.models:
+            return 0.0
+        uncached = self.prompt_tokens * (1.0 - cached)
+        return MISS_WEIGHT * uncached / upstream.prefill_tokens_per_s
+
     def finish_s(self, decode_tokens_per_s: float) -> float:
         """Return the seconds kept for the answer after its first token.
 
--- a/godwitshunt/routing/regions.py
+++ b/godwitshunt/routing/regions.py
@@ -6,9 +6,11 @@
 from godwitshunt.manifest import Objective
 from godwitshunt.membership.views import RegionSummary, RegionView
 from godwitshunt.routing.messages import Forward, RouteRequest
+from godwitshunt.routing.prediction import MISS_WEIGHT
 
 MAX_SUMMARY_AGE_S = 5.0
 TOKENS_PER_PRICE = 1000
+UNKNOWN_PREFILL_TOKENS_PER_S = 1000.0
 
 
 @dataclass(frozen=True)
@@ -76,8 +78,9 @@
     """Return regions to forward to, the best first."""
     if crossed_regions(view, request):
         return []
+    speed = common_prefill(view, request)
     found = [
-        scored(summary, request, objective)
+        scored(summary, request, objective, speed)
         for summary in view.summaries
         if summary.region != view.region and can_take(summary, request)
     ]
@@ -87,15 +90,32 @@
     )
 
 
+def common_prefill(view: RegionView, request: RouteRequest) -> float:
+    """Return the prefill speed that other regions' upstreams likely have.
+
+    Summaries do not tell it; it is taken from the own region's upstreams.
+    """
+    speeds = [
+        upstream.prefill_tokens_per_s
+        for upstream in view.upstreams
+        if upstream.service == request.service
+    ]
+    return max(speeds, default=UNKNOWN_PREFILL_TOKENS_PER_S)
+
+
 def scored(
     summary: RegionSummary,
     request: RouteRequest,
     objective: Objective,
+    prefill_tokens_per_s: float,
 ) -> Target:
     """Return a region with its score."""
-    predicted_s = summary.round_trip_s + summary.wait_s
+    prefill_s = request.prompt_tokens / prefill_tokens_per_s
+    predicted_s = summary.round_trip_s + summary.wait_s + prefill_s
+    # The other region has likely not cached the prompt's start, and what it
+    # computes for this request, its own callers wait for.
     score = (
-        objective.latency * predicted_s
+        objective.latency * (predicted_s + MISS_WEIGHT * prefill_s)
         + objective.cost * price_of(summary.price, request)
         + away_penalty(summary.region, request, objective)
     )
