--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -66,6 +66,13 @@
         File with the key that processes of one deployment share.
     data_folder : Path or None
         Folder for state that must survive; None where the VM has no disk.
+    peers : tuple of Address
+        Peer addresses of other VMs of the region. One that restarts without
+        a disk asks them for the newest revision where no control replica
+        answers.
+    http_advertised, peer_advertised : Address or None
+        Where others reach the two listeners, where that is another address
+        than the one listened on (address translation); None where it is not.
     """
 
     name: Name
@@ -76,10 +83,23 @@
     control: tuple[Address, ...] = Field(min_length=1)
     cluster_key_file: Path
     data_folder: Path | None = None
+    peers: tuple[Address, ...] = ()
+    http_advertised: Address | None = None
+    peer_advertised: Address | None = None
     tls: TlsSettings | None = None
     limits: LimitSettings = LimitSettings()
     log: LogSettings = LogSettings()
 
+    @property
+    def http_reached(self) -> Address:
+        """Where others reach the HTTP listener."""
+        return self.http_advertised or self.http
+
+    @property
+    def peer_reached(self) -> Address:
+        """Where others reach the peer listener."""
+        return self.peer_advertised or self.peer
+
 
 class EntrySettings(NodeSettings):
     """Settings of ``godwitshunt-entry``.
@@ -94,11 +114,18 @@
     drain_limit_s : float or None
         Seconds after which a graceful shutdown cuts what is in progress;
         None waits for the end of every request.
+    upstream_token_sha256 : str or None
+        SHA-256 of the token that upstreams announce themselves with, in
+        hexadecimal; None takes announcements from everyone who can connect.
     """
 
     isolation_lease_s: float = Field(default=3.0, gt=0)
     upstream_lease_s: float = Field(default=2.5, gt=0, le=3)
     drain_limit_s: float | None = None
+    upstream_token_sha256: str | None = Field(
+        default=None,
+        pattern='^[0-9a-f]{64}$',
+    )
 
 
 class ControlSettings(NodeSettings):
