--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -24,6 +24,9 @@
 from godwitshunt.routing.prediction import occupancy
 from godwitshunt.routing.regions import forward, targets
 
+# Our decision where every VM sees every engine as it is now.
+EXACT = 'ours, exact view'
+
 Choose = Callable[[RegionView, RouteRequest, Objective, Random], Decision]
 Pick = Callable[[tuple[UpstreamView, ...], RouteRequest, Random], UpstreamView]
 
@@ -130,4 +133,5 @@
         'least reported': ByHand(pick_least),
         'two choices': ByHand(pick_of_two),
         'unbounded affinity': ByHand(pick_owner),
+        EXACT: choose,
     }
--- a/benchmarks/compare.py
+++ b/benchmarks/compare.py
@@ -4,11 +4,12 @@
 """
 
 import sys
+from dataclasses import replace
 from multiprocessing import Pool
 
 import defopt
 
-from benchmarks.baselines import make_policies
+from benchmarks.baselines import EXACT, make_policies
 from benchmarks.loop import Loop
 from benchmarks.scenarios import Scenario, scenarios
 from benchmarks.summary import URGENT, Summary, summarize
@@ -47,7 +48,8 @@
     """Run one policy in one scenario."""
     profile = DEPLOYMENTS[deployment]
     trace = generate_trace(profile, scenario.demand(profile, duration_s))
-    loop = Loop(scenario.setting(profile), make_policies()[policy])
+    setting = replace(scenario.setting(profile), exact=policy == EXACT)
+    loop = Loop(setting, make_policies()[policy])
     return summarize(loop.run(trace))
 
 
@@ -88,11 +90,13 @@
         for scenario in chosen
         for name in names
     ]
-    print(HEAD)
+    sys.stdout.write(f'{HEAD}\n')
     with Pool(processes) as pool:
         runs = [pool.apply_async(measure, task) for task in tasks]
         for task, run in zip(tasks, runs, strict=True):
-            print(row(task[1].name, task[3], run.get()), flush=True)
+            line = row(task[1].name, task[3], run.get())
+            sys.stdout.write(f'{line}\n')
+            sys.stdout.flush()
 
 
 def main() -> None:
--- a/benchmarks/engines.py
+++ b/benchmarks/engines.py
@@ -47,6 +47,7 @@
     refused: bool = False
     gone: bool = False
     sender: object = None
+    noted_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -135,9 +136,15 @@
         if job in self.queue:
             self.queue.remove(job)
 
+    def uncached(self, request: TraceRequest) -> int:
+        """Return the prompt tokens that are not cached now."""
+        if request.prefix in self.cache:
+            return request.prompt_tokens - request.prefix_tokens
+        return request.prompt_tokens
+
     def measure(self, now_s: float) -> Load:
         """Return the present load."""
-        waiting = sum(job.request.prompt_tokens for job in self.queue)
+        waiting = sum(self.uncached(job.request) for job in self.queue)
         return Load(
             measured_s=now_s,
             running=len(self.running),
--- a/benchmarks/loop.py
+++ b/benchmarks/loop.py
@@ -7,83 +7,34 @@
 import heapq
 import itertools
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
+from functools import partial
 from random import Random
 
 from benchmarks.baselines import Choose
 from benchmarks.engines import Engine, Job, Load, prompt_blocks
-from godwitshunt.manifest import Objective
-from godwitshunt.membership.views import (
-    RegionSummary,
-    RegionView,
-    UpstreamView,
+from benchmarks.knowledge import (
+    ROUND_TRIP_S,
+    Change,
+    Knowledge,
+    Setting,
+    Vm,
+    route_request,
 )
+from godwitshunt.manifest import Objective
 from godwitshunt.replay.deployments import Deployment
 from godwitshunt.replay.generator import caller_name, is_restricted
 from godwitshunt.replay.traces import TraceRequest
-from godwitshunt.routing import Forward, Refuse, RouteRequest, Serve, Wait
-from godwitshunt.routing.prediction import Work, open_slots
-from godwitshunt.settings import Address
+from godwitshunt.routing import Forward, Refuse, Serve, Wait
+
+Event = Callable[[], None]
 
 HOP_S = 0.001
-ROUND_TRIP_S = 0.04
 REPORT_PERIOD_S = 0.5
 SUMMARY_PERIOD_S = 1.0
-ISOLATION_LEASE_S = 3.0
-UPSTREAM_LEASE_S = 2.5
 CONNECT_TIMEOUT_S = 1.0
 EVENT_GAP = 0.05
 MAX_ATTEMPTS = 4
-VMS_PER_REGION = 2
-EMPTY = Work(prompt_tokens=0, output_tokens=0, deadline_s=0.0)
-ADDRESS = Address(host='127.0.0.1', port=1)
-
-
-@dataclass(frozen=True)
-class Change:
-    """What happens to a region during a run.
-
-    Parameters
-    ----------
-    lost : tuple of str
-        Engines that stop at `from_s` and start anew at `until_s`.
-    cut : str or None
-        A region that is cut off from the others meanwhile.
-    """
-
-    from_s: float
-    until_s: float
-    lost: tuple[str, ...] = ()
-    cut: str | None = None
-
-
-@dataclass(frozen=True)
-class Setting:
-    """What a run is made under.
-
-    Parameters
-    ----------
-    lag_s : float
-        Seconds until a load report is seen.
-    exact : bool
-        True where every VM sees every engine as it is now.
-    """
-
-    deployment: Deployment
-    lag_s: float = 0.1
-    exact: bool = False
-    changes: tuple[Change, ...] = ()
-    seed: int = 1
-
-
-@dataclass(eq=False)
-class Vm:
-    """An entry VM: its region and what it has sent."""
-
-    name: str
-    region: str
-    sends: dict[str, dict[Job, float]] = field(default_factory=dict)
-    summaries: tuple[RegionSummary, ...] = ()
 
 
 class Loop:
@@ -94,7 +45,7 @@
         self.choose = choose
         self.random = Random(setting.seed)
         self.now_s = 0.0
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.events: list[tuple[float, int, Event]] = []
         self.order = itertools.count()
         deployment = setting.deployment
         self.engines = [
@@ -102,21 +53,15 @@
             for region in deployment.regions
             for engine in region_engines(deployment, region.name)
         ]
-        self.vms = [
-            Vm(f'{region.name}-vm-{number}', region.name)
-            for region in deployment.regions
-            for number in range(VMS_PER_REGION)
-        ]
+        self.knowledge = Knowledge(setting, self.engines)
         self.objective = Objective(
             latency=deployment.latency,
             cost=deployment.cost,
             share_away=deployment.share_away,
         )
         self.works = {work.request_class: work for work in deployment.works}
-        self.reports: dict[str, Load] = {}
-        self.silent_s: dict[str, float] = {}
 
-    def at(self, when_s: float, event: Callable[[], None]) -> None:
+    def at(self, when_s: float, event: Event) -> None:
         """Queue an event."""
         heapq.heappush(self.events, (when_s, next(self.order), event))
 
@@ -124,15 +69,16 @@
         """Return every request of a trace with what became of it."""
         jobs = [self.make_job(request) for request in trace]
         for job in jobs:
-            self.at(job.request.arrival_s, lambda job=job: self.arrive(job))
+            self.at(job.request.arrival_s, partial(self.arrive, job))
         for change in self.setting.changes:
-            self.at(change.from_s, lambda each=change: self.lose(each))
-            self.at(change.until_s, lambda each=change: self.restore(each))
+            self.at(change.from_s, partial(self.lose, change))
+            self.at(change.until_s, partial(self.restore, change))
         end_s = jobs[-1].request.arrival_s
         self.tick_reports(end_s)
         self.tick_summaries(end_s)
         while self.events:
-            self.now_s, _, event = heapq.heappop(self.events)
+            when_s, _, event = heapq.heappop(self.events)
+            self.now_s = when_s
             event()
         return jobs
 
@@ -168,12 +114,12 @@
             seen = replace(load, cached=frozenset(kept))
             self.at(
                 self.now_s + self.setting.lag_s,
-                lambda each=engine, load=seen: self.show(each, load),
+                partial(self.show, engine, seen),
             )
         if self.now_s <= end_s:
             self.at(
                 self.now_s + REPORT_PERIOD_S,
-                lambda: self.tick_reports(end_s),
+                partial(self.tick_reports, end_s),
             )
 
     def show(self, engine: Engine, load: Load) -> None:
@@ -182,123 +128,20 @@
             engine.visible = load
 
     def tick_summaries(self, end_s: float) -> None:
-        """Make every region's summary and give it to the others."""
-        for region in self.setting.deployment.regions:
-            teller = next(vm for vm in self.vms if vm.region == region.name)
-            told = self.summary_of(teller)
-            for vm in self.vms:
-                if vm.region != region.name and not self.is_cut(vm, region):
-                    others = tuple(
-                        summary
-                        for summary in vm.summaries
-                        if summary.region != region.name
-                    )
-                    vm.summaries = others + told
+        """Let regions tell each other of themselves."""
+        self.knowledge.share_summaries(self.now_s)
         if self.now_s <= end_s:
             self.at(
                 self.now_s + SUMMARY_PERIOD_S,
-                lambda: self.tick_summaries(end_s),
-            )
-
-    def is_cut(self, vm: Vm, region: object) -> bool:
-        """Return whether a VM and a region cannot reach each other."""
-        name = getattr(region, 'name', region)
-        return any(
-            change.cut in {vm.region, name}
-            for change in self.setting.changes
-            if change.cut and change.from_s <= self.now_s < change.until_s
-        )
-
-    def summary_of(self, vm: Vm) -> tuple[RegionSummary, ...]:
-        """Return a region's summary as one of its VMs sees it."""
-        vms = tuple(
-            (other.name, ADDRESS)
-            for other in self.vms
-            if other.region == vm.region
-        )
-        groups: dict[str, list[UpstreamView]] = {}
-        for upstream in self.upstreams_of(vm):
-            groups.setdefault(upstream.service, []).append(upstream)
-        return tuple(
-            RegionSummary(
-                region=vm.region,
-                service=service,
-                model='chat-model' if group[0].models else None,
-                free_slots=sum(max(0, open_slots(each, 1)) for each in group),
-                slots=sum(each.slots for each in group),
-                wait_s=min(EMPTY.first_token_s(each, 0) for each in group),
-                price=group[0].price,
-                round_trip_s=ROUND_TRIP_S,
-                age_s=self.now_s,
-                vms=vms,
+                partial(self.tick_summaries, end_s),
             )
-            for service, group in groups.items()
-        )
-
-    def view(self, vm: Vm) -> RegionView:
-        """Return what a VM knows now."""
-        summaries = tuple(
-            replace(summary, age_s=self.now_s - summary.age_s)
-            for summary in vm.summaries
-        )
-        isolated = any(
-            change.cut == vm.region
-            and change.from_s + ISOLATION_LEASE_S <= self.now_s < change.until_s
-            for change in self.setting.changes
-        )
-        return RegionView(vm.region, self.upstreams_of(vm), summaries, isolated)
-
-    def upstreams_of(self, vm: Vm) -> tuple[UpstreamView, ...]:
-        """Return the upstreams whose lease a VM holds for valid."""
-        return tuple(
-            self.upstream_view(vm, engine)
-            for engine in self.engines
-            if engine.region == vm.region and self.is_leased(engine)
-        )
-
-    def is_leased(self, engine: Engine) -> bool:
-        """Return whether a lost engine still seems to be there."""
-        if engine.up:
-            return True
-        silent_s = self.now_s - self.silent_s.get(engine.name, 0.0)
-        return silent_s < UPSTREAM_LEASE_S
-
-    def upstream_view(self, vm: Vm, engine: Engine) -> UpstreamView:
-        """Return an engine as a VM sees it."""
-        load = engine.visible
-        if self.setting.exact:
-            load = engine.measure(self.now_s)
-        sends = vm.sends.get(engine.name, {})
-        unreported = [
-            job.request.prompt_tokens
-            for job, sent_s in sends.items()
-            if sent_s >= load.measured_s and not self.setting.exact
-        ]
-        plain = engine.name.endswith('plain')
-        return UpstreamView(
-            name=engine.name,
-            region=engine.region,
-            service=service_of(self.setting.deployment, plain=plain),
-            address=ADDRESS,
-            incarnation=engine.incarnation,
-            models=frozenset() if plain else frozenset(('chat-model',)),
-            slots=engine.profile.slots,
-            running=load.running,
-            queued=load.queued,
-            queued_tokens=load.queued_tokens,
-            prefill_tokens_per_s=engine.profile.prefill_tokens_per_s,
-            decode_tokens_per_s=engine.profile.decode_tokens_per_s,
-            report_age_s=self.now_s - load.measured_s,
-            sent_since=len(unreported),
-            sent_tokens_since=sum(unreported),
-            price=engine.price,
-            cached_prefixes=load.cached,
-        )
 
     def arrive(self, job: Job) -> None:
         """Let a request come to one of its home region's VMs."""
-        self.at(job.deadline_s, lambda: self.give_up(job))
-        local = [vm for vm in self.vms if vm.region == job.request.home]
+        self.at(job.deadline_s, partial(self.give_up, job))
+        local = [
+            vm for vm in self.knowledge.vms if vm.region == job.request.home
+        ]
         self.decide(job, self.random.choice(local))
 
     def decide(self, job: Job, vm: Vm) -> None:
@@ -306,53 +149,32 @@
         if job.gone:
             return
         decision = self.choose(
-            self.view(vm),
-            self.route(job),
+            self.knowledge.view(vm, self.now_s),
+            route_request(job, self.now_s),
             self.objective,
             self.random,
         )
         match decision:
             case Serve(upstream):
+                job.noted_tokens = decision.uncached_tokens
                 self.send(job, vm, upstream.name)
             case Wait(delay_s):
-                self.at(self.now_s + delay_s, lambda: self.decide(job, vm))
+                self.at(self.now_s + delay_s, partial(self.decide, job, vm))
             case Forward(vm=name):
                 self.forward(job, vm, name)
             case Refuse():
                 job.refused = True
                 job.gone = True
 
-    def route(self, job: Job) -> RouteRequest:
-        """Return what a decision needs to know."""
-        request = job.request
-        return RouteRequest(
-            caller=request.caller,
-            request_class=request.request_class,
-            service=request.service,
-            model=request.model,
-            home=request.home,
-            allowed=job.allowed,
-            prefix_blocks=job.blocks,
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=request.output_tokens,
-            deadline_s=job.deadline_s - self.now_s,
-            waited_s=self.now_s - request.arrival_s,
-            priority=job.priority,
-            slot_share=job.slot_share,
-            regions_visited=job.visited,
-            excluded=job.excluded,
-            restricted=len(job.allowed) == 1,
-        )
-
     def forward(self, job: Job, vm: Vm, name: str) -> None:
         """Send a request to a VM of another region."""
-        other = next(each for each in self.vms if each.name == name)
-        if self.is_cut(vm, other.region):
+        other = next(each for each in self.knowledge.vms if each.name == name)
+        if self.knowledge.is_cut(vm, other.region, self.now_s):
             self.fail(job, vm, name, CONNECT_TIMEOUT_S)
             return
         job.visited = (*job.visited, vm.region)
         arrival_s = self.now_s + ROUND_TRIP_S / 2
-        self.at(arrival_s, lambda: self.decide(job, other))
+        self.at(arrival_s, partial(self.decide, job, other))
 
     def send(self, job: Job, vm: Vm, name: str) -> None:
         """Send a request to an engine."""
@@ -372,11 +194,11 @@
             incarnation = engine.incarnation
             self.at(
                 first_s,
-                lambda job=job: self.first_token(job, engine, incarnation),
+                partial(self.first_token, job, engine, incarnation),
             )
             self.at(
                 end_s,
-                lambda job=job: self.finish(job, engine, incarnation),
+                partial(self.finish, job, engine, incarnation),
             )
 
     def first_token(self, job: Job, engine: Engine, incarnation: int) -> None:
@@ -400,7 +222,7 @@
         engine = job.served_by
         if engine is None:
             return
-        job.sender.sends[engine.name].pop(job, None)
+        job.sender.note_end(engine.name, job, self.now_s)
         engine.leave(job)
         self.start_jobs(engine)
 
@@ -418,7 +240,7 @@
             job.gone = True
             job.refused = True
             return
-        self.at(self.now_s + after_s, lambda: self.decide(job, vm))
+        self.at(self.now_s + after_s, partial(self.decide, job, vm))
 
     def lose(self, change: Change) -> None:
         """Stop engines; what ran there is tried elsewhere."""
@@ -426,7 +248,7 @@
             if engine.name in change.lost:
                 engine.up = False
                 engine.incarnation += 1
-                self.silent_s[engine.name] = self.now_s
+                self.knowledge.silent_s[engine.name] = self.now_s
                 for job in engine.lose_all():
                     job.sender.sends[engine.name].pop(job, None)
                     job.first_token_s = None
@@ -449,8 +271,3 @@
     ]
     plain = replace(deployment.engine, slots=32)
     return [*engines, Engine(f'{region}-plain', region, 0.0, plain)]
-
-
-def service_of(deployment: Deployment, *, plain: bool) -> str:
-    """Return the service that an engine serves."""
-    return deployment.plain_service if plain else 'chat'
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from benchmarks.loop import Change, Setting
+from benchmarks.knowledge import Change, Setting
 from godwitshunt.replay.deployments import Deployment
 from godwitshunt.replay.generator import Demand, capacity_per_s
 
@@ -46,27 +46,23 @@
     )
     third = duration_s / 3
     half = names[: len(names) // 2]
-    return (
+    loads = [
         Scenario('calm', 0.4),
         Scenario('70%', 0.7),
         Scenario('95%', 0.95),
         Scenario('100%', 1.0),
         Scenario('130%', 1.3),
         Scenario('daily peaks', 0.6, swing=0.5),
-        Scenario(
-            'half a region lost',
-            0.7,
-            changes=(Change(third, 2 * third, lost=half),),
-        ),
+    ]
+    faults = [
         Scenario('reports 2 s late', 0.7, lag_s=2.0),
-        Scenario(
-            'partition',
-            0.7,
-            changes=(Change(third, 2 * third, cut=first.name),),
-        ),
-        Scenario(
-            'cold caches',
-            0.7,
-            changes=(Change(third, 1.2 * third, lost=names),),
-        ),
-    )
+        fault('half a region lost', Change(third, 2 * third, lost=half)),
+        fault('partition', Change(third, 2 * third, cut=first.name)),
+        fault('cold caches', Change(third, 1.2 * third, lost=names)),
+    ]
+    return tuple(loads + faults)
+
+
+def fault(name: str, change: Change) -> Scenario:
+    """Return a scenario in which something is lost for a while."""
+    return Scenario(name, 0.7, changes=(change,))
--- a/godwitshunt/membership/views.py
+++ b/godwitshunt/membership/views.py
@@ -42,6 +42,8 @@
         Requests this VM sent there after that measurement.
     sent_tokens_since : int
         Uncached prompt tokens of those requests.
+    finished_since : int
+        Requests of this VM that were in the reported load and have ended.
     price : float
         Cost of 1,000 generated tokens.
     cached_prefixes : frozenset of int
@@ -75,6 +77,7 @@
     honours_priority: bool = False
     honours_fencing: bool = False
     leaving: bool = False
+    finished_since: int = 0
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/replay/__init__.py
+++ b/godwitshunt/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Traces, their generator, open-loop sending, results and charts."""
--- a/godwitshunt/replay/deployments.py
+++ b/godwitshunt/replay/deployments.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from types import MappingProxyType
 
 CHAT = 'chat'
 
@@ -137,7 +138,7 @@
             share=0.08,
             priority=1,
             deadline_s=90.0,
-            slot_share=0.75,
+            slot_share=0.5,
             prefixes=20,
             prefix_tokens=2048,
             own_tokens=600,
@@ -161,7 +162,7 @@
     ),
     latency=1.0,
     cost=0.02,
-    share_away=2.0,
+    share_away=1.0,
 )
 
 STATIKA = Deployment(
@@ -218,4 +219,6 @@
     share_away=4.0,
 )
 
-DEPLOYMENTS = {each.name: each for each in (PALLIKKARA, STATIKA)}
+DEPLOYMENTS = MappingProxyType(
+    {each.name: each for each in (PALLIKKARA, STATIKA)},
+)
--- a/godwitshunt/replay/generator.py
+++ b/godwitshunt/replay/generator.py
@@ -16,6 +16,7 @@
 from godwitshunt.replay.traces import TraceRequest
 
 LONGEST_TOKENS = 8192
+CACHED_SHARE = 0.8
 ROUND_TRIP_MS = 40.0
 MILLISECOND_DIGITS = 3
 UNLIMITED_PER_S = 10000
@@ -51,8 +52,10 @@
 def capacity_per_s(deployment: Deployment) -> float:
     """Return the requests a second that fill every engine's slots.
 
-    Plain calls take no slot of an engine. Prefixes are taken as cached, so no
-    real router reaches quite this.
+    Plain calls take no slot of an engine. Of the shared prompt starts the
+    `CACHED_SHARE` is taken as cached, which is about what strict affinity
+    reaches with the profiles' caches; a router that hits less has less
+    capacity.
     """
     engine = deployment.engine
     held_s = sum(
@@ -69,7 +72,9 @@
     engine = deployment.engine
     # The mean of a log-normal length is its median times this factor.
     factor = math.exp(work.spread * work.spread / 2)
-    prefill_s = work.own_tokens * factor / engine.prefill_tokens_per_s
+    uncached = work.prefix_tokens * (1 - CACHED_SHARE)
+    prompt = uncached + work.own_tokens * factor
+    prefill_s = prompt / engine.prefill_tokens_per_s
     decode_s = work.output_tokens * factor / engine.decode_tokens_per_s
     return prefill_s + decode_s
 
--- a/godwitshunt/replay/traces.py
+++ b/godwitshunt/replay/traces.py
@@ -56,8 +56,9 @@
 
 def write_trace(path: Path, requests: Iterable[TraceRequest]) -> None:
     """Write a trace, one request a line."""
-    lines = (request.model_dump_json() for request in requests)
-    path.write_text('\n'.join(lines) + '\n', encoding='utf-8')
+    with path.open('w', encoding='utf-8') as lines:
+        for request in requests:
+            lines.write(f'{request.model_dump_json()}\n')
 
 
 def read_trace(path: Path) -> tuple[TraceRequest, ...]:
--- a/godwitshunt/routing/messages.py
+++ b/godwitshunt/routing/messages.py
@@ -76,10 +76,20 @@
 
 @dataclass(frozen=True)
 class Serve:
-    """Send the request to an upstream of this region."""
+    """Send the request to an upstream of this region.
+
+    Parameters
+    ----------
+    predicted_s : float
+        Predicted seconds to the first token.
+    uncached_tokens : int
+        Prompt tokens that the upstream likely has to compute; what
+        `note_sent` of the membership is told.
+    """
 
     upstream: UpstreamView
     predicted_s: float = 0.0
+    uncached_tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/routing/policy.py
+++ b/godwitshunt/routing/policy.py
@@ -36,7 +36,9 @@
     targets,
 )
 
-WAIT_S = 0.05
+SHORTEST_WAIT_S = 0.05
+LONGEST_WAIT_S = 0.5
+WAIT_GROWTH = 0.1
 SHORTEST_RETRY_S = 1.0
 LONGEST_RETRY_S = 30.0
 
@@ -55,6 +57,7 @@
     score: float
     predicted_s: float
     needed_s: float
+    uncached_tokens: int
 
 
 def choose(
@@ -196,7 +199,13 @@
         + away_penalty(upstream.region, request, objective)
     )
     finish_s = work.finish_s(upstream.decode_tokens_per_s)
-    return Local(upstream, score, predicted_s, predicted_s + finish_s)
+    return Local(
+        upstream,
+        score,
+        predicted_s,
+        predicted_s + finish_s,
+        round(work.uncached_tokens(cached)),
+    )
 
 
 def decide(
@@ -221,7 +230,7 @@
     best = local.best
     if best is None or best.needed_s > request.deadline_s:
         return None
-    return Serve(best.upstream, best.predicted_s)
+    return Serve(best.upstream, best.predicted_s, best.uncached_tokens)
 
 
 def without_place(
@@ -231,8 +240,10 @@
     random: Random,
 ) -> Decision:
     """Return a wait or a refusal where nothing can take a request now."""
-    if local.served and local.best is None and request.deadline_s > WAIT_S:
-        return Wait(WAIT_S * random.uniform(0.5, 1.5))
+    if local.served and local.best is None:
+        wait_s = pause_s(request, random)
+        if wait_s < request.deadline_s:
+            return Wait(wait_s)
     if not local.served and not others:
         return Refuse(RefusalReason.no_upstream, SHORTEST_RETRY_S)
     late_s = LONGEST_RETRY_S
@@ -241,6 +252,17 @@
     return Refuse(RefusalReason.overloaded, retry_after_s(late_s, random))
 
 
+def pause_s(request: RouteRequest, random: Random) -> float:
+    """Return the time to the next decision, longer for who waits longer.
+
+    A hundred long jobs that all asked twenty times a second would take the VM
+    more time than its requests.
+    """
+    grown_s = WAIT_GROWTH * request.waited_s
+    bounded_s = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, grown_s))
+    return bounded_s * random.uniform(0.5, 1.5)
+
+
 def retry_after_s(late_s: float, random: Random) -> float:
     """Return when to come back, spread so that callers do not return at once.
 
--- a/godwitshunt/routing/prediction.py
+++ b/godwitshunt/routing/prediction.py
@@ -11,17 +11,18 @@
 
 TYPICAL_OUTPUT_TOKENS = 128
 PLAIN_HOLD_S = 0.05
-MISS_WEIGHT = 1.0
+MISS_WEIGHT = 4.0
 MAX_FINISH_SHARE = 0.5
-# A request has aged fully after this part of its time.
-AGED_SHARE = 0.1
-AGED_SLOT_SHARE = 1.25
+# What a request may use grows by the gain in each such part of its time.
+AGED_SHARE = 0.2
+AGED_GAIN = 0.25
 SHORTEST_S = 0.001
 
 
 def occupancy(upstream: UpstreamView) -> int:
     """Return the requests that an upstream holds, as far as is known here."""
-    return upstream.running + upstream.queued + upstream.sent_since
+    reported = upstream.running + upstream.queued - upstream.finished_since
+    return max(0, reported) + upstream.sent_since
 
 
 def open_slots(upstream: UpstreamView, slot_share: float) -> int:
@@ -35,16 +36,16 @@
 
 
 def usable_share(request: RouteRequest) -> float:
-    """Return the share of slots that a request may use now.
+    """Return the share of slots that may be taken when a request is sent.
 
-    The share of its class grows while the request waits, to a little more
-    than the whole: then it queues at the upstream, where the next slot is its
-    own. So a long job is not starved by urgent ones that come without end.
+    It starts with the share of the request's class and grows while the
+    request waits, also beyond the whole: then it queues at an upstream, among
+    ever more others. So a long job is not starved by urgent ones that come
+    without end.
     """
     allowed_s = request.waited_s + request.deadline_s
     aged = request.waited_s / max(AGED_SHARE * allowed_s, SHORTEST_S)
-    gain = AGED_SLOT_SHARE - request.slot_share
-    return request.slot_share + gain * min(1.0, aged)
+    return request.slot_share + AGED_GAIN * aged
 
 
 def hold_s(upstream: UpstreamView) -> float:
@@ -104,10 +105,16 @@
         """
         if not upstream.models:
             return slot_wait_s(upstream) + PLAIN_HOLD_S
+        speed = upstream.prefill_tokens_per_s
         backlog = upstream.queued_tokens + upstream.sent_tokens_since
-        uncached = self.prompt_tokens * (1.0 - cached)
-        prefill_s = (backlog + uncached) / upstream.prefill_tokens_per_s
-        return slot_wait_s(upstream) + prefill_s
+        # Prompts are prefilled as slots come free, so that the longer of the
+        # two waits holds the other.
+        wait_s = max(slot_wait_s(upstream), backlog / speed)
+        return wait_s + self.uncached_tokens(cached) / speed
+
+    def uncached_tokens(self, cached: float) -> float:
+        """Return the prompt tokens that are left to compute."""
+        return self.prompt_tokens * (1.0 - cached)
 
     def miss_s(self, upstream: UpstreamView, cached: float) -> float:
         """Return the seconds that a cache miss costs later requests.
@@ -117,8 +124,10 @@
         """
         if not upstream.models:
             return 0.0
-        uncached = self.prompt_tokens * (1.0 - cached)
-        return MISS_WEIGHT * uncached / upstream.prefill_tokens_per_s
+        uncached_s = (
+            self.uncached_tokens(cached) / upstream.prefill_tokens_per_s
+        )
+        return MISS_WEIGHT * uncached_s
 
     def finish_s(self, decode_tokens_per_s: float) -> float:
         """Return the seconds kept for the answer after its first token.
