--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: decisions side by side with simpler ones, and their cost."""
+"""Measurements of one part at a time, as ratios within one run."""
--- a/godwitshunt/claims/tests/test_task.py
+++ b/godwitshunt/claims/tests/test_task.py
@@ -37,6 +37,11 @@
 DIGEST = b'd' * 32
 
 
+async def run_at_once(call, *arguments):
+    """Run a blocking call on the event loop."""
+    return call(*arguments)
+
+
 class Region:
     """Claims tasks of a region's VMs on a fake network."""
 
@@ -63,6 +68,9 @@
             self.network.timer,
             Metrics(),
         )
+        if data_folder is not None:
+            # Virtual time must not run on while a thread syncs.
+            task.holder.journal.journal.run_blocking = run_at_once
         task.links.draw_number = lambda: self.random.getrandbits(62) + 1
         await task.start()
         self.tasks[name] = task
@@ -288,8 +296,17 @@
     assert isinstance(await region.claim('b', region.key()), Granted)
 
 
-async def test_journaled_holders_remember_over_a_restart_of_all(tmp_path):
+async def test_journaled_holders_remember_over_a_restart_of_all(
+    tmp_path,
+    monkeypatch,
+):
     """Every VM of a region loses power; all have disks."""
+
+    async def run_here(function, *arguments):
+        # Virtual time must not pass while a real disk works in a thread.
+        return function(*arguments)
+
+    monkeypatch.setattr(asyncio, 'to_thread', run_here)
     region = await Region(3, tmp_path, 'abc').start_all()
     key, second = region.key(), region.key('second-1')
     assert isinstance(await region.claim('a', key), Granted)
@@ -391,3 +408,19 @@
             await tasks[kinds.index(Granted)].finish(key, ANSWER)
             again = await tasks[2].claim(key, DIGEST, 5)
             assert again == AlreadyAnswered(ANSWER)
+
+
+async def test_new_holder_set_leaves_callers_no_moment_without_a_stamp():
+    """A holder restarts and control commits a new set with its session.
+
+    Until a majority of the new set has been heard, the directory goes on
+    giving the stamp before; without one, callers could file nothing.
+    """
+    region = await Region(3).start_all()
+    await region.network.advance(3)
+    before = region.tasks['a'].stamp()
+    region.commit()
+    at_once = region.tasks['a'].stamp()
+    await region.network.advance(3)
+    assert at_once == before
+    assert region.tasks['a'].stamp() > before
--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Self
+from zlib import crc32
 
 from pydantic import ValidationError
 from result import Err
@@ -25,7 +26,12 @@
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.history import Held, RevisionHistory
 from godwitshunt.configuration.kept_revision import KeptRevision
-from godwitshunt.configuration.revision import Revision, VmRecord, VmRole
+from godwitshunt.configuration.revision import (
+    Revision,
+    RevisionNotice,
+    VmRecord,
+    VmRole,
+)
 from godwitshunt.configuration.wire import vm_to_wire
 from godwitshunt.exceptions import FrameError, StorageError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
@@ -33,8 +39,6 @@
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Timer
 
-RevisionNotice = Callable[[Revision], None]
-
 HEARTBEAT_PERIOD_S = 1.0
 # Without jitter the heartbeats of VMs that started together would stay
 # together and reach a control replica as one burst each second.
@@ -227,7 +231,11 @@
             if vm.peer in self.control
         ]
         preferred = [] if self.preferred is None else [self.preferred]
-        return tuple(dict.fromkeys([*own_region, *preferred, *self.control]))
+        # Without the turn every VM of a region that has no control replica
+        # would speak to the one that the settings name first.
+        turn = crc32(self.record.name.encode()) % max(1, len(self.control))
+        turned = (*self.control[turn:], *self.control[:turn])
+        return tuple(dict.fromkeys([*own_region, *preferred, *turned]))
 
     def peer_order(self) -> tuple[Address, ...]:
         """Return peers of the region, beginning with another each time."""
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -19,7 +19,6 @@
     admit_forwarded,
     refuse_early,
 )
-from godwitshunt.exchange.announcements import UpstreamAnnouncement
 from godwitshunt.exchange.forwarding import (
     FORWARD_HEADER,
     ForwardRefused,
@@ -41,6 +40,7 @@
 from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.manifest import Caller
 from godwitshunt.manifest.documents import parse_document
+from godwitshunt.membership.announcements import UpstreamAnnouncement
 from godwitshunt.peer import client_context, server_context
 from godwitshunt.settings import EntrySettings, TlsSettings
 from godwitshunt.telemetry import Metrics
@@ -265,6 +265,7 @@
             told = 'the deadline passed on the way'
             return Err(refuse_early(request, ProblemKind.deadline, told))
         self.metrics.count('forwards_received_total')
+        self.ports.retries.note_first(self.ports.timer.now())
         admitted = admit(request, revision.manifest, caller)
         return admitted.map(lambda ready: admit_forwarded(ready, note))
 
--- a/godwitshunt/exchange/ports.py
+++ b/godwitshunt/exchange/ports.py
@@ -9,9 +9,9 @@
 
 from godwitshunt.claims.messages import ClaimOutcome, KeptAnswer
 from godwitshunt.configuration.revision import Revision, VmRecord
-from godwitshunt.exchange.announcements import UpstreamAnnouncement
 from godwitshunt.exchange.problems import Problem
 from godwitshunt.manifest import Objective
+from godwitshunt.membership.announcements import UpstreamAnnouncement
 from godwitshunt.membership.views import RegionView
 from godwitshunt.routing.messages import Decision, RouteRequest
 from godwitshunt.timer import Timer
@@ -23,9 +23,6 @@
     def current(self) -> Revision | None:
         """Return the newest applied revision; None before the first."""
 
-    def quorum_age_s(self) -> float:
-        """Return seconds since the last proof of a control quorum."""
-
 
 class MembershipPort(Protocol):
     """Upstreams of this region, and summaries of the others."""
--- a/godwitshunt/exchange/tests/fakes.py
+++ b/godwitshunt/exchange/tests/fakes.py
@@ -15,13 +15,13 @@
 from godwitshunt.configuration.revision import Revision, VmRecord, VmRole
 from godwitshunt.exchange.gateway import ExchangeTask
 from godwitshunt.exchange.ports import Ports
-from godwitshunt.manifest import parse_manifest
-from godwitshunt.membership.views import RegionView, UpstreamView
-from godwitshunt.programs.interim import (
+from godwitshunt.exchange.tests.local_slices import (
     FreeRetries,
     LocalClaims,
     NoLimits,
 )
+from godwitshunt.manifest import parse_manifest
+from godwitshunt.membership.views import RegionView, UpstreamView
 from godwitshunt.routing.messages import Forward, RefusalReason, Refuse, Serve
 from godwitshunt.settings import Address, EntrySettings, LimitSettings
 from godwitshunt.telemetry import Metrics
@@ -75,20 +75,17 @@
     """A revision that the test sets."""
 
     revision: Revision | None
-    age_s: float = 0.0
 
     def current(self) -> Revision | None:
         return self.revision
 
-    def quorum_age_s(self) -> float:
-        return self.age_s
-
 
 @dataclass
 class FixedMembership:
     """Upstreams that the test sets."""
 
     region: str = 'kochi'
+    isolated: bool = False
     upstreams: tuple[UpstreamView, ...] = ()
     in_progress: Counter = field(default_factory=Counter)
     announced: list = field(default_factory=list)
@@ -101,7 +98,11 @@
         self.announced.append((name, incarnation))
 
     def view(self) -> RegionView:
-        return RegionView(self.region, self.upstreams)
+        return RegionView(
+            self.region,
+            self.upstreams,
+            isolated=self.isolated,
+        )
 
     def note_sent(self, name: str, tokens: int) -> None:
         self.in_progress[name] += 1
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -7,6 +7,7 @@
 
 import defopt
 
+from godwitshunt.claims import ClaimsTask
 from godwitshunt.configuration import (
     ConfigurationService,
     VmRecord,
@@ -14,13 +15,13 @@
 )
 from godwitshunt.configuration.cluster import Cluster
 from godwitshunt.configuration.operator_api import OperatorApi
-from godwitshunt.configuration.operator_http import OperatorListener
 from godwitshunt.consensus import (
     ConsensusOptions,
     ConsensusTask,
     DiskFileSystem,
 )
 from godwitshunt.exceptions import GodwitshuntError
+from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.peer import (
     PeerLinks,
@@ -28,12 +29,13 @@
     client_context,
     server_context,
 )
+from godwitshunt.placement import PlacementApi, PlacementTask
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
 from godwitshunt.timer import TimerService
 
 
-def vm_record(settings: ControlSettings) -> VmRecord:
+def vm_record(settings: ControlSettings, session: str) -> VmRecord:
     """Return the record of this control replica."""
     return VmRecord(
         name=settings.name,
@@ -42,6 +44,7 @@
         role=VmRole.control,
         http=settings.http_reached,
         peer=settings.peer_reached,
+        session=session,
     )
 
 
@@ -70,9 +73,15 @@
             self.timer,
             self.metrics,
         )
+        self.claims = ClaimsTask.from_config(
+            settings,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
         self.service = ConfigurationService.from_config(
             settings,
-            vm_record(settings),
+            vm_record(settings, self.claims.session),
             self.consensus,
             self.links,
             self.timer,
@@ -83,17 +92,30 @@
             settings.operator_token_sha256,
             Cluster(self.consensus, settings.control, settings.peer_reached),
         )
-        self.listener = OperatorListener(
-            settings.http,
-            settings.limits,
-            self.api.handle,
+        self.placement = PlacementTask.from_config(
+            settings,
+            self.service,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        orders = PlacementApi(self.placement)
+        self.api.add_route('POST', '/v1/orders', orders.order)
+        self.api.add_status(self.placement.describe)
+        self.listener = Listener(
+            ListenerOptions(settings.http, settings.limits),
+            self.metrics,
+            self.api.serve,
         )
 
     async def start(self) -> None:
         """Start every part, the listener for operators last."""
         await self.links.start()
+        self.service.subscribe(self.claims.apply_revision)
+        await self.claims.start()
         self.service.start()
         await self.consensus.start()
+        self.placement.start()
         self.api.start()
         await self.listener.start()
         log_change('control:started', name=self.settings.name)
@@ -101,7 +123,9 @@
     async def close(self) -> None:
         """Answer what is under way, then close every part."""
         await self.listener.close()
+        await self.placement.close()
         await self.service.close()
+        await self.claims.close()
         await self.consensus.close()
         await self.links.close()
         self.timer.close()
