--- a/godwitshunt/replay/tests/__init__.py
+++ b/godwitshunt/replay/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the replay."""
+"""Tests of this slice."""
