--- a/godwitshunt/configuration/configuration.thrift
+++ b/godwitshunt/configuration/configuration.thrift
@@ -76,16 +76,18 @@
 
 /** From a VM to a control replica or a peer of its region, each second. */
 struct VmHeartbeat {
-  1: VmInfo vm
-  /** The revision in force there; 0 for none. */
-  2: i64 revision
-  /** SHA-256 of that revision's whole document, in hexadecimal. */
-  3: string digest
+  1: string name
+  2: string session
+  /** The revision in force there; 0 for none, or to ask for the whole. */
+  3: i64 revision
+  /** Until the receiver knows it. */
+  4: optional VmInfo vm
 }
 
 /** The newest revision: nothing, a delta, or the whole document. */
 struct ConfigurationNews {
   1: i64 revision
+  /** SHA-256 of the whole document; empty where nothing is newer. */
   2: string digest
   /** Digest of the document that a delta builds on; empty for a whole one. */
   3: string base_digest
@@ -93,6 +95,8 @@
   4: binary body
   /** Seconds since the last proof of a live quorum; negative for none. */
   5: double quorum_age_s
+  /** The receiver of the heartbeat does not know the VM in this session. */
+  6: bool introduce
 }
 
 /** What one control replica heard from a VM. */
--- a/godwitshunt/configuration/following.py
+++ b/godwitshunt/configuration/following.py
@@ -42,11 +42,11 @@
     needs_whole: bool = False
 
     @property
-    def base_digest(self) -> str:
-        """The digest to ask a delta for; empty asks for the whole."""
+    def base_revision(self) -> int:
+        """The revision to ask a delta over; 0 asks for the whole."""
         if self.held is None or self.needs_whole:
-            return ''
-        return self.held.digest
+            return 0
+        return self.held.revision
 
 
 @dataclass(frozen=True)
@@ -138,8 +138,6 @@
     news: ConfigurationNews,
 ) -> Result[Document, DocumentFault]:
     """Read the whole document, or the delta over the held one."""
-    if held is not None and held.digest == news.digest:
-        return Ok(held.document)
     if not news.base_digest:
         return unpack_document(news.body)
     found = '' if held is None else held.digest
--- a/godwitshunt/configuration/gen/wire/ttypes.py
+++ b/godwitshunt/configuration/gen/wire/ttypes.py
@@ -956,23 +956,26 @@
     From a VM to a control replica or a peer of its region, each second.
 
     Attributes:
-     - vm
-     - revision: The revision in force there; 0 for none.
-     - digest: SHA-256 of that revision's whole document, in hexadecimal.
+     - name
+     - session
+     - revision: The revision in force there; 0 for none, or to ask for the whole.
+     - vm: Until the receiver knows it.
 
     """
 
     __slots__ = (
-        'vm',
+        'name',
+        'session',
         'revision',
-        'digest',
+        'vm',
     )
 
 
-    def __init__(self, vm=None, revision=None, digest=None,):
-        self.vm = vm
+    def __init__(self, name=None, session=None, revision=None, vm=None,):
+        self.name = name
+        self.session = session
         self.revision = revision
-        self.digest = digest
+        self.vm = vm
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -984,19 +987,24 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.vm = VmInfo()
-                    self.vm.read(iprot)
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.session = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I64:
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.vm = VmInfo()
+                    self.vm.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1009,17 +1017,21 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('VmHeartbeat')
-        if self.vm is not None:
-            oprot.writeFieldBegin('vm', TType.STRUCT, 1)
-            self.vm.write(oprot)
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 2)
+            oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeFieldBegin('revision', TType.I64, 3)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
-        if self.digest is not None:
-            oprot.writeFieldBegin('digest', TType.STRING, 3)
-            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRUCT, 4)
+            self.vm.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1052,10 +1064,11 @@
 
     Attributes:
      - revision
-     - digest
+     - digest: SHA-256 of the whole document; empty where nothing is newer.
      - base_digest: Digest of the document that a delta builds on; empty for a whole one.
      - body: Compressed JSON; empty where the receiver has this revision.
      - quorum_age_s: Seconds since the last proof of a live quorum; negative for none.
+     - introduce: The receiver of the heartbeat does not know the VM in this session.
 
     """
 
@@ -1065,15 +1078,17 @@
         'base_digest',
         'body',
         'quorum_age_s',
+        'introduce',
     )
 
 
-    def __init__(self, revision=None, digest=None, base_digest=None, body=None, quorum_age_s=None,):
+    def __init__(self, revision=None, digest=None, base_digest=None, body=None, quorum_age_s=None, introduce=None,):
         self.revision = revision
         self.digest = digest
         self.base_digest = base_digest
         self.body = body
         self.quorum_age_s = quorum_age_s
+        self.introduce = introduce
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1109,6 +1124,11 @@
                     self.quorum_age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.introduce = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1139,6 +1159,10 @@
             oprot.writeFieldBegin('quorum_age_s', TType.DOUBLE, 5)
             oprot.writeDouble(self.quorum_age_s)
             oprot.writeFieldEnd()
+        if self.introduce is not None:
+            oprot.writeFieldBegin('introduce', TType.BOOL, 6)
+            oprot.writeBool(self.introduce)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1593,9 +1617,10 @@
 all_structs.append(VmHeartbeat)
 VmHeartbeat.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'vm', [VmInfo, None], None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.STRING, 'digest', 'UTF8', None, ),  # 3
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'session', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRUCT, 'vm', [VmInfo, None], None, ),  # 4
 )
 all_structs.append(ConfigurationNews)
 ConfigurationNews.thrift_spec = (
@@ -1605,6 +1630,7 @@
     (3, TType.STRING, 'base_digest', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
     (5, TType.DOUBLE, 'quorum_age_s', None, None, ),  # 5
+    (6, TType.BOOL, 'introduce', None, None, ),  # 6
 )
 all_structs.append(VmReport)
 VmReport.thrift_spec = (
--- a/godwitshunt/configuration/history.py
+++ b/godwitshunt/configuration/history.py
@@ -32,53 +32,49 @@
     `KEPT_DOCUMENTS` costs little more than keeping one.
     """
 
-    held: OrderedDict[str, Held] = field(default_factory=OrderedDict)
+    held: OrderedDict[int, Held] = field(default_factory=OrderedDict)
     newest: Held | None = None
-    bodies: dict[str, bytes] = field(default_factory=dict)
+    bodies: dict[int, bytes] = field(default_factory=dict)
 
     def add(self, newest: Held) -> None:
         """Keep a newer document."""
         self.newest = newest
         self.bodies.clear()
-        self.held[newest.digest] = newest
-        self.held.move_to_end(newest.digest)
+        self.held[newest.revision] = newest
         while len(self.held) > KEPT_DOCUMENTS:
             self.held.popitem(last=False)
 
-    def of_revision(self, revision: int) -> Held | None:
-        """Return a kept document by its revision."""
-        for held in self.held.values():
-            if held.revision == revision:
-                return held
-        return None
-
-    def news_for(self, digest: str, quorum_age_s: float) -> ConfigurationNews:
-        """Return what a VM with the document of this digest is to be told.
+    def news_for(
+        self,
+        revision: int,
+        quorum_age_s: float,
+    ) -> ConfigurationNews:
+        """Return what a VM with a revision is to be told.
 
         Parameters
         ----------
-        digest : str
-            Of the VM's document; empty where it has none.
+        revision : int
+            In force on the VM; 0 asks for the whole document.
         quorum_age_s : float
             Seconds since the last proof of a quorum; infinite for none.
         """
         age_s = quorum_age_s if quorum_age_s < float('inf') else UNKNOWN_AGE_S
-        if self.newest is None:
-            return ConfigurationNews(0, '', '', b'', age_s)
-        base = self.held.get(digest)
+        if self.newest is None or self.newest.revision <= revision:
+            known = 0 if self.newest is None else self.newest.revision
+            return ConfigurationNews(known, '', '', b'', age_s, False)
+        base = self.held.get(revision)
         return ConfigurationNews(
             revision=self.newest.revision,
             digest=self.newest.digest,
-            base_digest='' if base is None else digest,
+            base_digest='' if base is None else base.digest,
             body=self.body_for(base),
             quorum_age_s=age_s,
+            introduce=False,
         )
 
     def body_for(self, base: Held | None) -> bytes:
         """Return the delta or the whole document, made once for each base."""
-        if base is self.newest:
-            return b''
-        key = '' if base is None else base.digest
+        key = 0 if base is None else base.revision
         if key not in self.bodies:
             self.bodies[key] = (
                 pack_document(self.newest.document)
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -239,9 +239,7 @@
         for one in self.heard.direct(self.timer.now()):
             if one.vm.name == self.record.name:
                 continue
-            held = self.history.of_revision(one.revision)
-            digest = '' if held is None else held.digest
-            news = self.history.news_for(digest, float('inf'))
+            news = self.history.news_for(one.revision, float('inf'))
             self.links.tell(
                 one.vm.peer,
                 MessageKind.configuration_news,
@@ -252,16 +250,24 @@
     async def on_heartbeat(self, sender: str, body: bytes) -> bytes:
         """Note a VM's heartbeat and tell it what it lacks."""
         heartbeat = decode(ttypes.VmHeartbeat, body)
-        vm = vm_from_wire(heartbeat.vm)
-        now = self.timer.now()
-        self.heard.hear(HeardVm(vm, heartbeat.revision or 0, now))
+        vm = self.heartbeat_vm(heartbeat)
+        revision = heartbeat.revision or 0
+        if vm is not None:
+            self.heard.hear(HeardVm(vm, revision, self.timer.now()))
         self.metrics.count('configuration_heartbeats_total')
-        news = self.history.news_for(
-            heartbeat.digest or '',
-            self.quorum_age_s(),
-        )
+        news = self.history.news_for(revision, self.quorum_age_s())
+        news.introduce = vm is None
         return encode(news)
 
+    def heartbeat_vm(self, heartbeat: ttypes.VmHeartbeat) -> VmRecord | None:
+        """Return who sent a heartbeat; None for a stranger without record."""
+        if heartbeat.vm is not None:
+            return vm_from_wire(heartbeat.vm)
+        known = self.heard.by_name.get(heartbeat.name)
+        if known is None or known.vm.session != heartbeat.session:
+            return None
+        return known.vm
+
     def quorum_age_s(self) -> float:
         """Return for how many seconds a commit may be missing here.
 
@@ -313,7 +319,7 @@
         if self.log.leadership().is_leader:
             newest = await self.newest_revision()
         age_s = UNKNOWN_AGE_S if newest is None else 0
-        news = ttypes.ConfigurationNews(newest or 0, '', '', b'', age_s)
+        news = ttypes.ConfigurationNews(newest or 0, '', '', b'', age_s, False)
         return encode(news)
 
     def begin_upkeep(self) -> None:
--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -101,6 +101,7 @@
         self.lock = asyncio.Lock()
         self.preferred: Address | None = None
         self.peer_turn = 0
+        self.introduces = True
         # Spreads heartbeats over time; nothing is decided by it.
         self.jitter = random.Random(record.name)
 
@@ -209,6 +210,7 @@
         except FrameError:
             self.metrics.count('configuration_news_malformed_total')
             return False
+        self.introduces = bool(news.introduce)
         outcome = await self.take(news, asked_at)
         if isinstance(outcome, NewsRefused):
             return False
@@ -216,11 +218,11 @@
 
     def heartbeat(self) -> ttypes.VmHeartbeat:
         """Return what this VM tells of itself."""
-        held = self.following.held
         return ttypes.VmHeartbeat(
-            vm=vm_to_wire(self.record),
-            revision=0 if held is None else held.revision,
-            digest=self.following.base_digest,
+            name=self.record.name,
+            session=self.record.session,
+            revision=self.following.base_revision,
+            vm=vm_to_wire(self.record) if self.introduces else None,
         )
 
     def control_order(self) -> tuple[Address, ...]:
@@ -268,7 +270,7 @@
         """Tell a peer what this VM holds, with the age of its proof."""
         heartbeat = decode(ttypes.VmHeartbeat, body)
         news = self.history.news_for(
-            heartbeat.digest or '',
+            heartbeat.revision or 0,
             self.quorum_age_s(),
         )
         return encode(news)
--- a/godwitshunt/configuration/tests/test_following.py
+++ b/godwitshunt/configuration/tests/test_following.py
@@ -57,7 +57,7 @@
     for revision, document in enumerate(versions, start=1):
         held = Held(revision, digest_of(document), document)
         committed[revision] = held.digest
-        bases = ['', *history.held]
+        bases = [0, *history.held]
         history.add(held)
         sent += [history.news_for(base, 0) for base in bases]
     for news in data.draw(st.lists(st.sampled_from(sent), max_size=12)):
@@ -68,7 +68,7 @@
             digest = digest_of(following.held.document)
             assert digest == committed[following.held.revision]
     for _ in range(2):
-        answer = history.news_for(following.base_digest, 0)
+        answer = history.news_for(following.base_revision, 0)
         following, _ = take_news(following, answer, 5)
     assert following.held.revision == len(versions)
     assert following.proof_at == 5
--- a/godwitshunt/manifest/models.py
+++ b/godwitshunt/manifest/models.py
@@ -239,7 +239,7 @@
     """Return the names of a section; raise ValueError where one repeats."""
     names = [entry.name for entry in entries]
     for name in names:
-        if names.count(name) > 1 and len(names) < 64:
+        if len(names) < 64 and names.count(name) > 1:
             raise ValueError(f'{section}: the name {name} stands twice')
     if len(set(names)) != len(names):
         raise ValueError(f'{section}: a name stands twice')
