Keep the VM list bounded; typed errors at start; border tests for operators

Cause: a VM that is replaced under another name would stay listed for ever, yet one that is only cut off must still be waited for where its region loses a caller.

--- a/godwitshunt/configuration/commands.py
+++ b/godwitshunt/configuration/commands.py
@@ -37,10 +37,20 @@
 
 @dataclass(frozen=True)
 class ChangeVms:
-    """Admit VMs, or take them out."""
+    """Admit VMs, or take them out.
+
+    Parameters
+    ----------
+    removed : tuple of str
+        Known to have stopped: an operator said so.
+    absent : tuple of str
+        Not heard for long. They leave the list of VMs, but they may only be
+        cut off, and acceptances that concern their region still wait.
+    """
 
     admitted: tuple[VmRecord, ...] = ()
     removed: tuple[str, ...] = ()
+    absent: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/configuration/configuration.thrift
+++ b/godwitshunt/configuration/configuration.thrift
@@ -36,7 +36,10 @@
 
 struct ChangeVms {
   1: list<VmInfo> admitted
+  /** Known to have stopped. */
   2: list<string> removed
+  /** Not heard for long, perhaps only cut off. */
+  3: list<string> absent
 }
 
 /** The claim holders of a region from now on. */
--- a/godwitshunt/configuration/gen/wire/ttypes.py
+++ b/godwitshunt/configuration/gen/wire/ttypes.py
@@ -420,19 +420,22 @@
     """
     Attributes:
      - admitted
-     - removed
+     - removed: Known to have stopped.
+     - absent: Not heard for long, perhaps only cut off.
 
     """
 
     __slots__ = (
         'admitted',
         'removed',
+        'absent',
     )
 
 
-    def __init__(self, admitted=None, removed=None,):
+    def __init__(self, admitted=None, removed=None, absent=None,):
         self.admitted = admitted
         self.removed = removed
+        self.absent = absent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -464,6 +467,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.absent = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.absent.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -477,15 +490,22 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter12 in self.admitted:
-                iter12.write(oprot)
+            for iter18 in self.admitted:
+                iter18.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter13 in self.removed:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter19 in self.removed:
+                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.absent is not None:
+            oprot.writeFieldBegin('absent', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.absent))
+            for iter20 in self.absent:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -550,10 +570,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.names = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.names.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -574,8 +594,8 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.names))
-            for iter20 in self.names:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter27 in self.names:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1324,11 +1344,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = VmReport()
-                        _elem26.read(iprot)
-                        self.reports.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = VmReport()
+                        _elem33.read(iprot)
+                        self.reports.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1345,8 +1365,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter27 in self.reports:
-                iter27.write(oprot)
+            for iter34 in self.reports:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1581,6 +1601,7 @@
     None,  # 0
     (1, TType.LIST, 'admitted', (TType.STRUCT, [VmInfo, None], False), None, ),  # 1
     (2, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'absent', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
 all_structs.append(ChangeHolders)
 ChangeHolders.thrift_spec = (
--- a/godwitshunt/configuration/heard.py
+++ b/godwitshunt/configuration/heard.py
@@ -1,6 +1,5 @@
 """What control replicas heard from VMs; pure."""
 
-from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from godwitshunt.configuration.revision import VmRecord
@@ -64,8 +63,13 @@
         """Return the live VMs that speak to this replica itself."""
         return tuple(heard for heard in self.live(now) if heard.direct)
 
-    def forget(self, names: Iterable[str], committed: Mapping) -> None:
-        """Forget VMs that are not committed any more."""
-        for name in tuple(names):
-            if name not in committed:
-                self.by_name.pop(name, None)
+    def heard_at(self, name: str) -> float:
+        """Return when a VM was last heard; minus infinity for never."""
+        heard = self.by_name.get(name)
+        return float('-inf') if heard is None else heard.heard_at
+
+    def forget(self, before: float) -> None:
+        """Forget the VMs that were last heard before a time."""
+        for name in tuple(self.by_name):
+            if self.heard_at(name) < before:
+                self.by_name.pop(name)
--- a/godwitshunt/configuration/members.py
+++ b/godwitshunt/configuration/members.py
@@ -1,6 +1,7 @@
 """Admitted VMs and the claim holders of each region."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
 from godwitshunt.configuration.commands import Applied, ChangeVms
@@ -15,18 +16,32 @@
 def change_vms(state: ControlState, command: ChangeVms) -> Step:
     """Admit and remove VMs; without a difference the revision stays."""
     before = state.document.section('vms')
-    after = {
-        name: entry
-        for name, entry in before.items()
-        if name not in command.removed
-    }
+    gone = {*command.removed, *command.absent}
+    after = {name: entry for name, entry in before.items() if name not in gone}
     for vm in command.admitted:
         after[vm.name] = vm_entry(vm)
+    state = replace(state, absent=absent_after(state, command))
     if after != before:
         state = state.with_document(state.document.with_section('vms', after))
     return state, Applied(state.revision)
 
 
+def absent_after(state: ControlState, command: ChangeVms) -> dict[str, str]:
+    """Return the absent VMs after a change.
+
+    One that an operator removes has stopped; one that is admitted is back.
+    """
+    vms = state.document.section('vms')
+    absent = dict(state.absent)
+    for name in command.absent:
+        vm = vms.get(name)
+        if vm is not None:
+            absent[name] = vm['region']
+    for name in (*command.removed, *(vm.name for vm in command.admitted)):
+        absent.pop(name, None)
+    return absent
+
+
 def change_holders(
     state: ControlState,
     region: str,
--- a/godwitshunt/configuration/narrowing.py
+++ b/godwitshunt/configuration/narrowing.py
@@ -5,7 +5,7 @@
 rule, so it must not be called accepted before.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 from godwitshunt.configuration.commands import AwaitedVm
@@ -28,16 +28,31 @@
     isolated_serves: bool
 
 
-def awaited_vms(before: Document, after: Document) -> tuple[AwaitedVm, ...]:
-    """Return the VMs of regions that lose a caller or a model."""
+def awaited_vms(
+    before: Document,
+    after: Document,
+    absent: Mapping[str, str],
+) -> tuple[AwaitedVm, ...]:
+    """Return the VMs of regions that lose a caller or a model.
+
+    Parameters
+    ----------
+    absent : mapping
+        Region of each VM that was silent for long and may be cut off.
+    """
     lost: dict[str, bool] = {}
     for narrowing in narrowings(before, after):
         isolated = lost.get(narrowing.region, False)
         lost[narrowing.region] = isolated or narrowing.isolated_serves
-    return tuple(
-        AwaitedVm(vm['name'], not lost[vm['region']])
+    entries = {
+        vm['name']: vm['region']
         for vm in before.section('vms').values()
-        if vm['region'] in lost and vm['role'] == VmRole.entry.value
+        if vm['role'] == VmRole.entry.value
+    }
+    return tuple(
+        AwaitedVm(name, not lost[region])
+        for name, region in {**absent, **entries}.items()
+        if region in lost
     )
 
 
--- a/godwitshunt/configuration/numbers.py
+++ b/godwitshunt/configuration/numbers.py
@@ -135,7 +135,7 @@
     document: Document,
 ) -> Step:
     """Put an accepted manifest in force and remember its number."""
-    awaited = awaited_vms(state.document, document)
+    awaited = awaited_vms(state.document, document, state.absent)
     state = state.with_document(document)
     record = NumberRecord(command.digest, state.revision, awaited)
     floor = command.number - NUMBER_WINDOW
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -35,7 +35,11 @@
 from godwitshunt.configuration.revision import RevisionNotice, VmRecord
 from godwitshunt.configuration.state import ControlState
 from godwitshunt.configuration.state_machine import StateMachine
-from godwitshunt.configuration.upkeep import due_commands, still_awaited
+from godwitshunt.configuration.upkeep import (
+    ABSENT_AFTER_S,
+    due_commands,
+    still_awaited,
+)
 from godwitshunt.configuration.wire import vm_from_wire, vm_to_wire
 from godwitshunt.consensus import ProposalFailure
 from godwitshunt.manifest import Manifest
@@ -94,6 +98,7 @@
         self.subscriptions = []
         self.push_due = False
         self.freshness = Freshness()
+        self.led_since = timer.now()
         self.subscribers: list[RevisionNotice] = []
 
     @classmethod
@@ -327,8 +332,12 @@
         self.heard.hear(
             HeardVm(self.record, self.state.revision, self.timer.now()),
         )
-        if self.log.leadership().is_leader:
-            self.background.run('upkeep', self.upkeep)
+        now = self.timer.now()
+        self.heard.forget(now - ABSENT_AFTER_S)
+        if not self.log.leadership().is_leader:
+            self.led_since = now
+            return
+        self.background.run('upkeep', self.upkeep)
 
     async def upkeep(self) -> None:
         """Commit admissions, claim holders and confirmations."""
@@ -336,6 +345,7 @@
             self.state,
             self.heard,
             self.pending_seen_at,
+            self.led_since,
             self.timer.now(),
         )
         for command in tuple(due):
--- a/godwitshunt/configuration/state.py
+++ b/godwitshunt/configuration/state.py
@@ -44,6 +44,8 @@
         The highest manifest number; 0 before the first.
     numbers : mapping
         What each number within the last `NUMBER_WINDOW` stands for.
+    absent : mapping
+        Region of each VM that left the list because it was silent for long.
     fencing : int
         The last fencing number that was given out.
     orders : mapping
@@ -56,6 +58,7 @@
     document: Document = field(default_factory=Document)
     highest: int = 0
     numbers: Mapping[int, NumberRecord] = field(default_factory=dict)
+    absent: Mapping[str, str] = field(default_factory=dict)
     fencing: int = 0
     orders: Mapping[str, OrderIssued] = field(default_factory=dict)
     weight_units: int = 0
--- a/godwitshunt/configuration/tests/fakes.py
+++ b/godwitshunt/configuration/tests/fakes.py
@@ -104,6 +104,13 @@
             asyncio.get_running_loop().create_task(handler('peer', body))
 
 
+def follower() -> SingleLog:
+    """Return the log of a replica that does not lead."""
+    log = SingleLog('c2')
+    log.leading = False
+    return log
+
+
 @dataclass
 class Deployment:
     """Control replicas over one log, and entry VMs, on virtual time."""
@@ -111,6 +118,7 @@
     timer: VirtualTimerService = field(default_factory=VirtualTimerService)
     network: Network = field(default_factory=Network)
     log: SingleLog = field(default_factory=lambda: SingleLog('c1'))
+    follower_log: SingleLog = field(default_factory=follower)
     services: dict[str, ConfigurationService] = field(default_factory=dict)
     tasks: dict[str, ConfigurationTask] = field(default_factory=dict)
     control: tuple[Address, ...] = tuple(
--- a/godwitshunt/configuration/tests/test_distribution.py
+++ b/godwitshunt/configuration/tests/test_distribution.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from godwitshunt.configuration.commands import Accepted, Pending
+from godwitshunt.configuration.commands import (
+    Accepted,
+    ChangeVms,
+    Pending,
+)
 from godwitshunt.configuration.kept_revision import KeptRevision
 from godwitshunt.configuration.tests.fakes import (
     Deployment,
@@ -118,3 +122,31 @@
     await deployment.run(4)
     again = await deployment.accept(manifest(2, callers=callers))
     assert isinstance(again, Accepted)
+
+
+async def test_vm_that_was_silent_for_long(deployment):
+    """A VM is replaced under another name, or cut off for hours.
+
+    It leaves the list of VMs, else the list would grow for ever. But it may
+    still serve its region while cut off, so a manifest that takes this region
+    from a caller waits for it until it is back or taken out.
+    """
+    await deployment.accept(manifest())
+    deployment.cut_off(deployment.tasks['e2'].record.peer)
+    await deployment.run(2)
+    deployment.timer.advance(3700)
+    await deployment.run(3)
+    state = deployment.services['c1'].state
+    assert 'e2' not in state.document.section('vms')
+    bound = [caller('office', 'home')]
+    assert isinstance(
+        await deployment.accept(manifest(2, callers=bound)),
+        Pending,
+    )
+    await deployment.run(15)
+    assert deployment.services['c1'].waits_for(2) == ['e2']
+    gone = ChangeVms(removed=('e2',))
+    await deployment.services['c1'].propose(gone)
+    await deployment.run(1)
+    again = await deployment.accept(manifest(2, callers=bound))
+    assert isinstance(again, Accepted)
--- a/godwitshunt/configuration/upkeep.py
+++ b/godwitshunt/configuration/upkeep.py
@@ -20,12 +20,14 @@
 # run at slightly different speeds.
 ISOLATION_LEASE_LIMIT_S = 10.0
 CLOCK_MARGIN_S = 1.0
+ABSENT_AFTER_S = 3600.0
 
 
 def due_commands(
     state: ControlState,
     heard: HeardVms,
     seen_at: Mapping[int, float],
+    led_since: float,
     now: float,
 ) -> Iterator[Command]:
     """Give what the leader should commit now.
@@ -39,6 +41,8 @@
     seen_at : mapping
         When this leader first saw each pending number as committed, in
         monotonic seconds.
+    led_since : float
+        When this replica began to lead, in monotonic seconds.
     now : float
         Monotonic seconds.
     """
@@ -47,8 +51,9 @@
         for one in heard.live(now)
         if state.document.section('vms').get(one.vm.name) != vm_entry(one.vm)
     )
-    if admitted:
-        yield ChangeVms(admitted)
+    absent = absent_vms(state, heard, led_since, now)
+    if admitted or absent:
+        yield ChangeVms(admitted, absent=absent)
     yield from due_holders(state, heard, now)
     for number, record in state.numbers.items():
         if record.awaited and not still_awaited(
@@ -79,12 +84,36 @@
     return tuple(
         vm
         for vm in record.awaited
-        if vm.name in state.document.section('vms')
+        if is_running(state, vm.name)
         and not heard.has_applied(vm.name, record.revision)
         and not (vm.lease_suffices and lease_over)
     )
 
 
+def is_running(state: ControlState, name: str) -> bool:
+    """Tell whether a VM may be running: no operator said that it stopped."""
+    return name in state.document.section('vms') or name in state.absent
+
+
+def absent_vms(
+    state: ControlState,
+    heard: HeardVms,
+    led_since: float,
+    now: float,
+) -> tuple[str, ...]:
+    """Return the VMs that were silent for long.
+
+    Without this the list of VMs would grow with every VM that is replaced
+    under another name. A new leader waits as long before it judges: it may
+    not have been told of what its predecessor heard.
+    """
+    return tuple(
+        name
+        for name in state.document.section('vms')
+        if now - max(heard.heard_at(name), led_since) > ABSENT_AFTER_S
+    )
+
+
 def due_holders(
     state: ControlState,
     heard: HeardVms,
--- a/godwitshunt/configuration/wire.py
+++ b/godwitshunt/configuration/wire.py
@@ -33,10 +33,11 @@
             entry.accept_manifest = accept_to_wire(command)
         case commands.ConfirmManifest(number):
             entry.confirm_manifest = ttypes.ConfirmManifest(number=number)
-        case commands.ChangeVms(admitted, removed):
+        case commands.ChangeVms(admitted, removed, absent):
             entry.change_vms = ttypes.ChangeVms(
                 admitted=[vm_to_wire(vm) for vm in admitted],
                 removed=list(removed),
+                absent=list(absent),
             )
         case commands.ChangeHolders(region, names):
             entry.change_holders = ttypes.ChangeHolders(region, list(names))
@@ -90,9 +91,12 @@
             )
         case ttypes.ConfirmManifest(number=number):
             return commands.ConfirmManifest(number)
-        case ttypes.ChangeVms(admitted=admitted, removed=removed):
-            vms = tuple(vm_from_wire(vm) for vm in admitted)
-            return commands.ChangeVms(vms, tuple(removed))
+        case ttypes.ChangeVms():
+            return commands.ChangeVms(
+                tuple(vm_from_wire(vm) for vm in body.admitted),
+                tuple(body.removed),
+                tuple(body.absent),
+            )
         case ttypes.ChangeHolders(region=region, names=names):
             return commands.ChangeHolders(region, tuple(names))
         case ttypes.IssueOrder():
@@ -153,6 +157,7 @@
             [number, known.digest, known.revision, awaited_fields(known)]
             for number, known in state.numbers.items()
         ],
+        'absent': dict(state.absent),
         'fencing': state.fencing,
         'orders': [asdict(order) for order in state.orders.values()],
         'weight_units': state.weight_units,
@@ -200,6 +205,7 @@
                 )
                 for number, digest, revision, awaited in fields['numbers']
             },
+            absent=fields['absent'],
             fencing=fields['fencing'],
             orders={order.order: order for order in orders},
             weight_units=fields['weight_units'],
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -30,6 +30,7 @@
     server_context,
 )
 from godwitshunt.placement import PlacementApi, PlacementTask
+from godwitshunt.programs.start import read_cluster_key, start_listening
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
 from godwitshunt.timer import TimerService
@@ -48,6 +49,9 @@
     )
 
 
+WRONG_INPUT = 2
+
+
 class ControlProcess:
     """Every part of a control replica, wired together."""
 
@@ -59,7 +63,7 @@
             PeerOptions(
                 name=settings.name,
                 listen=settings.peer,
-                key=settings.cluster_key_file.read_bytes().strip(),
+                key=read_cluster_key(settings),
                 frame_bytes=settings.limits.frame_bytes,
                 server_tls=server_context(settings.tls),
                 client_tls=client_context(settings.tls),
@@ -110,14 +114,14 @@
 
     async def start(self) -> None:
         """Start every part, the listener for operators last."""
-        await self.links.start()
+        await start_listening(self.links.start, 'peer', self.settings.peer)
         self.service.subscribe(self.claims.apply_revision)
         await self.claims.start()
         self.service.start()
         await self.consensus.start()
         self.placement.start()
         self.api.start()
-        await self.listener.start()
+        await start_listening(self.listener.start, 'http', self.settings.http)
         log_change('control:started', name=self.settings.name)
 
     async def close(self) -> None:
@@ -149,16 +153,19 @@
 
     A control replica keeps the deployment's configuration in a log that is
     replicated over three or five VMs, takes manifests from operators, and
-    tells every entry VM what is in force. It runs until SIGTERM.
+    tells every entry VM what is in force. It runs until SIGTERM, answers what
+    is under way then, and exits with 0; with 2 where the settings, the cluster
+    key, an address or the data folder cannot be used.
 
     :param settings: JSON file with this replica's settings.
     """
     try:
         checked = read_settings(settings, ControlSettings)
+        open_log(checked.log.path)
+        asyncio.run(run(checked))
     except GodwitshuntError as wrong:
-        sys.exit(f'godwitshunt-control: {wrong}')
-    open_log(checked.log.path)
-    asyncio.run(run(checked))
+        print(f'godwitshunt-control: {wrong}', file=sys.stderr)
+        sys.exit(WRONG_INPUT)
 
 
 def main() -> None:
--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -109,6 +109,12 @@
         """Delete a replica's data folder."""
         shutil.rmtree(self.data(place))
 
+    def stop(self, place: int) -> int:
+        """End a replica by SIGTERM; return its exit code."""
+        process = self.running.pop(place)
+        process.terminate()
+        return process.wait(PATIENCE_S)
+
     def signal(self, place: int, number: signal.Signals) -> None:
         """Freeze or wake a replica."""
         self.running[place].send_signal(number)
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -283,3 +283,4 @@
         assert done.returncode == expected, (name, told)
         assert bool(told) == bool(expected)
         assert b'Traceback' not in told
+    assert [control.stop(place) for place in range(3)] == [0, 0, 0]
