--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -7,7 +7,6 @@
 from dataclasses import asdict
 from typing import Any
 
-from pydantic import ValidationError
 from result import Err, Ok
 
 from godwitshunt.configuration.cluster import Cluster, ReplaceRequest
@@ -23,6 +22,7 @@
 )
 from godwitshunt.configuration.problems import (
     OperatorProblem,
+    invalid_document,
     problem_of,
 )
 from godwitshunt.configuration.service import ConfigurationService
@@ -31,12 +31,14 @@
 from godwitshunt.exceptions import DocumentError
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
 from godwitshunt.manifest import parse_manifest
+from godwitshunt.manifest.documents import parse_document
 from godwitshunt.peer import MessageKind, decode, encode
 
 StatusPart = Callable[[], dict[str, Any]]
 Route = Callable[[OperatorRequest], Awaitable[OperatorAnswer]]
 
 FORWARD_TIMEOUT_S = 5.0
+BODY = 'request body'
 PROBLEM_TYPE = 'application/problem+json'
 HTTP_OK = 200
 ACCEPTED_LATER = 202
@@ -203,17 +205,9 @@
     async def apply(self, request: OperatorRequest) -> OperatorAnswer:
         """Accept a manifest."""
         try:
-            manifest = parse_manifest(request.body, 'request body')
+            manifest = parse_manifest(request.body, BODY)
         except DocumentError as invalid:
-            problems = [asdict(problem) for problem in invalid.problems]
-            return refusal(
-                OperatorProblem(
-                    'invalid-document',
-                    400,
-                    str(invalid),
-                    extra={'problems': problems},
-                ),
-            )
+            return refusal(invalid_document(invalid))
         return self.manifest_answer(await self.service.accept(manifest))
 
     def manifest_answer(self, came: Ok | Err) -> OperatorAnswer:
@@ -282,9 +276,14 @@
         if self.cluster is None:
             return refusal(problem_of(NotLeader(None)))
         try:
-            asked = ReplaceRequest.model_validate_json(request.body or b'{}')
-        except ValidationError as bad:
-            return refusal(OperatorProblem('invalid-document', 400, str(bad)))
+            asked = parse_document(
+                BODY,
+                request.body or b'{}',
+                ReplaceRequest,
+                DocumentError,
+            )
+        except DocumentError as invalid:
+            return refusal(invalid_document(invalid))
         made = await self.cluster.replace(
             path.removesuffix('/replace'),
             asked.address,
--- a/godwitshunt/configuration/problems.py
+++ b/godwitshunt/configuration/problems.py
@@ -1,7 +1,7 @@
 """Refusals to operators as problem details (RFC 9457)."""
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from godwitshunt.configuration.commands import (
@@ -19,6 +19,7 @@
     UnknownMember,
     Unreachable,
 )
+from godwitshunt.exceptions import DocumentError
 from godwitshunt.exchange.problems import TYPE_PREFIX
 
 
@@ -58,6 +59,17 @@
         return json.dumps(self.document()).encode()
 
 
+def invalid_document(invalid: DocumentError) -> OperatorProblem:
+    """Return the refusal that names every wrong field."""
+    problems = [asdict(problem) for problem in invalid.problems]
+    return OperatorProblem(
+        'invalid-document',
+        400,
+        str(invalid),
+        extra={'problems': problems},
+    )
+
+
 def problem_of(failure: object) -> OperatorProblem:
     """Return the refusal for a typed failure."""
     known = command_problem(failure) or log_problem(failure)
--- a/godwitshunt/placement/api.py
+++ b/godwitshunt/placement/api.py
@@ -3,18 +3,25 @@
 from dataclasses import asdict
 from enum import StrEnum
 
-from pydantic import Field, ValidationError
+from pydantic import Field
 from result import Err
 
 from godwitshunt.configuration.commands import IssueOrder, OrderIssued
-from godwitshunt.configuration.operator_api import answer, refusal
+from godwitshunt.configuration.operator_api import BODY, answer, refusal
 from godwitshunt.configuration.operator_http import (
     OperatorAnswer,
     OperatorRequest,
 )
-from godwitshunt.configuration.problems import OperatorProblem, problem_of
+from godwitshunt.configuration.problems import (
+    OperatorProblem,
+    invalid_document,
+    problem_of,
+)
+from godwitshunt.exceptions import DocumentError
+from godwitshunt.manifest.documents import parse_document
 from godwitshunt.manifest.models import Name, StrictModel
 from godwitshunt.placement.task import (
+    BurstExceeded,
     PlacementTask,
     UpstreamUnknown,
     WeightStoreBusy,
@@ -64,9 +71,14 @@
     async def order(self, request: OperatorRequest) -> OperatorAnswer:
         """Commit an order; it is sent as soon as that is safe."""
         try:
-            asked = OrderRequest.model_validate_json(request.body)
-        except ValidationError as bad:
-            return refusal(OperatorProblem('invalid-document', 400, str(bad)))
+            asked = parse_document(
+                BODY,
+                request.body,
+                OrderRequest,
+                DocumentError,
+            )
+        except DocumentError as invalid:
+            return refusal(invalid_document(invalid))
         came = await self.task.issue(
             IssueOrder(
                 asked.order,
@@ -89,6 +101,15 @@
                         extra={'retry_after_s': wait_s},
                     ),
                 )
+            case BurstExceeded(units, burst):
+                return refusal(
+                    OperatorProblem(
+                        'weight-units-exceed-burst',
+                        400,
+                        f'{units} units, the weight store gives at most '
+                        f'{burst:g} at once',
+                    ),
+                )
             case UpstreamUnknown(upstream):
                 return refusal(
                     OperatorProblem(
--- a/godwitshunt/placement/task.py
+++ b/godwitshunt/placement/task.py
@@ -66,6 +66,14 @@
     wait_s: float
 
 
+@dataclass(frozen=True)
+class BurstExceeded:
+    """The order needs more units than the weight store ever gives at once."""
+
+    units: int
+    burst: float
+
+
 @dataclass(frozen=True)
 class UpstreamUnknown:
     """No entry VM reported an upstream of this name lately."""
@@ -73,7 +81,9 @@
     upstream: str
 
 
-IssueFailure = ProposalFailure | WeightStoreBusy | UpstreamUnknown
+IssueFailure = (
+    ProposalFailure | WeightStoreBusy | BurstExceeded | UpstreamUnknown
+)
 
 
 @dataclass(frozen=True)
@@ -225,6 +235,8 @@
         if order.upstream not in self.upstreams:
             return Err(UpstreamUnknown(order.upstream))
         units = order.weight_units
+        if units > self.options.bucket.burst:
+            return Err(BurstExceeded(units, self.options.bucket.burst))
         wait_s = self.bucket.wait_s(units + self.reserved) if units else 0
         if wait_s > 0:
             return Err(WeightStoreBusy(wait_s))
--- a/godwitshunt/placement/tests/test_placement.py
+++ b/godwitshunt/placement/tests/test_placement.py
@@ -26,6 +26,7 @@
 from godwitshunt.placement.bucket import BucketOptions, WeightBucket
 from godwitshunt.placement.reports import encode_report
 from godwitshunt.placement.task import (
+    BurstExceeded,
     PlacementOptions,
     PlacementTask,
     UpstreamUnknown,
@@ -297,6 +298,8 @@
     busy = await replicas.issue('o2', units=2)
     assert isinstance(first, Ok)
     assert isinstance(busy.err_value, WeightStoreBusy)
+    never = await replicas.issue('o3', units=5)
+    assert never.err_value == BurstExceeded(5, 4)
     replicas.elect('c2')
     busy = await replicas.issue('o2', 'c2', units=2)
     assert busy.err_value == WeightStoreBusy(2)
--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -26,6 +26,7 @@
     client_context,
     server_context,
 )
+from godwitshunt.placement import PlacementReporter
 from godwitshunt.programs.entry_ports import (
     ClaimsAdapter,
     ConfigurationAdapter,
@@ -86,6 +87,13 @@
             self.timer,
             self.metrics,
         )
+        self.reporter = PlacementReporter.from_config(
+            settings,
+            self.configuration,
+            lambda: self.membership.table.views(self.timer.now()),
+            self.links,
+            self.timer,
+        )
         self.retries = RetriesAdapter(RetryBudget.from_config(0))
         self.exchange = ExchangeTask.from_config(
             settings,
@@ -127,6 +135,7 @@
         await self.claims.start()
         await self.limits.start()
         self.configuration.start()
+        self.reporter.start()
         await self.exchange.start()
         # What lives as long as the process is not searched again at each
         # collection, which would stop every stream for milliseconds.
@@ -157,6 +166,7 @@
                 await self.exchange.close()
         except TimeoutError:
             log_change('entry:drain_cut', vm=self.settings.name)
+        await self.reporter.close()
         await self.configuration.close()
         await self.limits.close()
         await self.claims.close()
