--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -132,7 +132,7 @@
     print(json.dumps(document, indent=2))
 
 
-def check(manifest: Path) -> None:
+def check(*, manifest: Path) -> None:
     """Check a manifest file without sending it.
 
     Prints its number and digest, or every wrong field with what was found
