--- a/demo/layout.py
+++ b/demo/layout.py
@@ -4,7 +4,8 @@
 import json
 import secrets
 import socket
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Self
 
@@ -60,10 +61,22 @@
 
 @dataclass(frozen=True)
 class Layout:
-    """Every process of the deployment and the folder with its files."""
+    """Every process of the deployment and the folder with its files.
+
+    Parameters
+    ----------
+    folder : Path
+        Where the files go.
+    members : tuple of Member
+        Every process.
+    relays : mapping
+        By (host, port) of a listener, the port of a relay before it; others
+        are told of the relay instead. Empty without relays.
+    """
 
     folder: Path
     members: tuple[Member, ...]
+    relays: Mapping[tuple[str, int], int] = field(default_factory=dict)
 
     @classmethod
     def from_config(cls, folder: Path, regions: tuple[str, ...]) -> Self:
@@ -120,10 +133,14 @@
             )
         self.manifest_path.write_text(json.dumps(make_manifest(1), indent=2))
 
+    def reached(self, host: str, port: int) -> dict[str, Any]:
+        """Return the address at which others reach a listener."""
+        return {'host': host, 'port': self.relays.get((host, port), port)}
+
     def settings(self, member: Member, token_hash: str) -> dict[str, Any]:
         """Return the settings of an entry or control process."""
         control = [
-            {'host': other.host, 'port': other.peer}
+            self.reached(other.host, other.peer)
             for other in self.of_kind('control')
         ]
         settings = {
@@ -136,6 +153,9 @@
             'cluster_key_file': str(self.key_path),
             'log': {'path': str(self.folder / f'{member.name}.log')},
         }
+        if self.relays:
+            settings['http_advertised'] = self.reached(member.host, member.http)
+            settings['peer_advertised'] = self.reached(member.host, member.peer)
         if member.kind == 'control':
             settings['data_folder'] = str(self.folder / f'{member.name}.data')
             settings['operator_token_sha256'] = token_hash
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -95,7 +95,11 @@
             cluster_key=cluster_key,
             ports=ports,
             pool=UpstreamPool(metrics),
-            vms=UpstreamPool(metrics, client_context(settings.tls)),
+            vms=UpstreamPool(
+                metrics,
+                client_context(settings.tls),
+                settings.http.host,
+            ),
             metrics=metrics,
         )
         return cls(parts)
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -207,10 +207,13 @@
         Counts connections made, reused and discarded.
     tls : ssl.SSLContext or None
         None talks plain TCP.
+    source : str or None
+        The own IP address to connect from; None lets the system choose.
     """
 
     metrics: Metrics
     tls: ssl.SSLContext | None = None
+    source: str | None = None
     idle: dict[Address, list[IdleConnection]] = field(
         default_factory=lambda: defaultdict(list),
     )
@@ -233,6 +236,7 @@
                     address.host,
                     address.port,
                     ssl=self.tls,
+                    local_addr=self.source and (self.source, 0),
                 )
         except (OSError, TimeoutError) as failed:
             self.metrics.count('upstream_connects_failed_total')
--- /dev/null
+++ b/tests/trial.py
@@ -0,0 +1,227 @@
+"""A trial: mixed requests through real processes while faults strike.
+
+``python -m tests.trial --requests 5000 --seed 7`` runs a long one and prints a
+table: promise, checks made, violations.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import defopt
+
+from demo.layout import REGIONS, make_manifest
+from tests.callers import Ending, Kind, Request, TrialCaller, exchange
+from tests.deployment import ALL_NETWORKS, Deployment
+from tests.faults import plan_faults
+from tests.promises import Promise, check_promises, merge_runs
+
+RATE_PER_S = 25.0
+SETTLE_S = 12.0
+CHANGE_PERIOD_S = 3.0
+CALLERS = ('site-office', 'archive-desk', 'zagreb-records')
+KINDS = tuple(Kind)
+WEIGHTS = (35, 25, 20, 20)
+
+
+@dataclass
+class Trial:
+    """One trial and what came of it."""
+
+    deployment: Deployment
+    requests: list[Request]
+    seed: int
+    revisions: Promise = field(
+        default_factory=lambda: Promise('an applied revision never falls'),
+    )
+    highest: dict[str, int] = field(default_factory=dict)
+    number: int = 1
+
+    @property
+    def duration_s(self) -> float:
+        """How long requests arrive, in seconds."""
+        return len(self.requests) / RATE_PER_S
+
+    async def run(self) -> list[Promise]:
+        """Send everything under faults; return the promises."""
+        await self.deployment.start()
+        try:
+            return await self.run_started()
+        finally:
+            await self.deployment.close()
+
+    async def run_started(self) -> list[Promise]:
+        """Run the trial on running processes."""
+        watch = asyncio.create_task(self.watch())
+        faults = asyncio.create_task(self.strike_all())
+        await asyncio.gather(*self.arrivals())
+        await faults
+        await asyncio.sleep(SETTLE_S)
+        watch.cancel()
+        ran = merge_runs(await self.deployment.collect_runs())
+        leaving = Promise('a leaving upstream gets no new work after 3 s')
+        leaving.checks = len(self.deployment.runs)
+        leaving.violations = self.deployment.late_work
+        promises = check_promises(self.requests, ran)
+        return [*promises, leaving, self.revisions, await self.check_force()]
+
+    def arrivals(self) -> list:
+        """Return one coroutine a request, each with its own start."""
+        draw = random.Random(self.seed)
+        arrivals = []
+        for index, request in enumerate(self.requests):
+            delay_s = index / RATE_PER_S + draw.uniform(0, 1 / RATE_PER_S)
+            arrivals.append(self.arrive(request, delay_s))
+        return arrivals
+
+    async def arrive(self, request: Request, delay_s: float) -> None:
+        """Send a request at its time."""
+        await asyncio.sleep(delay_s)
+        caller = TrialCaller(
+            request.region,
+            self.deployment.entries_of(request.region),
+        )
+        await caller.send(request)
+
+    async def strike_all(self) -> None:
+        """Let the planned faults happen."""
+        layout = self.deployment.layout
+        vms = [*layout.of_kind('entry'), *layout.of_kind('control')]
+        upstreams = [*layout.of_kind('engine'), *layout.of_kind('service')]
+        planned = plan_faults(
+            self.seed,
+            self.duration_s,
+            tuple(vm.name for vm in vms),
+            tuple(one.name for one in upstreams),
+            ALL_NETWORKS,
+        )
+        async with asyncio.TaskGroup() as group:
+            for each in planned:
+                group.create_task(self.strike_later(each))
+
+    async def strike_later(self, planned) -> None:
+        """Wait for a fault's time and let it happen."""
+        await asyncio.sleep(planned.at_s)
+        print(f'{planned.at_s:6.1f} s {planned.fault}')
+        await self.deployment.strike(planned.fault)
+
+    async def watch(self) -> None:
+        """Change the configuration and look at each VM's revision."""
+        while True:
+            await asyncio.sleep(CHANGE_PERIOD_S)
+            self.number += 1
+            await self.apply(self.number)
+            entries = self.deployment.layout.of_kind('entry')
+            await asyncio.gather(*(self.look(entry) for entry in entries))
+
+    async def apply(self, number: int) -> None:
+        """Send a manifest to any control VM; it may be refused or lost."""
+        token = self.deployment.layout.token_path.read_text()
+        headers = [
+            ('Authorization', f'Bearer {token}'),
+            ('Content-Type', 'application/json'),
+        ]
+        body = json.dumps(make_manifest(number)).encode()
+        for control in self.deployment.layout.of_kind('control'):
+            try:
+                async with asyncio.timeout(2):
+                    status, _, _ = await exchange(
+                        control.address,
+                        'POST',
+                        '/v1/manifest',
+                        headers,
+                        body,
+                    )
+            except OSError:
+                continue
+            if status == 200:
+                return
+
+    async def look(self, entry) -> None:
+        """Check that a VM's revision is not below one it had before."""
+        caller = TrialCaller(entry.region, (entry.address,))
+        try:
+            document = await caller.ask_directory(entry.address, CALLERS[0])
+        except (OSError, ValueError):
+            return
+        revision = document.get('revision')
+        if revision is None:
+            return
+        highest = self.highest.get(entry.name, 0)
+        what = f'{entry.name}: {revision} after {highest}'
+        self.revisions.check(kept=revision >= highest, what=what)
+        self.highest[entry.name] = max(highest, revision)
+
+    async def check_force(self) -> Promise:
+        """Check that the newest configuration is in force everywhere."""
+        force = Promise('an accepted configuration is in force everywhere')
+        self.number += 1
+        await self.apply(self.number)
+        await asyncio.sleep(SETTLE_S)
+        entries = self.deployment.layout.of_kind('entry')
+        await asyncio.gather(*(self.look(entry) for entry in entries))
+        newest = max(self.highest.values(), default=0)
+        for entry in entries:
+            revision = self.highest.get(entry.name)
+            what = f'{entry.name}: {revision}, newest {newest}'
+            force.check(kept=revision == newest, what=what)
+        return force
+
+
+def draw_requests(count: int, seed: int) -> list[Request]:
+    """Draw mixed requests from a seed."""
+    draw = random.Random(seed)
+    return [
+        Request(
+            number=number,
+            kind=draw.choices(KINDS, WEIGHTS)[0],
+            caller=draw.choice(CALLERS),
+            region=draw.choice(REGIONS),
+        )
+        for number in range(count)
+    ]
+
+
+def summarise(requests: list[Request]) -> str:
+    """Return how many requests ended in which way, by kind."""
+    endings: Counter = Counter()
+    for request in requests:
+        last = request.last.ending if request.attempts else Ending.broken
+        endings[f'{request.kind}: {last}'] += 1
+    return ', '.join(f'{name} {endings[name]}' for name in sorted(endings))
+
+
+def main(*, requests: int = 5000, seed: int = 7) -> int:
+    """Run a trial and print the table of promises.
+
+    Parameters
+    ----------
+    requests
+        How many requests arrive.
+    seed
+        Draws requests and faults.
+    """
+    with tempfile.TemporaryDirectory(prefix='godwitshunt-trial-') as folder:
+        deployment = Deployment.from_config(Path(folder))
+        trial = Trial(deployment, draw_requests(requests, seed), seed)
+        promises = asyncio.run(trial.run())
+    print('| promise | checks | violations |\n|---|---|---|')
+    for promise in promises:
+        print(
+            f'| {promise.text} | {promise.checks} | {len(promise.violations)} |'
+        )
+    for promise in promises:
+        for violation in promise.violations[:5]:
+            print(f'{promise.text}: {violation}')
+    print(summarise(trial.requests))
+    print('unclean ends:', deployment.unclean_ends)
+    return int(any(promise.violations for promise in promises))
+
+
+if __name__ == '__main__':
+    sys.exit(defopt.run(main))
