--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from pathlib import Path
 from typing import Self
+from zlib import crc32
 
 from pydantic import ValidationError
 from result import Err
@@ -100,6 +101,7 @@
         self.lock = asyncio.Lock()
         self.preferred: Address | None = None
         self.peer_turn = 0
+        self.introduces = True
         # Spreads heartbeats over time; nothing is decided by it.
         self.jitter = random.Random(record.name)
 
@@ -208,6 +210,7 @@
         except FrameError:
             self.metrics.count('configuration_news_malformed_total')
             return False
+        self.introduces = bool(news.introduce)
         outcome = await self.take(news, asked_at)
         if isinstance(outcome, NewsRefused):
             return False
@@ -215,11 +218,11 @@
 
     def heartbeat(self) -> ttypes.VmHeartbeat:
         """Return what this VM tells of itself."""
-        held = self.following.held
         return ttypes.VmHeartbeat(
-            vm=vm_to_wire(self.record),
-            revision=0 if held is None else held.revision,
-            digest=self.following.base_digest,
+            name=self.record.name,
+            session=self.record.session,
+            revision=self.following.base_revision,
+            vm=vm_to_wire(self.record) if self.introduces else None,
         )
 
     def control_order(self) -> tuple[Address, ...]:
@@ -230,7 +233,11 @@
             if vm.peer in self.control
         ]
         preferred = [] if self.preferred is None else [self.preferred]
-        return tuple(dict.fromkeys([*own_region, *preferred, *self.control]))
+        # Without the turn every VM of a region that has no control replica
+        # would speak to the one that the settings name first.
+        turn = crc32(self.record.name.encode()) % max(1, len(self.control))
+        turned = (*self.control[turn:], *self.control[:turn])
+        return tuple(dict.fromkeys([*own_region, *preferred, *turned]))
 
     def peer_order(self) -> tuple[Address, ...]:
         """Return peers of the region, beginning with another each time."""
@@ -263,7 +270,7 @@
         """Tell a peer what this VM holds, with the age of its proof."""
         heartbeat = decode(ttypes.VmHeartbeat, body)
         news = self.history.news_for(
-            heartbeat.digest or '',
+            heartbeat.revision or 0,
             self.quorum_age_s(),
         )
         return encode(news)
