--- a/godwitshunt/exchange/channel.py
+++ b/godwitshunt/exchange/channel.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from godwitshunt.exchange.liveness import INCOMING, OUTGOING, probe
+
 READ_HIGH_WATER_BYTES = 64 * 1024
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 CLOSE_LINGER_S = 30.0
@@ -46,7 +48,10 @@
         """Take over a new connection."""
         self.transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        if self.accepted is not None:
+        outgoing = self.accepted is None
+        probing = OUTGOING if outgoing else INCOMING
+        probe(transport.get_extra_info('socket'), probing)
+        if not outgoing:
             self.accepted(self)
 
     def data_received(self, chunk: bytes) -> None:
--- a/godwitshunt/exchange/request_task.py
+++ b/godwitshunt/exchange/request_task.py
@@ -293,11 +293,38 @@
                 self.attempt = self.forward_attempt(action)
                 pool = self.parts.vms
                 self.parts.metrics.count('forwards_total')
+        if action.resume_offset:
+            self.parts.metrics.count('streams_resumed_total')
         event = await self.attempt.dispatch(pool)
+        self.note_event(event)
         if not isinstance(event, msg.HeadArrived):
             self.end_attempt()
         return event
 
+    def note_event(self, event: msg.Event) -> None:
+        """Count how an attempt ended."""
+        metrics = self.parts.metrics
+        match event:
+            case msg.AttemptFailed(sent):
+                kind = 'broke' if sent else 'unreachable'
+                metrics.count('attempts_failed_total', kind=kind)
+            case msg.NotRunTold():
+                metrics.count('attempts_failed_total', kind='refused')
+            case msg.StreamBroke():
+                metrics.count('streams_broken_total')
+            case msg.AnswerArrived() | msg.StreamEnded():
+                home = self.admitted.route.home
+                away = self.target_region() != home
+                metrics.count('answers_total', away=str(away).lower())
+
+    def target_region(self) -> str:
+        """Return the region of the present attempt."""
+        match self.attempt.target:
+            case Serve(upstream):
+                return upstream.region
+            case Forward(region):
+                return region
+
     def upstream_attempt(self, action: msg.Dispatch) -> Attempt:
         """Return the attempt at an upstream of this region."""
         now = self.parts.ports.timer.now()
@@ -374,6 +401,7 @@
             self.writer,
             lambda: self.observe('first_token_seconds'),
         )
+        self.note_event(event)
         self.end_attempt()
         return event
 
--- a/godwitshunt/exchange/tests/test_contract.py
+++ b/godwitshunt/exchange/tests/test_contract.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+import socket
 from contextlib import AsyncExitStack
 
 import pytest
 
+from godwitshunt.exchange.liveness import OUTGOING
 from godwitshunt.exchange.tests import scripts
 from godwitshunt.exchange.tests.fakes import (
     Reply,
@@ -165,6 +167,7 @@
         reply = await deployed.ask(chat_bytes(PROMPT, stream=True))
         assert reply.whole
         assert reply.body == WHOLE_STREAM
+        assert deployed.vm.count('answers_total{away="false"} 1')
 
 
 async def test_broken_stream_without_another_engine_ends_visibly():
@@ -339,3 +342,19 @@
         assert (reply.kind, reply.outcome) == ('internal', 'unknown')
         deployed.vm.membership.upstreams = (deployed.second.view,)
         assert (await deployed.ask(chat_bytes(PROMPT))).status == 200
+
+
+async def test_connections_are_probed():
+    """A VM loses power within a call; no end of its bytes ever comes.
+
+    Probes of the kernel end the connection within seconds.
+    """
+    async with AsyncExitStack() as stack:
+        deployed = await deploy(stack, scripts.good)
+        await deployed.ask(chat_bytes(PROMPT))
+        pool = deployed.vm.exchange.parts.pool
+        kept = pool.idle[deployed.first.address][0]
+        made = kept.channel.transport.get_extra_info('socket')
+        told = made.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert made.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert told == OUTGOING.unread_s * 1000
