--- a/godwitshunt/exchange/admission.py
+++ b/godwitshunt/exchange/admission.py
@@ -9,7 +9,6 @@
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.exchange.forwarding import MILLISECONDS
 from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
-from godwitshunt.exchange.lifecycle import RequestFacts
 from godwitshunt.exchange.problems import Outcome, Problem, ProblemKind
 from godwitshunt.exchange.prompts import (
     ChatDocument,
@@ -18,6 +17,7 @@
     prompt_tokens,
 )
 from godwitshunt.exchange.requests import HttpRequest
+from godwitshunt.exchange.states import RequestFacts
 from godwitshunt.manifest import (
     Caller,
     Manifest,
@@ -124,6 +124,12 @@
     return Problem(kind, detail, outcome, retry_after_s)
 
 
+def unauthorized(request: HttpRequest) -> Problem:
+    """Return the refusal of a request without a known key."""
+    detail = 'Authorization: expected Bearer and a known key'
+    return refuse_early(request, ProblemKind.unauthorized, detail)
+
+
 def admit(
     request: HttpRequest,
     manifest: Manifest,
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -1,23 +1,23 @@
 """The caller listener of an entry VM: paths, keys, forwards, shutdown."""
 
 import asyncio
-import hashlib
-import hmac
 import ssl
 from dataclasses import replace
 from typing import Self
-from urllib.parse import parse_qs
 
 from result import Err, Ok, Result
 
 from godwitshunt.configuration.revision import Revision
-from godwitshunt.exceptions import DocumentError
 from godwitshunt.exchange.admission import (
-    BEARER,
     AdmittedRequest,
     admit,
     admit_forwarded,
     refuse_early,
+    unauthorized,
+)
+from godwitshunt.exchange.announcing import (
+    UPSTREAMS_PREFIX,
+    AnnouncementBorder,
 )
 from godwitshunt.exchange.forwarding import (
     FORWARD_HEADER,
@@ -26,6 +26,7 @@
 )
 from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
 from godwitshunt.exchange.listener import Listener, ListenerOptions
+from godwitshunt.exchange.parts import RequestParts
 from godwitshunt.exchange.ports import Ports
 from godwitshunt.exchange.problems import (
     Outcome,
@@ -35,23 +36,19 @@
     json_answer,
     render_problem,
 )
-from godwitshunt.exchange.request_task import RequestParts, RequestTask
+from godwitshunt.exchange.request_task import RequestTask
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
 from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.manifest import Caller
-from godwitshunt.manifest.documents import parse_document
-from godwitshunt.membership.announcements import UpstreamAnnouncement
 from godwitshunt.peer import client_context, server_context
 from godwitshunt.settings import EntrySettings, TlsSettings
 from godwitshunt.telemetry import Metrics
 
 ENTRIES_PATH = '/v1/entries'
-UPSTREAMS_PREFIX = '/v1/upstreams/'
 ENTRIES_TTL_S = 5
 REVISION_WAIT_S = 0.5
 REVISION_POLL_S = 0.02
 RETRY_AFTER_S = 1.0
-NAME_CHARACTERS = 63
 
 Admission = Result[AdmittedRequest, Problem]
 
@@ -70,6 +67,11 @@
         self.settings = parts.settings
         self.ports = parts.ports
         self.metrics = parts.metrics
+        self.upstreams = AnnouncementBorder(
+            parts.settings,
+            parts.ports.membership,
+            parts.metrics,
+        )
         self.draining = False
         self.listener = Listener(
             ListenerOptions(
@@ -126,7 +128,7 @@
             case '/metrics' | '/healthz' | '/readyz':
                 await writer.whole(self.tell_state(request.path))
             case path if path.startswith(UPSTREAMS_PREFIX):
-                await self.answer(writer, self.take_upstream(request))
+                await self.answer(writer, self.upstreams.take(request))
             case path if path == ENTRIES_PATH:
                 await self.answer(writer, self.list_entries(request))
             case _:
@@ -321,83 +323,6 @@
             ),
         )
 
-    def take_upstream(
-        self,
-        request: HttpRequest,
-    ) -> Result[WholeAnswer, Problem]:
-        """Take an upstream's announcement or departure."""
-        name = request.path.removeprefix(UPSTREAMS_PREFIX)
-        if not is_upstream_name(name):
-            return Err(
-                Problem(
-                    ProblemKind.not_found,
-                    f'found {name[:NAME_CHARACTERS]!r}, expected a name',
-                    Outcome.not_run,
-                ),
-            )
-        if not self.knows_upstream_token(request):
-            self.metrics.count('announcements_unauthorized_total')
-            return Err(unauthorized(request))
-        match request.method:
-            case 'PUT':
-                return self.take_announcement(name, request)
-            case 'DELETE':
-                return self.take_departure(name, request)
-        told = 'PUT and DELETE are taken'
-        return Err(Problem(ProblemKind.method, told, Outcome.not_run))
-
-    def take_announcement(
-        self,
-        name: str,
-        request: HttpRequest,
-    ) -> Result[WholeAnswer, Problem]:
-        """Take an announcement."""
-        try:
-            announcement = parse_document(
-                request.path,
-                request.body,
-                UpstreamAnnouncement,
-                DocumentError,
-            )
-        except DocumentError as invalid:
-            return Err(
-                Problem(
-                    ProblemKind.invalid_document,
-                    str(invalid),
-                    Outcome.not_run,
-                ),
-            )
-        taken = self.ports.membership.announce(name, announcement)
-        return taken.map(lambda lease_s: json_answer({'lease_s': lease_s}))
-
-    def take_departure(
-        self,
-        name: str,
-        request: HttpRequest,
-    ) -> Result[WholeAnswer, Problem]:
-        """Take a departure; the incarnation stands in the query."""
-        told = parse_qs(request.query).get('incarnation', [''])[0]
-        if not (told.isascii() and told.isdigit()):
-            return Err(
-                Problem(
-                    ProblemKind.invalid_document,
-                    'incarnation: expected a whole number in the query',
-                    Outcome.not_run,
-                ),
-            )
-        self.ports.membership.withdraw(name, int(told))
-        return Ok(json_answer({}))
-
-    def knows_upstream_token(self, request: HttpRequest) -> bool:
-        """Tell whether an announcement may be taken."""
-        expected = self.settings.upstream_token_sha256
-        if expected is None:
-            return True
-        told = request.header(b'authorization') or ''
-        token = told.removeprefix(BEARER).encode('latin-1')
-        found = hashlib.sha256(token).hexdigest()
-        return hmac.compare_digest(found, expected)
-
 
 def caller_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
     """Return the listener's TLS context.
@@ -407,16 +332,3 @@
     if tls is None:
         return None
     return server_context(tls.model_copy(update={'authority': None}))
-
-
-def is_upstream_name(name: str) -> bool:
-    """Tell whether a name has the form of the manifest's names."""
-    letters = name.replace('-', '')
-    plain = letters.isascii() and letters.isalnum() and name == name.lower()
-    return plain and len(name) <= NAME_CHARACTERS and not name.startswith('-')
-
-
-def unauthorized(request: HttpRequest) -> Problem:
-    """Return the refusal of a request without a known key."""
-    detail = 'Authorization: expected Bearer and a known key'
-    return refuse_early(request, ProblemKind.unauthorized, detail)
--- a/godwitshunt/exchange/lifecycle.py
+++ b/godwitshunt/exchange/lifecycle.py
@@ -9,8 +9,7 @@
 continued where it broke or ends visibly broken.
 """
 
-from dataclasses import dataclass, replace
-from enum import Enum, auto
+from dataclasses import replace
 
 from godwitshunt.claims.messages import (
     AlreadyAnswered,
@@ -25,6 +24,11 @@
 )
 from godwitshunt.exchange import messages as msg
 from godwitshunt.exchange.problems import Outcome, Problem, ProblemKind
+from godwitshunt.exchange.states import (
+    Phase,
+    RequestState,
+    UnexpectedEventError,
+)
 from godwitshunt.routing.messages import (
     Decision,
     Forward,
@@ -39,71 +43,7 @@
 CLAIM_POLLS = 20
 RETRY_AFTER_S = 1.0
 
-Step = tuple['RequestState', tuple[msg.Action, ...]]
-
-
-class Phase(Enum):
-    """What a request waits for."""
-
-    new = auto()
-    claiming = auto()
-    choosing = auto()
-    sending = auto()
-    relaying = auto()
-    ended = auto()
-
-
-@dataclass(frozen=True)
-class RequestFacts:
-    """What does not change while a request lives.
-
-    Parameters
-    ----------
-    repeatable : bool
-        True where running the call twice does no harm.
-    claimed : bool
-        True where it must be claimed under its key before it is sent.
-    forwarded : bool
-        True where another VM sent it here; that VM holds the claim.
-    """
-
-    repeatable: bool
-    claimed: bool = False
-    forwarded: bool = False
-
-
-@dataclass(frozen=True)
-class RequestState:
-    """Where a request stands.
-
-    Parameters
-    ----------
-    holds_claim : bool
-        True from the holders' grant on.
-    may_have_run : bool
-        True from the first byte that went to an upstream without proof that
-        nothing ran.
-    begun : bool
-        True where the caller has been sent the head of an answer.
-    delivered : int
-        Whole events of a stream that the caller has.
-    target : Serve, Forward or None
-        Where the present attempt went.
-    excluded : frozenset of str
-        Upstreams and VMs that failed this request.
-    """
-
-    facts: RequestFacts
-    phase: Phase = Phase.new
-    holds_claim: bool = False
-    may_have_run: bool = False
-    begun: bool = False
-    delivered: int = 0
-    attempts: int = 0
-    polls: int = 0
-    target: msg.Target | None = None
-    excluded: frozenset[str] = frozenset()
-    last_problem: Problem | None = None
+Step = tuple[RequestState, tuple[msg.Action, ...]]
 
 
 def advance(state: RequestState, event: msg.Event) -> Step:
@@ -111,6 +51,7 @@
 
     Examples
     --------
+    >>> from godwitshunt.exchange.states import RequestFacts
     >>> state = RequestState(RequestFacts(repeatable=True))
     >>> state, actions = advance(state, msg.Admitted())
     >>> actions
@@ -126,14 +67,6 @@
     return listeners[state.phase](state, event)
 
 
-@dataclass
-class UnexpectedEventError(Exception):
-    """An event that cannot come in this phase: a fault of the task."""
-
-    phase: Phase
-    event: msg.Event
-
-
 def admit(state: RequestState, event: msg.Event) -> Step:
     """Start with the claim where one is needed."""
     if not isinstance(event, msg.Admitted):
--- a/godwitshunt/exchange/request_task.py
+++ b/godwitshunt/exchange/request_task.py
@@ -1,35 +1,27 @@
 """The task of one request: carries out what the state machine decides."""
 
 import asyncio
-import random
 from collections.abc import Coroutine
 from contextlib import suppress
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 from godwitshunt.claims.messages import KeptAnswer
 from godwitshunt.exchange import messages as msg
-from godwitshunt.exchange.admission import AdmittedRequest, CallerIndex
+from godwitshunt.exchange.admission import AdmittedRequest
 from godwitshunt.exchange.attempts import Attempt
 from godwitshunt.exchange.forwarding import request_digest
-from godwitshunt.exchange.lifecycle import RequestState, advance
-from godwitshunt.exchange.outgoing import (
-    RESUME_HEADER,
-    forward_note,
-    forwarded_request,
-    served_headers,
-    upstream_request,
-)
-from godwitshunt.exchange.ports import Ports
+from godwitshunt.exchange.lifecycle import advance
+from godwitshunt.exchange.parts import RequestParts
 from godwitshunt.exchange.problems import (
-    Headers,
     Problem,
     WholeAnswer,
     render_problem,
 )
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.residency import check_decision, newest_route
-from godwitshunt.exchange.upstream_pool import OutgoingRequest, UpstreamPool
+from godwitshunt.exchange.states import RequestState
+from godwitshunt.exchange.targets import forward_attempt, upstream_attempt
 from godwitshunt.routing.messages import (
     Decision,
     Forward,
@@ -37,46 +29,10 @@
     Refuse,
     Serve,
 )
-from godwitshunt.settings import Address, EntrySettings
-from godwitshunt.telemetry import Metrics
 
 KEPT_HEADER = (b'godwitshunt-kept', b'true')
 
 
-@dataclass
-class RequestParts:
-    """What every request's task works with.
-
-    Parameters
-    ----------
-    settings : EntrySettings
-        The VM's name, region and bounds.
-    cluster_key : bytes
-        Signs forward notes.
-    ports : Ports
-        The other slices.
-    pool : UpstreamPool
-        Connections to upstreams.
-    vms : UpstreamPool
-        Connections to other VMs, which talk TLS where the settings say so.
-    metrics : Metrics
-        Counts attempts, refusals and durations.
-    callers : CallerIndex
-        Callers of the revision in force.
-    chance : random.Random
-        Chance for routing decisions.
-    """
-
-    settings: EntrySettings
-    cluster_key: bytes
-    ports: Ports
-    pool: UpstreamPool
-    vms: UpstreamPool
-    metrics: Metrics
-    callers: CallerIndex = field(default_factory=CallerIndex)
-    chance: random.Random = field(default_factory=random.Random)
-
-
 class RequestTask:
     """One request from its admission to its end.
 
@@ -245,9 +201,9 @@
         if action.spend_retry and not ports.retries.spend(now):
             self.parts.metrics.count('retries_denied_total')
             return msg.RetryDenied()
-        return msg.Decided(self.decide(action.excluded, now))
+        return msg.Decided(self.decide(action.excluded))
 
-    def decide(self, excluded: frozenset[str], now: float) -> Decision:
+    def decide(self, excluded: frozenset[str]) -> Decision:
         """Return the checked routing decision."""
         ports = self.parts.ports
         revision = ports.configuration.current()
@@ -258,7 +214,7 @@
         route = replace(
             newest_route(self.admitted.route, revision, caller),
             excluded=excluded,
-            deadline_s=self.remaining_s(now),
+            deadline_s=self.remaining_s(),
         )
         view = ports.membership.view()
         decision = ports.choose(
@@ -274,8 +230,9 @@
             isolated=view.isolated,
         )
 
-    def remaining_s(self, now: float) -> float:
+    def remaining_s(self) -> float:
         """Return seconds until the deadline."""
+        now = self.parts.ports.timer.now()
         return max(0.0, self.started_s + self.admitted.deadline_s - now)
 
     async def dispatch(self, action: msg.Dispatch) -> msg.Event:
@@ -285,12 +242,22 @@
         membership = self.parts.ports.membership
         match action.target:
             case Serve(upstream):
-                self.attempt = self.upstream_attempt(action)
+                self.attempt = upstream_attempt(
+                    self.parts,
+                    self.admitted,
+                    action,
+                    self.remaining_s(),
+                )
                 pool = self.parts.pool
                 tokens = self.admitted.route.prompt_tokens
                 membership.note_sent(upstream.name, tokens)
             case Forward():
-                self.attempt = self.forward_attempt(action)
+                self.attempt = forward_attempt(
+                    self.parts,
+                    self.admitted,
+                    action,
+                    self.remaining_s(),
+                )
                 pool = self.parts.vms
                 self.parts.metrics.count('forwards_total')
         if action.resume_offset:
@@ -325,64 +292,6 @@
             case Forward(region):
                 return region
 
-    def upstream_attempt(self, action: msg.Dispatch) -> Attempt:
-        """Return the attempt at an upstream of this region."""
-        now = self.parts.ports.timer.now()
-        revision = self.parts.ports.configuration.current()
-        upstream = action.target.upstream
-        served = served_headers(
-            self.parts.settings,
-            upstream.name,
-            revision.revision,
-        )
-        if self.admitted.resume_offset:
-            offset = str(self.admitted.resume_offset).encode()
-            served = (*served, (RESUME_HEADER, offset))
-        request = upstream_request(
-            self.admitted,
-            self.remaining_s(now),
-            action.resume_offset,
-        )
-        return self.make_attempt(action, upstream.address, request, served)
-
-    def forward_attempt(self, action: msg.Dispatch) -> Attempt:
-        """Return the attempt at a VM of another region."""
-        note = forward_note(
-            self.admitted,
-            action.target,
-            self.parts.settings,
-            self.remaining_s(self.parts.ports.timer.now()),
-            action.resume_offset,
-            self.parts.ports.configuration.current().revision,
-        )
-        request = forwarded_request(
-            self.admitted,
-            note,
-            self.parts.cluster_key,
-        )
-        entry = self.parts.settings.name.encode()
-        served = ((b'godwitshunt-entry', entry),)
-        return self.make_attempt(action, action.target.address, request, served)
-
-    def make_attempt(
-        self,
-        action: msg.Dispatch,
-        address: Address,
-        request: OutgoingRequest,
-        served: Headers,
-    ) -> Attempt:
-        """Return an attempt at a target."""
-        return Attempt(
-            target=action.target,
-            address=address,
-            request=request,
-            served=served,
-            streams=self.admitted.streams,
-            repeatable=self.admitted.facts.repeatable,
-            answer_bytes=self.parts.settings.limits.answer_bytes,
-            resume_offset=action.resume_offset,
-        )
-
     def end_attempt(self) -> None:
         """Close the present attempt and count its end, once."""
         if self.attempt is None:
--- a/godwitshunt/exchange/tests/test_lifecycle.py
+++ b/godwitshunt/exchange/tests/test_lifecycle.py
@@ -10,10 +10,6 @@
     CLAIM_POLL_S,
     CLAIM_POLLS,
     MAX_ATTEMPTS,
-    Phase,
-    RequestFacts,
-    RequestState,
-    UnexpectedEventError,
     advance,
 )
 from godwitshunt.exchange.problems import (
@@ -22,6 +18,12 @@
     ProblemKind,
     WholeAnswer,
 )
+from godwitshunt.exchange.states import (
+    Phase,
+    RequestFacts,
+    RequestState,
+    UnexpectedEventError,
+)
 from godwitshunt.membership.views import UpstreamView
 from godwitshunt.routing.messages import (
     Forward,
