Notice a frozen VM by the missing sign of life, and forward elsewhere

A VM that froze with a forwarded request kept its connection open; the caller waited for its whole deadline. The receiver now tells each second that it works on a forward; a request that may be repeated goes on elsewhere after 3.5 s of silence. Calls with a key wait on, since no other try is allowed to them.

--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -38,6 +38,9 @@
 from godwitshunt.settings import Address
 
 OK = 200
+# VMs tell each second that they work on a forwarded request.
+SIGN_OF_LIFE_S = 1.0
+SILENCE_S = 3.5
 TRANSIENT = frozenset((502, 503, 504))
 OUTCOME_HEADER = b'godwitshunt-outcome'
 NOT_TOLD = frozenset((RESUME_HEADER, b'godwitshunt-entry'))
@@ -92,12 +95,26 @@
                 self.call = call
         try:
             await self.call.send(self.request)
-            self.head = await self.call.head(self.request.request_id)
+            self.head = await self.call.head(
+                self.request.request_id,
+                self.longest_silence_s(),
+            )
             return await self.hear_head(self.head)
         except (BrokenAnswerError, ConnectionError) as broken:
             self.cancel()
             return msg.AttemptFailed(sent=True, reason=str(broken))
 
+    def longest_silence_s(self) -> float | None:
+        """Return how long a VM may be silent before its answer.
+
+        A frozen VM keeps its connections open; one notices by callers that
+        wait for their whole deadline. A call that may not be repeated waits
+        on: given up, its answer would be lost with no other try allowed.
+        """
+        if self.repeatable and isinstance(self.target, Forward):
+            return SILENCE_S
+        return None
+
     async def hear_head(self, head: AnswerHead) -> msg.Event:
         """Decide by the head how the body is read."""
         if self.streams and is_event_stream(head):
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -19,6 +19,7 @@
     UPSTREAMS_PREFIX,
     AnnouncementBorder,
 )
+from godwitshunt.exchange.attempts import SIGN_OF_LIFE_S
 from godwitshunt.exchange.forwarding import (
     FORWARD_HEADER,
     ForwardRefused,
@@ -162,11 +163,26 @@
         """Admit a caller's or another VM's request and live its life."""
         match await self.admit(request):
             case Ok(admitted):
-                task = RequestTask(self.parts, admitted, writer)
-                await task.run()
+                await self.live(admitted, writer)
             case Err(problem):
                 await self.answer(writer, Err(problem))
 
+    async def live(
+        self,
+        admitted: AdmittedRequest,
+        writer: AnswerWriter,
+    ) -> None:
+        """Live a request's life; a VM that waits gets signs of ours."""
+        task = RequestTask(self.parts, admitted, writer)
+        if not admitted.facts.forwarded:
+            await task.run()
+            return
+        signs = self.ports.timer.every(SIGN_OF_LIFE_S, writer.sign_of_life)
+        try:
+            await task.run()
+        finally:
+            signs.cancel()
+
     async def admit(self, request: HttpRequest) -> Admission:
         """Find out who asks for what; refuse where that is not allowed."""
         signed = request.header(FORWARD_HEADER)
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -11,6 +11,7 @@
 
 BODYLESS = frozenset((204, 304))
 STALL_S = 60.0
+PROCESSING = 102
 
 
 @dataclass(frozen=True)
@@ -98,6 +99,13 @@
         if self.channel.write_paused or self.channel.ended:
             await self.channel.drain()
 
+    def sign_of_life(self) -> None:
+        """Tell a VM that waits that its request is being worked on."""
+        if self.begun or self.channel.ended:
+            return
+        told = h11.InformationalResponse(status_code=PROCESSING, headers=[])
+        self.channel.write(self.connection.send(told))
+
     def put_head(self, status: int, headers: Headers) -> None:
         """Queue the head of an answer that comes in chunks."""
         told = [*headers, (b'transfer-encoding', b'chunked')]
--- a/godwitshunt/exchange/tests/test_forwarding.py
+++ b/godwitshunt/exchange/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from godwitshunt.exchange import attempts, gateway
 from godwitshunt.exchange.forwarding import request_digest, sign_note
 from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
 from godwitshunt.exchange.tests import scripts
@@ -194,6 +195,40 @@
         assert (reply.whole, reply.body) == (True, WHOLE_STREAM)
 
 
+@pytest.mark.parametrize('frozen', [False, True])
+async def test_frozen_vm_is_passed_over_and_a_slow_one_is_not(
+    frozen,
+    monkeypatch,
+):
+    """A VM freezes with a request; its connection stays open and silent.
+
+    A VM that works on a long request tells so, and is waited for.
+    """
+    monkeypatch.setattr(attempts, 'SILENCE_S', 1.5)
+    monkeypatch.setattr(gateway, 'SIGN_OF_LIFE_S', 0.05)
+
+    async def slow(upstream, writer, request):
+        await asyncio.sleep(2.0)
+        await scripts.good(upstream, writer, request)
+
+    async def silent(upstream, writer, request):
+        await asyncio.sleep(0)
+
+    async with AsyncExitStack() as stack:
+        regions = await two_regions(stack)
+        regions.upstream.script = slow
+        icy = Upstream('z9', silent)
+        await stack.enter_async_context(started_upstream(icy))
+        if frozen:
+            first = Forward('kozhikode', 'z9', icy.address)
+            forwards = (first, *regions.near.choose.forwards)
+            regions.near.choose.forwards = forwards
+        reply = await raw(regions.near.address, chat_bytes(PROMPT))
+        assert reply.body == scripts.answer_to(chat_bytes(PROMPT))
+        assert len(regions.upstream.requests) == 1
+        assert len(icy.requests) == frozen
+
+
 async def test_residency_is_checked_at_every_dispatch():
     """A manifest takes a region away while a request is being retried."""
     async with AsyncExitStack() as stack:
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -117,17 +117,38 @@
         self.channel.write(b''.join(parts))
         await self.channel.drain()
 
-    async def head(self, request_id: str) -> AnswerHead:
-        """Return the answer's head; raise where it is none or not ours."""
-        event = await self.event()
+    async def head(
+        self,
+        request_id: str,
+        silence_s: float | None = None,
+    ) -> AnswerHead:
+        """Return the answer's head; raise where it is none or not ours.
+
+        Parameters
+        ----------
+        request_id : str
+            What an answer that repeats one has to repeat.
+        silence_s : float or None
+            Seconds without a sign of life, such as ``102 Processing``, after
+            which the other side counts as gone; None waits on.
+        """
+        event = await self.sign_of_life(silence_s)
         while isinstance(event, h11.InformationalResponse):
-            event = await self.event()
+            event = await self.sign_of_life(silence_s)
         if not isinstance(event, h11.Response):
             raise BrokenAnswerError('ended before an answer')
         head = AnswerHead(event.status_code, tuple(event.headers))
         check_answer(head, self.method, request_id)
         return head
 
+    async def sign_of_life(self, silence_s: float | None) -> object:
+        """Return the next event; raise where none comes in time."""
+        try:
+            async with asyncio.timeout(silence_s):
+                return await self.event()
+        except TimeoutError:
+            raise BrokenAnswerError('no sign of life') from None
+
     async def chunk(self) -> bytes:
         """Return the next bytes of the body; empty at its clean end."""
         while not self.whole:
