Keep answers to their own caller, and answers to HEAD without a body

A caller that learned another's key and sent the same call would have got that caller's kept answer: the claim's digest now covers the caller. A body after the head of an answer to HEAD raised within the library.

--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -26,7 +26,7 @@
 BACKLOG = 1024
 
 
-class RefusedInput(Exception):  # carries the refusal outwards
+class RefusedInput(Exception):
     """Input that ends the connection after one typed answer."""
 
     def __init__(self, kind: ProblemKind, detail: str) -> None:
@@ -164,6 +164,7 @@
     async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
         """Have one request answered."""
         answer.closing = self.draining
+        answer.bodyless = request.method == 'HEAD'
         self.answering.add(answer)
         try:
             await self.handler(request, answer)
@@ -272,7 +273,8 @@
             return
         answer = AnswerWriter(connection, channel)
         answer.closing = True
-        with suppress(ConnectionError, TimeoutError):
+        # A refused HEAD request takes no body; it just sees the end.
+        with suppress(ConnectionError, TimeoutError, h11.LocalProtocolError):
             await answer.whole(
                 render_problem(Problem(refused.kind, refused.detail)),
             )
--- a/godwitshunt/exchange/request_task.py
+++ b/godwitshunt/exchange/request_task.py
@@ -187,7 +187,14 @@
     async def claim(self) -> msg.Event:
         """Ask the claim holders; never stopped, so that the grant is known."""
         request = self.admitted.request
-        digest = request_digest(request.method, request.target, request.body)
+        # The caller is part of what must be the same: under another's key
+        # nobody may get that caller's kept answer.
+        caller = self.admitted.route.caller
+        digest = request_digest(
+            f'{caller} {request.method}',
+            request.target,
+            request.body,
+        )
         claims = self.parts.ports.claims
         outcome = await claims.claim(self.admitted.key, digest)
         return msg.ClaimSettled(outcome)
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -54,6 +54,7 @@
 class AnswerWriter:
     """Writes one answer on a caller's connection.
 
+    `bodyless` is set for answers to HEAD, which tell a length and no body.
     A caller that takes nothing of a whole answer for a minute is cut off;
     else its answer would stay in memory as long as it likes.
 
@@ -65,6 +66,7 @@
         self.channel = channel
         self.begun = False
         self.closing = False
+        self.bodyless = False
 
     async def whole(self, answer: WholeAnswer) -> None:
         """Send an answer in one piece, with its length."""
@@ -77,7 +79,7 @@
         self.begun = True
         head = h11.Response(status_code=answer.status, headers=headers)
         parts = [self.connection.send(head)]
-        if answer.body and self.connection.our_state is h11.SEND_BODY:
+        if answer.body and not self.bodyless:
             parts.append(self.connection.send(h11.Data(data=answer.body)))
         parts.append(self.connection.send(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
--- a/godwitshunt/exchange/tests/test_contract.py
+++ b/godwitshunt/exchange/tests/test_contract.py
@@ -358,3 +358,27 @@
         told = made.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         assert made.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
         assert told == OUTGOING.unread_s * 1000
+
+
+async def test_kept_answer_goes_to_its_own_caller_only():
+    """Another caller learns a key and sends the same call under it."""
+    async with AsyncExitStack() as stack:
+        deployed = await deploy(stack, scripts.good, 'pages')
+        key = deployed.new_key()
+        replies = [
+            await deployed.ask(
+                request_bytes(
+                    path='/services/pages/duty',
+                    body=b'{}',
+                    caller=caller,
+                    Idempotency_Key=key,
+                ),
+            )
+            for caller in ('ward', 'office')
+        ]
+        assert replies[0].body == b'answer to /duty'
+        assert (replies[1].kind, replies[1].outcome) == (
+            'key-reused',
+            'unknown',
+        )
+        assert deployed.ran == 1
--- a/godwitshunt/exchange/tests/test_listener.py
+++ b/godwitshunt/exchange/tests/test_listener.py
@@ -222,6 +222,26 @@
         assert document['ttl_s'] > 0
 
 
+@pytest.mark.parametrize(
+    ('path', 'status'),
+    [('/healthz', b'200'), ('/nowhere', b'404')],
+)
+async def test_head_gets_a_head_only(path, status):
+    """A watcher asks by HEAD; a body would be read as the next answer."""
+    async with started_vm() as vm:
+        address = vm.address
+        reader, writer = await asyncio.open_connection(
+            address.host,
+            address.port,
+        )
+        writer.write(request_bytes('HEAD', path))
+        first = await reader.readuntil(b'\r\n\r\n')
+        writer.write(request_bytes('GET', '/healthz'))
+        second = await reader.readuntil(b'\r\n\r\n')
+        assert (first[9:12], second[9:12]) == (status, b'200')
+        writer.close()
+
+
 async def test_requests_on_one_connection_get_their_own_answers_in_order():
     """A caller sends its next request before the answer has come."""
     async with started_vm() as vm:
