--- a/godwitshunt/routing/candidates.py
+++ b/godwitshunt/routing/candidates.py
@@ -111,7 +111,7 @@
     group: UpstreamGroup,
     blocks: tuple[int, ...],
 ) -> Iterator[Candidate]:
-    """Yield the owner of a prompt's prefix and others that reported it.
+    """Yield the owner of a prompt's prefix and who reported most of it.
 
     Cache events come late and with gaps. So the owner is taken to have a part
     of the prompt though nothing was reported: requests of one prefix meet
@@ -123,11 +123,27 @@
     # The bound is relative to the mean use of slots, so that a popular prefix
     # spreads over as many upstreams as its load needs and no further.
     bound = LOAD_BOUND * (group.held + 1) / max(1, group.slots)
+    deepest: Candidate | None = None
     owned = False
     for upstream in owners:
         share = cached_share(upstream, blocks)
         if not owned and occupancy(upstream) < max(1.0, bound * upstream.slots):
             owned = True
             yield Candidate(upstream, max(OWNER_SHARE, share))
-        elif share > 0:
-            yield Candidate(upstream, share)
+        deepest = deeper(deepest, Candidate(upstream, share))
+    if deepest is not None and deepest.cached > 0:
+        yield deepest
+
+
+def deeper(best: Candidate | None, other: Candidate) -> Candidate:
+    """Return the one that reported more of a prompt, or holds less."""
+    if best is None or other.cached > best.cached:
+        return other
+    if other.cached < best.cached:
+        return best
+    return min(best, other, key=candidate_load)
+
+
+def candidate_load(candidate: Candidate) -> int:
+    """Return the requests that a candidate's upstream holds."""
+    return occupancy(candidate.upstream)
--- a/godwitshunt/routing/prediction.py
+++ b/godwitshunt/routing/prediction.py
@@ -14,7 +14,7 @@
 MISS_WEIGHT = 4.0
 MAX_FINISH_SHARE = 0.5
 # What a request may use grows by the gain in each such part of its time.
-AGED_SHARE = 0.2
+AGED_SHARE = 0.4
 AGED_GAIN = 0.25
 SHORTEST_S = 0.001
 
