--- a/godwitshunt/configuration/gen/wire/ttypes.py
+++ b/godwitshunt/configuration/gen/wire/ttypes.py
@@ -420,19 +420,22 @@
     """
     Attributes:
      - admitted
-     - removed
+     - removed: Known to have stopped.
+     - absent: Not heard for long, perhaps only cut off.
 
     """
 
     __slots__ = (
         'admitted',
         'removed',
+        'absent',
     )
 
 
-    def __init__(self, admitted=None, removed=None,):
+    def __init__(self, admitted=None, removed=None, absent=None,):
         self.admitted = admitted
         self.removed = removed
+        self.absent = absent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -464,6 +467,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.absent = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.absent.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -477,15 +490,22 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter12 in self.admitted:
-                iter12.write(oprot)
+            for iter18 in self.admitted:
+                iter18.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter13 in self.removed:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter19 in self.removed:
+                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.absent is not None:
+            oprot.writeFieldBegin('absent', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.absent))
+            for iter20 in self.absent:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -550,10 +570,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.names = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.names.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -574,8 +594,8 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.names))
-            for iter20 in self.names:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter27 in self.names:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -956,23 +976,26 @@
     From a VM to a control replica or a peer of its region, each second.
 
     Attributes:
-     - vm
-     - revision: The revision in force there; 0 for none.
-     - digest: SHA-256 of that revision's whole document, in hexadecimal.
+     - name
+     - session
+     - revision: The revision in force there; 0 for none, or to ask for the whole.
+     - vm: Until the receiver knows it.
 
     """
 
     __slots__ = (
-        'vm',
+        'name',
+        'session',
         'revision',
-        'digest',
+        'vm',
     )
 
 
-    def __init__(self, vm=None, revision=None, digest=None,):
-        self.vm = vm
+    def __init__(self, name=None, session=None, revision=None, vm=None,):
+        self.name = name
+        self.session = session
         self.revision = revision
-        self.digest = digest
+        self.vm = vm
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -984,19 +1007,24 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.vm = VmInfo()
-                    self.vm.read(iprot)
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.session = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I64:
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.vm = VmInfo()
+                    self.vm.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1009,17 +1037,21 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('VmHeartbeat')
-        if self.vm is not None:
-            oprot.writeFieldBegin('vm', TType.STRUCT, 1)
-            self.vm.write(oprot)
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 2)
+            oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeFieldBegin('revision', TType.I64, 3)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
-        if self.digest is not None:
-            oprot.writeFieldBegin('digest', TType.STRING, 3)
-            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRUCT, 4)
+            self.vm.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1052,10 +1084,11 @@
 
     Attributes:
      - revision
-     - digest
+     - digest: SHA-256 of the whole document; empty where nothing is newer.
      - base_digest: Digest of the document that a delta builds on; empty for a whole one.
      - body: Compressed JSON; empty where the receiver has this revision.
      - quorum_age_s: Seconds since the last proof of a live quorum; negative for none.
+     - introduce: The receiver of the heartbeat does not know the VM in this session.
 
     """
 
@@ -1065,15 +1098,17 @@
         'base_digest',
         'body',
         'quorum_age_s',
+        'introduce',
     )
 
 
-    def __init__(self, revision=None, digest=None, base_digest=None, body=None, quorum_age_s=None,):
+    def __init__(self, revision=None, digest=None, base_digest=None, body=None, quorum_age_s=None, introduce=None,):
         self.revision = revision
         self.digest = digest
         self.base_digest = base_digest
         self.body = body
         self.quorum_age_s = quorum_age_s
+        self.introduce = introduce
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1109,6 +1144,11 @@
                     self.quorum_age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.introduce = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1139,6 +1179,10 @@
             oprot.writeFieldBegin('quorum_age_s', TType.DOUBLE, 5)
             oprot.writeDouble(self.quorum_age_s)
             oprot.writeFieldEnd()
+        if self.introduce is not None:
+            oprot.writeFieldBegin('introduce', TType.BOOL, 6)
+            oprot.writeBool(self.introduce)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1300,11 +1344,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = VmReport()
-                        _elem26.read(iprot)
-                        self.reports.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = VmReport()
+                        _elem33.read(iprot)
+                        self.reports.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1321,8 +1365,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter27 in self.reports:
-                iter27.write(oprot)
+            for iter34 in self.reports:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1557,6 +1601,7 @@
     None,  # 0
     (1, TType.LIST, 'admitted', (TType.STRUCT, [VmInfo, None], False), None, ),  # 1
     (2, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'absent', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
 all_structs.append(ChangeHolders)
 ChangeHolders.thrift_spec = (
@@ -1593,9 +1638,10 @@
 all_structs.append(VmHeartbeat)
 VmHeartbeat.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'vm', [VmInfo, None], None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.STRING, 'digest', 'UTF8', None, ),  # 3
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'session', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRUCT, 'vm', [VmInfo, None], None, ),  # 4
 )
 all_structs.append(ConfigurationNews)
 ConfigurationNews.thrift_spec = (
@@ -1605,6 +1651,7 @@
     (3, TType.STRING, 'base_digest', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
     (5, TType.DOUBLE, 'quorum_age_s', None, None, ),  # 5
+    (6, TType.BOOL, 'introduce', None, None, ),  # 6
 )
 all_structs.append(VmReport)
 VmReport.thrift_spec = (
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -35,7 +35,11 @@
 from godwitshunt.configuration.revision import RevisionNotice, VmRecord
 from godwitshunt.configuration.state import ControlState
 from godwitshunt.configuration.state_machine import StateMachine
-from godwitshunt.configuration.upkeep import due_commands, still_awaited
+from godwitshunt.configuration.upkeep import (
+    ABSENT_AFTER_S,
+    due_commands,
+    still_awaited,
+)
 from godwitshunt.configuration.wire import vm_from_wire, vm_to_wire
 from godwitshunt.consensus import ProposalFailure
 from godwitshunt.manifest import Manifest
@@ -94,6 +98,7 @@
         self.subscriptions = []
         self.push_due = False
         self.freshness = Freshness()
+        self.led_since = timer.now()
         self.subscribers: list[RevisionNotice] = []
 
     @classmethod
@@ -239,9 +244,7 @@
         for one in self.heard.direct(self.timer.now()):
             if one.vm.name == self.record.name:
                 continue
-            held = self.history.of_revision(one.revision)
-            digest = '' if held is None else held.digest
-            news = self.history.news_for(digest, float('inf'))
+            news = self.history.news_for(one.revision, float('inf'))
             self.links.tell(
                 one.vm.peer,
                 MessageKind.configuration_news,
@@ -252,16 +255,24 @@
     async def on_heartbeat(self, sender: str, body: bytes) -> bytes:
         """Note a VM's heartbeat and tell it what it lacks."""
         heartbeat = decode(ttypes.VmHeartbeat, body)
-        vm = vm_from_wire(heartbeat.vm)
-        now = self.timer.now()
-        self.heard.hear(HeardVm(vm, heartbeat.revision or 0, now))
+        vm = self.heartbeat_vm(heartbeat)
+        revision = heartbeat.revision or 0
+        if vm is not None:
+            self.heard.hear(HeardVm(vm, revision, self.timer.now()))
         self.metrics.count('configuration_heartbeats_total')
-        news = self.history.news_for(
-            heartbeat.digest or '',
-            self.quorum_age_s(),
-        )
+        news = self.history.news_for(revision, self.quorum_age_s())
+        news.introduce = vm is None
         return encode(news)
 
+    def heartbeat_vm(self, heartbeat: ttypes.VmHeartbeat) -> VmRecord | None:
+        """Return who sent a heartbeat; None for a stranger without record."""
+        if heartbeat.vm is not None:
+            return vm_from_wire(heartbeat.vm)
+        known = self.heard.by_name.get(heartbeat.name)
+        if known is None or known.vm.session != heartbeat.session:
+            return None
+        return known.vm
+
     def quorum_age_s(self) -> float:
         """Return for how many seconds a commit may be missing here.
 
@@ -313,7 +324,7 @@
         if self.log.leadership().is_leader:
             newest = await self.newest_revision()
         age_s = UNKNOWN_AGE_S if newest is None else 0
-        news = ttypes.ConfigurationNews(newest or 0, '', '', b'', age_s)
+        news = ttypes.ConfigurationNews(newest or 0, '', '', b'', age_s, False)
         return encode(news)
 
     def begin_upkeep(self) -> None:
@@ -321,8 +332,12 @@
         self.heard.hear(
             HeardVm(self.record, self.state.revision, self.timer.now()),
         )
-        if self.log.leadership().is_leader:
-            self.background.run('upkeep', self.upkeep)
+        now = self.timer.now()
+        self.heard.forget(now - ABSENT_AFTER_S)
+        if not self.log.leadership().is_leader:
+            self.led_since = now
+            return
+        self.background.run('upkeep', self.upkeep)
 
     async def upkeep(self) -> None:
         """Commit admissions, claim holders and confirmations."""
@@ -330,6 +345,7 @@
             self.state,
             self.heard,
             self.pending_seen_at,
+            self.led_since,
             self.timer.now(),
         )
         for command in tuple(due):
