--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -80,7 +80,7 @@
             'load-lag-s': self.plan.lag_s,
         }
         for name, setting in options.items():
-            command += [f'--{name}', str(setting)]
+            command.extend((f'--{name}', str(setting)))
         return command
 
 
@@ -97,7 +97,7 @@
         ]
         hosts = iter(range(1, 100))
         for kind, count in kinds:
-            members += [
+            members.extend(
                 make_member(
                     f'{network}.{next(hosts)}',
                     region.name,
@@ -105,7 +105,7 @@
                     index,
                 )
                 for index in range(1, count + 1)
-            ]
+            )
     return Layout(folder, tuple(members))
 
 
--- a/godwitshunt/replay/sender.py
+++ b/godwitshunt/replay/sender.py
@@ -34,6 +34,8 @@
 GRACE_S = 2.0
 DIRECTORY_TIMEOUT_S = 5.0
 DIRECTORY_PERIOD_S = 2.0
+FIRST_REFRESHES = 20
+FIRST_PAUSE_S = 0.5
 TAIL_BYTES = 64
 BROKEN = (OSError, BrokenAnswerError)
 # TimeoutError is an OSError; wrong JSON and a wrong address are ValueErrors.
@@ -88,7 +90,7 @@
     async def replay(self, trace: tuple[TraceRequest, ...]) -> list[Sample]:
         """Send a trace; return every sample in the trace's order."""
         callers = {request.caller: request.home for request in trace}
-        await self.refresh(callers)
+        await self.first_refresh(callers)
         refreshing = asyncio.create_task(self.refresh_often(callers))
         loop = asyncio.get_running_loop()
         start_s = loop.time()
@@ -104,6 +106,17 @@
             refreshing.cancel()
             self.pool.close()
 
+    async def first_refresh(self, callers: dict[str, str]) -> None:
+        """Ask until every caller has a directory, for a bounded time.
+
+        VMs that have just started do not know yet of each other.
+        """
+        for _ in range(FIRST_REFRESHES):
+            await self.refresh(callers)
+            if len(self.directories) == len(callers):
+                return
+            await asyncio.sleep(FIRST_PAUSE_S)
+
     async def refresh_often(self, callers: dict[str, str]) -> None:
         """Ask for the directories again and again, as callers do."""
         while True:
@@ -150,7 +163,10 @@
             call.abandon()
         if head.status != OK_STATUS:
             raise ConnectionError(f'status {head.status}')
-        return Directory.from_document(json.loads(body))
+        directory = Directory.from_document(json.loads(body))
+        if not directory.entries:
+            raise ConnectionError('an empty directory')
+        return directory
 
     def outgoing(
         self,
--- a/godwitshunt/replay/tests/test_replay.py
+++ b/godwitshunt/replay/tests/test_replay.py
@@ -224,15 +224,17 @@
     assert len(noticed) == 2
 
 
-async def test_no_entry_refuses_and_goes_on():
+async def test_no_entry_refuses_and_goes_on(monkeypatch):
     """No entry VM runs; a replay must end all the same."""
+    monkeypatch.setattr('godwitshunt.replay.sender.FIRST_PAUSE_S', 0)
     sender = Sender({'': (free_address(),)}, {}, lambda _: None)
     samples = await sender.replay((ask(),))
     assert samples[0].ending is Ending.refused
 
 
-def test_commands(tmp_path, capsys):
+def test_commands(tmp_path, capsys, monkeypatch):
     """The generator's files are what the replay reads; outcomes decide."""
+    monkeypatch.setattr('godwitshunt.replay.sender.FIRST_PAUSE_S', 0)
     assert generate('nowhere', tmp_path) == 2
     assert generate('pallikkara', tmp_path, rate=4, duration=1) == 0
     trace = tmp_path / 'trace.jsonl'
--- a/godwitshunt/routing/prediction.py
+++ b/godwitshunt/routing/prediction.py
@@ -9,7 +9,7 @@
 from godwitshunt.membership.views import UpstreamView
 from godwitshunt.routing.messages import RouteRequest
 
-TYPICAL_OUTPUT_TOKENS = 128
+TYPICAL_OUTPUT_TOKENS = 256
 PLAIN_HOLD_S = 0.05
 MISS_WEIGHT = 4.0
 MAX_FINISH_SHARE = 0.5
