Join decision, ejection and ramp in a router

Cause: the pure decision knows one view; what a VM has seen of its upstreams before had no place. It may stand where choose stands; note_outcome is the only new call.

--- a/godwitshunt/routing/__init__.py
+++ b/godwitshunt/routing/__init__.py
@@ -23,6 +23,7 @@
 from godwitshunt.routing.quotas import caller_quotas
 from godwitshunt.routing.ramp import ColdRamp
 from godwitshunt.routing.retry_budget import RetryBudget
+from godwitshunt.routing.router import Router
 
 __all__ = [
     'Admission',
@@ -42,6 +43,7 @@
     'Refuse',
     'RetryBudget',
     'RouteRequest',
+    'Router',
     'Serve',
     'Ticket',
     'Wait',
--- /dev/null
+++ b/godwitshunt/routing/router.py
@@ -0,0 +1,135 @@
+"""The decision with what a VM has seen of its upstreams.
+
+`choose` is pure and knows one view. The router keeps, from one decision to
+the next, which upstreams fail or lag and which have just started, and leaves
+them out while there are others.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Self
+
+from godwitshunt.manifest import Objective
+from godwitshunt.membership.views import RegionView, UpstreamView
+from godwitshunt.routing.messages import (
+    Decision,
+    Refuse,
+    RouteRequest,
+    Serve,
+    Wait,
+)
+from godwitshunt.routing.outliers import AttemptOutcome, OutlierDetector
+from godwitshunt.routing.policy import choose
+from godwitshunt.routing.ramp import ColdRamp
+from godwitshunt.timer import Timer
+
+OBSERVE_PERIOD_S = 0.5
+HELD_WAIT_S = 0.1
+
+
+@dataclass
+class Router:
+    """Decides for one VM; its `choose` stands in for the pure one.
+
+    Parameters
+    ----------
+    timer : Timer
+        Gives the time.
+    services : dict of str to OutlierDetector
+        Health of the upstreams of each service.
+    serving : dict of str to frozenset of str
+        Names of the upstreams that serve each service now.
+    """
+
+    timer: Timer
+    ramp: ColdRamp = field(default_factory=ColdRamp)
+    services: dict[str, OutlierDetector] = field(default_factory=dict)
+    serving: dict[str, frozenset[str]] = field(default_factory=dict)
+    observed_s: float = float('-inf')
+
+    @classmethod
+    def from_config(cls, timer: Timer, vms: int = 1) -> Self:
+        """Make the router of a VM.
+
+        Parameters
+        ----------
+        vms : int
+            Entry VMs of the region; set `ramp.vms` where it changes.
+        """
+        return cls(timer, ColdRamp(vms))
+
+    def choose(
+        self,
+        view: RegionView,
+        request: RouteRequest,
+        objective: Objective,
+        random: Random,
+    ) -> Decision:
+        """Decide as `godwitshunt.routing.choose` does, but for held upstreams.
+
+        Where only held ones are left the request waits, as long as it can;
+        then it is decided as if none were held.
+        """
+        now = self.timer.now()
+        self.observe(view.upstreams, now)
+        held = self.held(request.service, now) - request.excluded
+        if not held:
+            return self.sent(choose(view, request, objective, random))
+        spared = replace(request, excluded=request.excluded | held)
+        decision = choose(view, spared, objective, random)
+        if not isinstance(decision, Refuse):
+            return self.sent(decision)
+        decision = choose(view, request, objective, random)
+        can_wait = HELD_WAIT_S + request.waited_s < request.deadline_s
+        if isinstance(decision, Serve) and can_wait:
+            return Wait(HELD_WAIT_S)
+        return self.sent(decision)
+
+    def held(self, service: str, now: float) -> frozenset[str]:
+        """Return upstreams that get nothing now if there are others."""
+        held = self.ramp.held(now)
+        detector = self.services.get(service)
+        return held if detector is None else held | detector.excluded(now)
+
+    def sent(self, decision: Decision) -> Decision:
+        """Count a decision that sends a request to an upstream."""
+        match decision:
+            case Serve(upstream, uncached_tokens=uncached):
+                self.ramp.note_sent(upstream.name, uncached)
+                detector = self.services.get(upstream.service)
+                if detector is not None:
+                    detector.note_sent(upstream.name)
+        return decision
+
+    def note_outcome(
+        self,
+        upstream: UpstreamView,
+        outcome: AttemptOutcome,
+    ) -> None:
+        """Count what came of an attempt.
+
+        A caller that went away says nothing of the upstream and is not noted,
+        but for a probe: it is then noted as `Failed`, or nobody would probe
+        again.
+        """
+        service = upstream.service
+        detector = self.services.setdefault(service, OutlierDetector())
+        present = self.serving.get(service, frozenset())
+        detector.note(upstream.name, outcome, present, self.timer.now())
+
+    def observe(self, upstreams: Iterable[UpstreamView], now: float) -> None:
+        """Look at all upstreams, now and then."""
+        if now - self.observed_s < OBSERVE_PERIOD_S:
+            return
+        self.observed_s = now
+        self.ramp.observe(upstreams, now)
+        serving: dict[str, set[str]] = {}
+        for upstream in upstreams:
+            if not upstream.leaving:
+                serving.setdefault(upstream.service, set()).add(upstream.name)
+        self.serving = {
+            service: frozenset(names) for service, names in serving.items()
+        }
+        for service, detector in self.services.items():
+            detector.forget(self.serving.get(service, frozenset()))
--- a/godwitshunt/routing/tests/test_overload.py
+++ b/godwitshunt/routing/tests/test_overload.py
@@ -7,10 +7,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from godwitshunt.manifest import RequestClass
-from godwitshunt.membership.views import UpstreamView
+from godwitshunt.manifest import Objective, RequestClass
+from godwitshunt.membership.views import RegionView, UpstreamView
 from godwitshunt.routing.admission import AdmissionQueue, Queued, Ticket
-from godwitshunt.routing.messages import RefusalReason, Refuse
+from godwitshunt.routing.messages import (
+    RefusalReason,
+    Refuse,
+    RouteRequest,
+    Serve,
+    Wait,
+)
 from godwitshunt.routing.outliers import (
     FIRST_EJECTION_S,
     Answered,
@@ -18,7 +24,9 @@
     OutlierDetector,
 )
 from godwitshunt.routing.ramp import COLD_S, PREFILL_SHARE, ColdRamp
+from godwitshunt.routing.router import Router
 from godwitshunt.settings import Address
+from godwitshunt.timer import VirtualTimerService
 
 CLASSES = (
     RequestClass(name='urgent', priority=5, queue_limit=50),
@@ -229,3 +237,58 @@
     assert sent_while_warming(ramp, 50) >= 9 * cold
     ramp.observe((replace(ENGINE, incarnation=3),), 1.0 + COLD_S)
     assert not ramp.warming
+
+
+ASK = RouteRequest(
+    caller='ward',
+    request_class='urgent',
+    service='chat',
+    model='m',
+    home='kochi',
+    allowed=frozenset(('kochi',)),
+    prompt_tokens=2000,
+)
+OBJECTIVE = Objective()
+
+
+def decide(router, upstreams, request=ASK, seed=1):
+    """Return a router's decision, fixed by its seed."""
+    view = RegionView('kochi', tuple(upstreams))
+    return router.choose(view, request, OBJECTIVE, Random(seed))
+
+
+def test_router_leaves_out_a_failing_upstream_and_probes_it():
+    """One of four engines refuses every request at once and looks idle."""
+    timer = VirtualTimerService()
+    router = Router.from_config(timer)
+    engines = [replace(ENGINE, name=f'e{number}') for number in range(4)]
+    busy = [replace(each, running=9, slots=8) for each in engines[1:]]
+    all_four = [engines[0], *busy]
+    chosen = []
+    for seed in range(60):
+        chosen.append(decide(router, all_four, seed=seed).upstream.name)
+        if chosen[-1] == 'e0':
+            router.note_outcome(engines[0], Failed())
+    assert router.held('chat', 0.0) == {'e0'}
+    assert chosen.count('e0') < 10
+    timer.advance(FIRST_EJECTION_S + 1)
+    probes = [
+        decide(router, all_four, seed=other).upstream.name
+        for other in range(60)
+    ]
+    assert probes.count('e0') == 1
+
+
+def test_router_waits_for_a_cold_engine_but_not_past_the_deadline():
+    """The only engine restarted; a crowd of uncached prompts comes back."""
+    timer = VirtualTimerService()
+    router = Router.from_config(timer)
+    decide(router, [ENGINE])
+    timer.advance(1.0)
+    cold = [replace(ENGINE, incarnation=2)]
+    assert isinstance(decide(router, cold), Serve)
+    assert isinstance(decide(router, cold), Wait)
+    late = replace(ASK, deadline_s=4.0, waited_s=8.0)
+    assert isinstance(decide(router, cold, late), Serve)
+    timer.advance(5.0)
+    assert isinstance(decide(router, cold), Serve)
