--- a/godwitshunt/programs/replay.py
+++ b/godwitshunt/programs/replay.py
@@ -19,7 +19,12 @@
     generate_manifest,
     generate_trace,
 )
-from godwitshunt.replay.outcomes import check_outcomes, read_outcomes
+from godwitshunt.replay.outcomes import (
+    StatedOutcomes,
+    check_outcomes,
+    outcomes_path,
+    read_outcomes,
+)
 from godwitshunt.replay.results import Results, render
 from godwitshunt.replay.sender import Sender
 from godwitshunt.replay.traces import read_trace, write_trace
@@ -138,6 +143,8 @@
 ) -> int:
     """Write a trace with the manifest and the callers' keys that go with it.
 
+    Beside the trace it states that each request ends whole or truly refused.
+
     Parameters
     ----------
     deployment : str
@@ -165,7 +172,11 @@
         return WRONG_INPUT
     folder.mkdir(parents=True, exist_ok=True)
     demand = Demand(rate, duration, swing, seed)
-    write_trace(folder / 'trace.jsonl', generate_trace(profile, demand))
+    path = folder / 'trace.jsonl'
+    trace = generate_trace(profile, demand)
+    write_trace(path, trace)
+    stated = StatedOutcomes(requests=len(trace), broken_share=0)
+    outcomes_path(path).write_text(stated.model_dump_json(indent=2))
     manifest = generate_manifest(profile)
     (folder / 'manifest.json').write_text(manifest.model_dump_json(indent=2))
     keys = {caller.name: caller_key(caller.name) for caller in manifest.callers}
