Divide callers' limits by the directory's order

Quota, burst and lenders now follow the same ranking as the directory; messages go only to the few VMs that rank highest for a caller in need.

--- a/godwitshunt/routing/__init__.py
+++ b/godwitshunt/routing/__init__.py
@@ -20,7 +20,7 @@
 )
 from godwitshunt.routing.outliers import Answered, Failed, OutlierDetector
 from godwitshunt.routing.policy import choose
-from godwitshunt.routing.quotas import caller_quotas
+from godwitshunt.routing.quotas import LimitPlan
 from godwitshunt.routing.ramp import ColdRamp
 from godwitshunt.routing.retry_budget import RetryBudget
 from godwitshunt.routing.router import Router
@@ -36,6 +36,7 @@
     'Decision',
     'Failed',
     'Forward',
+    'LimitPlan',
     'Limited',
     'OutlierDetector',
     'Queued',
@@ -47,7 +48,6 @@
     'Serve',
     'Ticket',
     'Wait',
-    'caller_quotas',
     'choose',
     'order_entries',
 ]
--- a/godwitshunt/routing/limits.py
+++ b/godwitshunt/routing/limits.py
@@ -134,11 +134,13 @@
         The VM's own part of each caller's limit.
     incarnation : int
         Random number of this process.
+    lenders : mapping of str to frozenset of str, or None
+        Peers to ask for a caller's loans; None asks whoever is told.
 
     Notes
     -----
     Let R be a caller's rate, B its burst and N the VMs. All VMs together
-    admit at most ``R t + max(B, N)`` requests in any ``t`` seconds. A VM that
+    admit at most ``R t + B + N`` requests in any ``t`` seconds. A VM that
     restarts forgets its loans and exceeds that once by at most its own quota
     times `LOAN_S`; while a change of N is under way, VMs that do not know it
     yet go on with their larger quota of before.
@@ -146,6 +148,7 @@
 
     quotas: Mapping[str, CallerQuota]
     incarnation: int = 0
+    lenders: Mapping[str, frozenset[str]] | None = None
     buckets: dict[str, Bucket] = field(default_factory=dict)
     meters: dict[str, DemandMeter] = field(default_factory=dict)
     loans: dict[tuple[str, str], Loan] = field(default_factory=dict)
@@ -160,9 +163,14 @@
         """Make the limits of a VM."""
         return cls(quotas, incarnation)
 
-    def configure(self, quotas: Mapping[str, CallerQuota]) -> None:
+    def configure(
+        self,
+        quotas: Mapping[str, CallerQuota],
+        lenders: Mapping[str, frozenset[str]] | None = None,
+    ) -> None:
         """Take the quotas of a newer manifest or set of VMs."""
         self.quotas = quotas
+        self.lenders = lenders
         for table in (self.buckets, self.meters):
             for caller in tuple(table):
                 if caller not in quotas:
@@ -237,10 +245,33 @@
         return LimitNews(
             stamp=Stamp(self.incarnation, now),
             echo=None if known is None else known.stamp,
-            unmet=self.unmet(now),
+            unmet=self.unmet_for(peer, now),
             lent=self.lend(peer, now),
         )
 
+    def peers_to_tell(self, now: float) -> frozenset[str]:
+        """Return peers to ask for loans, and those that asked lately."""
+        asked = [
+            name
+            for name, peer in self.peers.items()
+            if peer.unmet and now - peer.heard_s <= LOAN_S
+        ]
+        lenders = self.lenders or {}
+        for caller in self.unmet(now):
+            asked.extend(lenders.get(caller, ()))
+        return frozenset(asked)
+
+    def unmet_for(self, peer: str, now: float) -> dict[str, float]:
+        """Return the unmet demand that a peer is asked for."""
+        wanted = self.unmet(now)
+        if self.lenders is None:
+            return wanted
+        return {
+            caller: missing
+            for caller, missing in wanted.items()
+            if peer in self.lenders.get(caller, ())
+        }
+
     def unmet(self, now: float) -> dict[str, float]:
         """Return the demand beyond the own quota, by caller."""
         wanted = {}
--- a/godwitshunt/routing/limits_task.py
+++ b/godwitshunt/routing/limits_task.py
@@ -16,11 +16,7 @@
     LimitNews,
     Stamp,
 )
-from godwitshunt.routing.quotas import (
-    caller_quotas,
-    entry_vms,
-    gossip_partners,
-)
+from godwitshunt.routing.quotas import LimitPlan, entry_vms
 from godwitshunt.settings import NodeSettings
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import Subscription, Timer
@@ -58,7 +54,7 @@
         incarnation = secrets.randbits(INCARNATION_BITS)
         self.limits = CallerLimits.from_config({}, incarnation)
         self.vms: dict[str, VmRecord] = {}
-        self.partners: tuple[VmRecord, ...] = ()
+        self.divided: Revision | None = None
         self.subscription: Subscription | None = None
 
     @classmethod
@@ -84,10 +80,11 @@
 
     def configure(self, revision: Revision) -> None:
         """Take a newer revision's limits and VMs."""
-        own = self.settings
-        self.limits.configure(caller_quotas(revision, own.region))
         self.vms = {vm.name: vm for vm in entry_vms(revision.vms)}
-        self.partners = gossip_partners(revision.vms, own.name, own.region)
+        if self.divided is None or limits_differ(self.divided, revision):
+            plan = LimitPlan.from_revision(revision, self.settings.name)
+            self.limits.configure(plan.quotas, plan.lenders)
+        self.divided = revision
 
     def admit(self, caller: str) -> Admission:
         """Take one request of a caller, or tell when to come back."""
@@ -97,12 +94,10 @@
         return admission
 
     def tell_peers(self) -> None:
-        """Send each partner, and each peer that asked, its own message."""
+        """Ask for loans, and lend to peers that asked."""
         now = self.timer.now()
         self.limits.forget(now)
-        names = {vm.name for vm in self.partners}
-        names.update(self.limits.peers)
-        for name in sorted(names):
+        for name in sorted(self.limits.peers_to_tell(now)):
             vm = self.vms.get(name)
             if vm is not None:
                 news = self.limits.compose(name, now)
@@ -116,6 +111,16 @@
             self.limits.receive(sender, news, self.timer.now())
 
 
+def limits_differ(before: Revision, after: Revision) -> bool:
+    """Return whether limits are divided otherwise than before.
+
+    Most changes of a day touch neither callers nor VMs, and dividing the
+    limits of a thousand callers takes tens of milliseconds.
+    """
+    same_callers = before.manifest.callers == after.manifest.callers
+    return not same_callers or before.vms != after.vms
+
+
 def news_struct(news: LimitNews) -> LimitGossip:
     """Return the thrift struct of a message."""
     echo = news.echo or Stamp(0, 0.0)
--- a/godwitshunt/routing/quotas.py
+++ b/godwitshunt/routing/quotas.py
@@ -1,90 +1,131 @@
-"""How a caller's limit is divided among VMs before any demand is known."""
+"""How a caller's limit is divided among VMs before any demand is known.
+
+The directory sends all of a caller's requests to the VMs that rank highest
+for its name. The same ranking divides its limit, so that the quota is where
+the demand comes, and who needs more knows whom to ask.
+"""
 
-from collections import Counter
 from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Self
 
 from godwitshunt.configuration.revision import Revision, VmRecord, VmRole
+from godwitshunt.manifest import Caller
 from godwitshunt.routing.hashing import name_hash, rank_names
 from godwitshunt.routing.limits import CallerQuota
 
 # The home region may admit this part of a caller's rate with no word from
 # the others, and these the rest, also while the home region is lost.
-HOME_SHARE = 0.5
-PARTNERS_ELSEWHERE = 2
+HOME_SHARE = 0.7
+# Each VM of a region owns a quarter of what the one that ranks before it
+# does, down to the last rank, from where all own the same. The first owns so
+# much that a caller who uses half of its limit needs no loan.
+RANK_RATIO = 0.25
+LAST_RANK = 3
+LENDERS_HERE = 3
+REGIONS_ASKED = 2
 
 
-def caller_quotas(revision: Revision, region: str) -> dict[str, CallerQuota]:
-    """Return one VM's quota of each caller.
+@dataclass(frozen=True)
+class LimitPlan:
+    """One VM's quotas, and whom it asks for more.
 
     Parameters
     ----------
-    revision : Revision
-        The configuration in force.
-    region : str
-        The VM's region.
-
-    Returns
-    -------
-    dict of str to CallerQuota
-        Quotas of all VMs add up to the caller's rate.
+    quotas : dict of str to CallerQuota
+        By caller; quotas of all VMs add up to the caller's rate.
+    lenders : dict of str to frozenset of str
+        Names of the VMs to ask, by caller. There are few, so that messages
+        grow with the callers that need more and not with the VMs.
+    """
+
+    quotas: dict[str, CallerQuota]
+    lenders: dict[str, frozenset[str]]
+
+    @classmethod
+    def from_revision(cls, revision: Revision, name: str) -> Self:
+        """Divide the limits of a revision; the VM itself may be new to it."""
+        regions = names_by_region(revision.vms)
+        own = next((vm for vm in revision.vms if vm.name == name), None)
+        if own is None:
+            return cls({}, {})
+        quotas = {}
+        lenders = {}
+        for caller in revision.manifest.callers:
+            key = name_hash(caller.name)
+            ranked = rank_names(key, regions[own.region])
+            share = region_share(caller.home, own.region, regions)
+            share *= rank_share(ranked.index(name), len(ranked))
+            quotas[caller.name] = CallerQuota(
+                caller.requests_per_s * share,
+                max(1.0, caller.burst * share),
+            )
+            asked = set(ranked[:LENDERS_HERE])
+            asked.update(lenders_elsewhere(caller, key, own.region, regions))
+            lenders[caller.name] = frozenset(asked - {name})
+        return cls(quotas, lenders)
+
+
+def lenders_elsewhere(
+    caller: Caller,
+    key: int,
+    region: str,
+    regions: Mapping[str, tuple[str, ...]],
+) -> list[str]:
+    """Return the VMs of other regions to ask for a caller.
+
+    The home region has most to lend; it asks some others itself.
     """
-    sizes = Counter(vm.region for vm in entry_vms(revision.vms))
-    total = sum(sizes.values()) or 1
-    return {
-        caller.name: CallerQuota(
-            caller.requests_per_s * vm_share(caller.home, region, sizes),
-            max(1.0, caller.burst / total),
-        )
-        for caller in revision.manifest.callers
-    }
+    if region != caller.home and caller.home in regions:
+        return [rank_names(key, regions[caller.home])[0]]
+    others = tuple(sorted(regions.keys() - {region}))
+    asked = rank_names(key, others)[:REGIONS_ASKED]
+    return [rank_names(key, regions[other])[0] for other in asked]
+
+
+def names_by_region(vms: tuple[VmRecord, ...]) -> dict[str, tuple[str, ...]]:
+    """Return the names of the VMs that admit requests, by region."""
+    regions: dict[str, list[str]] = {}
+    for vm in entry_vms(vms):
+        regions.setdefault(vm.region, []).append(vm.name)
+    return {region: tuple(names) for region, names in regions.items()}
 
 
-def vm_share(home: str, region: str, sizes: Mapping[str, int]) -> float:
-    """Return the share of a caller's rate that each VM of a region owns.
+def region_share(
+    home: str,
+    region: str,
+    regions: Mapping[str, tuple[str, ...]],
+) -> float:
+    """Return the share of a caller's rate that a region owns.
 
     Examples
     --------
-    >>> vm_share('kochi', 'kochi', {'kochi': 2, 'kozhikode': 2})
-    0.25
-    >>> vm_share('kochi', 'kozhikode', {'kozhikode': 2})
-    0.5
+    >>> region_share('kochi', 'kochi', {'kochi': ('a',), 'kozhikode': ('b',)})
+    0.7
+    >>> region_share('kochi', 'kozhikode', {'kozhikode': ('b',)})
+    1.0
     """
-    size = sizes.get(region, 0)
-    if not size:
-        return 0.0
-    others = len(sizes) - 1
-    if home not in sizes:
-        return 1.0 / len(sizes) / size
-    if not others:
-        return 1.0 / size
+    if len(regions) == 1 or home not in regions:
+        return 1.0 / len(regions)
     if region == home:
-        return HOME_SHARE / size
-    return (1.0 - HOME_SHARE) / others / size
+        return HOME_SHARE
+    return (1.0 - HOME_SHARE) / (len(regions) - 1)
 
 
-def entry_vms(vms: tuple[VmRecord, ...]) -> tuple[VmRecord, ...]:
-    """Return the VMs that admit requests."""
-    return tuple(vm for vm in vms if vm.role is VmRole.entry)
+def rank_share(rank: int, count: int) -> float:
+    """Return the share of a region's quota that the VM of a rank owns.
 
+    Examples
+    --------
+    >>> rank_share(0, 1)
+    1.0
+    >>> round(sum(rank_share(rank, 25) for rank in range(25)), 9)
+    1.0
+    """
+    weights = [RANK_RATIO ** min(each, LAST_RANK) for each in range(count)]
+    return weights[rank] / sum(weights)
 
-def gossip_partners(
-    vms: tuple[VmRecord, ...],
-    name: str,
-    region: str,
-) -> tuple[VmRecord, ...]:
-    """Return the VMs to ask for loans: the region's, and a few of each other.
 
-    So the messages grow with the region and the number of regions, and not
-    with the deployment.
-    """
-    partners = []
-    by_region: dict[str, dict[str, VmRecord]] = {}
-    for vm in entry_vms(vms):
-        if vm.name != name:
-            by_region.setdefault(vm.region, {})[vm.name] = vm
-    for other, members in sorted(by_region.items()):
-        names = rank_names(name_hash(name), tuple(members))
-        if other != region:
-            names = names[:PARTNERS_ELSEWHERE]
-        partners.extend(members[partner] for partner in names)
-    return tuple(partners)
+def entry_vms(vms: tuple[VmRecord, ...]) -> tuple[VmRecord, ...]:
+    """Return the VMs that admit requests."""
+    return tuple(vm for vm in vms if vm.role is VmRole.entry)
