--- a/godwitshunt/routing/limits.py
+++ b/godwitshunt/routing/limits.py
@@ -25,7 +25,7 @@
 # Kept by the lender, so that its own callers are served while it waits for
 # the end of its loans.
 KEPT_SHARE = 0.1
-HEADROOM = 1.25
+HEADROOM = 2.0
 SMALLEST_LOAN_PER_S = 0.01
 
 
