--- a/godwitshunt/claims/ballots.py
+++ b/godwitshunt/claims/ballots.py
@@ -22,7 +22,12 @@
 from godwitshunt.claims.gen.wire import ttypes
 from godwitshunt.claims.holder_task import KINDS, ClaimHolderTask
 from godwitshunt.claims.keys import ClaimKey
-from godwitshunt.claims.messages import ClaimOutcome, Granted
+from godwitshunt.claims.messages import (
+    ClaimOutcome,
+    Granted,
+    InProgress,
+    RunUnknown,
+)
 from godwitshunt.claims.standing import of_present_lives
 from godwitshunt.claims.verdicts import (
     Attempt,
@@ -46,6 +51,7 @@
 FIRST_PAUSE_S = 0.005
 LONGEST_PAUSE_S = 0.1
 ATTEMPT_BITS = 62
+RIVAL_CHECK_S = 0.5
 
 
 def draw_attempt_number() -> int:
@@ -124,6 +130,18 @@
         reply = await self.links.call(address, kind, encode(struct), timeout_s)
         return reply.ok_value if isinstance(reply, Ok) else None
 
+    async def is_running(self, vm: str, key: str) -> bool | None:
+        """Ask a VM whether it runs a key's call; None where it is silent."""
+        call = ttypes.RunningCall(key=key)
+        reply = await self.call(vm, MessageKind.claim_running, call)
+        if reply is None:
+            return None
+        try:
+            return bool(decode(ttypes.RunningReply, reply).running)
+        except FrameError:
+            self.metrics.count('claims_replies_malformed_total')
+            return None
+
     async def pause(self, duration_s: float) -> None:
         """Wait on the timer."""
         over = asyncio.get_running_loop().create_future()
@@ -155,6 +173,7 @@
     attempt: Attempt | None = None
     answers: dict[str, HolderAnswer] = field(default_factory=dict)
     yielded_to: str | None = None
+    next_check_s: float = 0.0
 
     async def run(self) -> ClaimOutcome:
         """Claim, or wait for the attempt that has the key."""
@@ -219,12 +238,45 @@
             await self.links.pause(pause_s)
             pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
             self.answers.clear()
-            query = Attempt(self.key, self.request_digest, self.vm, 1)
-            step = await self.ask_round(Query(query), self.judge_wait)
+            step = await self.ask_of_rival()
+            if isinstance(step, Wait) and self.is_check_due():
+                step = await self.check_rival()
         if isinstance(step, ClaimAnew):
             self.yielded_to = None
         return step
 
+    async def ask_of_rival(self) -> ClaimStep:
+        """Ask the holders once what became of the attempt with the key."""
+        query = Attempt(self.key, self.request_digest, self.vm, 1)
+        return await self.ask_round(Query(query), self.judge_wait)
+
+    def is_check_due(self) -> bool:
+        """Tell whether the rival's VM should be asked again."""
+        now_s = self.links.timer.now()
+        if now_s < self.next_check_s:
+            return False
+        self.next_check_s = now_s + RIVAL_CHECK_S
+        return True
+
+    async def check_rival(self) -> ClaimStep:
+        """Ask the rival's VM whether it still runs the call.
+
+        A VM that was killed, or restarted, while it ran the call never tells
+        the holders how it ended. Its callers would wait for nothing until
+        their deadline; they are told at once that the outcome is unknown.
+        """
+        vm = self.yielded_to
+        running = await self.links.is_running(vm, self.key.text)
+        if running:
+            return Wait()
+        if running is None:
+            return End(InProgress(vm, silent=True))
+        # It may have ended, and told the holders, since they were asked.
+        step = await self.ask_of_rival()
+        if not isinstance(step, Wait):
+            return step
+        return End(RunUnknown(f'{vm} does not know the attempt any more'))
+
     def give_up_attempt(self) -> None:
         """Withdraw the present attempt, if there is one."""
         attempt = self.attempt
--- a/godwitshunt/claims/claims.thrift
+++ b/godwitshunt/claims/claims.thrift
@@ -44,6 +44,15 @@
   6: optional string reason
 }
 
+/** To the VM of an attempt: whether it runs a key's call now. */
+struct RunningCall {
+  1: string key
+}
+
+struct RunningReply {
+  1: bool running
+}
+
 /** Between holders: epochs, and the recovery of one that forgot. */
 struct HolderCall {
   1: string region
--- a/godwitshunt/claims/gen/wire/ttypes.py
+++ b/godwitshunt/claims/gen/wire/ttypes.py
@@ -574,6 +574,144 @@
         return not (self == other)
 
 
+class RunningCall(object):
+    """
+    To the VM of an attempt: whether it runs a key's call now.
+
+    Attributes:
+     - key
+
+    """
+
+    __slots__ = (
+        'key',
+    )
+
+
+    def __init__(self, key=None,):
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunningCall')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunningReply(object):
+    """
+    Attributes:
+     - running
+
+    """
+
+    __slots__ = (
+        'running',
+    )
+
+
+    def __init__(self, running=None,):
+        self.running = running
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.running = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunningReply')
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.BOOL, 1)
+            oprot.writeBool(self.running)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HolderCall(object):
     """
     Between holders: epochs, and the recovery of one that forgot.
@@ -988,6 +1126,16 @@
     (5, TType.STRUCT, 'answer', [Answer, None], None, ),  # 5
     (6, TType.STRING, 'reason', 'UTF8', None, ),  # 6
 )
+all_structs.append(RunningCall)
+RunningCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+)
+all_structs.append(RunningReply)
+RunningReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'running', None, None, ),  # 1
+)
 all_structs.append(HolderCall)
 HolderCall.thrift_spec = (
     None,  # 0
--- a/godwitshunt/claims/task.py
+++ b/godwitshunt/claims/task.py
@@ -25,7 +25,7 @@
 from godwitshunt.configuration.revision import HolderSet, Revision
 from godwitshunt.exceptions import FrameError
 from godwitshunt.membership.jobs import Jobs
-from godwitshunt.peer import MessageKind, PeerLinks, decode
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.settings import NodeSettings
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import Subscription, Timer
@@ -76,6 +76,9 @@
         self.links = HolderLinks(links, self.holder, timer, metrics)
         self.sets: dict[tuple[str, int], HolderSet] = {}
         self.granted: dict[str, Attempt] = {}
+        self.ballots: list[Ballot] = []
+        # Keys whose ending is being told to the holders.
+        self.settling: set[str] = set()
         self.jobs = Jobs()
         self.subscriptions: list[Subscription] = []
 
@@ -93,6 +96,10 @@
     async def start(self) -> None:
         """Begin to vote, and follow the epoch of the own region."""
         await self.holder.start()
+        self.links.links.subscribe(
+            MessageKind.claim_running,
+            self.answer_running,
+        )
         self.subscriptions = [
             self.timer.every(EPOCH_CHECK_S, self.poll_epoch),
         ]
@@ -186,14 +193,34 @@
             withdraw=self.withdraw,
         )
         started_s = self.timer.now()
-        outcome = await ballot.run()
+        self.ballots.append(ballot)
+        try:
+            outcome = await ballot.run()
+        finally:
+            self.ballots.remove(ballot)
+        if isinstance(outcome, Granted):
+            self.granted[key] = ballot.attempt
         elapsed_s = self.timer.now() - started_s
         name = type(outcome).__name__
         self.metrics.observe('claim_seconds', elapsed_s, outcome=name)
-        if isinstance(outcome, Granted):
-            self.granted[key] = ballot.attempt
         return outcome
 
+    async def answer_running(self, sender: str, body: bytes) -> bytes:
+        """Tell a rival's VM whether an attempt here may run a key's call."""
+        key = decode(ttypes.RunningCall, body).key or ''
+        return encode(ttypes.RunningReply(running=self.may_run(key)))
+
+    def may_run(self, key: str) -> bool:
+        """Tell whether an attempt of this VM runs, or may come to run.
+
+        One that only waits for another VM's attempt does not.
+        """
+        voting = any(
+            ballot.key.text == key and ballot.attempt is not None
+            for ballot in self.ballots
+        )
+        return voting or key in self.granted or key in self.settling
+
     def find_set(
         self,
         key: str,
@@ -230,7 +257,7 @@
         """Tell the holders what came of a granted attempt."""
         attempt = self.granted.pop(key, None)
         if attempt is not None:
-            await self.tell(Finish(attempt, ending))
+            await self.settle(key, Finish(attempt, ending))
 
     async def release(self, key: str) -> None:
         """Give up a granted claim, on the proof that the call did not run.
@@ -239,7 +266,15 @@
         """
         attempt = self.granted.pop(key, None)
         if attempt is not None:
-            await self.tell(Release(attempt))
+            await self.settle(key, Release(attempt))
+
+    async def settle(self, key: str, request: Finish | Release) -> None:
+        """Tell the holders; rivals are told to wait until they know."""
+        self.settling.add(key)
+        try:
+            await self.tell(request)
+        finally:
+            self.settling.discard(key)
 
     def withdraw(self, attempt: Attempt) -> None:
         """Have holders forget an attempt that never runs."""
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -1,7 +1,6 @@
 """The ``godwitshunt-control`` program."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -33,7 +32,7 @@
 from godwitshunt.programs.start import read_cluster_key, start_listening
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
-from godwitshunt.timer import TimerService
+from godwitshunt.timer import TimerService, stop_on_signals
 
 
 def vm_record(settings: ControlSettings, session: str) -> VmRecord:
@@ -139,9 +138,7 @@
 async def run(settings: ControlSettings) -> None:
     """Run until SIGTERM or SIGINT."""
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    stop_on_signals(stop)
     process = ControlProcess(settings)
     await process.start()
     await stop.wait()
--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import signal
 import sys
 from pathlib import Path
 
@@ -39,7 +38,7 @@
 from godwitshunt.routing.limits_task import LimitsTask
 from godwitshunt.settings import EntrySettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
-from godwitshunt.timer import TimerService
+from godwitshunt.timer import TimerService, stop_on_signals
 
 WRONG_INPUT = 2
 
@@ -144,10 +143,7 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then finish what is in progress."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            # A second signal sets what is set already: nothing is cut.
-            loop.add_signal_handler(number, self.stopping.set)
+        stop_on_signals(self.stopping)
         await self.start()
         await self.stopping.wait()
         log_change('entry:draining', vm=self.settings.name)
--- a/godwitshunt/timer/__init__.py
+++ b/godwitshunt/timer/__init__.py
@@ -6,5 +6,12 @@
     TimerService,
     VirtualTimerService,
 )
+from godwitshunt.timer.signals import stop_on_signals
 
-__all__ = ['Subscription', 'Timer', 'TimerService', 'VirtualTimerService']
+__all__ = [
+    'Subscription',
+    'Timer',
+    'TimerService',
+    'VirtualTimerService',
+    'stop_on_signals',
+]
