--- a/godwitshunt/configuration/numbers.py
+++ b/godwitshunt/configuration/numbers.py
@@ -1,6 +1,7 @@
 """Manifest numbers: one contents each, and the same answer for ever."""
 
 from dataclasses import replace
+from itertools import chain
 from typing import Any
 
 from result import Err, Ok, Result
@@ -8,6 +9,7 @@
 from godwitshunt.configuration.commands import (
     Accepted,
     AcceptManifest,
+    AwaitedVm,
     BaseChanged,
     ManifestOutcome,
     ManifestUnreadable,
@@ -135,7 +137,7 @@
     document: Document,
 ) -> Step:
     """Put an accepted manifest in force and remember its number."""
-    awaited = awaited_vms(state.document, document, state.absent)
+    awaited = awaited_now(state, document)
     state = state.with_document(document)
     record = NumberRecord(command.digest, state.revision, awaited)
     floor = command.number - NUMBER_WINDOW
@@ -152,6 +154,27 @@
     return state, answer_of(state, command.number, repeated=False)
 
 
+def awaited_now(
+    state: ControlState,
+    document: Document,
+) -> tuple[AwaitedVm, ...]:
+    """Return the VMs that a manifest's acceptance waits for.
+
+    Among them are those that earlier numbers still wait for: a region that
+    number 2 takes away is not lost once more by number 3, but a VM that has
+    applied neither of them still serves there.
+    """
+    lease_suffices: dict[str, bool] = {}
+    pending = [known.awaited for known in state.numbers.values()]
+    own = awaited_vms(state.document, document, state.absent)
+    for vm in chain(own, *pending):
+        known = lease_suffices.get(vm.name, True)
+        lease_suffices[vm.name] = known and vm.lease_suffices
+    return tuple(
+        AwaitedVm(name, suffices) for name, suffices in lease_suffices.items()
+    )
+
+
 def confirm_manifest(state: ControlState, number: int) -> Step:
     """Accept a pending manifest for good."""
     known = state.numbers.get(number)
--- a/godwitshunt/configuration/tests/test_distribution.py
+++ b/godwitshunt/configuration/tests/test_distribution.py
@@ -150,3 +150,22 @@
     await deployment.run(1)
     again = await deployment.accept(manifest(2, callers=bound))
     assert isinstance(again, Accepted)
+
+
+async def test_later_number_waits_for_the_earlier_one(deployment):
+    """Number 2 takes a region away and waits for a VM that is cut off.
+
+    Number 3 keeps that rule and takes nothing more. Were it accepted at once,
+    the VM would still serve there by number 1. A seeded schedule found this.
+    """
+    await deployment.accept(manifest())
+    await deployment.run(2)
+    deployment.cut_off(deployment.tasks['e2'].record.peer)
+    bound = [caller('office', 'home')]
+    await deployment.accept(manifest(2, callers=bound))
+    later = await deployment.accept(manifest(3, callers=bound))
+    assert isinstance(later, Pending)
+    deployment.network.cut.clear()
+    await deployment.run(4)
+    later = await deployment.accept(manifest(3, callers=bound))
+    assert isinstance(later, Accepted)
