--- a/godwitshunt/configuration/following.py
+++ b/godwitshunt/configuration/following.py
@@ -35,11 +35,14 @@
         Monotonic time of the last proof of a live quorum, in seconds.
     needs_whole : bool
         True where a delta did not fit and the whole document is wanted.
+    started_at : float
+        Monotonic time when the process started, in seconds.
     """
 
     held: Held | None = None
     proof_at: float = NEVER
     needs_whole: bool = False
+    started_at: float = NEVER
 
     @property
     def base_revision(self) -> int:
@@ -75,6 +78,8 @@
     following: Following,
     news: ConfigurationNews,
     asked_at: float | None,
+    *,
+    from_peer: bool = False,
 ) -> tuple[Following, NewsOutcome]:
     """Apply a reply or a push.
 
@@ -87,6 +92,9 @@
     asked_at : float or None
         When the call that this answers was sent, in monotonic seconds. None
         for a push: its delay on the way is unknown, so it proves no quorum.
+    from_peer : bool
+        True where a VM of the same region, which has the revision in force,
+        sent the news.
 
     Notes
     -----
@@ -97,7 +105,7 @@
     held = following.held
     if held is not None and news.revision <= held.revision:
         return proven(following, news, asked_at), NothingNewer()
-    if not news.revision:
+    if not news.revision or not may_begin(following, news, asked_at, from_peer):
         return following, NothingNewer()
     match read_news(held, news):
         case Err(fault):
@@ -108,6 +116,27 @@
             return proven(following, news, asked_at), RevisionApplied(newer)
 
 
+def may_begin(
+    following: Following,
+    news: ConfigurationNews,
+    asked_at: float | None,
+    from_peer: bool,
+) -> bool:
+    """Tell whether a VM without a revision may begin with this one.
+
+    Before a restart without a disk the VM may have said that a newer one is
+    in force. A control replica that lags would take it back to an older one,
+    and it would serve by rules that an accepted manifest has replaced. So the
+    revision must include every commit before the restart; or it must be in
+    force on a VM of the region, which was waited for as much as this one.
+    """
+    if following.held is not None or from_peer:
+        return True
+    if asked_at is None or news.quorum_age_s < 0:
+        return False
+    return asked_at - news.quorum_age_s >= following.started_at
+
+
 def proven(
     following: Following,
     news: ConfigurationNews,
--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -2,15 +2,14 @@
 
 import asyncio
 import random
-from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Self
-from zlib import crc32
 
 from pydantic import ValidationError
 from result import Err
 
+from godwitshunt.configuration.ask_order import control_order, peer_order
 from godwitshunt.configuration.background import Background
 from godwitshunt.configuration.document import (
     DocumentMalformed,
@@ -30,7 +29,6 @@
     Revision,
     RevisionNotice,
     VmRecord,
-    VmRole,
 )
 from godwitshunt.configuration.wire import vm_to_wire
 from godwitshunt.exceptions import FrameError, StorageError
@@ -72,7 +70,8 @@
     Attributes
     ----------
     current : Revision or None
-        In force on this VM; None before the first. Its revision only rises.
+        In force on this VM; None before the first that lists the VM. Its
+        revision only rises.
     """
 
     def __init__(
@@ -136,6 +135,7 @@
         StorageError
             Where the data folder cannot be read.
         """
+        self.following = replace(self.following, started_at=self.timer.now())
         if self.kept is not None:
             self.take_kept(self.kept)
         self.links.subscribe(MessageKind.configuration_news, self.on_news)
@@ -167,7 +167,7 @@
         """Put the revision on disk in force, without proof of a quorum."""
         held = kept.read()
         if held is not None:
-            self.following = Following(held)
+            self.following = replace(self.following, held=held)
             self.publish(revision_of(held.revision, held.document))
 
     def begin_heartbeat(self) -> None:
@@ -184,12 +184,23 @@
         The first revision after a start is the highest that any answer
         brings: without a proof every known peer is asked.
         """
-        for address in self.control_order():
+        for address in control_order(
+            self.current,
+            self.record,
+            self.control,
+            self.preferred,
+        ):
             if await self.ask_one(address, MessageKind.vm_heartbeat):
                 self.preferred = address
                 return
         self.preferred = None
-        for peer in self.peer_order():
+        self.peer_turn += 1
+        for peer in peer_order(
+            self.current,
+            self.record,
+            self.peers,
+            self.peer_turn,
+        ):
             if await self.ask_one(peer, MessageKind.configuration_fetch):
                 return
 
@@ -211,7 +222,8 @@
             self.metrics.count('configuration_news_malformed_total')
             return False
         self.introduces = bool(news.introduce)
-        outcome = await self.take(news, asked_at)
+        from_peer = kind is MessageKind.configuration_fetch
+        outcome = await self.take(news, asked_at, from_peer=from_peer)
         if isinstance(outcome, NewsRefused):
             return False
         return 0 <= news.quorum_age_s <= FRESH_PROOF_S
@@ -225,40 +237,6 @@
             vm=vm_to_wire(self.record) if self.introduces else None,
         )
 
-    def control_order(self) -> tuple[Address, ...]:
-        """Return control replicas: the last good one, then the own region's."""
-        own_region = [
-            vm.peer
-            for vm in self.known_vms(VmRole.control)
-            if vm.peer in self.control
-        ]
-        preferred = [] if self.preferred is None else [self.preferred]
-        # Without the turn every VM of a region that has no control replica
-        # would speak to the one that the settings name first.
-        turn = crc32(self.record.name.encode()) % max(1, len(self.control))
-        turned = (*self.control[turn:], *self.control[:turn])
-        return tuple(dict.fromkeys([*own_region, *preferred, *turned]))
-
-    def peer_order(self) -> tuple[Address, ...]:
-        """Return peers of the region, beginning with another each time."""
-        known = [vm.peer for vm in self.known_vms(VmRole.entry)]
-        peers = [
-            address
-            for address in dict.fromkeys([*known, *self.peers])
-            if address != self.record.peer
-        ]
-        self.peer_turn += 1
-        turn = self.peer_turn % len(peers) if peers else 0
-        return tuple(peers[turn:] + peers[:turn])
-
-    def known_vms(self, role: VmRole) -> Iterator[VmRecord]:
-        """Give the region's VMs of a role, as far as they are known."""
-        if self.current is None:
-            return
-        for vm in self.current.vms:
-            if vm.role is role and vm.region == self.record.region:
-                yield vm
-
     async def on_news(self, sender: str, body: bytes) -> None:
         """Take a push; ask at once where its delta does not fit."""
         news = decode(ttypes.ConfigurationNews, body)
@@ -279,6 +257,8 @@
         self,
         news: ttypes.ConfigurationNews,
         asked_at: float | None,
+        *,
+        from_peer: bool = False,
     ) -> NewsOutcome:
         """Apply news and tell the subscribers of a newer revision.
 
@@ -287,7 +267,12 @@
         the older one after it had said that the newer one is in force.
         """
         async with self.lock:
-            following, outcome = take_news(self.following, news, asked_at)
+            following, outcome = take_news(
+                self.following,
+                news,
+                asked_at,
+                from_peer=from_peer,
+            )
             if isinstance(outcome, RevisionApplied):
                 return await self.put_in_force(following, outcome)
             self.following = following
@@ -312,9 +297,18 @@
         if self.kept is not None:
             await self.keep(self.kept, held)
         self.following = following
-        self.publish(revision)
+        if self.current is not None or self.is_listed(revision):
+            self.publish(revision)
         return outcome
 
+    def is_listed(self, revision: Revision) -> bool:
+        """Tell whether a revision lists this VM, perhaps before a restart.
+
+        A VM that is not listed is not waited for where its region loses a
+        caller; so it does not begin to serve.
+        """
+        return any(vm.name == self.record.name for vm in revision.vms)
+
     async def keep(self, kept: KeptRevision, held: Held) -> None:
         """Write a revision to the disk; a failure is counted and logged.
 
--- a/godwitshunt/configuration/tests/test_following.py
+++ b/godwitshunt/configuration/tests/test_following.py
@@ -1,5 +1,6 @@
 """Deltas give the same document, and news in any order never goes back."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -89,3 +90,33 @@
     assert following.held is None
     assert following.proof_at < 0
     assert following.needs_whole
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'asked_at', 'from_peer', 'begins'),
+    [
+        (0, 12, False, True),
+        (2, 12, False, True),
+        (3, 12, False, False),
+        (-1, 12, False, False),
+        (0, None, False, False),
+        (-1, 12, True, True),
+    ],
+)
+def test_start_without_a_revision(age_s, asked_at, from_peer, begins):
+    """A VM restarts without a disk at second 10 and hears of a revision.
+
+    A control replica that lags may tell of an older one than the VM had in
+    force; only a proof from after the restart, or a peer's word, will do.
+    """
+    document = Document({'number': 1}, {})
+    history = RevisionHistory()
+    history.add(Held(1, digest_of(document), document))
+    news = history.news_for(0, age_s)
+    following, _ = take_news(
+        Following(started_at=10),
+        news,
+        asked_at,
+        from_peer=from_peer,
+    )
+    assert (following.held is not None) == begins
