--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -17,6 +17,7 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import MappingProxyType
 
 import defopt
 
@@ -27,6 +28,7 @@
 PERCENT_50 = 0.5
 PERCENT_99 = 0.99
 MILLISECONDS = 1000
+MICROSECONDS = 1_000_000
 KIBIBYTE = 1024
 RATE_S = 4.0
 RATE_WORKERS = 32
@@ -40,27 +42,29 @@
     return hashlib.sha256(text).hexdigest()
 
 
-MANIFEST = {
-    'number': 1,
-    'deployment': 'benchmark',
-    'regions': [{'name': 'home', 'failure_domains': ['a']}],
-    'services': [
-        {'name': 'chat', 'kind': 'model'},
-        {'name': 'archive', 'kind': 'plain'},
-    ],
-    'models': [{'name': 'review', 'service': 'chat'}],
-    'classes': [{'name': 'urgent', 'deadline_s': 600}],
-    'callers': [
-        {
-            'name': 'caller',
-            'key_sha256': sha256(b'key'),
-            'home': 'home',
-            'request_class': 'urgent',
-            'requests_per_s': 100000,
-            'burst': 100000,
-        },
-    ],
-}
+MANIFEST = MappingProxyType(
+    {
+        'number': 1,
+        'deployment': 'benchmark',
+        'regions': [{'name': 'home', 'failure_domains': ['a']}],
+        'services': [
+            {'name': 'chat', 'kind': 'model'},
+            {'name': 'archive', 'kind': 'plain'},
+        ],
+        'models': [{'name': 'review', 'service': 'chat'}],
+        'classes': [{'name': 'urgent', 'deadline_s': 600}],
+        'callers': [
+            {
+                'name': 'caller',
+                'key_sha256': sha256(b'key'),
+                'home': 'home',
+                'request_class': 'urgent',
+                'requests_per_s': 100000,
+                'burst': 100000,
+            },
+        ],
+    },
+)
 
 
 def place(port: int) -> dict:
@@ -91,7 +95,7 @@
         }
         self.write('key', 'cluster')
         self.write('token', 'token')
-        self.write('manifest.json', MANIFEST)
+        self.write('manifest.json', dict(MANIFEST))
         self.write(
             'control.json',
             {
@@ -137,17 +141,30 @@
         listen = f'127.0.0.1:{self.service}'
         self.run(
             'standins.service',
-            *('--name', 'service-1', '--listen', listen, *told),
+            '--name',
+            'service-1',
+            '--listen',
+            listen,
+            *told,
         )
         for index in range(engine_count):
             port = free_port()
             self.engines.append(port)
             self.run(
                 'standins.engine',
-                *('--name', f'engine-{index}', *told),
-                *('--listen', f'127.0.0.1:{port}'),
-                *('--decode-rate', str(decode_rate), '--slots', str(slots)),
-                *('--prefill-rate', '10000000', '--load-lag-s', '0'),
+                '--name',
+                f'engine-{index}',
+                *told,
+                '--listen',
+                f'127.0.0.1:{port}',
+                '--decode-rate',
+                str(decode_rate),
+                '--slots',
+                str(slots),
+                '--prefill-rate',
+                '10000000',
+                '--load-lag-s',
+                '0',
                 '--stamped',
             )
 
@@ -410,12 +427,13 @@
     await asyncio.sleep(0.5)
     held_bytes = places.entry_memory() - idle_bytes
     rate, through_s = await streaming
-    spent = places.entry_cpu_s() - begin_cpu_s
-    spent /= time.perf_counter() - begin_s
+    spent_s = places.entry_cpu_s() - begin_cpu_s
+    share = spent_s / (time.perf_counter() - begin_s)
     print(
         f'{streams} streams: direct {direct_rate:.0f} tokens/s, '
         f'through {rate:.0f}, ratio {rate / direct_rate:.2f}, '
-        f'entry {spent:.0%} of a core',
+        f'entry {share:.0%} of a core, '
+        f'{spent_s / len(through_s) * MICROSECONDS:.0f} us a token',
     )
     tell('delay of a token', direct_s, through_s)
     print(f'memory: {held_bytes / streams / KIBIBYTE:.1f} KiB a stream')
--- a/godwitshunt/routing/messages.py
+++ b/godwitshunt/routing/messages.py
@@ -27,6 +27,8 @@
         Estimated lengths in tokens.
     deadline_s : float
         Seconds that remain until the request is given up.
+    waited_s : float
+        Seconds that have passed since it arrived.
     priority : int
         The class's priority; higher is served first.
     slot_share : float
@@ -58,6 +60,7 @@
     regions_visited: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
     restricted: bool = True
+    waited_s: float = 0.0
 
 
 class RefusalReason(StrEnum):
@@ -73,10 +76,20 @@
 
 @dataclass(frozen=True)
 class Serve:
-    """Send the request to an upstream of this region."""
+    """Send the request to an upstream of this region.
+
+    Parameters
+    ----------
+    predicted_s : float
+        Predicted seconds to the first token.
+    uncached_tokens : int
+        Prompt tokens that the upstream likely has to compute; what
+        `note_sent` of the membership is told.
+    """
 
     upstream: UpstreamView
     predicted_s: float = 0.0
+    uncached_tokens: int = 0
 
 
 @dataclass(frozen=True)
