Let the bucket's property find a new leader's full bucket

The pauses that it drew refilled the bucket faster than orders emptied it, so it stayed green with that fault in a scratch copy; now it turns red.

--- a/godwitshunt/placement/tests/test_placement.py
+++ b/godwitshunt/placement/tests/test_placement.py
@@ -308,7 +308,10 @@
     assert isinstance(await replicas.issue('o2', 'c2', units=2), Ok)
 
 
-@given(st.lists(st.tuples(st.integers(0, 5), st.integers(1, 3))), st.data())
+@given(
+    st.lists(st.tuples(st.integers(0, 1), st.integers(1, 4)), min_size=4),
+    st.data(),
+)
 @settings(max_examples=100, deadline=None, derandomize=True)
 def test_bucket_never_exceeds_burst_and_rate(takes, data):
     """Whatever the timing of orders and elections, the store is not overrun."""
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -221,8 +221,26 @@
     print(summarise(trial.requests))
     for request in trial.requests:
         slowest = max((one.elapsed_s for one in request.attempts), default=0)
-        if slowest > 8 or (request.kind is Kind.filing and request.last.ending is not Ending.whole):
-            print(request.number, request.kind, request.caller, request.region, [(a.entry, str(a.ending), a.status, a.body[:300], round(a.elapsed_s,2)) for a in request.attempts])
+        if slowest > 8 or (
+            request.kind is Kind.filing
+            and request.last.ending is not Ending.whole
+        ):
+            print(
+                request.number,
+                request.kind,
+                request.caller,
+                request.region,
+                [
+                    (
+                        a.entry,
+                        str(a.ending),
+                        a.status,
+                        a.body[:300],
+                        round(a.elapsed_s, 2),
+                    )
+                    for a in request.attempts
+                ],
+            )
     print('unclean ends:', deployment.unclean_ends)
     return int(any(promise.violations for promise in promises))
 
