--- a/godwitshunt/configuration/cluster.py
+++ b/godwitshunt/configuration/cluster.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from godwitshunt.consensus import (
+    AlreadyInitialised,
     BootstrapFailure,
     ConsensusTask,
     Identity,
@@ -54,9 +55,46 @@
         self.lock = asyncio.Lock()
 
     async def initialise(self) -> Result[object, BootstrapFailure]:
-        """Start the log with all named replicas as voters."""
+        """Start the log with all named replicas as voters, or go on with it.
+
+        A start that was cut off half-way has left a cluster of fewer voters;
+        the replicas that are still unused and no members of it then join. A
+        name that is a member already is never added again: its folder was
+        lost, and `replace` is what repairs that.
+        """
         async with self.lock:
-            return await bootstrap(self.consensus, self.others)
+            if self.consensus.identity().unused:
+                return await bootstrap(self.consensus, self.others)
+            if not self.consensus.leadership().is_leader:
+                return Err(
+                    AlreadyInitialised(self.consensus.identity().replica)
+                )
+            return await self.join_missing()
+
+    async def join_missing(self) -> Result[object, BootstrapFailure]:
+        """Make voters of the named replicas that are no members yet."""
+        own = self.consensus.identity().replica
+        done: Result[object, BootstrapFailure] = Err(AlreadyInitialised(own))
+        for address in self.others:
+            found = await self.consensus.transport.identify(
+                address,
+                IDENTIFY_TIMEOUT_S,
+            )
+            if isinstance(found, Err):
+                return found
+            identity = found.ok_value
+            if self.is_missing(identity):
+                done = await self.put_in_place(identity, address, ())
+                if isinstance(done, Err):
+                    return done
+        return done
+
+    def is_missing(self, identity: Identity) -> bool:
+        """Tell whether a replica is not a voter, nor its name any member."""
+        named = self.members_of(identity.replica.name)
+        if not named:
+            return identity.unused
+        return named[0].replica == identity.replica and not named[0].voter
 
     async def replace(
         self,
--- a/godwitshunt/configuration/http_calls.py
+++ b/godwitshunt/configuration/http_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import ssl
 import struct
 from collections.abc import Callable
 from contextlib import suppress
@@ -84,6 +85,7 @@
     address: Address,
     call: HttpCall,
     permit: Permit = always,
+    tls: ssl.SSLContext | None = None,
 ) -> Result[HttpAnswer, HttpFailure]:
     """Send a request and read the whole answer.
 
@@ -96,12 +98,15 @@
     permit : callable
         Asked once the connection is there, as the last step before the first
         byte is written.
+    tls : ssl.SSLContext or None
+        None talks plain TCP.
     """
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
                 address.host,
                 address.port,
+                ssl=tls,
             )
     except (OSError, TimeoutError) as failed:
         return Err(ConnectFailed(str(address), str(failed) or 'no answer'))
--- a/godwitshunt/configuration/operator_client.py
+++ b/godwitshunt/configuration/operator_client.py
@@ -1,6 +1,7 @@
 """Operators' calls to whichever control replica answers."""
 
 import json
+import ssl
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -49,6 +50,7 @@
     addresses: tuple[Address, ...],
     call: HttpCall,
     token: str,
+    tls: ssl.SSLContext | None = None,
 ) -> Result[OperatorReply, OperatorFailure]:
     """Ask each control replica until one can act.
 
@@ -60,7 +62,7 @@
     reasons = []
     is_lost = False
     for address in addresses:
-        match await call_http(address, call):
+        match await call_http(address, call, tls=tls):
             case Ok(got) if got.status != UNAVAILABLE:
                 return Ok(OperatorReply(got.status, read_document(got.body)))
             case Ok(got):
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -21,6 +21,7 @@
     DiskFileSystem,
 )
 from godwitshunt.exceptions import GodwitshuntError
+from godwitshunt.exchange.gateway import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.peer import (
@@ -107,7 +108,11 @@
         self.api.add_route('POST', '/v1/orders', orders.order)
         self.api.add_status(self.placement.describe)
         self.listener = Listener(
-            ListenerOptions(settings.http, settings.limits),
+            ListenerOptions(
+                settings.http,
+                settings.limits,
+                caller_context(settings.tls),
+            ),
             self.metrics,
             self.api.serve,
         )
--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -1,135 +1,23 @@
 """The ``godwitshunt`` program: what operators and their pipeline run."""
 
-import asyncio
-import json
-import sys
 import time
-from enum import IntEnum
 from pathlib import Path
-from types import MappingProxyType
 from typing import Any
 
 import defopt
-from result import Err
 
-from godwitshunt.configuration.http_calls import HttpCall
-from godwitshunt.configuration.operator_client import (
-    OperatorReply,
-    OutcomeLost,
-    call_any,
+from godwitshunt.exceptions import DocumentError, SettingsError
+from godwitshunt.manifest import manifest_digest
+from godwitshunt.programs.operator_session import (
+    ExitCode,
+    Session,
+    leave,
+    parse_address,
+    read_manifest,
+    show,
 )
-from godwitshunt.exceptions import DocumentError, FieldProblem, SettingsError
-from godwitshunt.manifest import Manifest, manifest_digest
-from godwitshunt.manifest.documents import read_settings
-from godwitshunt.settings import Address
 
 WAIT_PERIOD_S = 0.5
-CALL_TIMEOUT_S = 15.0
-
-
-class ExitCode(IntEnum):
-    """What the exit code of a command means."""
-
-    done = 0
-    wrong_usage = 2
-    invalid = 10
-    conflict = 11
-    unreachable = 12
-    outcome_unknown = 13
-    not_in_force = 14
-    refused = 15
-
-
-EXIT_BY_STATUS = MappingProxyType(
-    {
-        400: ExitCode.invalid,
-        409: ExitCode.conflict,
-        410: ExitCode.conflict,
-        504: ExitCode.outcome_unknown,
-    },
-)
-
-
-class Session:
-    """Calls to the control replicas with the operator's token."""
-
-    def __init__(self, control: str, token_file: Path) -> None:
-        self.control = tuple(parse_address(text) for text in control.split(','))
-        self.token = read_token(token_file)
-
-    def call(
-        self,
-        method: str,
-        path: str,
-        document: dict[str, Any] | None = None,
-    ) -> OperatorReply:
-        """Make a call; leave the program where no replica could act."""
-        body = b'' if document is None else json.dumps(document).encode()
-        call = HttpCall(method, path, body, timeout_s=CALL_TIMEOUT_S)
-        reply = asyncio.run(call_any(self.control, call, self.token))
-        if isinstance(reply, Err):
-            reasons = '; '.join(reply.err_value.reasons)
-            if isinstance(reply.err_value, OutcomeLost):
-                leave(
-                    ExitCode.outcome_unknown,
-                    f'outcome unknown ({reasons}); run the command again',
-                )
-            leave(ExitCode.unreachable, f'no replica could act: {reasons}')
-        return reply.ok_value
-
-    def require(
-        self,
-        method: str,
-        path: str,
-        document: dict[str, Any] | None = None,
-    ) -> dict[str, Any]:
-        """Make a call that must succeed; return its document."""
-        reply = self.call(method, path, document)
-        if reply.status >= 400:
-            leave_refused(reply)
-        return reply.document
-
-
-def leave(code: ExitCode, message: str) -> None:
-    """Print a message for the operator and exit."""
-    print(message, file=sys.stderr)
-    sys.exit(code)
-
-
-def leave_refused(reply: OperatorReply) -> None:
-    """Print a refusal and exit with the code of its kind."""
-    code = EXIT_BY_STATUS.get(reply.status, ExitCode.refused)
-    problem = reply.document.get('type', f'status {reply.status}')
-    leave(code, f'{problem}: {reply.document.get("detail", "")}')
-
-
-def parse_address(text: str) -> Address:
-    """Read ``host:port``."""
-    host, _, port = text.rpartition(':')
-    try:
-        return Address(host=host, port=int(port))
-    except ValueError:
-        problem = FieldProblem('control', repr(text), 'HOST:PORT')
-        raise SettingsError('command line', (problem,)) from None
-
-
-def read_token(path: Path) -> str:
-    """Read the operator's token from its file."""
-    try:
-        return path.read_text().strip()
-    except (OSError, UnicodeDecodeError) as failed:
-        problem = FieldProblem('token-file', repr(str(path)), str(failed))
-        raise SettingsError('command line', (problem,)) from None
-
-
-def read_manifest(path: Path) -> Manifest:
-    """Read and check a manifest file."""
-    return read_settings(path, Manifest)
-
-
-def show(document: dict[str, Any]) -> None:
-    """Print an answer as JSON."""
-    print(json.dumps(document, indent=2))
 
 
 def check(*, manifest: Path) -> None:
@@ -151,6 +39,7 @@
     token_file: Path,
     wait: bool = False,
     timeout_s: float = 60.0,
+    authority: Path | None = None,
 ) -> None:
     """Send a manifest and print what became of it.
 
@@ -165,12 +54,14 @@
     :param control: HTTP addresses of the control replicas,
         HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
     :param wait: wait until the manifest is in force on every VM.
     :param timeout_s: seconds that --wait, or an acceptance that depends on
         VMs of a region that loses a caller, waits at most.
     """
     document = read_manifest(manifest).model_dump(mode='json')
-    session = Session(control, token_file)
+    session = Session(control, token_file, authority)
     deadline = time.monotonic() + timeout_s
     outcome = session.require('POST', '/v1/manifest', document)
     while outcome['outcome'] == 'pending' and time.monotonic() < deadline:
@@ -204,7 +95,12 @@
         time.sleep(WAIT_PERIOD_S)
 
 
-def status(*, control: str, token_file: Path) -> None:
+def status(
+    *,
+    control: str,
+    token_file: Path,
+    authority: Path | None = None,
+) -> None:
     """Print the revision in force on each VM and the state of the quorum.
 
     Names the VMs that lag or are silent, the voters and learners, and tells
@@ -213,8 +109,10 @@
     :param control: HTTP addresses of the control replicas,
         HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
     """
-    show(Session(control, token_file).require('GET', '/v1/status'))
+    show(Session(control, token_file, authority).require('GET', '/v1/status'))
 
 
 def explain(
@@ -224,6 +122,7 @@
     control: str,
     token_file: Path,
     model: str | None = None,
+    authority: Path | None = None,
 ) -> None:
     """Print the regions that a caller's request may be served in, and why.
 
@@ -232,14 +131,21 @@
     :param control: HTTP addresses of the control replicas,
         HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
     :param model: name of the model; leave out for plain services.
     """
     asked = {'caller': caller, 'service': service, 'model': model}
-    session = Session(control, token_file)
+    session = Session(control, token_file, authority)
     show(session.require('POST', '/v1/explain', asked))
 
 
-def init(*, control: str, token_file: Path) -> None:
+def init(
+    *,
+    control: str,
+    token_file: Path,
+    authority: Path | None = None,
+) -> None:
     """Make the cluster from control replicas with empty data folders, once.
 
     A replica with an empty folder never starts a cluster by itself: it may
@@ -248,8 +154,10 @@
     :param control: HTTP addresses of the control replicas,
         HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
     """
-    show(Session(control, token_file).require('POST', '/v1/init'))
+    show(Session(control, token_file, authority).require('POST', '/v1/init'))
 
 
 def replace(
@@ -258,6 +166,7 @@
     control: str,
     token_file: Path,
     address: str | None = None,
+    authority: Path | None = None,
 ) -> None:
     """Put a control replica with an empty data folder in a lost one's place.
 
@@ -269,13 +178,15 @@
     :param control: HTTP addresses of the control replicas,
         HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
     :param address: peer address (HOST:PORT) of the new replica; leave out
         where it has the address of the lost one.
     """
     asked = {}
     if address is not None:
         asked['address'] = parse_address(address).model_dump()
-    session = Session(control, token_file)
+    session = Session(control, token_file, authority)
     show(session.require('POST', f'/v1/replicas/{name}/replace', asked))
 
 
@@ -284,10 +195,10 @@
     name: str,
     upstream: str,
     action: str,
-    subject: str,
     control: str,
     token_file: Path,
     weight_units: int = 0,
+    authority: Path | None = None,
 ) -> None:
     """Order an upstream to load something or to change its role.
 
@@ -297,21 +208,28 @@
 
     :param name: a name for this order, chosen by you.
     :param upstream: the upstream's name.
-    :param action: load-model, load-adapter, load-version or change-role.
-    :param subject: the model, adapter or version to load, or the role.
+    :param action: what it is to do: load-model=NAME, load-adapter=NAME,
+        load-version=VERSION or change-role=ROLE.
     :param control: HTTP addresses of the control replicas,
         HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
     :param weight_units: units that it takes from the weight store.
     """
+    verb, _, subject = action.partition('=')
     asked = {
         'order': name,
         'upstream': upstream,
-        'action': action,
+        'action': verb,
         'subject': subject,
         'weight_units': weight_units,
     }
-    show(Session(control, token_file).require('POST', '/v1/orders', asked))
+    show(
+        Session(control, token_file, authority).require(
+            'POST', '/v1/orders', asked
+        )
+    )
 
 
 def remove_vm(
@@ -319,6 +237,7 @@
     name: str,
     control: str,
     token_file: Path,
+    authority: Path | None = None,
 ) -> None:
     """Take out a VM that has stopped for good.
 
@@ -330,8 +249,10 @@
     :param control: HTTP addresses of the control replicas,
         HOST:PORT[,HOST:PORT...]; any one of them is enough.
     :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
     """
-    session = Session(control, token_file)
+    session = Session(control, token_file, authority)
     show(session.require('POST', f'/v1/vms/{name}/remove'))
 
 
