--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements, run by hand; each module's docstring gives its command."""
+"""Measurements of one part at a time, as ratios within one run."""
--- /dev/null
+++ b/godwitshunt/configuration/history.py
@@ -0,0 +1,84 @@
+"""The last documents, and what a VM that holds one of them still needs."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from godwitshunt.configuration.delta import diff
+from godwitshunt.configuration.document import (
+    Document,
+    pack,
+    pack_document,
+)
+from godwitshunt.configuration.gen.wire.ttypes import ConfigurationNews
+
+KEPT_DOCUMENTS = 64
+UNKNOWN_AGE_S = -1.0
+
+
+@dataclass(frozen=True)
+class Held:
+    """A revision of the document with its digest."""
+
+    revision: int
+    digest: str
+    document: Document
+
+
+@dataclass
+class RevisionHistory:
+    """The newest document and the ones that a delta can build on.
+
+    Documents share the entries that they have in common, so keeping the last
+    `KEPT_DOCUMENTS` costs little more than keeping one.
+    """
+
+    held: OrderedDict[int, Held] = field(default_factory=OrderedDict)
+    newest: Held | None = None
+    bodies: dict[int, bytes] = field(default_factory=dict)
+
+    def add(self, newest: Held) -> None:
+        """Keep a newer document."""
+        self.newest = newest
+        self.bodies.clear()
+        self.held[newest.revision] = newest
+        while len(self.held) > KEPT_DOCUMENTS:
+            self.held.popitem(last=False)
+
+    def news_for(
+        self,
+        revision: int,
+        quorum_age_s: float,
+    ) -> ConfigurationNews:
+        """Return what a VM with a revision is to be told.
+
+        Parameters
+        ----------
+        revision : int
+            In force on the VM; 0 asks for the whole document.
+        quorum_age_s : float
+            Seconds since the last proof of a quorum; infinite for none.
+        """
+        age_s = quorum_age_s if quorum_age_s < float('inf') else UNKNOWN_AGE_S
+        if self.newest is None or self.newest.revision <= revision:
+            known = 0 if self.newest is None else self.newest.revision
+            return ConfigurationNews(known, '', '', b'', age_s, False)
+        base = self.held.get(revision)
+        return ConfigurationNews(
+            revision=self.newest.revision,
+            digest=self.newest.digest,
+            base_digest='' if base is None else base.digest,
+            body=self.body_for(base),
+            quorum_age_s=age_s,
+            introduce=False,
+        )
+
+    def body_for(self, base: Held | None) -> bytes:
+        """Return the delta or the whole document, made once for each base."""
+        key = 0 if base is None else base.revision
+        if key not in self.bodies:
+            self.bodies[key] = (
+                pack_document(self.newest.document)
+                if base is None
+                else pack(diff(base.document, self.newest.document))
+            )
+        return self.bodies[key]
--- /dev/null
+++ b/godwitshunt/configuration/service.py
@@ -0,0 +1,389 @@
+"""The control side: accepts manifests and distributes revisions."""
+
+from typing import Self
+
+from result import Err, Ok, Result
+
+from godwitshunt.configuration.background import Background
+from godwitshunt.configuration.commands import (
+    AcceptManifest,
+    BaseChanged,
+    Command,
+    ManifestOutcome,
+    Outcome,
+)
+from godwitshunt.configuration.delta import diff
+from godwitshunt.configuration.document import (
+    digest_of,
+    document_of,
+    manifest_digest_of,
+    pack,
+    pack_document,
+    revision_of,
+    vm_entry,
+    vm_of,
+)
+from godwitshunt.configuration.freshness import Freshness
+from godwitshunt.configuration.gen.wire import ttypes
+from godwitshunt.configuration.heard import HeardVm, HeardVms
+from godwitshunt.configuration.history import (
+    UNKNOWN_AGE_S,
+    Held,
+    RevisionHistory,
+)
+from godwitshunt.configuration.replicated_log import ReplicatedLog
+from godwitshunt.configuration.revision import RevisionNotice, VmRecord
+from godwitshunt.configuration.state import ControlState
+from godwitshunt.configuration.state_machine import StateMachine
+from godwitshunt.configuration.upkeep import (
+    ABSENT_AFTER_S,
+    due_commands,
+    still_awaited,
+)
+from godwitshunt.configuration.wire import vm_from_wire, vm_to_wire
+from godwitshunt.consensus import ProposalFailure
+from godwitshunt.manifest import Manifest
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.settings import Address, ControlSettings
+from godwitshunt.telemetry import Metrics, log_change
+from godwitshunt.timer import Timer
+
+UPKEEP_PERIOD_S = 0.5
+REPORT_PERIOD_S = 1.0
+PUSH_DELAY_S = 0.05
+PROOF_PERIOD_S = 0.25
+PROOF_TIMEOUT_S = 1.0
+BASE_TRIES = 3
+
+
+class ConfigurationService:
+    """Accepts manifests through the log and tells VMs what is in force.
+
+    Parameters
+    ----------
+    record : VmRecord
+        This control replica.
+    others : tuple of Address
+        Peer addresses of the other control replicas.
+    log : ReplicatedLog
+        Where commands are committed.
+    links : PeerLinks
+        To VMs and to other control replicas.
+    timer : Timer
+        Gives the periods.
+    metrics : Metrics
+        Counts heartbeats, news and changes.
+    """
+
+    def __init__(
+        self,
+        record: VmRecord,
+        others: tuple[Address, ...],
+        log: ReplicatedLog,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> None:
+        self.record = record
+        self.others = others
+        self.log = log
+        self.links = links
+        self.timer = timer
+        self.metrics = metrics
+        self.machine = StateMachine(log)
+        self.history = RevisionHistory()
+        self.heard = HeardVms()
+        self.pending_seen_at: dict[int, float] = {}
+        self.background = Background()
+        self.subscriptions = []
+        self.push_due = False
+        self.freshness = Freshness()
+        self.led_since = timer.now()
+        self.subscribers: list[RevisionNotice] = []
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ControlSettings,
+        record: VmRecord,
+        log: ReplicatedLog,
+        links: PeerLinks,
+        timer: Timer,
+        metrics: Metrics,
+    ) -> Self:
+        """Make the service of a control replica."""
+        others = tuple(
+            address
+            for address in settings.control
+            if address != settings.peer_reached
+        )
+        return cls(record, others, log, links, timer, metrics)
+
+    @property
+    def state(self) -> ControlState:
+        """The control state as this replica has applied it."""
+        return self.machine.state
+
+    def start(self) -> None:
+        """Follow the log, take heartbeats, and begin upkeep."""
+        self.machine.subscribe(self.on_state)
+        self.machine.start()
+        self.links.subscribe(MessageKind.vm_heartbeat, self.on_heartbeat)
+        self.links.subscribe(MessageKind.configuration_applied, self.on_reports)
+        self.links.subscribe(MessageKind.configuration_fetch, self.on_fetch)
+        self.subscriptions = [
+            self.timer.every(PROOF_PERIOD_S, self.begin_proof),
+            self.timer.every(UPKEEP_PERIOD_S, self.begin_upkeep),
+            self.timer.every(REPORT_PERIOD_S, self.send_reports),
+        ]
+
+    async def close(self) -> None:
+        """End upkeep; heartbeats are no longer answered."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
+        await self.background.close()
+
+    async def accept(
+        self,
+        manifest: Manifest,
+    ) -> Result[ManifestOutcome, ProposalFailure]:
+        """Commit a manifest and return what became of it."""
+        answer: Result[Outcome, ProposalFailure] = Ok(BaseChanged())
+        for _ in range(BASE_TRIES):
+            answer = await self.propose(self.accept_command(manifest))
+            if answer != Ok(BaseChanged()):
+                break
+        return answer
+
+    def accept_command(self, manifest: Manifest) -> AcceptManifest:
+        """Return the command, with a delta where there is a base."""
+        document = document_of(manifest)
+        digest = manifest_digest_of(document)
+        base = self.state.document
+        if not self.state.highest:
+            body = pack_document(document)
+            return AcceptManifest(manifest.number, digest, '', body)
+        for section in ('vms', 'holders'):
+            entries = base.section(section)
+            document = document.with_section(section, entries)
+        return AcceptManifest(
+            manifest.number,
+            digest,
+            manifest_digest_of(base),
+            pack(diff(base, document)),
+        )
+
+    async def propose(
+        self,
+        command: Command,
+    ) -> Result[Outcome, ProposalFailure]:
+        """Commit a command; count what it came to."""
+        answer = await self.machine.propose(command)
+        outcome = answer.err() if isinstance(answer, Err) else answer.ok()
+        self.metrics.count(
+            'configuration_commands_total',
+            command=type(command).__name__,
+            outcome=type(outcome).__name__,
+        )
+        return answer
+
+    def waits_for(self, number: int) -> list[str]:
+        """Return the VMs that a pending number's acceptance waits for."""
+        now = self.timer.now()
+        seen_at = self.pending_seen_at.get(number, now)
+        awaited = still_awaited(self.state, number, self.heard, seen_at, now)
+        return [vm.name for vm in awaited]
+
+    def on_state(self, state: ControlState) -> None:
+        """Keep the newest document and arrange that VMs are told."""
+        self.note_pending(state)
+        self.freshness = self.freshness.catch_up(state.revision)
+        newest = self.history.newest
+        if newest is not None and newest.revision == state.revision:
+            return
+        if not state.highest:
+            return
+        held = Held(state.revision, digest_of(state.document), state.document)
+        self.history.add(held)
+        self.publish(held)
+        self.metrics.gauge('configuration_revision', held.revision)
+        log_change(
+            'configuration:revision_committed',
+            revision=held.revision,
+            number=state.highest,
+            digest=held.digest,
+        )
+        if not self.push_due:
+            self.push_due = True
+            self.timer.after(PUSH_DELAY_S, self.push)
+
+    def subscribe(self, notice: RevisionNotice) -> None:
+        """Tell of each revision that this replica applies from now on."""
+        self.subscribers.append(notice)
+
+    def publish(self, held: Held) -> None:
+        """Tell the parts of this process of a newer revision."""
+        if not self.subscribers:
+            return
+        revision = revision_of(held.revision, held.document)
+        for notice in self.subscribers:
+            notice(revision)
+
+    def note_pending(self, state: ControlState) -> None:
+        """Remember since when each pending number is seen as committed."""
+        now = self.timer.now()
+        self.pending_seen_at = {
+            number: self.pending_seen_at.get(number, now)
+            for number, record in state.numbers.items()
+            if record.awaited
+        }
+
+    def push(self) -> None:
+        """Tell the VMs that speak to this replica of the newest revision."""
+        self.push_due = False
+        for one in self.heard.direct(self.timer.now()):
+            if one.vm.name == self.record.name:
+                continue
+            news = self.history.news_for(one.revision, float('inf'))
+            self.links.tell(
+                one.vm.peer,
+                MessageKind.configuration_news,
+                encode(news),
+            )
+            self.metrics.count('configuration_pushes_total')
+
+    async def on_heartbeat(self, sender: str, body: bytes) -> bytes:
+        """Note a VM's heartbeat and tell it what it lacks."""
+        heartbeat = decode(ttypes.VmHeartbeat, body)
+        vm = self.heartbeat_vm(heartbeat)
+        revision = heartbeat.revision or 0
+        if vm is not None:
+            self.heard.hear(HeardVm(vm, revision, self.timer.now()))
+        self.metrics.count('configuration_heartbeats_total')
+        news = self.history.news_for(revision, self.quorum_age_s())
+        news.introduce = vm is None
+        return encode(news)
+
+    def heartbeat_vm(self, heartbeat: ttypes.VmHeartbeat) -> VmRecord | None:
+        """Return who sent a heartbeat; None for a stranger without record."""
+        if heartbeat.vm is not None:
+            return vm_from_wire(heartbeat.vm)
+        known = self.heard.by_name.get(heartbeat.name)
+        if known is None or known.vm.session != heartbeat.session:
+            return None
+        return known.vm
+
+    def quorum_age_s(self) -> float:
+        """Return for how many seconds a commit may be missing here.
+
+        Infinite where this replica never knew that it has every commit.
+        """
+        return self.timer.now() - self.freshness.current_at
+
+    def begin_proof(self) -> None:
+        """Find out whether this replica has every commit."""
+        self.background.run('proof', self.prove)
+
+    async def prove(self) -> None:
+        """Ask the log where this replica leads, else the leader."""
+        asked_at = self.timer.now()
+        leadership = self.log.leadership()
+        if leadership.is_leader:
+            newest = await self.newest_revision()
+        else:
+            newest = await self.ask_leader(leadership.name)
+        if newest is not None:
+            applied = self.state.revision
+            self.freshness = self.freshness.prove(newest, asked_at, applied)
+
+    async def newest_revision(self) -> int | None:
+        """Return the revision that includes every commit so far."""
+        if isinstance(await self.log.read_barrier(), Err):
+            return None
+        return self.state.revision
+
+    async def ask_leader(self, name: str | None) -> int | None:
+        """Return the leader's revision, once it has every commit."""
+        leader = self.state.document.section('vms').get(name or '')
+        if leader is None:
+            return None
+        reply = await self.links.call(
+            vm_of(leader).peer,
+            MessageKind.configuration_fetch,
+            b'',
+            PROOF_TIMEOUT_S,
+        )
+        if isinstance(reply, Err):
+            return None
+        news = decode(ttypes.ConfigurationNews, reply.ok_value)
+        return news.revision if news.quorum_age_s == 0 else None
+
+    async def on_fetch(self, sender: str, body: bytes) -> bytes:
+        """Tell another control replica which revision is the newest."""
+        newest = None
+        if self.log.leadership().is_leader:
+            newest = await self.newest_revision()
+        age_s = UNKNOWN_AGE_S if newest is None else 0
+        news = ttypes.ConfigurationNews(newest or 0, '', '', b'', age_s, False)
+        return encode(news)
+
+    def begin_upkeep(self) -> None:
+        """Commit what is due, where this replica leads."""
+        self.heard.hear(
+            HeardVm(self.record, self.state.revision, self.timer.now()),
+        )
+        now = self.timer.now()
+        self.heard.forget(now - ABSENT_AFTER_S)
+        if not self.log.leadership().is_leader:
+            self.led_since = now
+            return
+        self.background.run('upkeep', self.upkeep)
+
+    async def upkeep(self) -> None:
+        """Commit admissions, claim holders and confirmations."""
+        due = due_commands(
+            self.state,
+            self.heard,
+            self.pending_seen_at,
+            self.led_since,
+            self.timer.now(),
+        )
+        for command in tuple(due):
+            if isinstance(await self.propose(command), Err):
+                return
+
+    def send_reports(self) -> None:
+        """Tell the other control replicas which VMs were heard here."""
+        now = self.timer.now()
+        committed = self.state.document.section('vms')
+        reports = []
+        for one in self.heard.direct(now):
+            is_known = committed.get(one.vm.name) == vm_entry(one.vm)
+            report = ttypes.VmReport(
+                name=one.vm.name,
+                revision=one.revision,
+                age_s=now - one.heard_at,
+                vm=None if is_known else vm_to_wire(one.vm),
+            )
+            reports.append(report)
+        body = encode(ttypes.VmReports(reports=reports))
+        for address in self.others:
+            self.links.tell(address, MessageKind.configuration_applied, body)
+
+    async def on_reports(self, sender: str, body: bytes) -> None:
+        """Note what another control replica heard from VMs."""
+        now = self.timer.now()
+        for report in decode(ttypes.VmReports, body).reports or ():
+            vm = self.reported_vm(report)
+            if vm is not None:
+                heard_at = now - report.age_s
+                self.heard.hear(
+                    HeardVm(vm, report.revision, heard_at, direct=False),
+                )
+
+    def reported_vm(self, report: ttypes.VmReport) -> VmRecord | None:
+        """Return the record that a report is about."""
+        if report.vm is not None:
+            return vm_from_wire(report.vm)
+        entry = self.state.document.section('vms').get(report.name)
+        return None if entry is None else vm_of(entry)
--- /dev/null
+++ b/godwitshunt/exchange/channel.py
@@ -0,0 +1,158 @@
+"""One TCP connection as a byte channel with back-pressure in both ways."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+READ_HIGH_WATER_BYTES = 64 * 1024
+WRITE_HIGH_WATER_BYTES = 64 * 1024
+CLOSE_LINGER_S = 30.0
+
+
+class Channel(asyncio.Protocol):
+    """A connection whose bytes are read and written by one task.
+
+    Parameters
+    ----------
+    accepted : callable or None
+        Told of the channel once it is connected; for the accepting side.
+
+    Notes
+    -----
+    The other side's going away is seen at once, also while nobody reads:
+    `on_lost` is then called. Reading stops while more than 64 KiB wait, so
+    that a slow reader slows its sender and memory stays bounded. While a
+    `sink` is set it gets the bytes as they come, and empty bytes at the end;
+    `on_writable` is called when the other side has caught up.
+    """
+
+    def __init__(
+        self,
+        accepted: Callable[['Channel'], None] | None = None,
+    ) -> None:
+        self.accepted = accepted
+        self.received = bytearray()
+        self.ended = False
+        self.transport: asyncio.Transport | None = None
+        self.reading: asyncio.Future[None] | None = None
+        self.writing: asyncio.Future[None] | None = None
+        self.read_paused = False
+        self.write_paused = False
+        self.on_lost: Callable[[], None] | None = None
+        self.on_writable: Callable[[], None] | None = None
+        self.sink: Callable[[bytes], None] | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take over a new connection."""
+        self.transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        if self.accepted is not None:
+            self.accepted(self)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Give bytes to the sink, or keep them for the reading task."""
+        if self.sink is not None:
+            self.sink(chunk)
+            return
+        self.received += chunk
+        if len(self.received) > READ_HIGH_WATER_BYTES:
+            self.pause()
+        wake(self.reading)
+
+    def eof_received(self) -> bool:
+        """Take the end of the other side's bytes as its going away."""
+        self.end()
+        return False
+
+    def connection_lost(self, reason: Exception | None) -> None:
+        """Wake everyone who waits on this connection."""
+        self.end()
+        wake(self.writing)
+
+    def pause_writing(self) -> None:
+        """Note that the other side reads more slowly than we write."""
+        self.write_paused = True
+
+    def resume_writing(self) -> None:
+        """Let the writing task go on."""
+        self.write_paused = False
+        wake(self.writing)
+        if self.on_writable is not None:
+            self.on_writable()
+
+    def pause(self) -> None:
+        """Take no more bytes for now; the sender is slowed by TCP."""
+        if not self.read_paused:
+            self.read_paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Take bytes again."""
+        if self.read_paused and not self.ended:
+            self.read_paused = False
+            self.transport.resume_reading()
+
+    def end(self) -> None:
+        """Note that no more bytes will come."""
+        if self.ended:
+            return
+        self.ended = True
+        wake(self.reading)
+        if self.sink is not None:
+            self.sink(b'')
+        if self.on_lost is not None:
+            self.on_lost()
+
+    async def read(self) -> bytes:
+        """Return what has come, at least one byte; empty at the end."""
+        while not self.received and not self.ended:
+            self.reading = asyncio.get_running_loop().create_future()
+            await self.reading
+        return self.take_received()
+
+    def take_received(self) -> bytes:
+        """Return what has come and was not read yet."""
+        chunk = bytes(self.received)
+        self.received.clear()
+        self.resume()
+        return chunk
+
+    def write(self, chunk: bytes) -> None:
+        """Queue bytes for sending."""
+        self.transport.write(chunk)
+
+    async def drain(self) -> None:
+        """Wait until the other side has taken enough of what was written.
+
+        Raises
+        ------
+        ConnectionResetError
+            Where the other side is gone.
+        """
+        while self.write_paused and not self.ended:
+            self.writing = asyncio.get_running_loop().create_future()
+            await self.writing
+        if self.ended:
+            raise ConnectionResetError('the other side is gone')
+
+    def close(self) -> None:
+        """Send what is queued, for a bounded time, then close."""
+        if self.transport is None:
+            return
+        self.transport.close()
+        if self.transport.get_write_buffer_size():
+            # The other side may never read: its answer must not be held.
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSE_LINGER_S, self.transport.abort)
+
+    def abort(self) -> None:
+        """Close at once; what is queued is lost."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def wake(waiting: asyncio.Future[None] | None) -> None:
+    """Let a waiting task go on."""
+    if waiting is not None and not waiting.done():
+        with suppress(asyncio.InvalidStateError):
+            waiting.set_result(None)
--- a/godwitshunt/routing/messages.py
+++ b/godwitshunt/routing/messages.py
@@ -27,6 +27,8 @@
         Estimated lengths in tokens.
     deadline_s : float
         Seconds that remain until the request is given up.
+    waited_s : float
+        Seconds that have passed since it arrived.
     priority : int
         The class's priority; higher is served first.
     slot_share : float
@@ -37,6 +39,9 @@
         Regions of those VMs, the first being where it arrived.
     excluded : frozenset of str
         Upstreams that already failed this request.
+    restricted : bool
+        True where a residency rule binds the caller. An isolated VM cannot
+        know whether the rule still stands, so it is the safe default.
     """
 
     caller: str
@@ -54,6 +59,8 @@
     path: tuple[str, ...] = ()
     regions_visited: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
+    restricted: bool = True
+    waited_s: float = 0.0
 
 
 class RefusalReason(StrEnum):
@@ -69,10 +76,20 @@
 
 @dataclass(frozen=True)
 class Serve:
-    """Send the request to an upstream of this region."""
+    """Send the request to an upstream of this region.
+
+    Parameters
+    ----------
+    predicted_s : float
+        Predicted seconds to the first token.
+    uncached_tokens : int
+        Prompt tokens that the upstream likely has to compute; what
+        `note_sent` of the membership is told.
+    """
 
     upstream: UpstreamView
     predicted_s: float = 0.0
+    uncached_tokens: int = 0
 
 
 @dataclass(frozen=True)
