--- a/godwitshunt/consensus/tests/test_faults.py
+++ b/godwitshunt/consensus/tests/test_faults.py
@@ -7,6 +7,8 @@
 
 from godwitshunt.consensus import events as ev
 from godwitshunt.consensus import failures
+from godwitshunt.consensus.members import ReplicaId
+from godwitshunt.consensus.messages import Header, VoteRequest
 from godwitshunt.consensus.state import Role
 from godwitshunt.consensus.tests.cluster import ADDRESS, Cluster
 
@@ -260,6 +262,39 @@
     assert cluster.nodes['c'].replica.state.role is not Role.leader
 
 
+def test_unused_folder_refuses_a_vote_that_names_it():
+    """A candidate asks a VM that has just got an empty disk for its vote.
+
+    Counted, the vote could elect a leader without committed changes.
+    """
+    cluster = Cluster.started('abc')
+    cluster.run([['lose_folder', 'b'], ['restart', 'b'], ['settle', 3.0]])
+    replica = cluster.nodes['b'].replica
+    header = Header(9, ReplicaId('c', '1'), replica.identity)
+    for pre_vote in (True, False):
+        request = VoteRequest(header, 99, 8, pre_vote)
+        sent = replica.step(ev.Received(request), 1100)
+        assert not sent[0].message.granted
+
+
+@pytest.mark.parametrize('point', range(4))
+def test_power_loss_while_a_vote_is_saved(point):
+    """A voter loses power while it saves its vote, and forgets it.
+
+    The vote must not have left before: asked again by another candidate it
+    would help to elect a second leader of the same term.
+    """
+    cluster = Cluster.started('abc')
+    cluster.run([['crash', 'a'], ['advance', 2.5], ['tick', 'b']])
+    for _ in range(4):
+        cluster.run([['deliver', 0]])
+    cluster.run([['crash_at', 'c', point], ['deliver', 0], ['deliver', 0]])
+    cluster.run([['crash', 'c'], ['isolate', 'b'], ['restart', 'a']])
+    cluster.run([['restart', 'c'], ['settle', 6.0]])
+    assert cluster.leader() in {'a', 'c'}
+    cluster.recover()
+
+
 def test_learner_is_not_counted_before_it_is_promoted():
     """A learner has an entry that no second voter has.
 
