Take up a start that broke off; refuse entries that no message can carry

An operator whose init broke off was told that the cluster exists, with one voter only: a resend now goes on with the replicas that are missing. A payload above a frame's size would have stood in the log and held up all after it; it is refused before. A test drew election times too late to show an unshortened lease; it now takes the earliest one that may be drawn, and fails with a lease as long as the election timeout.

--- a/godwitshunt/consensus/bootstrap.py
+++ b/godwitshunt/consensus/bootstrap.py
@@ -7,6 +7,7 @@
 from godwitshunt.consensus.events import ClusterStarted
 from godwitshunt.consensus.failures import (
     AlreadyInitialised,
+    AlreadyMember,
     BootstrapFailure,
     ChangeUnderway,
     NotLeader,
@@ -28,7 +29,7 @@
     Every replica must answer and be unused before anything is written: else a
     second cluster could come up beside one that some of them belong to. This
     replica starts alone; the others join as learners and become voters one by
-    one, as in any later repair.
+    one, as in any later repair. Asked again after it broke off, it goes on.
 
     Parameters
     ----------
@@ -43,17 +44,44 @@
         if isinstance(answer, Err):
             return answer
         found.append(answer.ok_value)
-    for identity in (task.identity(), *found):
-        if not identity.unused:
-            return Err(AlreadyInitialised(identity.replica))
+    planned = replicas_to_join(task, found)
+    if isinstance(planned, Err):
+        return planned
     await task.driver.inbox.put(ClusterStarted(task.options.address))
-    for identity, address in zip(found, addresses, strict=True):
-        joined = await join(task, identity, address)
+    by_replica = dict(zip(found, addresses, strict=True))
+    for identity in planned.ok_value:
+        joined = await join(task, identity, by_replica[identity])
         if isinstance(joined, Err):
             return joined
     return Ok(task.replica.state.membership)
 
 
+def replicas_to_join(
+    task: ConsensusTask,
+    found: list[Identity],
+) -> Result[list[Identity], AlreadyInitialised]:
+    """Return who has to join, or who belongs to a cluster already.
+
+    A start that broke off is taken up again: this replica then leads a
+    cluster in which some of the others are missing. The new folder of a
+    voter that lost its own is not missing; that takes a repair.
+    """
+    own = task.identity()
+    if own.unused:
+        used = [one for one in found if not one.unused]
+        return Err(AlreadyInitialised(used[0].replica)) if used else Ok(found)
+    membership = task.replica.state.membership
+    missing = [one for one in found if not membership.is_voter(one.replica)]
+    if not missing or not task.leadership().is_leader:
+        return Err(AlreadyInitialised(own.replica))
+    names = {voter.name for voter in membership.voters}
+    for identity in missing:
+        is_free = identity.unused or membership.find(identity.replica)
+        if identity.replica.name in names or not is_free:
+            return Err(AlreadyInitialised(identity.replica))
+    return Ok(missing)
+
+
 async def join(
     task: ConsensusTask,
     identity: Identity,
@@ -69,7 +97,7 @@
             address,
         )
         match added:
-            case Ok():
+            case Ok() | Err(AlreadyMember()):
                 return await task.promote(replica.name)
             # The first leader has yet to be elected, or to commit its entry.
             case Err(NotLeader() | ChangeUnderway()):
--- a/godwitshunt/consensus/driver.py
+++ b/godwitshunt/consensus/driver.py
@@ -26,6 +26,7 @@
 from godwitshunt.consensus.messages import Entry, EntryKind, Message
 from godwitshunt.consensus.pending import Waiters
 from godwitshunt.consensus.replica import Replica
+from godwitshunt.consensus.state import Role
 from godwitshunt.consensus.transport import Transport
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Timer
@@ -182,12 +183,16 @@
         self.metrics.count('consensus_entries_applied_total', len(entries))
 
     def note_changes(self) -> None:
-        """Log a change of leader or term, once."""
+        """Show where the replica stands; log a change of leader or term."""
         state = self.replica.state
+        age_s = self.replica.quorum_age_s(self.timer.now())
+        self.metrics.gauge('consensus_quorum_age_seconds', age_s)
+        self.metrics.gauge('consensus_commit_index', state.commit_index)
         leader = None if state.leader is None else state.leader.name
         if self.known == (leader, state.term):
             return
         self.known = (leader, state.term)
         self.metrics.count('consensus_leader_changes_total')
         self.metrics.gauge('consensus_term', state.term)
+        self.metrics.gauge('consensus_leads', int(state.role is Role.leader))
         log_change('consensus:leader', leader=leader, term=state.term)
--- a/godwitshunt/consensus/failures.py
+++ b/godwitshunt/consensus/failures.py
@@ -25,6 +25,14 @@
     quorum_age_s: float
 
 
+@dataclass(frozen=True)
+class EntryTooLarge:
+    """Nothing was proposed: no message could carry the payload."""
+
+    size_bytes: int
+    limit_bytes: int
+
+
 @dataclass(frozen=True)
 class CommitUnknown:
     """The entry was proposed; whether it commits is not known here."""
@@ -108,7 +116,9 @@
     address: str
 
 
-ProposalFailure = NotLeader | NoQuorum | CommitUnknown | StorageFailed
+ProposalFailure = (
+    NotLeader | NoQuorum | EntryTooLarge | CommitUnknown | StorageFailed
+)
 ChangeFailure = (
     ProposalFailure
     | ChangeUnderway
--- a/godwitshunt/consensus/state.py
+++ b/godwitshunt/consensus/state.py
@@ -36,6 +36,9 @@
     clock_drift : float
         Bound on the relative difference of two replicas' clock rates. A
         leader's lease is this share shorter than the election timeout.
+    entry_bytes : int
+        Longest payload of an entry, below what a frame of the peer links
+        may hold: an entry that cannot be sent would hold up all after it.
     append_bytes : int
         Payload bytes of one append, at most (one entry goes always).
     chunk_bytes : int
@@ -48,6 +51,7 @@
     election_timeout_s: float = 1.0
     heartbeat_s: float = 0.2
     clock_drift: float = 0.05
+    entry_bytes: int = 3 * 1024 * 1024
     append_bytes: int = 512 * 1024
     chunk_bytes: int = 256 * 1024
     retained_entries: int = 500
--- a/godwitshunt/consensus/tests/test_faults.py
+++ b/godwitshunt/consensus/tests/test_faults.py
@@ -177,12 +177,14 @@
     the drift, has ended before.
     """
     cluster = Cluster.started('abc', rates={'b': 1.05, 'c': 1.05})
-    cluster.run([['settle', 1.0], ['tick', 'a'], ['deliver_all']])
-    cluster.run([['isolate', 'a']])
+    cluster.run([['settle', 1.0], ['advance', 0.2], ['tick', 'a']])
+    cluster.run([['deliver_all'], ['isolate', 'a']])
+    state = cluster.nodes['b'].replica.state
+    state.election_due_s = state.heard_s + state.options.election_timeout_s
     for _ in range(400):
         cluster.run([['advance', 0.005], ['tick', 'b'], ['tick', 'c']])
         cluster.run([['deliver_all']])
-    assert cluster.leader() in {'b', 'c'}
+    assert cluster.leader() == 'b'
 
 
 def test_follower_gives_no_vote_while_it_hears_a_leader():
--- a/godwitshunt/consensus/tests/test_task.py
+++ b/godwitshunt/consensus/tests/test_task.py
@@ -13,6 +13,7 @@
     ConsensusOptions,
     ConsensusTask,
     DiskFileSystem,
+    EntryTooLarge,
     NotLeader,
     ReplicaOptions,
     StorageFailed,
@@ -123,11 +124,18 @@
             )
             for name in 'abc'
         ]
-        voters = await bootstrap(tasks[0], tuple(addresses.values())[1:])
+        others = tuple(addresses.values())[1:]
+        # The operator's program is stopped after the second replica; the
+        # resend goes on, and a further one changes nothing.
+        await bootstrap(tasks[0], others[:1])
+        voters = await bootstrap(tasks[0], others)
         assert len(voters.ok_value.voters) == 3
-        refused = await bootstrap(tasks[1], (addresses['a'],))
-        assert isinstance(refused, Err)
-        assert isinstance(refused.err_value, AlreadyInitialised)
+        for task, named in ((tasks[0], others), (tasks[1], others[1:])):
+            refused = await bootstrap(task, named)
+            assert isinstance(refused, Err)
+            assert isinstance(refused.err_value, AlreadyInitialised)
+        large = await tasks[0].propose(bytes(FAST.entry_bytes + 1))
+        assert isinstance(large.err_value, EntryTooLarge)
         assert isinstance((await tasks[1].propose(b'x')).err_value, NotLeader)
         await asyncio.gather(
             *(tasks[0].propose(b'p%d' % number) for number in range(10)),
