--- a/godwitshunt/consensus/tests/test_faults.py
+++ b/godwitshunt/consensus/tests/test_faults.py
@@ -298,18 +298,67 @@
 
 
 def test_learner_is_not_counted_before_it_is_promoted():
-    """A learner has an entry that no second voter has.
+    """Two learners have an entry that no second voter has.
 
-    If it were counted, the loss of the leader would lose a told commit.
+    If they were counted, the loss of the leader would lose a told commit.
     """
-    cluster = Cluster.started('abc', 'd')
+    cluster = Cluster.started('abc', 'de')
     cluster.run([['change', 'a', 'add', 'd'], ['settle', 0.5]])
+    cluster.run([['change', 'a', 'add', 'e'], ['settle', 0.5]])
     cluster.run([['isolate', 'b'], ['isolate', 'c']])
     cluster.run([['propose', 'a', 'x'], ['deliver_all']])
     assert not cluster.payloads()
-    assert cluster.nodes['d'].replica.state.log.last_index == (
-        cluster.nodes['a'].replica.state.log.last_index
-    )
+    ends = {cluster.nodes[one].replica.state.log.last_index for one in 'ade'}
+    assert len(ends) == 1
+
+
+def until_leads(cluster: Cluster, name: str, other: str) -> None:
+    """Tick two nodes and deliver one message after another."""
+    for _ in range(300):
+        if cluster.leader() == name:
+            return
+        cluster.run([['deliver', 0]])
+        if not cluster.under_way:
+            cluster.run([['advance', 0.1], ['tick', name], ['tick', other]])
+    raise AssertionError(name)
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_its_copies():
+    """Leaders change twice while an old entry is on its way (Raft, figure 8).
+
+    The entry stands on a majority, and another leader still replaces it. If
+    it had been told as committed, an accepted change would be reverted.
+    """
+    cluster = Cluster.started('abc')
+    cluster.run([['isolate', 'a'], ['propose', 'a', 'x' * 70]])
+    cluster.run([['crash', 'a'], ['heal'], ['advance', 1.0]])
+    until_leads(cluster, 'b', 'b')
+    cluster.under_way.clear()
+    cluster.run([['isolate', 'b'], ['restart', 'a'], ['advance', 1.0]])
+    until_leads(cluster, 'a', 'a')
+    old = cluster.nodes['a'].replica.state.first_own_index - 1
+    progress = cluster.nodes['a'].replica.state.progress
+    while max(one.match_index for one in progress.values()) < old:
+        cluster.run([['deliver', 0]])
+    cluster.under_way.clear()
+    cluster.run([['crash', 'a'], ['heal'], ['settle', 5.0], ['restart', 'a']])
+    cluster.run([['settle', 2.0]])
+    assert cluster.nodes['b'].replica.state.log.term_at(old) == 3
+    assert not cluster.payloads()
+
+
+def test_lease_counts_from_when_the_answered_message_was_sent():
+    """Answers to a heartbeat are held up for most of an election timeout.
+
+    The followers' promise began before; the lease must not begin at the
+    answers' arrival, or it would outlive the promise.
+    """
+    cluster = Cluster.started('abc')
+    cluster.run([['advance', 0.3], ['tick', 'a'], ['deliver', 0]])
+    cluster.run([['deliver', 0], ['advance', 0.8], ['deliver_all']])
+    node = cluster.nodes['a']
+    remaining_s = node.replica.lease_remaining_s(cluster.now_s(node))
+    assert 0 < remaining_s * 1000 < 160
 
 
 def test_learner_that_lags_is_not_promoted():
