Stop a replica cleanly: end the save, tell unknown outcomes, keep ticking

Closing did not wait for the thread that syncs, which could then write to reused file numbers. A failed save told its callers that nothing was proposed, though followers may have got the entry before; the outcome is unknown. A fault in a callback ended the task without a trace. And under load no tick was ever queued, so a lost quorum went unnoticed. The tests cover all but the callback's fault; the first three failed before.

--- a/godwitshunt/consensus/driver.py
+++ b/godwitshunt/consensus/driver.py
@@ -73,10 +73,14 @@
         default_factory=lambda: asyncio.Queue(INBOX_EVENTS),
     )
     known: tuple[str | None, int] = (None, 0)
+    tick_waits: bool = False
+    saving: asyncio.Future[None] | None = None
 
     def put_tick(self) -> None:
         """Tell the replica that time has passed."""
-        # While a sync is slow the ticks that wait would all say the same.
+        # While a sync is slow the ticks that wait would all say the same; but
+        # one must wait, or a busy replica would never notice a lost quorum.
+        self.tick_waits = True
         if self.inbox.empty():
             self.inbox.put_nowait(Tick())
 
@@ -103,6 +107,9 @@
         events = [await self.inbox.get()]
         while not self.inbox.empty():
             events.append(self.inbox.get_nowait())
+        if self.tick_waits and Tick() not in events:
+            events.append(Tick())
+        self.tick_waits = False
         return merge_proposals(events)
 
     async def take(self, events: Iterable[Event]) -> None:
@@ -149,10 +156,22 @@
     async def save(self, saves: tuple[Save, ...]) -> None:
         """Put saves on disk in a thread, all with one sync."""
         started_s = self.timer.now()
-        await asyncio.to_thread(self.folder.save, saves)
+        thread = asyncio.to_thread(self.folder.save, saves)
+        self.saving = asyncio.ensure_future(thread)
+        await asyncio.shield(self.saving)
         duration_s = self.timer.now() - started_s
         self.metrics.observe('consensus_sync_seconds', duration_s)
 
+    async def close(self) -> None:
+        """Let a save that is under way end, then close the folder.
+
+        Its thread cannot be cancelled. If the files were closed under it,
+        it could write to whatever file is opened next under their numbers.
+        """
+        if self.saving is not None:
+            await asyncio.wait((self.saving,))
+        self.folder.close()
+
     def act(self, action: Action) -> None:
         """Carry out an action that is not a save."""
         match action:
--- a/godwitshunt/consensus/pending.py
+++ b/godwitshunt/consensus/pending.py
@@ -10,7 +10,6 @@
     ChangeFailure,
     CommitUnknown,
     NotLeader,
-    StorageFailed,
 )
 from godwitshunt.consensus.status import Committed
 
@@ -102,12 +101,14 @@
         self.reads = waiting
 
     def fail_all(self, reason: str) -> None:
-        """Tell everybody that this replica takes part no more."""
-        for number, waiter in tuple(self.waiters.items()):
-            if waiter.index is None:
-                self.settle(number, Err(StorageFailed(reason)))
-            else:
-                self.settle(number, Err(CommitUnknown(reason)))
+        """Tell everybody that this replica takes part no more.
+
+        Also an entry without a place yet may take effect: it may have gone
+        to the followers, whose disks can commit it, before the own disk
+        failed.
+        """
+        for number in tuple(self.waiters):
+            self.settle(number, Err(CommitUnknown(reason)))
 
     def settle(self, number: int, outcome: Outcome) -> None:
         """Give a caller its outcome, once."""
--- a/godwitshunt/consensus/task.py
+++ b/godwitshunt/consensus/task.py
@@ -40,7 +40,6 @@
 from godwitshunt.consensus.pending import Waiters
 from godwitshunt.consensus.replica import Replica
 from godwitshunt.consensus.transport import Transport
-from godwitshunt.exceptions import StorageError
 from godwitshunt.peer import PeerLinks
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics, log_change
@@ -86,7 +85,7 @@
         self.machine = StateMachine()
         self.waiters = Waiters()
         self.driver: ReplicaDriver | None = None
-        self.failure: StorageError | None = None
+        self.failure: Exception | None = None
         self.failed = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         self.ticks: Subscription | None = None
@@ -181,11 +180,13 @@
         return self.driver.replica
 
     async def run(self) -> None:
-        """Take part until the storage fails or the task is closed."""
+        """Take part until a fault, or until the task is closed."""
         try:
             await self.driver.run()
-        except StorageError as error:
-            self.stop_after(error)
+        # Also a fault of the state machine's callbacks: a replica that goes
+        # on without its task would look alive and never answer.
+        except Exception as fault:
+            self.stop_after(fault)
 
     async def close(self) -> None:
         """Stop taking part; what is under way ends as unknown."""
@@ -198,7 +199,7 @@
         self.waiters.fail_all('the replica was closed')
         if self.driver is not None:
             self.transport.stop()
-            self.driver.folder.close()
+            await self.driver.close()
 
     async def propose(
         self,
@@ -311,15 +312,15 @@
             self.options.outcome_timeout_s,
         )
 
-    def stop_after(self, error: StorageError) -> None:
-        """Take part no more: what is on disk is not known."""
-        self.failure = error
+    def stop_after(self, fault: Exception) -> None:
+        """Take part no more: what is on disk or applied is not known."""
+        self.failure = fault
         self.transport.stop()
         if self.ticks is not None:
             self.ticks.cancel()
-        self.waiters.fail_all(str(error))
-        self.metrics.count('consensus_storage_failures_total')
-        log_change('consensus:storage_failed', error=str(error))
+        self.waiters.fail_all(str(fault))
+        self.metrics.count('consensus_failures_total')
+        log_change('consensus:failed', error=repr(fault))
         self.failed.set()
 
 
--- a/godwitshunt/consensus/tests/test_task.py
+++ b/godwitshunt/consensus/tests/test_task.py
@@ -1,7 +1,9 @@
 """Replicas as tasks over real sockets and real folders."""
 
 import asyncio
+import os
 import socket
+import time
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from random import Random
@@ -10,6 +12,7 @@
 
 from godwitshunt.consensus import (
     AlreadyInitialised,
+    CommitUnknown,
     ConsensusOptions,
     ConsensusTask,
     DiskFileSystem,
@@ -19,6 +22,8 @@
     StorageFailed,
     bootstrap,
 )
+from godwitshunt.consensus.events import ReadAsked, Tick
+from godwitshunt.exceptions import StorageFull
 from godwitshunt.peer import PeerLinks, PeerOptions
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics
@@ -167,7 +172,8 @@
     """The disk fails while a replica of one voter runs.
 
     Its operator sees a typed failure; the replica leads no more, since it
-    cannot know what the failed sync left behind.
+    cannot know what the failed sync left behind. What was under way may have
+    reached a follower's disk, so its outcome is unknown.
     """
     async with started('a', tmp_path / 'a', free_address()) as task:
         assert (await bootstrap(task, ())).is_ok()
@@ -179,6 +185,46 @@
         monkeypatch.setattr('os.write', full)
         failed = await task.propose(b'two')
         monkeypatch.undo()
-        assert failed.is_err()
+        assert isinstance(failed.err_value, CommitUnknown)
+        assert isinstance(task.failure, StorageFull)
         assert task.leadership().is_leader is False
         assert isinstance((await task.propose(b'x')).err_value, StorageFailed)
+
+
+async def test_close_waits_for_a_save_under_way(tmp_path, monkeypatch):
+    """The program is stopped while a slow disk syncs.
+
+    The thread that syncs must not find its files closed, or their numbers
+    used for other files.
+    """
+    calls = []
+    real = os.fsync
+
+    def slow(descriptor):
+        calls.append('begin')
+        time.sleep(0.2)
+        real(descriptor)
+        calls.append('end')
+
+    async with started('a', tmp_path / 'a', free_address()) as task:
+        assert (await bootstrap(task, ())).is_ok()
+        monkeypatch.setattr('os.fsync', slow)
+        proposal = asyncio.create_task(task.propose(b'one'))
+        await until(lambda: calls)
+        await task.close()
+        assert calls == ['begin', 'end']
+        assert isinstance((await proposal).err_value, CommitUnknown)
+
+
+async def test_busy_replica_still_notices_time(tmp_path):
+    """Messages come faster than they are handled.
+
+    A tick must still get through, or a leader would keep a lost quorum.
+    """
+    async with started('a', tmp_path / 'a', free_address()) as task:
+        task.task.cancel()
+        driver = task.driver
+        await driver.inbox.put(ReadAsked(0))
+        driver.put_tick()
+        driver.put_tick()
+        assert await driver.next_events() == [ReadAsked(0), Tick()]
