--- a/godwitshunt/consensus/tests/test_faults.py
+++ b/godwitshunt/consensus/tests/test_faults.py
@@ -72,6 +72,22 @@
     assert cluster.payloads() == texts
 
 
+def test_late_append_cuts_no_later_entries():
+    """A repeated message comes after newer ones that followed it.
+
+    The follower has answered for the newer entries, and must keep them.
+    """
+    cluster = Cluster.started('abc')
+    cluster.run([['cut', 'b', 'a'], ['cut', 'c', 'a'], ['propose', 'a', '1']])
+    late = tuple(cluster.under_way)
+    cluster.run([['deliver_all'], ['propose', 'a', '2'], ['deliver_all']])
+    log = cluster.nodes['b'].replica.state.log
+    last = log.last_index
+    cluster.under_way.extend(late)
+    cluster.run([['deliver_all']])
+    assert log.last_index == last
+
+
 @pytest.mark.parametrize(
     'cuts',
     [
