--- a/godwitshunt/consensus/files.py
+++ b/godwitshunt/consensus/files.py
@@ -99,7 +99,7 @@
         would answer for votes of the other.
         """
         with typed_errors(self.folder):
-            self.make_folder()
+            make_folder(self.folder)
             descriptor = self.descriptor(LOCK_NAME)
             try:
                 fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -107,13 +107,6 @@
                 self.close()
                 raise
 
-    def make_folder(self) -> None:
-        """Make the folder, and have its name synced."""
-        if self.folder.is_dir():
-            return
-        self.folder.mkdir(parents=True)
-        sync_path(self.folder.parent)
-
     def read(self, name: str) -> bytes | None:
         """Return a file's bytes, None where there is no such file."""
         path = self.folder / name
@@ -176,6 +169,15 @@
             os.close(descriptor)
 
 
+def make_folder(folder: Path) -> None:
+    """Make a folder, with those above it, and have their names synced."""
+    if folder.is_dir():
+        return
+    make_folder(folder.parent)
+    folder.mkdir()
+    sync_path(folder.parent)
+
+
 def sync_path(folder: Path) -> None:
     """Sync the names that a folder holds."""
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
