--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -17,7 +17,12 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator
-from contextlib import AsyncExitStack, ExitStack, contextmanager
+from contextlib import (
+    AbstractContextManager,
+    AsyncExitStack,
+    ExitStack,
+    contextmanager,
+)
 from functools import partial
 from itertools import product
 from pathlib import Path
@@ -327,6 +332,16 @@
             ended.join()
 
 
+def other_holders(
+    addresses: list[Address],
+    folder: str,
+) -> AbstractContextManager[None]:
+    """Run every holder but the first in processes of their own."""
+    ports = [address.port for address in addresses]
+    others = [(ports, number, folder) for number in range(1, len(ports))]
+    return running(holder_main, others)
+
+
 async def claim_one_by_one(task: ClaimsTask, claims: int) -> list[float]:
     """Claim keys and return the seconds that each took."""
     took = []
@@ -351,12 +366,10 @@
 ) -> dict:
     """Measure claims of one VM at holders on loopback, one at a time."""
     addresses = free_addresses(holder_count)
-    ports = [address.port for address in addresses]
     async with AsyncExitStack() as stack:
         made = stack.enter_context(tempfile.TemporaryDirectory())
         folder = made if journaled else ''
-        others = [(ports, number, folder) for number in range(1, holder_count)]
-        stack.enter_context(running(holder_main, others))
+        stack.enter_context(other_holders(addresses, folder))
         task, links = await start_holder(stack, make_vms(addresses), 0, folder)
         await asyncio.sleep(4)
         links.delay_s = delay_s
--- a/godwitshunt/claims/tests/test_task.py
+++ b/godwitshunt/claims/tests/test_task.py
@@ -21,6 +21,7 @@
 )
 from godwitshunt.claims.holder import EPOCH_S
 from godwitshunt.configuration.revision import HolderSet
+from godwitshunt.exceptions import StorageError
 from godwitshunt.membership.tests.network import (
     FakeNetwork,
     entry_settings,
@@ -98,6 +99,8 @@
         task = self.tasks.pop(name)
         for subscription in (*task.subscriptions, *task.holder.subscriptions):
             subscription.cancel()
+        if task.holder.journal is not None:
+            task.holder.journal.journal.failed = StorageError('', 'killed')
 
     async def restart(self, name: str, pause_s: float = 4.0) -> None:
         """Kill and start a VM, and give it time to recover."""
--- a/godwitshunt/membership/tests/network.py
+++ b/godwitshunt/membership/tests/network.py
@@ -44,7 +44,7 @@
 
     def join(self, name: str, address: Address) -> 'FakeLinks':
         """Return the links of a process; one that restarts has new ones."""
-        self.links[address] = FakeLinks(name, self)
+        self.links[address] = FakeLinks(name, self, address)
         return self.links[address]
 
     def carry(self, way: tuple[str, str], arrive: object) -> None:
@@ -80,6 +80,7 @@
 
     name: str
     network: FakeNetwork
+    address: Address
     handlers: dict[int, object] = field(default_factory=dict)
 
     def subscribe(self, kind, handler) -> None:
@@ -101,7 +102,9 @@
 
     def send(self, address, kind, body, reply) -> None:
         peer = self.network.links.get(address)
-        if peer is None:
+        # A process that was killed sends nothing more.
+        is_alive = self.network.links.get(self.address) is self
+        if peer is None or not is_alive:
             return
         self.network.sent.append((self.name, peer.name, kind, len(body)))
 
