Tell callers when the VM that ran their call has restarted

Cause: a claim whose VM died stayed in progress for its key's whole life. A waiting VM now asks the claim's VM whether the attempt is under way; one that restarted knows nothing of it, and the caller is told that the outcome is unknown.

--- a/godwitshunt/claims/ballots.py
+++ b/godwitshunt/claims/ballots.py
@@ -16,13 +16,18 @@
     Wait,
     Yield,
     decide_claim,
-    decide_deadline,
     decide_wait,
+    no_majority,
 )
 from godwitshunt.claims.gen.wire import ttypes
 from godwitshunt.claims.holder_task import KINDS, ClaimHolderTask
 from godwitshunt.claims.keys import ClaimKey
-from godwitshunt.claims.messages import ClaimOutcome, Granted
+from godwitshunt.claims.messages import (
+    ClaimOutcome,
+    Granted,
+    InProgress,
+    RunUnknown,
+)
 from godwitshunt.claims.standing import of_present_lives
 from godwitshunt.claims.verdicts import (
     Attempt,
@@ -46,6 +51,7 @@
 FIRST_PAUSE_S = 0.005
 LONGEST_PAUSE_S = 0.1
 ATTEMPT_BITS = 62
+VM_RESTARTED = 'the VM that ran it restarted'
 
 
 def draw_attempt_number() -> int:
@@ -110,6 +116,17 @@
             self.learn(generation, answer.standing.epoch)
         return answer
 
+    async def is_running(self, vm: str, number: int) -> bool | None:
+        """Return whether a VM runs an attempt; None where it is silent."""
+        kind = MessageKind.claim_status
+        reply = await self.call(vm, kind, ttypes.StatusCall(number))
+        if reply is None:
+            return None
+        try:
+            return bool(decode(ttypes.StatusReply, reply).is_running)
+        except FrameError:
+            return None
+
     async def call(
         self,
         holder: str,
@@ -131,7 +148,7 @@
         await over
 
 
-@dataclass
+@dataclass(eq=False)
 class Ballot:
     """The attempts of one claim, one after the other.
 
@@ -154,7 +171,7 @@
     withdraw: Callable[[Attempt], None]
     attempt: Attempt | None = None
     answers: dict[str, HolderAnswer] = field(default_factory=dict)
-    yielded_to: str | None = None
+    yielded_to: Yield | None = None
 
     async def run(self) -> ClaimOutcome:
         """Claim, or wait for the attempt that has the key."""
@@ -174,7 +191,7 @@
         while isinstance(step, ClaimAnew) and self.remaining_s() > 0:
             step = await self.vote()
             if isinstance(step, Yield):
-                self.yielded_to = step.vm
+                self.yielded_to = step
                 self.give_up_attempt()
                 step = await self.wait_for_rival()
         match step:
@@ -182,11 +199,24 @@
                 return Granted(self.attempt.number)
             case End(outcome):
                 return outcome
-        return decide_deadline(
-            len(self.holders),
-            self.answers,
-            self.yielded_to,
-        )
+        if self.yielded_to is None:
+            return no_majority(len(self.holders), self.answers)
+        return await self.tell_of_rival(self.yielded_to)
+
+    async def tell_of_rival(self, rival: Yield) -> ClaimOutcome:
+        """Return whether the attempt that has the key still runs.
+
+        A VM that restarted knows nothing of its earlier attempts; without
+        this its callers would be told *in progress* until the key is old.
+        """
+        is_running = await self.links.is_running(rival.vm, rival.number)
+        if is_running is not False:
+            return InProgress(rival.vm)
+        # It may have ended just now: then its answer has been kept first.
+        step = await self.ask_round(self.query(), self.judge_wait)
+        if isinstance(step, End):
+            return step.outcome
+        return RunUnknown(VM_RESTARTED)
 
     def remaining_s(self) -> float:
         """Return the seconds until the claim gives up."""
@@ -218,13 +248,16 @@
         while isinstance(step, Wait) and self.remaining_s() > pause_s:
             await self.links.pause(pause_s)
             pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
-            self.answers.clear()
-            query = Attempt(self.key, self.request_digest, self.vm, 1)
-            step = await self.ask_round(Query(query), self.judge_wait)
+            step = await self.ask_round(self.query(), self.judge_wait)
         if isinstance(step, ClaimAnew):
             self.yielded_to = None
         return step
 
+    def query(self) -> Query:
+        """Return the question what is recorded of the key."""
+        self.answers.clear()
+        return Query(Attempt(self.key, self.request_digest, self.vm, 1))
+
     def give_up_attempt(self) -> None:
         """Withdraw the present attempt, if there is one."""
         attempt = self.attempt
--- a/godwitshunt/claims/claimant.py
+++ b/godwitshunt/claims/claimant.py
@@ -13,7 +13,6 @@
 from godwitshunt.claims.messages import (
     AlreadyAnswered,
     ClaimOutcome,
-    InProgress,
     KeptAnswer,
     KeyExpired,
     KeyReused,
@@ -44,6 +43,7 @@
     """Withdraw: another attempt has a majority or goes before this one."""
 
     vm: str
+    number: int
 
 
 @dataclass(frozen=True)
@@ -98,12 +98,12 @@
     rivals = rival_votes(answers)
     strongest = max(rivals, key=rivals.get, default=None)
     if strongest is not None and rivals[strongest] >= needed:
-        return Yield(rival_vm(strongest, answers))
+        return Yield(rival_vm(strongest, answers), strongest)
     if pending:
         return Wait()
     highest = max(rivals, default=0)
     if highest > number:
-        return Yield(rival_vm(highest, answers))
+        return Yield(rival_vm(highest, answers), highest)
     return AskAgain()
 
 
@@ -118,14 +118,8 @@
     return Wait()
 
 
-def decide_deadline(
-    holder_count: int,
-    answers: Answers,
-    yielded_to: str | None,
-) -> ClaimOutcome:
-    """Return what the caller is told when time is up."""
-    if yielded_to is not None:
-        return InProgress(yielded_to)
+def no_majority(holder_count: int, answers: Answers) -> NoMajority:
+    """Return what the caller is told when time is up without a decision."""
     useful = [
         answer
         for answer in answers.values()
--- a/godwitshunt/claims/claims.thrift
+++ b/godwitshunt/claims/claims.thrift
@@ -57,6 +57,15 @@
   1: Standing standing
 }
 
+/** Asks a VM whether an attempt of its own is under way. */
+struct StatusCall {
+  1: i64 attempt
+}
+
+struct StatusReply {
+  1: bool is_running
+}
+
 /** One record of the claim journal. */
 struct JournalRecord {
   1: string region
--- a/godwitshunt/claims/gen/wire/ttypes.py
+++ b/godwitshunt/claims/gen/wire/ttypes.py
@@ -749,6 +749,144 @@
         return not (self == other)
 
 
+class StatusCall(object):
+    """
+    Asks a VM whether an attempt of its own is under way.
+
+    Attributes:
+     - attempt
+
+    """
+
+    __slots__ = (
+        'attempt',
+    )
+
+
+    def __init__(self, attempt=None,):
+        self.attempt = attempt
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.attempt = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StatusCall')
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I64, 1)
+            oprot.writeI64(self.attempt)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StatusReply(object):
+    """
+    Attributes:
+     - is_running
+
+    """
+
+    __slots__ = (
+        'is_running',
+    )
+
+
+    def __init__(self, is_running=None,):
+        self.is_running = is_running
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_running = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StatusReply')
+        if self.is_running is not None:
+            oprot.writeFieldBegin('is_running', TType.BOOL, 1)
+            oprot.writeBool(self.is_running)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class JournalRecord(object):
     """
     One record of the claim journal.
@@ -1001,6 +1139,16 @@
     None,  # 0
     (1, TType.STRUCT, 'standing', [Standing, None], None, ),  # 1
 )
+all_structs.append(StatusCall)
+StatusCall.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'attempt', None, None, ),  # 1
+)
+all_structs.append(StatusReply)
+StatusReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_running', None, None, ),  # 1
+)
 all_structs.append(JournalRecord)
 JournalRecord.thrift_spec = (
     None,  # 0
--- a/godwitshunt/claims/task.py
+++ b/godwitshunt/claims/task.py
@@ -9,7 +9,7 @@
 from godwitshunt.claims.ballots import Ballot, HolderLinks
 from godwitshunt.claims.gen.wire import ttypes
 from godwitshunt.claims.holder_task import ClaimHolderTask
-from godwitshunt.claims.keys import ClaimKey, make_stamp, parse_key
+from godwitshunt.claims.keys import ClaimKey, parse_key
 from godwitshunt.claims.messages import (
     ClaimOutcome,
     Granted,
@@ -19,24 +19,17 @@
     NoMajority,
     RunUnknown,
 )
+from godwitshunt.claims.stamps import StampKeeper
 from godwitshunt.claims.standing import majority
 from godwitshunt.claims.verdicts import Attempt, Finish, Release, Verdict
-from godwitshunt.claims.wire import standing_from_wire
 from godwitshunt.configuration.revision import HolderSet, Revision
 from godwitshunt.exceptions import FrameError
 from godwitshunt.membership.jobs import Jobs
-from godwitshunt.peer import MessageKind, PeerLinks, decode
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.settings import NodeSettings
 from godwitshunt.telemetry import Metrics
-from godwitshunt.timer import Subscription, Timer
+from godwitshunt.timer import Timer
 
-EPOCH_POLL_S = 2.0
-EPOCH_CHECK_S = 0.5
-# The newest holder set, and the one before until the newest has voters.
-STAMPED_SETS = 2
-# Stamps of an older epoch than this would shorten the time in which callers
-# may use them.
-STAMP_LIMIT_S = 10.0
 TELL_TIMEOUT_S = 1.0
 TELL_TRIES = 3
 TELL_PAUSE_S = 0.2
@@ -75,9 +68,10 @@
         )
         self.links = HolderLinks(links, self.holder, timer, metrics)
         self.sets: dict[tuple[str, int], HolderSet] = {}
+        self.stamps = StampKeeper(settings, self.links)
         self.granted: dict[str, Attempt] = {}
+        self.ballots: set[Ballot] = set()
         self.jobs = Jobs()
-        self.subscriptions: list[Subscription] = []
 
     @classmethod
     def from_config(
@@ -93,14 +87,13 @@
     async def start(self) -> None:
         """Begin to vote, and follow the epoch of the own region."""
         await self.holder.start()
-        self.subscriptions = [
-            self.timer.every(EPOCH_CHECK_S, self.poll_epoch),
-        ]
+        peer_links = self.links.links
+        peer_links.subscribe(MessageKind.claim_status, self.answer_status)
+        self.stamps.start()
 
     async def close(self) -> None:
         """Stop voting; claims under way are withdrawn by their callers."""
-        for subscription in self.subscriptions:
-            subscription.cancel()
+        await self.stamps.close()
         await self.jobs.close()
         await self.links.jobs.close()
         await self.holder.close()
@@ -112,7 +105,7 @@
         }
         self.links.addresses = {vm.name: vm.peer for vm in revision.vms}
         self.holder.apply_revision(revision)
-        self.poll_epoch()
+        self.stamps.apply_sets(revision.holders)
 
     def is_recovering(self) -> bool:
         """Return whether this VM abstains in its region's newest set.
@@ -120,34 +113,12 @@
         Control commits a new set, with the present sessions, where that
         lasts: too few holders remember for any to recover.
         """
-        newest = [(one.region, one.generation) for one in self.own_sets()[:1]]
         recovering = self.holder.table.recovering()
-        return any(generation in recovering for generation in newest)
-
-    def own_sets(self) -> list[HolderSet]:
-        """Return the newest holder sets of the own region, newest first."""
-        own = [
-            one
-            for one in self.sets.values()
-            if one.region == self.settings.region
-        ]
-        own.sort(key=lambda one: one.generation, reverse=True)
-        return own[:STAMPED_SETS]
+        return self.stamps.newest_generation() in recovering
 
     def stamp(self) -> str | None:
         """Return what keys begin with; None while no epoch is known."""
-        for one in self.own_sets():
-            generation = (one.region, one.generation)
-            # A set that most holders have not heard of yet would have no
-            # votes to give: the one before serves until then.
-            if self.heard_age_s(generation) <= STAMP_LIMIT_S:
-                return make_stamp(*generation, self.links.epochs[generation])
-        return None
-
-    def heard_age_s(self, generation: tuple[str, int]) -> float:
-        """Return the seconds since a majority told its epoch."""
-        heard_s = self.links.heard_s.get(generation, float('-inf'))
-        return self.timer.now() - heard_s
+        return self.stamps.stamp()
 
     async def claim(
         self,
@@ -186,7 +157,11 @@
             withdraw=self.withdraw,
         )
         started_s = self.timer.now()
-        outcome = await ballot.run()
+        self.ballots.add(ballot)
+        try:
+            outcome = await ballot.run()
+        finally:
+            self.ballots.discard(ballot)
         elapsed_s = self.timer.now() - started_s
         name = type(outcome).__name__
         self.metrics.observe('claim_seconds', elapsed_s, outcome=name)
@@ -228,18 +203,40 @@
 
     async def end(self, key: str, ending: KeptAnswer | RunUnknown) -> None:
         """Tell the holders what came of a granted attempt."""
-        attempt = self.granted.pop(key, None)
+        attempt = self.granted.get(key)
         if attempt is not None:
             await self.tell(Finish(attempt, ending))
+            self.forget(key, attempt)
 
     async def release(self, key: str) -> None:
         """Give up a granted claim, on the proof that the call did not run.
 
         Only a connection that was never made is such a proof.
         """
-        attempt = self.granted.pop(key, None)
+        attempt = self.granted.get(key)
         if attempt is not None:
             await self.tell(Release(attempt))
+            self.forget(key, attempt)
+
+    def forget(self, key: str, attempt: Attempt) -> None:
+        """Forget an attempt that is over, once holders know of it."""
+        if self.granted.get(key) == attempt:
+            self.granted.pop(key)
+
+    async def answer_status(self, sender: str, body: bytes) -> bytes:
+        """Tell a VM whether an attempt of this one is under way."""
+        call = decode(ttypes.StatusCall, body)
+        if call.attempt is None:
+            raise FrameError('StatusCall: no attempt')
+        attempts = (
+            *self.granted.values(),
+            *(ballot.attempt for ballot in self.ballots),
+        )
+        is_running = any(
+            attempt is not None and attempt.number == call.attempt
+            for attempt in attempts
+        )
+        return encode(ttypes.StatusReply(is_running))
 
     def withdraw(self, attempt: Attempt) -> None:
         """Have holders forget an attempt that never runs."""
@@ -273,49 +270,3 @@
         else:
             self.metrics.count('claims_not_told_total')
         told.release()
-
-    def poll_epoch(self) -> None:
-        """Hear the epochs that are not known or not known any more."""
-        for one in self.own_sets():
-            generation = (one.region, one.generation)
-            if self.heard_age_s(generation) >= EPOCH_POLL_S:
-                self.jobs.run(self.hear_epoch(one))
-
-    async def hear_epoch(self, holder_set: HolderSet) -> None:
-        """Ask every holder for its epoch; a majority makes it known."""
-        generation = (holder_set.region, holder_set.generation)
-        epochs = await asyncio.gather(
-            *(self.hear_holder(generation, name) for name in holder_set.names),
-        )
-        heard = [epoch for epoch in epochs if epoch is not None]
-        if len(heard) >= majority(len(holder_set.names)):
-            self.links.heard_s[generation] = self.timer.now()
-
-    async def hear_holder(
-        self,
-        generation: tuple[str, int],
-        name: str,
-    ) -> int | None:
-        """Return one holder's epoch, if it answers."""
-        if name == self.settings.name:
-            holder = self.holder.table.holders.get(generation)
-            if holder is None or holder.recovering:
-                return None
-            self.links.learn(generation, holder.epoch)
-            return holder.epoch
-        call = ttypes.HolderCall(
-            *generation,
-            epoch=self.links.epochs.get(generation, 0),
-        )
-        reply = await self.links.call(name, MessageKind.claim_epoch, call)
-        if reply is None:
-            return None
-        try:
-            wire = decode(ttypes.HolderReply, reply)
-            standing = standing_from_wire(wire.standing)
-        except FrameError:
-            return None
-        if standing is None:
-            return None
-        self.links.learn(generation, standing.epoch)
-        return standing.epoch
--- a/godwitshunt/membership/gossip.py
+++ b/godwitshunt/membership/gossip.py
@@ -5,7 +5,6 @@
 details, after a loss or its own restart, fetches them.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import crc32c
@@ -26,6 +25,7 @@
     Departure,
     Prefixes,
 )
+from godwitshunt.membership.prefixes import PendingPrefixes
 from godwitshunt.membership.summaries import RegionReport
 from godwitshunt.membership.table import UpstreamTable
 from godwitshunt.membership.wire import (
@@ -39,10 +39,6 @@
 # A departure goes out with several batches: its loss would cost the rest of
 # a lease, which requests sent in vain would show.
 DEPARTURE_REPEATS = 3
-# Prefix changes of one upstream in one message, and those that may wait: what
-# goes beyond is dropped, since prefixes only adjust a choice.
-PREFIXES_PER_MESSAGE = 32
-MAX_PENDING_PREFIXES = 256
 PREFIXES_PER_FETCH = 64
 MAX_NUMBERS = 8192
 MAX_DEPARTURES_PER_FETCH = 256
@@ -52,33 +48,6 @@
 PeerNumbers = tuple[int, Numbers]
 
 
-@dataclass
-class PendingPrefixes:
-    """Prefix changes of one upstream that wait to be sent."""
-
-    added: list[int] = field(default_factory=list)
-    dropped: list[int] = field(default_factory=list)
-
-    def extend(self, added: Iterable[int], dropped: Iterable[int]) -> None:
-        """Queue changes; the oldest give way."""
-        self.added.extend(added)
-        self.dropped.extend(dropped)
-        self.added = self.added[-MAX_PENDING_PREFIXES:]
-        self.dropped = self.dropped[-MAX_PENDING_PREFIXES:]
-
-    def take(self) -> tuple[list[int], list[int]]:
-        """Return the next changes to send and keep the rest."""
-        limit = PREFIXES_PER_MESSAGE
-        taken = (self.added[:limit], self.dropped[:limit])
-        self.added = self.added[limit:]
-        self.dropped = self.dropped[limit:]
-        return taken
-
-    def is_empty(self) -> bool:
-        """Return whether nothing waits."""
-        return not (self.added or self.dropped)
-
-
 @dataclass
 class GossipSender:
     """Changes that this VM received itself and passes on once."""
--- a/godwitshunt/membership/tests/test_task.py
+++ b/godwitshunt/membership/tests/test_task.py
@@ -200,6 +200,17 @@
     assert not any(region.seen(name) for name in 'abc')
 
 
+async def test_a_view_tells_of_isolation_and_is_kept_between_changes(region):
+    """Control falls silent: the view says so, and upstreams stay in it."""
+    await region.announce('a', 1)
+    task = region.tasks['a']
+    view = task.view(0)
+    assert task.view(2.9) is view
+    isolated = task.view(3.0)
+    assert (view.isolated, isolated.isolated) == (False, True)
+    assert isolated.upstreams
+
+
 async def test_strangers_change_nothing(region):
     """A VM of another region, or a removed one, sends gossip by mistake."""
     await region.announce('a', 1)
--- a/godwitshunt/peer/messages.py
+++ b/godwitshunt/peer/messages.py
@@ -22,6 +22,7 @@
     claim_epoch = 403
     claim_query = 404
     claim_recovery = 405
+    claim_status = 406
     limit_gossip = 500
     placement_report = 600
 
