--- a/godwitshunt/claims/holder_peers.py
+++ b/godwitshunt/claims/holder_peers.py
@@ -83,10 +83,15 @@
         return encode(ttypes.HolderReply(standing_to_wire(standing)))
 
     def exchange_epochs(self) -> None:
-        """Tell fellow holders this one's epoch, and hear theirs."""
-        for generation, holder_set in self.table.sets.items():
+        """Tell fellow holders this one's epoch, and hear theirs.
+
+        Only in the newest set of each region: no keys are stamped under an
+        earlier one, and its holders drop their claims by their own clocks.
+        """
+        newest = dict(sorted(self.table.sets))
+        for generation in newest.items():
             holder = self.table.holders[generation]
-            for peer in self.fellows(holder_set):
+            for peer in self.fellows(self.table.sets[generation]):
                 self.jobs.run(self.ask_epoch(generation, holder, peer))
 
     async def ask_epoch(
--- a/godwitshunt/claims/holder_task.py
+++ b/godwitshunt/claims/holder_task.py
@@ -32,7 +32,7 @@
 from godwitshunt.timer import Subscription, Timer
 
 TICK_S = 1.0
-EPOCH_EXCHANGE_S = 2.0
+EPOCH_EXCHANGE_S = 5.0
 KINDS = MappingProxyType(
     {
         Claim: MessageKind.claim_request,
--- a/godwitshunt/claims/stamps.py
+++ b/godwitshunt/claims/stamps.py
@@ -15,13 +15,13 @@
 from godwitshunt.settings import NodeSettings
 from godwitshunt.timer import Subscription
 
-EPOCH_POLL_S = 2.0
+EPOCH_POLL_S = 5.0
 EPOCH_CHECK_S = 0.5
 # The newest holder set, and the one before until the newest has voters.
 STAMPED_SETS = 2
 # Stamps of an older epoch than this would shorten the time in which callers
 # may use them.
-STAMP_LIMIT_S = 10.0
+STAMP_LIMIT_S = 20.0
 
 
 class StampKeeper:
@@ -88,8 +88,9 @@
         """Hear the epochs that are not known or not known any more."""
         for one in self.own_sets():
             generation = (one.region, one.generation)
-            if self.heard_age_s(generation) >= EPOCH_POLL_S:
-                self.jobs.run(self.hear_epoch(one))
+            if self.heard_age_s(generation) < EPOCH_POLL_S:
+                return
+            self.jobs.run(self.hear_epoch(one))
 
     async def hear_epoch(self, holder_set: HolderSet) -> None:
         """Ask every holder for its epoch; a majority makes it known."""
