--- a/godwitshunt/claims/tests/test_task.py
+++ b/godwitshunt/claims/tests/test_task.py
@@ -38,6 +38,11 @@
 DIGEST = b'd' * 32
 
 
+async def run_at_once(call, *arguments):
+    """Run a blocking call on the event loop."""
+    return call(*arguments)
+
+
 class Region:
     """Claims tasks of a region's VMs on a fake network."""
 
@@ -64,6 +69,9 @@
             self.network.timer,
             Metrics(),
         )
+        if data_folder is not None:
+            # Virtual time must not run on while a thread syncs.
+            task.holder.journal.journal.run_blocking = run_at_once
         task.links.draw_number = lambda: self.random.getrandbits(62) + 1
         await task.start()
         self.tasks[name] = task
@@ -423,3 +431,19 @@
             await tasks[kinds.index(Granted)].finish(key, ANSWER)
             again = await tasks[2].claim(key, DIGEST, 5)
             assert again == AlreadyAnswered(ANSWER)
+
+
+async def test_new_holder_set_leaves_callers_no_moment_without_a_stamp():
+    """A holder restarts and control commits a new set with its session.
+
+    Until a majority of the new set has been heard, the directory goes on
+    giving the stamp before; without one, callers could file nothing.
+    """
+    region = await Region(3).start_all()
+    await region.network.advance(3)
+    before = region.tasks['a'].stamp()
+    region.commit()
+    at_once = region.tasks['a'].stamp()
+    await region.network.advance(3)
+    assert at_once == before
+    assert region.tasks['a'].stamp() > before
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -23,14 +23,23 @@
     vm_entry,
     vm_of,
 )
+from godwitshunt.configuration.freshness import Freshness
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.heard import HeardVm, HeardVms
-from godwitshunt.configuration.history import Held, RevisionHistory
+from godwitshunt.configuration.history import (
+    UNKNOWN_AGE_S,
+    Held,
+    RevisionHistory,
+)
 from godwitshunt.configuration.replicated_log import ReplicatedLog
 from godwitshunt.configuration.revision import RevisionNotice, VmRecord
 from godwitshunt.configuration.state import ControlState
 from godwitshunt.configuration.state_machine import StateMachine
-from godwitshunt.configuration.upkeep import due_commands, still_awaited
+from godwitshunt.configuration.upkeep import (
+    ABSENT_AFTER_S,
+    due_commands,
+    still_awaited,
+)
 from godwitshunt.configuration.wire import vm_from_wire, vm_to_wire
 from godwitshunt.consensus import ProposalFailure
 from godwitshunt.manifest import Manifest
@@ -42,6 +51,8 @@
 UPKEEP_PERIOD_S = 0.5
 REPORT_PERIOD_S = 1.0
 PUSH_DELAY_S = 0.05
+PROOF_PERIOD_S = 0.25
+PROOF_TIMEOUT_S = 1.0
 BASE_TRIES = 3
 
 
@@ -86,6 +97,8 @@
         self.background = Background()
         self.subscriptions = []
         self.push_due = False
+        self.freshness = Freshness()
+        self.led_since = timer.now()
         self.subscribers: list[RevisionNotice] = []
 
     @classmethod
@@ -117,7 +130,9 @@
         self.machine.start()
         self.links.subscribe(MessageKind.vm_heartbeat, self.on_heartbeat)
         self.links.subscribe(MessageKind.configuration_applied, self.on_reports)
+        self.links.subscribe(MessageKind.configuration_fetch, self.on_fetch)
         self.subscriptions = [
+            self.timer.every(PROOF_PERIOD_S, self.begin_proof),
             self.timer.every(UPKEEP_PERIOD_S, self.begin_upkeep),
             self.timer.every(REPORT_PERIOD_S, self.send_reports),
         ]
@@ -182,6 +197,7 @@
     def on_state(self, state: ControlState) -> None:
         """Keep the newest document and arrange that VMs are told."""
         self.note_pending(state)
+        self.freshness = self.freshness.catch_up(state.revision)
         newest = self.history.newest
         if newest is not None and newest.revision == state.revision:
             return
@@ -228,9 +244,7 @@
         for one in self.heard.direct(self.timer.now()):
             if one.vm.name == self.record.name:
                 continue
-            held = self.history.of_revision(one.revision)
-            digest = '' if held is None else held.digest
-            news = self.history.news_for(digest, float('inf'))
+            news = self.history.news_for(one.revision, float('inf'))
             self.links.tell(
                 one.vm.peer,
                 MessageKind.configuration_news,
@@ -241,12 +255,76 @@
     async def on_heartbeat(self, sender: str, body: bytes) -> bytes:
         """Note a VM's heartbeat and tell it what it lacks."""
         heartbeat = decode(ttypes.VmHeartbeat, body)
-        vm = vm_from_wire(heartbeat.vm)
-        now = self.timer.now()
-        self.heard.hear(HeardVm(vm, heartbeat.revision or 0, now))
+        vm = self.heartbeat_vm(heartbeat)
+        revision = heartbeat.revision or 0
+        if vm is not None:
+            self.heard.hear(HeardVm(vm, revision, self.timer.now()))
         self.metrics.count('configuration_heartbeats_total')
-        quorum_age_s = self.log.leadership().quorum_age_s
-        news = self.history.news_for(heartbeat.digest or '', quorum_age_s)
+        news = self.history.news_for(revision, self.quorum_age_s())
+        news.introduce = vm is None
+        return encode(news)
+
+    def heartbeat_vm(self, heartbeat: ttypes.VmHeartbeat) -> VmRecord | None:
+        """Return who sent a heartbeat; None for a stranger without record."""
+        if heartbeat.vm is not None:
+            return vm_from_wire(heartbeat.vm)
+        known = self.heard.by_name.get(heartbeat.name)
+        if known is None or known.vm.session != heartbeat.session:
+            return None
+        return known.vm
+
+    def quorum_age_s(self) -> float:
+        """Return for how many seconds a commit may be missing here.
+
+        Infinite where this replica never knew that it has every commit.
+        """
+        return self.timer.now() - self.freshness.current_at
+
+    def begin_proof(self) -> None:
+        """Find out whether this replica has every commit."""
+        self.background.run('proof', self.prove)
+
+    async def prove(self) -> None:
+        """Ask the log where this replica leads, else the leader."""
+        asked_at = self.timer.now()
+        leadership = self.log.leadership()
+        if leadership.is_leader:
+            newest = await self.newest_revision()
+        else:
+            newest = await self.ask_leader(leadership.name)
+        if newest is not None:
+            applied = self.state.revision
+            self.freshness = self.freshness.prove(newest, asked_at, applied)
+
+    async def newest_revision(self) -> int | None:
+        """Return the revision that includes every commit so far."""
+        if isinstance(await self.log.read_barrier(), Err):
+            return None
+        return self.state.revision
+
+    async def ask_leader(self, name: str | None) -> int | None:
+        """Return the leader's revision, once it has every commit."""
+        leader = self.state.document.section('vms').get(name or '')
+        if leader is None:
+            return None
+        reply = await self.links.call(
+            vm_of(leader).peer,
+            MessageKind.configuration_fetch,
+            b'',
+            PROOF_TIMEOUT_S,
+        )
+        if isinstance(reply, Err):
+            return None
+        news = decode(ttypes.ConfigurationNews, reply.ok_value)
+        return news.revision if news.quorum_age_s == 0 else None
+
+    async def on_fetch(self, sender: str, body: bytes) -> bytes:
+        """Tell another control replica which revision is the newest."""
+        newest = None
+        if self.log.leadership().is_leader:
+            newest = await self.newest_revision()
+        age_s = UNKNOWN_AGE_S if newest is None else 0
+        news = ttypes.ConfigurationNews(newest or 0, '', '', b'', age_s, False)
         return encode(news)
 
     def begin_upkeep(self) -> None:
@@ -254,8 +332,12 @@
         self.heard.hear(
             HeardVm(self.record, self.state.revision, self.timer.now()),
         )
-        if self.log.leadership().is_leader:
-            self.background.run('upkeep', self.upkeep)
+        now = self.timer.now()
+        self.heard.forget(now - ABSENT_AFTER_S)
+        if not self.log.leadership().is_leader:
+            self.led_since = now
+            return
+        self.background.run('upkeep', self.upkeep)
 
     async def upkeep(self) -> None:
         """Commit admissions, claim holders and confirmations."""
@@ -263,6 +345,7 @@
             self.state,
             self.heard,
             self.pending_seen_at,
+            self.led_since,
             self.timer.now(),
         )
         for command in tuple(due):
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -95,7 +95,11 @@
             cluster_key=cluster_key,
             ports=ports,
             pool=UpstreamPool(metrics),
-            vms=UpstreamPool(metrics, client_context(settings.tls)),
+            vms=UpstreamPool(
+                metrics,
+                client_context(settings.tls),
+                settings.http.host,
+            ),
             metrics=metrics,
         )
         return cls(parts)
@@ -265,6 +269,7 @@
             told = 'the deadline passed on the way'
             return Err(refuse_early(request, ProblemKind.deadline, told))
         self.metrics.count('forwards_received_total')
+        self.ports.retries.note_first(self.ports.timer.now())
         admitted = admit(request, revision.manifest, caller)
         return admitted.map(lambda ready: admit_forwarded(ready, note))
 
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import time
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -44,6 +45,7 @@
     status: int = 0
     body: bytes = b''
     headers: dict[str, str] = field(default_factory=dict)
+    elapsed_s: float = 0.0
 
 
 @dataclass
@@ -241,6 +243,7 @@
 
 async def attempt_at(entry: str, request: Request) -> Attempt:
     """Send a request to one entry VM and tell how that ended."""
+    started_s = time.monotonic()
     headers = credentials(request.caller)
     headers.append(('Content-Type', 'application/json'))
     if request.key is not None:
@@ -256,9 +259,11 @@
                 request.body,
             )
     except LOST:
-        return Attempt(entry, Ending.broken)
+        elapsed_s = time.monotonic() - started_s
+        return Attempt(entry, Ending.broken, elapsed_s=elapsed_s)
     outcome = fields.get('godwitshunt-outcome', '')
     ending = Ending.whole if status == 200 else Ending.unknown
     if status != 200 and outcome == 'not-run':
         ending = Ending.not_run
-    return Attempt(entry, ending, status, body, fields)
+    elapsed_s = time.monotonic() - started_s
+    return Attempt(entry, ending, status, body, fields, elapsed_s)
