--- a/godwitshunt/claims/ballots.py
+++ b/godwitshunt/claims/ballots.py
@@ -16,8 +16,8 @@
     Wait,
     Yield,
     decide_claim,
+    decide_deadline,
     decide_wait,
-    no_majority,
 )
 from godwitshunt.claims.gen.wire import ttypes
 from godwitshunt.claims.holder_task import KINDS, ClaimHolderTask
@@ -51,7 +51,7 @@
 FIRST_PAUSE_S = 0.005
 LONGEST_PAUSE_S = 0.1
 ATTEMPT_BITS = 62
-VM_RESTARTED = 'the VM that ran it restarted'
+RIVAL_CHECK_S = 0.5
 
 
 def draw_attempt_number() -> int:
@@ -116,17 +116,6 @@
             self.learn(generation, answer.standing.epoch)
         return answer
 
-    async def is_running(self, vm: str, number: int) -> bool | None:
-        """Return whether a VM runs an attempt; None where it is silent."""
-        kind = MessageKind.claim_status
-        reply = await self.call(vm, kind, ttypes.StatusCall(number))
-        if reply is None:
-            return None
-        try:
-            return bool(decode(ttypes.StatusReply, reply).is_running)
-        except FrameError:
-            return None
-
     async def call(
         self,
         holder: str,
@@ -141,6 +130,18 @@
         reply = await self.links.call(address, kind, encode(struct), timeout_s)
         return reply.ok_value if isinstance(reply, Ok) else None
 
+    async def is_running(self, vm: str, key: str) -> bool | None:
+        """Ask a VM whether it runs a key's call; None where it is silent."""
+        call = ttypes.RunningCall(key=key)
+        reply = await self.call(vm, MessageKind.claim_running, call)
+        if reply is None:
+            return None
+        try:
+            return bool(decode(ttypes.RunningReply, reply).running)
+        except FrameError:
+            self.metrics.count('claims_replies_malformed_total')
+            return None
+
     async def pause(self, duration_s: float) -> None:
         """Wait on the timer."""
         over = asyncio.get_running_loop().create_future()
@@ -148,7 +149,7 @@
         await over
 
 
-@dataclass(eq=False)
+@dataclass
 class Ballot:
     """The attempts of one claim, one after the other.
 
@@ -171,7 +172,8 @@
     withdraw: Callable[[Attempt], None]
     attempt: Attempt | None = None
     answers: dict[str, HolderAnswer] = field(default_factory=dict)
-    yielded_to: Yield | None = None
+    yielded_to: str | None = None
+    next_check_s: float = 0.0
 
     async def run(self) -> ClaimOutcome:
         """Claim, or wait for the attempt that has the key."""
@@ -191,7 +193,7 @@
         while isinstance(step, ClaimAnew) and self.remaining_s() > 0:
             step = await self.vote()
             if isinstance(step, Yield):
-                self.yielded_to = step
+                self.yielded_to = step.vm
                 self.give_up_attempt()
                 step = await self.wait_for_rival()
         match step:
@@ -199,24 +201,11 @@
                 return Granted(self.attempt.number)
             case End(outcome):
                 return outcome
-        if self.yielded_to is None:
-            return no_majority(len(self.holders), self.answers)
-        return await self.tell_of_rival(self.yielded_to)
-
-    async def tell_of_rival(self, rival: Yield) -> ClaimOutcome:
-        """Return whether the attempt that has the key still runs.
-
-        A VM that restarted knows nothing of its earlier attempts; without
-        this its callers would be told *in progress* until the key is old.
-        """
-        is_running = await self.links.is_running(rival.vm, rival.number)
-        if is_running is not False:
-            return InProgress(rival.vm)
-        # It may have ended just now: then its answer has been kept first.
-        step = await self.ask_round(self.query(), self.judge_wait)
-        if isinstance(step, End):
-            return step.outcome
-        return RunUnknown(VM_RESTARTED)
+        return decide_deadline(
+            len(self.holders),
+            self.answers,
+            self.yielded_to,
+        )
 
     def remaining_s(self) -> float:
         """Return the seconds until the claim gives up."""
@@ -248,15 +237,45 @@
         while isinstance(step, Wait) and self.remaining_s() > pause_s:
             await self.links.pause(pause_s)
             pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
-            step = await self.ask_round(self.query(), self.judge_wait)
+            self.answers.clear()
+            step = await self.ask_of_rival()
+            if isinstance(step, Wait) and self.is_check_due():
+                step = await self.check_rival()
         if isinstance(step, ClaimAnew):
             self.yielded_to = None
         return step
 
-    def query(self) -> Query:
-        """Return the question what is recorded of the key."""
-        self.answers.clear()
-        return Query(Attempt(self.key, self.request_digest, self.vm, 1))
+    async def ask_of_rival(self) -> ClaimStep:
+        """Ask the holders once what became of the attempt with the key."""
+        query = Attempt(self.key, self.request_digest, self.vm, 1)
+        return await self.ask_round(Query(query), self.judge_wait)
+
+    def is_check_due(self) -> bool:
+        """Tell whether the rival's VM should be asked again."""
+        now_s = self.links.timer.now()
+        if now_s < self.next_check_s:
+            return False
+        self.next_check_s = now_s + RIVAL_CHECK_S
+        return True
+
+    async def check_rival(self) -> ClaimStep:
+        """Ask the rival's VM whether it still runs the call.
+
+        A VM that was killed, or restarted, while it ran the call never tells
+        the holders how it ended. Its callers would wait for nothing until
+        their deadline; they are told at once that the outcome is unknown.
+        """
+        vm = self.yielded_to
+        running = await self.links.is_running(vm, self.key.text)
+        if running:
+            return Wait()
+        if running is None:
+            return End(InProgress(vm, silent=True))
+        # It may have ended, and told the holders, since they were asked.
+        step = await self.ask_of_rival()
+        if not isinstance(step, Wait):
+            return step
+        return End(RunUnknown(f'{vm} does not know the attempt any more'))
 
     def give_up_attempt(self) -> None:
         """Withdraw the present attempt, if there is one."""
--- a/godwitshunt/claims/claimant.py
+++ b/godwitshunt/claims/claimant.py
@@ -13,6 +13,7 @@
 from godwitshunt.claims.messages import (
     AlreadyAnswered,
     ClaimOutcome,
+    InProgress,
     KeptAnswer,
     KeyExpired,
     KeyReused,
@@ -43,7 +44,6 @@
     """Withdraw: another attempt has a majority or goes before this one."""
 
     vm: str
-    number: int
 
 
 @dataclass(frozen=True)
@@ -98,12 +98,12 @@
     rivals = rival_votes(answers)
     strongest = max(rivals, key=rivals.get, default=None)
     if strongest is not None and rivals[strongest] >= needed:
-        return Yield(rival_vm(strongest, answers), strongest)
+        return Yield(rival_vm(strongest, answers))
     if pending:
         return Wait()
     highest = max(rivals, default=0)
     if highest > number:
-        return Yield(rival_vm(highest, answers), highest)
+        return Yield(rival_vm(highest, answers))
     return AskAgain()
 
 
@@ -118,8 +118,14 @@
     return Wait()
 
 
-def no_majority(holder_count: int, answers: Answers) -> NoMajority:
-    """Return what the caller is told when time is up without a decision."""
+def decide_deadline(
+    holder_count: int,
+    answers: Answers,
+    yielded_to: str | None,
+) -> ClaimOutcome:
+    """Return what the caller is told when time is up."""
+    if yielded_to is not None:
+        return InProgress(yielded_to)
     useful = [
         answer
         for answer in answers.values()
--- a/godwitshunt/claims/claims.thrift
+++ b/godwitshunt/claims/claims.thrift
@@ -44,6 +44,15 @@
   6: optional string reason
 }
 
+/** To the VM of an attempt: whether it runs a key's call now. */
+struct RunningCall {
+  1: string key
+}
+
+struct RunningReply {
+  1: bool running
+}
+
 /** Between holders: epochs, and the recovery of one that forgot. */
 struct HolderCall {
   1: string region
@@ -57,15 +66,6 @@
   1: Standing standing
 }
 
-/** Asks a VM whether an attempt of its own is under way. */
-struct StatusCall {
-  1: i64 attempt
-}
-
-struct StatusReply {
-  1: bool is_running
-}
-
 /** One record of the claim journal. */
 struct JournalRecord {
   1: string region
--- a/godwitshunt/claims/gen/wire/ttypes.py
+++ b/godwitshunt/claims/gen/wire/ttypes.py
@@ -574,31 +574,22 @@
         return not (self == other)
 
 
-class HolderCall(object):
+class RunningCall(object):
     """
-    Between holders: epochs, and the recovery of one that forgot.
+    To the VM of an attempt: whether it runs a key's call now.
 
     Attributes:
-     - region
-     - generation
-     - epoch
-     - incarnation: On recovery: the incarnation that the sender takes; 0 asks only.
+     - key
 
     """
 
     __slots__ = (
-        'region',
-        'generation',
-        'epoch',
-        'incarnation',
+        'key',
     )
 
 
-    def __init__(self, region=None, generation=None, epoch=None, incarnation=None,):
-        self.region = region
-        self.generation = generation
-        self.epoch = epoch
-        self.incarnation = incarnation
+    def __init__(self, key=None,):
+        self.key = key
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -611,22 +602,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.generation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -638,22 +614,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('HolderCall')
-        if self.region is not None:
-            oprot.writeFieldBegin('region', TType.STRING, 1)
-            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
-            oprot.writeFieldEnd()
-        if self.generation is not None:
-            oprot.writeFieldBegin('generation', TType.I64, 2)
-            oprot.writeI64(self.generation)
-            oprot.writeFieldEnd()
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 3)
-            oprot.writeI64(self.epoch)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 4)
-            oprot.writeI64(self.incarnation)
+        oprot.writeStructBegin('RunningCall')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -680,20 +644,20 @@
         return not (self == other)
 
 
-class HolderReply(object):
+class RunningReply(object):
     """
     Attributes:
-     - standing
+     - running
 
     """
 
     __slots__ = (
-        'standing',
+        'running',
     )
 
 
-    def __init__(self, standing=None,):
-        self.standing = standing
+    def __init__(self, running=None,):
+        self.running = running
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -705,9 +669,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.standing = Standing()
-                    self.standing.read(iprot)
+                if ftype == TType.BOOL:
+                    self.running = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -719,10 +682,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('HolderReply')
-        if self.standing is not None:
-            oprot.writeFieldBegin('standing', TType.STRUCT, 1)
-            self.standing.write(oprot)
+        oprot.writeStructBegin('RunningReply')
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.BOOL, 1)
+            oprot.writeBool(self.running)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -749,22 +712,31 @@
         return not (self == other)
 
 
-class StatusCall(object):
+class HolderCall(object):
     """
-    Asks a VM whether an attempt of its own is under way.
+    Between holders: epochs, and the recovery of one that forgot.
 
     Attributes:
-     - attempt
+     - region
+     - generation
+     - epoch
+     - incarnation: On recovery: the incarnation that the sender takes; 0 asks only.
 
     """
 
     __slots__ = (
-        'attempt',
+        'region',
+        'generation',
+        'epoch',
+        'incarnation',
     )
 
 
-    def __init__(self, attempt=None,):
-        self.attempt = attempt
+    def __init__(self, region=None, generation=None, epoch=None, incarnation=None,):
+        self.region = region
+        self.generation = generation
+        self.epoch = epoch
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -776,8 +748,23 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.I64:
-                    self.attempt = iprot.readI64()
+                    self.generation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -789,10 +776,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('StatusCall')
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I64, 1)
-            oprot.writeI64(self.attempt)
+        oprot.writeStructBegin('HolderCall')
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 1)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I64, 2)
+            oprot.writeI64(self.generation)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 4)
+            oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -819,20 +818,20 @@
         return not (self == other)
 
 
-class StatusReply(object):
+class HolderReply(object):
     """
     Attributes:
-     - is_running
+     - standing
 
     """
 
     __slots__ = (
-        'is_running',
+        'standing',
     )
 
 
-    def __init__(self, is_running=None,):
-        self.is_running = is_running
+    def __init__(self, standing=None,):
+        self.standing = standing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -844,8 +843,9 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.BOOL:
-                    self.is_running = iprot.readBool()
+                if ftype == TType.STRUCT:
+                    self.standing = Standing()
+                    self.standing.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -857,10 +857,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('StatusReply')
-        if self.is_running is not None:
-            oprot.writeFieldBegin('is_running', TType.BOOL, 1)
-            oprot.writeBool(self.is_running)
+        oprot.writeStructBegin('HolderReply')
+        if self.standing is not None:
+            oprot.writeFieldBegin('standing', TType.STRUCT, 1)
+            self.standing.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1126,6 +1126,16 @@
     (5, TType.STRUCT, 'answer', [Answer, None], None, ),  # 5
     (6, TType.STRING, 'reason', 'UTF8', None, ),  # 6
 )
+all_structs.append(RunningCall)
+RunningCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+)
+all_structs.append(RunningReply)
+RunningReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'running', None, None, ),  # 1
+)
 all_structs.append(HolderCall)
 HolderCall.thrift_spec = (
     None,  # 0
@@ -1139,16 +1149,6 @@
     None,  # 0
     (1, TType.STRUCT, 'standing', [Standing, None], None, ),  # 1
 )
-all_structs.append(StatusCall)
-StatusCall.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'attempt', None, None, ),  # 1
-)
-all_structs.append(StatusReply)
-StatusReply.thrift_spec = (
-    None,  # 0
-    (1, TType.BOOL, 'is_running', None, None, ),  # 1
-)
 all_structs.append(JournalRecord)
 JournalRecord.thrift_spec = (
     None,  # 0
--- a/godwitshunt/claims/messages.py
+++ b/godwitshunt/claims/messages.py
@@ -34,9 +34,12 @@
     ----------
     vm : str
         The entry VM that runs it.
+    silent : bool
+        True where that VM does not answer: waiting on may be in vain.
     """
 
     vm: str
+    silent: bool = False
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/claims/task.py
+++ b/godwitshunt/claims/task.py
@@ -15,7 +15,6 @@
     Granted,
     KeptAnswer,
     KeyExpired,
-    KeyMalformed,
     NoMajority,
     RunUnknown,
 )
@@ -70,7 +69,9 @@
         self.sets: dict[tuple[str, int], HolderSet] = {}
         self.stamps = StampKeeper(settings, self.links)
         self.granted: dict[str, Attempt] = {}
-        self.ballots: set[Ballot] = set()
+        self.ballots: list[Ballot] = []
+        # Keys whose ending is being told to the holders.
+        self.settling: set[str] = set()
         self.jobs = Jobs()
 
     @classmethod
@@ -87,8 +88,10 @@
     async def start(self) -> None:
         """Begin to vote, and follow the epoch of the own region."""
         await self.holder.start()
-        peer_links = self.links.links
-        peer_links.subscribe(MessageKind.claim_status, self.answer_status)
+        self.links.links.subscribe(
+            MessageKind.claim_running,
+            self.answer_running,
+        )
         self.stamps.start()
 
     async def close(self) -> None:
@@ -157,18 +160,36 @@
             withdraw=self.withdraw,
         )
         started_s = self.timer.now()
-        self.ballots.add(ballot)
+        self.ballots.append(ballot)
         try:
             outcome = await ballot.run()
         finally:
-            self.ballots.discard(ballot)
+            self.ballots.remove(ballot)
+        if isinstance(outcome, Granted):
+            self.granted[key] = ballot.attempt
         elapsed_s = self.timer.now() - started_s
         name = type(outcome).__name__
         self.metrics.observe('claim_seconds', elapsed_s, outcome=name)
-        if isinstance(outcome, Granted):
-            self.granted[key] = ballot.attempt
         return outcome
 
+    async def answer_running(self, sender: str, body: bytes) -> bytes:
+        """Tell a rival's VM whether an attempt here may run a key's call."""
+        key = decode(ttypes.RunningCall, body).key
+        if not key:
+            raise FrameError('RunningCall: no key')
+        return encode(ttypes.RunningReply(running=self.may_run(key)))
+
+    def may_run(self, key: str) -> bool:
+        """Tell whether an attempt of this VM runs, or may come to run.
+
+        One that only waits for another VM's attempt does not.
+        """
+        voting = any(
+            ballot.key.text == key and ballot.attempt is not None
+            for ballot in self.ballots
+        )
+        return voting or key in self.granted or key in self.settling
+
     def find_set(
         self,
         key: str,
@@ -186,11 +207,10 @@
             for region, generation in self.sets
             if region == claim_key.region
         ]
-        if not known:
-            return Err(KeyMalformed())
-        if claim_key.generation < min(known):
+        if known and claim_key.generation < min(known):
             return Err(KeyExpired())
-        # A set that this VM has not heard of yet: another VM may have run it.
+        # A region or a set that this VM has not heard of yet: another VM may
+        # have run the call.
         return Err(NoMajority(0, 1))
 
     async def finish(self, key: str, answer: KeptAnswer) -> None:
@@ -203,40 +223,26 @@
 
     async def end(self, key: str, ending: KeptAnswer | RunUnknown) -> None:
         """Tell the holders what came of a granted attempt."""
-        attempt = self.granted.get(key)
+        attempt = self.granted.pop(key, None)
         if attempt is not None:
-            await self.tell(Finish(attempt, ending))
-            self.forget(key, attempt)
+            await self.settle(key, Finish(attempt, ending))
 
     async def release(self, key: str) -> None:
         """Give up a granted claim, on the proof that the call did not run.
 
         Only a connection that was never made is such a proof.
         """
-        attempt = self.granted.get(key)
+        attempt = self.granted.pop(key, None)
         if attempt is not None:
-            await self.tell(Release(attempt))
-            self.forget(key, attempt)
+            await self.settle(key, Release(attempt))
 
-    def forget(self, key: str, attempt: Attempt) -> None:
-        """Forget an attempt that is over, once holders know of it."""
-        if self.granted.get(key) == attempt:
-            self.granted.pop(key)
-
-    async def answer_status(self, sender: str, body: bytes) -> bytes:
-        """Tell a VM whether an attempt of this one is under way."""
-        call = decode(ttypes.StatusCall, body)
-        if call.attempt is None:
-            raise FrameError('StatusCall: no attempt')
-        attempts = (
-            *self.granted.values(),
-            *(ballot.attempt for ballot in self.ballots),
-        )
-        is_running = any(
-            attempt is not None and attempt.number == call.attempt
-            for attempt in attempts
-        )
-        return encode(ttypes.StatusReply(is_running))
+    async def settle(self, key: str, request: Finish | Release) -> None:
+        """Tell the holders; rivals are told to wait until they know."""
+        self.settling.add(key)
+        try:
+            await self.tell(request)
+        finally:
+            self.settling.discard(key)
 
     def withdraw(self, attempt: Attempt) -> None:
         """Have holders forget an attempt that never runs."""
--- a/godwitshunt/peer/messages.py
+++ b/godwitshunt/peer/messages.py
@@ -22,7 +22,7 @@
     claim_epoch = 403
     claim_query = 404
     claim_recovery = 405
-    claim_status = 406
+    claim_running = 406
     limit_gossip = 500
     placement_report = 600
 
