Keep the next lapse of a table without looking at every upstream

Cause: each view after a send searched all upstreams for the oldest lease. Only changed ones are looked at now, all of them at each refresh.

--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -35,7 +35,12 @@
     VmRole,
 )
 from godwitshunt.manifest import Manifest
-from godwitshunt.membership import MembershipTask, UpstreamAnnouncement
+from godwitshunt.membership import (
+    MembershipTask,
+    UpstreamAnnouncement,
+    UpstreamTable,
+)
+from godwitshunt.membership.events import Announced, Sent
 from godwitshunt.peer import MessageKind, PeerLinks, PeerOptions
 from godwitshunt.settings import Address, EntrySettings
 from godwitshunt.telemetry import Metrics
@@ -46,6 +51,7 @@
 FRAME_OVERHEAD = 13
 DECISIONS_PER_S = 25
 ONE_WAY_S = 0.001
+VIEWS = 500
 WARM_UP_S = 6
 # A peer process must not be busy itself: late peers would cost the measured
 # one more messages than peers on VMs of their own.
@@ -438,6 +444,34 @@
     }
 
 
+def measure_table(upstreams: int, prefixes: int) -> dict:
+    """Measure one VM's table: memory, and a view after each send."""
+    tracemalloc.start()
+    table = UpstreamTable('split', lease_s=1e9)
+    before, _ = tracemalloc.get_traced_memory()
+    body = announcement(1).model_copy(
+        update={'cached_added': tuple(range(2**60, 2**60 + prefixes))},
+    )
+    for number in range(upstreams):
+        table.apply(Announced(f'engine-{number:04d}', body), 0)
+    table.views(0)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    now_s = 0.0
+    began_s = time.process_time()
+    for number in range(VIEWS):
+        now_s += 1 / DECISIONS_PER_S
+        table.apply(Sent(f'engine-{number % upstreams:04d}', 100), now_s)
+        table.views(now_s)
+    cpu_s = time.process_time() - began_s
+    return {
+        'upstreams': upstreams,
+        'prefixes': prefixes,
+        'bytes_per_upstream': round((after - before) / upstreams),
+        'us_per_send_and_view': round(1e6 * cpu_s / VIEWS, 1),
+    }
+
+
 def show(rows: list[dict]) -> None:
     """Print rows as JSON lines."""
     for row in rows:
@@ -474,6 +508,7 @@
                 show([asyncio.run(measured)])
     if part in {'memory', 'all'}:
         show([measure_memory(20_000, 0), measure_memory(5_000, 2000)])
+        show([measure_table(engines, 64) for engines in (3, 130, 520)])
 
 
 if __name__ == '__main__':
--- a/godwitshunt/membership/table.py
+++ b/godwitshunt/membership/table.py
@@ -251,6 +251,10 @@
             for name, record in self.records.items()
         }
         self.views_built_s = now_s
+        self.next_lapse_s = self.lease_s + min(
+            (record.announced_s for record in self.records.values()),
+            default=float('inf'),
+        )
         self.finish_views()
 
     def rebuild_changed(self, now_s: float) -> None:
@@ -262,17 +266,14 @@
             else:
                 view = record.view(name, self.region, now_s)
                 self.cached_views[name] = view
+                lapse_s = record.announced_s + self.lease_s
+                self.next_lapse_s = min(self.next_lapse_s, lapse_s)
         self.finish_views()
 
     def finish_views(self) -> None:
-        """Keep the views as one tuple, and the time of the next lapse."""
+        """Keep the views as one tuple, the same until the next change."""
         self.changed.clear()
         self.cached_tuple = tuple(self.cached_views.values())
-        oldest_s = min(
-            (record.announced_s for record in self.records.values()),
-            default=float('inf'),
-        )
-        self.next_lapse_s = oldest_s + self.lease_s
 
     def departures(self, limit: int) -> tuple[tuple[str, Tombstone], ...]:
         """Return the newest tombstones, at most `limit`."""
