--- a/godwitshunt/claims/task.py
+++ b/godwitshunt/claims/task.py
@@ -9,34 +9,26 @@
 from godwitshunt.claims.ballots import Ballot, HolderLinks
 from godwitshunt.claims.gen.wire import ttypes
 from godwitshunt.claims.holder_task import ClaimHolderTask
-from godwitshunt.claims.keys import ClaimKey, make_stamp, parse_key
+from godwitshunt.claims.keys import ClaimKey, parse_key
 from godwitshunt.claims.messages import (
     ClaimOutcome,
     Granted,
     KeptAnswer,
     KeyExpired,
-    KeyMalformed,
     NoMajority,
     RunUnknown,
 )
+from godwitshunt.claims.stamps import StampKeeper
 from godwitshunt.claims.standing import majority
 from godwitshunt.claims.verdicts import Attempt, Finish, Release, Verdict
-from godwitshunt.claims.wire import standing_from_wire
 from godwitshunt.configuration.revision import HolderSet, Revision
 from godwitshunt.exceptions import FrameError
 from godwitshunt.membership.jobs import Jobs
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.settings import NodeSettings
 from godwitshunt.telemetry import Metrics
-from godwitshunt.timer import Subscription, Timer
+from godwitshunt.timer import Timer
 
-EPOCH_POLL_S = 2.0
-EPOCH_CHECK_S = 0.5
-# The newest holder set, and the one before until the newest has voters.
-STAMPED_SETS = 2
-# Stamps of an older epoch than this would shorten the time in which callers
-# may use them.
-STAMP_LIMIT_S = 10.0
 TELL_TIMEOUT_S = 1.0
 TELL_TRIES = 3
 TELL_PAUSE_S = 0.2
@@ -75,12 +67,12 @@
         )
         self.links = HolderLinks(links, self.holder, timer, metrics)
         self.sets: dict[tuple[str, int], HolderSet] = {}
+        self.stamps = StampKeeper(settings, self.links)
         self.granted: dict[str, Attempt] = {}
         self.ballots: list[Ballot] = []
         # Keys whose ending is being told to the holders.
         self.settling: set[str] = set()
         self.jobs = Jobs()
-        self.subscriptions: list[Subscription] = []
 
     @classmethod
     def from_config(
@@ -100,14 +92,11 @@
             MessageKind.claim_running,
             self.answer_running,
         )
-        self.subscriptions = [
-            self.timer.every(EPOCH_CHECK_S, self.poll_epoch),
-        ]
+        self.stamps.start()
 
     async def close(self) -> None:
         """Stop voting; claims under way are withdrawn by their callers."""
-        for subscription in self.subscriptions:
-            subscription.cancel()
+        await self.stamps.close()
         await self.jobs.close()
         await self.links.jobs.close()
         await self.holder.close()
@@ -119,7 +108,7 @@
         }
         self.links.addresses = {vm.name: vm.peer for vm in revision.vms}
         self.holder.apply_revision(revision)
-        self.poll_epoch()
+        self.stamps.apply_sets(revision.holders)
 
     def is_recovering(self) -> bool:
         """Return whether this VM abstains in its region's newest set.
@@ -127,34 +116,12 @@
         Control commits a new set, with the present sessions, where that
         lasts: too few holders remember for any to recover.
         """
-        newest = [(one.region, one.generation) for one in self.own_sets()[:1]]
         recovering = self.holder.table.recovering()
-        return any(generation in recovering for generation in newest)
-
-    def own_sets(self) -> list[HolderSet]:
-        """Return the newest holder sets of the own region, newest first."""
-        own = [
-            one
-            for one in self.sets.values()
-            if one.region == self.settings.region
-        ]
-        own.sort(key=lambda one: one.generation, reverse=True)
-        return own[:STAMPED_SETS]
+        return self.stamps.newest_generation() in recovering
 
     def stamp(self) -> str | None:
         """Return what keys begin with; None while no epoch is known."""
-        for one in self.own_sets():
-            generation = (one.region, one.generation)
-            # A set that most holders have not heard of yet would have no
-            # votes to give: the one before serves until then.
-            if self.heard_age_s(generation) <= STAMP_LIMIT_S:
-                return make_stamp(*generation, self.links.epochs[generation])
-        return None
-
-    def heard_age_s(self, generation: tuple[str, int]) -> float:
-        """Return the seconds since a majority told its epoch."""
-        heard_s = self.links.heard_s.get(generation, float('-inf'))
-        return self.timer.now() - heard_s
+        return self.stamps.stamp()
 
     async def claim(
         self,
@@ -207,7 +174,9 @@
 
     async def answer_running(self, sender: str, body: bytes) -> bytes:
         """Tell a rival's VM whether an attempt here may run a key's call."""
-        key = decode(ttypes.RunningCall, body).key or ''
+        key = decode(ttypes.RunningCall, body).key
+        if not key:
+            raise FrameError('RunningCall: no key')
         return encode(ttypes.RunningReply(running=self.may_run(key)))
 
     def may_run(self, key: str) -> bool:
@@ -238,11 +207,10 @@
             for region, generation in self.sets
             if region == claim_key.region
         ]
-        if not known:
-            return Err(KeyMalformed())
-        if claim_key.generation < min(known):
+        if known and claim_key.generation < min(known):
             return Err(KeyExpired())
-        # A set that this VM has not heard of yet: another VM may have run it.
+        # A region or a set that this VM has not heard of yet: another VM may
+        # have run the call.
         return Err(NoMajority(0, 1))
 
     async def finish(self, key: str, answer: KeptAnswer) -> None:
@@ -308,49 +276,3 @@
         else:
             self.metrics.count('claims_not_told_total')
         told.release()
-
-    def poll_epoch(self) -> None:
-        """Hear the epochs that are not known or not known any more."""
-        for one in self.own_sets():
-            generation = (one.region, one.generation)
-            if self.heard_age_s(generation) >= EPOCH_POLL_S:
-                self.jobs.run(self.hear_epoch(one))
-
-    async def hear_epoch(self, holder_set: HolderSet) -> None:
-        """Ask every holder for its epoch; a majority makes it known."""
-        generation = (holder_set.region, holder_set.generation)
-        epochs = await asyncio.gather(
-            *(self.hear_holder(generation, name) for name in holder_set.names),
-        )
-        heard = [epoch for epoch in epochs if epoch is not None]
-        if len(heard) >= majority(len(holder_set.names)):
-            self.links.heard_s[generation] = self.timer.now()
-
-    async def hear_holder(
-        self,
-        generation: tuple[str, int],
-        name: str,
-    ) -> int | None:
-        """Return one holder's epoch, if it answers."""
-        if name == self.settings.name:
-            holder = self.holder.table.holders.get(generation)
-            if holder is None or holder.recovering:
-                return None
-            self.links.learn(generation, holder.epoch)
-            return holder.epoch
-        call = ttypes.HolderCall(
-            *generation,
-            epoch=self.links.epochs.get(generation, 0),
-        )
-        reply = await self.links.call(name, MessageKind.claim_epoch, call)
-        if reply is None:
-            return None
-        try:
-            wire = decode(ttypes.HolderReply, reply)
-            standing = standing_from_wire(wire.standing)
-        except FrameError:
-            return None
-        if standing is None:
-            return None
-        self.links.learn(generation, standing.epoch)
-        return standing.epoch
