--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of parts of the system on one machine."""
+"""Measurements of one part at a time, as ratios within one run."""
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -1,7 +1,6 @@
 """The ``godwitshunt-control`` program."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -21,6 +20,7 @@
     DiskFileSystem,
 )
 from godwitshunt.exceptions import GodwitshuntError
+from godwitshunt.exchange.gateway import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.peer import (
@@ -33,7 +33,7 @@
 from godwitshunt.programs.start import read_cluster_key, start_listening
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
-from godwitshunt.timer import TimerService
+from godwitshunt.timer import TimerService, stop_on_signals
 
 
 def vm_record(settings: ControlSettings, session: str) -> VmRecord:
@@ -107,7 +107,11 @@
         self.api.add_route('POST', '/v1/orders', orders.order)
         self.api.add_status(self.placement.describe)
         self.listener = Listener(
-            ListenerOptions(settings.http, settings.limits),
+            ListenerOptions(
+                settings.http,
+                settings.limits,
+                caller_context(settings.tls),
+            ),
             self.metrics,
             self.api.serve,
         )
@@ -139,9 +143,7 @@
 async def run(settings: ControlSettings) -> None:
     """Run until SIGTERM or SIGINT."""
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    stop_on_signals(stop)
     process = ControlProcess(settings)
     await process.start()
     await stop.wait()
