--- a/godwitshunt/configuration/tests/test_operator_api.py
+++ b/godwitshunt/configuration/tests/test_operator_api.py
@@ -4,10 +4,18 @@
 import json
 
 import pytest
+import trustme
 
+from godwitshunt.configuration.http_calls import HttpCall
 from godwitshunt.configuration.operator_api import OperatorApi
+from godwitshunt.configuration.operator_client import call_any
 from godwitshunt.configuration.operator_http import OperatorRequest
 from godwitshunt.configuration.tests.fakes import Deployment, manifest
+from godwitshunt.exchange.gateway import caller_context
+from godwitshunt.exchange.listener import Listener, ListenerOptions
+from godwitshunt.peer.tests.test_links import free_address, make_tls
+from godwitshunt.programs.operator_session import read_authority
+from godwitshunt.settings import LimitSettings
 
 TOKEN = 'token'
 TOKEN_SHA256 = hashlib.sha256(TOKEN.encode()).hexdigest()
@@ -129,3 +137,34 @@
     _, status = await ask(deployment, 'GET', '/v1/status')
     assert status['number'] == 1
     assert set(status['vms']) == {'c1', 'c2'}
+
+
+async def test_operators_over_tls(deployment, tmp_path):
+    """The replicas have certificates; the token must not go in clear text.
+
+    A client that trusts another authority, or talks plain HTTP, gets nothing.
+    """
+    authority = trustme.CA()
+    address = free_address()
+    tls = make_tls(tmp_path, authority, 'control')
+    authority.cert_pem.write_to_path(tmp_path / 'authority.pem')
+    trustme.CA().cert_pem.write_to_path(tmp_path / 'other.pem')
+    api = OperatorApi(deployment.services['c1'], TOKEN_SHA256)
+    listener = Listener(
+        ListenerOptions(address, LimitSettings(), caller_context(tls)),
+        api.service.metrics,
+        api.serve,
+    )
+    await listener.start()
+    call = HttpCall('GET', '/v1/status')
+    answers = [
+        await call_any((address,), call, TOKEN, context)
+        for context in (
+            read_authority(tmp_path / 'authority.pem'),
+            read_authority(tmp_path / 'other.pem'),
+            None,
+        )
+    ]
+    await listener.close()
+    assert [answer.is_ok() for answer in answers] == [True, False, False]
+    assert answers[0].ok_value.status == 200
--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -35,6 +35,7 @@
     MembershipAdapter,
     RetriesAdapter,
 )
+from godwitshunt.programs.start import read_cluster_key, start_listening
 from godwitshunt.routing import RetryBudget, choose
 from godwitshunt.routing.limits_task import LimitsTask
 from godwitshunt.settings import EntrySettings
@@ -64,7 +65,7 @@
         self.timer = TimerService()
         self.metrics = Metrics()
         self.stopping = asyncio.Event()
-        self.key = settings.cluster_key_file.read_bytes().strip()
+        self.key = read_cluster_key(settings)
         self.links = PeerLinks.from_config(
             PeerOptions(
                 name=settings.name,
@@ -130,13 +131,13 @@
     async def start(self) -> None:
         """Start every part, the callers' listener last."""
         self.configuration.subscribe(self.apply_revision)
-        await self.links.start()
+        await start_listening(self.links.start, 'peer', self.settings.peer)
         await self.membership.start()
         await self.claims.start()
         await self.limits.start()
         self.configuration.start()
         self.reporter.start()
-        await self.exchange.start()
+        await start_listening(self.exchange.start, 'http', self.settings.http)
         # What lives as long as the process is not searched again at each
         # collection, which would stop every stream for milliseconds.
         gc.freeze()
--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -23,6 +23,7 @@
 REGIONS = ('zagreb', 'split', 'rijeka')
 STEP_S = 0.05
 PATIENCE_S = 30
+ENTRY_PLACE = 9
 
 
 def free_address() -> Address:
@@ -32,7 +33,7 @@
         return Address(host='127.0.0.1', port=probe.getsockname()[1])
 
 
-def manifest(number: int, cost: float = 0) -> dict[str, Any]:
+def manifest(number: int, cost: float = 0, **changes) -> dict[str, Any]:
     """Return a manifest; another cost gives other contents."""
     return {
         'number': number,
@@ -41,9 +42,16 @@
         'services': [{'name': 'chat', 'kind': 'model'}],
         'classes': [{'name': 'urgent'}],
         'objective': {'cost': cost},
+        **changes,
     }
 
 
+def start_program(name: str, settings: Path) -> subprocess.Popen:
+    """Start one of the product's programs."""
+    module = f'godwitshunt.programs.{name}'
+    return subprocess.Popen([sys.executable, '-m', module, str(settings)])
+
+
 @dataclass
 class ControlProcesses:
     """The processes, and calls to them as an operator makes them."""
@@ -62,23 +70,42 @@
         (self.folder / 'token').write_text(TOKEN)
         for place, region in enumerate(REGIONS):
             settings = {
-                'name': f'c{place}',
-                'region': region,
-                'failure_domain': f'{region}-a',
+                **self.node_settings(f'c{place}', region),
                 'http': self.http[place].model_dump(),
                 'peer': self.peer[place].model_dump(),
-                'control': [address.model_dump() for address in self.peer],
-                'cluster_key_file': str(self.folder / 'key'),
                 'data_folder': str(self.data(place)),
                 'operator_token_sha256': hashlib.sha256(
                     TOKEN.encode(),
                 ).hexdigest(),
                 'election_timeout_s': 0.5,
                 'heartbeat_s': 0.1,
-                'log': {'path': str(self.folder / f'c{place}.log')},
             }
             self.settings(place).write_text(json.dumps(settings))
 
+    def node_settings(self, name: str, region: str) -> dict[str, Any]:
+        """Return settings that entry and control processes have."""
+        return {
+            'name': name,
+            'region': region,
+            'failure_domain': f'{region}-a',
+            'control': [address.model_dump() for address in self.peer],
+            'cluster_key_file': str(self.folder / 'key'),
+            'log': {'path': str(self.folder / f'{name}.log')},
+        }
+
+    def start_entry(self, region: str) -> subprocess.Popen:
+        """Start an entry process; it ends with the others."""
+        settings = {
+            **self.node_settings('e1', region),
+            'http': free_address().model_dump(),
+            'peer': free_address().model_dump(),
+        }
+        path = self.folder / 'e1.json'
+        path.write_text(json.dumps(settings))
+        process = start_program('entry', path)
+        self.running[ENTRY_PLACE] = process
+        return process
+
     def settings(self, place: int) -> Path:
         """Return the path of a replica's settings."""
         return self.folder / f'c{place}.json'
@@ -90,14 +117,8 @@
     def start(self, *places: int) -> None:
         """Start replicas."""
         for place in places:
-            self.running[place] = subprocess.Popen(
-                [
-                    sys.executable,
-                    '-m',
-                    'godwitshunt.programs.control',
-                    str(self.settings(place)),
-                ],
-            )
+            settings = self.settings(place)
+            self.running[place] = start_program('control', settings)
 
     def kill(self, place: int) -> None:
         """End a replica without warning."""
@@ -183,11 +204,11 @@
             await asyncio.sleep(STEP_S)
         raise AssertionError('no leader')
 
-    async def logged(self, place: int, text: str) -> None:
-        """Wait until a replica's log holds a text."""
-        path = self.folder / f'c{place}.log'
+    async def logged(self, name: str, text: str) -> None:
+        """Wait until a process's log holds a text."""
+        path = self.folder / f'{name}.log'
         for _ in range(int(PATIENCE_S / STEP_S)):
-            if text in path.read_text():
+            if path.exists() and text in path.read_text():
                 return
             await asyncio.sleep(STEP_S)
         raise AssertionError(f'{text} is not in {path}')
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -57,7 +57,7 @@
     await control.apply(1)
     leader = await control.leader()
     await send_without_reading(control.http[leader], manifest(2))
-    await control.logged(leader, '"number":2')
+    await control.logged(f'c{leader}', '"number":2')
     control.kill(leader)
     _, first = await control.apply(2)
     assert (first['outcome'], first['number']) == ('accepted', 2)
@@ -244,6 +244,20 @@
             self.newest.set()
 
 
+async def operate(*words: str) -> tuple[int, bytes]:
+    """Run the operators' program; return exit code and standard error."""
+    done = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'godwitshunt.programs.operator',
+        *words,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, told = await done.communicate()
+    return done.returncode, told
+
+
 async def test_command_line(control, tmp_path):
     """An operator's pipeline reads the exit code of each outcome."""
     (tmp_path / 'm1.json').write_text(json.dumps(manifest(1)))
@@ -264,23 +278,54 @@
         ('apply', 'm1.json', 'nonsense', token, 2),
     )
     for command, name, control_addresses, token_file, expected in table:
-        done = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'godwitshunt.programs.operator',
+        code, told = await operate(
             command,
-            '--manifest',
-            str(tmp_path / name),
+            f'--manifest={tmp_path / name}',
             '--wait',
-            '--control',
-            control_addresses,
-            '--token-file',
-            token_file,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
+            f'--control={control_addresses}',
+            f'--token-file={token_file}',
         )
-        _, told = await done.communicate()
-        assert done.returncode == expected, (name, told)
+        assert code == expected, (name, told)
         assert bool(told) == bool(expected)
         assert b'Traceback' not in told
     assert [control.stop(place) for place in range(3)] == [0, 0, 0]
+
+
+async def test_region_taken_away_while_its_vm_is_gone(control, tmp_path):
+    """A caller loses a region whose VM was killed and answers nobody.
+
+    The VM may only be cut off and still serve there, so the manifest is not
+    accepted; the operator is told which VM it waits for. Once he says that
+    the VM has stopped, it is accepted.
+    """
+    rule = {'name': 'home', 'regions': ['zagreb']}
+    caller = {
+        'name': 'site',
+        'key_sha256': '0' * 64,
+        'home': 'zagreb',
+        'request_class': 'urgent',
+    }
+    bound = {**caller, 'residency': 'home'}
+    documents = (
+        manifest(1, residency=[rule], callers=[caller]),
+        manifest(
+            2, residency=[rule], callers=[{**caller, 'residency': 'home'}]
+        ),
+    )
+    paths = [tmp_path / f'm{place}.json' for place in range(2)]
+    for path, document in zip(paths, documents, strict=True):
+        path.write_text(json.dumps(document))
+    addresses = ','.join(str(address) for address in control.http)
+    common = (f'--control={addresses}', f'--token-file={tmp_path / "token"}')
+    entry = control.start_entry('split')
+    await control.logged('e1', 'entry:started')
+    first = f'--manifest={paths[0]}'
+    assert (await operate('apply', first, '--wait', *common))[0] == 0
+    await control.logged('e1', '"number":1')
+    entry.kill()
+    second = f'--manifest={paths[1]}'
+    code, told = await operate('apply', second, '--timeout-s=1', *common)
+    assert code == 14
+    assert b'waits for: e1' in told
+    assert (await operate('remove-vm', '--name=e1', *common))[0] == 0
+    assert (await operate('apply', second, *common))[0] == 0
