--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Commands that measure parts of the system on one machine."""
+"""Measurements of one part at a time, as ratios within one run."""
