--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -308,9 +308,7 @@
     bound = {**caller, 'residency': 'home'}
     documents = (
         manifest(1, residency=[rule], callers=[caller]),
-        manifest(
-            2, residency=[rule], callers=[{**caller, 'residency': 'home'}]
-        ),
+        manifest(2, residency=[rule], callers=[bound]),
     )
     paths = [tmp_path / f'm{place}.json' for place in range(2)]
     for path, document in zip(paths, documents, strict=True):
