--- a/godwitshunt/consensus/codec.py
+++ b/godwitshunt/consensus/codec.py
@@ -214,6 +214,11 @@
 ) -> own.AppendRequest:
     """Read an append request."""
     entries = tuple(map(read_entry, body.entries or ()))
+    indexes = [entry.index for entry in entries]
+    first = int(body.prev_index) + 1
+    # A gap in the log would surface only later, as another entry's place.
+    if first < 1 or indexes != list(range(first, first + len(entries))):
+        raise FrameError(f'entries {indexes} after {first - 1}')
     return own.AppendRequest(
         header,
         prev_index=int(body.prev_index),
