--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import signal
 import sys
 from pathlib import Path
 
@@ -35,11 +34,12 @@
     MembershipAdapter,
     RetriesAdapter,
 )
+from godwitshunt.programs.start import read_cluster_key, start_listening
 from godwitshunt.routing import RetryBudget, choose
 from godwitshunt.routing.limits_task import LimitsTask
 from godwitshunt.settings import EntrySettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
-from godwitshunt.timer import TimerService
+from godwitshunt.timer import TimerService, stop_on_signals
 
 WRONG_INPUT = 2
 
@@ -64,7 +64,7 @@
         self.timer = TimerService()
         self.metrics = Metrics()
         self.stopping = asyncio.Event()
-        self.key = settings.cluster_key_file.read_bytes().strip()
+        self.key = read_cluster_key(settings)
         self.links = PeerLinks.from_config(
             PeerOptions(
                 name=settings.name,
@@ -130,13 +130,13 @@
     async def start(self) -> None:
         """Start every part, the callers' listener last."""
         self.configuration.subscribe(self.apply_revision)
-        await self.links.start()
+        await start_listening(self.links.start, 'peer', self.settings.peer)
         await self.membership.start()
         await self.claims.start()
         await self.limits.start()
         self.configuration.start()
         self.reporter.start()
-        await self.exchange.start()
+        await start_listening(self.exchange.start, 'http', self.settings.http)
         # What lives as long as the process is not searched again at each
         # collection, which would stop every stream for milliseconds.
         gc.freeze()
@@ -144,10 +144,7 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then finish what is in progress."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            # A second signal sets what is set already: nothing is cut.
-            loop.add_signal_handler(number, self.stopping.set)
+        stop_on_signals(self.stopping)
         await self.start()
         await self.stopping.wait()
         log_change('entry:draining', vm=self.settings.name)
