Keep the tests' ports out of the range of outgoing connections

One run of many failed in a test that it has nothing to do with, on a machine with other tests beside it; its output was not kept. Likely cause: a port asked of the system was given to an outgoing connection before the test listened. Ruled out: the test itself, in four runs side by side under the same load.

--- a/godwitshunt/exchange/tests/fakes.py
+++ b/godwitshunt/exchange/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+import secrets
 import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -28,6 +29,7 @@
 from godwitshunt.timer import TimerService
 
 KEY = b'cluster key'
+LISTENING_PORTS = range(10000, 32000)
 MANIFEST = {
     'number': 7,
     'deployment': 'test',
@@ -64,10 +66,16 @@
 
 
 def free_address() -> Address:
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address(host='127.0.0.1', port=probe.getsockname()[1])
+    """Return a loopback address that nothing listens on.
+
+    The system gives ports above this range to outgoing connections; one of
+    those could take a port between the asking here and the listening.
+    """
+    while True:
+        port = secrets.choice(LISTENING_PORTS)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return Address(host='127.0.0.1', port=port)
 
 
 @dataclass
