--- a/godwitshunt/routing/__init__.py
+++ b/godwitshunt/routing/__init__.py
@@ -20,9 +20,10 @@
 )
 from godwitshunt.routing.outliers import Answered, Failed, OutlierDetector
 from godwitshunt.routing.policy import choose
-from godwitshunt.routing.quotas import caller_quotas
+from godwitshunt.routing.quotas import LimitPlan
 from godwitshunt.routing.ramp import ColdRamp
 from godwitshunt.routing.retry_budget import RetryBudget
+from godwitshunt.routing.router import Router
 
 __all__ = [
     'Admission',
@@ -35,6 +36,7 @@
     'Decision',
     'Failed',
     'Forward',
+    'LimitPlan',
     'Limited',
     'OutlierDetector',
     'Queued',
@@ -42,10 +44,10 @@
     'Refuse',
     'RetryBudget',
     'RouteRequest',
+    'Router',
     'Serve',
     'Ticket',
     'Wait',
-    'caller_quotas',
     'choose',
     'order_entries',
 ]
