--- a/godwitshunt/timer/signals.py
+++ b/godwitshunt/timer/signals.py
@@ -8,12 +8,12 @@
 
 
 def stop_on_signals(stopping: asyncio.Event) -> None:
-    """Set an event on SIGTERM and SIGINT; later signals change nothing.
+    """Set an event on the first SIGTERM or SIGINT; ignore later ones.
 
-    The handlers stay until the process is gone. Those of the event loop are
-    taken off when the loop closes, and a second SIGTERM in the last
-    milliseconds would then end the process with a signal's exit code, which
-    an operator reads as an unclean end.
+    From the first one on the process ignores both, to its very end. Handlers
+    would be taken off while the event loop closes and the interpreter ends,
+    and a second SIGTERM in those milliseconds would end the process with a
+    signal's exit code, which an operator reads as an unclean end.
     """
     handler = partial(stop, asyncio.get_running_loop(), stopping)
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -26,6 +26,8 @@
     number: int,
     frame: FrameType | None,
 ) -> None:
-    """Set the event on its loop; a loop that has closed needs it no more."""
+    """Ignore what follows, and set the event on its loop if that runs."""
+    for each in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(each, signal.SIG_IGN)
     with suppress(RuntimeError):
         loop.call_soon_threadsafe(stopping.set)
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -204,11 +204,21 @@
     """Return how many requests ended in which way, by kind."""
     endings: Counter = Counter()
     for request in requests:
-        last = request.last.ending if request.attempts else Ending.broken
-        endings[f'{request.kind}: {last}'] += 1
+        endings[f'{request.kind}: {ending_of(request)}'] += 1
     return ', '.join(f'{name} {endings[name]}' for name in sorted(endings))
 
 
+def ending_of(request: Request) -> str:
+    """Return how a request ended, with the type of a refusal."""
+    if not request.attempts:
+        return 'no entry VM'
+    last = request.last
+    if last.ending is Ending.whole or not last.body:
+        return last.ending.value
+    kind = json.loads(last.body).get('type', '').rpartition(':')[2]
+    return f'{last.ending.value} ({kind})'
+
+
 def make_table(promises: list[Promise]) -> str:
     """Return the table of promises, and the first violations of each."""
     lines = ['| promise | checks | violations |', '|---|---|---|']
