--- a/godwitshunt/configuration/background.py
+++ b/godwitshunt/configuration/background.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 
+from godwitshunt.exceptions import FrameError
+from godwitshunt.telemetry import log_change
+
 
 class Background:
     """Tasks of one part; each piece of work runs once at a time.
@@ -22,7 +25,20 @@
     ) -> None:
         """Start the work unless it is still under way."""
         if not self.is_running(name):
-            self.tasks[name] = asyncio.create_task(work())
+            self.tasks[name] = asyncio.create_task(self.attempt(name, work))
+
+    async def attempt(
+        self,
+        name: str,
+        work: Callable[[], Coroutine[None, None, None]],
+    ) -> None:
+        """Do the work; log a message of a peer that it could not read."""
+        try:
+            await work()
+        except FrameError as bad:
+            log_change(
+                'background:message_malformed', work=name, fault=str(bad)
+            )
 
     def is_running(self, name: str) -> bool:
         """Tell whether work of a name is under way."""
--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -27,6 +27,7 @@
 )
 from godwitshunt.configuration.service import ConfigurationService
 from godwitshunt.configuration.status import status_document
+from godwitshunt.configuration.wire import require_fields
 from godwitshunt.consensus import NotLeader
 from godwitshunt.exceptions import DocumentError
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
@@ -198,6 +199,7 @@
     async def on_call(self, sender: str, body: bytes) -> bytes:
         """Answer a call that another replica passed on."""
         call = decode(ttypes.OperatorCall, body)
+        require_fields(call, 'method', 'path', 'body')
         request = OperatorRequest(call.method, call.path, '', call.body)
         local = await self.local(request)
         return encode(ttypes.OperatorReply(local.status, local.body))
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -40,7 +40,12 @@
     due_commands,
     still_awaited,
 )
-from godwitshunt.configuration.wire import vm_from_wire, vm_to_wire
+from godwitshunt.configuration.wire import (
+    decode_news,
+    require_fields,
+    vm_from_wire,
+    vm_to_wire,
+)
 from godwitshunt.consensus import ProposalFailure
 from godwitshunt.manifest import Manifest
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
@@ -315,7 +320,7 @@
         )
         if isinstance(reply, Err):
             return None
-        news = decode(ttypes.ConfigurationNews, reply.ok_value)
+        news = decode_news(reply.ok_value)
         return news.revision if news.quorum_age_s == 0 else None
 
     async def on_fetch(self, sender: str, body: bytes) -> bytes:
@@ -374,6 +379,7 @@
         """Note what another control replica heard from VMs."""
         now = self.timer.now()
         for report in decode(ttypes.VmReports, body).reports or ():
+            require_fields(report, 'name', 'revision', 'age_s')
             vm = self.reported_vm(report)
             if vm is not None:
                 heard_at = now - report.age_s
--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -30,7 +30,7 @@
     RevisionNotice,
     VmRecord,
 )
-from godwitshunt.configuration.wire import vm_to_wire
+from godwitshunt.configuration.wire import decode_news, vm_to_wire
 from godwitshunt.exceptions import FrameError, StorageError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.settings import Address, NodeSettings
@@ -217,7 +217,7 @@
             self.metrics.count('configuration_asks_failed_total')
             return False
         try:
-            news = decode(ttypes.ConfigurationNews, reply.ok_value)
+            news = decode_news(reply.ok_value)
         except FrameError:
             self.metrics.count('configuration_news_malformed_total')
             return False
@@ -239,7 +239,7 @@
 
     async def on_news(self, sender: str, body: bytes) -> None:
         """Take a push; ask at once where its delta does not fit."""
-        news = decode(ttypes.ConfigurationNews, body)
+        news = decode_news(body)
         outcome = await self.take(news, None)
         if isinstance(outcome, NewsRefused):
             self.background.run('heartbeat', self.ask)
--- a/godwitshunt/configuration/wire.py
+++ b/godwitshunt/configuration/wire.py
@@ -22,6 +22,21 @@
 from godwitshunt.settings import Address
 
 PROPOSAL_BYTES = 12
+NEWS_FIELDS = ('revision', 'digest', 'base_digest', 'body', 'quorum_age_s')
+
+
+def require_fields(message: object, *fields: str) -> None:
+    """Check that fields of a message are set.
+
+    Raises
+    ------
+    FrameError
+        Where one is missing. A peer of another version may send such a
+        message; it must cost its own call and no other.
+    """
+    for field in fields:
+        if getattr(message, field) is None:
+            raise FrameError(f'{type(message).__name__}: no {field}')
 
 
 def encode_command(command: commands.Command) -> tuple[str, bytes]:
@@ -112,6 +127,13 @@
     return None
 
 
+def decode_news(body: bytes) -> ttypes.ConfigurationNews:
+    """Read news; raise FrameError where it is not whole."""
+    news = decode(ttypes.ConfigurationNews, body)
+    require_fields(news, *NEWS_FIELDS)
+    return news
+
+
 def vm_to_wire(vm: VmRecord) -> ttypes.VmInfo:
     """Return a VM's record as a struct."""
     return ttypes.VmInfo(
--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -8,6 +8,8 @@
 import socket
 import subprocess  # the tests start the product's programs
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, closing
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -52,6 +54,19 @@
     return subprocess.Popen([sys.executable, '-m', module, str(settings)])
 
 
+@asynccontextmanager
+async def started_control(folder: Path) -> AsyncIterator['ControlProcesses']:
+    """Yield three replicas that form a cluster, and end them."""
+    processes = ControlProcesses(folder)
+    processes.prepare()
+    with closing(processes):
+        processes.start(0, 1, 2)
+        await processes.ready(0, 1, 2)
+        status, made = await processes.until('POST', '/v1/init')
+        assert (status, len(made['voters'])) == (200, 3)
+        yield processes
+
+
 @dataclass
 class ControlProcesses:
     """The processes, and calls to them as an operator makes them."""
