--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -255,7 +255,7 @@
     )
     service.start()
     await service.accept(make_manifest(100, 1, 10))
-    await service.prove()
+    await service.freshness.prove()
     task = ConfigurationTask(
         record, (control,), (), links[1], timer, metrics, None
     )
--- a/godwitshunt/configuration/numbers.py
+++ b/godwitshunt/configuration/numbers.py
@@ -17,12 +17,16 @@
     NumberTooOld,
     Pending,
 )
-from godwitshunt.configuration.delta import patch
+from godwitshunt.configuration.delta import diff, patch
 from godwitshunt.configuration.document import (
+    SYSTEM_SECTIONS,
     DigestMismatch,
     Document,
     DocumentFault,
+    document_of,
     manifest_digest_of,
+    pack,
+    pack_document,
     read_plain,
     unpack,
 )
@@ -33,6 +37,23 @@
     NumberRecord,
     Step,
 )
+from godwitshunt.manifest import Manifest
+
+
+def accept_command(state: ControlState, manifest: Manifest) -> AcceptManifest:
+    """Return the command for a manifest, with a delta where there is a base."""
+    document = document_of(manifest)
+    digest = manifest_digest_of(document)
+    base = state.document
+    if not state.highest:
+        body = pack_document(document)
+        return AcceptManifest(manifest.number, digest, '', body)
+    for section in SYSTEM_SECTIONS:
+        entries = base.section(section)
+        document = document.with_section(section, entries)
+    body = pack(diff(base, document))
+    number = manifest.number
+    return AcceptManifest(number, digest, newest_digest(state), body)
 
 
 def accept_manifest(state: ControlState, command: AcceptManifest) -> Step:
@@ -40,7 +61,7 @@
     earlier = earlier_answer(state, command.number, command.digest)
     if earlier is not None:
         return state, earlier
-    if command.base_digest not in {'', manifest_digest_of(state.document)}:
+    if command.base_digest not in {'', newest_digest(state)}:
         return state, BaseChanged()
     match manifest_document(state.document, command):
         case Err(fault):
@@ -49,6 +70,12 @@
             return record_manifest(state, command, document)
 
 
+def newest_digest(state: ControlState) -> str:
+    """Return the digest of the newest manifest; empty before the first."""
+    newest = state.numbers.get(state.highest)
+    return '' if newest is None else newest.digest
+
+
 def earlier_answer(
     state: ControlState,
     number: int,
@@ -126,7 +153,7 @@
     if isinstance(whole, Err):
         return whole
     document = whole.ok_value
-    for name in ('vms', 'holders'):
+    for name in SYSTEM_SECTIONS:
         document = document.with_section(name, base.section(name))
     return Ok(document)
 
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -6,31 +6,22 @@
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.configuration.commands import (
-    AcceptManifest,
     BaseChanged,
     Command,
     ManifestOutcome,
     Outcome,
 )
-from godwitshunt.configuration.delta import diff
 from godwitshunt.configuration.document import (
     digest_of,
-    document_of,
-    manifest_digest_of,
-    pack,
-    pack_document,
     revision_of,
     vm_entry,
     vm_of,
 )
-from godwitshunt.configuration.freshness import Freshness
+from godwitshunt.configuration.freshness_task import FreshnessTask
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.heard import HeardVm, HeardVms
-from godwitshunt.configuration.history import (
-    UNKNOWN_AGE_S,
-    Held,
-    RevisionHistory,
-)
+from godwitshunt.configuration.history import Held, RevisionHistory
+from godwitshunt.configuration.numbers import accept_command
 from godwitshunt.configuration.replicated_log import ReplicatedLog
 from godwitshunt.configuration.revision import RevisionNotice, VmRecord
 from godwitshunt.configuration.state import ControlState
@@ -41,7 +32,6 @@
     still_awaited,
 )
 from godwitshunt.configuration.wire import (
-    decode_news,
     require_fields,
     vm_from_wire,
     vm_to_wire,
@@ -56,8 +46,6 @@
 UPKEEP_PERIOD_S = 0.5
 REPORT_PERIOD_S = 1.0
 PUSH_DELAY_S = 0.05
-PROOF_PERIOD_S = 0.25
-PROOF_TIMEOUT_S = 1.0
 BASE_TRIES = 3
 
 
@@ -102,7 +90,8 @@
         self.background = Background()
         self.subscriptions = []
         self.push_due = False
-        self.freshness = Freshness()
+        self.refresh_due = False
+        self.freshness = FreshnessTask(self.machine, links, timer)
         self.led_since = timer.now()
         self.subscribers: list[RevisionNotice] = []
 
@@ -135,9 +124,8 @@
         self.machine.start()
         self.links.subscribe(MessageKind.vm_heartbeat, self.on_heartbeat)
         self.links.subscribe(MessageKind.configuration_applied, self.on_reports)
-        self.links.subscribe(MessageKind.configuration_fetch, self.on_fetch)
+        self.freshness.start()
         self.subscriptions = [
-            self.timer.every(PROOF_PERIOD_S, self.begin_proof),
             self.timer.every(UPKEEP_PERIOD_S, self.begin_upkeep),
             self.timer.every(REPORT_PERIOD_S, self.send_reports),
         ]
@@ -146,6 +134,7 @@
         """End upkeep; heartbeats are no longer answered."""
         for subscription in self.subscriptions:
             subscription.cancel()
+        await self.freshness.close()
         await self.background.close()
 
     async def accept(
@@ -155,29 +144,11 @@
         """Commit a manifest and return what became of it."""
         answer: Result[Outcome, ProposalFailure] = Ok(BaseChanged())
         for _ in range(BASE_TRIES):
-            answer = await self.propose(self.accept_command(manifest))
+            answer = await self.propose(accept_command(self.state, manifest))
             if answer != Ok(BaseChanged()):
                 break
         return answer
 
-    def accept_command(self, manifest: Manifest) -> AcceptManifest:
-        """Return the command, with a delta where there is a base."""
-        document = document_of(manifest)
-        digest = manifest_digest_of(document)
-        base = self.state.document
-        if not self.state.highest:
-            body = pack_document(document)
-            return AcceptManifest(manifest.number, digest, '', body)
-        for section in ('vms', 'holders'):
-            entries = base.section(section)
-            document = document.with_section(section, entries)
-        return AcceptManifest(
-            manifest.number,
-            digest,
-            manifest_digest_of(base),
-            pack(diff(base, document)),
-        )
-
     async def propose(
         self,
         command: Command,
@@ -200,9 +171,21 @@
         return [vm.name for vm in awaited]
 
     def on_state(self, state: ControlState) -> None:
-        """Keep the newest document and arrange that VMs are told."""
+        """Note what a committed entry led to.
+
+        The document is made ready once for all entries that come together:
+        a replica that restarts replays hundreds, and one revision after the
+        other would keep it from answering for long.
+        """
         self.note_pending(state)
-        self.freshness = self.freshness.catch_up(state.revision)
+        if not self.refresh_due:
+            self.refresh_due = True
+            self.timer.after(0, self.refresh)
+
+    def refresh(self) -> None:
+        """Keep the newest document and arrange that VMs are told."""
+        self.refresh_due = False
+        state = self.state
         newest = self.history.newest
         if newest is not None and newest.revision == state.revision:
             return
@@ -265,7 +248,9 @@
         if vm is not None:
             self.heard.hear(HeardVm(vm, revision, self.timer.now()))
         self.metrics.count('configuration_heartbeats_total')
-        news = self.history.news_for(revision, self.quorum_age_s())
+        # The proof below covers every entry that is applied; so must the news.
+        self.refresh()
+        news = self.history.news_for(revision, self.freshness.quorum_age_s())
         news.introduce = vm is None
         return encode(news)
 
@@ -278,60 +263,6 @@
             return None
         return known.vm
 
-    def quorum_age_s(self) -> float:
-        """Return for how many seconds a commit may be missing here.
-
-        Infinite where this replica never knew that it has every commit.
-        """
-        return self.timer.now() - self.freshness.current_at
-
-    def begin_proof(self) -> None:
-        """Find out whether this replica has every commit."""
-        self.background.run('proof', self.prove)
-
-    async def prove(self) -> None:
-        """Ask the log where this replica leads, else the leader."""
-        asked_at = self.timer.now()
-        leadership = self.log.leadership()
-        if leadership.is_leader:
-            newest = await self.newest_revision()
-        else:
-            newest = await self.ask_leader(leadership.name)
-        if newest is not None:
-            applied = self.state.revision
-            self.freshness = self.freshness.prove(newest, asked_at, applied)
-
-    async def newest_revision(self) -> int | None:
-        """Return the revision that includes every commit so far."""
-        if isinstance(await self.log.read_barrier(), Err):
-            return None
-        return self.state.revision
-
-    async def ask_leader(self, name: str | None) -> int | None:
-        """Return the leader's revision, once it has every commit."""
-        leader = self.state.document.section('vms').get(name or '')
-        if leader is None:
-            return None
-        reply = await self.links.call(
-            vm_of(leader).peer,
-            MessageKind.configuration_fetch,
-            b'',
-            PROOF_TIMEOUT_S,
-        )
-        if isinstance(reply, Err):
-            return None
-        news = decode_news(reply.ok_value)
-        return news.revision if news.quorum_age_s == 0 else None
-
-    async def on_fetch(self, sender: str, body: bytes) -> bytes:
-        """Tell another control replica which revision is the newest."""
-        newest = None
-        if self.log.leadership().is_leader:
-            newest = await self.newest_revision()
-        age_s = UNKNOWN_AGE_S if newest is None else 0
-        news = ttypes.ConfigurationNews(newest or 0, '', '', b'', age_s, False)
-        return encode(news)
-
     def begin_upkeep(self) -> None:
         """Commit what is due, where this replica leads."""
         self.heard.hear(
--- a/godwitshunt/configuration/tests/test_distribution.py
+++ b/godwitshunt/configuration/tests/test_distribution.py
@@ -192,3 +192,17 @@
     service.begin_upkeep()
     await deployment.run(3)
     assert record in deployment.tasks['e5'].current.vms
+
+
+async def test_replayed_entries_make_one_revision_ready(deployment):
+    """A control replica restarts and replays hundreds of entries at once.
+
+    Were each made ready for VMs, it would not answer for many seconds.
+    """
+    service = deployment.services['c1']
+    made_ready = []
+    service.subscribe(made_ready.append)
+    for number in range(1, 40):
+        await deployment.accept(manifest(number))
+    await deployment.run(0.1)
+    assert [one.manifest.number for one in made_ready] == [39]
