Queue requests that no upstream takes: bounded, in order, refused at once

Until now a request that had to wait asked again by itself, without bound and order, and the policy was never told how long it had waited, so that the share of slots of long work did not grow.

--- a/godwitshunt/exchange/ports.py
+++ b/godwitshunt/exchange/ports.py
@@ -13,6 +13,7 @@
 from godwitshunt.manifest import Objective
 from godwitshunt.membership.announcements import UpstreamAnnouncement
 from godwitshunt.membership.views import RegionView, UpstreamView
+from godwitshunt.routing.admission import AdmissionQueue
 from godwitshunt.routing.messages import Decision, RouteRequest
 from godwitshunt.routing.outliers import AttemptOutcome
 from godwitshunt.timer import Timer
@@ -109,6 +110,8 @@
     ----------
     entries : callable
         Returns the entry VMs for a caller's name, nearest first.
+    queue : AdmissionQueue
+        Requests of this VM that no upstream takes now.
     note_outcome : callable
         Takes what an attempt at an upstream came to.
     note_abandoned : callable
@@ -124,5 +127,6 @@
     choose: ChoosePort
     entries: Callable[[str], tuple[VmRecord, ...]]
     timer: Timer
+    queue: AdmissionQueue
     note_outcome: Callable[[UpstreamView, AttemptOutcome], None] = note_nothing
     note_abandoned: Callable[[UpstreamView], None] = note_nothing
--- a/godwitshunt/exchange/request_task.py
+++ b/godwitshunt/exchange/request_task.py
@@ -18,6 +18,7 @@
     WholeAnswer,
     render_problem,
 )
+from godwitshunt.exchange.queueing import BEHIND_WAIT_S, QueuePlace
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.residency import check_decision, newest_route
 from godwitshunt.exchange.states import RequestState
@@ -28,6 +29,7 @@
     RefusalReason,
     Refuse,
     Serve,
+    Wait,
 )
 from godwitshunt.routing.outliers import Answered, AttemptOutcome, Failed
 
@@ -61,6 +63,11 @@
             admitted.facts,
             delivered=admitted.resume_offset,
         )
+        self.place = QueuePlace(
+            parts.ports.queue,
+            self.started_s,
+            self.started_s + admitted.deadline_s,
+        )
         self.dispatched_s = self.started_s
         self.health_told = False
         self.attempt: Attempt | None = None
@@ -80,10 +87,15 @@
             await self.live()
         finally:
             deadline.cancel()
-            self.end_attempt()
+            self.give_up()
         channel.on_lost = None
         self.observe('request_seconds')
 
+    def give_up(self) -> None:
+        """Hold nothing any more: no place in the queue, no upstream."""
+        self.place.leave()
+        self.end_attempt()
+
     async def live(self) -> None:
         """Take events to actions until none follows."""
         event = msg.Admitted()
@@ -214,8 +226,11 @@
         return msg.Decided(self.decide(action.excluded))
 
     def decide(self, excluded: frozenset[str]) -> Decision:
-        """Return the checked routing decision."""
+        """Return the checked routing decision, or a wait in the queue."""
+        if self.place.is_behind:
+            return Wait(BEHIND_WAIT_S)
         ports = self.parts.ports
+        now = ports.timer.now()
         revision = ports.configuration.current()
         self.parts.callers.refresh(revision)
         caller = self.parts.callers.by_name.get(self.admitted.route.caller)
@@ -225,6 +240,7 @@
             newest_route(self.admitted.route, revision, caller),
             excluded=excluded,
             deadline_s=self.remaining_s(),
+            waited_s=now - self.started_s,
         )
         view = ports.membership.view()
         decision = ports.choose(
@@ -233,12 +249,13 @@
             revision.manifest.objective,
             self.parts.chance,
         )
-        return check_decision(
+        checked = check_decision(
             decision,
             route,
             self.parts.settings.region,
             isolated=view.isolated,
         )
+        return self.place.follow(checked, route, now)
 
     def remaining_s(self) -> float:
         """Return seconds until the deadline."""
--- a/godwitshunt/exchange/tests/fakes.py
+++ b/godwitshunt/exchange/tests/fakes.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
+from random import Random
 
 import h11
 from result import Ok
@@ -23,6 +24,7 @@
 )
 from godwitshunt.manifest import parse_manifest
 from godwitshunt.membership.views import RegionView, UpstreamView
+from godwitshunt.routing.admission import AdmissionQueue
 from godwitshunt.routing.messages import Forward, RefusalReason, Refuse, Serve
 from godwitshunt.settings import Address, EntrySettings, LimitSettings
 from godwitshunt.telemetry import Metrics
@@ -192,6 +194,7 @@
         choose=vm.choose,
         entries=lambda caller: (record,),
         timer=timer,
+        queue=AdmissionQueue.from_config(manifest.classes, Random(7)),
     )
     vm.exchange = ExchangeTask.from_config(settings, KEY, ports, metrics)
     await vm.exchange.start()
--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -4,6 +4,7 @@
 import gc
 import sys
 from pathlib import Path
+from random import Random
 
 import defopt
 
@@ -35,7 +36,7 @@
     RetriesAdapter,
 )
 from godwitshunt.programs.start import read_cluster_key, start_listening
-from godwitshunt.routing import RetryBudget
+from godwitshunt.routing import AdmissionQueue, RetryBudget
 from godwitshunt.routing.limits_task import LimitsTask
 from godwitshunt.routing.router import Router
 from godwitshunt.settings import EntrySettings
@@ -97,6 +98,7 @@
         )
         self.retries = RetriesAdapter(RetryBudget.from_config(0))
         self.router = Router.from_config(self.timer)
+        self.queue = AdmissionQueue.from_config((), Random())
         self.exchange = ExchangeTask.from_config(
             settings,
             self.key,
@@ -120,6 +122,7 @@
             choose=decide,
             entries=directory.entries,
             timer=self.timer,
+            queue=self.queue,
             note_outcome=self.router.note_outcome,
             note_abandoned=self.router.note_abandoned,
         )
@@ -130,6 +133,7 @@
         self.claims.apply_revision(revision)
         self.limits.configure(revision)
         self.retries.apply_revision(revision)
+        self.queue.configure(revision.manifest.classes)
         self.router.ramp.vms = sum(
             vm.region == self.settings.region and vm.role is VmRole.entry
             for vm in revision.vms
--- a/godwitshunt/routing/admission.py
+++ b/godwitshunt/routing/admission.py
@@ -168,6 +168,14 @@
         """Return the share of slots that a waiting request may use now."""
         return 1.0 if ticket.aged(now) else share
 
+    def position(self, ticket: Ticket) -> int:
+        """Return how many of the class go before a waiting request."""
+        queue = self.waiting.get(ticket.request_class, {})
+        for place, number in enumerate(queue):
+            if number == ticket.number:
+                return place
+        return 0
+
     def taken(self, ticket: Ticket, now: float) -> None:
         """Remove a request that found a place."""
         if self.withdrawn(ticket):
