--- a/godwitshunt/peer/__init__.py
+++ b/godwitshunt/peer/__init__.py
@@ -1,7 +1,8 @@
 """Links between the system's processes: frames, handshake, calls."""
 
 from godwitshunt.peer.codec import decode, encode
-from godwitshunt.peer.links import PeerLinks, PeerOptions
+from godwitshunt.peer.link import PeerOptions
+from godwitshunt.peer.links import PeerLinks
 from godwitshunt.peer.messages import (
     CallFailed,
     MessageKind,
--- /dev/null
+++ b/godwitshunt/peer/link.py
@@ -0,0 +1,216 @@
+"""The outgoing connection to one peer: one task owns the socket."""
+
+import asyncio
+import itertools
+import ssl
+from contextlib import suppress
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from godwitshunt.exceptions import FrameError, HandshakeError
+from godwitshunt.peer import handshake
+from godwitshunt.peer.codec import decode, encode
+from godwitshunt.peer.frames import frame, read_frame
+from godwitshunt.peer.gen.wire.ttypes import Envelope
+from godwitshunt.peer.messages import (
+    CallFailed,
+    MessageKind,
+    NotSent,
+    OutcomeUnknown,
+)
+from godwitshunt.settings import Address
+
+OUTBOX_FRAMES = 1024
+CONNECT_TIMEOUT_S = 2.0
+RECONNECT_PAUSE_S = 0.2
+BROKEN = (OSError, EOFError, FrameError, HandshakeError, TimeoutError)
+
+
+@dataclass(frozen=True)
+class PeerOptions:
+    """What a process needs to talk to its peers.
+
+    Parameters
+    ----------
+    name : str
+        This process's name, told in the handshake.
+    listen : Address
+        Where peers reach this process.
+    key : bytes
+        The deployment's cluster key.
+    frame_bytes : int
+        Longest frame that is read, in bytes.
+    server_tls, client_tls : ssl.SSLContext or None
+        None talks plain TCP.
+    """
+
+    name: str
+    listen: Address
+    key: bytes
+    frame_bytes: int = 4 * 1024 * 1024
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+
+
+class Link:
+    """The outgoing connection to one peer, made when first needed.
+
+    A broken connection fails every call that was sent on it with
+    `OutcomeUnknown`: the peer may have acted on them. Calls that were not yet
+    written fail with `NotSent`.
+    """
+
+    def __init__(self, address: Address, options: PeerOptions) -> None:
+        self.address = address
+        self.options = options
+        self.outbox: asyncio.Queue[Envelope] = asyncio.Queue(OUTBOX_FRAMES)
+        self.waiting: dict[int, asyncio.Future[bytes]] = {}
+        self.sent: set[int] = set()
+        self.numbers = itertools.count(1)
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start the task that owns the connection."""
+        self.task = asyncio.create_task(self.run())
+
+    async def close(self) -> None:
+        """Close the connection and fail what waits on it."""
+        if self.task is not None:
+            self.task.cancel()
+            with suppress(asyncio.CancelledError):
+                await self.task
+        self.fail_waiting('link closed')
+
+    def put(self, envelope: Envelope) -> bool:
+        """Queue an envelope; False where the outbox is full."""
+        try:
+            self.outbox.put_nowait(envelope)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    async def call(
+        self,
+        kind: MessageKind,
+        body: bytes,
+        timeout_s: float,
+    ) -> Result[bytes, CallFailed]:
+        """Send a message and wait for its reply."""
+        number = next(self.numbers)
+        reply: asyncio.Future[bytes] = asyncio.Future()
+        self.waiting[number] = reply
+        envelope = Envelope(kind=kind, call=number, reply=False, body=body)
+        if not self.put(envelope):
+            self.waiting.pop(number)
+            return Err(NotSent(str(self.address), 'outbox full'))
+        try:
+            return Ok(await asyncio.wait_for(reply, timeout_s))
+        except TimeoutError:
+            return Err(self.failure(number, 'no reply in time'))
+        except OSError as broken:
+            return Err(self.failure(number, str(broken)))
+        finally:
+            self.waiting.pop(number, None)
+            self.sent.discard(number)
+
+    def failure(self, number: int, reason: str) -> CallFailed:
+        """Return the failure of a call, by whether it was written."""
+        if number in self.sent:
+            return OutcomeUnknown(str(self.address), reason)
+        return NotSent(str(self.address), reason)
+
+    async def run(self) -> None:
+        """Connect, exchange frames, and connect again when that breaks."""
+        while True:
+            envelope = await self.outbox.get()
+            try:
+                await self.exchange(envelope)
+            except BROKEN as broken:
+                self.fail_waiting(repr(broken))
+            self.drop_outbox()
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+
+    def drop_outbox(self) -> None:
+        """Forget envelopes that were queued for the broken connection.
+
+        A message that waited through an outage would arrive with old news, or
+        after its caller has given up; the sender's slice sends it anew.
+        """
+        while not self.outbox.empty():
+            self.outbox.get_nowait()
+        self.fail_waiting('not connected')
+
+    async def exchange(self, first: Envelope) -> None:
+        """Send and receive on one connection until it breaks."""
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                self.address.host,
+                self.address.port,
+                ssl=self.options.client_tls,
+                # Peers and firewalls know a VM by its own address.
+                local_addr=(self.options.listen.host, 0),
+            )
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await handshake.greet(
+                    reader,
+                    writer,
+                    self.options.key,
+                    self.options.name,
+                )
+            await self.converse(reader, writer, first)
+        finally:
+            writer.close()
+
+    async def converse(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        first: Envelope,
+    ) -> None:
+        """Run both directions until one ends; raise what ended it."""
+        sending = asyncio.create_task(self.send(writer, first))
+        receiving = asyncio.create_task(self.receive(reader))
+        tasks = (sending, receiving)
+        try:
+            done, _ = await asyncio.wait(
+                tasks,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        for task in done:
+            task.result()
+
+    async def send(
+        self,
+        writer: asyncio.StreamWriter,
+        envelope: Envelope,
+    ) -> None:
+        """Write envelopes from the outbox."""
+        while True:
+            if not envelope.call or envelope.call in self.waiting:
+                self.sent.add(envelope.call)
+                writer.write(frame(encode(envelope)))
+                await writer.drain()
+            envelope = await self.outbox.get()
+
+    async def receive(self, reader: asyncio.StreamReader) -> None:
+        """Read replies and give each to its call."""
+        while True:
+            body = await read_frame(reader, self.options.frame_bytes)
+            envelope = decode(Envelope, body)
+            # A reply to a call that was given up finds nobody waiting and is
+            # dropped; numbers are never used twice on a link.
+            waiting = self.waiting.get(envelope.call)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(envelope.body or b'')
+
+    def fail_waiting(self, reason: str) -> None:
+        """Fail every call that waits for a reply."""
+        for reply in self.waiting.values():
+            if not reply.done():
+                reply.set_exception(ConnectionError(reason))
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -9,7 +9,6 @@
 from godwitshunt.claims import ClaimsTask
 from godwitshunt.configuration import (
     ConfigurationService,
-    VmRecord,
     VmRole,
 )
 from godwitshunt.configuration.cluster import Cluster
@@ -23,32 +22,12 @@
 from godwitshunt.exchange.gateway import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.manifest.documents import read_settings
-from godwitshunt.peer import (
-    PeerLinks,
-    PeerOptions,
-    client_context,
-    server_context,
-)
 from godwitshunt.placement import PlacementApi, PlacementTask
-from godwitshunt.programs.start import read_cluster_key, start_listening
+from godwitshunt.programs.start import make_links, start_listening, vm_record
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
 from godwitshunt.timer import TimerService, stop_on_signals
 
-
-def vm_record(settings: ControlSettings, session: str) -> VmRecord:
-    """Return the record of this control replica."""
-    return VmRecord(
-        name=settings.name,
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        role=VmRole.control,
-        http=settings.http_reached,
-        peer=settings.peer_reached,
-        session=session,
-    )
-
-
 WRONG_INPUT = 2
 
 
@@ -59,17 +38,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.timer = TimerService()
-        self.links = PeerLinks.from_config(
-            PeerOptions(
-                name=settings.name,
-                listen=settings.peer,
-                key=read_cluster_key(settings),
-                frame_bytes=settings.limits.frame_bytes,
-                server_tls=server_context(settings.tls),
-                client_tls=client_context(settings.tls),
-            ),
-            self.metrics,
-        )
+        self.links = make_links(settings, self.metrics)
         self.consensus = ConsensusTask.from_config(
             ConsensusOptions.from_settings(settings),
             DiskFileSystem(settings.data_folder),
@@ -85,7 +54,7 @@
         )
         self.service = ConfigurationService.from_config(
             settings,
-            vm_record(settings, self.claims.session),
+            vm_record(settings, VmRole.control, self.claims.session),
             self.consensus,
             self.links,
             self.timer,
--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -12,7 +12,6 @@
 from godwitshunt.configuration import (
     ConfigurationTask,
     Revision,
-    VmRecord,
     VmRole,
 )
 from godwitshunt.exceptions import GodwitshuntError
@@ -20,12 +19,6 @@
 from godwitshunt.exchange.ports import ChoosePort, Ports
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.membership import MembershipTask
-from godwitshunt.peer import (
-    PeerLinks,
-    PeerOptions,
-    client_context,
-    server_context,
-)
 from godwitshunt.placement import PlacementReporter
 from godwitshunt.programs.entry_ports import (
     ClaimsAdapter,
@@ -35,7 +28,12 @@
     MembershipAdapter,
     RetriesAdapter,
 )
-from godwitshunt.programs.start import read_cluster_key, start_listening
+from godwitshunt.programs.start import (
+    make_links,
+    read_cluster_key,
+    start_listening,
+    vm_record,
+)
 from godwitshunt.routing import AdmissionQueue, RetryBudget
 from godwitshunt.routing.limits_task import LimitsTask
 from godwitshunt.routing.router import Router
@@ -66,25 +64,14 @@
         self.timer = TimerService()
         self.metrics = Metrics()
         self.stopping = asyncio.Event()
-        self.key = read_cluster_key(settings)
-        self.links = PeerLinks.from_config(
-            PeerOptions(
-                name=settings.name,
-                listen=settings.peer,
-                key=self.key,
-                frame_bytes=settings.limits.frame_bytes,
-                server_tls=server_context(settings.tls),
-                client_tls=client_context(settings.tls),
-            ),
-            self.metrics,
-        )
+        self.links = make_links(settings, self.metrics)
         parts = (settings, self.links, self.timer, self.metrics)
         self.claims = ClaimsTask.from_config(*parts)
         self.membership = MembershipTask.from_config(*parts)
         self.limits = LimitsTask.from_config(*parts)
         self.configuration = ConfigurationTask.from_config(
             settings,
-            vm_record(settings, self.claims.session),
+            vm_record(settings, VmRole.entry, self.claims.session),
             self.links,
             self.timer,
             self.metrics,
@@ -101,7 +88,7 @@
         self.queue = AdmissionQueue.from_config((), Random())
         self.exchange = ExchangeTask.from_config(
             settings,
-            self.key,
+            read_cluster_key(settings),
             self.make_ports(decide or self.router.choose),
             self.metrics,
         )
@@ -184,19 +171,6 @@
         self.timer.close()
 
 
-def vm_record(settings: EntrySettings, session: str) -> VmRecord:
-    """Return the record that this VM tells control of itself."""
-    return VmRecord(
-        name=settings.name,
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        role=VmRole.entry,
-        http=settings.http_reached,
-        peer=settings.peer_reached,
-        session=session,
-    )
-
-
 async def run_entry(settings: EntrySettings) -> None:
     """Run an entry process to its end."""
     await EntryProcess(settings).run()
--- a/godwitshunt/programs/start.py
+++ b/godwitshunt/programs/start.py
@@ -1,9 +1,17 @@
-"""What every program does with its settings before it can start."""
+"""What every program makes of its settings before it can start."""
 
 from collections.abc import Awaitable, Callable
 
+from godwitshunt.configuration import VmRecord, VmRole
 from godwitshunt.exceptions import FieldProblem, SettingsError
+from godwitshunt.peer import (
+    PeerLinks,
+    PeerOptions,
+    client_context,
+    server_context,
+)
 from godwitshunt.settings import Address, NodeSettings
+from godwitshunt.telemetry import Metrics
 
 SETTINGS = 'settings'
 
@@ -51,3 +59,29 @@
             'a free address of this VM',
         )
         raise SettingsError(SETTINGS, (problem,)) from None
+
+
+def make_links(settings: NodeSettings, metrics: Metrics) -> PeerLinks:
+    """Make the peer links of a process."""
+    options = PeerOptions(
+        name=settings.name,
+        listen=settings.peer,
+        key=read_cluster_key(settings),
+        frame_bytes=settings.limits.frame_bytes,
+        server_tls=server_context(settings.tls),
+        client_tls=client_context(settings.tls),
+    )
+    return PeerLinks.from_config(options, metrics)
+
+
+def vm_record(settings: NodeSettings, role: VmRole, session: str) -> VmRecord:
+    """Return the record that a VM tells control of itself."""
+    return VmRecord(
+        name=settings.name,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        role=role,
+        http=settings.http_reached,
+        peer=settings.peer_reached,
+        session=session,
+    )
