--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -23,6 +23,7 @@
 COMMITS = 300
 ROUNDS = 15
 TURN = 20
+DELAYS_S = (0.001, 0.01)
 BURST_COMMITS = 9600
 BURST = 32
 PAYLOAD_BYTES = 512
@@ -90,9 +91,26 @@
     raise ValueError(replicas)
 
 
-def measure_commits(leader: Replica, follower: Replica) -> dict:
-    """Compare commits with their unavoidable parts, taken in turns."""
-    leader.ask('commit', count=COMMITS, together=1, size=PAYLOAD_BYTES)
+def measure_commits(
+    replicas: list[Replica],
+    leader: Replica,
+    delay_s: float,
+) -> dict:
+    """Compare commits with their unavoidable parts, taken in turns.
+
+    Parameters
+    ----------
+    replicas : list of Replica
+        All of them.
+    leader : Replica
+        The one that commits.
+    delay_s : float
+        Seconds that each message is held up; both ways count as part of the
+        round trip.
+    """
+    follower = next(one for one in replicas if one is not leader)
+    for replica in replicas:
+        replica.ask('hold_up', delay_s=delay_s)
     port = follower.ask('echo_server')['port']
     syncs: list[float] = []
     trips: list[float] = []
@@ -102,15 +120,9 @@
         syncs.extend(sync['durations'])
         trip = leader.ask('echo_times', port=port, count=TURN)
         trips.extend(trip['durations'])
-        commit = leader.ask(
-            'commit',
-            count=TURN,
-            together=1,
-            size=PAYLOAD_BYTES,
-        )
-        commits.extend(commit['latencies'])
+        commits.extend(commit_alone(leader, TURN))
     sync_s = statistics.median(syncs)
-    trip_s = statistics.median(trips)
+    trip_s = statistics.median(trips) + 2 * delay_s
     commit_s = statistics.median(commits)
     return {
         'round_trip_us': trip_s * 1e6,
@@ -121,6 +133,17 @@
     }
 
 
+def commit_alone(leader: Replica, count: int) -> list[float]:
+    """Commit one payload after another; return the latencies in seconds."""
+    answer = leader.ask(
+        'commit',
+        count=count,
+        together=1,
+        size=PAYLOAD_BYTES,
+    )
+    return answer['latencies']
+
+
 def measure_processor(replicas: list[Replica], leader: Replica) -> dict:
     """Measure processor time per commit, alone and in bursts."""
     figures = {}
@@ -189,8 +212,17 @@
         replicas[0].ask('bootstrap', ports=ports)
         leader = wait_for_leader(replicas)
         follower = next(one for one in replicas if one is not leader)
+        commit_alone(leader, COMMITS)
+        commits = {
+            f'each_way_{delay_s * 1e3:.0f}_ms': measure_commits(
+                replicas,
+                leader,
+                delay_s,
+            )
+            for delay_s in (*DELAYS_S, 0)
+        }
         figures = {
-            'commits': measure_commits(leader, follower),
+            'commits': commits,
             'processor': measure_processor(replicas, leader),
             'idle': measure_idle(replicas, leader),
         }
--- a/benchmarks/replica_program.py
+++ b/benchmarks/replica_program.py
@@ -30,17 +30,22 @@
 
 
 class CountingLinks(PeerLinks):
-    """Peer links that count what replicas send."""
+    """Peer links that count, and may hold up, what replicas send."""
 
     sent_messages = 0
     sent_bytes = 0
+    delay_s = 0.0
 
     def tell(self, address, kind, body) -> None:
         """Count a message and send it."""
         self.sent_messages += 1
         envelope = Envelope(kind=kind, call=0, reply=False, body=body)
         self.sent_bytes += len(frame(encode(envelope)))
-        super().tell(address, kind, body)
+        if self.delay_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.delay_s, super().tell, address, kind, body)
+        else:
+            super().tell(address, kind, body)
 
 
 class Digest:
@@ -131,6 +136,11 @@
             raise RuntimeError(outcome)
         return time.perf_counter() - began
 
+    async def hold_up(self, delay_s: float) -> dict:
+        """Send each message so many seconds late, as over a long link."""
+        self.links.delay_s = delay_s
+        return {}
+
     async def counters(self) -> dict:
         """Tell what was sent, and the processor time spent."""
         return {
--- a/godwitshunt/consensus/driver.py
+++ b/godwitshunt/consensus/driver.py
@@ -117,20 +117,21 @@
         actions: list[Action] = []
         for event in events:
             actions.extend(self.replica.step(event, self.timer.now()))
-        while actions:
-            actions = await self.carry_out(actions)
+        await self.carry_out(actions)
+        await self.carry_out(self.snapshot_when_due())
         self.note_changes()
 
-    async def carry_out(self, actions: list[Action]) -> list[Action]:
-        """Carry actions out; return those that follow from them."""
-        batch = arrange(actions)
-        for early in batch.early:
-            self.act(early)
-        if batch.saves:
-            await self.save(batch.saves)
-        for late in batch.late:
-            self.act(late)
-        return self.synced() if batch.saves else self.snapshot_when_due()
+    async def carry_out(self, actions: list[Action]) -> None:
+        """Carry actions out, and those that follow from their sync."""
+        while actions:
+            batch = arrange(actions)
+            for early in batch.early:
+                self.act(early)
+            if batch.saves:
+                await self.save(batch.saves)
+            for late in batch.late:
+                self.act(late)
+            actions = self.synced() if batch.saves else []
 
     def synced(self) -> list[Action]:
         """Tell the replica that all it asked to save is on disk."""
@@ -142,7 +143,8 @@
         """Take a snapshot once enough entries were applied.
 
         Only when no actions wait: they may include the applying of entries
-        that the replica counts as applied already.
+        that the replica counts as applied already. And after every batch, or
+        the log of a follower would grow as long as each brings entries.
         """
         state = self.replica.state
         take_snapshot = self.machine.take_snapshot
--- a/godwitshunt/consensus/tests/test_task.py
+++ b/godwitshunt/consensus/tests/test_task.py
@@ -22,7 +22,14 @@
     StorageFailed,
     bootstrap,
 )
-from godwitshunt.consensus.events import ReadAsked, Tick
+from godwitshunt.consensus.events import ReadAsked, Received, Tick
+from godwitshunt.consensus.members import ReplicaId
+from godwitshunt.consensus.messages import (
+    AppendRequest,
+    Entry,
+    EntryKind,
+    Header,
+)
 from godwitshunt.exceptions import StorageFull
 from godwitshunt.peer import PeerLinks, PeerOptions
 from godwitshunt.settings import Address
@@ -228,3 +235,24 @@
         driver.put_tick()
         driver.put_tick()
         assert await driver.next_events() == [ReadAsked(0), Tick()]
+
+
+async def test_follower_takes_snapshots_while_entries_keep_coming(tmp_path):
+    """Each message brings new entries, as under steady load.
+
+    The follower's log must not grow until the load ends.
+    """
+    async with started('a', tmp_path / 'a', free_address()) as task:
+        task.task.cancel()
+        leader = ReplicaId('z', '1')
+        header = Header(1, leader, task.identity().replica)
+        for end in range(10, 50, 10):
+            entries = tuple(
+                Entry(index, 1, EntryKind.payload, b'x')
+                for index in range(end - 9, end + 1)
+            )
+            prev = (end - 10, 1 if end > 10 else 0)
+            request = AppendRequest(header, *prev, entries, end, 0, 0, 0)
+            await task.driver.take([Received(request)])
+        state = task.replica.state
+        assert state.applied_index - state.snapshot.index < 20
