--- a/godwitshunt/consensus/tests/test_faults.py
+++ b/godwitshunt/consensus/tests/test_faults.py
@@ -296,6 +296,25 @@
         assert not sent[0].message.granted
 
 
+def test_vote_is_remembered_over_a_restart():
+    """A voter restarts after its vote, and another candidate asks it.
+
+    A second vote in the term could elect a second leader.
+    """
+    cluster = Cluster.started('abc')
+    node = cluster.nodes['b']
+    granted = []
+    for candidate in 'cac':
+        cluster.run([['isolate', 'a'], ['advance', 1.5]])
+        asker = ReplicaId(candidate, '1')
+        header = Header(9, asker, node.replica.identity)
+        request = VoteRequest(header, 99, 8, pre_vote=False)
+        cluster.step(node, ev.Received(request))
+        granted.append(node.replica.state.voted_for == asker)
+        cluster.run([['crash', 'b'], ['restart', 'b']])
+    assert granted == [True, False, True]
+
+
 @pytest.mark.parametrize('point', range(4))
 def test_power_loss_while_a_vote_is_saved(point):
     """A voter loses power while it saves its vote, and forgets it.
