--- a/godwitshunt/claims/task.py
+++ b/godwitshunt/claims/task.py
@@ -9,31 +9,26 @@
 from godwitshunt.claims.ballots import Ballot, HolderLinks
 from godwitshunt.claims.gen.wire import ttypes
 from godwitshunt.claims.holder_task import ClaimHolderTask
-from godwitshunt.claims.keys import ClaimKey, make_stamp, parse_key
+from godwitshunt.claims.keys import ClaimKey, parse_key
 from godwitshunt.claims.messages import (
     ClaimOutcome,
     Granted,
     KeptAnswer,
     KeyExpired,
-    KeyMalformed,
     NoMajority,
     RunUnknown,
 )
+from godwitshunt.claims.stamps import StampKeeper
 from godwitshunt.claims.standing import majority
 from godwitshunt.claims.verdicts import Attempt, Finish, Release, Verdict
-from godwitshunt.claims.wire import standing_from_wire
 from godwitshunt.configuration.revision import HolderSet, Revision
 from godwitshunt.exceptions import FrameError
 from godwitshunt.membership.jobs import Jobs
-from godwitshunt.peer import MessageKind, PeerLinks, decode
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.settings import NodeSettings
 from godwitshunt.telemetry import Metrics
-from godwitshunt.timer import Subscription, Timer
+from godwitshunt.timer import Timer
 
-EPOCH_POLL_S = 2.0
-# Stamps of an older epoch than this would shorten the time in which callers
-# may use them.
-STAMP_LIMIT_S = 10.0
 TELL_TIMEOUT_S = 1.0
 TELL_TRIES = 3
 TELL_PAUSE_S = 0.2
@@ -72,9 +67,12 @@
         )
         self.links = HolderLinks(links, self.holder, timer, metrics)
         self.sets: dict[tuple[str, int], HolderSet] = {}
+        self.stamps = StampKeeper(settings, self.links)
         self.granted: dict[str, Attempt] = {}
+        self.ballots: list[Ballot] = []
+        # Keys whose ending is being told to the holders.
+        self.settling: set[str] = set()
         self.jobs = Jobs()
-        self.subscriptions: list[Subscription] = []
 
     @classmethod
     def from_config(
@@ -90,14 +88,15 @@
     async def start(self) -> None:
         """Begin to vote, and follow the epoch of the own region."""
         await self.holder.start()
-        self.subscriptions = [
-            self.timer.every(EPOCH_POLL_S, self.poll_epoch),
-        ]
+        self.links.links.subscribe(
+            MessageKind.claim_running,
+            self.answer_running,
+        )
+        self.stamps.start()
 
     async def close(self) -> None:
         """Stop voting; claims under way are withdrawn by their callers."""
-        for subscription in self.subscriptions:
-            subscription.cancel()
+        await self.stamps.close()
         await self.jobs.close()
         await self.links.jobs.close()
         await self.holder.close()
@@ -109,7 +108,7 @@
         }
         self.links.addresses = {vm.name: vm.peer for vm in revision.vms}
         self.holder.apply_revision(revision)
-        self.poll_epoch()
+        self.stamps.apply_sets(revision.holders)
 
     def is_recovering(self) -> bool:
         """Return whether this VM abstains in its region's newest set.
@@ -117,38 +116,12 @@
         Control commits a new set, with the present sessions, where that
         lasts: too few holders remember for any to recover.
         """
-        newest = self.newest_set()
-        if newest is None:
-            return False
-        generation = (newest.region, newest.generation)
-        return generation in self.holder.table.recovering()
-
-    def newest_set(self) -> HolderSet | None:
-        """Return the newest holder set of the own region."""
-        own = self.own_sets()
-        return own[-1] if own else None
-
-    def own_sets(self) -> list[HolderSet]:
-        """Return the holder sets of the own region, the newest last."""
-        own = (
-            one
-            for one in self.sets.values()
-            if one.region == self.settings.region
-        )
-        return sorted(own, key=lambda one: one.generation)
+        recovering = self.holder.table.recovering()
+        return self.stamps.newest_generation() in recovering
 
     def stamp(self) -> str | None:
-        """Return what keys begin with; None while the epoch is not known."""
-        # Holders of a generation that was committed a moment ago may not have
-        # heard of it: until a majority has, the one before gives the stamps.
-        # Without that callers would get none at each restart of a holder.
-        for one in reversed(self.own_sets()):
-            generation = (one.region, one.generation)
-            heard_s = self.links.heard_s.get(generation)
-            if heard_s is None or self.timer.now() - heard_s > STAMP_LIMIT_S:
-                continue
-            return make_stamp(*generation, self.links.epochs[generation])
-        return None
+        """Return what keys begin with; None while no epoch is known."""
+        return self.stamps.stamp()
 
     async def claim(
         self,
@@ -187,14 +160,36 @@
             withdraw=self.withdraw,
         )
         started_s = self.timer.now()
-        outcome = await ballot.run()
+        self.ballots.append(ballot)
+        try:
+            outcome = await ballot.run()
+        finally:
+            self.ballots.remove(ballot)
+        if isinstance(outcome, Granted):
+            self.granted[key] = ballot.attempt
         elapsed_s = self.timer.now() - started_s
         name = type(outcome).__name__
         self.metrics.observe('claim_seconds', elapsed_s, outcome=name)
-        if isinstance(outcome, Granted):
-            self.granted[key] = ballot.attempt
         return outcome
 
+    async def answer_running(self, sender: str, body: bytes) -> bytes:
+        """Tell a rival's VM whether an attempt here may run a key's call."""
+        key = decode(ttypes.RunningCall, body).key
+        if not key:
+            raise FrameError('RunningCall: no key')
+        return encode(ttypes.RunningReply(running=self.may_run(key)))
+
+    def may_run(self, key: str) -> bool:
+        """Tell whether an attempt of this VM runs, or may come to run.
+
+        One that only waits for another VM's attempt does not.
+        """
+        voting = any(
+            ballot.key.text == key and ballot.attempt is not None
+            for ballot in self.ballots
+        )
+        return voting or key in self.granted or key in self.settling
+
     def find_set(
         self,
         key: str,
@@ -212,11 +207,10 @@
             for region, generation in self.sets
             if region == claim_key.region
         ]
-        if not known:
-            return Err(KeyMalformed())
-        if claim_key.generation < min(known):
+        if known and claim_key.generation < min(known):
             return Err(KeyExpired())
-        # A set that this VM has not heard of yet: another VM may have run it.
+        # A region or a set that this VM has not heard of yet: another VM may
+        # have run the call.
         return Err(NoMajority(0, 1))
 
     async def finish(self, key: str, answer: KeptAnswer) -> None:
@@ -231,7 +225,7 @@
         """Tell the holders what came of a granted attempt."""
         attempt = self.granted.pop(key, None)
         if attempt is not None:
-            await self.tell(Finish(attempt, ending))
+            await self.settle(key, Finish(attempt, ending))
 
     async def release(self, key: str) -> None:
         """Give up a granted claim, on the proof that the call did not run.
@@ -240,7 +234,15 @@
         """
         attempt = self.granted.pop(key, None)
         if attempt is not None:
-            await self.tell(Release(attempt))
+            await self.settle(key, Release(attempt))
+
+    async def settle(self, key: str, request: Finish | Release) -> None:
+        """Tell the holders; rivals are told to wait until they know."""
+        self.settling.add(key)
+        try:
+            await self.tell(request)
+        finally:
+            self.settling.discard(key)
 
     def withdraw(self, attempt: Attempt) -> None:
         """Have holders forget an attempt that never runs."""
@@ -274,48 +276,3 @@
         else:
             self.metrics.count('claims_not_told_total')
         told.release()
-
-    def poll_epoch(self) -> None:
-        """Hear the epoch of the own region's newest set."""
-        newest = self.newest_set()
-        if newest is not None:
-            self.jobs.run(self.hear_epoch(newest))
-
-    async def hear_epoch(self, holder_set: HolderSet) -> None:
-        """Ask every holder for its epoch; a majority makes it known."""
-        generation = (holder_set.region, holder_set.generation)
-        epochs = await asyncio.gather(
-            *(self.hear_holder(generation, name) for name in holder_set.names),
-        )
-        heard = [epoch for epoch in epochs if epoch is not None]
-        if len(heard) >= majority(len(holder_set.names)):
-            self.links.heard_s[generation] = self.timer.now()
-
-    async def hear_holder(
-        self,
-        generation: tuple[str, int],
-        name: str,
-    ) -> int | None:
-        """Return one holder's epoch, if it answers."""
-        if name == self.settings.name:
-            holder = self.holder.table.holders.get(generation)
-            if holder is None or holder.recovering:
-                return None
-            self.links.learn(generation, holder.epoch)
-            return holder.epoch
-        call = ttypes.HolderCall(
-            *generation,
-            epoch=self.links.epochs.get(generation, 0),
-        )
-        reply = await self.links.call(name, MessageKind.claim_epoch, call)
-        if reply is None:
-            return None
-        try:
-            wire = decode(ttypes.HolderReply, reply)
-            standing = standing_from_wire(wire.standing)
-        except FrameError:
-            return None
-        if standing is None:
-            return None
-        self.links.learn(generation, standing.epoch)
-        return standing.epoch
--- a/godwitshunt/exchange/request_task.py
+++ b/godwitshunt/exchange/request_task.py
@@ -1,35 +1,27 @@
 """The task of one request: carries out what the state machine decides."""
 
 import asyncio
-import random
 from collections.abc import Coroutine
 from contextlib import suppress
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 from godwitshunt.claims.messages import KeptAnswer
 from godwitshunt.exchange import messages as msg
-from godwitshunt.exchange.admission import AdmittedRequest, CallerIndex
+from godwitshunt.exchange.admission import AdmittedRequest
 from godwitshunt.exchange.attempts import Attempt
 from godwitshunt.exchange.forwarding import request_digest
-from godwitshunt.exchange.lifecycle import RequestState, advance
-from godwitshunt.exchange.outgoing import (
-    RESUME_HEADER,
-    forward_note,
-    forwarded_request,
-    served_headers,
-    upstream_request,
-)
-from godwitshunt.exchange.ports import Ports
+from godwitshunt.exchange.lifecycle import advance
+from godwitshunt.exchange.parts import RequestParts
 from godwitshunt.exchange.problems import (
-    Headers,
     Problem,
     WholeAnswer,
     render_problem,
 )
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.residency import check_decision, newest_route
-from godwitshunt.exchange.upstream_pool import OutgoingRequest, UpstreamPool
+from godwitshunt.exchange.states import RequestState
+from godwitshunt.exchange.targets import forward_attempt, upstream_attempt
 from godwitshunt.routing.messages import (
     Decision,
     Forward,
@@ -37,46 +29,11 @@
     Refuse,
     Serve,
 )
-from godwitshunt.settings import Address, EntrySettings
-from godwitshunt.telemetry import Metrics
+from godwitshunt.routing.outliers import Answered, AttemptOutcome, Failed
 
 KEPT_HEADER = (b'godwitshunt-kept', b'true')
 
 
-@dataclass
-class RequestParts:
-    """What every request's task works with.
-
-    Parameters
-    ----------
-    settings : EntrySettings
-        The VM's name, region and bounds.
-    cluster_key : bytes
-        Signs forward notes.
-    ports : Ports
-        The other slices.
-    pool : UpstreamPool
-        Connections to upstreams.
-    vms : UpstreamPool
-        Connections to other VMs, which talk TLS where the settings say so.
-    metrics : Metrics
-        Counts attempts, refusals and durations.
-    callers : CallerIndex
-        Callers of the revision in force.
-    chance : random.Random
-        Chance for routing decisions.
-    """
-
-    settings: EntrySettings
-    cluster_key: bytes
-    ports: Ports
-    pool: UpstreamPool
-    vms: UpstreamPool
-    metrics: Metrics
-    callers: CallerIndex = field(default_factory=CallerIndex)
-    chance: random.Random = field(default_factory=random.Random)
-
-
 class RequestTask:
     """One request from its admission to its end.
 
@@ -104,6 +61,8 @@
             admitted.facts,
             delivered=admitted.resume_offset,
         )
+        self.dispatched_s = self.started_s
+        self.health_told = False
         self.attempt: Attempt | None = None
         self.operation: asyncio.Task[msg.Event] | None = None
         self.interruption: msg.Event | None = None
@@ -231,7 +190,14 @@
     async def claim(self) -> msg.Event:
         """Ask the claim holders; never stopped, so that the grant is known."""
         request = self.admitted.request
-        digest = request_digest(request.method, request.target, request.body)
+        # The caller is part of what must be the same: under another's key
+        # nobody may get that caller's kept answer.
+        caller = self.admitted.route.caller
+        digest = request_digest(
+            f'{caller} {request.method}',
+            request.target,
+            request.body,
+        )
         claims = self.parts.ports.claims
         outcome = await claims.claim(self.admitted.key, digest)
         return msg.ClaimSettled(outcome)
@@ -245,9 +211,9 @@
         if action.spend_retry and not ports.retries.spend(now):
             self.parts.metrics.count('retries_denied_total')
             return msg.RetryDenied()
-        return msg.Decided(self.decide(action.excluded, now))
+        return msg.Decided(self.decide(action.excluded))
 
-    def decide(self, excluded: frozenset[str], now: float) -> Decision:
+    def decide(self, excluded: frozenset[str]) -> Decision:
         """Return the checked routing decision."""
         ports = self.parts.ports
         revision = ports.configuration.current()
@@ -258,7 +224,7 @@
         route = replace(
             newest_route(self.admitted.route, revision, caller),
             excluded=excluded,
-            deadline_s=self.remaining_s(now),
+            deadline_s=self.remaining_s(),
         )
         view = ports.membership.view()
         decision = ports.choose(
@@ -274,87 +240,99 @@
             isolated=view.isolated,
         )
 
-    def remaining_s(self, now: float) -> float:
+    def remaining_s(self) -> float:
         """Return seconds until the deadline."""
+        now = self.parts.ports.timer.now()
         return max(0.0, self.started_s + self.admitted.deadline_s - now)
 
     async def dispatch(self, action: msg.Dispatch) -> msg.Event:
         """Send the request to an upstream or to a VM."""
         self.end_attempt()
+        self.dispatched_s = self.parts.ports.timer.now()
+        self.health_told = False
         self.parts.metrics.count('attempts_total')
         membership = self.parts.ports.membership
         match action.target:
             case Serve(upstream):
-                self.attempt = self.upstream_attempt(action)
+                self.attempt = upstream_attempt(
+                    self.parts,
+                    self.admitted,
+                    action,
+                    self.remaining_s(),
+                )
                 pool = self.parts.pool
                 tokens = self.admitted.route.prompt_tokens
                 membership.note_sent(upstream.name, tokens)
             case Forward():
-                self.attempt = self.forward_attempt(action)
+                self.attempt = forward_attempt(
+                    self.parts,
+                    self.admitted,
+                    action,
+                    self.remaining_s(),
+                )
                 pool = self.parts.vms
                 self.parts.metrics.count('forwards_total')
+        if action.resume_offset:
+            self.parts.metrics.count('streams_resumed_total')
         event = await self.attempt.dispatch(pool)
+        self.note_event(event)
         if not isinstance(event, msg.HeadArrived):
             self.end_attempt()
         return event
 
-    def upstream_attempt(self, action: msg.Dispatch) -> Attempt:
-        """Return the attempt at an upstream of this region."""
-        now = self.parts.ports.timer.now()
-        revision = self.parts.ports.configuration.current()
-        upstream = action.target.upstream
-        served = served_headers(
-            self.parts.settings,
-            upstream.name,
-            revision.revision,
-        )
-        if self.admitted.resume_offset:
-            offset = str(self.admitted.resume_offset).encode()
-            served = (*served, (RESUME_HEADER, offset))
-        request = upstream_request(
-            self.admitted,
-            self.remaining_s(now),
-            action.resume_offset,
-        )
-        return self.make_attempt(action, upstream.address, request, served)
-
-    def forward_attempt(self, action: msg.Dispatch) -> Attempt:
-        """Return the attempt at a VM of another region."""
-        note = forward_note(
-            self.admitted,
-            action.target,
-            self.parts.settings,
-            self.remaining_s(self.parts.ports.timer.now()),
-            action.resume_offset,
-            self.parts.ports.configuration.current().revision,
-        )
-        request = forwarded_request(
-            self.admitted,
-            note,
-            self.parts.cluster_key,
-        )
-        entry = self.parts.settings.name.encode()
-        served = ((b'godwitshunt-entry', entry),)
-        return self.make_attempt(action, action.target.address, request, served)
-
-    def make_attempt(
-        self,
-        action: msg.Dispatch,
-        address: Address,
-        request: OutgoingRequest,
-        served: Headers,
-    ) -> Attempt:
-        """Return an attempt at a target."""
-        return Attempt(
-            target=action.target,
-            address=address,
-            request=request,
-            served=served,
-            streams=self.admitted.streams,
-            repeatable=self.admitted.facts.repeatable,
-            answer_bytes=self.parts.settings.limits.answer_bytes,
-            resume_offset=action.resume_offset,
-        )
+    def note_event(self, event: msg.Event) -> None:
+        """Count how an attempt ended."""
+        self.note_health(event)
+        metrics = self.parts.metrics
+        match event:
+            case msg.AttemptFailed(sent):
+                kind = 'broke' if sent else 'unreachable'
+                metrics.count('attempts_failed_total', kind=kind)
+            case msg.NotRunTold():
+                metrics.count('attempts_failed_total', kind='refused')
+            case msg.StreamBroke():
+                metrics.count('streams_broken_total')
+            case msg.AnswerArrived() | msg.StreamEnded():
+                home = self.admitted.route.home
+                away = self.target_region() != home
+                metrics.count('answers_total', away=str(away).lower())
+
+    def note_health(self, event: msg.Event) -> None:
+        """Tell routing what the event says of the upstream that was asked.
+
+        The time of a whole answer holds its length, which no prediction of
+        the first token knows: it counts as answered just as predicted.
+        """
+        target = self.attempt and self.attempt.target
+        if not isinstance(target, Serve):
+            return
+        match event:
+            case msg.AttemptFailed() | msg.StreamBroke():
+                self.tell_health(target, Failed())
+            case msg.AnswerArrived():
+                predicted_s = target.predicted_s
+                self.tell_health(target, Answered(predicted_s, predicted_s))
+
+    def note_first_token(self) -> None:
+        """Count the first token of a stream, and how well it was predicted."""
+        self.observe('first_token_seconds')
+        target = self.attempt.target
+        if isinstance(target, Serve):
+            took_s = self.parts.ports.timer.now() - self.dispatched_s
+            self.tell_health(target, Answered(took_s, target.predicted_s))
+
+    def tell_health(self, target: Serve, outcome: AttemptOutcome) -> None:
+        """Tell routing what came of the present attempt."""
+        self.health_told = True
+        self.parts.ports.note_outcome(target.upstream, outcome)
+
+    def target_region(self) -> str:
+        """Return the region of the present attempt."""
+        match self.attempt.target:
+            case Serve(upstream):
+                return upstream.region
+            case Forward(region):
+                return region
 
     def end_attempt(self) -> None:
         """Close the present attempt and count its end, once."""
@@ -362,8 +340,11 @@
             return
         self.attempt.cancel()
         if isinstance(self.attempt.target, Serve):
+            upstream = self.attempt.target.upstream
+            if not self.health_told:
+                self.parts.ports.note_abandoned(upstream)
             self.parts.ports.membership.note_finished(
-                self.attempt.target.upstream.name,
+                upstream.name,
                 self.admitted.route.prompt_tokens,
             )
         self.attempt = None
@@ -372,8 +353,9 @@
         """Pass the stream on."""
         event = await self.attempt.relay(
             self.writer,
-            lambda: self.observe('first_token_seconds'),
+            self.note_first_token,
         )
+        self.note_event(event)
         self.end_attempt()
         return event
 
