--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -166,9 +166,12 @@
     def take_kept(self, kept: KeptRevision) -> None:
         """Put the revision on disk in force, without proof of a quorum."""
         held = kept.read()
-        if held is not None:
-            self.following = replace(self.following, held=held)
-            self.publish(revision_of(held.revision, held.document))
+        if held is None:
+            return
+        self.following = replace(self.following, held=held)
+        revision = revision_of(held.revision, held.document)
+        if self.is_listed(revision):
+            self.publish(revision)
 
     def begin_heartbeat(self) -> None:
         """Ask once and arrange for the next time."""
--- a/godwitshunt/configuration/tests/test_distribution.py
+++ b/godwitshunt/configuration/tests/test_distribution.py
@@ -174,7 +174,7 @@
     assert isinstance(later, Accepted)
 
 
-async def test_vm_serves_only_once_it_is_listed(deployment):
+async def test_vm_serves_only_once_it_is_listed(deployment, tmp_path):
     """A new VM has the newest revision before it is admitted.
 
     A manifest that is accepted meanwhile does not wait for it, so it must not
@@ -185,10 +185,14 @@
     for subscription in service.subscriptions:
         if subscription.notice == service.begin_upkeep:
             subscription.cancel()
-    record = deployment.add_vm('e5', 'split', 209)
+    kept = KeptRevision(tmp_path)
+    record = deployment.add_vm('e5', 'split', 209, kept=kept)
     await deployment.run(3)
     assert deployment.tasks['e5'].following.held is not None
     assert deployment.tasks['e5'].current is None
+    await deployment.tasks['e5'].close()
+    deployment.add_vm('e5', 'split', 209, kept=kept)
+    assert deployment.tasks['e5'].current is None
     service.begin_upkeep()
     await deployment.run(3)
     assert record in deployment.tasks['e5'].current.vms
