--- a/godwitshunt/claims/tests/test_holder.py
+++ b/godwitshunt/claims/tests/test_holder.py
@@ -7,7 +7,12 @@
 from godwitshunt.claims.keys import parse_key
 from godwitshunt.claims.messages import KeptAnswer, RunUnknown
 from godwitshunt.claims.records import MAX_ANSWER_BYTES, MAX_CLAIMS
-from godwitshunt.claims.recovery import NotYet, Recovered, Recovery
+from godwitshunt.claims.recovery import (
+    NotYet,
+    Recovered,
+    Recovery,
+    TellIncarnation,
+)
 from godwitshunt.claims.standing import Standing
 from godwitshunt.claims.tests.machine import (
     ANSWER,
@@ -261,6 +266,16 @@
         assert step == Recovered(1, dict.fromkeys(replies, 0), floor)
 
 
+def test_recovery_takes_an_incarnation_that_no_life_had():
+    """A holder restarts for the third time; one fellow missed the second.
+
+    Under an old number its new votes would pass for forgotten ones.
+    """
+    recovery = Recovery('h0', ('h0', 'h1', 'h2'))
+    heard = {'h1': Standing(known={'h0': 2}), 'h2': Standing(known={'h0': 1})}
+    assert recovery.take_round(heard) == TellIncarnation(3)
+
+
 def test_recovery_does_not_count_a_fellow_that_forgot_meanwhile():
     """Two holders restart at once; the one's reply is from before."""
     recovery = Recovery('h0', ('h0', 'h1', 'h2'))
