--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -26,7 +26,7 @@
 from godwitshunt.routing.regions import forward, targets
 
 # Our decision where every VM sees every engine as it is now.
-EXACT = 'ours, exact view'
+EXACT = 'ours with exact view'
 
 Choose = Callable[[RegionView, RouteRequest, Objective, Random], Decision]
 Pick = Callable[[tuple[UpstreamView, ...], RouteRequest, Random], UpstreamView]
