--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -185,6 +185,9 @@
         self.runs.append(after)
         await self.end_cleanly(name)
         self.processes.start(member)
+        # The next fault may be another leave, which has to reach it.
+        wait = self.processes.wait_ready
+        await asyncio.to_thread(wait, member, '/healthz')
 
     async def collect_runs(self) -> list[dict]:
         """Return what every stand-in ran, over all its restarts."""
