Give each process's tests a loopback host of its own

Cause: two tests failed to start a replica, its port being in use; a port that was free when it was chosen had become the source of another process's outgoing connection. Ruled out: a replica of an earlier test (all are waited for).

--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+import os
 import shutil
 import signal
 import socket
@@ -29,10 +30,17 @@
 
 
 def free_address() -> Address:
-    """Return a loopback address that nothing listens on."""
+    """Return a loopback address that nothing listens on.
+
+    Each test process has a host of its own: on 127.0.0.1 an outgoing
+    connection of any other process may take a free port before its listener
+    does, or while a replica restarts.
+    """
+    process = os.getpid()
+    host = f'127.{64 + process % 128}.{process // 128 % 256}.1'
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address(host='127.0.0.1', port=probe.getsockname()[1])
+        probe.bind((host, 0))
+        return Address(host=host, port=probe.getsockname()[1])
 
 
 def manifest(number: int, cost: float = 0, **changes) -> dict[str, Any]:
