--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -4,6 +4,7 @@
 import gc
 import sys
 from pathlib import Path
+from random import Random
 
 import defopt
 
@@ -11,7 +12,6 @@
 from godwitshunt.configuration import (
     ConfigurationTask,
     Revision,
-    VmRecord,
     VmRole,
 )
 from godwitshunt.exceptions import GodwitshuntError
@@ -19,12 +19,6 @@
 from godwitshunt.exchange.ports import ChoosePort, Ports
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.membership import MembershipTask
-from godwitshunt.peer import (
-    PeerLinks,
-    PeerOptions,
-    client_context,
-    server_context,
-)
 from godwitshunt.placement import PlacementReporter
 from godwitshunt.programs.entry_ports import (
     ClaimsAdapter,
@@ -34,8 +28,13 @@
     MembershipAdapter,
     RetriesAdapter,
 )
-from godwitshunt.programs.start import read_cluster_key, start_listening
-from godwitshunt.routing import RetryBudget
+from godwitshunt.programs.start import (
+    make_links,
+    read_cluster_key,
+    start_listening,
+    vm_record,
+)
+from godwitshunt.routing import AdmissionQueue, RetryBudget
 from godwitshunt.routing.limits_task import LimitsTask
 from godwitshunt.routing.router import Router
 from godwitshunt.settings import EntrySettings
@@ -65,25 +64,14 @@
         self.timer = TimerService()
         self.metrics = Metrics()
         self.stopping = asyncio.Event()
-        self.key = read_cluster_key(settings)
-        self.links = PeerLinks.from_config(
-            PeerOptions(
-                name=settings.name,
-                listen=settings.peer,
-                key=self.key,
-                frame_bytes=settings.limits.frame_bytes,
-                server_tls=server_context(settings.tls),
-                client_tls=client_context(settings.tls),
-            ),
-            self.metrics,
-        )
+        self.links = make_links(settings, self.metrics)
         parts = (settings, self.links, self.timer, self.metrics)
         self.claims = ClaimsTask.from_config(*parts)
         self.membership = MembershipTask.from_config(*parts)
         self.limits = LimitsTask.from_config(*parts)
         self.configuration = ConfigurationTask.from_config(
             settings,
-            vm_record(settings, self.claims.session),
+            vm_record(settings, VmRole.entry, self.claims.session),
             self.links,
             self.timer,
             self.metrics,
@@ -97,9 +85,10 @@
         )
         self.retries = RetriesAdapter(RetryBudget.from_config(0))
         self.router = Router.from_config(self.timer)
+        self.queue = AdmissionQueue.from_config((), Random())
         self.exchange = ExchangeTask.from_config(
             settings,
-            self.key,
+            read_cluster_key(settings),
             self.make_ports(decide or self.router.choose),
             self.metrics,
         )
@@ -120,6 +109,7 @@
             choose=decide,
             entries=directory.entries,
             timer=self.timer,
+            queue=self.queue,
             note_outcome=self.router.note_outcome,
             note_abandoned=self.router.note_abandoned,
         )
@@ -130,6 +120,7 @@
         self.claims.apply_revision(revision)
         self.limits.configure(revision)
         self.retries.apply_revision(revision)
+        self.queue.configure(revision.manifest.classes)
         self.router.ramp.vms = sum(
             vm.region == self.settings.region and vm.role is VmRole.entry
             for vm in revision.vms
@@ -180,19 +171,6 @@
         self.timer.close()
 
 
-def vm_record(settings: EntrySettings, session: str) -> VmRecord:
-    """Return the record that this VM tells control of itself."""
-    return VmRecord(
-        name=settings.name,
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        role=VmRole.entry,
-        http=settings.http_reached,
-        peer=settings.peer_reached,
-        session=session,
-    )
-
-
 async def run_entry(settings: EntrySettings) -> None:
     """Run an entry process to its end."""
     await EntryProcess(settings).run()
