--- a/godwitshunt/exchange/request_task.py
+++ b/godwitshunt/exchange/request_task.py
@@ -278,7 +278,7 @@
                     self.remaining_s(),
                 )
                 pool = self.parts.pool
-                tokens = self.admitted.route.prompt_tokens
+                tokens = action.target.uncached_tokens
                 membership.note_sent(upstream.name, tokens)
             case Forward():
                 self.attempt = forward_attempt(
@@ -362,7 +362,7 @@
                 self.parts.ports.note_abandoned(upstream)
             self.parts.ports.membership.note_finished(
                 upstream.name,
-                self.admitted.route.prompt_tokens,
+                self.attempt.target.uncached_tokens,
             )
         self.attempt = None
 
--- a/godwitshunt/membership/records.py
+++ b/godwitshunt/membership/records.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Sequence
-from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Self
 
@@ -17,6 +16,7 @@
 # first. A lost hash costs a prefill, never a wrong answer.
 MAX_CACHED_PREFIXES = 1024
 MAX_SENDS = 4096
+MAX_ENDS = 64
 
 
 @dataclass(frozen=True)
@@ -40,6 +40,11 @@
     prefixes : dict
         Reported hashes as keys, in the order of their arrival; `prefix_set`
         holds the same for views, built once a change.
+    sends : deque of (float, int)
+        When requests of this VM went there that have not ended, and their
+        uncached prompt tokens.
+    ends : deque of (float, float)
+        When requests of this VM went there and ended, of late.
     """
 
     incarnation: int
@@ -50,6 +55,9 @@
     measured_s: float
     prefixes: dict[int, None] = field(default_factory=dict)
     prefix_set: frozenset[int] = frozenset()
+    ends: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_ENDS),
+    )
     sends: deque[tuple[float, int]] = field(
         default_factory=lambda: deque(maxlen=MAX_SENDS),
     )
@@ -97,11 +105,13 @@
         """Count a request that this VM sent."""
         self.sends.append((now_s, tokens))
 
-    def note_finished(self, tokens: int) -> None:
+    def note_finished(self, tokens: int, now_s: float) -> None:
         """Stop counting the oldest request of this length."""
         oldest = next((sent for sent in self.sends if sent[1] == tokens), None)
-        with suppress(ValueError):
-            self.sends.remove(oldest)
+        if oldest is None:
+            return
+        self.sends.remove(oldest)
+        self.ends.append((oldest[0], now_s))
 
     def view(self, name: str, region: str, now_s: float) -> UpstreamView:
         """Return what routing sees of the upstream."""
@@ -110,6 +120,11 @@
         unreported = [
             tokens for sent_s, tokens in self.sends if sent_s >= self.measured_s
         ]
+        # What is in the reported load and has ended since holds no slot any
+        # more; a late report would keep a free upstream looking full.
+        ended = sum(
+            sent_s < self.measured_s <= ended_s for sent_s, ended_s in self.ends
+        )
         return UpstreamView(
             name=name,
             region=region,
@@ -133,4 +148,5 @@
             honours_resume=details.honours_resume,
             honours_priority=details.honours_priority,
             honours_fencing=details.honours_fencing,
+            finished_since=ended,
         )
--- a/godwitshunt/membership/tests/test_table.py
+++ b/godwitshunt/membership/tests/test_table.py
@@ -217,6 +217,23 @@
     assert table.views(1.1)[0].sent_tokens_since == 200
 
 
+def test_requests_of_a_late_report_that_have_ended_hold_no_slot():
+    """A report is two seconds late and most of what it counts has ended.
+
+    Counted on, they would keep a free upstream looking full.
+    """
+    table = UpstreamTable('split')
+    table.apply(announced(1, 1), 0.0)
+    for sent_s in (0.1, 0.2, 0.9):
+        table.apply(Sent('e1', 100), sent_s)
+    table.apply(announced(1, 2, running=2, measured_age_ms=500), 1.0)
+    assert table.views(1.0)[0].finished_since == 0
+    table.apply(Finished('e1', 100), 1.1)
+    assert table.views(1.1)[0].finished_since == 1
+    table.apply(announced(1, 3, running=1), 1.2)
+    assert table.views(1.2)[0].finished_since == 0
+
+
 def test_views_are_kept_between_changes_and_follow_prefixes():
     """The same object says that a decision sees nothing new."""
     table = UpstreamTable('split')
