--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import hashlib
-import socket
 import sys
 import time
 import tracemalloc
@@ -45,6 +44,7 @@
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import TimerService
+from standins.ports import free_address
 
 DAY_S = 86400
 CHANGES_A_DAY = 2000
@@ -229,13 +229,6 @@
     both_sides_ms: float
 
 
-def free_address() -> Address:
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address(host='127.0.0.1', port=probe.getsockname()[1])
-
-
 async def heartbeat_cost() -> Beat:
     """Return what a heartbeat over a real link costs without news."""
     metrics = Metrics()
--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -9,7 +9,6 @@
 
 import itertools
 import json
-import socket
 import statistics
 import subprocess
 import sys
@@ -18,6 +17,7 @@
 from pathlib import Path
 
 from godwitshunt.consensus import ReplicaOptions
+from standins.ports import free_port
 
 NAMES = ('a', 'b', 'c')
 COMMITS = 300
@@ -74,13 +74,6 @@
         self.process.wait()
 
 
-def free_port() -> int:
-    """Return a loopback port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def wait_for_leader(replicas: list[Replica], after_term: int = 0) -> Replica:
     """Return the replica that leads a term after the given one."""
     for replica in itertools.cycle(replicas):
--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -10,7 +10,6 @@
 import hashlib
 import json
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -22,6 +21,7 @@
 import defopt
 
 from godwitshunt.exchange.channel import Channel
+from standins.ports import free_port
 
 PAGE_BYTES = 4096
 READY_S = 10.0
@@ -212,13 +212,6 @@
         return (int(parts[11]) + int(parts[12])) / 100
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def chat(prompt: str, tokens: int, *, stream: bool) -> bytes:
     """Return a chat request as it goes over the wire."""
     document = {
--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -10,14 +10,13 @@
 import json
 import multiprocessing
 import os
-import socket
 import statistics
 import sys
 import tempfile
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator
-from contextlib import AsyncExitStack, ExitStack, contextmanager
+from contextlib import AsyncExitStack, contextmanager
 from functools import partial
 from itertools import product
 from pathlib import Path
@@ -45,6 +44,7 @@
 from godwitshunt.settings import Address, EntrySettings
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import TimerService
+from standins.ports import free_address
 
 KEY = b'key'
 # Envelope and length around a message's body, in bytes.
@@ -96,13 +96,7 @@
 
 def free_addresses(count: int) -> list[Address]:
     """Return loopback addresses that nothing listens on."""
-    with ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            probe = stack.enter_context(socket.socket())
-            probe.bind(('127.0.0.1', 0))
-            ports.append(probe.getsockname()[1])
-    return [Address(host='127.0.0.1', port=port) for port in ports]
+    return [free_address() for _ in range(count)]
 
 
 def make_vms(addresses: list[Address]) -> tuple[VmRecord, ...]:
--- a/demo/layout.py
+++ b/demo/layout.py
@@ -3,12 +3,13 @@
 import hashlib
 import json
 import secrets
-import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Self
 
+from standins.ports import free_port
+
 REGIONS = ('zagreb', 'split', 'rijeka')
 ENTRIES_PER_REGION = 2
 
@@ -42,13 +43,6 @@
         return f'{self.host}:{self.http}'
 
 
-def free_port(host: str) -> int:
-    """Return a port that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
 def caller_key(caller: str) -> str:
     """Return the key of a demonstration caller."""
     return f'{caller}-key'
--- a/godwitshunt/claims/tests/test_task.py
+++ b/godwitshunt/claims/tests/test_task.py
@@ -28,10 +28,10 @@
     make_revision,
     vm_record,
 )
-from godwitshunt.membership.tests.test_task import free_address
 from godwitshunt.peer import PeerLinks, PeerOptions
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import TimerService
+from standins.ports import free_address
 
 NAMES = 'abcde'
 ANSWER = KeptAnswer(201, ((b'content-type', b'text/plain'),), b'certificate 7')
--- a/godwitshunt/configuration/tests/test_operator_api.py
+++ b/godwitshunt/configuration/tests/test_operator_api.py
@@ -13,9 +13,10 @@
 from godwitshunt.configuration.tests.fakes import Deployment, manifest
 from godwitshunt.exchange.gateway import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
-from godwitshunt.peer.tests.test_links import free_address, make_tls
+from godwitshunt.peer.tests.test_links import make_tls
 from godwitshunt.programs.operator_session import read_authority
 from godwitshunt.settings import LimitSettings
+from standins.ports import free_address
 
 TOKEN = 'token'
 TOKEN_SHA256 = hashlib.sha256(TOKEN.encode()).hexdigest()
--- a/godwitshunt/consensus/tests/test_task.py
+++ b/godwitshunt/consensus/tests/test_task.py
@@ -30,11 +30,11 @@
     Header,
 )
 from godwitshunt.exceptions import StorageFull
-from godwitshunt.exchange.tests.fakes import free_address
 from godwitshunt.peer import PeerLinks, PeerOptions
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import TimerService
+from standins.ports import free_address
 
 # Long enough for a sync that waits on a busy machine's disk.
 FAST = ReplicaOptions(
--- a/godwitshunt/exchange/tests/fakes.py
+++ b/godwitshunt/exchange/tests/fakes.py
@@ -3,8 +3,6 @@
 import asyncio
 import hashlib
 import json
-import secrets
-import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
@@ -29,6 +27,7 @@
 from godwitshunt.settings import Address, EntrySettings, LimitSettings
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import TimerService
+from standins.ports import free_address
 
 KEY = b'cluster key'
 LISTENING_PORTS = range(10000, 32000)
@@ -67,19 +66,6 @@
 }
 
 
-def free_address() -> Address:
-    """Return a loopback address that nothing listens on.
-
-    The system gives ports above this range to outgoing connections; one of
-    those could take a port between the asking here and the listening.
-    """
-    while True:
-        port = secrets.choice(LISTENING_PORTS)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(('127.0.0.1', port))
-            return Address(host='127.0.0.1', port=port)
-
-
 @dataclass
 class FixedConfiguration:
     """A revision that the test sets."""
--- a/godwitshunt/membership/tests/test_task.py
+++ b/godwitshunt/membership/tests/test_task.py
@@ -1,7 +1,6 @@
 """Membership tasks that gossip, on virtual time and over real sockets."""
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack
 
 import pytest
@@ -18,6 +17,7 @@
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import TimerService
+from standins.ports import free_address
 
 VMS = (
     vm_record('a', 'split', 1),
@@ -248,13 +248,6 @@
     assert len(asking() - asker) == 1
 
 
-def free_address() -> Address:
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address(host='127.0.0.1', port=probe.getsockname()[1])
-
-
 async def test_gossip_over_real_sockets():
     """Two VMs that listen on loopback share an upstream and its departure."""
     vms = tuple(
--- a/godwitshunt/peer/links.py
+++ b/godwitshunt/peer/links.py
@@ -103,14 +103,27 @@
             self.links[address] = link
         return link
 
-    async def accept(
+    def accept(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Serve one incoming connection."""
-        task = asyncio.current_task()
+        """Serve one incoming connection in a task of its own.
+
+        The task is ours and not the server's: that one would print a
+        traceback for each connection that `close` cancels.
+        """
+        serving = self.serve_until_broken(reader, writer)
+        task = asyncio.get_running_loop().create_task(serving)
         self.inbound.add(task)
+        task.add_done_callback(self.inbound.discard)
+
+    async def serve_until_broken(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve one incoming connection; count how it ended."""
         try:
             await self.serve(reader, writer)
         except HandshakeError:
@@ -120,7 +133,6 @@
         except (OSError, EOFError, TimeoutError):
             self.metrics.count('peer_connections_broken_total')
         finally:
-            self.inbound.discard(task)
             writer.close()
 
     async def serve(
--- a/godwitshunt/peer/tests/test_links.py
+++ b/godwitshunt/peer/tests/test_links.py
@@ -1,7 +1,6 @@
 """Links between processes, over real sockets on free ports."""
 
 import asyncio
-import socket
 from contextlib import asynccontextmanager
 
 import pytest
@@ -17,19 +16,13 @@
     server_context,
 )
 from godwitshunt.peer.frames import frame
-from godwitshunt.settings import Address, TlsSettings
+from godwitshunt.settings import TlsSettings
 from godwitshunt.telemetry import Metrics
+from standins.ports import free_address
 
 KIND = MessageKind.vm_heartbeat
 
 
-def free_address() -> Address:
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address(host='127.0.0.1', port=probe.getsockname()[1])
-
-
 @asynccontextmanager
 async def started_links(
     name: str,
@@ -186,3 +179,23 @@
         assert reply.ok_value == b'known'
         refused = await third.call(listen, KIND, b'unknown', 5)
         assert isinstance(refused.err_value, NotSent)
+
+
+async def test_closing_links_report_no_fault():
+    """A VM is shut down while peers are connected.
+
+    Tracebacks in its log would send an operator after a fault that is none.
+    """
+    reported = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, fault: reported.append(fault))
+    async with started_links('a') as first, started_links('b') as second:
+
+        async def echo(sender: str, body: bytes) -> bytes:
+            return body
+
+        second.subscribe(KIND, echo)
+        await first.call(second.options.listen, KIND, b'', 5)
+        await second.close()
+        await asyncio.sleep(0.01)
+    assert not reported
--- a/godwitshunt/replay/tests/test_replay.py
+++ b/godwitshunt/replay/tests/test_replay.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 from collections import Counter
 from contextlib import asynccontextmanager
 
@@ -32,8 +31,9 @@
     read_trace,
     write_trace,
 )
-from godwitshunt.settings import Address, LimitSettings
+from godwitshunt.settings import LimitSettings
 from godwitshunt.telemetry import Metrics
+from standins.ports import free_address
 
 
 def ask(arrival_s=0.0, **fields):
@@ -144,13 +144,6 @@
     assert results.document()['classes']['urgent']['endings']['whole'] == 2
 
 
-def free_address():
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address(host='127.0.0.1', port=probe.getsockname()[1])
-
-
 STREAM = b'data: {}\n\ndata: [DONE]\n\n'
 
 
--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -6,7 +6,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess  # the tests start the product's programs
 import sys
 from collections.abc import AsyncIterator
@@ -20,6 +19,7 @@
 from godwitshunt.configuration.http_calls import HttpCall
 from godwitshunt.configuration.operator_client import call_any
 from godwitshunt.settings import Address
+from standins.ports import free_address as on_host
 
 TOKEN = 'token'
 KEY = b'cluster-key'
@@ -38,9 +38,7 @@
     """
     process = os.getpid()
     host = f'127.{64 + process % 128}.{process // 128 % 256}.1'
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return Address(host=host, port=probe.getsockname()[1])
+    return on_host(host)
 
 
 def manifest(number: int, cost: float = 0, **changes) -> dict[str, Any]:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -12,8 +12,9 @@
 from urllib.request import urlopen
 
 from demo.__main__ import operate
-from demo.layout import REGIONS, Layout, Member, free_port
+from demo.layout import REGIONS, Layout, Member
 from demo.processes import Processes
+from standins.ports import free_port
 from tests import faults
 from tests.relay import Cuts, Relay
 
