Time two tests so that an urgent departure and a fetch are what they show

Cause: in scratch copies, a departure that waits for the next batch and details that are never fetched stayed green: the batch happened to be due at once, and a digest had brought the table. Both now go red.

--- a/godwitshunt/membership/tests/test_task.py
+++ b/godwitshunt/membership/tests/test_task.py
@@ -121,11 +121,13 @@
         region.network.cut.add(('a', 'c'))
     if fault == 'frozen':
         region.network.held.add(('a', 'c'))
+    # Between two batches: the news must not wait for the next.
+    await region.network.advance(0.03)
     region.tasks['a'].announce('e1', announcement(4, leaving=True))
     assert not region.seen('a')
-    await region.network.advance(0.2)
+    await region.network.advance(0.02)
     assert not region.seen('b')
-    await region.network.advance(2.8)
+    await region.network.advance(2.9)
     assert not region.seen('c')
 
 
@@ -176,9 +178,11 @@
     The loads that follow are of no use to it until it fetches the rest.
     """
     region.network.cut.add(('a', 'c'))
-    await region.announce('a', 1)
+    region.tasks['a'].announce('e1', announcement(1))
+    await region.network.advance(0.3)
     region.network.cut.clear()
-    await region.announce('a', 2, first=2)
+    region.tasks['a'].announce('e1', announcement(2))
+    await region.network.advance(0.3)
     assert region.seen('c') == ['e1']
 
 
