--- a/godwitshunt/configuration/numbers.py
+++ b/godwitshunt/configuration/numbers.py
@@ -1,6 +1,7 @@
 """Manifest numbers: one contents each, and the same answer for ever."""
 
 from dataclasses import replace
+from itertools import chain
 from typing import Any
 
 from result import Err, Ok, Result
@@ -8,6 +9,7 @@
 from godwitshunt.configuration.commands import (
     Accepted,
     AcceptManifest,
+    AwaitedVm,
     BaseChanged,
     ManifestOutcome,
     ManifestUnreadable,
@@ -15,12 +17,16 @@
     NumberTooOld,
     Pending,
 )
-from godwitshunt.configuration.delta import patch
+from godwitshunt.configuration.delta import diff, patch
 from godwitshunt.configuration.document import (
+    SYSTEM_SECTIONS,
     DigestMismatch,
     Document,
     DocumentFault,
+    document_of,
     manifest_digest_of,
+    pack,
+    pack_document,
     read_plain,
     unpack,
 )
@@ -31,6 +37,23 @@
     NumberRecord,
     Step,
 )
+from godwitshunt.manifest import Manifest
+
+
+def accept_command(state: ControlState, manifest: Manifest) -> AcceptManifest:
+    """Return the command for a manifest, with a delta where there is a base."""
+    document = document_of(manifest)
+    digest = manifest_digest_of(document)
+    base = state.document
+    if not state.highest:
+        body = pack_document(document)
+        return AcceptManifest(manifest.number, digest, '', body)
+    for section in SYSTEM_SECTIONS:
+        entries = base.section(section)
+        document = document.with_section(section, entries)
+    body = pack(diff(base, document))
+    number = manifest.number
+    return AcceptManifest(number, digest, newest_digest(state), body)
 
 
 def accept_manifest(state: ControlState, command: AcceptManifest) -> Step:
@@ -38,7 +61,7 @@
     earlier = earlier_answer(state, command.number, command.digest)
     if earlier is not None:
         return state, earlier
-    if command.base_digest not in {'', manifest_digest_of(state.document)}:
+    if command.base_digest not in {'', newest_digest(state)}:
         return state, BaseChanged()
     match manifest_document(state.document, command):
         case Err(fault):
@@ -47,6 +70,12 @@
             return record_manifest(state, command, document)
 
 
+def newest_digest(state: ControlState) -> str:
+    """Return the digest of the newest manifest; empty before the first."""
+    newest = state.numbers.get(state.highest)
+    return '' if newest is None else newest.digest
+
+
 def earlier_answer(
     state: ControlState,
     number: int,
@@ -124,7 +153,7 @@
     if isinstance(whole, Err):
         return whole
     document = whole.ok_value
-    for name in ('vms', 'holders'):
+    for name in SYSTEM_SECTIONS:
         document = document.with_section(name, base.section(name))
     return Ok(document)
 
@@ -135,7 +164,7 @@
     document: Document,
 ) -> Step:
     """Put an accepted manifest in force and remember its number."""
-    awaited = awaited_vms(state.document, document, state.absent)
+    awaited = awaited_now(state, document)
     state = state.with_document(document)
     record = NumberRecord(command.digest, state.revision, awaited)
     floor = command.number - NUMBER_WINDOW
@@ -152,6 +181,27 @@
     return state, answer_of(state, command.number, repeated=False)
 
 
+def awaited_now(
+    state: ControlState,
+    document: Document,
+) -> tuple[AwaitedVm, ...]:
+    """Return the VMs that a manifest's acceptance waits for.
+
+    Among them are those that earlier numbers still wait for: a region that
+    number 2 takes away is not lost once more by number 3, but a VM that has
+    applied neither of them still serves there.
+    """
+    lease_suffices: dict[str, bool] = {}
+    pending = [known.awaited for known in state.numbers.values()]
+    own = awaited_vms(state.document, document, state.absent)
+    for vm in chain(own, *pending):
+        known = lease_suffices.get(vm.name, True)
+        lease_suffices[vm.name] = known and vm.lease_suffices
+    return tuple(
+        AwaitedVm(name, suffices) for name, suffices in lease_suffices.items()
+    )
+
+
 def confirm_manifest(state: ControlState, number: int) -> Step:
     """Accept a pending manifest for good."""
     known = state.numbers.get(number)
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -11,6 +11,7 @@
 
 BODYLESS = frozenset((204, 304))
 STALL_S = 60.0
+PROCESSING = 102
 
 
 @dataclass(frozen=True)
@@ -53,6 +54,7 @@
 class AnswerWriter:
     """Writes one answer on a caller's connection.
 
+    `bodyless` is set for answers to HEAD, which tell a length and no body.
     A caller that takes nothing of a whole answer for a minute is cut off;
     else its answer would stay in memory as long as it likes.
 
@@ -64,6 +66,7 @@
         self.channel = channel
         self.begun = False
         self.closing = False
+        self.bodyless = False
 
     async def whole(self, answer: WholeAnswer) -> None:
         """Send an answer in one piece, with its length."""
@@ -76,7 +79,7 @@
         self.begun = True
         head = h11.Response(status_code=answer.status, headers=headers)
         parts = [self.connection.send(head)]
-        if answer.body and self.connection.our_state is h11.SEND_BODY:
+        if answer.body and not self.bodyless:
             parts.append(self.connection.send(h11.Data(data=answer.body)))
         parts.append(self.connection.send(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
@@ -98,6 +101,13 @@
         if self.channel.write_paused or self.channel.ended:
             await self.channel.drain()
 
+    def sign_of_life(self) -> None:
+        """Tell a VM that waits that its request is being worked on."""
+        if self.begun or self.channel.ended:
+            return
+        told = h11.InformationalResponse(status_code=PROCESSING, headers=[])
+        self.channel.write(self.connection.send(told))
+
     def put_head(self, status: int, headers: Headers) -> None:
         """Queue the head of an answer that comes in chunks."""
         told = [*headers, (b'transfer-encoding', b'chunked')]
--- a/godwitshunt/programs/control.py
+++ b/godwitshunt/programs/control.py
@@ -1,7 +1,6 @@
 """The ``godwitshunt-control`` program."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -10,7 +9,6 @@
 from godwitshunt.claims import ClaimsTask
 from godwitshunt.configuration import (
     ConfigurationService,
-    VmRecord,
     VmRole,
 )
 from godwitshunt.configuration.cluster import Cluster
@@ -21,33 +19,14 @@
     DiskFileSystem,
 )
 from godwitshunt.exceptions import GodwitshuntError
+from godwitshunt.exchange.gateway import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.manifest.documents import read_settings
-from godwitshunt.peer import (
-    PeerLinks,
-    PeerOptions,
-    client_context,
-    server_context,
-)
 from godwitshunt.placement import PlacementApi, PlacementTask
-from godwitshunt.programs.start import read_cluster_key, start_listening
+from godwitshunt.programs.start import make_links, start_listening, vm_record
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
-from godwitshunt.timer import TimerService
-
-
-def vm_record(settings: ControlSettings, session: str) -> VmRecord:
-    """Return the record of this control replica."""
-    return VmRecord(
-        name=settings.name,
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        role=VmRole.control,
-        http=settings.http_reached,
-        peer=settings.peer_reached,
-        session=session,
-    )
-
+from godwitshunt.timer import TimerService, stop_on_signals
 
 WRONG_INPUT = 2
 
@@ -59,17 +38,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.timer = TimerService()
-        self.links = PeerLinks.from_config(
-            PeerOptions(
-                name=settings.name,
-                listen=settings.peer,
-                key=read_cluster_key(settings),
-                frame_bytes=settings.limits.frame_bytes,
-                server_tls=server_context(settings.tls),
-                client_tls=client_context(settings.tls),
-            ),
-            self.metrics,
-        )
+        self.links = make_links(settings, self.metrics)
         self.consensus = ConsensusTask.from_config(
             ConsensusOptions.from_settings(settings),
             DiskFileSystem(settings.data_folder),
@@ -85,7 +54,7 @@
         )
         self.service = ConfigurationService.from_config(
             settings,
-            vm_record(settings, self.claims.session),
+            vm_record(settings, VmRole.control, self.claims.session),
             self.consensus,
             self.links,
             self.timer,
@@ -107,7 +76,11 @@
         self.api.add_route('POST', '/v1/orders', orders.order)
         self.api.add_status(self.placement.describe)
         self.listener = Listener(
-            ListenerOptions(settings.http, settings.limits),
+            ListenerOptions(
+                settings.http,
+                settings.limits,
+                caller_context(settings.tls),
+            ),
             self.metrics,
             self.api.serve,
         )
@@ -139,9 +112,7 @@
 async def run(settings: ControlSettings) -> None:
     """Run until SIGTERM or SIGINT."""
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    stop_on_signals(stop)
     process = ControlProcess(settings)
     await process.start()
     await stop.wait()
--- a/godwitshunt/programs/entry.py
+++ b/godwitshunt/programs/entry.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import gc
-import signal
 import sys
 from pathlib import Path
+from random import Random
 
 import defopt
 
@@ -12,7 +12,6 @@
 from godwitshunt.configuration import (
     ConfigurationTask,
     Revision,
-    VmRecord,
     VmRole,
 )
 from godwitshunt.exceptions import GodwitshuntError
@@ -20,12 +19,6 @@
 from godwitshunt.exchange.ports import ChoosePort, Ports
 from godwitshunt.manifest.documents import read_settings
 from godwitshunt.membership import MembershipTask
-from godwitshunt.peer import (
-    PeerLinks,
-    PeerOptions,
-    client_context,
-    server_context,
-)
 from godwitshunt.placement import PlacementReporter
 from godwitshunt.programs.entry_ports import (
     ClaimsAdapter,
@@ -35,11 +28,18 @@
     MembershipAdapter,
     RetriesAdapter,
 )
-from godwitshunt.routing import RetryBudget, choose
+from godwitshunt.programs.start import (
+    make_links,
+    read_cluster_key,
+    start_listening,
+    vm_record,
+)
+from godwitshunt.routing import AdmissionQueue, RetryBudget
 from godwitshunt.routing.limits_task import LimitsTask
+from godwitshunt.routing.router import Router
 from godwitshunt.settings import EntrySettings
 from godwitshunt.telemetry import Metrics, log_change, open_log
-from godwitshunt.timer import TimerService
+from godwitshunt.timer import TimerService, stop_on_signals
 
 WRONG_INPUT = 2
 
@@ -51,38 +51,27 @@
     ----------
     settings : EntrySettings
         The settings file.
-    decide : callable
-        The routing decision; another one only in measurements.
+    decide : callable or None
+        Another routing decision, for measurements; None uses the router.
     """
 
     def __init__(
         self,
         settings: EntrySettings,
-        decide: ChoosePort = choose,
+        decide: ChoosePort | None = None,
     ) -> None:
         self.settings = settings
         self.timer = TimerService()
         self.metrics = Metrics()
         self.stopping = asyncio.Event()
-        self.key = settings.cluster_key_file.read_bytes().strip()
-        self.links = PeerLinks.from_config(
-            PeerOptions(
-                name=settings.name,
-                listen=settings.peer,
-                key=self.key,
-                frame_bytes=settings.limits.frame_bytes,
-                server_tls=server_context(settings.tls),
-                client_tls=client_context(settings.tls),
-            ),
-            self.metrics,
-        )
+        self.links = make_links(settings, self.metrics)
         parts = (settings, self.links, self.timer, self.metrics)
         self.claims = ClaimsTask.from_config(*parts)
         self.membership = MembershipTask.from_config(*parts)
         self.limits = LimitsTask.from_config(*parts)
         self.configuration = ConfigurationTask.from_config(
             settings,
-            vm_record(settings, self.claims.session),
+            vm_record(settings, VmRole.entry, self.claims.session),
             self.links,
             self.timer,
             self.metrics,
@@ -95,10 +84,12 @@
             self.timer,
         )
         self.retries = RetriesAdapter(RetryBudget.from_config(0))
+        self.router = Router.from_config(self.timer)
+        self.queue = AdmissionQueue.from_config((), Random())
         self.exchange = ExchangeTask.from_config(
             settings,
-            self.key,
-            self.make_ports(decide),
+            read_cluster_key(settings),
+            self.make_ports(decide or self.router.choose),
             self.metrics,
         )
 
@@ -118,6 +109,9 @@
             choose=decide,
             entries=directory.entries,
             timer=self.timer,
+            queue=self.queue,
+            note_outcome=self.router.note_outcome,
+            note_abandoned=self.router.note_abandoned,
         )
 
     def apply_revision(self, revision: Revision) -> None:
@@ -126,17 +120,22 @@
         self.claims.apply_revision(revision)
         self.limits.configure(revision)
         self.retries.apply_revision(revision)
+        self.queue.configure(revision.manifest.classes)
+        self.router.ramp.vms = sum(
+            vm.region == self.settings.region and vm.role is VmRole.entry
+            for vm in revision.vms
+        )
 
     async def start(self) -> None:
         """Start every part, the callers' listener last."""
         self.configuration.subscribe(self.apply_revision)
-        await self.links.start()
+        await start_listening(self.links.start, 'peer', self.settings.peer)
         await self.membership.start()
         await self.claims.start()
         await self.limits.start()
         self.configuration.start()
         self.reporter.start()
-        await self.exchange.start()
+        await start_listening(self.exchange.start, 'http', self.settings.http)
         # What lives as long as the process is not searched again at each
         # collection, which would stop every stream for milliseconds.
         gc.freeze()
@@ -144,10 +143,7 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then finish what is in progress."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            # A second signal sets what is set already: nothing is cut.
-            loop.add_signal_handler(number, self.stopping.set)
+        stop_on_signals(self.stopping)
         await self.start()
         await self.stopping.wait()
         log_change('entry:draining', vm=self.settings.name)
@@ -175,19 +171,6 @@
         self.timer.close()
 
 
-def vm_record(settings: EntrySettings, session: str) -> VmRecord:
-    """Return the record that this VM tells control of itself."""
-    return VmRecord(
-        name=settings.name,
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        role=VmRole.entry,
-        http=settings.http_reached,
-        peer=settings.peer_reached,
-        session=session,
-    )
-
-
 async def run_entry(settings: EntrySettings) -> None:
     """Run an entry process to its end."""
     await EntryProcess(settings).run()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -12,8 +12,9 @@
 from urllib.request import urlopen
 
 from demo.__main__ import operate
-from demo.layout import REGIONS, Layout, Member, free_port
+from demo.layout import REGIONS, Layout, Member
 from demo.processes import Processes
+from standins.ports import free_port
 from tests import faults
 from tests.relay import Cuts, Relay
 
@@ -185,6 +186,9 @@
         self.runs.append(after)
         await self.end_cleanly(name)
         self.processes.start(member)
+        # The next fault may be another leave, which has to reach it.
+        wait = self.processes.wait_ready
+        await asyncio.to_thread(wait, member, '/healthz')
 
     async def collect_runs(self) -> list[dict]:
         """Return what every stand-in ran, over all its restarts."""
