--- a/godwitshunt/configuration/problems.py
+++ b/godwitshunt/configuration/problems.py
@@ -11,10 +11,15 @@
 )
 from godwitshunt.consensus import (
     AlreadyInitialised,
+    AlreadyMember,
+    ChangeUnderway,
     CommitUnknown,
+    EntryTooLarge,
+    LastVoter,
     NoQuorum,
     NotCaughtUp,
     NotLeader,
+    QuorumWouldBeLost,
     StorageFailed,
     UnknownMember,
     Unreachable,
@@ -123,6 +128,12 @@
             return OperatorProblem('outcome-unknown', 504, reason, 'unknown')
         case StorageFailed(reason):
             return OperatorProblem('storage-failed', 503, reason)
+        case EntryTooLarge(size_bytes, limit_bytes):
+            return OperatorProblem(
+                'too-large',
+                413,
+                f'{size_bytes} bytes, at most {limit_bytes} can be committed',
+            )
     return None
 
 
@@ -155,6 +166,36 @@
                 404,
                 f'{replica.name} is no voter and no learner',
             )
+    return change_problem(failure)
+
+
+def change_problem(failure: object) -> OperatorProblem | None:
+    """Return the refusal for a voter change that was not begun."""
+    match failure:
+        case ChangeUnderway():
+            return OperatorProblem(
+                'change-underway',
+                503,
+                'another voter change is not committed yet',
+            )
+        case AlreadyMember(replica):
+            return OperatorProblem(
+                'already-member',
+                409,
+                f'{replica.name} is a voter or a learner already',
+            )
+        case LastVoter(replica):
+            return OperatorProblem(
+                'last-voter',
+                409,
+                f'{replica.name} is the only voter',
+            )
+        case QuorumWouldBeLost(answering, quorum):
+            return OperatorProblem(
+                'quorum-would-be-lost',
+                409,
+                f'{answering} of the voters left answer, {quorum} must',
+            )
     return None
 
 
--- a/godwitshunt/peer/codec.py
+++ b/godwitshunt/peer/codec.py
@@ -3,7 +3,6 @@
 from typing import TypeVar
 
 from thrift.protocol.TCompactProtocol import (
-    TCompactProtocol,
     TCompactProtocolAcceleratedFactory,
 )
 from thrift.Thrift import TException
@@ -49,14 +48,8 @@
         Where the bytes are not a whole, bounded encoding of `kind`.
     """
     message = kind()
-    buffer = TMemoryBuffer(body)
-    protocol = TCompactProtocol(
-        buffer,
-        string_length_limit=min(MAX_STRING_BYTES, len(body)),
-        container_length_limit=MAX_CONTAINER,
-    )
     try:
-        message.read(protocol)
+        message.read(factory.getProtocol(TMemoryBuffer(body)))
     # Malformed input surfaces from the library as many exception types; all
     # of them mean the same to the sender: the frame cannot be decoded.
     except MALFORMED as bad:
