--- a/godwitshunt/membership/region_gossip.py
+++ b/godwitshunt/membership/region_gossip.py
@@ -32,7 +32,7 @@
 SESSION_BITS = 24
 # Batches wait the longer the more peers get them: messages a second from one
 # VM stay at 33, and the first of two VMs learns a load within 0.1 s.
-FLUSH_S_PER_PEER = 0.03
+FLUSH_S_PER_PEER = 0.04
 SHORTEST_FLUSH_S = 0.1
 KEEPALIVE_S = 1.0
 PREFIX_PERIOD_S = 5.0
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -75,6 +75,7 @@
         faults = asyncio.create_task(self.strike_all())
         await asyncio.gather(*self.arrivals())
         await faults
+        await self.deployment.wait_repaired()
         await asyncio.sleep(SETTLE_S)
         watch.cancel()
         ran = merge_runs(await self.deployment.collect_runs())
