--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -10,7 +10,7 @@
 from demo.__main__ import operate
 from demo.layout import Layout
 from demo.processes import Processes
-from tests.callers import credentials, exchange
+from trials.callers import credentials, exchange
 
 TOKENS = 600
 TRIES = 300
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -1,8 +1,8 @@
 """A short trial over real processes, from a fixed seed."""
 
 from demo.layout import REGIONS
-from tests.deployment import Deployment
-from tests.trial import Trial, draw_requests, make_table
+from trials.deployment import Deployment
+from trials.trial import Trial, draw_requests, make_table
 
 REQUESTS = 300
 SEED = 7
--- /dev/null
+++ b/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Trials of whole deployments: faults from a seed, promises checked."""
--- a/tests/deployment.py
+++ b/trials/deployment.py
@@ -16,8 +16,8 @@
 from demo.layout import REGIONS, Layout, Member
 from demo.processes import Processes
 from standins.ports import free_port
-from tests import faults
-from tests.relay import Cuts, Relay
+from trials import faults
+from trials.relay import Cuts, Relay
 
 READY_TIMEOUT_S = 40.0
 CLEAN_END_S = 60.0
--- a/tests/promises.py
+++ b/trials/promises.py
@@ -6,7 +6,7 @@
 from itertools import repeat
 
 from standins.answers import answer_text, service_answer
-from tests.callers import Attempt, Ending, Kind, Request
+from trials.callers import Attempt, Ending, Kind, Request
 
 BOUND_CALLER = 'zagreb-records'
 BOUND_REGION = 'zagreb'
--- a/tests/trial.py
+++ b/trials/trial.py
@@ -1,6 +1,6 @@
 """A trial: mixed requests through real processes while faults strike.
 
-``python -m tests.trial --requests 5000 --seed 7`` runs a long one and prints a
+``python -m trials.trial --requests 5000 --seed 7`` runs a long one and prints a
 table: promise, checks made, violations.
 """
 
@@ -17,7 +17,7 @@
 import defopt
 
 from demo.layout import REGIONS, make_manifest
-from tests.callers import (
+from trials.callers import (
     DIRECTORY_LOST,
     LOST,
     Ending,
@@ -26,9 +26,9 @@
     TrialCaller,
     exchange,
 )
-from tests.deployment import ALL_NETWORKS, Deployment
-from tests.faults import plan_faults
-from tests.promises import Promise, check_promises, merge_runs
+from trials.deployment import ALL_NETWORKS, Deployment
+from trials.faults import plan_faults
+from trials.promises import Promise, check_promises, merge_runs
 
 RATE_PER_S = 25.0
 SETTLE_S = 12.0
