--- a/godwitshunt/exchange/request_task.py
+++ b/godwitshunt/exchange/request_task.py
@@ -11,6 +11,7 @@
 from godwitshunt.exchange.admission import AdmittedRequest
 from godwitshunt.exchange.attempts import Attempt
 from godwitshunt.exchange.forwarding import request_digest
+from godwitshunt.exchange.health import AttemptHealth
 from godwitshunt.exchange.lifecycle import advance
 from godwitshunt.exchange.parts import RequestParts
 from godwitshunt.exchange.problems import (
@@ -31,7 +32,6 @@
     Serve,
     Wait,
 )
-from godwitshunt.routing.outliers import Answered, AttemptOutcome, Failed
 
 KEPT_HEADER = (b'godwitshunt-kept', b'true')
 
@@ -68,8 +68,7 @@
             self.started_s,
             self.started_s + admitted.deadline_s,
         )
-        self.dispatched_s = self.started_s
-        self.health_told = False
+        self.health = AttemptHealth(parts.ports)
         self.attempt: Attempt | None = None
         self.operation: asyncio.Task[msg.Event] | None = None
         self.interruption: msg.Event | None = None
@@ -265,8 +264,7 @@
     async def dispatch(self, action: msg.Dispatch) -> msg.Event:
         """Send the request to an upstream or to a VM."""
         self.end_attempt()
-        self.dispatched_s = self.parts.ports.timer.now()
-        self.health_told = False
+        self.health.begin()
         self.parts.metrics.count('attempts_total')
         membership = self.parts.ports.membership
         match action.target:
@@ -299,7 +297,7 @@
 
     def note_event(self, event: msg.Event) -> None:
         """Count how an attempt ended."""
-        self.note_health(event)
+        self.health.hear(self.attempt.target, event)
         metrics = self.parts.metrics
         match event:
             case msg.AttemptFailed(sent):
@@ -314,34 +312,10 @@
                 away = self.target_region() != home
                 metrics.count('answers_total', away=str(away).lower())
 
-    def note_health(self, event: msg.Event) -> None:
-        """Tell routing what the event says of the upstream that was asked.
-
-        The time of a whole answer holds its length, which no prediction of
-        the first token knows: it counts as answered just as predicted.
-        """
-        target = self.attempt and self.attempt.target
-        if not isinstance(target, Serve):
-            return
-        match event:
-            case msg.AttemptFailed() | msg.StreamBroke():
-                self.tell_health(target, Failed())
-            case msg.AnswerArrived():
-                predicted_s = target.predicted_s
-                self.tell_health(target, Answered(predicted_s, predicted_s))
-
     def note_first_token(self) -> None:
         """Count the first token of a stream, and how well it was predicted."""
         self.observe('first_token_seconds')
-        target = self.attempt.target
-        if isinstance(target, Serve):
-            took_s = self.parts.ports.timer.now() - self.dispatched_s
-            self.tell_health(target, Answered(took_s, target.predicted_s))
-
-    def tell_health(self, target: Serve, outcome: AttemptOutcome) -> None:
-        """Tell routing what came of the present attempt."""
-        self.health_told = True
-        self.parts.ports.note_outcome(target.upstream, outcome)
+        self.health.hear_first_token(self.attempt.target)
 
     def target_region(self) -> str:
         """Return the region of the present attempt."""
@@ -357,13 +331,7 @@
             return
         self.attempt.cancel()
         if isinstance(self.attempt.target, Serve):
-            upstream = self.attempt.target.upstream
-            if not self.health_told:
-                self.parts.ports.note_abandoned(upstream)
-            self.parts.ports.membership.note_finished(
-                upstream.name,
-                self.attempt.target.uncached_tokens,
-            )
+            self.health.end(self.attempt.target)
         self.attempt = None
 
     async def relay(self) -> msg.Event:
