--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -14,9 +14,9 @@
 import defopt
 
 from benchmarks.baselines import EXACT, make_policies
-from demo.__main__ import operate
 from demo.layout import ENTRIES_PER_REGION, Layout, Member, make_member
 from demo.processes import Processes
+from demo.start import start_deployment
 from godwitshunt.programs.replay import run as replay
 from godwitshunt.replay.deployments import DEPLOYMENTS, Deployment
 from godwitshunt.replay.generator import (
@@ -121,19 +121,6 @@
     write_trace(layout.folder / 'trace.jsonl', trace)
 
 
-def start(layout: Layout, processes: PolicyProcesses) -> None:
-    """Start control, apply the manifest, then start entries and upstreams."""
-    processes.start_kind('control')
-    for member in layout.of_kind('control'):
-        processes.wait_ready(member, '/healthz')
-    operate(layout, 'init')
-    operate(layout, 'apply', '--manifest', str(layout.manifest_path))
-    for kind in ('entry', 'engine', 'service'):
-        processes.start_kind(kind)
-    for member in layout.of_kind('entry'):
-        processes.wait_ready(member)
-
-
 def measure(plan: RunPlan, folder: Path) -> dict:
     """Run one policy and return the replay's results."""
     layout = make_layout(folder.resolve(), plan.deployment)
@@ -141,7 +128,7 @@
     processes = PolicyProcesses(layout, plan)
     results = layout.folder / 'results.json'
     try:
-        start(layout, processes)
+        start_deployment(layout, processes)
         replay(
             layout.folder / 'trace.jsonl',
             entry=[
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,6 +1,5 @@
 """Run the demonstration: a deployment, a manifest, and a caller's requests."""
 
-import subprocess
 import sys
 import tempfile
 from pathlib import Path
@@ -10,6 +9,7 @@
 from demo.caller import STREAM_END, Answer, DemoCaller
 from demo.layout import REGIONS, Layout
 from demo.processes import Processes, stop_kept
+from demo.start import operate, start_deployment
 
 PROMPT = 'Which beams of the east wing need another look?'
 SUCCESS = 200
@@ -47,6 +47,7 @@
     failed = True
     try:
         start_deployment(layout, processes)
+        operate(layout, 'status')
         failed = not all(check_answers(layout))
     finally:
         if failed or not leave_running:
@@ -57,40 +58,6 @@
     return int(failed)
 
 
-def start_deployment(layout: Layout, processes: Processes) -> None:
-    """Start control, apply the manifest, then start entries and upstreams."""
-    processes.start_kind('control')
-    for member in layout.of_kind('control'):
-        processes.wait_ready(member, '/healthz')
-    operate(layout, 'init')
-    operate(layout, 'apply', '--manifest', str(layout.manifest_path))
-    processes.start_kind('entry')
-    processes.start_kind('engine')
-    processes.start_kind('service')
-    for member in layout.of_kind('entry'):
-        processes.wait_ready(member)
-    operate(layout, 'status')
-
-
-def operate(layout: Layout, command: str, *options: str) -> None:
-    """Run the operator's command line against the control VMs."""
-    control = [member.address for member in layout.of_kind('control')]
-    subprocess.run(
-        [
-            sys.executable,
-            '-m',
-            'godwitshunt.programs.operator',
-            command,
-            *options,
-            '--control',
-            ','.join(control),
-            '--token-file',
-            str(layout.token_path),
-        ],
-        check=True,
-    )
-
-
 def check_answers(layout: Layout) -> list[bool]:
     """Send every kind of request from a caller of each region."""
     outcomes = []
--- a/tests/test_control_frozen.py
+++ b/tests/test_control_frozen.py
@@ -9,7 +9,7 @@
 from godwitshunt.placement.reports import encode_report
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics
-from tests.control_processes import (
+from trials.control_processes import (
     KEY,
     ControlProcesses,
     free_address,
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from godwitshunt.settings import Address
-from tests.control_processes import (
+from trials.control_processes import (
     TOKEN,
     ControlProcesses,
     free_address,
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from demo.__main__ import operate
 from demo.layout import Layout
 from demo.processes import Processes
+from demo.start import start_deployment
 from trials.callers import credentials, exchange
 
 TOKENS = 600
@@ -24,25 +24,12 @@
     layout.write()
     processes = Processes(layout)
     try:
-        start_all(layout, processes)
+        start_deployment(layout, processes)
         yield layout, processes
     finally:
         processes.stop()
 
 
-def start_all(layout: Layout, processes: Processes) -> None:
-    """Start the region's processes under the demonstration's manifest."""
-    processes.start_kind('control')
-    for member in layout.of_kind('control'):
-        processes.wait_ready(member, '/healthz')
-    operate(layout, 'init')
-    operate(layout, 'apply', '--manifest', str(layout.manifest_path))
-    for kind in ('entry', 'engine', 'service'):
-        processes.start_kind(kind)
-    for entry in layout.of_kind('entry'):
-        processes.wait_ready(entry)
-
-
 async def chat(entry: str, *, stream: bool, tokens: int = TOKENS):
     """Send a chat request; return status, headers and body."""
     document = {
--- a/trials/deployment.py
+++ b/trials/deployment.py
@@ -12,9 +12,9 @@
 from typing import Self
 from urllib.request import urlopen
 
-from demo.__main__ import operate
 from demo.layout import REGIONS, Layout, Member
 from demo.processes import Processes
+from demo.start import operate, start_deployment
 from standins.ports import free_port
 from trials import faults
 from trials.relay import Cuts, Relay
@@ -79,24 +79,7 @@
         """Start relays and processes; wait until every entry VM is ready."""
         for relay in self.relays:
             await relay.start()
-        await asyncio.to_thread(self.start_processes)
-
-    def start_processes(self) -> None:
-        """Start control, the cluster, the manifest, then the others."""
-        self.processes.start_kind('control')
-        for member in self.layout.of_kind('control'):
-            self.processes.wait_ready(member, '/healthz')
-        operate(self.layout, 'init')
-        operate(self.layout, 'apply', '--manifest', self.manifest)
-        for kind in ('entry', 'engine', 'service'):
-            self.processes.start_kind(kind)
-        for member in self.layout.of_kind('entry'):
-            self.processes.wait_ready(member)
-
-    @property
-    def manifest(self) -> str:
-        """Path of the manifest."""
-        return str(self.layout.manifest_path)
+        await asyncio.to_thread(start_deployment, self.layout, self.processes)
 
     async def close(self) -> None:
         """End everything; take note of what did not end by itself."""
