--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -1,7 +1,11 @@
-"""Control replicas as processes that are killed, frozen and robbed of disks."""
+"""Control replicas as processes that are killed, frozen and robbed of disks.
+
+``GODWITSHUNT_CHANGES=300`` makes more changes than CI does.
+"""
 
 import asyncio
 import json
+import os
 import sys
 
 import pytest
@@ -15,6 +19,9 @@
     started_control,
 )
 
+CHANGES = int(os.environ.get('GODWITSHUNT_CHANGES', '30'))
+RESTART_EACH = 6
+
 
 @pytest.fixture
 async def control(tmp_path):
@@ -110,18 +117,21 @@
     and the first number still has its first answer.
     """
     revisions = []
-    for number in range(1, 31):
+    for number in range(1, CHANGES + 1):
         status, answer = await control.apply(number)
         assert status == 200
         revisions.append(answer['revision'])
-        if not number % 6:
-            place = (number // 6) % 3
+        if not number % RESTART_EACH:
+            place = (number // RESTART_EACH) % 3
             control.kill(place)
             control.start(place)
     assert revisions == sorted(set(revisions))
     _, again = await control.apply(1)
-    assert (again['revision'], again['superseded_by']) == (revisions[0], 30)
-    assert await other_contents(control, 30) == 409
+    assert (again['revision'], again['superseded_by']) == (
+        revisions[0],
+        CHANGES,
+    )
+    assert await other_contents(control, CHANGES) == 409
 
 
 async def operate(*words: str) -> tuple[int, bytes]:
--- a/trials/callers.py
+++ b/trials/callers.py
@@ -15,6 +15,7 @@
 RESENDS = 6
 HANG_UP_S = 0.15
 RESEND_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 5.0
 READ_BYTES = 65536
 LOST = (OSError, h11.RemoteProtocolError)
 DIRECTORY_LOST = (*LOST, LookupError, ValueError)
@@ -53,6 +54,12 @@
     headers: dict[str, str] = field(default_factory=dict)
     elapsed_s: float = 0.0
 
+    @property
+    def pause_s(self) -> float:
+        """How long to wait until the next attempt, as a refusal told."""
+        told_s = float(self.headers.get('retry-after', RESEND_PAUSE_S))
+        return min(told_s, LONGEST_PAUSE_S)
+
 
 @dataclass
 class Request:
@@ -243,7 +250,7 @@
             request.attempts.append(attempt)
             if attempt.ending is Ending.whole:
                 return
-            await asyncio.sleep(RESEND_PAUSE_S)
+            await asyncio.sleep(attempt.pause_s)
             await self.refresh(request.caller)
 
     async def send_carelessly(self, request: Request) -> None:
