--- a/godwitshunt/manifest/documents.py
+++ b/godwitshunt/manifest/documents.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from pydantic import BaseModel, ValidationError
+from pydantic_core import ErrorDetails
 
 from godwitshunt.exceptions import (
     DocumentError,
@@ -48,16 +49,21 @@
         return model.model_validate_json(text)
     except ValidationError as invalid:
         problems = tuple(
-            FieldProblem(
-                field='.'.join(str(part) for part in fault['loc']) or '(whole)',
-                found=repr(fault['input'])[:SHOWN_CHARACTERS],
-                expected=fault['msg'],
-            )
-            for fault in invalid.errors(include_url=False)
+            field_problem(fault) for fault in invalid.errors(include_url=False)
         )
         raise error(source, problems) from None
 
 
+def field_problem(fault: ErrorDetails) -> FieldProblem:
+    """Return a wrong field as its model tells it."""
+    missing = fault['type'] == 'missing'
+    return FieldProblem(
+        field='.'.join(str(part) for part in fault['loc']) or '(whole)',
+        found='nothing' if missing else repr(fault['input'])[:SHOWN_CHARACTERS],
+        expected='a value' if missing else fault['msg'],
+    )
+
+
 def parse_manifest(text: str | bytes, source: str = 'manifest') -> Manifest:
     """Read a manifest; raise `ManifestError` where it does not fit."""
     return parse_document(source, text, Manifest, ManifestError)
--- a/godwitshunt/programs/replay.py
+++ b/godwitshunt/programs/replay.py
@@ -64,17 +64,17 @@
 
     Parameters
     ----------
-    trace : Path
+    trace
         The trace, as JSON lines.
-    entry : list of str
+    entry
         Entry VMs to ask for the directory, as region=host:port.
-    keys : Path
+    keys
         A JSON object with the key of each caller.
-    manifest : Path
+    manifest
         The manifest in force, for the regions' prices.
-    results : Path
+    results
         Where to write the results, in JSON.
-    chart : Path
+    chart
         Where to draw the times to the first token; png, svg or pdf.
 
     Returns
@@ -147,17 +147,17 @@
 
     Parameters
     ----------
-    deployment : str
+    deployment
         ``pallikkara`` or ``statika``.
-    folder : Path
+    folder
         Where to write ``trace.jsonl``, ``manifest.json`` and ``keys.json``.
-    rate : float
+    rate
         Mean requests a second over all regions.
-    duration : float
+    duration
         Seconds; one day's peaks are pressed into them.
-    swing : float
+    swing
         How far each region's rate swings about its mean, 0 to 1.
-    seed : int
+    seed
         Equal seeds make equal traces.
 
     Returns
