--- a/godwitshunt/programs/tests/test_control.py
+++ b/godwitshunt/programs/tests/test_control.py
@@ -1,42 +1,64 @@
-"""How a control process ends."""
+"""Mistakes in the settings of a control replica, before it starts."""
 
-import asyncio
-from types import SimpleNamespace
+import json
+import socket
+from types import MappingProxyType
 
 import pytest
 
-from godwitshunt.programs import control
+from godwitshunt.programs.control import control
 
+ADDRESS = MappingProxyType({'host': '127.0.0.1', 'port': 1})
 
-class FakeProcess:
-    """A control process whose disk fails as soon as it has started."""
 
-    fails = True
-    closed = False
+def write_settings(folder, **changes):
+    """Write settings with some fields changed; return their path."""
+    (folder / 'key').write_text('key')
+    fields = {
+        'name': 'c1',
+        'region': 'zagreb',
+        'failure_domain': 'zagreb-a',
+        'http': {'host': '127.0.0.1', 'port': 0},
+        'peer': ADDRESS,
+        'control': [ADDRESS],
+        'cluster_key_file': str(folder / 'key'),
+        'data_folder': str(folder / 'data'),
+        'operator_token_sha256': '0' * 64,
+        'log': {'path': str(folder / 'log')},
+    }
+    path = folder / 'settings.json'
+    path.write_text(json.dumps({**fields, **changes}, default=dict))
+    return path
 
-    def __init__(self, settings) -> None:
-        self.consensus = SimpleNamespace(failed=asyncio.Event())
 
-    async def start(self) -> None:
-        if self.fails:
-            self.consensus.failed.set()
-
-    async def close(self) -> None:
-        FakeProcess.closed = True
+@pytest.mark.parametrize(
+    ('changes', 'told'),
+    [
+        ({'http': ADDRESS, 'peer': {'host': 'x', 'port': 0}}, 'peer.port'),
+        ({'http': ADDRESS, 'colour': 'red'}, 'colour'),
+        ({'http': ADDRESS, 'operator_token_sha256': 'x'}, 'operator_token'),
+        ({'http': ADDRESS, 'cluster_key_file': '/none'}, 'cluster_key_file'),
+        ({'http': ADDRESS, 'cluster_key_file': '/dev/null'}, '(empty)'),
+        ({'http': ADDRESS, 'peer': {'host': '192.0.2.1', 'port': 9}}, 'peer:'),
+    ],
+)
+def test_wrong_settings_name_the_field(tmp_path, capsys, changes, told):
+    """An operator makes a mistake in a settings file.
 
+    The program ends with 2 and names the field; no traceback is shown.
+    """
+    path = write_settings(tmp_path, **changes)
+    with pytest.raises(SystemExit) as ended:
+        control(path)
+    assert ended.value.code == 2
+    assert told in capsys.readouterr().err
 
-@pytest.mark.parametrize(('fails', 'code'), [(True, 1), (False, 0)])
-async def test_process_ends_where_its_disk_failed(monkeypatch, fails, code):
-    """A disk fails under a running replica, which then takes part no more.
 
-    A process that lives on looks well to its supervisor, and nobody repairs
-    the replica before the next one is lost.
-    """
-    monkeypatch.setattr(control, 'ControlProcess', FakeProcess)
-    monkeypatch.setattr(FakeProcess, 'fails', fails)
-    monkeypatch.setattr(FakeProcess, 'closed', False)
-    told = (lambda stop: None) if fails else asyncio.Event.set
-    monkeypatch.setattr(control, 'stop_on_signals', told)
-    async with asyncio.timeout(30):
-        assert await control.run(None) == code
-    assert FakeProcess.closed
+def test_address_in_use_is_told(tmp_path, capsys):
+    """The replica is started twice, or another program has its port."""
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        address = {'host': '127.0.0.1', 'port': taken.getsockname()[1]}
+        path = write_settings(tmp_path, http=ADDRESS, peer=address)
+        with pytest.raises(SystemExit):
+            control(path)
+    assert 'peer' in capsys.readouterr().err
