--- a/godwitshunt/ingress/choosing.py
+++ b/godwitshunt/ingress/choosing.py
@@ -37,6 +37,10 @@
 # it late, too. Measured with the engine model in benchmarks.
 LATEST_SHARE = 1.6
 LEAST_RETRY_S = 0.1
+# Engines that more urgent requests may not use have time to read prompts and
+# hold up nobody; they own more of the shared parts. Bounded, since what they
+# own must fit their memory.
+QUIET_AFFINITY = 1.7
 
 
 @dataclass(frozen=True)
@@ -49,6 +53,8 @@
         Incarnations, VMs and regions that failed this request.
     local : bool
         True where it was handed over to this VM, and must be served here.
+    quiet_regions : frozenset of str
+        Regions that more urgent routes of the service have no home in.
     """
 
     route: Route
@@ -58,6 +64,11 @@
     now_s: float
     excluded: frozenset[str] = frozenset()
     local: bool = False
+    quiet_regions: frozenset[str] = frozenset()
+
+    def affinity(self, region: str) -> float:
+        """Return a region's share of shared prompt parts, against others."""
+        return QUIET_AFFINITY if region in self.quiet_regions else 1.0
 
 
 @dataclass(frozen=True)
@@ -245,9 +256,10 @@
             slots=told.slots,
             in_flight=load.in_flight,
             pending_tokens=load.pending_tokens,
-            slowness=max(0.7, health.slowness),
+            delay_s=health.expected_delay_s(ask.now_s),
             away_s=away_s,
             cached=health.has_parts(key, ask.now_s),
+            affinity=ask.affinity(seen.region),
             penalty_s=penalty_s(seen, health, ask.now_s),
         )
 
--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -23,6 +23,7 @@
 from godwitshunt.ingress.headers import for_upstream
 from godwitshunt.ingress.hops import hop_request, host_of
 from godwitshunt.ingress.outcomes import (
+    NO_ATTEMPT,
     Again,
     Answered,
     AttemptOutcome,
@@ -182,6 +183,7 @@
             now_s=now_s,
             excluded=frozenset(self.excluded),
             local=request.handed_over,
+            quiet_regions=request.quiet_regions,
         )
         return parts.chooser.choose(ask, parts.watch.view(), parts.revision())
 
@@ -380,7 +382,7 @@
             (Answered, Streamed),
         )
         if shown:
-            health.note_time(first_s, choice.predicted_s)
+            health.note_time(first_s, choice.predicted_s, now_s)
             self.learn_speed(first_s, now_s - sent_s, name)
             if self.request.prompt.shared_key is not None:
                 health.note_parts(self.request.prompt.shared_key, now_s)
@@ -461,8 +463,9 @@
             neighbours.avoid(entry.name, now_s + AVOID_VM_S)
         elif isinstance(outcome, NotRun):
             self.excluded.add(entry.region)
-            place = f'{entry.region} {self.request.service.name}'
-            neighbours.avoid(place, now_s + AVOID_REGION_S)
+            if not outcome.arrived and NO_ATTEMPT in outcome.reason:
+                place = f'{entry.region} {self.request.service.name}'
+                neighbours.avoid(place, now_s + AVOID_REGION_S)
 
     def refuse(self, choice: NoPlace) -> Step:
         """Return the last step of a request that has no place."""
--- a/godwitshunt/ingress/outcomes.py
+++ b/godwitshunt/ingress/outcomes.py
@@ -9,6 +9,7 @@
 MAX_SENDS = 4
 # With less time than this left, another attempt would not be answered.
 LEAST_TIME_S = 0.05
+NO_ATTEMPT = 'no attempt was made'
 
 
 @dataclass(frozen=True)
@@ -165,7 +166,7 @@
             return BreakOff()
         if self.fallback is not None:
             return Deliver(self.fallback)
-        detail = ', '.join(self.reasons) or 'no attempt was made'
+        detail = ', '.join(self.reasons) or NO_ATTEMPT
         if self.runs:
             kind = ProblemKind.upstream_broken
             return RefuseWith(kind, detail, Outcome.unknown)
--- a/godwitshunt/ingress/requests.py
+++ b/godwitshunt/ingress/requests.py
@@ -36,6 +36,8 @@
         True where an upstream has had it before it was handed over.
     handed_over : bool
         True where another VM handed it over.
+    quiet_regions : frozenset of str
+        Regions that more urgent routes of the service have no home in.
     """
 
     id: str
@@ -49,6 +51,7 @@
     resume_after: int | None = None
     repeat: bool = False
     handed_over: bool = False
+    quiet_regions: frozenset[str] = frozenset()
 
     @property
     def urgency(self) -> int:
--- a/godwitshunt/ingress/routes.py
+++ b/godwitshunt/ingress/routes.py
@@ -13,6 +13,14 @@
 class RouteTable:
     """Routes by host and path prefix.
 
+    Parameters
+    ----------
+    hosts : mapping
+        For each host its routes by path prefix.
+    quiet : mapping
+        For a service and a rank the regions that more urgent routes of the
+        service have no home in.
+
     Examples
     --------
     >>> RouteTable().match('example.org', '/a/b') is None
@@ -20,6 +28,9 @@
     """
 
     hosts: Mapping[str, Mapping[str, Route]] = field(default_factory=dict)
+    quiet: Mapping[tuple[str, int], frozenset[str]] = field(
+        default_factory=dict,
+    )
 
     @classmethod
     def from_manifest(cls, manifest: Manifest) -> Self:
@@ -27,7 +38,7 @@
         hosts: dict[str, dict[str, Route]] = {}
         for route in manifest.routes:
             hosts.setdefault(route.host, {})[route.path_prefix] = route
-        return cls(hosts)
+        return cls(hosts, quiet_regions(manifest))
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path."""
@@ -75,3 +86,28 @@
         if left < 0:
             break
     return chosen
+
+
+def quiet_regions(manifest: Manifest) -> dict[tuple[str, int], frozenset[str]]:
+    """Return for each service and rank where nothing more urgent has a home."""
+    regions = frozenset(region.name for region in manifest.regions)
+    homes: dict[tuple[str, int], set[str]] = {}
+    for route in manifest.routes:
+        for one in route.services:
+            busy = homes.setdefault((one.service, route.rank), set())
+            busy.update(route.homes or regions)
+    return {
+        (service, rank): regions.difference(
+            *(
+                busy
+                for (other, other_rank), busy in homes.items()
+                if other == service and other_rank < rank
+            ),
+        )
+        if any(
+            other == service and other_rank < rank
+            for other, other_rank in homes
+        )
+        else frozenset()
+        for service, rank in homes
+    }
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -250,6 +250,10 @@
                 arrived_s=now_s,
                 ends_s=now_s + waits_s,
                 resume_after=resume_after(http, names),
+                quiet_regions=self.table.quiet.get(
+                    (service.name, route.rank),
+                    frozenset(),
+                ),
             ),
         )
 
--- a/godwitshunt/routing/selection.py
+++ b/godwitshunt/routing/selection.py
@@ -2,9 +2,9 @@
 
 Each candidate's time to the first event is predicted from what is known of
 its load, and the shortest one is taken. A prompt's shared parts are expected
-at the upstream that rendezvous hashing ranks first for them in its region, so
-that VMs agree on it without a word; where that one is busy, reading the parts
-again elsewhere is weighed against waiting.
+at the one upstream of all regions that rendezvous hashing ranks first for
+them, so that VMs agree on it without a word; where that one is busy, reading
+the parts again elsewhere is weighed against waiting.
 
 References
 ----------
@@ -15,8 +15,9 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import log
 
-from godwitshunt.routing.hashing import rank_weight
+from godwitshunt.routing.hashing import WORD, rank_weight
 
 # Prompt parts below this are read in a few milliseconds; bringing them to
 # their upstream would only concentrate load. In tokens.
@@ -24,6 +25,14 @@
 # Candidates within this of the best are drawn from at random, or VMs that
 # decide on the same news would all choose the same one. In seconds.
 NEAR_S = 0.01
+# Each request that an engine runs slows the others: prompts are read between
+# the tokens of running streams, and a step takes longer with each. By so many
+# seconds a candidate is worse for each request in flight; at 20 more requests
+# than another region's upstreams, that is twice the way there.
+CROWDING_S = 0.012
+# Reading a prompt holds up every stream that runs beside it; this share of
+# their common delay counts.
+HOLD_UP_SHARE = 0.05
 
 
 @dataclass(frozen=True)
@@ -84,12 +93,14 @@
         Requests of all VMs that have not ended there.
     pending_tokens : float
         Prompt tokens of those that wait for their first event.
-    slowness : float
-        Its real over its predicted times, 1 for an ordinary one.
+    delay_s : float
+        By how much its first events came later than predicted, of late.
     away_s : float
         Seconds that reaching it takes, and that staying here is worth.
     cached : bool
         True where this VM knows that it has the shared parts.
+    affinity : float
+        Share of shared parts that it should own, against others.
     penalty_s : float
         Seconds by which it is worse than its load tells.
     """
@@ -99,9 +110,10 @@
     slots: int
     in_flight: int
     pending_tokens: float
-    slowness: float = 1.0
+    delay_s: float = 0.0
     away_s: float = 0.0
     cached: bool = False
+    affinity: float = 1.0
     penalty_s: float = 0.0
 
 
@@ -120,24 +132,46 @@
 ) -> list[Ranked]:
     """Return candidates, the best first."""
     listed = list(candidates)
-    owners = owners_of(listed, demand)
+    owner = owner_of(listed, demand)
     ranked = [
-        Ranked(one, predict_s(one, demand, speed, one.instance in owners))
+        Ranked(one, predict_s(one, demand, speed, one.instance == owner))
         for one in listed
     ]
     ranked.sort(key=lambda one: one.predicted_s)
     return ranked
 
 
-def owners_of(candidates: list[Candidate], demand: Demand) -> frozenset[str]:
-    """Return the upstream of each region that the shared parts belong to."""
-    if not demand.has_affinity:
-        return frozenset()
-    best: dict[str, tuple[int, str]] = {}
-    for one in candidates:
-        weight = (rank_weight(demand.shared_key, one.instance), one.instance)
-        best[one.region] = max(best.get(one.region, weight), weight)
-    return frozenset(instance for _, instance in best.values())
+def owner_of(candidates: list[Candidate], demand: Demand) -> str | None:
+    """Return the upstream that shared parts belong to; None for short ones."""
+    if not demand.has_affinity or not candidates:
+        return None
+    owner = max(
+        candidates,
+        key=lambda one: (
+            weighted_rank(demand.shared_key, one.instance, one.affinity),
+            one.instance,
+        ),
+    )
+    return owner.instance
+
+
+def weighted_rank(key: int, name: str, weight: float) -> float:
+    """Return a name's rank for a key; names win in proportion to weights.
+
+    The weighted form of rendezvous hashing: the draw of each name is spread
+    evenly over 0 to 1, and its logarithm is divided by the weight.
+
+    Examples
+    --------
+    >>> wins = sum(
+    ...     weighted_rank(key, 'a', 3.0) > weighted_rank(key, 'b', 1.0)
+    ...     for key in range(1000)
+    ... )
+    >>> 700 < wins < 800
+    True
+    """
+    draw = (rank_weight(key, name) + 1) / (WORD + 2)
+    return weight / -log(draw)
 
 
 def predict_s(
@@ -156,8 +190,13 @@
         reading_s = waiting / speed.tokens_per_s
     over = max(0, candidate.in_flight + 1 - candidate.slots)
     queueing_s = over * speed.run_s / max(1, candidate.slots)
-    busy_s = (speed.first_s + reading_s + queueing_s) * candidate.slowness
-    return busy_s + candidate.away_s + candidate.penalty_s
+    crowd_s = 0.0
+    if speed.tokens_per_s:
+        held_up = HOLD_UP_SHARE * unread / speed.tokens_per_s
+        crowd_s = candidate.in_flight * (CROWDING_S + held_up)
+    busy_s = speed.first_s + reading_s + queueing_s + crowd_s
+    worse_s = candidate.delay_s + candidate.penalty_s
+    return busy_s + worse_s + candidate.away_s
 
 
 def near_best(ranked: list[Ranked]) -> list[Ranked]:
--- a/godwitshunt/routing/upstream_health.py
+++ b/godwitshunt/routing/upstream_health.py
@@ -12,10 +12,12 @@
 DOWN_S = 1.0
 # One that refused a request as full gets no other for so long.
 FULL_S = 0.15
-# Weight of one more answer in the moving average of slowness.
+# Weight of one more answer in the moving average of delays, and the time in
+# which an average that nothing adds to falls by half: a delay of five seconds
+# ago says little of a queue that is read in one.
 MEMORY = 0.15
-SHORTEST_PREDICTION_S = 0.05
-SLOWEST = 20.0
+DELAY_HALVED_S = 1.0
+LONGEST_DELAY_S = 3.0
 # Shared prompt parts that are remembered of one upstream, and for how long.
 # Users count a part as read again within ten seconds of its last use.
 KEPT_PARTS = 256
@@ -34,8 +36,11 @@
         Prompt tokens of those that wait for their first event.
     heard_s : float
         When bytes last came from it.
-    slowness : float
-        Moving average of real over predicted times.
+    delay_s : float
+        Moving average of the seconds by which first events came later than
+        was predicted, when it was last added to.
+    delay_noted_s : float
+        When that was.
     waiting_since : dict
         When each request was sent that has shown nothing yet.
     """
@@ -45,7 +50,8 @@
     heard_s: float = float('-inf')
     down_until_s: float = float('-inf')
     full_until_s: float = float('-inf')
-    slowness: float = 1.0
+    delay_s: float = 0.0
+    delay_noted_s: float = 0.0
     waiting_since: OrderedDict[int, float] = field(default_factory=OrderedDict)
     parts: OrderedDict[int, float] = field(default_factory=OrderedDict)
 
@@ -83,11 +89,24 @@
         oldest_s = next(iter(self.waiting_since.values()))
         return max(0.0, now_s - max(oldest_s, self.heard_s))
 
-    def note_time(self, took_s: float, predicted_s: float) -> None:
+    def note_time(
+        self,
+        took_s: float,
+        predicted_s: float,
+        now_s: float,
+    ) -> None:
         """Learn from how long an answer took against its prediction."""
-        expected_s = max(predicted_s, SHORTEST_PREDICTION_S)
-        ratio = min(SLOWEST, took_s / expected_s)
-        self.slowness += MEMORY * (ratio - self.slowness)
+        late_s = min(LONGEST_DELAY_S, took_s - predicted_s)
+        known_s = self.expected_delay_s(now_s)
+        # The prediction held the delay that was expected then; so this is by
+        # how much that expectation was wrong.
+        self.delay_s = max(0.0, known_s + MEMORY * late_s)
+        self.delay_noted_s = now_s
+
+    def expected_delay_s(self, now_s: float) -> float:
+        """Return by how much a first event is expected to come later."""
+        elapsed_s = max(0.0, now_s - self.delay_noted_s)
+        return self.delay_s * 0.5 ** (elapsed_s / DELAY_HALVED_S)
 
     def note_parts(self, key: int, now_s: float) -> None:
         """Remember that it has read shared prompt parts."""
