--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -1,5 +1,6 @@
 """The control side: accepts manifests and distributes revisions."""
 
+import asyncio
 from typing import Self
 
 from result import Err, Ok, Result
@@ -21,6 +22,7 @@
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.heard import HeardVm, HeardVms
 from godwitshunt.configuration.history import Held, RevisionHistory
+from godwitshunt.configuration.kept_revision import KeptRevision
 from godwitshunt.configuration.numbers import accept_command
 from godwitshunt.configuration.replicated_log import ReplicatedLog
 from godwitshunt.configuration.revision import (
@@ -41,6 +43,7 @@
     vm_to_wire,
 )
 from godwitshunt.consensus import ProposalFailure
+from godwitshunt.exceptions import StorageError
 from godwitshunt.manifest import Manifest
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.settings import Address, ControlSettings
@@ -70,6 +73,8 @@
         Gives the periods.
     metrics : Metrics
         Counts heartbeats, news and changes.
+    kept : KeptRevision or None
+        The newest committed revision on disk; None keeps none.
     """
 
     def __init__(
@@ -80,7 +85,9 @@
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
+        kept: KeptRevision | None = None,
     ) -> None:
+        self.kept = kept
         self.record = record
         self.named_others = others
         self.log = log
@@ -115,7 +122,10 @@
             for address in settings.control
             if address != settings.peer_reached
         )
-        return cls(record, others, log, links, timer, metrics)
+        kept = None
+        if settings.keeps_revision:
+            kept = KeptRevision(settings.data_folder)
+        return cls(record, others, log, links, timer, metrics, kept)
 
     def follow_control(self, control: tuple[Address, ...]) -> None:
         """Know other control replicas from now on, as settings name them."""
@@ -140,6 +150,7 @@
 
     def start(self) -> None:
         """Follow the log, take heartbeats, and begin upkeep."""
+        self.take_kept()
         self.machine.subscribe(self.on_state)
         self.machine.start()
         self.links.subscribe(MessageKind.vm_heartbeat, self.on_heartbeat)
@@ -207,13 +218,15 @@
         self.refresh_due = False
         state = self.state
         newest = self.history.newest
-        if newest is not None and newest.revision == state.revision:
+        if newest is not None and newest.revision >= state.revision:
             return
         if not state.highest:
             return
         held = Held(state.revision, digest_of(state.document), state.document)
         self.history.add(held)
         self.publish(held)
+        if self.kept is not None:
+            self.background.run('keep', self.keep)
         self.metrics.gauge('configuration_revision', held.revision)
         log_change(
             'configuration:revision_committed',
@@ -225,6 +238,33 @@
             self.push_due = True
             self.timer.after(PUSH_DELAY_S, self.push)
 
+    def take_kept(self) -> None:
+        """Tell VMs of the revision on disk until the log says more.
+
+        After a restart of all replicas nothing counts as committed until one
+        of them leads; what was committed before then is known to be.
+        """
+        held = None if self.kept is None else self.kept.read()
+        if held is not None:
+            self.history.add(held)
+            log_change('configuration:kept_taken', revision=held.revision)
+
+    async def keep(self) -> None:
+        """Write the newest revision to the disk; a failure is only logged.
+
+        It is a copy of what the log holds; without it a restart of all
+        replicas takes an election longer.
+        """
+        written = None
+        while written is not self.history.newest:
+            written = self.history.newest
+            try:
+                await asyncio.to_thread(self.kept.write, written)
+            except StorageError as failed:
+                self.metrics.count('configuration_keep_failed_total')
+                log_change('configuration:keep_failed', reason=failed.reason)
+                return
+
     def subscribe(self, notice: RevisionNotice) -> None:
         """Tell of each revision that this replica applies from now on."""
         self.subscribers.append(notice)
--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -65,7 +65,7 @@
         the newest revision that can be had than refused.
     """
 
-    unproven_after_s: float = 1.5
+    unproven_after_s: float = 0.5
 
 
 class ConfigurationTask:
--- a/godwitshunt/consensus/election.py
+++ b/godwitshunt/consensus/election.py
@@ -24,7 +24,10 @@
         return
     if not state.may_lead():
         return
-    state.draw_election_due(now_s)
+    if state.role is Role.follower:
+        state.draw_election_due(now_s)
+    else:
+        state.draw_retry_due(now_s)
     state.role = Role.pre_candidate
     state.leader = None
     ask_votes(state, pre_vote=True)
--- a/godwitshunt/consensus/state.py
+++ b/godwitshunt/consensus/state.py
@@ -10,6 +10,8 @@
 from godwitshunt.consensus.messages import Header, Message, Snapshot
 
 NEVER = float('-inf')
+# Least part of an election timeout between two elections that nobody wins.
+RETRY_SHARE = 0.3
 
 
 class Role(StrEnum):
@@ -198,6 +200,17 @@
         share = 1 + self.random.random()
         self.election_due_s = now_s + self.options.election_timeout_s * share
 
+    def draw_retry_due(self, now_s: float) -> None:
+        """Draw when to ask again after an election that nobody won.
+
+        After a loss of all power every replica asks at about the same time,
+        and votes split. No leader is heard then, so the next election need
+        not wait for a whole timeout: half of one, spread over several round
+        trips, lets one of them be first.
+        """
+        share = RETRY_SHARE + self.random.random()
+        self.election_due_s = now_s + self.options.election_timeout_s * share
+
     def commit_to(self, index: int) -> None:
         """Move the commit index up and apply what that commits."""
         if index <= self.commit_index:
--- /dev/null
+++ b/godwitshunt/programs/control_process.py
@@ -0,0 +1,127 @@
+"""Every part of a control VM's process, wired together."""
+
+from godwitshunt.claims import ClaimsTask
+from godwitshunt.configuration import (
+    ConfigurationService,
+    VmRole,
+)
+from godwitshunt.configuration.cluster import Cluster
+from godwitshunt.configuration.operator_api import OperatorApi
+from godwitshunt.consensus import (
+    ConsensusOptions,
+    ConsensusTask,
+    DiskFileSystem,
+)
+from godwitshunt.consensus.healer import Healer
+from godwitshunt.exchange.gateway import caller_context
+from godwitshunt.exchange.listener import Listener, ListenerOptions
+from godwitshunt.placement import PlacementApi, PlacementTask
+from godwitshunt.programs.start import make_links, start_listening, vm_record
+from godwitshunt.registry import RegistryService
+from godwitshunt.settings import Address, ControlSettings
+from godwitshunt.telemetry import Metrics, log_change
+from godwitshunt.timer import TimerService
+
+
+class ControlProcess:
+    """Every part of a control replica, wired together."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.timer = TimerService()
+        self.links = make_links(settings, self.metrics)
+        self.consensus = ConsensusTask.from_config(
+            ConsensusOptions.from_settings(settings),
+            DiskFileSystem(settings.data_folder),
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        self.claims = ClaimsTask.from_config(
+            settings,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        self.service = ConfigurationService.from_config(
+            settings,
+            vm_record(settings, VmRole.control, self.claims.session),
+            self.consensus,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        self.api = OperatorApi(
+            self.service,
+            settings.operator_token_sha256,
+            Cluster(self.consensus, settings.control, settings.peer_reached),
+        )
+        self.placement = PlacementTask.from_config(
+            settings,
+            self.service,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        orders = PlacementApi(self.placement)
+        self.api.add_route('POST', '/v1/orders', orders.order)
+        self.api.add_status(self.placement.describe)
+        self.registry = RegistryService.from_config(
+            self.links,
+            self.timer,
+            self.metrics,
+        )
+        self.healer = Healer(
+            self.consensus,
+            self.known_control,
+            self.links,
+            self.timer,
+        )
+        self.listener = Listener(
+            ListenerOptions(
+                settings.http,
+                settings.limits,
+                caller_context(settings.tls),
+            ),
+            self.metrics,
+            self.api.serve,
+        )
+
+    def follow_control(self, control: tuple[Address, ...]) -> None:
+        """Know other control replicas from now on, as settings name them."""
+        self.service.follow_control(control)
+
+    def known_control(self) -> tuple[Address, ...]:
+        """Return the peer addresses of control VMs that are known."""
+        members = [one.address for one in self.consensus.members()]
+        named = (*self.service.others, *members)
+        return tuple(dict.fromkeys(named))
+
+    async def start(self) -> None:
+        """Start every part, the listener for operators last."""
+        await start_listening(self.links.start, 'peer', self.settings.peer)
+        self.service.subscribe(self.claims.apply_revision)
+        await self.claims.start()
+        self.service.start()
+        await self.consensus.start()
+        self.placement.start()
+        self.api.start()
+        self.registry.start()
+        if self.settings.heals:
+            self.healer.start()
+        await start_listening(self.listener.start, 'http', self.settings.http)
+        log_change('control:started', name=self.settings.name)
+
+    async def close(self) -> None:
+        """Answer what is under way, then close every part."""
+        await self.listener.close()
+        await self.healer.close()
+        await self.registry.close()
+        await self.placement.close()
+        await self.service.close()
+        await self.claims.close()
+        await self.consensus.close()
+        await self.links.close()
+        self.timer.close()
+        log_change('control:closed', name=self.settings.name)
--- a/godwitshunt/programs/ingress.py
+++ b/godwitshunt/programs/ingress.py
@@ -1,134 +1,18 @@
 """``godwitshunt-ingress``: the process of an entry VM that serves routes."""
 
 import asyncio
-import gc
-import secrets
 import sys
 from pathlib import Path
 
 import defopt
 
-from godwitshunt.configuration import (
-    ConfigurationTask,
-    VmRole,
-)
-from godwitshunt.configuration.ask_order import known_control
-from godwitshunt.configuration.task import UnlistedStart
 from godwitshunt.exceptions import GodwitshuntError
-from godwitshunt.ingress import HeaderNames, IngressTask
 from godwitshunt.manifest.documents import read_settings
-from godwitshunt.programs.start import (
-    make_links,
-    read_cluster_key,
-    start_listening,
-    vm_record,
-)
-from godwitshunt.registry import EntryRecord, OwnState, RegistryWatch
-from godwitshunt.settings import Address, IngressSettings
-from godwitshunt.telemetry import Metrics, log_change, open_log
-from godwitshunt.timer import TimerService, stop_on_signals
+from godwitshunt.programs.ingress_process import IngressProcess
+from godwitshunt.settings import IngressSettings
+from godwitshunt.telemetry import open_log
 
 WRONG_INPUT = 2
-SESSION_BYTES = 8
-
-
-class IngressProcess:
-    """All parts of an entry VM that serves routes.
-
-    Parameters
-    ----------
-    settings : IngressSettings
-        The settings file.
-    names : HeaderNames
-        Headers that callers and upstreams speak.
-    """
-
-    def __init__(
-        self,
-        settings: IngressSettings,
-        names: HeaderNames | None = None,
-    ) -> None:
-        self.settings = settings
-        self.timer = TimerService()
-        self.metrics = Metrics()
-        self.stopping = asyncio.Event()
-        self.links = make_links(settings, self.metrics)
-        self.session = secrets.token_hex(SESSION_BYTES)
-        self.configuration = ConfigurationTask.from_config(
-            settings,
-            vm_record(settings, VmRole.entry, ''),
-            self.links,
-            self.timer,
-            self.metrics,
-            UnlistedStart(),
-        )
-        self.watch = RegistryWatch(
-            settings.domains,
-            self.control,
-            self.own_state,
-            self.links,
-            self.timer,
-            self.metrics,
-        )
-        self.ingress = IngressTask.from_config(
-            settings,
-            read_cluster_key(settings),
-            names or HeaderNames(),
-            self.watch,
-            self.timer,
-            self.metrics,
-        )
-
-    def control(self) -> tuple[Address, ...]:
-        """Return the peer addresses of the control VMs that are known."""
-        return known_control(self.configuration.current, self.settings.control)
-
-    def own_state(self) -> OwnState:
-        """Return what this VM tells control of itself."""
-        record = EntryRecord(
-            name=self.settings.name,
-            session=self.session,
-            region=self.settings.region,
-            failure_domain=self.settings.failure_domain,
-            http=self.settings.http_reached,
-            hop=self.settings.hop,
-            accepting=self.ingress.accepting,
-        )
-        return OwnState(record, self.ingress.parts.upstreams.loads())
-
-    async def start(self) -> None:
-        """Start every part, the callers' listener last."""
-        self.configuration.subscribe(self.ingress.apply_revision)
-        await start_listening(self.links.start, 'peer', self.settings.peer)
-        self.configuration.start()
-        self.watch.start()
-        await start_listening(self.ingress.start, 'http', self.settings.http)
-        # What lives as long as the process is not searched again at each
-        # collection, which would stop every stream for milliseconds.
-        gc.freeze()
-        log_change('ingress:started', vm=self.settings.name)
-
-    async def run(self) -> None:
-        """Serve until told to stop, then finish what is in progress."""
-        stop_on_signals(self.stopping)
-        await self.start()
-        await self.stopping.wait()
-        log_change('ingress:draining', vm=self.settings.name)
-        await self.close()
-        log_change('ingress:stopped', vm=self.settings.name)
-
-    async def close(self) -> None:
-        """Finish every request, then close every part."""
-        self.ingress.draining = True
-        self.watch.poll_all()
-        await self.ingress.close(
-            self.settings.farewell_s,
-            self.settings.drain_limit_s,
-        )
-        await self.watch.close()
-        await self.configuration.close()
-        await self.links.close()
-        self.timer.close()
 
 
 async def run_ingress(settings: IngressSettings) -> None:
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -208,6 +208,9 @@
         the cluster, on every later start, and on replicas that join.
     heals : bool
         True where the leader replaces lost replicas by itself.
+    keeps_revision : bool
+        True where a replica keeps its newest committed revision beside the
+        log, and tells VMs of it after a restart before a leader is elected.
     """
 
     data_folder: Path
@@ -218,3 +221,4 @@
     weight_store_burst: float = Field(default=10.0, ge=1)
     first_voters: tuple[FirstVoterSettings, ...] = ()
     heals: bool = False
+    keeps_revision: bool = False
