--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -394,13 +394,36 @@
             self.learn_speed(first_s, now_s - sent_s, name)
             if self.request.prompt.shared_key is not None:
                 health.note_parts(self.request.prompt.shared_key, now_s)
-            seen = AnsweredInTime(first_s, choice.predicted_s)
-            self.note_outcome(name, seen, now_s)
-        elif isinstance(outcome, (Lost, Failed, NotRun)):
+            # How late it was is learned by `note_time`; an upstream that is
+            # slow since it is busy must not be left out, or the others would
+            # have to bear its load, and be left out in their turn.
+            in_time = AnsweredInTime(choice.predicted_s, choice.predicted_s)
+            self.note_outcome(name, in_time, now_s)
+        elif isinstance(outcome, (Lost, Failed)) or self.is_shedding(
+            choice,
+            outcome,
+        ):
             self.note_outcome(name, FailedAttempt(), now_s)
         elif first_s is None and now_s - sent_s > LEAST_PATIENCE_S:
             self.note_outcome(name, FailedAttempt(), now_s)
 
+    def is_shedding(
+        self,
+        choice: SendHere,
+        outcome: AttemptOutcome | None,
+    ) -> bool:
+        """Tell whether an upstream turned a request away though it has room.
+
+        A full one that turns requests away is sound; counted as failing, all
+        upstreams of a busy region were left out by turns.
+        """
+        if not isinstance(outcome, NotRun) or not outcome.arrived:
+            return False
+        chosen = choice.seen.told
+        load = self.parts.watch.view().loads.get(chosen.instance, Load())
+        load += self.parts.upstreams.of(chosen.instance).load
+        return load.in_flight < chosen.slots
+
     def learn_speed(self, first_s: float, run_s: float, name: str) -> None:
         """Learn what the service takes where nothing waited."""
         view = self.parts.watch.view()
--- a/godwitshunt/ingress/upstreams.py
+++ b/godwitshunt/ingress/upstreams.py
@@ -18,6 +18,10 @@
 # Plain services of the sheets work 20 to 90 ms; learned from their answers.
 PLAIN_FIRST_S = 0.03
 SPEED_MEMORY = 0.05
+# Routes' requests are many, so a probe soon shows that an upstream is well; a
+# longer ejection would leave its load to the others for nothing.
+FIRST_EJECTION_S = 1.5
+LONGEST_EJECTION_S = 6.0
 
 
 @dataclass
@@ -75,7 +79,13 @@
         now_s: float,
     ) -> None:
         """Count what an attempt showed, for the detection of outliers."""
-        detector = self.outliers.setdefault(service, OutlierDetector())
+        detector = self.outliers.get(service)
+        if detector is None:
+            detector = OutlierDetector(
+                first_ejection_s=FIRST_EJECTION_S,
+                longest_ejection_s=LONGEST_EJECTION_S,
+            )
+            self.outliers[service] = detector
         detector.note(instance, outcome, tuple(present), now_s)
 
     def ejected(self, service: str, now_s: float) -> frozenset[str]:
--- a/godwitshunt/routing/outliers.py
+++ b/godwitshunt/routing/outliers.py
@@ -79,10 +79,15 @@
                 failed = 1.0
         self.failures += MEMORY * (failed - self.failures)
 
-    def eject(self, now: float) -> None:
+    def eject(
+        self,
+        now: float,
+        first_s: float = FIRST_EJECTION_S,
+        longest_s: float = LONGEST_EJECTION_S,
+    ) -> None:
         """Give no work for a time that doubles with each ejection."""
-        doubled = max(FIRST_EJECTION_S, 2 * self.ejection_s)
-        self.ejection_s = min(LONGEST_EJECTION_S, doubled)
+        doubled = max(first_s, 2 * self.ejection_s)
+        self.ejection_s = min(longest_s, doubled)
         self.ejected_until_s = now + self.ejection_s
         self.probes = 0
         self.probing = False
@@ -97,9 +102,17 @@
 
 @dataclass
 class OutlierDetector:
-    """Health of the upstreams of one service, as one VM sees it."""
+    """Health of the upstreams of one service, as one VM sees it.
+
+    Parameters
+    ----------
+    first_ejection_s, longest_ejection_s : float
+        Seconds of a first ejection, and of one after many.
+    """
 
     states: dict[str, Health] = field(default_factory=dict)
+    first_ejection_s: float = FIRST_EJECTION_S
+    longest_ejection_s: float = LONGEST_EJECTION_S
 
     def note(
         self,
@@ -126,7 +139,11 @@
         if state.ejected_until_s is not None:
             self.note_probe(state, outcome, now)
         elif self.is_outlier(state, present) and self.may_eject(present):
-            state.eject(now)
+            state.eject(
+                now,
+                self.first_ejection_s,
+                self.longest_ejection_s,
+            )
 
     def note_probe(
         self,
@@ -143,7 +160,11 @@
             return
         slow = isinstance(outcome, Failed) or state_is_slow(state, outcome)
         if slow:
-            state.eject(now)
+            state.eject(
+                now,
+                self.first_ejection_s,
+                self.longest_ejection_s,
+            )
             return
         state.probes += 1
         if state.probes >= PROBES_NEEDED:
--- a/godwitshunt/routing/selection.py
+++ b/godwitshunt/routing/selection.py
@@ -214,7 +214,9 @@
         crowd_s = candidate.in_flight * (CROWDING_S + held_up)
     raw_s = speed.first_s + reading_s + queueing_s + candidate.delay_s
     predicted_s = max(speed.first_s, raw_s) + candidate.away_s
-    cost_s = predicted_s + crowd_s + candidate.penalty_s
+    # That a busy one was faster than predicted is no reason to prefer it.
+    early_s = min(0.0, candidate.delay_s)
+    cost_s = predicted_s - early_s + crowd_s + candidate.penalty_s
     return Ranked(candidate, predicted_s, cost_s)
 
 
