--- a/godwitshunt/ingress/choosing.py
+++ b/godwitshunt/ingress/choosing.py
@@ -34,8 +34,12 @@
 LEAST_LIFE_S = 1.5
 # A request that is predicted to wait for longer than its objective times this
 # is refused at once: it would be late by far, and make those behind it late.
-# Predictions of busy upstreams are two to three times too long.
-LATEST_SHARE = 2.5
+# Beyond this share, most are.
+LATEST_SHARE = 1.3
+# An engine takes this many requests for each of its slots. Logs of an
+# overloaded day show first events on time up to twice the slots; with more,
+# they come late, and streams outlast their time.
+REQUESTS_A_SLOT = 2.0
 LEAST_RETRY_S = 0.1
 # Engines that more urgent requests may not use have time to read prompts and
 # hold up nobody; they own more of the shared parts. Bounded, since what they
@@ -137,7 +141,7 @@
         """Return where a request goes."""
         found = tuple(self.candidates(ask, view, revision))
         if not found:
-            return NoPlace(overloaded=False, retry_after_s=self.jitter(0.5))
+            return NoPlace(overloaded=False, retry_after_s=self.jitter(0.8))
         speed = self.upstreams.speed(ask.service)
         ranked = rank(found, ask.demand, speed)
         best = min(ranked, key=lambda one: one.predicted_s)
@@ -195,7 +199,9 @@
             health = self.upstreams.of(told.instance)
             if is_down(seen, health, self.region, ask.now_s):
                 continue
-            yield self.candidate(seen, health, ask, view)
+            candidate = self.candidate(seen, health, ask, view)
+            if candidate.in_flight < REQUESTS_A_SLOT * candidate.slots:
+                yield candidate
 
     def reachable(self, ask: Ask, view: RegistryView) -> frozenset[str]:
         """Return the regions that a request may be served in from here."""
