--- a/godwitshunt/ingress/header_names.py
+++ b/godwitshunt/ingress/header_names.py
@@ -42,6 +42,6 @@
     expected_instance: bytes = b'godwitshunt-instance'
     resume_after: bytes = b'last-event-id'
     prompt_parts: bytes = b'godwitshunt-prompt-parts'
-    token_count: bytes = b'godwitshunt-token-count'
+    token_count: bytes = b'godwitshunt-prompt-tokens'
     urgency: bytes = b'godwitshunt-urgency'
     reserved: frozenset[bytes] = frozenset()
--- a/godwitshunt/telemetry/records.py
+++ b/godwitshunt/telemetry/records.py
@@ -6,6 +6,8 @@
 
 import eliot
 
+from godwitshunt.telemetry.output import LineOutput
+
 
 def open_log(path: Path | None) -> None:
     """Write log lines to a file, or to standard error without one."""
@@ -16,9 +18,12 @@
     eliot.to_file(path.open('a', buffering=1))
 
 
-def open_standard_output() -> None:
-    """Write log lines to standard output."""
-    eliot.to_file(sys.stdout)
+def open_standard_output() -> LineOutput:
+    """Write log lines to standard output; close what is returned at the end."""
+    output = LineOutput(sys.stdout.fileno())
+    output.start()
+    eliot.add_destinations(output)
+    return output
 
 
 def log_change(change: str, **fields: Any) -> None:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -311,6 +311,7 @@
 async def test_request_id_leads_to_its_decisions(world):
     """Someone on call asks what became of a request."""
     attempt, _ = await ask(NORTH, '/safe/x')
+    await until(lambda: is_logged(world, attempt), 3)
     lines = world.logged(NORTH, 'ingress:request_ended')
     line = next(one for one in lines if one['request'] == attempt)
     assert line['ending'] == 'answered 200'
@@ -318,6 +319,12 @@
     assert world.servers['north-app'].instance in line['choices'][0]
 
 
+async def is_logged(world, attempt):
+    """Tell whether the north has written of an attempt."""
+    lines = world.logged(NORTH, 'ingress:request_ended')
+    return any(one['request'] == attempt for one in lines)
+
+
 async def test_stopped_entry_finishes_what_it_took(world):
     """A machine is told to stop while it answers."""
     slow = asyncio.create_task(ask(SOUTH, '/unsafe/slow'))
