--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -60,9 +60,12 @@
 
     def __post_init__(self) -> None:
         route = self.request.route
+        # The VM that handed it over counts the attempts: with two counts, a
+        # request runs on more upstreams than its route allows.
+        attempts = 1 if self.request.handed_over else route.attempts
         self.progress = Progress(
             route.repeatable,
-            route.attempts,
+            attempts,
             arrivals=int(self.request.repeat),
         )
         self.account = RequestAccount(self.request)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -38,6 +38,7 @@
                 max_attempts=2,
             ),
             route('safe', '/south/', home_regions=['south']),
+            route('safe', '/engines/', service='llm', max_attempts=2),
         ],
         'services': [
             {'name': 'app', 'max_connections': 96, 'health_path': '/healthz'},
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -137,6 +137,19 @@
     return answer.status == 200
 
 
+async def test_no_more_upstreams_run_a_request_than_its_route_allows(world):
+    """Both of another region's servers fail what they run.
+
+    The machine that takes the request over and the one that handed it over
+    both count; each with attempts of its own, three servers ran it.
+    """
+    await asyncio.sleep(0.7)
+    attempt, answer = await ask(SOUTH, '/engines/fails')
+    assert answer.status == 500
+    ran = sum(one.ran.count(attempt) for one in world.servers.values())
+    assert 1 <= ran <= 2
+
+
 async def test_caller_that_goes_stops_the_work(world):
     """A caller hangs up; half a second later nobody may work for it."""
     _, writer = await asyncio.open_connection(NORTH, FRONT)
