--- a/godwitshunt/ingress/choosing.py
+++ b/godwitshunt/ingress/choosing.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
-from godwitshunt.ingress.neighbours import Neighbours
+from godwitshunt.ingress.neighbours import ROUND_TRIP_S, Neighbours
 from godwitshunt.ingress.upstreams import Upstreams, of_service
 from godwitshunt.manifest import Route, Service
 from godwitshunt.registry import (
@@ -254,7 +254,7 @@
         here = seen.region == self.region
         away_s = 0.0
         if not here:
-            away_s = self.away_s + self.neighbours.round_trip_s(seen.region)
+            away_s = self.away_s + ROUND_TRIP_S
         load = view.loads.get(told.instance, Load()) + health.load
         key = ask.demand.shared_key
         return Candidate(
--- a/godwitshunt/ingress/neighbours.py
+++ b/godwitshunt/ingress/neighbours.py
@@ -1,4 +1,4 @@
-"""Entry VMs that this one has known, and how to reach other regions; pure."""
+"""Entry VMs that this one has known, and those to avoid for a while; pure."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -8,15 +8,14 @@
 # Budgets are shared with VMs that were heard within so long: one that is cut
 # off may still be sending.
 COUNTED_S = 45.0
-# A region is taken for so far away until its connections were measured; as on
-# the users' sheets, both ways. In seconds.
+# Another region is taken for so far away, in seconds: 55 ms each way, as on the
+# users' sheets. It is not measured.
 ROUND_TRIP_S = 0.11
-MEMORY = 0.2
 
 
 @dataclass
 class Neighbours:
-    """Which entry VMs share budgets with this one, and round trips.
+    """Which entry VMs share budgets with this one, and which are avoided.
 
     Parameters
     ----------
@@ -27,7 +26,6 @@
     name: str
     region: str
     seen: dict[str, tuple[str, float]] = field(default_factory=dict)
-    round_trips: dict[str, float] = field(default_factory=dict)
     avoided: dict[str, float] = field(default_factory=dict)
 
     def hear(self, entries: Mapping[str, EntryRecord], now_s: float) -> None:
@@ -48,18 +46,6 @@
         here = sum(region == self.region for region, _ in self.seen.values())
         return max(1, here)
 
-    def round_trip_s(self, region: str) -> float:
-        """Return the measured round trip to a region, or a first guess."""
-        return self.round_trips.get(region, ROUND_TRIP_S)
-
-    def note_round_trip(self, region: str, took_s: float) -> None:
-        """Learn from a connection that was made."""
-        known = self.round_trips.get(region)
-        if known is None:
-            self.round_trips[region] = took_s
-            return
-        self.round_trips[region] = known + MEMORY * (took_s - known)
-
     def avoid(self, place: str, until_s: float) -> None:
         """Send nothing to a VM, or a region's service, until then."""
         self.avoided[place] = until_s
