--- a/standins/answers.py
+++ b/standins/answers.py
@@ -24,7 +24,12 @@
     ['447892644520.0 ', '447892644520.1 ']
     """
     digest = prompt_digest(prompt)
-    return [f'{digest}.{index} ' for index in range(count)]
+    return [answer_token(digest, index) for index in range(count)]
+
+
+def answer_token(digest: str, index: int) -> str:
+    """Return one token of the answer to the prompt with a digest."""
+    return f'{digest}.{index} '
 
 
 def answer_text(prompt: str, count: int) -> str:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,7 +23,7 @@
     prompt_tokens,
 )
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
-from standins.answers import answer_tokens, prompt_digest
+from standins.answers import answer_token, answer_tokens, prompt_digest
 from standins.batching import BLOCK_TOKENS, BatchingModel, Job, PrefixCache
 from standins.host import Host, HostOptions
 
@@ -92,25 +92,57 @@
     stamped: bool = False
 
 
-def answer_events(model: str, prompt: str, count: int) -> list[bytes]:
-    """Return every event of a streamed answer, the final marker included."""
-    name = f'chatcmpl-{prompt_digest(prompt)}'
-    deltas = [
-        ({'content': token}, None) for token in answer_tokens(prompt, count)
-    ]
-    deltas.append(({}, 'stop'))
-    events = []
-    for delta, reason in deltas:
-        choice = {'index': 0, 'delta': delta, 'finish_reason': reason}
+@dataclass(frozen=True)
+class StreamedAnswer:
+    r"""The events of a streamed answer, rendered as they are asked for.
+
+    Rendering a long answer before its first event would hold up the process
+    for seconds beside load, and with it every other request.
+
+    Parameters
+    ----------
+    model, prompt : str
+        What was asked of which model.
+    count : int
+        Tokens of the whole answer.
+
+    Examples
+    --------
+    >>> answer = StreamedAnswer('review', 'hello', count=2)
+    >>> len(answer.between(0, 2)), answer.between(3, 9)
+    (2, [b'data: [DONE]\n\n'])
+    """
+
+    model: str
+    prompt: str
+    count: int
+
+    @property
+    def last(self) -> int:
+        """Events in all: the tokens, the stop and the final marker."""
+        return self.count + 2
+
+    def between(self, start: int, end: int) -> list[bytes]:
+        """Return events from one position up to another, both from 0."""
+        digest = prompt_digest(self.prompt)
+        positions = range(start, min(end, self.last))
+        return [self.event(digest, position) for position in positions]
+
+    def event(self, digest: str, position: int) -> bytes:
+        """Return the event at a position."""
+        if position > self.count:
+            return b'data: [DONE]\n\n'
+        choice = {'index': 0, 'delta': {}, 'finish_reason': 'stop'}
+        if position < self.count:
+            token = answer_token(digest, position)
+            choice.update(delta={'content': token}, finish_reason=None)
         document = {
-            'id': name,
+            'id': f'chatcmpl-{digest}',
             'object': 'chat.completion.chunk',
-            'model': model,
+            'model': self.model,
             'choices': [choice],
         }
-        events.append(f'data: {json.dumps(document)}\n\n'.encode())
-    events.append(b'data: [DONE]\n\n')
-    return events
+        return f'data: {json.dumps(document)}\n\n'.encode()
 
 
 def unary_answer(model: str, prompt: str, count: int) -> dict:
@@ -239,7 +271,7 @@
         """Send the answer, in one piece or as it is made."""
         count = document.output_tokens
         if document.stream:
-            events = answer_events(document.model, prompt, count)
+            events = StreamedAnswer(document.model, prompt, count)
             stamped = self.options.stamped
             return await stream(events, offset, job, writer, stamped=stamped)
         while not job.finished:
@@ -270,7 +302,7 @@
 
 
 async def stream(
-    events: list[bytes],
+    events: StreamedAnswer,
     offset: int,
     job: Job,
     writer: AnswerWriter,
@@ -285,13 +317,13 @@
     position = offset
     while not job.finished:
         count = await wait(job)
-        made = events[position : position + count]
+        made = events.between(position, position + count)
         if stamped:
             mark = b': at %.6f\n' % time.monotonic()
             made = [b''.join((mark, event)) for event in made]
         await writer.send(b''.join(made))
         position += count
-    rest = b''.join(events[position:])
+    rest = b''.join(events.between(position, events.last))
     if rest:
         await writer.send(rest)
     await writer.finish()
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -13,7 +13,7 @@
 )
 from standins.answers import answer_text, service_answer
 from standins.batching import BatchingModel, Job, PrefixCache
-from standins.engine import EngineOptions, EngineStandin, answer_events
+from standins.engine import EngineOptions, EngineStandin, StreamedAnswer
 from standins.service import ServiceOptions, ServiceStandin
 
 PROMPT = 'user\nwho?\n'
@@ -64,7 +64,8 @@
     async with started(engine()) as address:
         headers = {'Godwitshunt_Resume_Offset': str(offset)} if offset else {}
         reply = await raw(address, chat(**headers))
-        events = answer_events('review', PROMPT, 5)
+        answer = StreamedAnswer('review', PROMPT, 5)
+        events = answer.between(0, answer.last)
         assert (reply.whole, reply.body) == (True, b''.join(events[offset:]))
         told = reply.headers.get('godwitshunt-resume-offset', '0')
         assert told == str(offset)
@@ -92,6 +93,24 @@
         assert document['region'] == 'kochi'
 
 
+async def test_engine_streams_a_long_answer_from_its_first_token_on():
+    """A caller asks for very many tokens and waits for the first one.
+
+    An engine that renders the whole answer before its first event stands
+    still for as long as that takes, and with it every other request.
+    """
+    standin = engine(decode_rate=200.0)
+    async with started(standin) as address:
+        reader, writer = await asyncio.open_connection(
+            address.host,
+            address.port,
+        )
+        writer.write(chat(20_000_000))
+        async with asyncio.timeout(5):
+            await reader.readuntil(b'data: ')
+        writer.close()
+
+
 @pytest.mark.parametrize(('fencing', 'statuses'), [(True, 409), (False, 200)])
 async def test_engine_checks_fencing_numbers_where_it_honours_them(
     fencing,
