Add godwitshunt trace: a request's lines from many logs, and a sentence on its cause

Cause: from an id to its cause one had to grep every machine's log and read choices against attempts by hand.

--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -16,6 +16,7 @@
     read_manifest,
     show,
 )
+from godwitshunt.programs.tracing import trace
 
 WAIT_PERIOD_S = 0.5
 
@@ -267,6 +268,7 @@
         replace,
         order,
         remove_vm,
+        trace,
     ]
     try:
         defopt.run(commands, short={})
--- /dev/null
+++ b/godwitshunt/tracing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of request stories."""
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -7,6 +7,7 @@
 import pytest
 import pytest_asyncio
 
+from godwitshunt.tracing import read_logs, tell
 from tests.platform_world import (
     CONTROL_HOSTS,
     DIRECTORY,
@@ -330,6 +331,10 @@
     assert line['ending'] == 'answered 200'
     assert line['attempts'][0].endswith(':Answered')
     assert world.servers['north-app'].instance in line['choices'][0]
+    logs = tuple(world.folder.glob('*.log'))
+    story = tell(attempt, read_logs(logs))
+    instance = world.servers['north-app'].instance
+    assert f'tried {instance} (Answered); answered 200' in story.sentence
 
 
 async def is_logged(world, attempt):
