Log the inputs of a choice: tokens that wait, what is kept, the age of control's news

An upstream that is left out for failing had no line at all, and a repeat that the retry budget denied read like an overload.

--- a/godwitshunt/ingress/account.py
+++ b/godwitshunt/ingress/account.py
@@ -21,15 +21,19 @@
         Where it went, and what became of that.
     first_s : float or None
         Seconds until the caller got the first of its answer.
+    control_age_s : float
+        Age of what control told when the last choice was made, in seconds.
     """
 
     request: RoutedRequest
     choices: list[str] = field(default_factory=list)
     attempts: list[str] = field(default_factory=list)
     first_s: float | None = None
+    control_age_s: float = 0.0
 
-    def note_choice(self, choice: Choice) -> None:
-        """Note a choice with its candidates."""
+    def note_choice(self, choice: Choice, control_age_s: float) -> None:
+        """Note a choice with its candidates, and how old its news was."""
+        self.control_age_s = control_age_s
         match choice:
             case SendHere(seen=seen):
                 place = seen.told.instance
@@ -86,13 +90,17 @@
             attempts=self.attempts,
             reasons=progress.reasons,
             revision=revision,
+            prompt_tokens=request.prompt.prompt_tokens,
+            shared_tokens=request.prompt.shared_tokens,
+            control_age_s=round(self.control_age_s, 2),
         )
 
 
 def describe(ranked: Ranked) -> str:
     """Return a candidate: name, region, prediction, cost and load."""
     one = ranked.candidate
+    kept = '/kept' if one.cached else ''
     return (
         f'{one.instance}@{one.region}={ranked.predicted_s:.3f}s'
-        f'/{ranked.cost_s:.3f}/{one.in_flight}'
+        f'/{ranked.cost_s:.3f}/{one.in_flight}/{one.pending_tokens}{kept}'
     )
--- a/godwitshunt/ingress/learning.py
+++ b/godwitshunt/ingress/learning.py
@@ -19,6 +19,7 @@
 from godwitshunt.registry import Load
 from godwitshunt.routing import outliers
 from godwitshunt.routing.upstream_health import DOWN_S, FULL_S
+from godwitshunt.telemetry import log_change
 
 # Without a sign of an answer for so long, an attempt that ends counts against
 # its upstream, whoever ended it.
@@ -79,6 +80,7 @@
             health.full_until_s = now_s + FULL_S
         if made.answered:
             self.note_answer(made, now_s)
+            self.count_prompt(made.choice)
         elif self.failed(made):
             self.note_outcome(made.instance, outliers.Failed(), now_s)
 
@@ -98,6 +100,16 @@
         in_time = outliers.Answered(predicted_s, predicted_s)
         self.note_outcome(made.instance, in_time, now_s)
 
+    def count_prompt(self, choice: SendHere) -> None:
+        """Count whether a long prompt's shared parts were kept there."""
+        prompt = self.request.prompt
+        if prompt.worth_keeping:
+            kept = choice.unread_tokens < prompt.prompt_tokens
+            self.parts.metrics.count(
+                'ingress_long_prompts_total',
+                kept='yes' if kept else 'no',
+            )
+
     def failed(self, made: UpstreamAttempt) -> bool:
         """Tell whether an attempt counts against its upstream."""
         if isinstance(made.outcome, (Lost, Failed)):
@@ -130,13 +142,20 @@
         service = self.request.service.name
         view = self.parts.watch.view()
         present = [one.told.instance for one in of_service(view, service)]
-        self.parts.upstreams.note_outcome(
+        left_out = self.parts.upstreams.note_outcome(
             service,
             instance,
             shown,
             present,
             now_s,
         )
+        if left_out:
+            log_change(
+                'ingress:upstream_left_out',
+                instance=instance,
+                request=self.request.id,
+                load=self.parts.upstreams.of(instance).in_flight,
+            )
 
     def of_vm(
         self,
--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -128,10 +128,12 @@
         """Return where the request goes now, its budgets spent."""
         while True:
             choice = self.choose_once()
-            self.account.note_choice(choice)
+            age_s = self.parts.watch.age_s()
+            self.account.note_choice(choice, age_s)
             if isinstance(choice, NoPlace):
                 return choice
             if not self.may_repeat():
+                self.progress.reasons.append('the retry budget is spent')
                 return NoPlace(overloaded=True, retry_after_s=RETRY_AFTER_S)
             if isinstance(choice, HandOver) or self.may_send(choice):
                 return choice
--- a/godwitshunt/ingress/upstreams.py
+++ b/godwitshunt/ingress/upstreams.py
@@ -5,7 +5,11 @@
 
 from godwitshunt.manifest import Service
 from godwitshunt.registry import Load, RegistryView, UpstreamSeen
-from godwitshunt.routing.outliers import AttemptOutcome, OutlierDetector
+from godwitshunt.routing.outliers import (
+    Answered,
+    AttemptOutcome,
+    OutlierDetector,
+)
 from godwitshunt.routing.selection import ServiceSpeed
 from godwitshunt.routing.upstream_health import UpstreamHealth
 
@@ -77,8 +81,8 @@
         outcome: AttemptOutcome,
         present: Iterable[str],
         now_s: float,
-    ) -> None:
-        """Count what an attempt showed, for the detection of outliers."""
+    ) -> bool:
+        """Count what an attempt showed; True where it is left out by that."""
         detector = self.outliers.get(service)
         if detector is None:
             detector = OutlierDetector(
@@ -86,7 +90,12 @@
                 longest_ejection_s=LONGEST_EJECTION_S,
             )
             self.outliers[service] = detector
+        if isinstance(outcome, Answered):
+            detector.note(instance, outcome, tuple(present), now_s)
+            return False
+        before = detector.excluded(now_s)
         detector.note(instance, outcome, tuple(present), now_s)
+        return instance in detector.excluded(now_s) - before
 
     def ejected(self, service: str, now_s: float) -> frozenset[str]:
         """Return upstreams of a service that get no work now."""
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -108,6 +108,14 @@
             self.refresh(now_s)
         return self.cached
 
+    def age_s(self) -> float:
+        """Return the age of the newest answer of a control VM, in seconds."""
+        answered_s = max(
+            (table.answered_s for table in self.joined.tables.values()),
+            default=float('-inf'),
+        )
+        return self.timer.now() - answered_s
+
     def note_read(self, key: int, instance: str) -> None:
         """Note that an upstream has read a prefix of this VM's request."""
         read = PrefixRead(key, instance, self.timer.now())
