--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -1,6 +1,7 @@
 """The platform's side of the wire: servers, clients, and real processes."""
 
 import asyncio
+import fcntl
 import json
 import os
 import secrets
@@ -307,9 +308,18 @@
     servers: dict = field(default_factory=dict)
     beating: asyncio.Task | None = None
     silent: set = field(default_factory=set)
+    lock: object = None
 
     async def start(self):
-        """Start everything and wait until a request is served."""
+        """Start everything and wait until a request is served.
+
+        Worlds share addresses: another one, of another test process, is
+        waited for.
+        """
+        target = ROOT / 'target'
+        target.mkdir(exist_ok=True)
+        self.lock = (target / 'world.lock').open('w')
+        await asyncio.to_thread(fcntl.flock, self.lock, fcntl.LOCK_EX)
         key = ROOT / 'target' / 'cluster.key'
         key.parent.mkdir(exist_ok=True)
         if not key.exists():
@@ -330,10 +340,16 @@
         self.beating = asyncio.create_task(self.beat())
         await until(self.is_serving, 20.0)
 
-    async def start_process(self, host, zone, *, control):
+    async def start_process(self, host, zone, *, control, bootstrap=True):
         """Start one process."""
         path = self.folder / f'{host}.json'
-        document = boot_document(host, zone, self.folder, control=control)
+        document = boot_document(
+            host,
+            zone,
+            self.folder,
+            control=control,
+            bootstrap=bootstrap,
+        )
         path.write_text(json.dumps(document))
         script = 'control.py' if control else 'entry.py'
         log = (self.folder / f'{host}.log').open('ab')
@@ -355,7 +371,11 @@
         """Tell whether every service answers through every entry."""
         for entry in ENTRY_ZONES:
             for path in ('/safe/x', '/south/x', '/resumed/x'):
-                _, answer = await ask(entry, path)
+                try:
+                    _, answer = await ask(entry, path)
+                except (OSError, TimeoutError):
+                    # Beside load an entry listens later than control does.
+                    return False
                 if answer.status != 200:
                     return False
         return True
@@ -401,6 +421,7 @@
             await process.wait()
         for server in self.servers.values():
             server.listener.close()
+        self.lock.close()
 
     def logged(self, host, kind):
         """Return the log lines of a kind that a process wrote."""
--- /dev/null
+++ b/trials/soak.py
@@ -0,0 +1,308 @@
+"""A soak of the platform's programs: seeded faults while callers ask.
+
+Real processes on this machine are killed, paused, stopped and started again,
+in series that overlap, while configurations change. What callers and servers
+see is held against the promises; the seed repeats the choice of faults and
+their times, not the machine's timing.
+"""
+
+import asyncio
+import json
+import secrets
+import signal
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import defopt
+
+from tests.platform_world import CONTROL as CONTROL_PORT
+from tests.platform_world import (
+    CONTROL_HOSTS,
+    ENTRY_ZONES,
+    Answer,
+    World,
+    ask,
+    call,
+    configuration,
+    until,
+)
+
+PATHS = ('/safe/x', '/unsafe/x', '/once/x', '/resumed/x', '/south/x')
+ONCE = ('/unsafe', '/once')
+STREAMS = ('/once', '/resumed')
+# These say that a request did not run and never will.
+REFUSALS = frozenset((408, 421, 429, 503))
+STREAM = b''.join(b'id: %d\ndata: x%d\n\n' % (one, one) for one in range(1, 9))
+BODY = b'hello'
+CALLERS = 6
+PAUSE_S = 0.05
+READ_PERIOD_S = 0.3
+# A process may use the grace time of the platform to end.
+GRACE_S = 8.0
+RECOVERY_S = 20.0
+
+
+@dataclass(frozen=True)
+class Seen:
+    """One request as its caller saw it."""
+
+    path: str
+    attempt: str
+    answer: Answer
+
+
+@dataclass
+class Findings:
+    """What was checked, and what broke a promise."""
+
+    checks: Counter = field(default_factory=Counter)
+    broken: list[str] = field(default_factory=list)
+
+    def check(self, promise: str, holds: bool, detail: object) -> None:
+        """Count one check; keep what broke."""
+        self.checks[promise] += 1
+        if not holds:
+            self.broken.append(f'{promise}: {detail}')
+
+
+@dataclass
+class Soak:
+    """One run of one seed."""
+
+    world: World
+    random: Random
+    findings: Findings = field(default_factory=Findings)
+    seen: list[Seen] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    acknowledged: int = 1
+    sent: int = 1
+    over: bool = False
+    busy: set[str] = field(default_factory=set)
+    restarts: Counter = field(default_factory=Counter)
+
+    async def run(self, seconds: float) -> None:
+        """Let callers ask while faults happen; then check everything."""
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(CALLERS):
+                tasks.create_task(self.be_caller())
+            tasks.create_task(self.read_versions())
+            await self.make_faults(seconds)
+            self.over = True
+        await until(self.world.is_serving, RECOVERY_S)
+        self.findings.check('serves again', True, 'all paths')
+        self.check_answers()
+
+    async def be_caller(self) -> None:
+        """Ask one request after the other."""
+        while not self.over:
+            path = self.random.choice(PATHS)
+            attempt = secrets.token_hex(8)
+            answer = Answer(0, {}, b'', complete=False)
+            try:
+                entry = self.random.choice(list(ENTRY_ZONES))
+                _, answer = await ask(entry, path, attempt=attempt, body=BODY)
+            except (OSError, TimeoutError, ValueError):
+                answer = Answer(0, {}, b'', complete=False)
+            self.seen.append(Seen(path, attempt, answer))
+            await asyncio.sleep(PAUSE_S)
+
+    async def read_versions(self) -> None:
+        """Read the configuration; it must never be an older one."""
+        while not self.over:
+            host = self.random.choice(CONTROL_HOSTS)
+            least = self.acknowledged
+            answer = await self.control('GET', host)
+            if answer.status == 200:
+                version = json.loads(answer.body)['version']
+                told = f'{version} from {host} after {least}'
+                self.findings.check('never older', version >= least, told)
+            await asyncio.sleep(READ_PERIOD_S)
+
+    async def control(
+        self,
+        method: str,
+        host: str,
+        document: dict | None = None,
+    ) -> Answer:
+        """Call a control process; status 0 where nothing comes."""
+        try:
+            return await call(
+                host,
+                CONTROL_PORT,
+                method,
+                '/-/config',
+                document,
+            )
+        except (OSError, TimeoutError):
+            return Answer(0, {}, b'', complete=False)
+
+    async def make_faults(self, seconds: float) -> None:
+        """Begin a fault each moment; they overlap."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        kinds = (self.kill, self.pause, self.stop, self.change, self.change)
+        async with asyncio.TaskGroup() as tasks:
+            while loop.time() < end_s:
+                fault = self.random.choice(kinds)
+                tasks.create_task(fault())
+                await asyncio.sleep(self.random.uniform(0.3, 1.0))
+
+    def pick(self) -> str | None:
+        """Take a process that no other fault has; one of control at most."""
+        hosts = [*ENTRY_ZONES, *CONTROL_HOSTS]
+        host = self.random.choice(hosts)
+        others = self.busy.intersection(CONTROL_HOSTS)
+        if host in self.busy or (host in CONTROL_HOSTS and others):
+            return None
+        self.busy.add(host)
+        return host
+
+    async def kill(self) -> None:
+        """Kill a process and start it again."""
+        host = self.pick()
+        if host is not None:
+            self.faults.append(f'kill {host}')
+            self.world.processes[host].send_signal(signal.SIGKILL)
+            await self.start_again(host)
+
+    async def pause(self) -> None:
+        """Let a process stand still for a while."""
+        host = self.pick()
+        if host is None:
+            return
+        self.faults.append(f'pause {host}')
+        process = self.world.processes[host]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        process.send_signal(signal.SIGCONT)
+        self.busy.discard(host)
+
+    async def stop(self) -> None:
+        """Tell a process to end, and start it again."""
+        host = self.pick()
+        if host is None:
+            return
+        self.faults.append(f'stop {host}')
+        process = self.world.processes[host]
+        began = self.has_begun(host)
+        process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                code = await process.wait()
+        except TimeoutError:
+            code = None
+            process.send_signal(signal.SIGKILL)
+        # One that is told while it still loads its code ends by the signal
+        # itself; it has taken nothing by then.
+        clean = code == 0 or (code == -signal.SIGTERM and not began)
+        self.findings.check('ends when told', clean, f'{host}: {code}')
+        await self.start_again(host)
+
+    def has_begun(self, host: str) -> bool:
+        """Tell whether a process's newest start is in its log."""
+        role = 'control' if host in CONTROL_HOSTS else 'ingress'
+        lines = self.world.logged(host, f'{role}:started')
+        return len(lines) > self.restarts[host]
+
+    async def start_again(self, host: str) -> None:
+        """Start a process that ended."""
+        await self.world.processes[host].wait()
+        self.restarts[host] += self.has_begun(host)
+        await self.world.start_process(
+            host,
+            zone_of(host),
+            control=host in CONTROL_HOSTS,
+            bootstrap=False,
+        )
+        await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        self.busy.discard(host)
+
+    async def change(self) -> None:
+        """Send a newer configuration to one control process."""
+        self.sent += 1
+        version = self.sent
+        self.faults.append(f'configuration {version}')
+        host = self.random.choice(CONTROL_HOSTS)
+        answer = await self.control('PUT', host, configuration(version))
+        if answer.status == 200:
+            self.acknowledged = max(self.acknowledged, version)
+
+    def check_answers(self) -> None:
+        """Hold every answer against what the servers ran."""
+        runs = Counter(
+            attempt
+            for server in self.world.servers.values()
+            for attempt in server.ran
+        )
+        for one in self.seen:
+            self.check_answer(one, runs[one.attempt])
+
+    def check_answer(self, one: Seen, runs: int) -> None:
+        """Hold one answer against how often its request ran."""
+        answer = one.answer
+        is_stream = one.path.startswith(STREAMS)
+        if answer.status == 200 and answer.complete:
+            right = answer.body == expected(one.path)
+            own = answer.fields.get('attempt-id') == one.attempt
+            signed = 'server-seal' in answer.fields
+            self.findings.check('whole and own', right and own and signed, one)
+        elif answer.status == 200 and is_stream:
+            in_order = STREAM.startswith(answer.body)
+            self.findings.check('events in order', in_order, one)
+        if one.path.startswith(ONCE):
+            self.findings.check('at most once', runs <= 1, one)
+            if answer.status in REFUSALS:
+                self.findings.check('not run is true', not runs, one)
+
+
+def expected(path: str) -> bytes:
+    """Return the whole body that a path is answered with."""
+    return STREAM if path.startswith(STREAMS) else BODY
+
+
+def zone_of(host: str) -> str:
+    """Return the zone of a process; all of control stands in one."""
+    return ENTRY_ZONES.get(host, 'zone-a')
+
+
+async def soak(seed: int, seconds: float, folder: Path) -> Soak:
+    """Run one seed on a deployment of its own."""
+    world = World(folder)
+    try:
+        await world.start()
+        run = Soak(world, Random(seed))
+        await run.run(seconds)
+        return run
+    finally:
+        await world.close()
+
+
+def main(*, seed: int = 1, seeds: int = 1, seconds: float = 20.0) -> None:
+    """Run seeds one after the other, and print what they found.
+
+    Exit code 1 where a promise was broken.
+
+    :param seed: the first seed.
+    :param seeds: how many.
+    :param seconds: how long faults are made in each.
+    """
+    broken = 0
+    for number in range(seed, seed + seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            run = asyncio.run(soak(number, seconds, Path(folder)))
+        broken += len(run.findings.broken)
+        served = sum(one.answer.status == 200 for one in run.seen)
+        print(
+            f'seed {number}: {len(run.faults)} faults, '
+            f'{served} of {len(run.seen)} served, '
+            f'{dict(run.findings.checks)}, broken {run.findings.broken}',
+        )
+    sys.exit(int(broken > 0))
+
+
+if __name__ == '__main__':
+    defopt.run(main)
