--- a/godwitshunt/ingress/choosing.py
+++ b/godwitshunt/ingress/choosing.py
@@ -35,8 +35,8 @@
 # A request that is predicted to wait for others for longer than its objective
 # times this is refused at once: it would be late, and make those behind it
 # late. Reading its own prompt counts besides, or the longest prompts would be
-# refused by idle engines. Two heavy days were worth 0.01 and 0.02 more than with
-# 1.3, the own reading in it; single plays differ by as much.
+# refused by idle engines. Two heavy days were worth 0.01 and 0.02 more than
+# with 1.3, the own reading in it; single plays differ by as much.
 LONGEST_WAIT_SHARE = 0.8
 # An engine takes this many requests for each of its slots. Logs of an
 # overloaded day show first events on time up to twice the slots; with more,
--- a/godwitshunt/tracing/story.py
+++ b/godwitshunt/tracing/story.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import zip_longest
 
 from godwitshunt.tracing.lines import LogLine
 
@@ -10,6 +11,8 @@
 # What a process came to believe this long before a request's end, or after
 # it, may be its cause.
 AROUND_S = 5.0
+# A choice that sent the request nowhere begins so.
+NO_PLACES = frozenset(('overloaded', 'no upstream'))
 # Lines that tell of lost and regained dependencies, and of who left.
 CONTEXT = frozenset(
     (
@@ -97,17 +100,23 @@
         return f'{line.source} did not admit it: {told.get("detail")}.'
     took = f'after {told["took_s"]} s'
     ways = [
-        f'{choice.partition(" of ")[0]} ({became.rpartition(":")[2]})'
-        for choice, became in zip(
-            told['choices'],
-            told['attempts'],
-            strict=False,
+        f'{place} ({became})'
+        for place, became in zip_longest(
+            places_of(told),
+            (one.rpartition(':')[2] for one in told['attempts']),
+            fillvalue='under way',
         )
     ]
     tried = f'tried {", then ".join(ways)}' if ways else 'tried nothing'
     return f'{line.source} {tried}; {reason_of(told)} {took}.'
 
 
+def places_of(told: dict) -> list[str]:
+    """Return where a request was sent, in order."""
+    places = [choice.partition(' of ')[0] for choice in told['choices']]
+    return [place for place in places if place not in NO_PLACES]
+
+
 def reason_of(told: dict) -> str:
     """Return why a request ended as it did."""
     ending = told['ending']
@@ -130,8 +139,5 @@
 
 def under_way(told: dict) -> str:
     """Return the place of the attempt that had no end yet."""
-    index = len(told['attempts'])
-    choices = told['choices']
-    if index >= len(choices):
-        return 'none'
-    return choices[index].partition(' of ')[0]
+    open_ones = places_of(told)[len(told['attempts']) :]
+    return open_ones[0] if open_ones else 'an upstream'
--- a/godwitshunt/tracing/tests/test_story.py
+++ b/godwitshunt/tracing/tests/test_story.py
@@ -45,8 +45,15 @@
                 'ending': 'refused deadline unknown',
                 'choices': ['kochi/k-1 of i-9@kochi=0.1s/0.1/2'],
             },
-            'near tried nothing; time ran out with an attempt under way to '
-            'kochi/k-1 after 0.4 s.',
+            'near tried kochi/k-1 (under way); time ran out with an attempt '
+            'under way to kochi/k-1 after 0.4 s.',
+        ),
+        (
+            {
+                'ending': 'caller gone',
+                'choices': ['tvm/t-1 of i-9@tvm=0.1s/0.1/2'],
+            },
+            'near tried tvm/t-1 (under way); the caller left after 0.4 s.',
         ),
         (
             {
