--- a/tests/test_route_load.py
+++ b/tests/test_route_load.py
@@ -11,9 +11,9 @@
 from benchmarks.route_load import (
     LONG_OBJECTIVE_S,
     SHORT_OBJECTIVE_S,
-    Pattern,
     RouteLoad,
 )
+from benchmarks.route_pattern import Pattern
 
 SEEDS = (1, 2, 3)
 CALM = {}
