Start entry VMs without the parts that they lack; keep connections by who answers

Cause: an entry process imported consensus, claims, membership and the pure life of keyed requests through package initialisers, half of its start. Package exports are loaded when first used (lazy_loader, the library that scientific Python uses), what the ingress shares with the exchange moved to modules of its own (passed headers, the callers' TLS context), and the codecs of news and VMs stand apart from those of commands. Ruled out: importing submodules only, since Python runs the initialiser all the same. Idle connections are kept by address and incarnation, so that none that was made to an earlier start of an upstream is used for the next one.

--- a/godwitshunt/claims/__init__.py
+++ b/godwitshunt/claims/__init__.py
@@ -1,31 +1,28 @@
 """At-most-once execution of non-idempotent calls."""
 
-from godwitshunt.claims.holder_task import ClaimHolderTask
-from godwitshunt.claims.messages import (
-    AlreadyAnswered,
-    ClaimOutcome,
-    Granted,
-    InProgress,
-    KeptAnswer,
-    KeyExpired,
-    KeyMalformed,
-    KeyReused,
-    NoMajority,
-    RunUnknown,
-)
-from godwitshunt.claims.task import ClaimsTask
+import lazy_loader
 
-__all__ = [
-    'AlreadyAnswered',
-    'ClaimHolderTask',
-    'ClaimOutcome',
-    'ClaimsTask',
-    'Granted',
-    'InProgress',
-    'KeptAnswer',
-    'KeyExpired',
-    'KeyMalformed',
-    'KeyReused',
-    'NoMajority',
-    'RunUnknown',
-]
+# Loaded when first used: a program starts without the parts that it lacks.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'holder_task': [
+            'ClaimHolderTask',
+        ],
+        'messages': [
+            'AlreadyAnswered',
+            'ClaimOutcome',
+            'Granted',
+            'InProgress',
+            'KeptAnswer',
+            'KeyExpired',
+            'KeyMalformed',
+            'KeyReused',
+            'NoMajority',
+            'RunUnknown',
+        ],
+        'task': [
+            'ClaimsTask',
+        ],
+    },
+)
--- a/godwitshunt/configuration/__init__.py
+++ b/godwitshunt/configuration/__init__.py
@@ -1,29 +1,32 @@
 """Accepting, distributing and applying configuration."""
 
-from godwitshunt.configuration.replicated_log import (
-    ReplicatedLog,
-    SingleLog,
-)
-from godwitshunt.configuration.revision import (
-    HolderSet,
-    Revision,
-    VmRecord,
-    VmRole,
-)
-from godwitshunt.configuration.service import ConfigurationService
-from godwitshunt.configuration.state import ControlState
-from godwitshunt.configuration.task import ConfigurationTask
-from godwitshunt.configuration.transitions import apply_command
+import lazy_loader
 
-__all__ = [
-    'ConfigurationService',
-    'ConfigurationTask',
-    'ControlState',
-    'HolderSet',
-    'ReplicatedLog',
-    'Revision',
-    'SingleLog',
-    'VmRecord',
-    'VmRole',
-    'apply_command',
-]
+# Loaded when first used: a program starts without the parts that it lacks.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'replicated_log': [
+            'ReplicatedLog',
+            'SingleLog',
+        ],
+        'revision': [
+            'HolderSet',
+            'Revision',
+            'VmRecord',
+            'VmRole',
+        ],
+        'service': [
+            'ConfigurationService',
+        ],
+        'state': [
+            'ControlState',
+        ],
+        'task': [
+            'ConfigurationTask',
+        ],
+        'transitions': [
+            'apply_command',
+        ],
+    },
+)
--- a/godwitshunt/configuration/freshness_task.py
+++ b/godwitshunt/configuration/freshness_task.py
@@ -7,9 +7,9 @@
 from godwitshunt.configuration.freshness import Freshness
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.history import UNKNOWN_AGE_S
+from godwitshunt.configuration.news_wire import decode_news
 from godwitshunt.configuration.state import ControlState
 from godwitshunt.configuration.state_machine import StateMachine
-from godwitshunt.configuration.wire import decode_news
 from godwitshunt.peer import MessageKind, PeerLinks, encode
 from godwitshunt.timer import Subscription, Timer
 
--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -19,6 +19,7 @@
 from godwitshunt.configuration.document import MALFORMED
 from godwitshunt.configuration.explanation import explain
 from godwitshunt.configuration.gen.wire import ttypes
+from godwitshunt.configuration.news_wire import require_fields
 from godwitshunt.configuration.operator_http import (
     OperatorAnswer,
     OperatorRequest,
@@ -32,7 +33,6 @@
 )
 from godwitshunt.configuration.service import ConfigurationService
 from godwitshunt.configuration.status import status_document
-from godwitshunt.configuration.wire import require_fields
 from godwitshunt.consensus import NotLeader
 from godwitshunt.exceptions import DocumentError
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
--- a/godwitshunt/configuration/tests/test_operator_api.py
+++ b/godwitshunt/configuration/tests/test_operator_api.py
@@ -11,7 +11,7 @@
 from godwitshunt.configuration.operator_client import call_any
 from godwitshunt.configuration.operator_http import OperatorRequest
 from godwitshunt.configuration.tests.fakes import Deployment, manifest
-from godwitshunt.exchange.gateway import caller_context
+from godwitshunt.exchange.caller_tls import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.peer.tests.test_links import make_tls
 from godwitshunt.programs.operator_session import read_authority
--- a/godwitshunt/consensus/__init__.py
+++ b/godwitshunt/consensus/__init__.py
@@ -4,75 +4,70 @@
 `ConsensusTask` carries the actions out on a data folder and peer links.
 """
 
-from godwitshunt.consensus.bootstrap import bootstrap
-from godwitshunt.consensus.events import Action, Event
-from godwitshunt.consensus.failures import (
-    AlreadyInitialised,
-    AlreadyMember,
-    BootstrapFailure,
-    ChangeFailure,
-    ChangeUnderway,
-    CommitUnknown,
-    EntryTooLarge,
-    LastVoter,
-    NoQuorum,
-    NotCaughtUp,
-    NotLeader,
-    ProposalFailure,
-    QuorumWouldBeLost,
-    StorageFailed,
-    UnknownMember,
-    Unreachable,
-)
-from godwitshunt.consensus.files import DiskFileSystem, FileSystem
-from godwitshunt.consensus.folder import DataFolder
-from godwitshunt.consensus.members import Member, Membership, ReplicaId
-from godwitshunt.consensus.options import ConsensusOptions
-from godwitshunt.consensus.replica import Replica
-from godwitshunt.consensus.state import ReplicaOptions, Role
-from godwitshunt.consensus.status import (
-    Committed,
-    Identity,
-    Leadership,
-    MemberStatus,
-)
-from godwitshunt.consensus.stored import StoredState
-from godwitshunt.consensus.task import ConsensusTask
+import lazy_loader
 
-__all__ = [
-    'Replica',
-    'ReplicaOptions',
-    'ReplicaId',
-    'Role',
-    'Event',
-    'Action',
-    'StoredState',
-    'DataFolder',
-    'FileSystem',
-    'DiskFileSystem',
-    'ConsensusTask',
-    'ConsensusOptions',
-    'bootstrap',
-    'Committed',
-    'Identity',
-    'Leadership',
-    'Member',
-    'Membership',
-    'MemberStatus',
-    'ProposalFailure',
-    'ChangeFailure',
-    'BootstrapFailure',
-    'NotLeader',
-    'NoQuorum',
-    'EntryTooLarge',
-    'CommitUnknown',
-    'StorageFailed',
-    'ChangeUnderway',
-    'NotCaughtUp',
-    'UnknownMember',
-    'AlreadyMember',
-    'LastVoter',
-    'QuorumWouldBeLost',
-    'AlreadyInitialised',
-    'Unreachable',
-]
+# Loaded when first used: a program starts without the parts that it lacks.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'bootstrap': [
+            'bootstrap',
+        ],
+        'events': [
+            'Action',
+            'Event',
+        ],
+        'failures': [
+            'AlreadyInitialised',
+            'AlreadyMember',
+            'BootstrapFailure',
+            'ChangeFailure',
+            'ChangeUnderway',
+            'CommitUnknown',
+            'EntryTooLarge',
+            'LastVoter',
+            'NoQuorum',
+            'NotCaughtUp',
+            'NotLeader',
+            'ProposalFailure',
+            'QuorumWouldBeLost',
+            'StorageFailed',
+            'UnknownMember',
+            'Unreachable',
+        ],
+        'files': [
+            'DiskFileSystem',
+            'FileSystem',
+        ],
+        'folder': [
+            'DataFolder',
+        ],
+        'members': [
+            'Member',
+            'Membership',
+            'ReplicaId',
+        ],
+        'options': [
+            'ConsensusOptions',
+        ],
+        'replica': [
+            'Replica',
+        ],
+        'state': [
+            'ReplicaOptions',
+            'Role',
+        ],
+        'status': [
+            'Committed',
+            'Identity',
+            'Leadership',
+            'MemberStatus',
+        ],
+        'stored': [
+            'StoredState',
+        ],
+        'task': [
+            'ConsensusTask',
+        ],
+    },
+)
--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -9,11 +9,11 @@
 
 from godwitshunt.exchange import messages as msg
 from godwitshunt.exchange.outgoing import (
-    OWN_PREFIX,
     RESUME_HEADER,
-    passed_on,
 )
+from godwitshunt.exchange.passed_headers import OWN_PREFIX, passed_on
 from godwitshunt.exchange.problems import (
+    OUTCOME_HEADER,
     TYPE_PREFIX,
     Headers,
     Outcome,
@@ -42,7 +42,6 @@
 SIGN_OF_LIFE_S = 1.0
 SILENCE_S = 3.5
 TRANSIENT = frozenset((502, 503, 504))
-OUTCOME_HEADER = b'godwitshunt-outcome'
 NOT_TOLD = frozenset((RESUME_HEADER, b'godwitshunt-entry'))
 KIND_BY_TYPE = MappingProxyType(
     {TYPE_PREFIX + kind.slug: kind for kind in ProblemKind},
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -1,7 +1,6 @@
 """The caller listener of an entry VM: paths, keys, forwards, shutdown."""
 
 import asyncio
-import ssl
 from dataclasses import replace
 from typing import Self
 
@@ -20,6 +19,7 @@
     AnnouncementBorder,
 )
 from godwitshunt.exchange.attempts import SIGN_OF_LIFE_S
+from godwitshunt.exchange.caller_tls import caller_context
 from godwitshunt.exchange.forwarding import (
     FORWARD_HEADER,
     ForwardRefused,
@@ -41,8 +41,8 @@
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
 from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.manifest import Caller
-from godwitshunt.peer import client_context, server_context
-from godwitshunt.settings import EntrySettings, TlsSettings
+from godwitshunt.peer import client_context
+from godwitshunt.settings import EntrySettings
 from godwitshunt.telemetry import Metrics
 
 ENTRIES_PATH = '/v1/entries'
@@ -338,13 +338,3 @@
                 },
             ),
         )
-
-
-def caller_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
-    """Return the listener's TLS context.
-
-    Callers prove themselves by key; only peer links ask for certificates.
-    """
-    if tls is None:
-        return None
-    return server_context(tls.model_copy(update={'authority': None}))
--- a/godwitshunt/exchange/outgoing.py
+++ b/godwitshunt/exchange/outgoing.py
@@ -14,55 +14,16 @@
     sign_note,
 )
 from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
+from godwitshunt.exchange.passed_headers import number, passed_on
 from godwitshunt.exchange.problems import Headers
 from godwitshunt.exchange.upstream_pool import OutgoingRequest
 from godwitshunt.routing.messages import Forward
 from godwitshunt.settings import NodeSettings
 
-OWN_PREFIX = b'godwitshunt-'
 RESUME_HEADER = b'godwitshunt-resume-offset'
 PRIORITY_HEADER = b'godwitshunt-priority'
 ID_BYTES = 12
 
-# RFC 9110, section 7.6.1: these belong to one connection and are not passed
-# on; the length is told anew, and a caller's key is none of an upstream's
-# business.
-HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'content-length',
-        b'host',
-        b'authorization',
-        b'expect',
-    )
-)
-
-
-def passed_on(headers: Headers) -> Headers:
-    """Return the headers that go from one side to the other."""
-    named = set(HOP_BY_HOP)
-    for field_name, listed in headers:
-        if field_name == b'connection':
-            named.update(part.strip().lower() for part in listed.split(b','))
-    return tuple(
-        (name, content)
-        for name, content in headers
-        if name not in named and not name.startswith(OWN_PREFIX)
-    )
-
-
-def number(quantity: float) -> bytes:
-    """Return a whole number as a header's content."""
-    return str(int(quantity)).encode()
-
 
 def upstream_request(
     admitted: AdmittedRequest,
--- a/godwitshunt/exchange/problems.py
+++ b/godwitshunt/exchange/problems.py
@@ -9,6 +9,8 @@
 
 TYPE_PREFIX = 'urn:godwitshunt:problem:'
 CONTENT_TYPE = b'application/problem+json'
+# Tells another VM what is known of the run of a request that is refused.
+OUTCOME_HEADER = b'godwitshunt-outcome'
 
 
 class Outcome(StrEnum):
--- a/godwitshunt/exchange/tests/test_contract.py
+++ b/godwitshunt/exchange/tests/test_contract.py
@@ -23,6 +23,7 @@
     started_upstream,
     started_vm,
 )
+from godwitshunt.exchange.upstream_pool import Place
 
 PROMPT = 'who covers pharmacy?'
 WHOLE_STREAM = b''.join(scripts.events_for(chat_bytes(PROMPT)))
@@ -353,7 +354,7 @@
         deployed = await deploy(stack, scripts.good)
         await deployed.ask(chat_bytes(PROMPT))
         pool = deployed.vm.exchange.parts.pool
-        kept = pool.idle[deployed.first.address][0]
+        kept = pool.idle[Place(deployed.first.address)][0]
         made = kept.channel.transport.get_extra_info('socket')
         told = made.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         assert made.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -4,6 +4,7 @@
 import re
 import ssl
 from collections import defaultdict
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 import h11
@@ -79,6 +80,10 @@
         ended its connection cleanly after it.
     skips_others : bool
         True where an answer with another request's id is read past.
+    origin : str
+        Who is expected at the address. A connection that was made to another
+        one there is not reused: it may be silent for good, and what is sent
+        on it would be lost.
     """
 
     method: str
@@ -93,6 +98,15 @@
     id_header: bytes = REQUEST_ID
     until_close: bool = False
     skips_others: bool = False
+    origin: str = ''
+
+
+@dataclass(frozen=True)
+class Place:
+    """Who answers at an address."""
+
+    address: Address
+    origin: str = ''
 
 
 class BrokenAnswerError(Exception):
@@ -114,7 +128,7 @@
     """One request on one connection, and its answer."""
 
     pool: 'UpstreamPool'
-    address: Address
+    place: Place
     channel: Channel
     connection: h11.Connection
     method: str
@@ -125,7 +139,7 @@
     async def send(self, request: OutgoingRequest) -> None:
         """Write the whole request."""
         headers = [
-            (b'host', request.host or str(self.address).encode()),
+            (b'host', request.host or str(self.place.address).encode()),
             *request.headers,
             (request.id_header, request.request_id.encode()),
         ]
@@ -296,7 +310,7 @@
 
 @dataclass
 class UpstreamPool:
-    """Idle connections by address.
+    """Idle connections by who answers at which address.
 
     Parameters
     ----------
@@ -311,7 +325,7 @@
     metrics: Metrics
     tls: ssl.SSLContext | None = None
     source: str | None = None
-    idle: dict[Address, list[IdleConnection]] = field(
+    idle: dict[Place, list[IdleConnection]] = field(
         default_factory=lambda: defaultdict(list),
     )
 
@@ -321,10 +335,11 @@
         request: OutgoingRequest,
     ) -> Result[UpstreamCall, ConnectFailed]:
         """Return a call on an idle or a new connection."""
+        place = Place(address, request.origin)
         if not request.fresh:
-            kept = self.take(address, request.longest_idle_s)
+            kept = self.take(place, request.longest_idle_s)
             if kept is not None:
-                return Ok(self.call(address, kept, request))
+                return Ok(self.call(place, kept, request))
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(request.connect_timeout_s):
@@ -344,18 +359,18 @@
             max_incomplete_event_size=HEAD_BYTES,
         )
         made = IdleConnection(channel, connection, loop.time())
-        return Ok(self.call(address, made, request))
+        return Ok(self.call(place, made, request))
 
     def call(
         self,
-        address: Address,
+        place: Place,
         kept: IdleConnection,
         request: OutgoingRequest,
     ) -> UpstreamCall:
         """Return a call on a connection."""
         return UpstreamCall(
             self,
-            address,
+            place,
             kept.channel,
             kept.connection,
             request.method,
@@ -363,12 +378,12 @@
 
     def take(
         self,
-        address: Address,
+        place: Place,
         longest_idle_s: float = IDLE_LIMIT_S,
     ) -> IdleConnection | None:
         """Return an idle connection on which nothing came since its end."""
         now = asyncio.get_running_loop().time()
-        waiting = self.idle.get(address)
+        waiting = self.idle.get(place)
         while waiting:
             kept = waiting.pop()
             silent = not (kept.channel.ended or kept.channel.received)
@@ -384,7 +399,7 @@
 
     def keep(self, call: UpstreamCall) -> None:
         """Keep a connection whose answer ended cleanly."""
-        waiting = self.idle[call.address]
+        waiting = self.idle[call.place]
         if len(waiting) >= IDLE_EACH:
             call.channel.close()
             return
@@ -394,6 +409,13 @@
         kept = IdleConnection(call.channel, call.connection, now, limit_s)
         waiting.append(kept)
 
+    def forget(self, present: Container[str]) -> None:
+        """Close the idle connections to those who are there no more."""
+        for place in tuple(self.idle):
+            if place.origin and place.origin not in present:
+                for kept in self.idle.pop(place):
+                    kept.channel.close()
+
     def close(self) -> None:
         """Close every idle connection."""
         for waiting in self.idle.values():
--- a/godwitshunt/ingress/headers.py
+++ b/godwitshunt/ingress/headers.py
@@ -1,6 +1,6 @@
 """Which headers go on to an upstream and back to a caller."""
 
-from godwitshunt.exchange.outgoing import HOP_BY_HOP, number
+from godwitshunt.exchange.passed_headers import HOP_BY_HOP, number
 from godwitshunt.exchange.problems import Headers
 from godwitshunt.ingress.header_names import OWN_PREFIX, HeaderNames
 
--- a/godwitshunt/membership/__init__.py
+++ b/godwitshunt/membership/__init__.py
@@ -1,33 +1,32 @@
 """Who is there: entry VMs, upstreams with leases, other regions in sum."""
 
-from godwitshunt.membership.announcements import (
-    AnnounceAccepted,
-    AnnounceRefused,
-    StaleAnnouncement,
-    TableFull,
-    UpstreamAnnouncement,
-)
-from godwitshunt.membership.isolation import may_serve_isolated
-from godwitshunt.membership.table import UpstreamTable
-from godwitshunt.membership.task import MembershipTask
-from godwitshunt.membership.views import (
-    RegionSummary,
-    RegionView,
-    UpstreamRole,
-    UpstreamView,
-)
+import lazy_loader
 
-__all__ = [
-    'AnnounceAccepted',
-    'AnnounceRefused',
-    'MembershipTask',
-    'RegionSummary',
-    'RegionView',
-    'StaleAnnouncement',
-    'TableFull',
-    'UpstreamAnnouncement',
-    'UpstreamRole',
-    'UpstreamTable',
-    'UpstreamView',
-    'may_serve_isolated',
-]
+# Loaded when first used: a program starts without the parts that it lacks.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'announcements': [
+            'AnnounceAccepted',
+            'AnnounceRefused',
+            'StaleAnnouncement',
+            'TableFull',
+            'UpstreamAnnouncement',
+        ],
+        'isolation': [
+            'may_serve_isolated',
+        ],
+        'table': [
+            'UpstreamTable',
+        ],
+        'task': [
+            'MembershipTask',
+        ],
+        'views': [
+            'RegionSummary',
+            'RegionView',
+            'UpstreamRole',
+            'UpstreamView',
+        ],
+    },
+)
