--- a/godwitshunt/ingress/learning.py
+++ b/godwitshunt/ingress/learning.py
@@ -18,7 +18,7 @@
 from godwitshunt.ingress.upstreams import of_service
 from godwitshunt.registry import Load
 from godwitshunt.routing import outliers
-from godwitshunt.routing.upstream_health import DOWN_S, FULL_S
+from godwitshunt.routing.upstream_health import FULL_S
 from godwitshunt.telemetry import log_change
 
 # Without a sign of an answer for so long, an attempt that ends counts against
@@ -51,7 +51,7 @@
     @property
     def instance(self) -> str:
         """The upstream."""
-        return self.choice.seen.told.instance
+        return self.choice.seen.told.incarnation
 
     @property
     def answered(self) -> bool:
@@ -75,7 +75,7 @@
         if made.attempt.misdirected:
             self.parts.watch.leave(made.instance)
         if outcome is not None and not made.attempt.connected:
-            health.down_until_s = now_s + DOWN_S
+            health.miss(now_s)
         if isinstance(outcome, NotRun) and outcome.arrived:
             health.full_until_s = now_s + FULL_S
         if made.answered:
@@ -127,7 +127,7 @@
 
     def in_flight(self, choice: SendHere) -> int:
         """Return the requests of all VMs at a chosen upstream."""
-        instance = choice.seen.told.instance
+        instance = choice.seen.told.incarnation
         others = self.parts.watch.view().loads.get(instance, Load())
         return others.in_flight + self.parts.upstreams.of(instance).in_flight
 
@@ -140,7 +140,7 @@
         """Count what an attempt showed, for the detection of outliers."""
         service = self.request.service.name
         view = self.parts.watch.view()
-        present = [one.told.instance for one in of_service(view, service)]
+        present = [one.told.incarnation for one in of_service(view, service)]
         left_out = self.parts.upstreams.note_outcome(
             service,
             instance,
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -3,6 +3,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.upstream_pool import OutgoingRequest
@@ -22,6 +23,7 @@
 )
 from godwitshunt.ingress.parts import IngressParts
 from godwitshunt.ingress.requests import RoutedRequest
+from godwitshunt.registry import UpstreamAnnounced
 from godwitshunt.routing.upstream_health import UpstreamHealth
 from godwitshunt.settings import Address
 from godwitshunt.timer import Timer
@@ -113,20 +115,20 @@
         """Send the request to an upstream of this region."""
         parts = self.parts
         told = choice.seen.told
-        health = parts.upstreams.of(told.instance)
+        health = parts.upstreams.of(told.incarnation)
         tokens = choice.unread_tokens
         signs = SignsOfLife(health, next(numbers), tokens, parts.timer)
         sent_s = parts.timer.now()
         self.note_first_try(sent_s)
         health.begin(signs.number, tokens, sent_s)
-        parts.upstreams.note_sent(self.request.service.name, told.instance)
+        parts.upstreams.note_sent(self.request.service.name, told.incarnation)
         attempt = self.make_attempt(
             told.address,
-            self.upstream_request(told.instance),
+            self.upstream_request(told),
             self.patience(choice.predicted_s),
             signs.note,
         )
-        self.reader = told.instance
+        self.reader = told.incarnation
         outcome: AttemptOutcome | None = None
         try:
             outcome = await self.make(attempt)
@@ -205,11 +207,17 @@
             events=self.events,
             patience=patience,
             answer_bytes=self.parts.settings.limits.answer_bytes,
-            on_life=on_life,
+            on_life=partial(self.note_life, on_life),
             on_begun=self.note_begun,
             from_vm=from_vm,
         )
 
+    def note_life(self, on_life: Callable[[], None]) -> None:
+        """Note that something came, of a stream that the caller gets, too."""
+        on_life()
+        if self.progress.begun:
+            self.account.note_bytes(self.parts.timer.now())
+
     def note_begun(self) -> None:
         """Note that the head of a stream goes to the caller.
 
@@ -254,7 +262,7 @@
             return Patience()
         return Patience(HOP_SILENCE_S, GAP_PATIENCE_S + HOP_EXTRA_S)
 
-    def upstream_request(self, instance: str) -> OutgoingRequest:
+    def upstream_request(self, told: UpstreamAnnounced) -> OutgoingRequest:
         """Return the request as an upstream gets it."""
         request = self.request
         once = not request.route.repeatable
@@ -264,7 +272,7 @@
             headers=for_upstream(
                 request.headers,
                 self.parts.names,
-                instance,
+                told.instance,
                 self.remaining_s(),
                 request.urgency,
                 self.resume_after(),
@@ -277,6 +285,7 @@
             id_header=self.parts.names.request_id,
             until_close=True,
             skips_others=True,
+            origin=told.incarnation,
         )
 
     def hop_request(self, choice: HandOver) -> OutgoingRequest:
--- a/godwitshunt/ingress/tests/test_choosing.py
+++ b/godwitshunt/ingress/tests/test_choosing.py
@@ -37,7 +37,7 @@
     seen += [upstream(f't-{number}', 'tvm') for number in range(2)]
     door = EntryRecord('t-e', 's', 'tvm', 't', ADDRESS, ADDRESS, True)
     return RegistryView(
-        upstreams={one.told.instance: one for one in seen},
+        upstreams={one.told.incarnation: one for one in seen},
         entries={door.name: door},
         loads=loads or {},
         doors={'tvm': (door,)},
@@ -69,7 +69,7 @@
     asked = ask(LONG, holders=frozenset((holder,)))
     chosen = choose(asked, view())
     assert isinstance(chosen, SendHere)
-    assert chosen.seen.told.instance == holder
+    assert chosen.seen.told.incarnation == holder
     assert chosen.is_kept
 
 
--- a/godwitshunt/ingress/tests/test_full_upstreams.py
+++ b/godwitshunt/ingress/tests/test_full_upstreams.py
@@ -20,7 +20,7 @@
         watch=SimpleNamespace(view=lambda: view),
         upstreams=SimpleNamespace(of=lambda instance: health),
     )
-    told = SimpleNamespace(instance='i-1', slots=SLOTS)
+    told = SimpleNamespace(incarnation='i-1', slots=SLOTS)
     choice = SimpleNamespace(seen=SimpleNamespace(told=told))
     made = UpstreamAttempt(choice, None, outcome, None, 0.1)
     return Lessons(parts, None).failed(made)
--- a/godwitshunt/programs/control_process.py
+++ b/godwitshunt/programs/control_process.py
@@ -13,7 +13,7 @@
     DiskFileSystem,
 )
 from godwitshunt.consensus.healer import Healer
-from godwitshunt.exchange.gateway import caller_context
+from godwitshunt.exchange.caller_tls import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.placement import PlacementApi, PlacementTask
 from godwitshunt.programs.start import make_links, start_listening, vm_record
@@ -71,6 +71,7 @@
             self.links,
             self.timer,
             self.metrics,
+            settings,
         )
         self.healer = Healer(
             self.consensus,
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -111,6 +111,7 @@
      - sequence
      - silent: No announcement came for a while.
      - ends_in_ms: Milliseconds until it is gone, where that is known.
+     - born_ms: When this start began, by its own clock; absent where it does not tell.
 
     """
 
@@ -125,10 +126,11 @@
         'sequence',
         'silent',
         'ends_in_ms',
+        'born_ms',
     )
 
 
-    def __init__(self, instance=None, service_name=None, address=None, failure_domain=None, slots=None, draining=None, cold_ms=None, sequence=None, silent=None, ends_in_ms=None,):
+    def __init__(self, instance=None, service_name=None, address=None, failure_domain=None, slots=None, draining=None, cold_ms=None, sequence=None, silent=None, ends_in_ms=None, born_ms=None,):
         self.instance = instance
         self.service_name = service_name
         self.address = address
@@ -139,6 +141,7 @@
         self.sequence = sequence
         self.silent = silent
         self.ends_in_ms = ends_in_ms
+        self.born_ms = born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -200,6 +203,11 @@
                     self.ends_in_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -250,6 +258,92 @@
             oprot.writeFieldBegin('ends_in_ms', TType.I64, 10)
             oprot.writeI64(self.ends_in_ms)
             oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 11)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StartEnded(object):
+    """
+    The newest start of an upstream that has ended.
+
+    Attributes:
+     - instance
+     - born_ms
+
+    """
+
+    __slots__ = (
+        'instance',
+        'born_ms',
+    )
+
+
+    def __init__(self, instance=None, born_ms=None,):
+        self.instance = instance
+        self.born_ms = born_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StartEnded')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -424,7 +518,7 @@
     Requests of one or more entry VMs at an upstream.
 
     Attributes:
-     - instance
+     - instance: Name of the incarnation.
      - in_flight
      - pending_tokens: Prompt tokens of requests that have shown no first event.
 
@@ -519,7 +613,7 @@
 
     Attributes:
      - key: Names the parts; the same on all VMs.
-     - instance
+     - instance: Name of the incarnation.
      - age_ms: Milliseconds since it read them last, from when this was written.
 
     """
@@ -776,7 +870,7 @@
      - version
      - whole: True where the reply is the whole table and not what has changed.
      - upstreams
-     - gone: Instances that left or were replaced; they never come back.
+     - gone: Starts that ended: they left or were replaced, and never come back.
      - entries
      - gone_entries: Names of entry VMs that are not heard any more.
      - loads: Requests of all other entry VMs together.
@@ -791,13 +885,13 @@
         'version',
         'whole',
         'upstreams',
-        'gone',
         'entries',
         'gone_entries',
         'loads',
         'entries_version',
         'prefixes',
         'prefixes_version',
+        'gone',
     )
 
 
@@ -849,12 +943,13 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 12:
                 if ftype == TType.LIST:
                     self.gone = []
                     (_etype23, _size20) = iprot.readListBegin()
                     for _i24 in range(_size20):
-                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _elem25 = StartEnded()
+                        _elem25.read(iprot)
                         self.gone.append(_elem25)
                     iprot.readListEnd()
                 else:
@@ -941,32 +1036,25 @@
                 iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.gone is not None:
-            oprot.writeFieldBegin('gone', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter51 in self.gone:
-                oprot.writeString(iter51.encode('utf-8') if sys.version_info[0] == 2 else iter51)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter52 in self.entries:
-                iter52.write(oprot)
+            for iter51 in self.entries:
+                iter51.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter53 in self.gone_entries:
-                oprot.writeString(iter53.encode('utf-8') if sys.version_info[0] == 2 else iter53)
+            for iter52 in self.gone_entries:
+                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter54 in self.loads:
-                iter54.write(oprot)
+            for iter53 in self.loads:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -976,14 +1064,121 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter55 in self.prefixes:
-                iter55.write(oprot)
+            for iter54 in self.prefixes:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
             oprot.writeFieldBegin('prefixes_version', TType.I64, 11)
             oprot.writeI64(self.prefixes_version)
             oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.gone))
+            for iter55 in self.gone:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KeptUpstreams(object):
+    """
+    What a control VM keeps on its disk of upstreams.
+
+    Attributes:
+     - upstreams
+     - gone
+
+    """
+
+    __slots__ = (
+        'upstreams',
+        'gone',
+    )
+
+
+    def __init__(self, upstreams=None, gone=None,):
+        self.upstreams = upstreams
+        self.gone = gone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = UpstreamInfo()
+                        _elem61.read(iprot)
+                        self.upstreams.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.gone = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = StartEnded()
+                        _elem67.read(iprot)
+                        self.gone.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeptUpstreams')
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter68 in self.upstreams:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.gone))
+            for iter69 in self.gone:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1026,6 +1221,13 @@
     (8, TType.I64, 'sequence', None, None, ),  # 8
     (9, TType.BOOL, 'silent', None, None, ),  # 9
     (10, TType.I64, 'ends_in_ms', None, None, ),  # 10
+    (11, TType.I64, 'born_ms', None, None, ),  # 11
+)
+all_structs.append(StartEnded)
+StartEnded.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
 )
 all_structs.append(EntryInfo)
 EntryInfo.thrift_spec = (
@@ -1070,13 +1272,20 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.BOOL, 'whole', None, None, ),  # 3
     (4, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamInfo, None], False), None, ),  # 4
-    (5, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 5
+    None,  # 5
     (6, TType.LIST, 'entries', (TType.STRUCT, [EntryInfo, None], False), None, ),  # 6
     (7, TType.LIST, 'gone_entries', (TType.STRING, 'UTF8', False), None, ),  # 7
     (8, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 8
     (9, TType.I64, 'entries_version', None, None, ),  # 9
     (10, TType.LIST, 'prefixes', (TType.STRUCT, [PrefixInfo, None], False), None, ),  # 10
     (11, TType.I64, 'prefixes_version', None, None, ),  # 11
+    (12, TType.LIST, 'gone', (TType.STRUCT, [StartEnded, None], False), None, ),  # 12
+)
+all_structs.append(KeptUpstreams)
+KeptUpstreams.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamInfo, None], False), None, ),  # 1
+    (2, TType.LIST, 'gone', (TType.STRUCT, [StartEnded, None], False), None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/godwitshunt/registry/records.py
+++ b/godwitshunt/registry/records.py
@@ -12,7 +12,7 @@
     Parameters
     ----------
     instance : str
-        Unique to one incarnation of the upstream.
+        What it calls itself; the same when it starts again.
     service : str
         What it serves; a name of the manifest.
     address : Address
@@ -29,6 +29,18 @@
         Rises with each announcement of the incarnation.
     ends_in_s : float or None
         Seconds until it is gone whatever it runs; None where not known.
+    born_ms : int or None
+        When this start of it began, by its own clock in Unix milliseconds;
+        None where it does not tell.
+
+    Examples
+    --------
+    >>> address = Address(host='10.0.0.1', port=80)
+    >>> told = ('i-1', 'chat', address, 'a', 8, False, 0, 1)
+    >>> UpstreamAnnounced(*told).incarnation
+    'i-1'
+    >>> UpstreamAnnounced(*told, born_ms=1700000000000).incarnation
+    'i-1~1700000000000'
     """
 
     instance: str
@@ -40,6 +52,12 @@
     cold_s: float
     sequence: int
     ends_in_s: float | None = None
+    born_ms: int | None = None
+
+    @property
+    def incarnation(self) -> str:
+        """Names this start of it, among all starts of all upstreams."""
+        return incarnation_name(self.instance, self.born_ms)
 
 
 @dataclass(frozen=True)
@@ -93,3 +111,8 @@
             self.in_flight - other.in_flight,
             self.pending_tokens - other.pending_tokens,
         )
+
+
+def incarnation_name(instance: str, born_ms: int | None) -> str:
+    """Return the name of one start of an upstream."""
+    return instance if born_ms is None else f'{instance}~{born_ms}'
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -21,6 +21,14 @@
   9: bool silent
   /** Milliseconds until it is gone, where that is known. */
   10: optional i64 ends_in_ms
+  /** When this start began, by its own clock; absent where it does not tell. */
+  11: optional i64 born_ms
+}
+
+/** The newest start of an upstream that has ended. */
+struct StartEnded {
+  1: string instance
+  2: optional i64 born_ms
 }
 
 /** An entry VM as it describes itself. */
@@ -39,6 +47,7 @@
 
 /** Requests of one or more entry VMs at an upstream. */
 struct UpstreamLoad {
+  /** Name of the incarnation. */
   1: string instance
   2: i32 in_flight
   /** Prompt tokens of requests that have shown no first event. */
@@ -49,6 +58,7 @@
 struct PrefixInfo {
   /** Names the parts; the same on all VMs. */
   1: i64 key
+  /** Name of the incarnation. */
   2: string instance
   /** Milliseconds since it read them last, from when this was written. */
   3: i64 age_ms
@@ -78,8 +88,8 @@
   /** True where the reply is the whole table and not what has changed. */
   3: bool whole
   4: list<UpstreamInfo> upstreams
-  /** Instances that left or were replaced; they never come back. */
-  5: list<string> gone
+  /** Starts that ended: they left or were replaced, and never come back. */
+  12: list<StartEnded> gone
   6: list<EntryInfo> entries
   /** Names of entry VMs that are not heard any more. */
   7: list<string> gone_entries
@@ -90,3 +100,9 @@
   10: list<PrefixInfo> prefixes
   11: i64 prefixes_version
 }
+
+/** What a control VM keeps on its disk of upstreams. */
+struct KeptUpstreams {
+  1: list<UpstreamInfo> upstreams
+  2: list<StartEnded> gone
+}
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -1,11 +1,16 @@
 """The control side: hears upstreams, answers the polls of entry VMs."""
 
+import asyncio
 import secrets
+import time
 from typing import Self
 
+from godwitshunt.configuration.background import Background
+from godwitshunt.exceptions import StorageError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.registry.entries import EntryTable
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.kept_upstreams import KeptUpstreams
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
 from godwitshunt.registry.records import EntryRecord, UpstreamAnnounced
 from godwitshunt.registry.table import (
@@ -15,6 +20,7 @@
     UpstreamTable,
 )
 from godwitshunt.registry.wire import (
+    ends_to_wire,
     entry_from_wire,
     entry_to_wire,
     loads_from_wire,
@@ -23,18 +29,20 @@
     prefixes_to_wire,
     upstream_to_wire,
 )
+from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Subscription, Timer
 
 TICK_S = 0.25
 SOURCE_BYTES = 8
+MILLISECONDS = 1000
 
 
 class RegistryService:
     """Upstreams that announce themselves here, and entry VMs that poll.
 
-    Nothing is kept on disk and nothing passes between control VMs: every
-    entry VM polls all of them and joins what they say. So the news that an
+    Nothing passes between control VMs: every entry VM polls all of them and
+    joins what they say. So the news that an
     upstream leaves reaches every entry VM that reaches the control VM which
     acknowledged it, whether the control VMs hear each other or not.
 
@@ -46,6 +54,8 @@
         Monotonic time.
     metrics : Metrics
         Counts announcements and polls.
+    kept : KeptUpstreams or None
+        What was last known of upstreams on disk; None keeps nothing.
     """
 
     def __init__(
@@ -53,7 +63,12 @@
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
+        kept: KeptUpstreams | None = None,
     ) -> None:
+        self.kept = kept
+        self.written_version = 0
+        self.writing = asyncio.Lock()
+        self.background = Background()
         self.links = links
         self.timer = timer
         self.metrics = metrics
@@ -69,19 +84,69 @@
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
+        settings: ControlSettings,
     ) -> Self:
         """Make the registry of a control VM."""
-        return cls(links, timer, metrics)
+        kept = None
+        if settings.keeps_upstreams:
+            kept = KeptUpstreams(settings.data_folder)
+        return cls(links, timer, metrics, kept)
 
     def start(self) -> None:
-        """Answer polls."""
+        """Take up what is kept, and answer polls.
+
+        Raises
+        ------
+        StorageError
+            Where the data folder cannot be read.
+        """
+        self.restore()
         self.links.subscribe(MessageKind.registry_poll, self.on_poll)
         self.subscription = self.timer.every(TICK_S, self.tick)
 
+    def restore(self) -> None:
+        """Take up what this VM knew before its process ended."""
+        now_s = self.timer.now()
+        if self.kept is not None and self.kept.restore(self.upstreams, now_s):
+            self.written_version = self.upstreams.version
+            log_change(
+                'registry:kept_taken',
+                upstreams=sorted(self.upstreams.entries),
+                gone=len(self.upstreams.gone),
+            )
+
     async def close(self) -> None:
         """Watch over silences no more."""
         if self.subscription is not None:
             self.subscription.cancel()
+        await self.background.close()
+
+    async def settle(self) -> bool:
+        """Wait until what is known now is on disk; False where it failed.
+
+        That an upstream leaves is acknowledged only then: after a loss of
+        power it would else get work from those who remember it as ready.
+        """
+        if self.kept is None:
+            return True
+        version = self.upstreams.version
+        if self.written_version < version:
+            await self.keep()
+        return self.written_version >= version
+
+    async def keep(self) -> None:
+        """Write what is known of upstreams; a failure is counted and logged."""
+        async with self.writing:
+            if self.written_version >= self.upstreams.version:
+                return
+            record = self.kept.render(self.upstreams, self.timer.now())
+            try:
+                await asyncio.to_thread(self.kept.file.write, record)
+            except StorageError as failed:
+                self.metrics.count('registry_keep_failed_total')
+                log_change('registry:keep_failed', reason=failed.reason)
+                return
+            self.written_version = record.number
 
     def announce(self, told: UpstreamAnnounced) -> AnnounceOutcome:
         """Take an upstream's announcement."""
@@ -119,12 +184,14 @@
                 draining=told.draining,
                 cold_s=told.cold_s,
                 sequence=told.sequence,
+                born_ms=told.born_ms,
                 version=self.upstreams.version,
             )
 
     def withdraw(self, instance: str) -> None:
         """Take an upstream's departure."""
-        self.upstreams.withdraw(instance, self.timer.now())
+        now_ms = time.time() * MILLISECONDS
+        self.upstreams.withdraw(instance, self.timer.now(), now_ms)
         self.metrics.count('registry_withdrawals_total')
         log_change(
             'registry:upstream_withdrawn',
@@ -141,6 +208,10 @@
         """Note who has fallen silent."""
         now_s = self.timer.now()
         self.upstreams.tick(now_s)
+        if self.kept is not None and (
+            self.written_version < self.upstreams.version
+        ):
+            self.background.run('keep', self.keep)
         self.prefixes.forget(now_s)
         for name in self.entries.tick(now_s):
             log_change('registry:entry_absent', entry=name)
@@ -177,7 +248,7 @@
                 upstream_to_wire(each, now_s)
                 for each in upstreams.changed_since(known)
             ],
-            gone=list(upstreams.gone_since(known)),
+            gone=ends_to_wire(upstreams.gone_since(known)),
             entries=[
                 entry_to_wire(each)
                 for each in self.entries.changed_since(known_entries)
--- a/godwitshunt/registry/table.py
+++ b/godwitshunt/registry/table.py
@@ -4,9 +4,17 @@
 than the version it holds. Times are seconds on this VM's monotonic clock.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
-from godwitshunt.registry.records import UpstreamAnnounced
+from godwitshunt.registry.records import UpstreamAnnounced, incarnation_name
+from godwitshunt.registry.starts import (
+    LATE_WORD_S,
+    TOMBSTONE_S,
+    EndedStart,
+    EndedStarts,
+    is_other_start,
+)
 from godwitshunt.settings import Address
 
 # Announcements come every 1.2 s and some are seconds late; an upstream that
@@ -15,8 +23,6 @@
 SILENT_AFTER_S = 4.5
 # A silent upstream that nothing was heard of for so long is forgotten.
 FORGOTTEN_AFTER_S = 60.0
-# Late announcements of an incarnation that left are known for so long.
-TOMBSTONE_S = 120.0
 # A new incarnation at an address replaces one that missed two announcements.
 REPLACED_AFTER_S = 2.5
 # Remaining cold time falls by itself; only a rise beyond this is news.
@@ -33,7 +39,23 @@
     """The incarnation has left, or has announced something newer."""
 
 
-AnnounceOutcome = Taken | Stale
+@dataclass(frozen=True)
+class Foreign:
+    """It tells another service or place of a start that is known.
+
+    No start changes them; so another writer uses the upstream's name, and
+    what it says must not cost the upstream its place.
+
+    Parameters
+    ----------
+    field : str
+        What differs.
+    """
+
+    field: str
+
+
+AnnounceOutcome = Taken | Stale | Foreign
 
 
 @dataclass
@@ -47,9 +69,27 @@
     silent: bool = False
 
 
+@dataclass(frozen=True)
+class GoneStart:
+    """A start that ended, the version of that, and when."""
+
+    start: EndedStart
+    version: int
+    gone_s: float
+
+
 @dataclass
 class UpstreamTable:
-    """Every incarnation that announced itself here and has not left.
+    """Every upstream that announced itself here and has not left.
+
+    Parameters
+    ----------
+    entries : dict
+        The newest start of each, by what the upstream calls itself.
+    gone : dict
+        Starts that ended, by incarnation; entry VMs are told of them.
+    ends : EndedStarts
+        Tells late words of the past from a later start.
 
     Examples
     --------
@@ -63,7 +103,8 @@
     """
 
     entries: dict[str, UpstreamEntry] = field(default_factory=dict)
-    gone: dict[str, tuple[int, float]] = field(default_factory=dict)
+    gone: dict[str, GoneStart] = field(default_factory=dict)
+    ends: EndedStarts = field(default_factory=EndedStarts)
     version: int = 0
 
     def announce(
@@ -72,22 +113,86 @@
         now_s: float,
     ) -> AnnounceOutcome:
         """Take an announcement; a late one of the past changes nothing."""
-        if told.instance in self.gone:
+        if self.ends.covers(told.instance, told.born_ms, now_s):
             return Stale()
         known = self.entries.get(told.instance)
+        if known is not None and is_other_start(known.told, told):
+            if not self.follows(known, told, now_s):
+                return Stale()
+            self.end_start(known.told, now_s)
+            # The one that ended began later by its clock, which was set back;
+            # as an end it would cover the one that follows it.
+            self.ends.by_instance.pop(told.instance, None)
+            known = None
         if known is None:
-            self.replace_silent(told.address, now_s)
+            self.add(told, now_s)
+            return Taken()
+        return self.renew(known, told, now_s)
+
+    def renew(
+        self,
+        known: UpstreamEntry,
+        told: UpstreamAnnounced,
+        now_s: float,
+    ) -> AnnounceOutcome:
+        """Take another announcement of the start that is known."""
+        if told.sequence <= known.told.sequence:
+            return Stale()
+        for name in ('service', 'address', 'failure_domain'):
+            if getattr(told, name) != getattr(known.told, name):
+                return Foreign(name)
+        self.update(known, replace(told, born_ms=known.told.born_ms), now_s)
+        return Taken()
+
+    def follows(
+        self,
+        known: UpstreamEntry,
+        told: UpstreamAnnounced,
+        now_s: float,
+    ) -> bool:
+        """Tell whether a start came after the one that is known.
+
+        One that began earlier by its own clock is a late word of the past, as
+        long as words of that may come; after it, its clock was set back.
+        """
+        if known.told.born_ms is None or told.born_ms > known.told.born_ms:
+            return True
+        return now_s - known.heard_s > LATE_WORD_S
+
+    def restore(
+        self,
+        upstreams: Iterable[UpstreamAnnounced],
+        ends: Iterable[EndedStart],
+        now_s: float,
+    ) -> None:
+        """Take up what this VM knew before its process ended.
+
+        Nobody has heard of these upstreams since, so they are silent: others
+        are better, and another one at their address takes their place.
+        """
+        for start in ends:
+            self.ends.note(start, now_s)
+            self.note_gone(start, now_s)
+        for told in upstreams:
+            if self.ends.covers(told.instance, told.born_ms, now_s):
+                continue
             self.entries[told.instance] = UpstreamEntry(
                 told,
-                now_s,
+                now_s - SILENT_AFTER_S,
                 now_s + told.cold_s,
                 self.next_version(),
+                silent=True,
             )
-            return Taken()
-        if told.sequence <= known.told.sequence:
-            return Stale()
-        self.update(known, told, now_s)
-        return Taken()
+
+    def add(self, told: UpstreamAnnounced, now_s: float) -> None:
+        """Take a start that was not known."""
+        self.replace_silent(told.address, now_s)
+        self.entries[told.instance] = UpstreamEntry(
+            told,
+            now_s,
+            now_s + told.cold_s,
+            self.next_version(),
+        )
 
     def update(
         self,
@@ -112,29 +217,62 @@
 
     def replace_silent(self, address: Address, now_s: float) -> None:
         """Drop incarnations that another one has followed at an address."""
-        for instance, known in tuple(self.entries.items()):
+        for known in tuple(self.entries.values()):
             silent_s = now_s - known.heard_s
             if known.told.address == address and silent_s > REPLACED_AFTER_S:
-                self.withdraw(instance, now_s)
+                self.end_start(known.told, now_s)
+
+    def withdraw(
+        self,
+        instance: str,
+        now_s: float,
+        now_ms: float | None = None,
+    ) -> None:
+        """Let the start of an upstream that is known be gone for good.
+
+        Parameters
+        ----------
+        instance : str
+            What the upstream calls itself.
+        now_s : float
+            Monotonic seconds.
+        now_ms : float or None
+            Unix milliseconds; tells a later start from the one that left,
+            where that one was not heard here.
+        """
+        known = self.entries.get(instance)
+        if known is not None:
+            self.end_start(known.told, now_s)
+            return
+        self.ends.note(EndedStart(instance), now_s, now_ms)
+        self.note_gone(EndedStart(instance), now_s)
+
+    def end_start(self, told: UpstreamAnnounced, now_s: float) -> None:
+        """Let one start be gone for good."""
+        self.entries.pop(told.instance, None)
+        start = EndedStart(told.instance, told.born_ms)
+        self.ends.note(start, now_s)
+        self.note_gone(start, now_s)
 
-    def withdraw(self, instance: str, now_s: float) -> None:
-        """Let an incarnation be gone for good."""
-        self.entries.pop(instance, None)
-        if instance not in self.gone:
-            self.gone[instance] = (self.next_version(), now_s)
+    def note_gone(self, start: EndedStart, now_s: float) -> None:
+        """Make an end news."""
+        name = incarnation_name(start.instance, start.born_ms)
+        if name not in self.gone:
+            self.gone[name] = GoneStart(start, self.next_version(), now_s)
 
     def tick(self, now_s: float) -> None:
         """Note who has fallen silent; forget what is long past."""
-        for instance, known in tuple(self.entries.items()):
+        for known in tuple(self.entries.values()):
             silent_s = now_s - known.heard_s
             if silent_s > FORGOTTEN_AFTER_S:
-                self.withdraw(instance, now_s)
+                self.end_start(known.told, now_s)
             elif silent_s > SILENT_AFTER_S and not known.silent:
                 known.silent = True
                 known.version = self.next_version()
-        for instance, (_, gone_s) in tuple(self.gone.items()):
-            if now_s - gone_s > TOMBSTONE_S:
-                self.gone.pop(instance)
+        self.ends.forget(now_s)
+        for name, gone in tuple(self.gone.items()):
+            if now_s - gone.gone_s > TOMBSTONE_S:
+                self.gone.pop(name)
 
     def changed_since(self, version: int) -> tuple[UpstreamEntry, ...]:
         """Return the incarnations with news after a version."""
@@ -142,12 +280,10 @@
             known for known in self.entries.values() if known.version > version
         )
 
-    def gone_since(self, version: int) -> tuple[str, ...]:
-        """Return the incarnations that left after a version."""
+    def gone_since(self, version: int) -> tuple[EndedStart, ...]:
+        """Return the starts that ended after a version."""
         return tuple(
-            instance
-            for instance, (left_at, _) in self.gone.items()
-            if left_at > version
+            one.start for one in self.gone.values() if one.version > version
         )
 
     def next_version(self) -> int:
--- /dev/null
+++ b/godwitshunt/registry/tests/test_after_the_dark.py
@@ -0,0 +1,119 @@
+"""All machines lose power at once, and come back within a second or two."""
+
+import pytest
+
+from godwitshunt.exceptions import StorageError
+from godwitshunt.registry.kept_upstreams import FILE_NAME, KeptUpstreams
+from godwitshunt.registry.service import RegistryService
+from godwitshunt.registry.table import Stale, Taken
+from godwitshunt.registry.tests.test_prefixes import Clock
+from godwitshunt.registry.tests.test_table import announced
+from godwitshunt.registry.tests.test_views import REGIONS, reply
+from godwitshunt.registry.views import JoinedTables
+from godwitshunt.storage import KeptFile, KeptRecord
+from godwitshunt.telemetry import Metrics
+
+BORN = 1_790_000_000_000
+
+
+def started(folder) -> RegistryService:
+    """Return a control VM's registry that has just started."""
+    kept = KeptUpstreams(folder)
+    service = RegistryService(None, Clock(), Metrics(), kept)
+    service.restore()
+    return service
+
+
+async def restarted(service: RegistryService) -> RegistryService:
+    """Return the registry after a loss of power, once all was written."""
+    assert await service.settle()
+    return started(service.kept.folder)
+
+
+async def test_upstreams_are_known_before_they_announce_themselves(tmp_path):
+    """Upstreams announce themselves each 1.2 s, each to one control VM.
+
+    Until then callers would be refused, although every upstream is well.
+    """
+    before = started(tmp_path)
+    before.announce(announced('i-1', born_ms=BORN))
+    before.announce(announced('i-2', port=81))
+    after = await restarted(before)
+    assert set(after.upstreams.entries) == {'i-1', 'i-2'}
+    assert all(one.silent for one in after.upstreams.entries.values())
+    assert after.announce(announced('i-1', 2, born_ms=BORN)) == Taken()
+    assert not after.upstreams.entries['i-1'].silent
+
+
+async def test_who_leaves_does_not_come_back(tmp_path):
+    """One drains, another one said good-bye; both were acknowledged.
+
+    Remembered as ready, they would get requests that are cut when they exit.
+    """
+    before = started(tmp_path)
+    before.announce(announced('i-1'))
+    before.announce(announced('i-2', port=81))
+    before.announce(announced('i-1', 2, draining=True))
+    before.withdraw('i-2')
+    after = await restarted(before)
+    assert after.upstreams.entries['i-1'].told.draining
+    assert after.announce(announced('i-2', 9, port=81)) == Stale()
+    joined = JoinedTables(REGIONS)
+    joined.take('c-1', reply(after.upstreams, 0), 0, 0)
+    assert list(joined.view(0).upstreams) == ['i-1']
+
+
+async def test_a_departure_kept_here_ends_what_another_vm_remembers(tmp_path):
+    """Two control VMs knew an upstream, and one took its good-bye."""
+    one, other = started(tmp_path / 'one'), started(tmp_path / 'other')
+    for service in (one, other):
+        service.announce(announced('i-1', born_ms=BORN))
+    one.withdraw('i-1')
+    after_one, after_other = await restarted(one), await restarted(other)
+    joined = JoinedTables(REGIONS)
+    joined.take('c-2', reply(after_other.upstreams, 0, source='c-2'), 0, 0)
+    joined.take('c-1', reply(after_one.upstreams, 0), 0, 0)
+    assert joined.view(0).upstreams == {}
+
+
+async def test_another_upstream_at_the_address_takes_its_place(tmp_path):
+    """An upstream ended in the dark, and its address was given away."""
+    before = started(tmp_path)
+    before.announce(announced('i-1'))
+    after = await restarted(before)
+    after.announce(announced('i-2', service='other'))
+    assert list(after.upstreams.entries) == ['i-2']
+
+
+@pytest.mark.parametrize('content', [b'', b'GWU1', b'x' * 200])
+async def test_a_damaged_file_is_none(tmp_path, content):
+    """Power was lost while the file was written, or the disk is another's."""
+    (tmp_path / FILE_NAME).write_bytes(content)
+    assert started(tmp_path).upstreams.entries == {}
+
+
+async def test_whole_file_of_another_content_is_none(tmp_path):
+    """The checksum fits, and what it covers is no table of upstreams."""
+    file = KeptUpstreams(tmp_path).file
+    written = KeptFile(file.path, file.magic)
+    written.write(KeptRecord(1, b'\xff' * 40))
+    assert started(tmp_path).upstreams.entries == {}
+
+
+async def test_what_is_not_on_disk_is_not_acknowledged(tmp_path, monkeypatch):
+    """The disk is full when an upstream says that it leaves.
+
+    Acknowledged, it would be remembered as ready after a loss of power.
+    """
+    service = started(tmp_path)
+    service.announce(announced('i-1'))
+    assert await service.settle()
+
+    def refuse(self, record):
+        raise StorageError('disk', 'full')
+
+    monkeypatch.setattr(KeptFile, 'write', refuse)
+    service.withdraw('i-1')
+    assert not await service.settle()
+    monkeypatch.undo()
+    assert await service.settle()
--- a/godwitshunt/registry/tests/test_table.py
+++ b/godwitshunt/registry/tests/test_table.py
@@ -3,10 +3,10 @@
 import pytest
 
 from godwitshunt.registry.records import UpstreamAnnounced
+from godwitshunt.registry.starts import TOMBSTONE_S, EndedStart
 from godwitshunt.registry.table import (
     FORGOTTEN_AFTER_S,
     SILENT_AFTER_S,
-    TOMBSTONE_S,
     Stale,
     Taken,
     UpstreamTable,
@@ -55,7 +55,7 @@
     table.announce(announced(sequence=1), 0)
     table.withdraw('i-1', 1)
     assert table.announce(announced(sequence=2), 2) == Stale()
-    assert table.gone_since(0) == ('i-1',)
+    assert table.gone_since(0) == (EndedStart('i-1'),)
     table.tick(1 + TOMBSTONE_S + 1)
     assert table.gone == {}
 
--- a/godwitshunt/registry/tests/test_views.py
+++ b/godwitshunt/registry/tests/test_views.py
@@ -6,7 +6,11 @@
 from godwitshunt.registry.table import UpstreamTable
 from godwitshunt.registry.tests.test_table import announced
 from godwitshunt.registry.views import FRESH_S, JoinedTables
-from godwitshunt.registry.wire import entry_to_wire, upstream_to_wire
+from godwitshunt.registry.wire import (
+    ends_to_wire,
+    entry_to_wire,
+    upstream_to_wire,
+)
 from godwitshunt.settings import Address
 
 REGIONS = {'a': 'kochi'}
@@ -27,7 +31,7 @@
         upstreams=[
             upstream_to_wire(one, now_s) for one in table.entries.values()
         ],
-        gone=list(table.gone_since(0)),
+        gone=ends_to_wire(table.gone_since(0)),
         entries=[entry_to_wire(one) for one in entries],
         gone_entries=[],
         loads=[],
--- a/godwitshunt/registry/views.py
+++ b/godwitshunt/registry/views.py
@@ -6,7 +6,9 @@
 
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.records import EntryRecord, Load, UpstreamAnnounced
+from godwitshunt.registry.starts import EndedStart, EndedStarts
 from godwitshunt.registry.wire import (
+    ends_from_wire,
     entry_from_wire,
     loads_from_wire,
     upstream_from_wire,
@@ -50,6 +52,10 @@
         What to ask held prefixes after.
     prefixes_told : int
         Version of this VM's own reads that the control VM has been told.
+    upstreams : dict
+        The start of each upstream that it tells of, by the upstream's name.
+    ended : dict
+        When the newest start that it told the end of was born, likewise.
     """
 
     source: str = ''
@@ -60,6 +66,7 @@
     prefixes_version: int = 0
     prefixes_told: int = 0
     upstreams: dict[str, HeardUpstream] = field(default_factory=dict)
+    ended: dict[str, int] = field(default_factory=dict)
     entries: dict[str, EntryRecord] = field(default_factory=dict)
     loads: Mapping[str, Load] = field(default_factory=dict)
 
@@ -68,10 +75,11 @@
         reply: ttypes.PollReply,
         sent_s: float,
         now_s: float,
-    ) -> frozenset[str]:
-        """Take a reply; return the incarnations that left."""
+    ) -> tuple[EndedStart, ...]:
+        """Take a reply; return the starts that ended."""
         if reply.whole:
             self.upstreams.clear()
+            self.ended.clear()
             self.entries.clear()
             self.prefixes_version = 0
             self.prefixes_told = 0
@@ -80,6 +88,9 @@
         self.entries_version = reply.entries_version
         self.answered_s = sent_s
         self.round_trip_s = now_s - sent_s
+        gone = ends_from_wire(reply.gone)
+        for start in gone:
+            self.end(start)
         for info in reply.upstreams or ():
             told = upstream_from_wire(info)
             self.upstreams[told.instance] = heard(
@@ -87,9 +98,6 @@
                 now_s,
                 silent=bool(info.silent),
             )
-        gone = frozenset(reply.gone or ())
-        for instance in gone:
-            self.upstreams.pop(instance, None)
         for name in reply.gone_entries or ():
             self.entries.pop(name, None)
         for entry in map(entry_from_wire, reply.entries or ()):
@@ -97,6 +105,24 @@
         self.loads = loads_from_wire(reply.loads)
         return gone
 
+    def end(self, start: EndedStart) -> None:
+        """Take the end of a start; a later one of the upstream stays."""
+        known = self.upstreams.get(start.instance)
+        if known is not None and known.told.born_ms == start.born_ms:
+            self.upstreams.pop(start.instance)
+        if start.born_ms is not None:
+            before_ms = self.ended.get(start.instance, start.born_ms)
+            self.ended[start.instance] = max(before_ms, start.born_ms)
+
+    def has_judged(self, instance: str, born_ms: int | None) -> bool:
+        """Tell whether the control VM itself knows that a start is over.
+
+        What it tells of that upstream now is then of a later start, even
+        where the upstream's clock says otherwise.
+        """
+        ended_ms = self.ended.get(instance)
+        return None not in {ended_ms, born_ms} and ended_ms >= born_ms
+
     def is_fresh(self, now_s: float) -> bool:
         """Tell whether the control VM has answered of late."""
         return now_s - self.answered_s <= FRESH_S
@@ -172,7 +198,8 @@
 
     regions: Mapping[str, str]
     tables: dict[str, ControlTable] = field(default_factory=dict)
-    gone: dict[str, float] = field(default_factory=dict)
+    ends: EndedStarts = field(default_factory=EndedStarts)
+    replaced: dict[str, float] = field(default_factory=dict)
     changes: int = 0
     joined_of: tuple[int, tuple[str, ...]] | None = None
     joined: RegistryView = field(default_factory=RegistryView)
@@ -183,15 +210,31 @@
         reply: ttypes.PollReply,
         sent_s: float,
         now_s: float,
-    ) -> frozenset[str]:
-        """Take a control VM's reply; return incarnations new among the gone."""
+    ) -> tuple[EndedStart, ...]:
+        """Take a control VM's reply; return the starts that it ends."""
         table = self.tables.setdefault(control, ControlTable())
-        left = table.take(reply, sent_s, now_s)
+        ended = table.take(reply, sent_s, now_s)
         self.changes += has_news(reply)
-        newly = frozenset(left - self.gone.keys())
-        for instance in newly:
-            self.gone[instance] = now_s
-        return newly
+        for start in ended:
+            if start.instance not in table.upstreams:
+                self.ends.note(self.named(start), now_s)
+        return ended
+
+    def named(self, start: EndedStart) -> EndedStart:
+        """Return an end with the newest start that any control VM tells of.
+
+        A control VM that had not heard of an upstream does not know which
+        start of it said good-bye.
+        """
+        if start.born_ms is not None:
+            return start
+        told = [
+            table.upstreams[start.instance].told.born_ms
+            for table in self.tables.values()
+            if start.instance in table.upstreams
+        ]
+        known = [born_ms for born_ms in told if born_ms is not None]
+        return EndedStart(start.instance, max(known, default=None))
 
     def nearest(self, now_s: float) -> str | None:
         """Return the control VM that answers soonest; None before any did."""
@@ -206,9 +249,9 @@
             default=None,
         )
 
-    def leave(self, instance: str, now_s: float) -> None:
-        """Note that another incarnation answers at an upstream's address."""
-        self.gone.setdefault(instance, now_s)
+    def leave(self, incarnation: str, now_s: float) -> None:
+        """Note that another upstream answers at one's address."""
+        self.replaced.setdefault(incarnation, now_s)
         self.changes += 1
 
     def view(self, now_s: float) -> RegistryView:
@@ -217,9 +260,7 @@
         Where no control VM answers, the last of what they said is gone by: a
         VM that is cut off goes on to serve with the upstreams it knows.
         """
-        for instance, gone_s in tuple(self.gone.items()):
-            if now_s - gone_s > GONE_KEPT_S:
-                self.gone.pop(instance)
+        self.forget(now_s)
         fresh = tuple(
             control
             for control, table in self.tables.items()
@@ -227,11 +268,22 @@
         )
         telling = [self.tables[control] for control in fresh or self.tables]
         if self.joined_of != (self.changes, fresh):
-            self.joined = self.join(telling)
+            self.joined = self.join(telling, now_s)
             self.joined_of = (self.changes, fresh)
         return replace(self.joined, loads=newest_loads(telling))
 
-    def join(self, telling: list[ControlTable]) -> RegistryView:
+    def forget(self, now_s: float) -> None:
+        """Drop what ended long ago."""
+        self.ends.forget(now_s)
+        for incarnation, replaced_s in tuple(self.replaced.items()):
+            if now_s - replaced_s > GONE_KEPT_S:
+                self.replaced.pop(incarnation)
+
+    def join(
+        self,
+        telling: list[ControlTable],
+        now_s: float,
+    ) -> RegistryView:
         """Return the joined view without loads.
 
         With 50 upstreams and 88 entry VMs it takes 1.9 ms, ten times a second
@@ -240,7 +292,7 @@
         """
         entries = join_entries(telling)
         return RegistryView(
-            upstreams=self.join_upstreams(telling),
+            upstreams=self.join_upstreams(telling, now_s),
             entries=entries,
             doors=accepting_by_region(entries),
         )
@@ -248,23 +300,38 @@
     def join_upstreams(
         self,
         telling: list[ControlTable],
+        now_s: float,
     ) -> dict[str, UpstreamSeen]:
-        """Join what each control VM tells of each incarnation.
+        """Join what each control VM tells of each upstream.
 
-        That one drains is believed from whoever says it. That it is alive is
-        believed from one that heard of it: an upstream announces itself to
-        one control VM at a time.
+        That a start drains is believed from whoever says it. That it is alive
+        is believed from one that heard of it: an upstream announces itself to
+        one control VM at a time. Of two starts the later one is believed.
         """
-        joined: dict[str, UpstreamSeen] = {}
+        joined: dict[str, Told] = {}
         for table in self.tables.values():
-            speaks = table in telling
             for instance, heard_one in table.upstreams.items():
-                if instance in self.gone:
+                if self.is_over(heard_one.told, table, now_s):
                     continue
+                seen = self.seen(heard_one, speaks=table in telling)
+                told = Told(seen, table)
                 known = joined.get(instance)
-                seen = self.seen(heard_one, speaks=speaks)
-                joined[instance] = seen if known is None else join(known, seen)
-        return joined
+                joined[instance] = told if known is None else known.join(told)
+        return {one.seen.told.incarnation: one.seen for one in joined.values()}
+
+    def is_over(
+        self,
+        told: UpstreamAnnounced,
+        table: ControlTable,
+        now_s: float,
+    ) -> bool:
+        """Tell whether what a control VM tells of is known to be over."""
+        if told.incarnation in self.replaced:
+            return True
+        if not self.ends.covers(told.instance, told.born_ms, now_s):
+            return False
+        ended_ms = self.ends.by_instance[told.instance].start.born_ms
+        return not table.has_judged(told.instance, ended_ms)
 
     def seen(self, heard_one: HeardUpstream, *, speaks: bool) -> UpstreamSeen:
         """Return what one control VM tells of an incarnation."""
@@ -277,6 +344,30 @@
         )
 
 
+@dataclass(frozen=True)
+class Told:
+    """A start of an upstream, and the control VM that tells of it."""
+
+    seen: UpstreamSeen
+    table: ControlTable
+
+    def join(self, other: 'Told') -> 'Told':
+        """Return what two control VMs tell of one upstream."""
+        one, two = self.seen.told, other.seen.told
+        if one.born_ms == two.born_ms:
+            return Told(join(self.seen, other.seen), self.table)
+        return other if self.is_before(other) else self
+
+    def is_before(self, other: 'Told') -> bool:
+        """Tell whether another start of the upstream is the later one."""
+        one, two = self.seen.told, other.seen.told
+        if None in {one.born_ms, two.born_ms}:
+            return one.born_ms is None
+        if one.born_ms < two.born_ms:
+            return not self.table.has_judged(one.instance, two.born_ms)
+        return other.table.has_judged(one.instance, one.born_ms)
+
+
 def has_news(reply: ttypes.PollReply) -> bool:
     """Tell whether a reply changes more than loads."""
     news = (reply.upstreams, reply.gone, reply.entries, reply.gone_entries)
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -10,7 +10,12 @@
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
-from godwitshunt.registry.records import EntryRecord, Load
+from godwitshunt.registry.records import (
+    EntryRecord,
+    Load,
+    incarnation_name,
+)
+from godwitshunt.registry.starts import EndedStart
 from godwitshunt.registry.views import ControlTable, JoinedTables, RegistryView
 from godwitshunt.registry.wire import (
     entry_to_wire,
@@ -30,6 +35,9 @@
 POLLS_A_SECOND = 125
 LONGEST_PERIOD_S = 0.7
 POLL_TIMEOUT_S = 0.8
+# A control VM that has not answered yet is asked again so soon: without any
+# table a VM that has just started can serve nobody.
+FIRST_RETRY_S = 0.1
 # A view is joined anew at most so often; its parts change with every reply.
 VIEW_KEPT_S = 0.1
 # Held prefixes are asked of the nearest control VM alone: every one hears of
@@ -99,6 +107,7 @@
         """Poll no more."""
         if self.subscription is not None:
             self.subscription.cancel()
+            self.subscription = None
         await self.background.close()
 
     def view(self) -> RegistryView:
@@ -127,12 +136,12 @@
         self.cached = self.joined.view(now_s)
         self.cached_s = now_s
 
-    def leave(self, instance: str) -> None:
+    def leave(self, incarnation: str) -> None:
         """Note that an incarnation is no longer at its address."""
         now_s = self.timer.now()
-        self.joined.leave(instance, now_s)
+        self.joined.leave(incarnation, now_s)
         self.refresh(now_s)
-        log_change('registry:instance_replaced', instance=instance)
+        log_change('registry:instance_replaced', instance=incarnation)
 
     def tick(self) -> None:
         """Ask again where it is time; forget what upstreams hold no more."""
@@ -146,7 +155,7 @@
         """Ask every control VM that is not being asked."""
         self.polled_s = self.timer.now()
         for address in self.control():
-            self.background.run(str(address), partial(self.poll, address))
+            self.begin(address)
 
     def period_s(self) -> float:
         """Return how often control VMs are asked."""
@@ -166,6 +175,7 @@
         )
         if isinstance(reply, Err):
             self.note_lost(control, type(reply.err_value).__name__)
+            self.retry_first(address)
             return
         self.note_back(control)
         now_s = self.timer.now()
@@ -173,6 +183,17 @@
         self.take(control, message, sent_s, now_s)
         self.take_prefixes(control, message, told, now_s)
 
+    def retry_first(self, address: Address) -> None:
+        """Ask a control VM that never answered again, soon."""
+        if self.subscription is not None and (
+            str(address) not in self.joined.tables
+        ):
+            self.timer.after(FIRST_RETRY_S, partial(self.begin, address))
+
+    def begin(self, address: Address) -> None:
+        """Ask one control VM unless it is being asked."""
+        self.background.run(str(address), partial(self.poll, address))
+
     def message_to(self, control: str, now_s: float) -> ttypes.Poll:
         """Return what one control VM is told and asked."""
         table = self.joined.tables.get(control, ControlTable())
@@ -227,7 +248,7 @@
         self,
         control: str,
         message: ttypes.PollReply,
-        gone: frozenset[str],
+        gone: tuple[EndedStart, ...],
     ) -> None:
         """Log what a reply changed in what this VM believes."""
         log_change(
@@ -240,7 +261,7 @@
             cold=[one.instance for one in message.upstreams if one.cold_ms],
             silent=[one.instance for one in message.upstreams if one.silent],
             told=len(message.upstreams),
-            gone=sorted(gone),
+            gone=[incarnation_name(one.instance, one.born_ms) for one in gone],
             gone_entries=list(message.gone_entries),
         )
 
--- a/godwitshunt/registry/wire.py
+++ b/godwitshunt/registry/wire.py
@@ -6,6 +6,7 @@
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.prefixes import PrefixRead
 from godwitshunt.registry.records import EntryRecord, Load, UpstreamAnnounced
+from godwitshunt.registry.starts import EndedStart
 from godwitshunt.registry.table import UpstreamEntry
 from godwitshunt.settings import Address
 
@@ -52,6 +53,7 @@
         sequence=told.sequence,
         silent=known.silent,
         ends_in_ms=ends_in_ms,
+        born_ms=told.born_ms,
     )
 
 
@@ -70,9 +72,22 @@
         cold_s=info.cold_ms / MILLISECONDS,
         sequence=info.sequence,
         ends_in_s=ends_in_s,
+        born_ms=info.born_ms,
     )
 
 
+def ends_to_wire(ends: Iterable[EndedStart]) -> list[ttypes.StartEnded]:
+    """Return starts that ended as structs."""
+    return [ttypes.StartEnded(one.instance, one.born_ms) for one in ends]
+
+
+def ends_from_wire(
+    told: Iterable[ttypes.StartEnded] | None,
+) -> tuple[EndedStart, ...]:
+    """Read starts that ended."""
+    return tuple(EndedStart(one.instance, one.born_ms) for one in told or ())
+
+
 def entry_to_wire(record: EntryRecord) -> ttypes.EntryInfo:
     """Return an entry VM as a struct."""
     return ttypes.EntryInfo(
--- a/godwitshunt/routing/upstream_health.py
+++ b/godwitshunt/routing/upstream_health.py
@@ -35,6 +35,9 @@
         Prompt tokens of those that wait for their first event.
     heard_s : float
         When bytes last came from it.
+    unreached_s : float
+        When a connection to it last failed: it may have started again since,
+        and be cold before anybody has heard so.
     delay_s : float
         Moving average of the seconds by which first events came later than
         was predicted, when it was last added to; negative where they came
@@ -48,6 +51,7 @@
     in_flight: int = 0
     pending_tokens: int = 0
     heard_s: float = float('-inf')
+    unreached_s: float = float('-inf')
     down_until_s: float = float('-inf')
     full_until_s: float = float('-inf')
     delay_s: float = 0.0
@@ -77,6 +81,11 @@
         if self.waiting_since.pop(number, None) is not None:
             self.pending_tokens -= tokens
 
+    def miss(self, now_s: float) -> None:
+        """Note that a connection to it failed."""
+        self.unreached_s = now_s
+        self.down_until_s = now_s + DOWN_S
+
     def mute_s(self, now_s: float) -> float:
         """Return how long it has shown nothing that was waited for.
 
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -211,6 +211,9 @@
     keeps_revision : bool
         True where a replica keeps its newest committed revision beside the
         log, and tells VMs of it after a restart before a leader is elected.
+    keeps_upstreams : bool
+        True where a replica keeps what it knows of announced upstreams, and
+        tells VMs of them after a restart before they announce themselves.
     """
 
     data_folder: Path
@@ -222,3 +225,4 @@
     first_voters: tuple[FirstVoterSettings, ...] = ()
     heals: bool = False
     keeps_revision: bool = False
+    keeps_upstreams: bool = False
--- /dev/null
+++ b/godwitshunt/storage/__init__.py
@@ -0,0 +1,5 @@
+"""Small files that always hold one whole record."""
+
+from godwitshunt.storage.kept_file import KeptFile, KeptRecord
+
+__all__ = ['KeptFile', 'KeptRecord']
