--- a/godwitshunt/ingress/account.py
+++ b/godwitshunt/ingress/account.py
@@ -21,6 +21,8 @@
         Where it went, and what became of that.
     first_s : float or None
         Seconds until the caller got the first of its answer.
+    longest_gap_s : float
+        Longest pause between bytes of the caller's stream.
     control_age_s : float
         Age of what control told when the last choice was made, in seconds.
     """
@@ -29,6 +31,8 @@
     choices: list[str] = field(default_factory=list)
     attempts: list[str] = field(default_factory=list)
     first_s: float | None = None
+    heard_s: float | None = None
+    longest_gap_s: float = 0.0
     control_age_s: float = 0.0
 
     def note_choice(self, choice: Choice, control_age_s: float) -> None:
@@ -36,7 +40,7 @@
         self.control_age_s = control_age_s
         match choice:
             case SendHere(seen=seen):
-                place = seen.told.instance
+                place = seen.told.incarnation
             case HandOver(entry=entry):
                 place = f'{entry.region}/{entry.name}'
             case NoPlace(overloaded=overloaded):
@@ -58,6 +62,13 @@
         if self.first_s is None:
             self.first_s = now_s - self.request.arrived_s
 
+    def note_bytes(self, now_s: float) -> None:
+        """Note that bytes of the caller's stream came."""
+        if self.heard_s is not None:
+            gap_s = now_s - self.heard_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.heard_s = now_s
+
     def close(
         self,
         ending: str,
@@ -85,6 +96,9 @@
             ending=ending,
             took_s=round(took_s, 4),
             first_s=first_s,
+            objective_s=request.route.objective_s,
+            longest_gap_s=round(self.longest_gap_s, 3),
+            gap_s=request.route.longest_gap_s,
             left_s=round(request.remaining_s(now_s), 3),
             choices=self.choices,
             attempts=self.attempts,
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -7,8 +7,12 @@
 
 from result import Err
 
-from godwitshunt.exchange.attempts import OUTCOME_HEADER
-from godwitshunt.exchange.problems import Headers, Outcome, WholeAnswer
+from godwitshunt.exchange.problems import (
+    OUTCOME_HEADER,
+    Headers,
+    Outcome,
+    WholeAnswer,
+)
 from godwitshunt.exchange.relay import EVENT_STREAM, StreamPipe
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.upstream_pool import (
--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -16,7 +16,7 @@
     read_manifest,
     show,
 )
-from godwitshunt.programs.tracing import trace
+from godwitshunt.programs.tracing import losses, trace
 
 WAIT_PERIOD_S = 0.5
 
@@ -269,6 +269,7 @@
         order,
         remove_vm,
         trace,
+        losses,
     ]
     try:
         defopt.run(commands, short={})
--- a/godwitshunt/programs/tracing.py
+++ b/godwitshunt/programs/tracing.py
@@ -1,11 +1,14 @@
-"""The ``trace`` command: one request's story from many processes' logs."""
+"""The commands that read many processes' logs: ``trace`` and ``losses``."""
 
 import json
 from pathlib import Path
 
 from godwitshunt.exceptions import FieldProblem, SettingsError
 from godwitshunt.programs.operator_session import ExitCode, leave
-from godwitshunt.tracing import read_logs, tell
+from godwitshunt.tracing import LossRow, read_logs, tabulate, tell
+from godwitshunt.tracing.losses import WINDOW_S
+
+MOST_SHOWN = 4
 
 
 def trace(request: str, *files: Path) -> None:
@@ -23,11 +26,45 @@
     try:
         story = tell(request, read_logs(files))
     except OSError as unread:
-        wanted = f'a log that can be read ({unread.strerror})'
-        problem = FieldProblem('files', str(unread.filename), wanted)
-        raise SettingsError('command line', (problem,)) from None
+        raise unreadable(unread) from None
     if story is None:
         leave(ExitCode.invalid, f'no line names request {request}')
     for line in (*story.lines, *story.context):
         print(f'{line.at_s:.3f} {line.source} {json.dumps(line.fields)}')
     print(story.sentence)
+
+
+def losses(*files: Path) -> None:
+    """Tell which requests did not end in time, when and why.
+
+    Prints a row for each reason, the most requests first: how many, their
+    commonest routes and moments, and the id of one for ``trace``.
+
+    :param files: logs of entry VMs, one file a process, or one file in which
+        each line begins with its process's name.
+    """
+    try:
+        rows = tabulate(read_logs(files))
+    except OSError as unread:
+        raise unreadable(unread) from None
+    for reason, row in rows.items():
+        print(f'{row.count:6} {reason}: {describe(row)}')
+
+
+def describe(row: LossRow) -> str:
+    """Return a row's commonest routes and moments, and an example."""
+    routes = ', '.join(
+        f'{route} {count}' for route, count in row.routes.most_common(3)
+    )
+    moments = ', '.join(
+        f'{window * WINDOW_S:.0f} s {count}'
+        for window, count in row.windows.most_common(MOST_SHOWN)
+    )
+    return f'{routes}; from {moments}; such as {row.example}'
+
+
+def unreadable(unread: OSError) -> SettingsError:
+    """Return what to raise for a log that cannot be read."""
+    wanted = f'a log that can be read ({unread.strerror})'
+    problem = FieldProblem('files', str(unread.filename), wanted)
+    return SettingsError('command line', (problem,))
