--- a/godwitshunt/ingress/tests/test_choosing.py
+++ b/godwitshunt/ingress/tests/test_choosing.py
@@ -1,5 +1,6 @@
 """Where requests of routes go, by what entry VMs know."""
 
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 
@@ -14,6 +15,7 @@
 )
 from godwitshunt.ingress.neighbours import Neighbours
 from godwitshunt.ingress.upstreams import Upstreams
+from godwitshunt.manifest import ColdStart
 from godwitshunt.registry import EntryRecord, Load, RegistryView, UpstreamSeen
 from godwitshunt.registry.records import UpstreamAnnounced
 from godwitshunt.routing.selection import Demand
@@ -114,3 +116,32 @@
     """
     chosen = choose(ask(Demand(53000, 13300, 7)), view())
     assert isinstance(chosen, SendHere | HandOver)
+
+
+COLD = ColdStart(duration_s=3.0, requests_per_s=4.0)
+
+
+@pytest.mark.parametrize(
+    ('missed_ago_s', 'cold', 'may_be_cold'),
+    [(0.5, COLD, True), (3.5, COLD, False), (0.5, None, False)],
+)
+def test_an_upstream_that_was_out_of_reach_may_be_cold(
+    missed_ago_s,
+    cold,
+    may_be_cold,
+):
+    """It crashed behind a cut and started again under its name.
+
+    No control VM hears of it, and with the load of before it would crash.
+    """
+    chooser = Chooser(
+        'kochi',
+        Upstreams(),
+        Neighbours('k-e', 'kochi'),
+        Random(1),
+    )
+    service = SimpleNamespace(name='llm', engine=True, cold_start=cold)
+    asked = replace(ask(SHORT), service=service)
+    chooser.upstreams.of('k-0').miss(NOW_S - missed_ago_s)
+    seen = upstream('k-0', 'kochi')
+    assert chooser.may_be_cold(seen, asked) is may_be_cold
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -277,7 +277,11 @@
 
 def boot_document(host, zone, folder, *, control, bootstrap=True):
     """Return a settings file as the platform writes it."""
-    listen = {'frontend': f'{host}:{FRONT}', 'ready': f'{host}:{READY}'}
+    listen = {
+        'frontend': f'{host}:{FRONT}',
+        'ready': f'{host}:{READY}',
+        'directory': f'{host}:{DIRECTORY}',
+    }
     if control:
         listen = {
             'control_plane': f'{host}:{CONTROL}',
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -274,6 +274,20 @@
         assert json.loads(answer.body) == newest
 
 
+@pytest.mark.parametrize('asked', [NORTH, SOUTH])
+async def test_edge_machines_answer_the_directory(world, asked):
+    """Both control machines of a zone are dark, and clients ask on.
+
+    Each look-up there costs its client a second; edge machines are near, too.
+    """
+    answers = []
+    for region, zone in (('north', 'zone-a'), ('south', 'zone-b')):
+        path = f'/-/resolve?name={HOST}&region={region}&zone={zone}'
+        told = await call(asked, DIRECTORY, 'GET', path)
+        answers.append(json.loads(told.body)['addresses'])
+    assert answers == [[f'{NORTH}:{FRONT}'], [f'{SOUTH}:{FRONT}']]
+
+
 async def test_directory_names_ready_machines_of_the_region(world):
     """Clients ask where to connect."""
     for host in CONTROL_HOSTS:
