--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -20,6 +20,7 @@
     DocumentMalformed,
     revision_of,
 )
+from godwitshunt.configuration.first_replies import FirstReplies, Told
 from godwitshunt.configuration.following import (
     Following,
     NewsOutcome,
@@ -54,14 +55,6 @@
 FRESH_PROOF_S = 1.5
 
 
-@dataclass(frozen=True)
-class Told:
-    """News, and when it was asked for in monotonic seconds."""
-
-    news: ttypes.ConfigurationNews
-    asked_at: float
-
-
 @dataclass(frozen=True)
 class UnlistedStart:
     """How a VM starts whose deployment has no callers that a region may lose.
@@ -131,7 +124,7 @@
         self.current: Revision | None = None
         self.history = RevisionHistory()
         self.subscribers: list[RevisionNotice] = []
-        self.first_told: dict[Address, Told] = {}
+        self.first = FirstReplies()
         self.background = Background()
         self.closed = False
         self.lock = asyncio.Lock()
@@ -271,29 +264,14 @@
             )
 
     async def ask_first(self, address: Address) -> None:
-        """Ask one control replica for the first revision.
-
-        Once a majority has told its revision, the newest of them is taken: it
-        is older than what was accepted only where a replica of the rest alone
-        knows of that.
-        """
+        """Ask one control replica for the first revision."""
         told = await self.call(address, MessageKind.vm_heartbeat)
-        if told is None:
+        if told is None or self.current is not None:
             return
-        self.first_told[address] = told
-        holding = [one for one in self.first_told.values() if one.news.revision]
-        if len(holding) > len(known_control(None, self.control)) // 2:
-            self.begin_unproven()
-        await self.take_newest(holding or [told])
-
-    def begin_unproven(self) -> None:
-        """Begin with a revision that no quorum vouches for from now on."""
-        if self.current is None:
+        self.first.note(address, told)
+        if self.first.has_majority(len(known_control(None, self.control))):
             self.following = replace(self.following, unproven_after_s=0.0)
-
-    async def take_newest(self, told: list[Told]) -> None:
-        """Take the newest of several replies."""
-        newest = max(told, key=lambda one: one.news.revision)
+        newest = self.first.newest()
         await self.take(newest.news, newest.asked_at)
 
     async def ask_one(self, address: Address, kind: MessageKind) -> bool:
--- /dev/null
+++ b/godwitshunt/registry/joined.py
@@ -0,0 +1,276 @@
+"""The tables of several control VMs, joined by an entry VM; pure."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from math import floor
+
+from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.records import EntryRecord, Load, UpstreamAnnounced
+from godwitshunt.registry.starts import EndedStart, EndedStarts
+from godwitshunt.registry.views import (
+    ControlTable,
+    HeardUpstream,
+    RegistryView,
+    UpstreamSeen,
+)
+
+# Incarnations that another upstream replaced are remembered for so long, above
+# the time for which a control VM still tells of them.
+GONE_KEPT_S = 150.0
+# What is held for a late word now may be believed later without any news.
+REJOINED_AFTER_S = 5.0
+
+
+@dataclass(frozen=True)
+class JoinedOf:
+    """What a joined view was made of.
+
+    Parameters
+    ----------
+    changes : int
+        Replies with news, so far.
+    fresh : tuple of str
+        Control VMs that had answered of late.
+    period : int
+        Time in units of `REJOINED_AFTER_S`.
+    """
+
+    changes: int
+    fresh: tuple[str, ...]
+    period: int
+
+
+@dataclass
+class JoinedTables:
+    """The tables of all control VMs, joined into one view.
+
+    Parameters
+    ----------
+    regions : mapping
+        Region of each failure domain.
+    """
+
+    regions: Mapping[str, str]
+    tables: dict[str, ControlTable] = field(default_factory=dict)
+    ends: EndedStarts = field(default_factory=EndedStarts)
+    replaced: dict[str, float] = field(default_factory=dict)
+    changes: int = 0
+    joined_of: JoinedOf | None = None
+    joined: RegistryView = field(default_factory=RegistryView)
+
+    def take(
+        self,
+        control: str,
+        reply: ttypes.PollReply,
+        sent_s: float,
+        now_s: float,
+    ) -> tuple[EndedStart, ...]:
+        """Take a control VM's reply; return the starts that it ends."""
+        table = self.tables.setdefault(control, ControlTable())
+        ended = table.take(reply, sent_s, now_s)
+        self.changes += has_news(reply)
+        for start in ended:
+            if start.instance not in table.upstreams:
+                self.ends.note(self.named(start), now_s)
+        return ended
+
+    def named(self, start: EndedStart) -> EndedStart:
+        """Return an end with the newest start that any control VM tells of.
+
+        A control VM that had not heard of an upstream does not know which
+        start of it said good-bye.
+        """
+        if start.born_ms is not None:
+            return start
+        told = [
+            table.upstreams[start.instance].told.born_ms
+            for table in self.tables.values()
+            if start.instance in table.upstreams
+        ]
+        known = [born_ms for born_ms in told if born_ms is not None]
+        return EndedStart(start.instance, max(known, default=None))
+
+    def nearest(self, now_s: float) -> str | None:
+        """Return the control VM that answers soonest; None before any did."""
+        fresh = [
+            control
+            for control, table in self.tables.items()
+            if table.is_fresh(now_s)
+        ]
+        return min(
+            fresh,
+            key=lambda control: self.tables[control].round_trip_s,
+            default=None,
+        )
+
+    def leave(self, incarnation: str, now_s: float) -> None:
+        """Note that another upstream answers at one's address."""
+        self.replaced.setdefault(incarnation, now_s)
+        self.changes += 1
+
+    def view(self, now_s: float) -> RegistryView:
+        """Return the joined view.
+
+        Where no control VM answers, the last of what they said is gone by: a
+        VM that is cut off goes on to serve with the upstreams it knows.
+        """
+        self.forget(now_s)
+        fresh = tuple(
+            control
+            for control, table in self.tables.items()
+            if table.is_fresh(now_s)
+        )
+        telling = [self.tables[control] for control in fresh or self.tables]
+        of = JoinedOf(self.changes, fresh, floor(now_s / REJOINED_AFTER_S))
+        if self.joined_of != of:
+            self.joined = self.join(telling, now_s)
+            self.joined_of = of
+        return replace(self.joined, loads=newest_loads(telling))
+
+    def forget(self, now_s: float) -> None:
+        """Drop what ended long ago."""
+        self.ends.forget(now_s)
+        for incarnation, replaced_s in tuple(self.replaced.items()):
+            if now_s - replaced_s > GONE_KEPT_S:
+                self.replaced.pop(incarnation)
+
+    def join(
+        self,
+        telling: list[ControlTable],
+        now_s: float,
+    ) -> RegistryView:
+        """Return the joined view without loads.
+
+        With 50 upstreams and 88 entry VMs it takes 1.9 ms, ten times a second
+        for an entry VM that serves ten requests in it; joined only when some
+        reply had news, that is seldom.
+        """
+        entries = join_entries(telling)
+        return RegistryView(
+            upstreams=self.join_upstreams(telling, now_s),
+            entries=entries,
+            doors=accepting_by_region(entries),
+        )
+
+    def join_upstreams(
+        self,
+        telling: list[ControlTable],
+        now_s: float,
+    ) -> dict[str, UpstreamSeen]:
+        """Join what each control VM tells of each upstream.
+
+        That a start drains is believed from whoever says it. That it is alive
+        is believed from one that heard of it: an upstream announces itself to
+        one control VM at a time. Of two starts the later one is believed.
+        """
+        joined: dict[str, Told] = {}
+        for table in self.tables.values():
+            for instance, heard_one in table.upstreams.items():
+                if self.is_over(heard_one.told, table, now_s):
+                    continue
+                seen = self.seen(heard_one, speaks=table in telling)
+                told = Told(seen, table)
+                known = joined.get(instance)
+                joined[instance] = told if known is None else known.join(told)
+        return {one.seen.told.incarnation: one.seen for one in joined.values()}
+
+    def is_over(
+        self,
+        told: UpstreamAnnounced,
+        table: ControlTable,
+        now_s: float,
+    ) -> bool:
+        """Tell whether what a control VM tells of is known to be over."""
+        if told.incarnation in self.replaced:
+            return True
+        if not self.ends.covers(told.instance, told.born_ms, now_s):
+            return False
+        ended_ms = self.ends.by_instance[told.instance].start.born_ms
+        return not table.has_judged(told.instance, ended_ms)
+
+    def seen(self, heard_one: HeardUpstream, *, speaks: bool) -> UpstreamSeen:
+        """Return what one control VM tells of an incarnation."""
+        return UpstreamSeen(
+            told=heard_one.told,
+            region=self.regions.get(heard_one.told.failure_domain, ''),
+            cold_until_s=heard_one.cold_until_s,
+            ends_at_s=heard_one.ends_at_s,
+            silent=heard_one.silent or not speaks,
+        )
+
+
+@dataclass(frozen=True)
+class Told:
+    """A start of an upstream, and the control VM that tells of it."""
+
+    seen: UpstreamSeen
+    table: ControlTable
+
+    def join(self, other: 'Told') -> 'Told':
+        """Return what two control VMs tell of one upstream."""
+        one, two = self.seen.told, other.seen.told
+        if one.born_ms == two.born_ms:
+            return Told(join(self.seen, other.seen), self.table)
+        return other if self.is_before(other) else self
+
+    def is_before(self, other: 'Told') -> bool:
+        """Tell whether another start of the upstream is the later one."""
+        one, two = self.seen.told, other.seen.told
+        if None in {one.born_ms, two.born_ms}:
+            return one.born_ms is None
+        if one.born_ms < two.born_ms:
+            return not self.table.has_judged(one.instance, two.born_ms)
+        return other.table.has_judged(one.instance, one.born_ms)
+
+
+def has_news(reply: ttypes.PollReply) -> bool:
+    """Tell whether a reply changes more than loads."""
+    news = (reply.upstreams, reply.gone, reply.entries, reply.gone_entries)
+    return reply.whole or any(news)
+
+
+def accepting_by_region(
+    entries: Mapping[str, EntryRecord],
+) -> dict[str, tuple[EntryRecord, ...]]:
+    """Return the entry VMs that take requests, by region."""
+    regions: dict[str, list[EntryRecord]] = {}
+    for entry in entries.values():
+        if entry.accepting:
+            regions.setdefault(entry.region, []).append(entry)
+    return {region: tuple(found) for region, found in regions.items()}
+
+
+def join(one: UpstreamSeen, other: UpstreamSeen) -> UpstreamSeen:
+    """Return what two control VMs tell of the same incarnation."""
+    newer, older = one, other
+    if other.told.sequence > one.told.sequence:
+        newer, older = other, one
+    told = newer.told
+    if older.told.draining and not told.draining:
+        told = replace(told, draining=True)
+    return replace(
+        newer,
+        told=told,
+        silent=one.silent and other.silent,
+        ends_at_s=newer.ends_at_s or older.ends_at_s,
+    )
+
+
+def join_entries(telling: Iterable[ControlTable]) -> dict[str, EntryRecord]:
+    """Return every entry VM that a control VM hears."""
+    joined: dict[str, EntryRecord] = {}
+    for table in telling:
+        for name, entry in table.entries.items():
+            known = joined.get(name)
+            # Two records of one VM differ for a moment only; one that says
+            # that it drains is the later one.
+            if known is None or not entry.accepting:
+                joined[name] = entry
+    return joined
+
+
+def newest_loads(telling: list[ControlTable]) -> Mapping[str, Load]:
+    """Return the loads of the control VM that answered last."""
+    if not telling:
+        return {}
+    return max(telling, key=lambda table: table.answered_s).loads
--- a/godwitshunt/registry/tests/test_after_the_dark.py
+++ b/godwitshunt/registry/tests/test_after_the_dark.py
@@ -3,13 +3,13 @@
 import pytest
 
 from godwitshunt.exceptions import StorageError
+from godwitshunt.registry.joined import JoinedTables
 from godwitshunt.registry.kept_upstreams import FILE_NAME, KeptUpstreams
 from godwitshunt.registry.service import RegistryService
 from godwitshunt.registry.table import Stale, Taken
 from godwitshunt.registry.tests.test_prefixes import Clock
 from godwitshunt.registry.tests.test_table import announced
 from godwitshunt.registry.tests.test_views import REGIONS, reply
-from godwitshunt.registry.views import JoinedTables
 from godwitshunt.storage import KeptFile, KeptRecord
 from godwitshunt.telemetry import Metrics
 
--- a/godwitshunt/registry/tests/test_starts.py
+++ b/godwitshunt/registry/tests/test_starts.py
@@ -4,12 +4,12 @@
 
 import pytest
 
+from godwitshunt.registry.joined import JoinedTables
 from godwitshunt.registry.records import UpstreamAnnounced
 from godwitshunt.registry.starts import LATE_WORD_S
 from godwitshunt.registry.table import Stale, Taken, UpstreamTable
 from godwitshunt.registry.tests.test_table import announced
 from godwitshunt.registry.tests.test_views import REGIONS, reply
-from godwitshunt.registry.views import JoinedTables
 
 FIRST, SECOND, THIRD = 1_000_000, 1_000_700, 1_001_200
 
--- a/godwitshunt/registry/tests/test_views.py
+++ b/godwitshunt/registry/tests/test_views.py
@@ -2,10 +2,11 @@
 
 from godwitshunt.registry.entries import ABSENT_AFTER_S, EntryTable
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.joined import JoinedTables
 from godwitshunt.registry.records import EntryRecord, Load
 from godwitshunt.registry.table import UpstreamTable
 from godwitshunt.registry.tests.test_table import announced
-from godwitshunt.registry.views import FRESH_S, JoinedTables
+from godwitshunt.registry.views import FRESH_S
 from godwitshunt.registry.wire import (
     ends_to_wire,
     entry_to_wire,
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -9,6 +9,7 @@
 from godwitshunt.configuration.background import Background
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.joined import JoinedTables
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
 from godwitshunt.registry.records import (
     EntryRecord,
@@ -16,7 +17,7 @@
     incarnation_name,
 )
 from godwitshunt.registry.starts import EndedStart
-from godwitshunt.registry.views import ControlTable, JoinedTables, RegistryView
+from godwitshunt.registry.views import ControlTable, RegistryView
 from godwitshunt.registry.wire import (
     entry_to_wire,
     loads_to_wire,
