--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 
 import pytest
 import pytest_asyncio
@@ -316,6 +317,26 @@
     assert len(server.ran) == before
 
 
+async def test_drained_server_that_starts_again_gets_work(world):
+    """A server was emptied for an update and starts again under its id.
+
+    Its count of heartbeats begins anew. Held against the count before, they
+    would be late ones, and the server would stay drained for good.
+    """
+    server = world.servers['north-llm-2']
+    world.silent.add('north-llm-2')
+    await world.announce('north-llm-2', 1, state='draining')
+    server.sequence = 0
+    born = int(time.time() * 1000)
+    said = await world.announce('north-llm-2', 2, born=born)
+    assert said.status == 200
+    await asyncio.sleep(1.0)
+    before = len(server.ran)
+    for _ in range(12):
+        await ask(NORTH, '/resumed/x')
+    assert len(server.ran) > before
+
+
 async def test_evacuated_zone_gets_nothing_until_it_is_taken_back(world):
     """An operator empties a zone, and changes his mind."""
     path = '/-/evacuations/zone-a'
