Believe a control VM about what follows an end that it told; let a foreign word give way

Found by reading the change again, each with a test that failed first: - An entry VM that started between a good-bye of a start which nobody had heard and the next start held the next one for a late word, for 20 s: the end bore no birth, and only ends with one counted as judged by the control VM that told it. - Of two starts, which was believed depended on the order of control VMs' tables: where two of them tell of one start, only the first was asked what it had seen end. - A foreign word under an upstream's name that came before the upstream's own, with a high count, made its words late ones until it was forgotten, a minute later. Another place is refused while the known one is heard, and replaces it once that is silent. - A full disk logged a line each quarter of a second; now one when it fails and one when it is well. The write under way while another upstream leaves had no test.

--- a/godwitshunt/registry/joined.py
+++ b/godwitshunt/registry/joined.py
@@ -169,7 +169,7 @@
                 if self.is_over(heard_one.told, table, now_s):
                     continue
                 seen = self.seen(heard_one, speaks=table in telling)
-                told = Told(seen, table)
+                told = Told(seen, (table,))
                 known = joined.get(instance)
                 joined[instance] = told if known is None else known.join(told)
         return {one.seen.told.incarnation: one.seen for one in joined.values()}
@@ -201,16 +201,17 @@
 
 @dataclass(frozen=True)
 class Told:
-    """A start of an upstream, and the control VM that tells of it."""
+    """A start of an upstream, and the control VMs that tell of it."""
 
     seen: UpstreamSeen
-    table: ControlTable
+    tables: tuple[ControlTable, ...]
 
     def join(self, other: 'Told') -> 'Told':
         """Return what two control VMs tell of one upstream."""
         one, two = self.seen.told, other.seen.told
         if one.born_ms == two.born_ms:
-            return Told(join(self.seen, other.seen), self.table)
+            tables = self.tables + other.tables
+            return Told(join(self.seen, other.seen), tables)
         return other if self.is_before(other) else self
 
     def is_before(self, other: 'Told') -> bool:
@@ -219,8 +220,15 @@
         if None in {one.born_ms, two.born_ms}:
             return one.born_ms is None
         if one.born_ms < two.born_ms:
-            return not self.table.has_judged(one.instance, two.born_ms)
-        return other.table.has_judged(one.instance, one.born_ms)
+            return not self.has_judged(two)
+        return other.has_judged(one)
+
+    def has_judged(self, told: UpstreamAnnounced) -> bool:
+        """Tell whether one of its control VMs knows that a start is over."""
+        return any(
+            table.has_judged(told.instance, told.born_ms)
+            for table in self.tables
+        )
 
 
 def has_news(reply: ttypes.PollReply) -> bool:
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -42,9 +42,9 @@
     """Upstreams that announce themselves here, and entry VMs that poll.
 
     Nothing passes between control VMs: every entry VM polls all of them and
-    joins what they say. So the news that an
-    upstream leaves reaches every entry VM that reaches the control VM which
-    acknowledged it, whether the control VMs hear each other or not.
+    joins what they say. So the news that an upstream leaves reaches every
+    entry VM that reaches the control VM which acknowledged it, whether the
+    control VMs hear each other or not.
 
     Parameters
     ----------
@@ -68,6 +68,7 @@
         self.kept = kept
         self.written_version = 0
         self.writing = asyncio.Lock()
+        self.disk_fault = ''
         self.background = Background()
         self.links = links
         self.timer = timer
@@ -135,7 +136,7 @@
         return self.written_version >= version
 
     async def keep(self) -> None:
-        """Write what is known of upstreams; a failure is counted and logged."""
+        """Write what is known of upstreams; a failure is counted."""
         async with self.writing:
             if self.written_version >= self.upstreams.version:
                 return
@@ -144,9 +145,18 @@
                 await asyncio.to_thread(self.kept.file.write, record)
             except StorageError as failed:
                 self.metrics.count('registry_keep_failed_total')
-                log_change('registry:keep_failed', reason=failed.reason)
+                self.note_disk(failed.reason)
                 return
             self.written_version = record.number
+            self.note_disk('')
+
+    def note_disk(self, reason: str) -> None:
+        """Log where the disk fails and where it is well again, once each."""
+        if reason and not self.disk_fault:
+            log_change('registry:keep_failed', reason=reason)
+        if self.disk_fault and not reason:
+            log_change('registry:keep_recovered', reason=self.disk_fault)
+        self.disk_fault = reason
 
     def announce(self, told: UpstreamAnnounced) -> AnnounceOutcome:
         """Take an upstream's announcement."""
--- a/godwitshunt/registry/table.py
+++ b/godwitshunt/registry/table.py
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True)
 class Foreign:
-    """It tells another service or place of a start that is known.
+    """It tells another service or place of a start that is heard.
 
     No start changes them; so another writer uses the upstream's name, and
     what it says must not cost the upstream its place.
@@ -136,14 +136,32 @@
         now_s: float,
     ) -> AnnounceOutcome:
         """Take another announcement of the start that is known."""
+        field_name = other_place(known.told, told)
+        if field_name is not None:
+            return self.move(known, told, field_name, now_s)
         if told.sequence <= known.told.sequence:
             return Stale()
-        for name in ('service', 'address', 'failure_domain'):
-            if getattr(told, name) != getattr(known.told, name):
-                return Foreign(name)
         self.update(known, replace(told, born_ms=known.told.born_ms), now_s)
         return Taken()
 
+    def move(
+        self,
+        known: UpstreamEntry,
+        told: UpstreamAnnounced,
+        field_name: str,
+        now_s: float,
+    ) -> AnnounceOutcome:
+        """Take a word that tells another place, where the known one is silent.
+
+        Which of two writers owns the name is not told; the one that goes on
+        to announce itself keeps it.
+        """
+        if now_s - known.heard_s <= SILENT_AFTER_S:
+            return Foreign(field_name)
+        self.entries.pop(known.told.instance)
+        self.add(told, now_s)
+        return Taken()
+
     def follows(
         self,
         known: UpstreamEntry,
@@ -290,3 +308,14 @@
         """Return the version of the next change."""
         self.version += 1
         return self.version
+
+
+def other_place(
+    known: UpstreamAnnounced,
+    told: UpstreamAnnounced,
+) -> str | None:
+    """Return the first field of a start's place that differs; None for none."""
+    for name in ('service', 'address', 'failure_domain'):
+        if getattr(told, name) != getattr(known, name):
+            return name
+    return None
--- a/godwitshunt/registry/tests/test_after_the_dark.py
+++ b/godwitshunt/registry/tests/test_after_the_dark.py
@@ -1,5 +1,8 @@
 """All machines lose power at once, and come back within a second or two."""
 
+import asyncio
+import threading
+
 import pytest
 
 from godwitshunt.exceptions import StorageError
@@ -103,8 +106,15 @@
 async def test_what_is_not_on_disk_is_not_acknowledged(tmp_path, monkeypatch):
     """The disk is full when an upstream says that it leaves.
 
-    Acknowledged, it would be remembered as ready after a loss of power.
+    Acknowledged, it would be remembered as ready after a loss of power. The
+    disk is tried again each quarter of a second; one line tells that it fails
+    and one that it is well.
     """
+    lines = []
+    monkeypatch.setattr(
+        'godwitshunt.registry.service.log_change',
+        lambda kind, **fields: lines.append(kind),
+    )
     service = started(tmp_path)
     service.announce(announced('i-1'))
     assert await service.settle()
@@ -112,8 +122,49 @@
     def refuse(self, record):
         raise StorageError('disk', 'full')
 
-    monkeypatch.setattr(KeptFile, 'write', refuse)
-    service.withdraw('i-1')
-    assert not await service.settle()
-    monkeypatch.undo()
+    with monkeypatch.context() as full:
+        full.setattr(KeptFile, 'write', refuse)
+        service.withdraw('i-1')
+        assert not await service.settle()
+        assert not await service.settle()
+    assert await service.settle()
+    assert [kind for kind in lines if 'keep' in kind] == [
+        'registry:keep_failed',
+        'registry:keep_recovered',
+    ]
+    after = started(tmp_path)
+    assert after.upstreams.entries == {}
+    assert after.announce(announced('i-1', 9)) == Stale()
+
+
+async def test_a_word_that_comes_while_the_disk_writes_is_written_as_well(
+    tmp_path,
+    monkeypatch,
+):
+    """The disk is slow, and a second upstream leaves while it writes.
+
+    Its acknowledgement must wait for a write that holds it.
+    """
+    service = started(tmp_path)
+    for name, port in (('i-1', 80), ('i-2', 81)):
+        service.announce(announced(name, port=port))
     assert await service.settle()
+    begun, going_on = threading.Event(), threading.Event()
+    write = KeptFile.write
+
+    def write_slowly(self, record):
+        begun.set()
+        going_on.wait(5)
+        write(self, record)
+
+    monkeypatch.setattr(KeptFile, 'write', write_slowly)
+    service.withdraw('i-1')
+    first = asyncio.create_task(service.settle())
+    await asyncio.to_thread(begun.wait, 5)
+    service.withdraw('i-2')
+    second = asyncio.create_task(service.settle())
+    await asyncio.sleep(0)
+    going_on.set()
+    assert await first
+    assert await second
+    assert started(tmp_path).upstreams.entries == {}
--- a/godwitshunt/registry/tests/test_starts.py
+++ b/godwitshunt/registry/tests/test_starts.py
@@ -1,13 +1,19 @@
 """Upstreams that start again under their name, in every order of arrival."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
 from godwitshunt.registry.joined import JoinedTables
 from godwitshunt.registry.records import UpstreamAnnounced
 from godwitshunt.registry.starts import LATE_WORD_S
-from godwitshunt.registry.table import Stale, Taken, UpstreamTable
+from godwitshunt.registry.table import (
+    SILENT_AFTER_S,
+    Foreign,
+    Stale,
+    Taken,
+    UpstreamTable,
+)
 from godwitshunt.registry.tests.test_table import announced
 from godwitshunt.registry.tests.test_views import REGIONS, reply
 
@@ -187,3 +193,56 @@
     assert table.entries['i-1'].told.draining
     table.announce(told(SECOND, 1), 2)
     assert not table.entries['i-1'].told.draining
+
+
+def test_a_start_after_a_good_bye_of_an_unknown_one():
+    """An entry VM starts between a good-bye and the next start.
+
+    The control VM that took the good-bye had not heard the upstream, and does
+    not know which start left; what it tells after that it has judged itself.
+    Held for the start that left, the next one got no work for 20 s.
+    """
+    controls = Controls()
+    controls.tables['c-2'].withdraw('i-1', 1, now_ms=FIRST + 500)
+    assert controls.starts(1) == []
+    controls.tables['c-2'].announce(told(SECOND, 1), 2)
+    assert controls.starts(2) == [SECOND]
+
+
+@pytest.mark.parametrize(
+    'order', [('c-1', 'c-2', 'c-3'), ('c-2', 'c-1', 'c-3')]
+)
+def test_one_control_vm_that_judged_a_start_is_enough(order):
+    """The clock was set back, and two control VMs hear the new start.
+
+    One of them has seen the start before end; the third one remembers that
+    one only. What is believed must not depend on the order of their tables.
+    """
+    controls = Controls()
+    controls.tables['c-3'] = UpstreamTable()
+    late_s = LATE_WORD_S + 1
+    for known_to in ('c-2', 'c-3'):
+        controls.tables[known_to].announce(told(SECOND, 9), 0)
+    for heard_by in ('c-1', 'c-2'):
+        controls.tables[heard_by].announce(told(FIRST, 17), late_s)
+    controls.tables = {control: controls.tables[control] for control in order}
+    assert controls.starts(late_s) == [FIRST]
+
+
+def test_a_foreign_word_that_came_first_gives_way():
+    """Another writer used an upstream's name before it was heard here.
+
+    Refused for as long as the foreign word is remembered, the upstream would
+    lose its place for a minute; the other writer does not go on.
+    """
+    table = UpstreamTable()
+    foreign = announced(sequence=900, port=6666)
+    table.announce(foreign, 0)
+    own = announced(sequence=3)
+    assert table.announce(own, 1) == Foreign('address')
+    assert (
+        table.announce(replace(own, sequence=6), SILENT_AFTER_S + 0.1)
+        == Taken()
+    )
+    known = table.entries['i-1'].told
+    assert (known.address, known.sequence) == (own.address, 6)
--- a/godwitshunt/registry/views.py
+++ b/godwitshunt/registry/views.py
@@ -52,7 +52,8 @@
     upstreams : dict
         The start of each upstream that it tells of, by the upstream's name.
     ended : dict
-        When the newest start that it told the end of was born, likewise.
+        When the newest start that it told the end of was born, likewise; None
+        where it does not know.
     """
 
     source: str = ''
@@ -63,7 +64,7 @@
     prefixes_version: int = 0
     prefixes_told: int = 0
     upstreams: dict[str, HeardUpstream] = field(default_factory=dict)
-    ended: dict[str, int] = field(default_factory=dict)
+    ended: dict[str, int | None] = field(default_factory=dict)
     entries: dict[str, EntryRecord] = field(default_factory=dict)
     loads: Mapping[str, Load] = field(default_factory=dict)
 
@@ -107,9 +108,9 @@
         known = self.upstreams.get(start.instance)
         if known is not None and known.told.born_ms == start.born_ms:
             self.upstreams.pop(start.instance)
-        if start.born_ms is not None:
-            before_ms = self.ended.get(start.instance, start.born_ms)
-            self.ended[start.instance] = max(before_ms, start.born_ms)
+        ended_ms = self.ended.get(start.instance)
+        if ended_ms is None or (start.born_ms or 0) > ended_ms:
+            self.ended[start.instance] = start.born_ms
 
     def has_judged(self, instance: str, born_ms: int | None) -> bool:
         """Tell whether the control VM itself knows that a start is over.
@@ -117,8 +118,10 @@
         What it tells of that upstream now is then of a later start, even
         where the upstream's clock says otherwise.
         """
-        ended_ms = self.ended.get(instance)
-        return None not in {ended_ms, born_ms} and ended_ms >= born_ms
+        if instance not in self.ended:
+            return False
+        ended_ms = self.ended[instance]
+        return born_ms is None or (ended_ms is not None and ended_ms >= born_ms)
 
     def is_fresh(self, now_s: float) -> bool:
         """Tell whether the control VM has answered of late."""
