--- a/benchmarks/route_load.py
+++ b/benchmarks/route_load.py
@@ -22,7 +22,14 @@
     upstream,
 )
 from benchmarks.sheet_engine import PALLIKKARA, Job, SheetEngine
-from godwitshunt.ingress.choosing import Ask, Chooser, HandOver, SendHere
+from godwitshunt.ingress.choices import (
+    Ask,
+    HandOver,
+    SendHere,
+)
+from godwitshunt.ingress.choosing import (
+    Chooser,
+)
 from godwitshunt.ingress.neighbours import Neighbours
 from godwitshunt.ingress.upstreams import Upstreams
 from godwitshunt.registry import Load, RegistryView
--- a/godwitshunt/claims/journal.py
+++ b/godwitshunt/claims/journal.py
@@ -23,6 +23,7 @@
 from result import Err, Ok, Result
 
 from godwitshunt.exceptions import StorageError
+from godwitshunt.storage import sync_folder
 
 HEADER = struct.Struct('>III')
 LENGTH = struct.Struct('>I')
@@ -296,15 +297,6 @@
     return descriptor
 
 
-def sync_folder(folder: Path) -> None:
-    """Make new and deleted names in a folder last."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
 def storage_error(path: Path, failed: OSError) -> StorageError:
     """Return the typed error of a refused file operation."""
     return StorageError(str(path), failed.strerror or repr(failed))
--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -27,10 +27,12 @@
     StreamPipe,
 )
 from godwitshunt.exchange.requests import AnswerWriter
-from godwitshunt.exchange.upstream_pool import (
+from godwitshunt.exchange.upstream_messages import (
     AnswerHead,
     BrokenAnswerError,
     OutgoingRequest,
+)
+from godwitshunt.exchange.upstream_pool import (
     UpstreamCall,
     UpstreamPool,
 )
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -39,7 +39,9 @@
 )
 from godwitshunt.exchange.request_task import RequestTask
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
-from godwitshunt.exchange.upstream_pool import UpstreamPool
+from godwitshunt.exchange.upstream_pool import (
+    UpstreamPool,
+)
 from godwitshunt.manifest import Caller
 from godwitshunt.peer import client_context
 from godwitshunt.settings import EntrySettings
--- a/godwitshunt/exchange/outgoing.py
+++ b/godwitshunt/exchange/outgoing.py
@@ -16,7 +16,9 @@
 from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
 from godwitshunt.exchange.passed_headers import number, passed_on
 from godwitshunt.exchange.problems import Headers
-from godwitshunt.exchange.upstream_pool import OutgoingRequest
+from godwitshunt.exchange.upstream_messages import (
+    OutgoingRequest,
+)
 from godwitshunt.routing.messages import Forward
 from godwitshunt.settings import NodeSettings
 
--- a/godwitshunt/exchange/parts.py
+++ b/godwitshunt/exchange/parts.py
@@ -5,7 +5,9 @@
 
 from godwitshunt.exchange.admission import CallerIndex
 from godwitshunt.exchange.ports import Ports
-from godwitshunt.exchange.upstream_pool import UpstreamPool
+from godwitshunt.exchange.upstream_pool import (
+    UpstreamPool,
+)
 from godwitshunt.settings import EntrySettings
 from godwitshunt.telemetry import Metrics
 
--- a/godwitshunt/exchange/passed_headers.py
+++ b/godwitshunt/exchange/passed_headers.py
@@ -2,6 +2,7 @@
 
 from godwitshunt.exchange.problems import Headers
 
+# Headers that only this system's own VMs may set.
 OWN_PREFIX = b'godwitshunt-'
 
 # RFC 9110, section 7.6.1: these belong to one connection and are not passed
@@ -26,9 +27,20 @@
 )
 
 
-def passed_on(headers: Headers) -> Headers:
-    """Return the headers that go from one side to the other."""
-    named = set(HOP_BY_HOP)
+def passed_on(
+    headers: Headers,
+    dropped: frozenset[bytes] = HOP_BY_HOP,
+) -> Headers:
+    """Return the headers that go from one side to the other.
+
+    Parameters
+    ----------
+    headers : tuple of (bytes, bytes)
+        As they came; those that ``Connection`` names stay behind as well.
+    dropped : frozenset of bytes
+        Names, in small letters, of what stays behind.
+    """
+    named = set(dropped)
     for field_name, listed in headers:
         if field_name == b'connection':
             named.update(part.strip().lower() for part in listed.split(b','))
--- a/godwitshunt/exchange/relay.py
+++ b/godwitshunt/exchange/relay.py
@@ -7,7 +7,12 @@
 
 from godwitshunt.exchange.problems import Headers
 from godwitshunt.exchange.requests import AnswerWriter
-from godwitshunt.exchange.upstream_pool import BrokenAnswerError, UpstreamCall
+from godwitshunt.exchange.upstream_messages import (
+    BrokenAnswerError,
+)
+from godwitshunt.exchange.upstream_pool import (
+    UpstreamCall,
+)
 
 EVENT_END = b'\n\n'
 FINAL_EVENT = b'data: [DONE]\n\n'
--- a/godwitshunt/exchange/targets.py
+++ b/godwitshunt/exchange/targets.py
@@ -12,7 +12,9 @@
 )
 from godwitshunt.exchange.parts import RequestParts
 from godwitshunt.exchange.problems import Headers
-from godwitshunt.exchange.upstream_pool import OutgoingRequest
+from godwitshunt.exchange.upstream_messages import (
+    OutgoingRequest,
+)
 from godwitshunt.settings import Address
 
 
--- a/godwitshunt/exchange/tests/test_contract.py
+++ b/godwitshunt/exchange/tests/test_contract.py
@@ -23,7 +23,9 @@
     started_upstream,
     started_vm,
 )
-from godwitshunt.exchange.upstream_pool import Place
+from godwitshunt.exchange.upstream_messages import (
+    Place,
+)
 
 PROMPT = 'who covers pharmacy?'
 WHOLE_STREAM = b''.join(scripts.events_for(chat_bytes(PROMPT)))
--- /dev/null
+++ b/godwitshunt/exchange/upstream_messages.py
@@ -0,0 +1,136 @@
+"""What is sent to upstreams and other VMs, and what answers must show."""
+
+import re
+from dataclasses import dataclass
+
+from godwitshunt.exchange.problems import Headers
+from godwitshunt.exchange.requests import BODYLESS
+from godwitshunt.settings import Address
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_LIMIT_S = 10.0
+REQUEST_ID = b'godwitshunt-request'
+IDLE_MARGIN_S = 1.0
+KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,6})')
+
+
+@dataclass(frozen=True)
+class ConnectFailed:
+    """No connection came about: the request cannot have run there."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Status and headers of an upstream's answer."""
+
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True)
+class OutgoingRequest:
+    """A request to an upstream or another VM.
+
+    Parameters
+    ----------
+    method, target : str
+        The request line.
+    headers : tuple of (bytes, bytes)
+        Without length and host, which are added.
+    body : bytes
+        The whole body.
+    request_id : str
+        An upstream that repeats it in its answer proves which request the
+        answer is for.
+    fresh : bool
+        True where only a new connection will do. On a reused one the upstream
+        may close just as the request goes out, and then nobody knows whether
+        it ran; on a new one a failed connect proves that it did not.
+    longest_idle_s : float
+        Connections that were idle for longer are not reused for it.
+    connect_timeout_s : float
+        Seconds that a new connection may take.
+    host : bytes or None
+        Content of the ``Host`` header; None sends the address.
+    id_header : bytes
+        Header that carries `request_id`.
+    until_close : bool
+        True where an answer without a length counts as whole if the upstream
+        ended its connection cleanly after it.
+    skips_others : bool
+        True where an answer with another request's id is read past.
+    origin : str
+        Who is expected at the address. A connection that was made to another
+        one there is not reused: it may be silent for good, and what is sent
+        on it would be lost.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    request_id: str
+    fresh: bool = False
+    longest_idle_s: float = IDLE_LIMIT_S
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    host: bytes | None = None
+    id_header: bytes = REQUEST_ID
+    until_close: bool = False
+    skips_others: bool = False
+    origin: str = ''
+
+
+@dataclass(frozen=True)
+class Place:
+    """Who answers at an address."""
+
+    address: Address
+    origin: str = ''
+
+
+class BrokenAnswerError(Exception):
+    """An answer that ended otherwise than its head promised."""
+
+
+def check_answer(head: AnswerHead, request: OutgoingRequest) -> None:
+    """Refuse an answer whose end or whose request cannot be known.
+
+    An answer without a length ends where the connection ends, and then a
+    crash in its midst looks like its end.
+    """
+    fields = dict(head.headers)
+    if is_of_another(head, request):
+        raise BrokenAnswerError('an answer to another request')
+    sized = b'content-length' in fields or b'transfer-encoding' in fields
+    bodyless = request.method == 'HEAD' or head.status in BODYLESS
+    if not (sized or bodyless or request.until_close):
+        raise BrokenAnswerError('an answer without a length')
+
+
+def is_of_another(head: AnswerHead, request: OutgoingRequest) -> bool:
+    """Tell whether an answer repeats the id of another request."""
+    told = dict(head.headers).get(request.id_header)
+    return told is not None and told != request.request_id.encode()
+
+
+def told_idle_limit_s(headers: Headers) -> float:
+    """Return for how long an upstream keeps the connection, less a margin.
+
+    It closes at its own time-out; a request that crosses the close is reset,
+    and nobody knows whether it ran.
+
+    Examples
+    --------
+    >>> told_idle_limit_s(((b'keep-alive', b'timeout=5, max=100'),))
+    4.0
+    >>> told_idle_limit_s(())
+    10.0
+    """
+    for name, content in headers:
+        if name == b'keep-alive':
+            found = KEEP_ALIVE_TIMEOUT.search(content)
+            if found is not None:
+                return max(0.0, int(found.group(1)) - IDLE_MARGIN_S)
+    return IDLE_LIMIT_S
--- a/godwitshunt/ingress/account.py
+++ b/godwitshunt/ingress/account.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass, field
 
-from godwitshunt.ingress.choosing import Choice, HandOver, NoPlace, SendHere
+from godwitshunt.ingress.choices import (
+    Choice,
+    HandOver,
+    NoPlace,
+    SendHere,
+)
 from godwitshunt.ingress.outcomes import AttemptOutcome, Progress
 from godwitshunt.ingress.requests import RoutedRequest
 from godwitshunt.routing.selection import Ranked
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from godwitshunt.exchange.passed_headers import passed_on
 from godwitshunt.exchange.problems import (
     OUTCOME_HEADER,
     Headers,
@@ -15,16 +16,18 @@
 )
 from godwitshunt.exchange.relay import EVENT_STREAM, StreamPipe
 from godwitshunt.exchange.requests import AnswerWriter
-from godwitshunt.exchange.upstream_pool import (
+from godwitshunt.exchange.upstream_messages import (
     AnswerHead,
     BrokenAnswerError,
     OutgoingRequest,
+)
+from godwitshunt.exchange.upstream_pool import (
     UpstreamCall,
     UpstreamPool,
 )
 from godwitshunt.ingress.events import NumberedEvents
 from godwitshunt.ingress.header_names import HeaderNames
-from godwitshunt.ingress.headers import passed_on
+from godwitshunt.ingress.headers import CONNECTION_ONLY
 from godwitshunt.ingress.outcomes import (
     Answered,
     AttemptOutcome,
@@ -246,7 +249,7 @@
 
 def told(head: AnswerHead) -> Headers:
     """Return an answer's headers as the caller gets them."""
-    return passed_on(head.headers)
+    return passed_on(head.headers, CONNECTION_ONLY)
 
 
 def read_detail(body: bytes) -> str:
--- a/godwitshunt/ingress/choosing.py
+++ b/godwitshunt/ingress/choosing.py
@@ -5,9 +5,15 @@
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
+from godwitshunt.ingress.choices import (
+    Ask,
+    Choice,
+    HandOver,
+    NoPlace,
+    SendHere,
+)
 from godwitshunt.ingress.neighbours import ROUND_TRIP_S, Neighbours
 from godwitshunt.ingress.upstreams import Upstreams, of_service
-from godwitshunt.manifest import Route, Service
 from godwitshunt.registry import (
     EntryRecord,
     Load,
@@ -16,7 +22,6 @@
 )
 from godwitshunt.routing.selection import (
     Candidate,
-    Demand,
     Ranked,
     near_best,
     rank,
@@ -46,94 +51,6 @@
 # Where no upstream is known to open at a time. A VM that has just started
 # hears of other regions' VMs with its second poll, a third of a second later.
 NO_UPSTREAM_RETRY_S = 0.4
-# Engines that more urgent requests may not use have time to read prompts and
-# hold up nobody; they own more of the shared parts. Bounded, since what they
-# own must fit their memory.
-QUIET_AFFINITY = 1.7
-
-
-@dataclass(frozen=True)
-class Ask:
-    """What is asked for.
-
-    Parameters
-    ----------
-    excluded : frozenset of str
-        Incarnations, VMs and regions that failed this request.
-    local : bool
-        True where it was handed over to this VM, and must be served here.
-    quiet_regions : frozenset of str
-        Regions that more urgent routes of the service have no home in.
-    holders : frozenset of str
-        Incarnations that keep the prompt's shared parts.
-    """
-
-    route: Route
-    service: Service
-    demand: Demand
-    remaining_s: float
-    now_s: float
-    excluded: frozenset[str] = frozenset()
-    local: bool = False
-    quiet_regions: frozenset[str] = frozenset()
-    holders: frozenset[str] = frozenset()
-
-    def affinity(self, region: str) -> float:
-        """Return a region's share of shared prompt parts, against others."""
-        return QUIET_AFFINITY if region in self.quiet_regions else 1.0
-
-
-@dataclass(frozen=True)
-class SendHere:
-    """Send it to an upstream of this region.
-
-    Parameters
-    ----------
-    unread_tokens : int
-        What reading the rest of the prompt takes there, in tokens of a short
-        one; requests behind it wait for as much.
-    is_kept : bool
-        True where it keeps the shared parts.
-    waiting_tokens : float
-        What others wait for to be read there.
-    """
-
-    seen: UpstreamSeen
-    predicted_s: float
-    is_cold: bool
-    ranked: tuple[Ranked, ...]
-    unread_tokens: int = 0
-    is_kept: bool = False
-    waiting_tokens: float = 0.0
-
-
-@dataclass(frozen=True)
-class HandOver:
-    """Hand it to an entry VM of another region, which chooses there."""
-
-    entry: EntryRecord
-    predicted_s: float
-    ranked: tuple[Ranked, ...]
-
-
-@dataclass(frozen=True)
-class NoPlace:
-    """Refuse it now.
-
-    Parameters
-    ----------
-    overloaded : bool
-        False where there is no upstream at all.
-    retry_after_s : float
-        When one may have room.
-    """
-
-    overloaded: bool
-    retry_after_s: float
-    ranked: tuple[Ranked, ...] = ()
-
-
-Choice = SendHere | HandOver | NoPlace
 
 
 @dataclass
--- a/godwitshunt/ingress/events.py
+++ b/godwitshunt/ingress/events.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-from godwitshunt.exchange.upstream_pool import BrokenAnswerError
+from godwitshunt.exchange.upstream_messages import (
+    BrokenAnswerError,
+)
 
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
--- a/godwitshunt/ingress/header_names.py
+++ b/godwitshunt/ingress/header_names.py
@@ -2,9 +2,6 @@
 
 from dataclasses import dataclass
 
-# Headers that only this system's own VMs may set.
-OWN_PREFIX = b'godwitshunt-'
-
 
 @dataclass(frozen=True)
 class HeaderNames:
--- a/godwitshunt/ingress/headers.py
+++ b/godwitshunt/ingress/headers.py
@@ -1,27 +1,14 @@
 """Which headers go on to an upstream and back to a caller."""
 
-from godwitshunt.exchange.passed_headers import HOP_BY_HOP, number
+from godwitshunt.exchange.passed_headers import HOP_BY_HOP, number, passed_on
 from godwitshunt.exchange.problems import Headers
-from godwitshunt.ingress.header_names import OWN_PREFIX, HeaderNames
+from godwitshunt.ingress.header_names import HeaderNames
 
 MILLISECONDS = 1000
 # Routes have no keys of this system: credentials are the upstream's business.
 CONNECTION_ONLY = HOP_BY_HOP - {b'authorization'}
 
 
-def passed_on(headers: Headers) -> Headers:
-    """Return the headers that do not belong to one connection."""
-    named = set(CONNECTION_ONLY)
-    for field_name, listed in headers:
-        if field_name == b'connection':
-            named.update(part.strip().lower() for part in listed.split(b','))
-    return tuple(
-        (name, content)
-        for name, content in headers
-        if name not in named and not name.startswith(OWN_PREFIX)
-    )
-
-
 def keep_sendable(headers: Headers, names: HeaderNames) -> Headers:
     """Return a caller's headers without those that this system sets."""
     dropped = {
@@ -33,7 +20,7 @@
     }
     return tuple(
         (name, content)
-        for name, content in passed_on(headers)
+        for name, content in passed_on(headers, CONNECTION_ONLY)
         if name not in dropped
     )
 
--- a/godwitshunt/ingress/hops.py
+++ b/godwitshunt/ingress/hops.py
@@ -12,7 +12,9 @@
 )
 from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
 from godwitshunt.exchange.requests import HttpRequest
-from godwitshunt.exchange.upstream_pool import OutgoingRequest
+from godwitshunt.exchange.upstream_messages import (
+    OutgoingRequest,
+)
 from godwitshunt.ingress.headers import keep_sendable
 from godwitshunt.ingress.parts import IngressParts
 from godwitshunt.ingress.requests import RoutedRequest, prompt_of
--- a/godwitshunt/ingress/learning.py
+++ b/godwitshunt/ingress/learning.py
@@ -3,7 +3,10 @@
 from dataclasses import dataclass
 
 from godwitshunt.ingress.attempt import Attempt
-from godwitshunt.ingress.choosing import HandOver, SendHere
+from godwitshunt.ingress.choices import (
+    HandOver,
+    SendHere,
+)
 from godwitshunt.ingress.outcomes import (
     NO_ATTEMPT,
     Answered,
--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -13,7 +13,7 @@
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.ingress.account import RequestAccount
 from godwitshunt.ingress.attempt import ARRIVED_HEADER
-from godwitshunt.ingress.choosing import (
+from godwitshunt.ingress.choices import (
     Ask,
     Choice,
     HandOver,
--- a/godwitshunt/ingress/parts.py
+++ b/godwitshunt/ingress/parts.py
@@ -4,8 +4,12 @@
 from dataclasses import dataclass
 
 from godwitshunt.configuration.revision import Revision
-from godwitshunt.exchange.upstream_pool import UpstreamPool
-from godwitshunt.ingress.choosing import Chooser
+from godwitshunt.exchange.upstream_pool import (
+    UpstreamPool,
+)
+from godwitshunt.ingress.choosing import (
+    Chooser,
+)
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.neighbours import Neighbours
 from godwitshunt.ingress.upstreams import Upstreams
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -6,10 +6,15 @@
 from functools import partial
 
 from godwitshunt.exchange.requests import AnswerWriter
-from godwitshunt.exchange.upstream_pool import OutgoingRequest
+from godwitshunt.exchange.upstream_messages import (
+    OutgoingRequest,
+)
 from godwitshunt.ingress.account import RequestAccount
 from godwitshunt.ingress.attempt import Attempt, Patience
-from godwitshunt.ingress.choosing import HandOver, SendHere
+from godwitshunt.ingress.choices import (
+    HandOver,
+    SendHere,
+)
 from godwitshunt.ingress.events import NumberedEvents
 from godwitshunt.ingress.headers import for_upstream
 from godwitshunt.ingress.hops import hop_request, host_of
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -19,8 +19,12 @@
     render_problem,
 )
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
-from godwitshunt.exchange.upstream_pool import UpstreamPool
-from godwitshunt.ingress.choosing import Chooser
+from godwitshunt.exchange.upstream_pool import (
+    UpstreamPool,
+)
+from godwitshunt.ingress.choosing import (
+    Chooser,
+)
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.headers import keep_sendable
 from godwitshunt.ingress.hops import read_hop
@@ -236,16 +240,20 @@
     ) -> None:
         """Serve a caller's request."""
         now_s = self.parts.timer.now()
-        if self.revision is None and self.parts.watch.is_young:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(FIRST_WAIT_S):
-                    await self.configured.wait()
+        await self.wait_for_revision()
         match self.admit(http, now_s):
             case Ok(request):
                 await self.live(request, writer)
             case Err(problem):
                 await self.refuse(http, writer, problem)
 
+    async def wait_for_revision(self) -> None:
+        """Wait a moment for the first revision, while the VM is young."""
+        if self.revision is None and self.parts.watch.is_young:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_WAIT_S):
+                    await self.configured.wait()
+
     def admit(
         self,
         http: HttpRequest,
--- a/godwitshunt/ingress/tests/test_choosing.py
+++ b/godwitshunt/ingress/tests/test_choosing.py
@@ -6,13 +6,15 @@
 
 import pytest
 
-from godwitshunt.ingress.choosing import (
+from godwitshunt.ingress.choices import (
     Ask,
-    Chooser,
     HandOver,
     NoPlace,
     SendHere,
 )
+from godwitshunt.ingress.choosing import (
+    Chooser,
+)
 from godwitshunt.ingress.neighbours import Neighbours
 from godwitshunt.ingress.upstreams import Upstreams
 from godwitshunt.manifest import ColdStart
--- a/godwitshunt/ingress/tests/test_failing_upstreams.py
+++ b/godwitshunt/ingress/tests/test_failing_upstreams.py
@@ -3,7 +3,14 @@
 from random import Random
 from types import SimpleNamespace
 
-from godwitshunt.ingress.choosing import Chooser, HandOver, NoPlace, SendHere
+from godwitshunt.ingress.choices import (
+    HandOver,
+    NoPlace,
+    SendHere,
+)
+from godwitshunt.ingress.choosing import (
+    Chooser,
+)
 from godwitshunt.ingress.neighbours import Neighbours
 from godwitshunt.ingress.tests.test_choosing import (
     ADDRESS,
--- a/godwitshunt/ingress/tests/test_young_vm.py
+++ b/godwitshunt/ingress/tests/test_young_vm.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from godwitshunt.ingress.choosing import NoPlace
+from godwitshunt.ingress.choices import (
+    NoPlace,
+)
 from godwitshunt.ingress.life import RequestLife
 from godwitshunt.registry.tests.test_prefixes import Deployment
 from godwitshunt.registry.watch import YOUNG_S
--- a/godwitshunt/replay/sender.py
+++ b/godwitshunt/replay/sender.py
@@ -15,11 +15,13 @@
 from result import Err, Ok, Result
 
 from godwitshunt.exchange.relay import FINAL_EVENT
-from godwitshunt.exchange.upstream_pool import (
+from godwitshunt.exchange.upstream_messages import (
     AnswerHead,
     BrokenAnswerError,
     ConnectFailed,
     OutgoingRequest,
+)
+from godwitshunt.exchange.upstream_pool import (
     UpstreamCall,
     UpstreamPool,
 )
