--- a/benchmarks/compare.py
+++ b/benchmarks/compare.py
@@ -54,7 +54,7 @@
 
 
 def compare(
-    deployment: str = 'pallikkara',
+    deployment: str = 'quick-questions',
     *,
     duration_s: float = 300,
     only: str = '',
@@ -67,7 +67,7 @@
     Parameters
     ----------
     deployment : str
-        ``pallikkara`` or ``statika``.
+        ``quick-questions`` or ``long-reviews``.
     duration_s : float
         Virtual seconds of each trace.
     only : str
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -162,7 +162,7 @@
 
 
 def compare(
-    deployment: str = 'statika',
+    deployment: str = 'long-reviews',
     *,
     loads: str = '0.95',
     duration_s: float = 30,
@@ -174,7 +174,7 @@
     Parameters
     ----------
     deployment : str
-        ``pallikkara`` or ``statika``.
+        ``quick-questions`` or ``long-reviews``.
     loads : str
         Shares of the capacity, by commas.
     duration_s : float
--- a/godwitshunt/programs/replay.py
+++ b/godwitshunt/programs/replay.py
@@ -148,7 +148,7 @@
     Parameters
     ----------
     deployment
-        ``pallikkara`` or ``statika``.
+        ``quick-questions`` or ``long-reviews``.
     folder
         Where to write ``trace.jsonl``, ``manifest.json`` and ``keys.json``.
     rate
--- a/godwitshunt/programs/tests/test_help.py
+++ b/godwitshunt/programs/tests/test_help.py
@@ -41,7 +41,7 @@
 def test_replay_writes_a_trace_from_the_command_line(tmp_path):
     """An operator generates a trace before trying a change of the manifest."""
     ended = run(
-        'replay', 'generate', 'statika', str(tmp_path), '--duration', '5'
+        'replay', 'generate', 'long-reviews', str(tmp_path), '--duration', '5'
     )
     assert ended.returncode == 0, ended.stderr
     assert (tmp_path / 'trace.jsonl').stat().st_size > 0
--- a/godwitshunt/replay/deployments.py
+++ b/godwitshunt/replay/deployments.py
@@ -1,4 +1,4 @@
-"""The two deployments at their stated sizes, as profiles for the generator.
+"""Two deployments as profiles for the generator: quick questions, long reviews.
 
 Servers by region, the classes of requests with their lengths, and when each
 region has its daily peak. Lengths are log-normal: a few are very long.
@@ -112,8 +112,8 @@
     restricted_share: float = 0.27
 
 
-PALLIKKARA = Deployment(
-    name='pallikkara',
+QUICK_QUESTIONS = Deployment(
+    name='quick-questions',
     plain_service='directory',
     regions=(
         RegionProfile('kochi', 4, peak=0.4),
@@ -165,8 +165,8 @@
     share_away=1.0,
 )
 
-STATIKA = Deployment(
-    name='statika',
+LONG_REVIEWS = Deployment(
+    name='long-reviews',
     plain_service='archive',
     regions=(
         RegionProfile('zagreb', 2, peak=0.35, price=1.0),
@@ -220,5 +220,5 @@
 )
 
 DEPLOYMENTS = MappingProxyType(
-    {each.name: each for each in (PALLIKKARA, STATIKA)},
+    {each.name: each for each in (QUICK_QUESTIONS, LONG_REVIEWS)},
 )
--- a/godwitshunt/replay/generator.py
+++ b/godwitshunt/replay/generator.py
@@ -87,10 +87,10 @@
 
     Examples
     --------
-    >>> from godwitshunt.replay.deployments import PALLIKKARA
+    >>> from godwitshunt.replay.deployments import QUICK_QUESTIONS
     >>> demand = Demand(requests_per_s=20, duration_s=10)
-    >>> trace = generate_trace(PALLIKKARA, demand)
-    >>> trace == generate_trace(PALLIKKARA, demand)
+    >>> trace = generate_trace(QUICK_QUESTIONS, demand)
+    >>> trace == generate_trace(QUICK_QUESTIONS, demand)
     True
     """
     servers = sum(region.model_servers for region in deployment.regions)
--- a/godwitshunt/replay/tests/test_replay.py
+++ b/godwitshunt/replay/tests/test_replay.py
@@ -11,7 +11,7 @@
 from godwitshunt.exchange.problems import WholeAnswer, json_answer
 from godwitshunt.manifest import allowed_regions
 from godwitshunt.programs.replay import generate, parse_entries, run
-from godwitshunt.replay.deployments import DEPLOYMENTS, PALLIKKARA
+from godwitshunt.replay.deployments import DEPLOYMENTS, QUICK_QUESTIONS
 from godwitshunt.replay.generator import (
     Demand,
     generate_manifest,
@@ -229,7 +229,7 @@
     """The generator's files are what the replay reads; outcomes decide."""
     monkeypatch.setattr('godwitshunt.replay.sender.FIRST_PAUSE_S', 0)
     assert generate('nowhere', tmp_path) == 2
-    assert generate('pallikkara', tmp_path, rate=4, duration=1) == 0
+    assert generate('quick-questions', tmp_path, rate=4, duration=1) == 0
     trace = tmp_path / 'trace.jsonl'
     address = free_address()
     arguments = {
@@ -249,4 +249,4 @@
     assert run(trace, **arguments) == 2
     assert 'refused' in capsys.readouterr().err
     assert set(parse_entries(arguments['entry'])) == {'', 'kochi'}
-    assert PALLIKKARA.works[0].model == 'chat-model'
+    assert QUICK_QUESTIONS.works[0].model == 'chat-model'
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,7 +6,7 @@
 from benchmarks.loop import Loop
 from benchmarks.scenarios import scenarios
 from benchmarks.summary import URGENT, summarize
-from godwitshunt.replay.deployments import PALLIKKARA
+from godwitshunt.replay.deployments import QUICK_QUESTIONS
 from godwitshunt.replay.generator import generate_trace
 
 MEASURED_S = 120.0
@@ -15,10 +15,12 @@
 
 def run(name, policy, seconds):
     """Return every request of a scenario with what became of it."""
-    named = {each.name: each for each in scenarios(PALLIKKARA, seconds)}
+    named = {each.name: each for each in scenarios(QUICK_QUESTIONS, seconds)}
     scenario = named[name]
-    trace = generate_trace(PALLIKKARA, scenario.demand(PALLIKKARA, seconds))
-    loop = Loop(scenario.setting(PALLIKKARA), make_policies()[policy])
+    trace = generate_trace(
+        QUICK_QUESTIONS, scenario.demand(QUICK_QUESTIONS, seconds)
+    )
+    loop = Loop(scenario.setting(QUICK_QUESTIONS), make_policies()[policy])
     return loop.run(trace)
 
 
