--- a/benchmarks/route_load.py
+++ b/benchmarks/route_load.py
@@ -22,16 +22,16 @@
     upstream,
 )
 from benchmarks.sheet_engine import PALLIKKARA, Job, SheetEngine
-from godwitshunt.ingress.choices import (
+from godwitshunt.picking.choices import (
     Ask,
     HandOver,
     SendHere,
 )
-from godwitshunt.ingress.choosing import (
+from godwitshunt.picking.choosing import (
     Chooser,
 )
-from godwitshunt.ingress.neighbours import Neighbours
-from godwitshunt.ingress.upstreams import Upstreams
+from godwitshunt.picking.neighbours import Neighbours
+from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import Load, RegistryView
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
 from godwitshunt.routing.selection import Demand
@@ -265,7 +265,12 @@
 
     def share_loads(self) -> None:
         """Let each VM hear the others' requests, as late as polls are."""
-        loads = {id(vm): vm.upstreams.loads() for vm in self.vms}
+        loads = {
+            id(vm): {
+                name: one.load for name, one in vm.upstreams.reported().items()
+            }
+            for vm in self.vms
+        }
         for vm in self.vms:
             total: dict[str, Load] = {}
             others = (one for key, one in loads.items() if key != id(vm))
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -31,6 +31,7 @@
 from godwitshunt.configuration.numbers import accept_command
 from godwitshunt.configuration.replicated_log import ReplicatedLog
 from godwitshunt.configuration.revision import (
+    Revision,
     RevisionNotice,
     VmRecord,
     VmRole,
@@ -105,6 +106,7 @@
         self.freshness = FreshnessTask(self.machine, links, timer)
         self.led_since = timer.now()
         self.subscribers: list[RevisionNotice] = []
+        self.newest: Revision | None = None
 
     @classmethod
     def from_config(
@@ -287,6 +289,18 @@
         for notice in self.subscribers:
             notice(revision)
 
+    def newest_revision(self) -> Revision | None:
+        """Return the newest committed revision; None before the first.
+
+        After a restart this is the one on disk until the log says more.
+        """
+        held = self.history.newest
+        if held is None:
+            return None
+        if self.newest is None or self.newest.revision != held.revision:
+            self.newest = revision_of(held.revision, held.document)
+        return self.newest
+
     def note_pending(self, state: ControlState) -> None:
         """Remember since when each pending number is seen as committed."""
         now = self.timer.now()
--- a/godwitshunt/ingress/account.py
+++ b/godwitshunt/ingress/account.py
@@ -2,15 +2,15 @@
 
 from dataclasses import dataclass, field
 
-from godwitshunt.ingress.choices import (
+from godwitshunt.ingress.outcomes import AttemptOutcome, Progress
+from godwitshunt.ingress.requests import RoutedRequest
+from godwitshunt.picking.choices import (
     Choice,
     HandOver,
     NoPlace,
     SendHere,
+    describe,
 )
-from godwitshunt.ingress.outcomes import AttemptOutcome, Progress
-from godwitshunt.ingress.requests import RoutedRequest
-from godwitshunt.routing.selection import Ranked
 from godwitshunt.telemetry import Metrics, log_change
 
 
@@ -113,13 +113,3 @@
             shared_tokens=request.prompt.shared_tokens,
             control_age_s=round(self.control_age_s, 2),
         )
-
-
-def describe(ranked: Ranked) -> str:
-    """Return a candidate: name, region, prediction, cost and load."""
-    one = ranked.candidate
-    kept = '/kept' if one.cached else ''
-    return (
-        f'{one.instance}@{one.region}={ranked.predicted_s:.3f}s'
-        f'/{ranked.cost_s:.3f}/{one.in_flight}/{one.pending_tokens}{kept}'
-    )
--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -13,13 +13,6 @@
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.ingress.account import RequestAccount
 from godwitshunt.ingress.attempt import ARRIVED_HEADER
-from godwitshunt.ingress.choices import (
-    Ask,
-    Choice,
-    HandOver,
-    NoPlace,
-    SendHere,
-)
 from godwitshunt.ingress.outcomes import (
     Again,
     BreakOff,
@@ -32,6 +25,15 @@
 from godwitshunt.ingress.parts import IngressParts
 from godwitshunt.ingress.requests import RoutedRequest
 from godwitshunt.ingress.sending import MARGIN_S, Sender
+from godwitshunt.picking.choices import (
+    Ask,
+    Choice,
+    HandOver,
+    NoPlace,
+    SendHere,
+)
+from godwitshunt.picking.picker import Question
+from godwitshunt.registry import UpstreamSeen
 from godwitshunt.routing.selection import Demand
 
 RETRY_AFTER_S = 0.3
@@ -40,6 +42,8 @@
 # long each, rather than come back after its objective.
 NEWS_WAITS = 3
 NEWS_WAIT_S = 0.1
+# A picker that gives places which this VM knows better of is asked so often.
+MOST_QUESTIONS = 3
 
 
 @dataclass
@@ -131,12 +135,12 @@
 
     async def choose_with_news(self) -> Choice:
         """Return where the request goes, perhaps after the next news."""
-        choice = self.choose()
+        choice = await self.choose()
         for _ in range(NEWS_WAITS):
             if not self.may_wait_for_news(choice):
                 break
             await asyncio.sleep(NEWS_WAIT_S)
-            choice = self.choose()
+            choice = await self.choose()
         return choice
 
     def may_wait_for_news(self, choice: Choice) -> bool:
@@ -144,10 +148,12 @@
         nowhere = isinstance(choice, NoPlace) and not choice.overloaded
         return nowhere and self.parts.watch.is_young
 
-    def choose(self) -> Choice:
+    async def choose(self) -> Choice:
         """Return where the request goes now, its budgets spent."""
         while True:
-            choice = self.choose_once()
+            choice = await self.ask_picker()
+            if choice is None:
+                choice = self.choose_alone()
             age_s = self.parts.watch.age_s()
             self.account.note_choice(choice, age_s)
             if isinstance(choice, NoPlace):
@@ -159,28 +165,95 @@
                 return choice
             self.sender.excluded.add(choice.seen.told.incarnation)
 
-    def choose_once(self) -> Choice:
-        """Return the chooser's choice on what is known now."""
+    async def ask_picker(self) -> Choice | None:
+        """Return the picker's choice; None where this VM must choose.
+
+        A picker may lag behind what this VM knows of upstreams that leave and
+        of the configuration in force; such a place is not used.
+        """
+        for _ in range(MOST_QUESTIONS):
+            choice = await self.parts.picker.place(self.question())
+            if choice is None or self.is_sound(choice):
+                return choice
+            self.exclude(choice)
+        return None
+
+    def question(self) -> Question:
+        """Return what the picker is asked."""
+        request = self.request
+        now_s = self.parts.timer.now()
+        service = request.service.name
+        avoided = self.parts.neighbours.avoided_for(service, now_s)
+        return Question(
+            entry=self.parts.settings.name,
+            request=request.id,
+            host=request.route.host,
+            path_prefix=request.route.path_prefix,
+            service=service,
+            demand=self.demand(),
+            remaining_s=request.remaining_s(now_s),
+            excluded=frozenset(self.sender.excluded) | avoided,
+            local=request.handed_over,
+        )
+
+    def is_sound(self, choice: Choice) -> bool:
+        """Tell whether a picker's choice fits all that this VM knows."""
+        match choice:
+            case SendHere(seen=seen):
+                return self.is_usable(seen)
+            case HandOver(entry=entry):
+                homes = self.request.route.homes
+                return not homes or entry.region in homes
+        return True
+
+    def is_usable(self, seen: UpstreamSeen) -> bool:
+        """Tell whether an upstream may get the request, by what is known here.
+
+        What this VM has heard from any control VM holds: that an upstream
+        leaves, that its start is over, that its failure domain is evacuated.
+        """
+        told = seen.told
+        homes = self.request.route.homes
+        known = self.parts.watch.view().upstreams.get(told.incarnation, seen)
+        leaves = known.told.draining or self.parts.watch.is_over(told)
+        is_home = not homes or self.parts.settings.region in homes
+        is_evacuated = told.failure_domain in self.parts.revision().evacuated
+        return is_home and not leaves and not is_evacuated
+
+    def exclude(self, choice: SendHere | HandOver) -> None:
+        """Ask for another place than this one."""
+        match choice:
+            case SendHere(seen=seen):
+                self.sender.excluded.add(seen.told.incarnation)
+            case HandOver(entry=entry):
+                self.sender.excluded.add(entry.region)
+
+    def demand(self) -> Demand:
+        """Return what the request asks of an upstream."""
+        prompt = self.request.prompt
+        return Demand(
+            prompt.prompt_tokens,
+            prompt.shared_tokens,
+            prompt.shared_key,
+            urgent=not self.request.route.rank,
+            objective_s=self.request.route.objective_s,
+        )
+
+    def choose_alone(self) -> Choice:
+        """Return this VM's own choice on what is known now."""
         request = self.request
-        prompt = request.prompt
         now_s = self.parts.timer.now()
         ask = Ask(
             route=request.route,
             service=request.service,
-            demand=Demand(
-                prompt.prompt_tokens,
-                prompt.shared_tokens,
-                prompt.shared_key,
-                urgent=not request.route.rank,
-                objective_s=request.route.objective_s,
-            ),
+            demand=self.demand(),
             remaining_s=request.remaining_s(now_s),
             now_s=now_s,
             excluded=frozenset(self.sender.excluded),
             local=request.handed_over,
             quiet_regions=request.quiet_regions,
             holders=self.parts.watch.prefixes.holders(
-                prompt.shared_key,
+                request.prompt.shared_key,
                 now_s,
             ),
         )
@@ -201,12 +274,12 @@
     def may_send(self, choice: SendHere) -> bool:
         """Take one request from a cold upstream's budget."""
         cold = self.request.service.cold_start
-        if not choice.is_cold or cold is None:
+        if choice.is_given or not choice.is_cold or cold is None:
             return True
         return self.parts.budgets.cold.spend(
             choice.seen.told.incarnation,
             cold.requests_per_s,
-            self.parts.neighbours.count_here(),
+            self.parts.cold_share(),
             self.parts.timer.now(),
         )
 
--- a/godwitshunt/ingress/parts.py
+++ b/godwitshunt/ingress/parts.py
@@ -7,13 +7,16 @@
 from godwitshunt.exchange.upstream_pool import (
     UpstreamPool,
 )
-from godwitshunt.ingress.choosing import (
+from godwitshunt.ingress.header_names import HeaderNames
+from godwitshunt.picking.choices import Ask
+from godwitshunt.picking.choosing import (
     Chooser,
 )
-from godwitshunt.ingress.header_names import HeaderNames
-from godwitshunt.ingress.neighbours import Neighbours
-from godwitshunt.ingress.upstreams import Upstreams
-from godwitshunt.registry import RegistryWatch
+from godwitshunt.picking.client import PickerClient
+from godwitshunt.picking.learner import Learner
+from godwitshunt.picking.neighbours import Neighbours
+from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.registry import RegistryWatch, UpstreamSeen
 from godwitshunt.routing.cold_budget import ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds, RetryWindow
 from godwitshunt.settings import NodeSettings
@@ -46,6 +49,8 @@
     ----------
     revision : callable
         Returns the revision in force; None before the first.
+    chooser : Chooser
+        Chooses where the region's picker does not answer.
     pool : UpstreamPool
         Connections to upstreams of this region.
     hops : UpstreamPool
@@ -60,8 +65,30 @@
     upstreams: Upstreams
     neighbours: Neighbours
     chooser: Chooser
+    learner: Learner
+    picker: PickerClient
     budgets: Budgets
     pool: UpstreamPool
     hops: UpstreamPool
     timer: Timer
     metrics: Metrics
+
+    def cold_share(self) -> float:
+        """Return this VM's part of what cold upstreams of its region may get.
+
+        Where the region has control VMs their pickers share it all; a VM that
+        gave some besides could send more than the upstreams bear.
+        """
+        if self.watch.has_control_here():
+            return 0.0
+        return 1 / self.neighbours.count_here()
+
+    def cold_room(self, seen: UpstreamSeen, ask: Ask) -> bool:
+        """Tell whether this VM may send a cold upstream one more request."""
+        cold = ask.service.cold_start
+        return cold is None or self.budgets.cold.has_room(
+            seen.told.incarnation,
+            cold.requests_per_s,
+            self.cold_share(),
+            ask.now_s,
+        )
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -11,10 +11,6 @@
 )
 from godwitshunt.ingress.account import RequestAccount
 from godwitshunt.ingress.attempt import Attempt, Patience
-from godwitshunt.ingress.choices import (
-    HandOver,
-    SendHere,
-)
 from godwitshunt.ingress.events import NumberedEvents
 from godwitshunt.ingress.headers import for_upstream
 from godwitshunt.ingress.hops import hop_request, host_of
@@ -28,6 +24,10 @@
 )
 from godwitshunt.ingress.parts import IngressParts
 from godwitshunt.ingress.requests import RoutedRequest
+from godwitshunt.picking.choices import (
+    HandOver,
+    SendHere,
+)
 from godwitshunt.registry import UpstreamAnnounced
 from godwitshunt.routing.upstream_health import UpstreamHealth
 from godwitshunt.settings import Address
@@ -70,6 +70,7 @@
     number: int
     tokens: int
     timer: Timer
+    on_first: Callable[[], None]
     first_at_s: float | None = None
 
     def note(self) -> None:
@@ -78,6 +79,7 @@
         self.health.show_life(self.number, self.tokens, now_s)
         if self.first_at_s is None:
             self.first_at_s = now_s
+            self.on_first()
 
 
 @dataclass
@@ -122,10 +124,17 @@
         told = choice.seen.told
         health = parts.upstreams.of(told.incarnation)
         tokens = choice.unread_tokens
-        signs = SignsOfLife(health, next(numbers), tokens, parts.timer)
+        signs = SignsOfLife(
+            health,
+            next(numbers),
+            tokens,
+            parts.timer,
+            parts.picker.note_change,
+        )
         sent_s = parts.timer.now()
         self.note_first_try(sent_s)
         health.begin(signs.number, tokens, sent_s)
+        parts.picker.note_change()
         parts.upstreams.note_sent(self.request.service.name, told.incarnation)
         attempt = self.make_attempt(
             told.address,
@@ -157,6 +166,7 @@
         sent_s: float,
     ) -> None:
         """Learn of the upstream; do not choose it again where it failed."""
+        self.parts.picker.note_change()
         first_s = None
         if signs.first_at_s is not None:
             first_s = signs.first_at_s - sent_s
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -19,17 +19,11 @@
     render_problem,
 )
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
-from godwitshunt.exchange.upstream_pool import (
-    UpstreamPool,
-)
-from godwitshunt.ingress.choosing import (
-    Chooser,
-)
+from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.headers import keep_sendable
 from godwitshunt.ingress.hops import read_hop
 from godwitshunt.ingress.life import RequestLife
-from godwitshunt.ingress.neighbours import Neighbours
 from godwitshunt.ingress.parts import Budgets, IngressParts
 from godwitshunt.ingress.requests import (
     RoutedRequest,
@@ -37,10 +31,14 @@
     prompt_of,
     resume_after,
 )
-from godwitshunt.ingress.routes import RouteTable, host_name, pick_service
 from godwitshunt.ingress.sending import SIGN_OF_LIFE_S
-from godwitshunt.ingress.upstreams import Upstreams
 from godwitshunt.manifest import Route, Service
+from godwitshunt.picking.choosing import (
+    Chooser,
+)
+from godwitshunt.picking.client import PickerClient
+from godwitshunt.picking.learner import Learner
+from godwitshunt.picking.routes import RouteTable, host_name, pick_service
 from godwitshunt.registry import RegistryWatch
 from godwitshunt.routing.cold_budget import ColdBounds, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds
@@ -104,12 +102,13 @@
         cluster_key: bytes,
         names: HeaderNames,
         watch: RegistryWatch,
+        picker: PickerClient,
         timer: Timer,
         metrics: Metrics,
     ) -> Self:
         """Make the ingress of an entry VM."""
-        upstreams = Upstreams()
-        neighbours = Neighbours(settings.name, settings.region)
+        upstreams = picker.reports.upstreams
+        neighbours = picker.neighbours
         bounds = settings.bounds
         chooser = Chooser(
             settings.region,
@@ -134,12 +133,15 @@
             upstreams=upstreams,
             neighbours=neighbours,
             chooser=chooser,
+            learner=Learner(upstreams, watch.view, watch.leave),
+            picker=picker,
             budgets=Budgets(retries, ColdBudget(cold, timer.now()), {}),
             pool=UpstreamPool(metrics, source=source),
             hops=UpstreamPool(metrics, source=source),
             timer=timer,
             metrics=metrics,
         )
+        chooser.cold_room = parts.cold_room
         made = cls(parts)
         parts.revision = made.current
         return made
@@ -173,6 +175,7 @@
         view = self.parts.watch.view()
         now_s = self.parts.timer.now()
         self.parts.neighbours.hear(view.entries, now_s)
+        self.parts.neighbours.round_trips = self.parts.watch.round_trips()
         self.parts.upstreams.forget(view.upstreams)
         self.parts.pool.forget(view.upstreams)
         self.parts.budgets.cold.forget(frozenset(view.upstreams))
--- a/godwitshunt/ingress/tests/test_full_upstreams.py
+++ b/godwitshunt/ingress/tests/test_full_upstreams.py
@@ -4,27 +4,43 @@
 
 import pytest
 
-from godwitshunt.ingress.learned_speed import LearnedSpeed
 from godwitshunt.ingress.learning import Lessons, UpstreamAttempt
 from godwitshunt.ingress.outcomes import Lost, NotRun, Streamed
-from godwitshunt.registry import Load
+from godwitshunt.picking.learner import Learner
+from godwitshunt.picking.shown import AttemptShown, Shown
+from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.registry import Load, RegistryView
 from godwitshunt.routing.upstream_health import UpstreamHealth
 
+SERVICE = SimpleNamespace(name='llm', engine=True)
 SLOTS = 48
 
 
+def learner(in_flight: int) -> Learner:
+    """Return a learner that knows one upstream with a load."""
+    told = SimpleNamespace(incarnation='i-1', slots=SLOTS, service='llm')
+    others = Load(in_flight - in_flight // 2, 0)
+    view = RegistryView(
+        upstreams={'i-1': SimpleNamespace(told=told)},
+        loads={'i-1': others},
+    )
+    known = Upstreams()
+    known.health['i-1'] = UpstreamHealth(in_flight=in_flight // 2)
+    return Learner(known, lambda: view, lambda incarnation: None)
+
+
 def counts_against(outcome, in_flight: int) -> bool:
     """Return whether an outcome at a load counts against the upstream."""
-    health = UpstreamHealth(in_flight=in_flight // 2)
-    view = SimpleNamespace(loads={'i-1': Load(in_flight - in_flight // 2, 0)})
-    parts = SimpleNamespace(
-        watch=SimpleNamespace(view=lambda: view),
-        upstreams=SimpleNamespace(of=lambda instance: health),
+    attempt = SimpleNamespace(
+        misdirected=False,
+        connected='connect' not in getattr(outcome, 'reason', ''),
     )
-    told = SimpleNamespace(incarnation='i-1', slots=SLOTS)
-    choice = SimpleNamespace(seen=SimpleNamespace(told=told))
-    made = UpstreamAttempt(choice, None, outcome, None, 0.1)
-    return Lessons(parts, None).failed(made)
+    made = UpstreamAttempt(None, attempt, outcome, None, 0.1)
+    shown = AttemptShown('i-1', 'llm', made.shown)
+    learned = learner(in_flight)
+    learned.learn(shown, SERVICE, now_s=1.0)
+    detector = learned.upstreams.outliers.get('llm')
+    return detector is not None and detector.states['i-1'].failures > 0
 
 
 @pytest.mark.parametrize(
@@ -49,8 +65,7 @@
     ('changes', 'in_flight', 'learns'),
     [
         ({}, 3, True),
-        ({'waiting_tokens': 9000.0}, 3, False),
-        ({'is_cold': True}, 3, False),
+        ({'was_held_up': True}, 3, False),
         ({}, 60, False),
     ],
 )
@@ -64,27 +79,52 @@
     Taken for it, an engine would look the slower the more it is asked, and
     its callers would be refused.
     """
-    speed = LearnedSpeed.of_engine()
-    health = UpstreamHealth(in_flight=in_flight)
-    parts = SimpleNamespace(
-        watch=SimpleNamespace(view=lambda: SimpleNamespace(loads={})),
-        upstreams=SimpleNamespace(
-            of=lambda instance: health,
-            learned=lambda service: speed,
-        ),
+    learned = learner(in_flight)
+    speed = learned.upstreams.learned(SERVICE)
+    before_s = speed.token_s
+    made = AttemptShown(
+        'i-1',
+        'llm',
+        Shown.answered,
+        first_s=0.06,
+        took_s=0.5,
+        predicted_s=0.1,
+        unread_tokens=8000,
+        **changes,
     )
-    fields = {'waiting_tokens': 0.0, 'is_cold': False, **changes}
-    choice = SimpleNamespace(
-        seen=SimpleNamespace(
-            told=SimpleNamespace(incarnation='i-1', slots=SLOTS),
-        ),
+    learned.learn(made, SERVICE, now_s=1.0)
+    assert (speed.token_s < before_s) is learns
+
+
+@pytest.mark.parametrize(
+    ('choice', 'held_up'),
+    [
+        ({}, False),
+        ({'waiting_tokens': 9000.0}, True),
+        ({'is_cold': True}, True),
+    ],
+)
+def test_what_waits_before_a_prompt_is_told_with_its_time(choice, held_up):
+    """Whoever learns of the attempt does not know what the choice knew."""
+    told = []
+    fields = {'waiting_tokens': 0.0, 'is_cold': False, **choice}
+    chosen = SimpleNamespace(
+        seen=SimpleNamespace(told=SimpleNamespace(incarnation='i-1')),
         predicted_s=0.1,
         unread_tokens=8000,
+        is_kept=False,
         **fields,
     )
-    lessons = Lessons(parts, SimpleNamespace(service=None))
-    lessons.note_outcome = lambda *told: None
-    before_s = speed.token_s
-    made = UpstreamAttempt(choice, None, Streamed(), 0.06, 0.5)
-    lessons.note_answer(made, now_s=1.0)
-    assert (speed.token_s < before_s) is learns
+    parts = SimpleNamespace(
+        timer=SimpleNamespace(now=lambda: 1.0),
+        learner=SimpleNamespace(learn=lambda shown, service, now_s: None),
+        picker=SimpleNamespace(note_shown=told.append),
+    )
+    request = SimpleNamespace(
+        service=SERVICE,
+        prompt=SimpleNamespace(worth_keeping=False),
+    )
+    attempt = SimpleNamespace(misdirected=False, connected=True)
+    made = UpstreamAttempt(chosen, attempt, Streamed(), 0.06, 0.5)
+    Lessons(parts, request).of_upstream(made)
+    assert [one.was_held_up for one in told] == [held_up]
--- a/godwitshunt/ingress/tests/test_incarnations.py
+++ b/godwitshunt/ingress/tests/test_incarnations.py
@@ -6,12 +6,15 @@
 
 from godwitshunt.exchange.requests import HttpRequest
 from godwitshunt.ingress.header_names import HeaderNames
-from godwitshunt.ingress.learning import Lessons, UpstreamAttempt
+from godwitshunt.ingress.learning import UpstreamAttempt
 from godwitshunt.ingress.outcomes import NotRun
 from godwitshunt.ingress.sending import Sender
 from godwitshunt.ingress.task import IngressTask
+from godwitshunt.picking.learner import Learner
+from godwitshunt.picking.shown import AttemptShown, Shown
+from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import RegistryView, UpstreamAnnounced
-from godwitshunt.routing.upstream_health import DOWN_S, UpstreamHealth
+from godwitshunt.routing.upstream_health import DOWN_S
 from godwitshunt.settings import Address
 
 NOW_S = 50.0
@@ -68,7 +71,7 @@
     task = IngressTask.__new__(IngressTask)
     task.in_progress = 0
     task.parts = SimpleNamespace(
-        watch=SimpleNamespace(view=lambda: view),
+        watch=SimpleNamespace(view=lambda: view, round_trips=dict),
         timer=SimpleNamespace(now=lambda: NOW_S),
         neighbours=SimpleNamespace(hear=lambda entries, now_s: None),
         upstreams=SimpleNamespace(forget=lambda present: None),
@@ -83,14 +86,25 @@
 @pytest.mark.parametrize('connected', [True, False])
 def test_a_failed_connect_makes_an_upstream_suspect(connected):
     """It may start again at any moment, and be cold before that is heard."""
-    health = UpstreamHealth()
-    parts = SimpleNamespace(
-        timer=SimpleNamespace(now=lambda: NOW_S),
-        upstreams=SimpleNamespace(of=lambda instance: health),
-    )
     attempt = SimpleNamespace(misdirected=False, connected=connected)
     choice = SimpleNamespace(seen=SimpleNamespace(told=TOLD))
     made = UpstreamAttempt(choice, attempt, NotRun('connect'), None, 0.1)
-    Lessons(parts, None).of_upstream(made)
+    assert (made.shown is Shown.unreached) is not connected
+    upstreams = Upstreams()
+    learner = Learner(upstreams, RegistryView, lambda incarnation: None)
+    if made.shown is not None:
+        learner.learn(AttemptShown('i-1', 'llm', made.shown), None, NOW_S)
+    health = upstreams.of('i-1')
     missed = (health.unreached_s, health.down_until_s)
     assert (missed == (NOW_S, NOW_S + DOWN_S)) is not connected
+
+
+def test_another_upstream_at_the_address_is_told():
+    """The start that was meant is no longer there; nothing ran."""
+    left = []
+    attempt = SimpleNamespace(misdirected=True, connected=True)
+    outcome = NotRun('status 421', arrived=True)
+    made = UpstreamAttempt(None, attempt, outcome, None, 0.1)
+    learner = Learner(Upstreams(), RegistryView, left.append)
+    learner.learn(AttemptShown('i-1', 'llm', made.shown), None, NOW_S)
+    assert left == ['i-1']
--- a/godwitshunt/ingress/tests/test_young_vm.py
+++ b/godwitshunt/ingress/tests/test_young_vm.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from godwitshunt.ingress.choices import (
-    NoPlace,
-)
 from godwitshunt.ingress.life import RequestLife
 from godwitshunt.ingress.task import IngressTask
-from godwitshunt.registry.tests.test_prefixes import Deployment
-from godwitshunt.registry.watch import YOUNG_S
+from godwitshunt.picking.choices import (
+    NoPlace,
+)
+from godwitshunt.registry.tests.deployment import Deployment, address
+from godwitshunt.registry.watch import YOUNG_PERIOD_S, YOUNG_S
 
 NOWHERE = NoPlace(overloaded=False, retry_after_s=0.4)
 FULL = NoPlace(overloaded=True, retry_after_s=0.4)
@@ -24,7 +24,7 @@
         self.choices = list(choices)
         self.parts = SimpleNamespace(watch=SimpleNamespace(is_young=is_young))
 
-    def choose(self):
+    async def choose(self):
         """Return the next choice."""
         return self.choices.pop(0)
 
@@ -59,40 +59,44 @@
     assert len(request.choices) == left
 
 
-def test_the_nearest_control_vm_is_asked_often_while_young():
+async def test_the_first_control_vm_is_asked_often_while_young():
     """Other VMs take requests a moment later than this one asked first."""
     deployment = Deployment()
-    watch = deployment.entry('one')
-    deployment.poll_all(watch)
-    watch.started_s = deployment.clock.now_s
-    watch.young = SimpleNamespace(cancel=lambda: asked.append('no more'))
+    watch = deployment.entry(101)
+    await deployment.poll(watch, 1, 2)
+    watch.started_s = deployment.timer.now()
     asked: list[str] = []
-    watch.control = lambda: ('near', 'far')
-    watch.begin = asked.append
-    watch.poll_nearest()
-    deployment.clock.now_s += YOUNG_S
-    watch.poll_nearest()
-    assert asked == ['near', 'no more']
+    watch.begin = lambda target: asked.append(str(target))
+    deployment.timer.advance(YOUNG_PERIOD_S)
+    watch.tick()
+    assert asked == [str(address(1))]
+    watch.started_s -= YOUNG_S
+    watch.tick()
+    assert asked == [str(address(1))]
 
 
-def test_a_control_vm_that_never_answered_is_asked_again_soon():
+async def test_a_control_vm_that_never_answered_is_asked_again_soon():
     """It starts a moment later than the VMs that ask it.
 
     One that has answered before is asked with the next period only: while it
     is gone, each VM would else ask it ten times a second.
     """
     deployment = Deployment()
-    watch = deployment.entry('one')
-    deployment.poll(watch, 'near')
+    watch = deployment.entry(101)
+    await deployment.poll(watch, 1)
+    watch.started_s = deployment.timer.now()
     watch.subscription = SimpleNamespace()
     again = []
-    watch.timer = SimpleNamespace(after=lambda when_s, work: again.append(work))
-    watch.retry_first('near')
+    watch.timer = SimpleNamespace(
+        now=deployment.timer.now,
+        after=lambda when_s, work: again.append(work),
+    )
+    watch.retry_first(address(1))
     assert not again
-    watch.retry_first('far')
+    watch.retry_first(address(2))
     assert len(again) == 1
     watch.subscription = None
-    watch.retry_first('far')
+    watch.retry_first(address(2))
     assert len(again) == 1
 
 
--- a/godwitshunt/peer/handshake.py
+++ b/godwitshunt/peer/handshake.py
@@ -20,7 +20,7 @@
 from godwitshunt.peer.frames import frame, read_frame
 from godwitshunt.peer.gen.wire.ttypes import Challenge, Hello, Opening
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 NONCE_BYTES = 16
 HANDSHAKE_FRAME_BYTES = 512
 
--- a/godwitshunt/peer/messages.py
+++ b/godwitshunt/peer/messages.py
@@ -19,6 +19,8 @@
     region_summary = 302
     upstream_fetch = 303
     registry_poll = 310
+    place_ask = 311
+    load_report = 312
     claim_request = 400
     claim_finish = 401
     claim_release = 402
--- a/godwitshunt/ingress/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -56,24 +56,35 @@
         True where it keeps the shared parts.
     waiting_tokens : float
         What others wait for to be read there.
+    is_given : bool
+        True where the region's picker gave the place, and its budgets with it.
     """
 
     seen: UpstreamSeen
     predicted_s: float
     is_cold: bool
-    ranked: tuple[Ranked, ...]
+    ranked: tuple[Ranked, ...] = ()
     unread_tokens: int = 0
     is_kept: bool = False
     waiting_tokens: float = 0.0
+    is_given: bool = False
 
 
 @dataclass(frozen=True)
 class HandOver:
-    """Hand it to an entry VM of another region, which chooses there."""
+    """Hand it to an entry VM of another region, which chooses there.
+
+    Parameters
+    ----------
+    likely : Ranked or None
+        The upstream there that speaks for it; None where another process
+        chose.
+    """
 
     entry: EntryRecord
     predicted_s: float
-    ranked: tuple[Ranked, ...]
+    ranked: tuple[Ranked, ...] = ()
+    likely: Ranked | None = None
 
 
 @dataclass(frozen=True)
@@ -86,11 +97,24 @@
         False where there is no upstream at all.
     retry_after_s : float
         When one may have room.
+    is_given : bool
+        True where the region's picker said so.
     """
 
     overloaded: bool
     retry_after_s: float
     ranked: tuple[Ranked, ...] = ()
+    is_given: bool = False
 
 
 Choice = SendHere | HandOver | NoPlace
+
+
+def describe(ranked: Ranked) -> str:
+    """Return a candidate: name, region, prediction, cost and load."""
+    one = ranked.candidate
+    kept = '/kept' if one.cached else ''
+    return (
+        f'{one.instance}@{one.region}={ranked.predicted_s:.3f}s'
+        f'/{ranked.cost_s:.3f}/{one.in_flight}/{one.pending_tokens}{kept}'
+    )
--- a/godwitshunt/ingress/choosing.py
+++ b/godwitshunt/picking/choosing.py
@@ -1,19 +1,19 @@
 """Where one request goes now: an upstream here, another region, nowhere."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
-from godwitshunt.ingress.choices import (
+from godwitshunt.picking.choices import (
     Ask,
     Choice,
     HandOver,
     NoPlace,
     SendHere,
 )
-from godwitshunt.ingress.neighbours import ROUND_TRIP_S, Neighbours
-from godwitshunt.ingress.upstreams import Upstreams, of_service
+from godwitshunt.picking.neighbours import Neighbours
+from godwitshunt.picking.upstreams import Upstreams, of_service
 from godwitshunt.registry import (
     EntryRecord,
     Load,
@@ -21,6 +21,7 @@
     UpstreamSeen,
 )
 from godwitshunt.routing.selection import (
+    NEAR_S,
     Candidate,
     Ranked,
     near_best,
@@ -53,6 +54,11 @@
 NO_UPSTREAM_RETRY_S = 0.4
 
 
+def always(seen: UpstreamSeen, ask: Ask) -> bool:
+    """Let a cold upstream get any request."""
+    return True
+
+
 @dataclass
 class Chooser:
     """Chooses by what control tells and what this VM's requests have shown.
@@ -63,6 +69,11 @@
         This VM's region.
     away_s : float
         Seconds of waiting that serving a request in its own region is worth.
+    cold_room : callable
+        Tells whether a cold upstream may get one more request by this process.
+    near_s : float
+        Upstreams whose cost differs by less are drawn from; 0 for a process
+        that no other one chooses beside.
     """
 
     region: str
@@ -70,6 +81,8 @@
     neighbours: Neighbours
     random: Random
     away_s: float = 0.0
+    cold_room: Callable[[UpstreamSeen, Ask], bool] = always
+    near_s: float = NEAR_S
 
     def choose(
         self,
@@ -96,7 +109,7 @@
             over_s = best.predicted_s - ask.route.objective_s
             wait_s = self.jitter(max(LEAST_RETRY_S, over_s))
             return NoPlace(True, wait_s, tuple(ranked[:3]))
-        chosen = self.random.choice(near_best(ranked))
+        chosen = self.random.choice(near_best(ranked, self.near_s))
         return self.go(chosen, ask, view, tuple(ranked[:3]))
 
     def go(
@@ -121,7 +134,7 @@
             )
         doors = self.doors(candidate.region, ask, view)
         entry = self.random.choice(doors)
-        return HandOver(entry, chosen.predicted_s, ranked)
+        return HandOver(entry, chosen.predicted_s, ranked, chosen)
 
     def may_be_cold(self, seen: UpstreamSeen, ask: Ask) -> bool:
         """Tell whether an upstream must get no more than cold ones bear.
@@ -197,23 +210,26 @@
                 continue
             if told.failure_domain in revision.evacuated:
                 continue
-            if self.takes_work(seen, ask.now_s):
+            if self.takes_work(seen, ask):
                 candidate = self.candidate(seen, ask, view)
                 if candidate.in_flight < REQUESTS_A_SLOT * candidate.slots:
                     yield candidate
 
-    def takes_work(self, seen: UpstreamSeen, now_s: float) -> bool:
+    def takes_work(self, seen: UpstreamSeen, ask: Ask) -> bool:
         """Tell whether an upstream would take a request now.
 
         What a cold one may get is counted in its own region: taken for a free
         one elsewhere, it would draw what is then refused there.
         """
+        now_s = ask.now_s
         if seen.told.draining or ends_soon(seen, now_s):
             return False
         if seen.region != self.region:
             return seen.cold_until_s <= now_s
         health = self.upstreams.of(seen.told.incarnation)
-        return now_s >= max(health.down_until_s, health.full_until_s)
+        if now_s < max(health.down_until_s, health.full_until_s):
+            return False
+        return not self.may_be_cold(seen, ask) or self.cold_room(seen, ask)
 
     def reachable(self, ask: Ask, view: RegistryView) -> frozenset[str]:
         """Return the regions that a request may be served in from here."""
@@ -259,7 +275,7 @@
         here = seen.region == self.region
         away_s = 0.0
         if not here:
-            away_s = self.away_s + ROUND_TRIP_S
+            away_s = self.away_s + self.neighbours.round_trip_s(seen.region)
         load = view.loads.get(told.incarnation, Load()) + health.load
         return Candidate(
             instance=told.incarnation,
--- a/godwitshunt/ingress/neighbours.py
+++ b/godwitshunt/picking/neighbours.py
@@ -8,9 +8,9 @@
 # Budgets are shared with VMs that were heard within so long: one that is cut
 # off may still be sending.
 COUNTED_S = 45.0
-# Another region is taken for so far away, in seconds: 55 ms each way, as on the
-# users' sheets. It is not measured.
-ROUND_TRIP_S = 0.11
+# A region that no control VM of has answered yet is taken for so far away, in
+# seconds there and back: some 5,000 km of fibre.
+UNKNOWN_ROUND_TRIP_S = 0.1
 
 
 @dataclass
@@ -21,13 +21,21 @@
     ----------
     region : str
         This VM's region.
+    round_trips : dict
+        Seconds to each other region and back, as calls to its control VMs
+        took.
     """
 
     name: str
     region: str
+    round_trips: dict[str, float] = field(default_factory=dict)
     seen: dict[str, tuple[str, float]] = field(default_factory=dict)
     avoided: dict[str, float] = field(default_factory=dict)
 
+    def round_trip_s(self, region: str) -> float:
+        """Return the seconds to another region and back."""
+        return self.round_trips.get(region, UNKNOWN_ROUND_TRIP_S)
+
     def hear(self, entries: Mapping[str, EntryRecord], now_s: float) -> None:
         """Note the entry VMs that control tells of now."""
         for name, entry in entries.items():
@@ -59,3 +67,12 @@
             self.avoided.pop(place)
             return False
         return True
+
+    def avoided_for(self, service: str, now_s: float) -> frozenset[str]:
+        """Return the VMs and regions that get no request of a service now."""
+        suffix = f' {service}'
+        return frozenset(
+            place.removesuffix(suffix)
+            for place in tuple(self.avoided)
+            if self.is_avoided(place, now_s)
+        )
--- /dev/null
+++ b/godwitshunt/picking/reports.py
@@ -0,0 +1,74 @@
+"""What an entry VM reports to its region's picker."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from godwitshunt.picking.shown import AttemptShown, shown_to_wire
+from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.ledger import Report
+from godwitshunt.registry.prefixes import PrefixTable
+from godwitshunt.registry.wire import prefixes_to_wire, report_to_wire
+
+# What attempts showed is kept until it is reported, this much at most: a VM
+# that has had no picker for a while has nothing new to tell of a second ago.
+MOST_SHOWN = 64
+
+
+@dataclass
+class Reports:
+    """Makes the reports of one process.
+
+    Parameters
+    ----------
+    session : str
+        Drawn at each start of the process.
+    upstreams : Upstreams
+        This VM's own requests at each.
+    prefixes : PrefixTable
+        What this VM's requests have shown of kept prompts.
+    now : callable
+        Returns monotonic seconds.
+    """
+
+    session: str
+    upstreams: Upstreams
+    prefixes: PrefixTable
+    now: Callable[[], float]
+    number: int = 0
+    shown: deque[AttemptShown] = field(
+        default_factory=lambda: deque(maxlen=MOST_SHOWN),
+    )
+    places_of: str = ''
+    places_taken: int = 0
+    prefixes_told: int = 0
+
+    def take_place(self, source: str, number: int) -> None:
+        """Note a place that this VM was given, which it uses from now on."""
+        if source != self.places_of:
+            self.places_of = source
+            self.places_taken = 0
+            self.prefixes_told = 0
+        self.places_taken = max(self.places_taken, number)
+
+    def make(self, source: str) -> ttypes.LoadReport:
+        """Return a report for a control process, with what is new to it."""
+        now_s = self.now()
+        self.number += 1
+        taken = self.places_taken if source == self.places_of else 0
+        report = Report(
+            self.session,
+            self.number,
+            self.upstreams.reported(),
+            taken,
+        )
+        made = report_to_wire(report, source, now_s)
+        made.shown = shown_to_wire(self.shown)
+        self.shown.clear()
+        made.prefixes = prefixes_to_wire(
+            self.prefixes.since(self.prefixes_told),
+            now_s,
+        )
+        self.prefixes_told = self.prefixes.version
+        return made
--- a/godwitshunt/ingress/routes.py
+++ b/godwitshunt/picking/routes.py
@@ -53,6 +53,10 @@
             end = path.rfind(SLASH, 0, end)
         return None
 
+    def of(self, host: str, path_prefix: str) -> Route | None:
+        """Return the route of a host with exactly this prefix."""
+        return self.hosts.get(host, {}).get(path_prefix)
+
 
 def host_name(header: str | None) -> str:
     """Return the host of a ``Host`` header, without port.
--- /dev/null
+++ b/godwitshunt/picking/tests/region.py
@@ -0,0 +1,191 @@
+"""A region's pickers and its entry VMs; tests carry their messages."""
+
+from dataclasses import dataclass
+
+from godwitshunt.configuration.revision import Revision
+from godwitshunt.manifest import (
+    ColdStart,
+    Engine,
+    Manifest,
+    RequestClass,
+    Route,
+    RouteKind,
+    Service,
+    ServiceKind,
+    WeightedService,
+)
+from godwitshunt.manifest import (
+    Region as DeclaredRegion,
+)
+from godwitshunt.picking.client import PickerClient
+from godwitshunt.picking.neighbours import Neighbours
+from godwitshunt.picking.picker import Question
+from godwitshunt.picking.reports import Reports
+from godwitshunt.picking.service import LEARNS_S, PickerService
+from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.registry.records import UpstreamAnnounced
+from godwitshunt.registry.tests.deployment import Deployment
+from godwitshunt.registry.watch import OwnState, RegistryWatch
+from godwitshunt.routing.selection import Demand
+from godwitshunt.settings import Address, BoundSettings
+from godwitshunt.telemetry import Metrics
+
+SLOTS = 4
+HOST, PREFIX = 'a.example', '/q/'
+LONG = Demand(17_020, 13_300, 0x5C1E)
+SHORT = Demand(383, 92, 0x91BD)
+BOUNDS = BoundSettings(cold_factor=1.5, cold_allowance=3)
+
+
+def revision(number: int = 1, **changes) -> Revision:
+    """Return a revision with one route to one service of engines."""
+    service = Service(
+        name='llm',
+        kind=ServiceKind.plain,
+        cold_start=ColdStart(duration_s=3.0, requests_per_s=3.6),
+        engine=Engine(slots=SLOTS, memory_tokens=300_000),
+    )
+    route = Route(
+        name='r',
+        host=HOST,
+        path_prefix=PREFIX,
+        kind=RouteKind.stream,
+        services=(WeightedService(service='llm'),),
+        timeout_s=5,
+        objective_s=0.8,
+    )
+    manifest = Manifest(
+        number=number,
+        deployment='d',
+        regions=(
+            DeclaredRegion(name='kochi', failure_domains=('a',)),
+            DeclaredRegion(name='tvm', failure_domains=('b',)),
+        ),
+        services=(service,),
+        classes=(RequestClass(name='c'),),
+        routes=(route,),
+    )
+    return Revision(number, 'digest', manifest, **changes)
+
+
+def engine(name: str, domain: str = 'a', **changes) -> UpstreamAnnounced:
+    """Return the announcement of an engine."""
+    fields = {
+        'instance': name,
+        'service': 'llm',
+        'address': Address(host='10.9.0.1', port=80 + hash(name) % 9000),
+        'failure_domain': domain,
+        'slots': SLOTS,
+        'draining': False,
+        'cold_s': 0.0,
+        'sequence': 1,
+    }
+    return UpstreamAnnounced(**{**fields, **changes})
+
+
+@dataclass
+class Entry:
+    """An entry VM: whom it asks, and what it has at upstreams."""
+
+    watch: RegistryWatch
+    reports: Reports
+    client: PickerClient
+    sent: int = 0
+
+    async def ask(self, demand: Demand = SHORT, **changes):
+        """Ask for a place."""
+        question = Question(
+            entry=self.reports.session,
+            request='q-1',
+            host=HOST,
+            path_prefix=PREFIX,
+            service='llm',
+            demand=demand,
+            remaining_s=4.0,
+            **changes,
+        )
+        return await self.client.place(question)
+
+    def begin(self, instance: str, tokens: int = 0) -> int:
+        """Send a request to an upstream; return its number."""
+        self.sent += 1
+        health = self.reports.upstreams.of(instance)
+        health.begin(self.sent, tokens, self.client.timer.now())
+        self.client.note_change()
+        return self.sent
+
+    def end(self, instance: str, number: int, tokens: int = 0) -> None:
+        """End a request."""
+        self.reports.upstreams.of(instance).end(number, tokens)
+        self.client.note_change()
+
+
+class PickedRegion(Deployment):
+    """A region with control VMs that give places, and another one."""
+
+    def __init__(self, control: dict[int, str] | None = None) -> None:
+        super().__init__(control or {1: 'a', 2: 'a', 3: 'b'})
+        self.revision = revision()
+        self.pickers = {
+            number: self.start_picker(number) for number in self.controls
+        }
+        self.timer.advance(LEARNS_S)
+
+    def start_picker(self, number: int) -> PickerService:
+        """Start the picker of a control VM."""
+        registry = self.controls[number]
+        picker = PickerService(
+            registry,
+            lambda: self.revision,
+            BOUNDS,
+            registry.links,
+            self.timer,
+            Metrics(),
+        )
+        picker.start()
+        return picker
+
+    def restart(self, number: int):
+        """Let a control VM's process start anew."""
+        service = super().restart(number)
+        self.pickers[number] = self.start_picker(number)
+        return service
+
+    def announce(self, number: int, told: UpstreamAnnounced) -> None:
+        """Let a control VM hear of an upstream."""
+        self.controls[number].announce(told)
+
+    def start_entry(self, number: int, domain: str = 'a') -> Entry:
+        """Return an entry VM that asks for places."""
+        watch = self.entry(number, domain)
+        name = f'e-{number}'
+        reports = Reports(
+            name,
+            Upstreams(),
+            watch.own_prefixes,
+            self.timer.now,
+        )
+        record = watch.own().record
+        watch.own = lambda: OwnState(record, reports.make)
+        client = PickerClient(
+            Neighbours(name, watch.region),
+            reports,
+            watch,
+            watch.links,
+            self.timer,
+            Metrics(),
+        )
+        watch.begin = lambda target: None
+        return Entry(watch, reports, client)
+
+    async def settle(self, *entries: Entry) -> None:
+        """Let all VMs hear what is new."""
+        await self.exchange()
+        await self.exchange()
+        for entry in entries:
+            for number in self.controls:
+                await self.poll(entry.watch, number)
+
+    def picker_of(self, entry: Entry) -> Address | None:
+        """Return whom an entry VM asks."""
+        return entry.watch.picker()
--- a/godwitshunt/ingress/tests/test_choosing.py
+++ b/godwitshunt/picking/tests/test_choosing.py
@@ -6,20 +6,20 @@
 
 import pytest
 
-from godwitshunt.ingress.choices import (
+from godwitshunt.manifest import ColdStart
+from godwitshunt.picking.choices import (
     Ask,
     HandOver,
     NoPlace,
     SendHere,
 )
-from godwitshunt.ingress.choosing import (
+from godwitshunt.picking.choosing import (
     LEAST_RETRY_S,
     NO_UPSTREAM_RETRY_S,
     Chooser,
 )
-from godwitshunt.ingress.neighbours import Neighbours
-from godwitshunt.ingress.upstreams import Upstreams
-from godwitshunt.manifest import ColdStart
+from godwitshunt.picking.neighbours import Neighbours
+from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import EntryRecord, Load, RegistryView, UpstreamSeen
 from godwitshunt.registry.records import UpstreamAnnounced
 from godwitshunt.routing.selection import Demand
--- a/godwitshunt/ingress/tests/test_failing_upstreams.py
+++ b/godwitshunt/picking/tests/test_failing_upstreams.py
@@ -3,23 +3,23 @@
 from random import Random
 from types import SimpleNamespace
 
-from godwitshunt.ingress.choices import (
+from godwitshunt.picking.choices import (
     HandOver,
     NoPlace,
     SendHere,
 )
-from godwitshunt.ingress.choosing import (
+from godwitshunt.picking.choosing import (
     Chooser,
 )
-from godwitshunt.ingress.neighbours import Neighbours
-from godwitshunt.ingress.tests.test_choosing import (
+from godwitshunt.picking.neighbours import Neighbours
+from godwitshunt.picking.tests.test_choosing import (
     ADDRESS,
     NOW_S,
     SHORT,
     ask,
     upstream,
 )
-from godwitshunt.ingress.upstreams import Upstreams
+from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import EntryRecord, RegistryView
 from godwitshunt.routing import outliers
 
--- a/godwitshunt/ingress/tests/test_learned_speed.py
+++ b/godwitshunt/picking/tests/test_learned_speed.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from godwitshunt.ingress.learned_speed import LearnedSpeed
+from godwitshunt.picking.learned_speed import LearnedSpeed
 
 ANSWERS = 60
 
--- a/godwitshunt/ingress/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from math import isfinite
 
-from godwitshunt.ingress.learned_speed import LearnedSpeed
 from godwitshunt.manifest import Service
-from godwitshunt.registry import Load, RegistryView, UpstreamSeen
+from godwitshunt.picking.learned_speed import LearnedSpeed
+from godwitshunt.registry import RegistryView, UpstreamSeen
+from godwitshunt.registry.ledger import ReportedLoad
 from godwitshunt.routing.outliers import (
     Answered,
     AttemptOutcome,
@@ -84,10 +86,14 @@
         if detector is not None:
             detector.note_sent(instance)
 
-    def loads(self) -> Mapping[str, Load]:
-        """Return this VM's own requests at each upstream."""
+    def reported(self) -> Mapping[str, ReportedLoad]:
+        """Return this VM's own requests, as they are reported."""
         return {
-            instance: health.load
+            instance: ReportedLoad(
+                health.load,
+                health.oldest_s(),
+                health.heard_s if isfinite(health.heard_s) else None,
+            )
             for instance, health in self.health.items()
             if health.in_flight
         }
--- a/godwitshunt/programs/control_process.py
+++ b/godwitshunt/programs/control_process.py
@@ -15,9 +15,11 @@
 from godwitshunt.consensus.healer import Healer
 from godwitshunt.exchange.caller_tls import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
+from godwitshunt.picking.service import PickerService
 from godwitshunt.placement import PlacementApi, PlacementTask
 from godwitshunt.programs.start import make_links, start_listening, vm_record
 from godwitshunt.registry import RegistryService
+from godwitshunt.registry.relay import ControlPlace
 from godwitshunt.settings import Address, ControlSettings
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import TimerService
@@ -68,11 +70,25 @@
         self.api.add_route('POST', '/v1/orders', orders.order)
         self.api.add_status(self.placement.describe)
         self.registry = RegistryService.from_config(
+            ControlPlace(
+                settings.peer_reached,
+                settings.region,
+                settings.domains,
+                self.known_control,
+            ),
             self.links,
             self.timer,
             self.metrics,
             settings,
         )
+        self.picker = PickerService.from_config(
+            self.registry,
+            self.service.newest_revision,
+            settings.bounds,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
         self.healer = Healer(
             self.consensus,
             self.known_control,
@@ -109,6 +125,7 @@
         self.placement.start()
         self.api.start()
         self.registry.start()
+        self.picker.start()
         if self.settings.heals:
             self.healer.start()
         await start_listening(self.listener.start, 'http', self.settings.http)
@@ -118,6 +135,7 @@
         """Answer what is under way, then close every part."""
         await self.listener.close()
         await self.healer.close()
+        self.picker.close()
         await self.registry.close()
         await self.placement.close()
         await self.service.close()
--- a/godwitshunt/programs/ingress_process.py
+++ b/godwitshunt/programs/ingress_process.py
@@ -12,6 +12,10 @@
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.configuration.task import UnlistedStart
 from godwitshunt.ingress import HeaderNames, IngressTask
+from godwitshunt.picking.client import PickerClient
+from godwitshunt.picking.neighbours import Neighbours
+from godwitshunt.picking.reports import Reports
+from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.programs.start import (
     make_links,
     read_cluster_key,
@@ -57,7 +61,13 @@
             self.metrics,
             UnlistedStart(),
         )
+        self.control_of: tuple[Revision | None, tuple[Address, ...]] = (
+            None,
+            settings.control,
+        )
+        self.known: tuple[Address, ...] = settings.control
         self.watch = RegistryWatch(
+            settings.region,
             settings.domains,
             self.control,
             self.own_state,
@@ -65,18 +75,42 @@
             self.timer,
             self.metrics,
         )
+        self.reports = Reports(
+            self.session,
+            Upstreams(),
+            self.watch.own_prefixes,
+            self.timer.now,
+        )
+        self.picker = PickerClient(
+            Neighbours(settings.name, settings.region),
+            self.reports,
+            self.watch,
+            self.links,
+            self.timer,
+            self.metrics,
+        )
         self.ingress = IngressTask.from_config(
             settings,
             read_cluster_key(settings),
             names or HeaderNames(),
             self.watch,
+            self.picker,
             self.timer,
             self.metrics,
         )
 
     def control(self) -> tuple[Address, ...]:
-        """Return the peer addresses of the control VMs that are known."""
-        return known_control(self.configuration.current, self.settings.control)
+        """Return the peer addresses of the control VMs that are known.
+
+        Asked for with each request; the list of VMs is gone through only
+        where a revision or the settings changed it.
+        """
+        configuration = self.configuration
+        of = (configuration.current, configuration.control)
+        if of != self.control_of:
+            self.control_of = of
+            self.known = known_control(*of)
+        return self.known
 
     def accepting(self) -> tuple[EntryRecord, ...]:
         """Return the entry VMs that take requests of callers.
@@ -90,8 +124,7 @@
 
     def own_state(self) -> OwnState:
         """Return what this VM tells control of itself."""
-        loads = self.ingress.parts.upstreams.loads()
-        return OwnState(self.own_record(), loads)
+        return OwnState(self.own_record(), self.reports.make)
 
     def own_record(self) -> EntryRecord:
         """Return this VM as others know it."""
--- /dev/null
+++ b/godwitshunt/registry/control_tables.py
@@ -0,0 +1,283 @@
+"""The tables of all control VMs, as one of them holds them.
+
+Control VMs ask each other a few times a second for what is new. Each tells
+its own table, and what it knows of the others'; so news passes around a cut
+between two of them.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from functools import partial
+
+from result import Err
+
+from godwitshunt.configuration.background import Background
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.registry.contacts import ControlContact
+from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.joined import JoinedTables
+from godwitshunt.registry.ledger import SummedLoads
+from godwitshunt.registry.prefixes import PrefixTable
+from godwitshunt.registry.records import Load
+from godwitshunt.registry.relay import ControlPlace, relayed_news
+from godwitshunt.registry.views import RegistryView
+from godwitshunt.registry.wire import (
+    address_of,
+    loads_from_wire,
+    prefixes_from_wire,
+)
+from godwitshunt.settings import Address
+from godwitshunt.telemetry import log_change
+from godwitshunt.timer import Subscription, Timer
+
+# The requests of other regions are as old as this and the way; a picker sends
+# long prompts there by them.
+PERIOD_S = 0.2
+TIMEOUT_S = 0.8
+# Requests at upstreams that were told longer ago than this say nothing.
+LOADS_KEPT_S = 3.0
+# Where another control VM of the own region falls silent, its entry VMs report
+# here: counted with what it told last, they would be counted twice, and the
+# region's upstreams be taken for full. So that counts no longer than it takes
+# them to move: a question without answer and a poll.
+MOVED_AFTER_S = 0.6
+
+
+@dataclass(frozen=True)
+class ToldLoads:
+    """Requests at upstreams of the entry VMs that report to a control VM.
+
+    Parameters
+    ----------
+    asof_s : float
+        They are at least as new as this.
+    """
+
+    loads: Mapping[str, Load]
+    asof_s: float
+
+
+class ControlTables:
+    """Asks the other control VMs and keeps their tables beside the own one.
+
+    Parameters
+    ----------
+    place : ControlPlace
+        Where this control VM stands, and which others there are.
+    prefixes : PrefixTable
+        Takes what others were told of kept prompts by entry VMs.
+    links : PeerLinks
+        To the other control VMs.
+    timer : Timer
+        Monotonic time and the period.
+    """
+
+    def __init__(
+        self,
+        place: ControlPlace,
+        prefixes: PrefixTable,
+        links: PeerLinks,
+        timer: Timer,
+    ) -> None:
+        self.place = place
+        self.prefixes = prefixes
+        self.links = links
+        self.timer = timer
+        self.joined = JoinedTables(place.regions)
+        self.contacts: dict[str, ControlContact] = {}
+        self.told: dict[str, ToldLoads] = {}
+        self.summed: Mapping[str, Load] | None = None
+        self.background = Background()
+        self.subscription: Subscription | None = None
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self.subscription = self.timer.every(PERIOD_S, self.ask_all)
+        self.ask_all()
+
+    async def close(self) -> None:
+        """Ask no more."""
+        if self.subscription is not None:
+            self.subscription.cancel()
+        await self.background.close()
+
+    @property
+    def own(self) -> str:
+        """Name of this control VM among the tables."""
+        return str(self.place.address)
+
+    def ask_all(self) -> None:
+        """Ask every other control VM that is not being asked."""
+        for address in self.place.others():
+            if address != self.place.address:
+                self.background.run(str(address), partial(self.ask, address))
+
+    async def ask(self, address: Address) -> None:
+        """Ask one control VM for what is new."""
+        control = str(address)
+        contact = self.contacts.setdefault(control, ControlContact())
+        sent_s = self.timer.now()
+        poll = ttypes.Poll(
+            held=self.joined.held(),
+            prefixes=[],
+            prefixes_version=contact.prefixes_version,
+            wants_loads=True,
+        )
+        reply = await self.links.call(
+            address,
+            MessageKind.registry_poll,
+            encode(poll),
+            TIMEOUT_S,
+        )
+        if isinstance(reply, Err):
+            self.note_lost(control, contact, type(reply.err_value).__name__)
+            return
+        if contact.fails:
+            log_change('registry:peer_control_back', control=control)
+        self.take(control, decode(ttypes.PollReply, reply.ok_value), sent_s)
+
+    def note_lost(
+        self,
+        control: str,
+        contact: ControlContact,
+        reason: str,
+    ) -> None:
+        """Log the first of several calls without answer."""
+        if not contact.fails:
+            log_change(
+                'registry:peer_control_lost',
+                control=control,
+                reason=reason,
+            )
+        contact.fail()
+
+    def take(
+        self,
+        control: str,
+        message: ttypes.PollReply,
+        sent_s: float,
+    ) -> None:
+        """Take what a control VM tells."""
+        now_s = self.timer.now()
+        contact = self.contacts.setdefault(control, ControlContact())
+        is_known = message.source == contact.source
+        contact.answer(message.source, sent_s, now_s)
+        for news in message.tables or ():
+            self.take_table(news, sent_s, now_s)
+        self.told[control] = ToldLoads(loads_from_wire(message.loads), sent_s)
+        self.summed = None
+        self.prefixes.take(prefixes_from_wire(message.prefixes, now_s))
+        if is_known:
+            contact.prefixes_version = message.prefixes_version
+
+    def take_table(
+        self,
+        news: ttypes.TableNews,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Take what is told of one control VM's table, but of the own one."""
+        whose = self.joined.of_source(news.source)
+        if news.control is not None:
+            whose = str(address_of(news.control))
+        if whose != self.own:
+            self.joined.take(news, sent_s, now_s)
+
+    def held_own(self) -> ttypes.TableHeld | None:
+        """Return which version of the own table stands beside the others."""
+        table = self.joined.tables.get(self.own)
+        if table is None:
+            return None
+        return ttypes.TableHeld(
+            table.source,
+            table.version,
+            table.entries_version,
+        )
+
+    def take_own(self, news: ttypes.TableNews) -> None:
+        """Put news of the own table beside the others'."""
+        now_s = self.timer.now()
+        self.joined.take(news, now_s, now_s)
+
+    def news(
+        self,
+        held: Mapping[str, ttypes.TableHeld],
+        now_s: float,
+    ) -> Iterator[ttypes.TableNews]:
+        """Give what is new in the other control VMs' tables.
+
+        Parameters
+        ----------
+        held : mapping
+            What whoever asks holds, by the control VM's process.
+        """
+        for control, table in self.joined.tables.items():
+            if control != self.own and table.source:
+                yield relayed_news(table, held.get(table.source), now_s)
+
+    def loads(self, now_s: float) -> Mapping[str, Load]:
+        """Return what other control VMs told of requests, of late, in sum."""
+        late = [
+            control
+            for control, one in self.told.items()
+            if now_s - one.asof_s > self.kept_s(control)
+        ]
+        for control in late:
+            self.told.pop(control)
+            self.summed = None
+        if self.summed is None:
+            parts = tuple(one.loads for one in self.told.values())
+            self.summed = dict(SummedLoads(parts))
+        return self.summed
+
+    def kept_s(self, control: str) -> float:
+        """Return for how long the requests that one told count."""
+        is_here = self.region_of(control) == self.place.region
+        return MOVED_AFTER_S if is_here else LOADS_KEPT_S
+
+    def told_s(self, region: str) -> float:
+        """Return what time a region's requests were told as of."""
+        return max(
+            (
+                one.asof_s
+                for control, one in self.told.items()
+                if self.region_of(control) == region
+            ),
+            default=float('-inf'),
+        )
+
+    def round_trip_s(self, region: str) -> float | None:
+        """Return the seconds to a region's control VMs; None if not known."""
+        return min(
+            (
+                contact.round_trip_s
+                for control, contact in self.contacts.items()
+                if self.region_of(control) == region
+            ),
+            default=None,
+        )
+
+    def region_of(self, control: str) -> str:
+        """Return where a control VM stands; empty where that is not known."""
+        table = self.joined.tables.get(control)
+        return '' if table is None else table.region
+
+    def in_region(self, region: str) -> list[str]:
+        """Return the control VMs that stand in a region."""
+        return [
+            control
+            for control, table in self.joined.tables.items()
+            if table.region == region
+        ]
+
+    def view(self) -> RegistryView:
+        """Return the joined view; the own table is always as of now."""
+        now_s = self.timer.now()
+        own = self.joined.tables.get(self.own)
+        if own is not None:
+            own.answered_s = now_s
+        return self.joined.view(now_s)
+
+    def leave(self, incarnation: str) -> None:
+        """Note that another upstream answers at an incarnation's address."""
+        self.joined.leave(incarnation, self.timer.now())
--- a/godwitshunt/registry/entries.py
+++ b/godwitshunt/registry/entries.py
@@ -1,9 +1,8 @@
-"""The entry VMs that poll a control VM, and their requests in sum; pure."""
+"""The entry VMs that poll a control VM; pure."""
 
-from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from godwitshunt.registry.records import EntryRecord, Load
+from godwitshunt.registry.records import EntryRecord
 
 # Entry VMs poll a few times a second; one that missed four polls in a row is
 # taken from the directory, well within the five seconds that users allow.
@@ -17,7 +16,6 @@
     record: EntryRecord
     heard_s: float
     version: int
-    loads: Mapping[str, Load] = field(default_factory=dict)
 
 
 @dataclass
@@ -26,15 +24,9 @@
 
     entries: dict[str, PolledEntry] = field(default_factory=dict)
     gone: dict[str, int] = field(default_factory=dict)
-    totals: dict[str, Load] = field(default_factory=dict)
     version: int = 0
 
-    def hear(
-        self,
-        record: EntryRecord,
-        loads: Mapping[str, Load],
-        now_s: float,
-    ) -> None:
+    def hear(self, record: EntryRecord, now_s: float) -> None:
         """Take a poll."""
         known = self.entries.get(record.name)
         if known is None:
@@ -44,24 +36,8 @@
         elif known.record != record:
             known.record = record
             known.version = self.next_version()
-        self.change_loads(known.loads, loads)
-        known.loads = loads
         known.heard_s = now_s
 
-    def change_loads(
-        self,
-        before: Mapping[str, Load],
-        after: Mapping[str, Load],
-    ) -> None:
-        """Put one entry VM's new requests in the place of its old ones."""
-        for instance, load in before.items():
-            self.totals[instance] = self.totals[instance] - load
-        for instance, load in after.items():
-            self.totals[instance] = self.totals.get(instance, Load()) + load
-        for instance in before:
-            if self.totals[instance] == Load():
-                self.totals.pop(instance)
-
     def tick(self, now_s: float) -> tuple[str, ...]:
         """Drop entry VMs that poll no more; return their names."""
         absent = tuple(
@@ -70,7 +46,7 @@
             if now_s - known.heard_s > ABSENT_AFTER_S
         )
         for name in absent:
-            self.change_loads(self.entries.pop(name).loads, {})
+            self.entries.pop(name)
             self.gone[name] = self.next_version()
         return absent
 
@@ -96,15 +72,6 @@
             name for name, left_at in self.gone.items() if left_at > version
         )
 
-    def loads_without(self, name: str) -> Iterable[tuple[str, Load]]:
-        """Give the requests of all entry VMs but one at each upstream."""
-        known = self.entries.get(name)
-        own = {} if known is None else known.loads
-        for instance, total in self.totals.items():
-            others = total - own.get(instance, Load())
-            if others != Load():
-                yield instance, others
-
     def next_version(self) -> int:
         """Return the version of the next change."""
         self.version += 1
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -521,6 +521,8 @@
      - instance: Name of the incarnation.
      - in_flight
      - pending_tokens: Prompt tokens of requests that have shown no first event.
+     - waiting_ms: Milliseconds since the oldest of those was sent; absent for none.
+     - heard_ms: Milliseconds since bytes last came from it; absent for never.
 
     """
 
@@ -528,13 +530,17 @@
         'instance',
         'in_flight',
         'pending_tokens',
+        'waiting_ms',
+        'heard_ms',
     )
 
 
-    def __init__(self, instance=None, in_flight=None, pending_tokens=None,):
+    def __init__(self, instance=None, in_flight=None, pending_tokens=None, waiting_ms=None, heard_ms=None,):
         self.instance = instance
         self.in_flight = in_flight
         self.pending_tokens = pending_tokens
+        self.waiting_ms = waiting_ms
+        self.heard_ms = heard_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -560,6 +566,16 @@
                     self.pending_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.waiting_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.heard_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -582,6 +598,14 @@
             oprot.writeFieldBegin('pending_tokens', TType.I64, 3)
             oprot.writeI64(self.pending_tokens)
             oprot.writeFieldEnd()
+        if self.waiting_ms is not None:
+            oprot.writeFieldBegin('waiting_ms', TType.I32, 4)
+            oprot.writeI32(self.waiting_ms)
+            oprot.writeFieldEnd()
+        if self.heard_ms is not None:
+            oprot.writeFieldBegin('heard_ms', TType.I32, 5)
+            oprot.writeI32(self.heard_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -668,13 +692,965 @@
             oprot.writeFieldBegin('key', TType.I64, 1)
             oprot.writeI64(self.key)
             oprot.writeFieldEnd()
-        if self.instance is not None:
-            oprot.writeFieldBegin('instance', TType.STRING, 2)
-            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 2)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AttemptShown(object):
+    """
+    What an attempt showed of an upstream.
+
+    Attributes:
+     - instance
+     - service_name
+     - shown: A member of `Shown`.
+     - first_ms: Milliseconds to the first sign of an answer; absent for none.
+     - took_ms
+     - predicted_ms: What was expected when it was sent.
+     - unread_tokens
+     - was_held_up: True where the engine had other prompts to read, or was cold.
+
+    """
+
+    __slots__ = (
+        'instance',
+        'service_name',
+        'shown',
+        'first_ms',
+        'took_ms',
+        'predicted_ms',
+        'unread_tokens',
+        'was_held_up',
+    )
+
+
+    def __init__(self, instance=None, service_name=None, shown=None, first_ms=None, took_ms=None, predicted_ms=None, unread_tokens=None, was_held_up=None,):
+        self.instance = instance
+        self.service_name = service_name
+        self.shown = shown
+        self.first_ms = first_ms
+        self.took_ms = took_ms
+        self.predicted_ms = predicted_ms
+        self.unread_tokens = unread_tokens
+        self.was_held_up = was_held_up
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.shown = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.first_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.took_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.predicted_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.unread_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.was_held_up = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AttemptShown')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.shown is not None:
+            oprot.writeFieldBegin('shown', TType.I32, 3)
+            oprot.writeI32(self.shown)
+            oprot.writeFieldEnd()
+        if self.first_ms is not None:
+            oprot.writeFieldBegin('first_ms', TType.DOUBLE, 4)
+            oprot.writeDouble(self.first_ms)
+            oprot.writeFieldEnd()
+        if self.took_ms is not None:
+            oprot.writeFieldBegin('took_ms', TType.DOUBLE, 5)
+            oprot.writeDouble(self.took_ms)
+            oprot.writeFieldEnd()
+        if self.predicted_ms is not None:
+            oprot.writeFieldBegin('predicted_ms', TType.DOUBLE, 6)
+            oprot.writeDouble(self.predicted_ms)
+            oprot.writeFieldEnd()
+        if self.unread_tokens is not None:
+            oprot.writeFieldBegin('unread_tokens', TType.I32, 7)
+            oprot.writeI32(self.unread_tokens)
+            oprot.writeFieldEnd()
+        if self.was_held_up is not None:
+            oprot.writeFieldBegin('was_held_up', TType.BOOL, 8)
+            oprot.writeBool(self.was_held_up)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadReport(object):
+    """
+    An entry VM's own requests; one with a higher number takes its place.
+
+    Attributes:
+     - number: Rises with each report of the entry VM's process.
+     - loads
+     - session: Drawn at each start of the entry VM's process.
+     - places_of: The control process that gave places, and the last one that the loads
+    hold.
+     - places_taken
+     - shown: What attempts have shown since the last report to this control VM.
+     - prefixes: What upstreams have read since then.
+
+    """
+
+    __slots__ = (
+        'number',
+        'loads',
+        'places_of',
+        'places_taken',
+        'shown',
+        'prefixes',
+        'session',
+    )
+
+
+    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None,):
+        self.number = number
+        self.loads = loads
+        self.session = session
+        self.places_of = places_of
+        self.places_taken = places_taken
+        self.shown = shown
+        self.prefixes = prefixes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = UpstreamLoad()
+                        _elem5.read(iprot)
+                        self.loads.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.session = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.places_of = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.places_taken = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.shown = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = AttemptShown()
+                        _elem11.read(iprot)
+                        self.shown.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.prefixes = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = PrefixInfo()
+                        _elem17.read(iprot)
+                        self.prefixes.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadReport')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter18 in self.loads:
+                iter18.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.places_of is not None:
+            oprot.writeFieldBegin('places_of', TType.STRING, 3)
+            oprot.writeString(self.places_of.encode('utf-8') if sys.version_info[0] == 2 else self.places_of)
+            oprot.writeFieldEnd()
+        if self.places_taken is not None:
+            oprot.writeFieldBegin('places_taken', TType.I64, 4)
+            oprot.writeI64(self.places_taken)
+            oprot.writeFieldEnd()
+        if self.shown is not None:
+            oprot.writeFieldBegin('shown', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.shown))
+            for iter19 in self.shown:
+                iter19.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.prefixes is not None:
+            oprot.writeFieldBegin('prefixes', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
+            for iter20 in self.prefixes:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 7)
+            oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableHeld(object):
+    """
+    A control VM's table, as far as the one that asks holds it.
+
+    Attributes:
+     - source
+     - version
+     - entries_version: Version of the list of entry VMs in that table.
+
+    """
+
+    __slots__ = (
+        'source',
+        'version',
+        'entries_version',
+    )
+
+
+    def __init__(self, source=None, version=None, entries_version=None,):
+        self.source = source
+        self.version = version
+        self.entries_version = entries_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.entries_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableHeld')
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 1)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.entries_version is not None:
+            oprot.writeFieldBegin('entries_version', TType.I64, 3)
+            oprot.writeI64(self.entries_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Poll(object):
+    """
+    From an entry VM or a control VM to a control VM, a few times a second.
+
+    Attributes:
+     - entry: Absent where a control VM asks.
+     - held
+     - report: The entry VM's own requests; absent where it reports to another one.
+     - prefixes: What the entry VM's requests have shown since the last poll.
+     - prefixes_version: Version of the held prefixes that it has heard of here; a negative one
+    asks for none.
+     - wants_loads: True where the requests of others are asked for.
+
+    """
+
+    __slots__ = (
+        'entry',
+        'held',
+        'report',
+        'prefixes',
+        'prefixes_version',
+        'wants_loads',
+    )
+
+
+    def __init__(self, entry=None, held=None, report=None, prefixes=None, prefixes_version=None, wants_loads=None,):
+        self.entry = entry
+        self.held = held
+        self.report = report
+        self.prefixes = prefixes
+        self.prefixes_version = prefixes_version
+        self.wants_loads = wants_loads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.entry = EntryInfo()
+                    self.entry.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = TableHeld()
+                        _elem26.read(iprot)
+                        self.held.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.report = LoadReport()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.prefixes = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = PrefixInfo()
+                        _elem32.read(iprot)
+                        self.prefixes.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.prefixes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.wants_loads = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Poll')
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRUCT, 1)
+            self.entry.write(oprot)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter33 in self.held:
+                iter33.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 3)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.prefixes is not None:
+            oprot.writeFieldBegin('prefixes', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
+            for iter34 in self.prefixes:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.prefixes_version is not None:
+            oprot.writeFieldBegin('prefixes_version', TType.I64, 5)
+            oprot.writeI64(self.prefixes_version)
+            oprot.writeFieldEnd()
+        if self.wants_loads is not None:
+            oprot.writeFieldBegin('wants_loads', TType.BOOL, 6)
+            oprot.writeBool(self.wants_loads)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableNews(object):
+    """
+    News of one control VM's table, from itself or from another one.
+
+    Attributes:
+     - control: Where peers reach the control VM; told with a whole table.
+     - source: Drawn at each start of the control VM's process.
+     - version
+     - whole: True where this is the whole table and not what has changed.
+     - age_ms: Milliseconds since whoever tells this asked the control VM for it; 0
+    where it tells of itself.
+     - region: Where the control VM stands; told with a whole table.
+     - upstreams
+     - gone: Starts that ended: they left or were replaced, and never come back.
+     - entries
+     - gone_entries: Names of entry VMs that are not heard any more.
+     - entries_version
+
+    """
+
+    __slots__ = (
+        'control',
+        'source',
+        'version',
+        'whole',
+        'age_ms',
+        'region',
+        'upstreams',
+        'gone',
+        'entries',
+        'gone_entries',
+        'entries_version',
+    )
+
+
+    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None,):
+        self.control = control
+        self.source = source
+        self.version = version
+        self.whole = whole
+        self.age_ms = age_ms
+        self.region = region
+        self.upstreams = upstreams
+        self.gone = gone
+        self.entries = entries
+        self.gone_entries = gone_entries
+        self.entries_version = entries_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.control = Endpoint()
+                    self.control.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = UpstreamInfo()
+                        _elem40.read(iprot)
+                        self.upstreams.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.gone = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = StartEnded()
+                        _elem46.read(iprot)
+                        self.gone.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = EntryInfo()
+                        _elem52.read(iprot)
+                        self.entries.append(_elem52)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.gone_entries = []
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem58)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.entries_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableNews')
+        if self.control is not None:
+            oprot.writeFieldBegin('control', TType.STRUCT, 1)
+            self.control.write(oprot)
+            oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 2)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 4)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 5)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 6)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter59 in self.upstreams:
+                iter59.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.gone))
+            for iter60 in self.gone:
+                iter60.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter61 in self.entries:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.gone_entries is not None:
+            oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.gone_entries))
+            for iter62 in self.gone_entries:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.entries_version is not None:
+            oprot.writeFieldBegin('entries_version', TType.I64, 11)
+            oprot.writeI64(self.entries_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PollReply(object):
+    """
+    Attributes:
+     - source: The control VM's process.
+     - tables: The control VM's own table, and what it knows of the others'.
+     - loads: Requests at upstreams: to an entry VM, those of all others; to a control
+    VM, those of the entry VMs that report to this one.
+     - prefixes: Prefixes that were read after the version asked for.
+     - prefixes_version
+     - gives_places: True where this control VM gives places to its region's entry VMs.
+
+    """
+
+    __slots__ = (
+        'tables',
+        'loads',
+        'prefixes',
+        'prefixes_version',
+        'gives_places',
+        'source',
+    )
+
+
+    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None,):
+        self.source = source
+        self.tables = tables
+        self.loads = loads
+        self.prefixes = prefixes
+        self.prefixes_version = prefixes_version
+        self.gives_places = gives_places
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 6:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.LIST:
+                    self.tables = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = TableNews()
+                        _elem68.read(iprot)
+                        self.tables.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = UpstreamLoad()
+                        _elem74.read(iprot)
+                        self.loads.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.prefixes = []
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = PrefixInfo()
+                        _elem80.read(iprot)
+                        self.prefixes.append(_elem80)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.prefixes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.gives_places = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PollReply')
+        if self.tables is not None:
+            oprot.writeFieldBegin('tables', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.tables))
+            for iter81 in self.tables:
+                iter81.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter82 in self.loads:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.prefixes is not None:
+            oprot.writeFieldBegin('prefixes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
+            for iter83 in self.prefixes:
+                iter83.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I64, 3)
-            oprot.writeI64(self.age_ms)
+        if self.prefixes_version is not None:
+            oprot.writeFieldBegin('prefixes_version', TType.I64, 4)
+            oprot.writeI64(self.prefixes_version)
+            oprot.writeFieldEnd()
+        if self.gives_places is not None:
+            oprot.writeFieldBegin('gives_places', TType.BOOL, 5)
+            oprot.writeBool(self.gives_places)
+            oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 6)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -701,41 +1677,55 @@
         return not (self == other)
 
 
-class Poll(object):
+class PlaceAsked(object):
     """
-    From an entry VM to every control VM, a few times a second.
+    From an entry VM to its region's picker: a place for a request.
 
     Attributes:
-     - entry
-     - source: The table that the entry VM holds, and its version; empty for none.
-     - version
-     - entries_version: Version of the list of entry VMs in that table.
-     - loads: The entry VM's own requests.
-     - prefixes: What the entry VM's requests have shown since the last poll.
-     - prefixes_version: Version of the held prefixes that it has heard of here; a negative one
-    asks for none, since another control VM tells of them.
+     - entry_name
+     - report
+     - request_id
+     - host: Names the route.
+     - path_prefix
+     - service_name
+     - prompt_tokens
+     - shared_tokens
+     - shared_key: Names the shared parts; absent where there are none.
+     - remaining_ms
+     - excluded: Incarnations, VMs and regions that failed this request.
+     - local: True where it was handed over, and must be served in this region.
 
     """
 
     __slots__ = (
-        'entry',
-        'source',
-        'version',
-        'loads',
-        'entries_version',
-        'prefixes',
-        'prefixes_version',
+        'entry_name',
+        'report',
+        'request_id',
+        'host',
+        'path_prefix',
+        'service_name',
+        'prompt_tokens',
+        'shared_tokens',
+        'shared_key',
+        'remaining_ms',
+        'excluded',
+        'local',
     )
 
 
-    def __init__(self, entry=None, source=None, version=None, entries_version=None, loads=None, prefixes=None, prefixes_version=None,):
-        self.entry = entry
-        self.source = source
-        self.version = version
-        self.entries_version = entries_version
-        self.loads = loads
-        self.prefixes = prefixes
-        self.prefixes_version = prefixes_version
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None,):
+        self.entry_name = entry_name
+        self.report = report
+        self.request_id = request_id
+        self.host = host
+        self.path_prefix = path_prefix
+        self.service_name = service_name
+        self.prompt_tokens = prompt_tokens
+        self.shared_tokens = shared_tokens
+        self.shared_key = shared_key
+        self.remaining_ms = remaining_ms
+        self.excluded = excluded
+        self.local = local
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -747,51 +1737,69 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.entry = EntryInfo()
-                    self.entry.read(iprot)
+                if ftype == TType.STRING:
+                    self.entry_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRUCT:
+                    self.report = LoadReport()
+                    self.report.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
+                if ftype == TType.STRING:
+                    self.path_prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.shared_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
                 if ftype == TType.I64:
-                    self.entries_version = iprot.readI64()
+                    self.shared_key = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.loads = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = UpstreamLoad()
-                        _elem5.read(iprot)
-                        self.loads.append(_elem5)
-                    iprot.readListEnd()
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.remaining_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 11:
                 if ftype == TType.LIST:
-                    self.prefixes = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = PrefixInfo()
-                        _elem11.read(iprot)
-                        self.prefixes.append(_elem11)
+                    self.excluded = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.I64:
-                    self.prefixes_version = iprot.readI64()
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.local = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -803,40 +1811,57 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Poll')
-        if self.entry is not None:
-            oprot.writeFieldBegin('entry', TType.STRUCT, 1)
-            self.entry.write(oprot)
+        oprot.writeStructBegin('PlaceAsked')
+        if self.entry_name is not None:
+            oprot.writeFieldBegin('entry_name', TType.STRING, 1)
+            oprot.writeString(self.entry_name.encode('utf-8') if sys.version_info[0] == 2 else self.entry_name)
             oprot.writeFieldEnd()
-        if self.source is not None:
-            oprot.writeFieldBegin('source', TType.STRING, 2)
-            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 2)
+            self.report.write(oprot)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 3)
-            oprot.writeI64(self.version)
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 3)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
-        if self.loads is not None:
-            oprot.writeFieldBegin('loads', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter12 in self.loads:
-                iter12.write(oprot)
-            oprot.writeListEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 4)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
             oprot.writeFieldEnd()
-        if self.entries_version is not None:
-            oprot.writeFieldBegin('entries_version', TType.I64, 5)
-            oprot.writeI64(self.entries_version)
+        if self.path_prefix is not None:
+            oprot.writeFieldBegin('path_prefix', TType.STRING, 5)
+            oprot.writeString(self.path_prefix.encode('utf-8') if sys.version_info[0] == 2 else self.path_prefix)
             oprot.writeFieldEnd()
-        if self.prefixes is not None:
-            oprot.writeFieldBegin('prefixes', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter13 in self.prefixes:
-                iter13.write(oprot)
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 6)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 7)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.shared_tokens is not None:
+            oprot.writeFieldBegin('shared_tokens', TType.I32, 8)
+            oprot.writeI32(self.shared_tokens)
+            oprot.writeFieldEnd()
+        if self.shared_key is not None:
+            oprot.writeFieldBegin('shared_key', TType.I64, 9)
+            oprot.writeI64(self.shared_key)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 10)
+            oprot.writeI32(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter90 in self.excluded:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.prefixes_version is not None:
-            oprot.writeFieldBegin('prefixes_version', TType.I64, 7)
-            oprot.writeI64(self.prefixes_version)
+        if self.local is not None:
+            oprot.writeFieldBegin('local', TType.BOOL, 12)
+            oprot.writeBool(self.local)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -863,50 +1888,52 @@
         return not (self == other)
 
 
-class PollReply(object):
+class PlaceGiven(object):
     """
+    Where a request goes: an upstream, an entry VM, or nowhere.
+
     Attributes:
-     - source: Drawn at each start of the control VM's process.
-     - version
-     - whole: True where the reply is the whole table and not what has changed.
-     - upstreams
-     - gone: Starts that ended: they left or were replaced, and never come back.
-     - entries
-     - gone_entries: Names of entry VMs that are not heard any more.
-     - loads: Requests of all other entry VMs together.
-     - entries_version
-     - prefixes: Prefixes that were read after the version asked for.
-     - prefixes_version
+     - kind: A member of `GivenKind`.
+     - source: The picker's process, and the number of this place.
+     - number
+     - predicted_ms
+     - upstream
+     - is_cold
+     - unread_tokens
+     - is_kept
+     - waiting_tokens
+     - entry
+     - retry_after_ms
 
     """
 
     __slots__ = (
+        'kind',
         'source',
-        'version',
-        'whole',
-        'upstreams',
-        'entries',
-        'gone_entries',
-        'loads',
-        'entries_version',
-        'prefixes',
-        'prefixes_version',
-        'gone',
+        'number',
+        'predicted_ms',
+        'upstream',
+        'is_cold',
+        'unread_tokens',
+        'is_kept',
+        'waiting_tokens',
+        'entry',
+        'retry_after_ms',
     )
 
 
-    def __init__(self, source=None, version=None, whole=None, upstreams=None, gone=None, entries=None, gone_entries=None, loads=None, entries_version=None, prefixes=None, prefixes_version=None,):
+    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None,):
+        self.kind = kind
         self.source = source
-        self.version = version
-        self.whole = whole
-        self.upstreams = upstreams
-        self.gone = gone
-        self.entries = entries
-        self.gone_entries = gone_entries
-        self.loads = loads
-        self.entries_version = entries_version
-        self.prefixes = prefixes
-        self.prefixes_version = prefixes_version
+        self.number = number
+        self.predicted_ms = predicted_ms
+        self.upstream = upstream
+        self.is_cold = is_cold
+        self.unread_tokens = unread_tokens
+        self.is_kept = is_kept
+        self.waiting_tokens = waiting_tokens
+        self.entry = entry
+        self.retry_after_ms = retry_after_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -918,93 +1945,60 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.kind = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.whole = iprot.readBool()
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.upstreams = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = UpstreamInfo()
-                        _elem19.read(iprot)
-                        self.upstreams.append(_elem19)
-                    iprot.readListEnd()
+                if ftype == TType.DOUBLE:
+                    self.predicted_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
-                if ftype == TType.LIST:
-                    self.gone = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = StartEnded()
-                        _elem25.read(iprot)
-                        self.gone.append(_elem25)
-                    iprot.readListEnd()
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.upstream = UpstreamInfo()
+                    self.upstream.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.LIST:
-                    self.entries = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = EntryInfo()
-                        _elem31.read(iprot)
-                        self.entries.append(_elem31)
-                    iprot.readListEnd()
+                if ftype == TType.BOOL:
+                    self.is_cold = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.LIST:
-                    self.gone_entries = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem37)
-                    iprot.readListEnd()
+                if ftype == TType.I32:
+                    self.unread_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.LIST:
-                    self.loads = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = UpstreamLoad()
-                        _elem43.read(iprot)
-                        self.loads.append(_elem43)
-                    iprot.readListEnd()
+                if ftype == TType.BOOL:
+                    self.is_kept = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.I64:
-                    self.entries_version = iprot.readI64()
+                    self.waiting_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
-                if ftype == TType.LIST:
-                    self.prefixes = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = PrefixInfo()
-                        _elem49.read(iprot)
-                        self.prefixes.append(_elem49)
-                    iprot.readListEnd()
+                if ftype == TType.STRUCT:
+                    self.entry = EntryInfo()
+                    self.entry.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
-                if ftype == TType.I64:
-                    self.prefixes_version = iprot.readI64()
+                if ftype == TType.DOUBLE:
+                    self.retry_after_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1016,68 +2010,50 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PollReply')
+        oprot.writeStructBegin('PlaceGiven')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 1)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
         if self.source is not None:
-            oprot.writeFieldBegin('source', TType.STRING, 1)
+            oprot.writeFieldBegin('source', TType.STRING, 2)
             oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 2)
-            oprot.writeI64(self.version)
-            oprot.writeFieldEnd()
-        if self.whole is not None:
-            oprot.writeFieldBegin('whole', TType.BOOL, 3)
-            oprot.writeBool(self.whole)
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
             oprot.writeFieldEnd()
-        if self.upstreams is not None:
-            oprot.writeFieldBegin('upstreams', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter50 in self.upstreams:
-                iter50.write(oprot)
-            oprot.writeListEnd()
+        if self.predicted_ms is not None:
+            oprot.writeFieldBegin('predicted_ms', TType.DOUBLE, 4)
+            oprot.writeDouble(self.predicted_ms)
             oprot.writeFieldEnd()
-        if self.entries is not None:
-            oprot.writeFieldBegin('entries', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter51 in self.entries:
-                iter51.write(oprot)
-            oprot.writeListEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRUCT, 5)
+            self.upstream.write(oprot)
             oprot.writeFieldEnd()
-        if self.gone_entries is not None:
-            oprot.writeFieldBegin('gone_entries', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter52 in self.gone_entries:
-                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
-            oprot.writeListEnd()
+        if self.is_cold is not None:
+            oprot.writeFieldBegin('is_cold', TType.BOOL, 6)
+            oprot.writeBool(self.is_cold)
             oprot.writeFieldEnd()
-        if self.loads is not None:
-            oprot.writeFieldBegin('loads', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter53 in self.loads:
-                iter53.write(oprot)
-            oprot.writeListEnd()
+        if self.unread_tokens is not None:
+            oprot.writeFieldBegin('unread_tokens', TType.I32, 7)
+            oprot.writeI32(self.unread_tokens)
             oprot.writeFieldEnd()
-        if self.entries_version is not None:
-            oprot.writeFieldBegin('entries_version', TType.I64, 9)
-            oprot.writeI64(self.entries_version)
+        if self.is_kept is not None:
+            oprot.writeFieldBegin('is_kept', TType.BOOL, 8)
+            oprot.writeBool(self.is_kept)
             oprot.writeFieldEnd()
-        if self.prefixes is not None:
-            oprot.writeFieldBegin('prefixes', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter54 in self.prefixes:
-                iter54.write(oprot)
-            oprot.writeListEnd()
+        if self.waiting_tokens is not None:
+            oprot.writeFieldBegin('waiting_tokens', TType.I64, 9)
+            oprot.writeI64(self.waiting_tokens)
             oprot.writeFieldEnd()
-        if self.prefixes_version is not None:
-            oprot.writeFieldBegin('prefixes_version', TType.I64, 11)
-            oprot.writeI64(self.prefixes_version)
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRUCT, 10)
+            self.entry.write(oprot)
             oprot.writeFieldEnd()
-        if self.gone is not None:
-            oprot.writeFieldBegin('gone', TType.LIST, 12)
-            oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter55 in self.gone:
-                iter55.write(oprot)
-            oprot.writeListEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.DOUBLE, 11)
+            oprot.writeDouble(self.retry_after_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1136,22 +2112,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = UpstreamInfo()
-                        _elem61.read(iprot)
-                        self.upstreams.append(_elem61)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = UpstreamInfo()
+                        _elem96.read(iprot)
+                        self.upstreams.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = StartEnded()
-                        _elem67.read(iprot)
-                        self.gone.append(_elem67)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = StartEnded()
+                        _elem102.read(iprot)
+                        self.gone.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1168,15 +2144,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter68 in self.upstreams:
-                iter68.write(oprot)
+            for iter103 in self.upstreams:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter69 in self.gone:
-                iter69.write(oprot)
+            for iter104 in self.gone:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1246,6 +2222,8 @@
     (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
     (2, TType.I32, 'in_flight', None, None, ),  # 2
     (3, TType.I64, 'pending_tokens', None, None, ),  # 3
+    (4, TType.I32, 'waiting_ms', None, None, ),  # 4
+    (5, TType.I32, 'heard_ms', None, None, ),  # 5
 )
 all_structs.append(PrefixInfo)
 PrefixInfo.thrift_spec = (
@@ -1254,32 +2232,101 @@
     (2, TType.STRING, 'instance', 'UTF8', None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(AttemptShown)
+AttemptShown.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'shown', None, None, ),  # 3
+    (4, TType.DOUBLE, 'first_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'took_ms', None, None, ),  # 5
+    (6, TType.DOUBLE, 'predicted_ms', None, None, ),  # 6
+    (7, TType.I32, 'unread_tokens', None, None, ),  # 7
+    (8, TType.BOOL, 'was_held_up', None, None, ),  # 8
+)
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 2
+    (3, TType.STRING, 'places_of', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'places_taken', None, None, ),  # 4
+    (5, TType.LIST, 'shown', (TType.STRUCT, [AttemptShown, None], False), None, ),  # 5
+    (6, TType.LIST, 'prefixes', (TType.STRUCT, [PrefixInfo, None], False), None, ),  # 6
+    (7, TType.STRING, 'session', 'UTF8', None, ),  # 7
+)
+all_structs.append(TableHeld)
+TableHeld.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'source', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I64, 'entries_version', None, None, ),  # 3
+)
 all_structs.append(Poll)
 Poll.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'entry', [EntryInfo, None], None, ),  # 1
+    (2, TType.LIST, 'held', (TType.STRUCT, [TableHeld, None], False), None, ),  # 2
+    (3, TType.STRUCT, 'report', [LoadReport, None], None, ),  # 3
+    (4, TType.LIST, 'prefixes', (TType.STRUCT, [PrefixInfo, None], False), None, ),  # 4
+    (5, TType.I64, 'prefixes_version', None, None, ),  # 5
+    (6, TType.BOOL, 'wants_loads', None, None, ),  # 6
+)
+all_structs.append(TableNews)
+TableNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'control', [Endpoint, None], None, ),  # 1
     (2, TType.STRING, 'source', 'UTF8', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
-    (4, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 4
-    (5, TType.I64, 'entries_version', None, None, ),  # 5
-    (6, TType.LIST, 'prefixes', (TType.STRUCT, [PrefixInfo, None], False), None, ),  # 6
-    (7, TType.I64, 'prefixes_version', None, None, ),  # 7
+    (4, TType.BOOL, 'whole', None, None, ),  # 4
+    (5, TType.I64, 'age_ms', None, None, ),  # 5
+    (6, TType.STRING, 'region', 'UTF8', None, ),  # 6
+    (7, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamInfo, None], False), None, ),  # 7
+    (8, TType.LIST, 'gone', (TType.STRUCT, [StartEnded, None], False), None, ),  # 8
+    (9, TType.LIST, 'entries', (TType.STRUCT, [EntryInfo, None], False), None, ),  # 9
+    (10, TType.LIST, 'gone_entries', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.I64, 'entries_version', None, None, ),  # 11
 )
 all_structs.append(PollReply)
 PollReply.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'source', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'version', None, None, ),  # 2
-    (3, TType.BOOL, 'whole', None, None, ),  # 3
-    (4, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamInfo, None], False), None, ),  # 4
-    None,  # 5
-    (6, TType.LIST, 'entries', (TType.STRUCT, [EntryInfo, None], False), None, ),  # 6
-    (7, TType.LIST, 'gone_entries', (TType.STRING, 'UTF8', False), None, ),  # 7
-    (8, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 8
-    (9, TType.I64, 'entries_version', None, None, ),  # 9
-    (10, TType.LIST, 'prefixes', (TType.STRUCT, [PrefixInfo, None], False), None, ),  # 10
-    (11, TType.I64, 'prefixes_version', None, None, ),  # 11
-    (12, TType.LIST, 'gone', (TType.STRUCT, [StartEnded, None], False), None, ),  # 12
+    (1, TType.LIST, 'tables', (TType.STRUCT, [TableNews, None], False), None, ),  # 1
+    (2, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 2
+    (3, TType.LIST, 'prefixes', (TType.STRUCT, [PrefixInfo, None], False), None, ),  # 3
+    (4, TType.I64, 'prefixes_version', None, None, ),  # 4
+    (5, TType.BOOL, 'gives_places', None, None, ),  # 5
+    (6, TType.STRING, 'source', 'UTF8', None, ),  # 6
+)
+all_structs.append(PlaceAsked)
+PlaceAsked.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'entry_name', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'report', [LoadReport, None], None, ),  # 2
+    (3, TType.STRING, 'request_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'service_name', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'prompt_tokens', None, None, ),  # 7
+    (8, TType.I32, 'shared_tokens', None, None, ),  # 8
+    (9, TType.I64, 'shared_key', None, None, ),  # 9
+    (10, TType.I32, 'remaining_ms', None, None, ),  # 10
+    (11, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 11
+    (12, TType.BOOL, 'local', None, None, ),  # 12
+)
+all_structs.append(PlaceGiven)
+PlaceGiven.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'kind', None, None, ),  # 1
+    (2, TType.STRING, 'source', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.DOUBLE, 'predicted_ms', None, None, ),  # 4
+    (5, TType.STRUCT, 'upstream', [UpstreamInfo, None], None, ),  # 5
+    (6, TType.BOOL, 'is_cold', None, None, ),  # 6
+    (7, TType.I32, 'unread_tokens', None, None, ),  # 7
+    (8, TType.BOOL, 'is_kept', None, None, ),  # 8
+    (9, TType.I64, 'waiting_tokens', None, None, ),  # 9
+    (10, TType.STRUCT, 'entry', [EntryInfo, None], None, ),  # 10
+    (11, TType.DOUBLE, 'retry_after_ms', None, None, ),  # 11
 )
 all_structs.append(KeptUpstreams)
 KeptUpstreams.thrift_spec = (
--- a/godwitshunt/registry/joined.py
+++ b/godwitshunt/registry/joined.py
@@ -5,7 +5,7 @@
 from math import floor
 
 from godwitshunt.registry.gen.wire import ttypes
-from godwitshunt.registry.records import EntryRecord, Load, UpstreamAnnounced
+from godwitshunt.registry.records import EntryRecord, UpstreamAnnounced
 from godwitshunt.registry.starts import EndedStart, EndedStarts
 from godwitshunt.registry.views import (
     ControlTable,
@@ -13,6 +13,7 @@
     RegistryView,
     UpstreamSeen,
 )
+from godwitshunt.registry.wire import MILLISECONDS, address_of
 
 # Incarnations that another upstream replaced are remembered for so long, above
 # the time for which a control VM still tells of them.
@@ -40,6 +41,14 @@
     period: int
 
 
+@dataclass(frozen=True)
+class TakenNews:
+    """Whose table news was of, and the starts of upstreams that it ended."""
+
+    control: str
+    gone: tuple[EndedStart, ...]
+
+
 @dataclass
 class JoinedTables:
     """The tables of all control VMs, joined into one view.
@@ -60,19 +69,50 @@
 
     def take(
         self,
-        control: str,
-        reply: ttypes.PollReply,
+        news: ttypes.TableNews,
         sent_s: float,
         now_s: float,
-    ) -> tuple[EndedStart, ...]:
-        """Take a control VM's reply; return the starts that it ends."""
+    ) -> TakenNews | None:
+        """Take news of a control VM's table, whoever tells it.
+
+        Parameters
+        ----------
+        sent_s : float
+            When whoever tells it was asked.
+
+        Returns
+        -------
+        TakenNews or None
+            None where it is not known whose table that is.
+        """
+        control = self.of_source(news.source)
+        if news.control is not None:
+            control = str(address_of(news.control))
+        if control is None:
+            return None
         table = self.tables.setdefault(control, ControlTable())
-        ended = table.take(reply, sent_s, now_s)
-        self.changes += has_news(reply)
+        asof_s = sent_s - news.age_ms / MILLISECONDS
+        ended = table.take(news, asof_s, now_s)
+        self.changes += has_news(news)
         for start in ended:
             if start.instance not in table.upstreams:
                 self.ends.note(self.named(start), now_s)
-        return ended
+        return TakenNews(control, ended)
+
+    def of_source(self, source: str) -> str | None:
+        """Return whose table a control process's is; None where not known."""
+        for control, table in self.tables.items():
+            if table.source == source:
+                return control
+        return None
+
+    def held(self) -> list[ttypes.TableHeld]:
+        """Return which versions of which tables are held."""
+        return [
+            ttypes.TableHeld(table.source, table.version, table.entries_version)
+            for table in self.tables.values()
+            if table.source
+        ]
 
     def named(self, start: EndedStart) -> EndedStart:
         """Return an end with the newest start that any control VM tells of.
@@ -90,19 +130,6 @@
         known = [born_ms for born_ms in told if born_ms is not None]
         return EndedStart(start.instance, max(known, default=None))
 
-    def nearest(self, now_s: float) -> str | None:
-        """Return the control VM that answers soonest; None before any did."""
-        fresh = [
-            control
-            for control, table in self.tables.items()
-            if table.is_fresh(now_s)
-        ]
-        return min(
-            fresh,
-            key=lambda control: self.tables[control].round_trip_s,
-            default=None,
-        )
-
     def leave(self, incarnation: str, now_s: float) -> None:
         """Note that another upstream answers at one's address."""
         self.replaced.setdefault(incarnation, now_s)
@@ -125,11 +152,13 @@
         if self.joined_of != of:
             self.joined = self.join(telling, now_s)
             self.joined_of = of
-        return replace(self.joined, loads=newest_loads(telling))
+        return self.joined
 
     def forget(self, now_s: float) -> None:
         """Drop what ended long ago."""
         self.ends.forget(now_s)
+        for table in self.tables.values():
+            table.forget(now_s)
         for incarnation, replaced_s in tuple(self.replaced.items()):
             if now_s - replaced_s > GONE_KEPT_S:
                 self.replaced.pop(incarnation)
@@ -139,7 +168,7 @@
         telling: list[ControlTable],
         now_s: float,
     ) -> RegistryView:
-        """Return the joined view without loads.
+        """Return the joined view, which tells no loads.
 
         With 50 upstreams and 88 entry VMs it takes 1.9 ms, ten times a second
         for an entry VM that serves ten requests in it; joined only when some
@@ -166,7 +195,7 @@
         joined: dict[str, Told] = {}
         for table in self.tables.values():
             for instance, heard_one in table.upstreams.items():
-                if self.is_over(heard_one.told, table, now_s):
+                if self.is_past(heard_one.told, table, now_s):
                     continue
                 seen = self.seen(heard_one, speaks=table in telling)
                 told = Told(seen, (table,))
@@ -174,7 +203,13 @@
                 joined[instance] = told if known is None else known.join(told)
         return {one.seen.told.incarnation: one.seen for one in joined.values()}
 
-    def is_over(
+    def is_over(self, told: UpstreamAnnounced, now_s: float) -> bool:
+        """Tell whether a start that some process tells of is over."""
+        if told.incarnation in self.replaced:
+            return True
+        return self.ends.covers(told.instance, told.born_ms, now_s)
+
+    def is_past(
         self,
         told: UpstreamAnnounced,
         table: ControlTable,
@@ -231,10 +266,10 @@
         )
 
 
-def has_news(reply: ttypes.PollReply) -> bool:
-    """Tell whether a reply changes more than loads."""
-    news = (reply.upstreams, reply.gone, reply.entries, reply.gone_entries)
-    return reply.whole or any(news)
+def has_news(news: ttypes.TableNews) -> bool:
+    """Tell whether news of a table tells more than its age."""
+    parts = (news.upstreams, news.gone, news.entries, news.gone_entries)
+    return news.whole or any(parts)
 
 
 def accepting_by_region(
@@ -268,17 +303,10 @@
     """Return every entry VM that a control VM hears."""
     joined: dict[str, EntryRecord] = {}
     for table in telling:
-        for name, entry in table.entries.items():
-            known = joined.get(name)
+        for entry in table.present():
+            known = joined.get(entry.name)
             # Two records of one VM differ for a moment only; one that says
             # that it drains is the later one.
             if known is None or not entry.accepting:
-                joined[name] = entry
+                joined[entry.name] = entry
     return joined
-
-
-def newest_loads(telling: list[ControlTable]) -> Mapping[str, Load]:
-    """Return the loads of the control VM that answered last."""
-    if not telling:
-        return {}
-    return max(telling, key=lambda table: table.answered_s).loads
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -52,6 +52,10 @@
   2: i32 in_flight
   /** Prompt tokens of requests that have shown no first event. */
   3: i64 pending_tokens
+  /** Milliseconds since the oldest of those was sent; absent for none. */
+  4: optional i32 waiting_ms
+  /** Milliseconds since bytes last came from it; absent for never. */
+  5: optional i32 heard_ms
 }
 
 /** Shared prompt parts that an upstream has read, and keeps for a while. */
@@ -64,41 +68,136 @@
   3: i64 age_ms
 }
 
-/** From an entry VM to every control VM, a few times a second. */
-struct Poll {
-  1: EntryInfo entry
-  /** The table that the entry VM holds, and its version; empty for none. */
-  2: string source
-  3: i64 version
+/** What an attempt showed of an upstream. */
+struct AttemptShown {
+  1: string instance
+  2: string service_name
+  /** A member of `Shown`. */
+  3: i32 shown
+  /** Milliseconds to the first sign of an answer; absent for none. */
+  4: optional double first_ms
+  5: double took_ms
+  /** What was expected when it was sent. */
+  6: double predicted_ms
+  7: i32 unread_tokens
+  /** True where the engine had other prompts to read, or was cold. */
+  8: bool was_held_up
+}
+
+/** An entry VM's own requests; one with a higher number takes its place. */
+struct LoadReport {
+  /** Rises with each report of the entry VM's process. */
+  1: i64 number
+  2: list<UpstreamLoad> loads
+  /** Drawn at each start of the entry VM's process. */
+  7: string session
+  /** The control process that gave places, and the last one that the loads
+      hold. */
+  3: string places_of
+  4: i64 places_taken
+  /** What attempts have shown since the last report to this control VM. */
+  5: list<AttemptShown> shown
+  /** What upstreams have read since then. */
+  6: list<PrefixInfo> prefixes
+}
+
+/** A control VM's table, as far as the one that asks holds it. */
+struct TableHeld {
+  1: string source
+  2: i64 version
   /** Version of the list of entry VMs in that table. */
-  5: i64 entries_version
-  /** The entry VM's own requests. */
-  4: list<UpstreamLoad> loads
+  3: i64 entries_version
+}
+
+/** From an entry VM or a control VM to a control VM, a few times a second. */
+struct Poll {
+  /** Absent where a control VM asks. */
+  1: optional EntryInfo entry
+  2: list<TableHeld> held
+  /** The entry VM's own requests; absent where it reports to another one. */
+  3: optional LoadReport report
   /** What the entry VM's requests have shown since the last poll. */
-  6: list<PrefixInfo> prefixes
+  4: list<PrefixInfo> prefixes
   /** Version of the held prefixes that it has heard of here; a negative one
-      asks for none, since another control VM tells of them. */
-  7: i64 prefixes_version
+      asks for none. */
+  5: i64 prefixes_version
+  /** True where the requests of others are asked for. */
+  6: bool wants_loads
 }
 
-struct PollReply {
+/** News of one control VM's table, from itself or from another one. */
+struct TableNews {
+  /** Where peers reach the control VM; told with a whole table. */
+  1: optional Endpoint control
   /** Drawn at each start of the control VM's process. */
-  1: string source
-  2: i64 version
-  /** True where the reply is the whole table and not what has changed. */
-  3: bool whole
-  4: list<UpstreamInfo> upstreams
+  2: string source
+  3: i64 version
+  /** True where this is the whole table and not what has changed. */
+  4: bool whole
+  /** Milliseconds since whoever tells this asked the control VM for it; 0
+      where it tells of itself. */
+  5: i64 age_ms
+  /** Where the control VM stands; told with a whole table. */
+  6: optional string region
+  7: list<UpstreamInfo> upstreams
   /** Starts that ended: they left or were replaced, and never come back. */
-  12: list<StartEnded> gone
-  6: list<EntryInfo> entries
+  8: list<StartEnded> gone
+  9: list<EntryInfo> entries
   /** Names of entry VMs that are not heard any more. */
-  7: list<string> gone_entries
-  /** Requests of all other entry VMs together. */
-  8: list<UpstreamLoad> loads
-  9: i64 entries_version
+  10: list<string> gone_entries
+  11: i64 entries_version
+}
+
+struct PollReply {
+  /** The control VM's process. */
+  6: string source
+  /** The control VM's own table, and what it knows of the others'. */
+  1: list<TableNews> tables
+  /** Requests at upstreams: to an entry VM, those of all others; to a control
+      VM, those of the entry VMs that report to this one. */
+  2: list<UpstreamLoad> loads
   /** Prefixes that were read after the version asked for. */
-  10: list<PrefixInfo> prefixes
-  11: i64 prefixes_version
+  3: list<PrefixInfo> prefixes
+  4: i64 prefixes_version
+  /** True where this control VM gives places to its region's entry VMs. */
+  5: bool gives_places
+}
+
+/** From an entry VM to its region's picker: a place for a request. */
+struct PlaceAsked {
+  1: string entry_name
+  2: LoadReport report
+  3: string request_id
+  /** Names the route. */
+  4: string host
+  5: string path_prefix
+  6: string service_name
+  7: i32 prompt_tokens
+  8: i32 shared_tokens
+  /** Names the shared parts; absent where there are none. */
+  9: optional i64 shared_key
+  10: i32 remaining_ms
+  /** Incarnations, VMs and regions that failed this request. */
+  11: list<string> excluded
+  /** True where it was handed over, and must be served in this region. */
+  12: bool local
+}
+
+/** Where a request goes: an upstream, an entry VM, or nowhere. */
+struct PlaceGiven {
+  /** A member of `GivenKind`. */
+  1: i32 kind
+  /** The picker's process, and the number of this place. */
+  2: string source
+  3: i64 number
+  4: double predicted_ms
+  5: optional UpstreamInfo upstream
+  6: bool is_cold
+  7: i32 unread_tokens
+  8: bool is_kept
+  9: i64 waiting_tokens
+  10: optional EntryInfo entry
+  11: double retry_after_ms
 }
 
 /** What a control VM keeps on its disk of upstreams. */
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -3,31 +3,34 @@
 import asyncio
 import secrets
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Self
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.exceptions import StorageError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.registry.control_tables import ControlTables
 from godwitshunt.registry.entries import EntryTable
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.kept_upstreams import KeptUpstreams
+from godwitshunt.registry.ledger import LoadLedger, Report, SummedLoads
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
 from godwitshunt.registry.records import EntryRecord, UpstreamAnnounced
+from godwitshunt.registry.relay import ControlPlace, own_news
 from godwitshunt.registry.table import (
     AnnounceOutcome,
     Taken,
     UpstreamEntry,
     UpstreamTable,
 )
+from godwitshunt.registry.views import RegistryView
 from godwitshunt.registry.wire import (
-    ends_to_wire,
     entry_from_wire,
-    entry_to_wire,
-    loads_from_wire,
     loads_to_wire,
     prefixes_from_wire,
     prefixes_to_wire,
-    upstream_to_wire,
+    report_from_wire,
 )
 from godwitshunt.settings import ControlSettings
 from godwitshunt.telemetry import Metrics, log_change
@@ -36,18 +39,23 @@
 TICK_S = 0.25
 SOURCE_BYTES = 8
 MILLISECONDS = 1000
+# Gets the entry VM's name, its report as it came, and what was read of it.
+ReportNotice = Callable[[str, ttypes.LoadReport, Report], None]
 
 
 class RegistryService:
     """Upstreams that announce themselves here, and entry VMs that poll.
 
-    Nothing passes between control VMs: every entry VM polls all of them and
-    joins what they say. So the news that an upstream leaves reaches every
-    entry VM that reaches the control VM which acknowledged it, whether the
-    control VMs hear each other or not.
+    Control VMs tell each other their tables, and an entry VM asks one for all
+    of them. Each table is told with its age; an entry VM that finds one too
+    old asks its control VM itself. So the news that an upstream leaves
+    reaches every entry VM that reaches the control VM which acknowledged it,
+    whether the control VMs hear each other or not.
 
     Parameters
     ----------
+    place : ControlPlace
+        Where this control VM stands, and which others there are.
     links : PeerLinks
         Carry the polls.
     timer : Timer
@@ -60,13 +68,16 @@
 
     def __init__(
         self,
+        place: ControlPlace,
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
         kept: KeptUpstreams | None = None,
     ) -> None:
+        self.place = place
         self.kept = kept
         self.written_version = 0
+        self.shown = (-1, -1)
         self.writing = asyncio.Lock()
         self.disk_fault = ''
         self.background = Background()
@@ -76,12 +87,21 @@
         self.source = secrets.token_hex(SOURCE_BYTES)
         self.upstreams = UpstreamTable()
         self.entries = EntryTable()
+        self.ledger = LoadLedger()
+        # What entry VMs told here, and that with what other control VMs were
+        # told. Only the first is told to those: a read that went back and
+        # forth would age by less than its way each time, and live for ever.
+        self.heard_prefixes = PrefixTable()
         self.prefixes = PrefixTable()
+        self.gives_places = False
+        self.report_notices: list[ReportNotice] = []
+        self.tables = ControlTables(place, self.prefixes, links, timer)
         self.subscription: Subscription | None = None
 
     @classmethod
     def from_config(
         cls,
+        place: ControlPlace,
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
@@ -91,7 +111,7 @@
         kept = None
         if settings.keeps_upstreams:
             kept = KeptUpstreams(settings.data_folder)
-        return cls(links, timer, metrics, kept)
+        return cls(place, links, timer, metrics, kept)
 
     def start(self) -> None:
         """Take up what is kept, and answer polls.
@@ -104,6 +124,7 @@
         self.restore()
         self.links.subscribe(MessageKind.registry_poll, self.on_poll)
         self.subscription = self.timer.every(TICK_S, self.tick)
+        self.tables.start()
 
     def restore(self) -> None:
         """Take up what this VM knew before its process ended."""
@@ -120,6 +141,7 @@
         """Watch over silences no more."""
         if self.subscription is not None:
             self.subscription.cancel()
+        await self.tables.close()
         await self.background.close()
 
     async def settle(self) -> bool:
@@ -212,7 +234,25 @@
     def accepting(self) -> tuple[EntryRecord, ...]:
         """Return the entry VMs that take requests of callers now."""
         self.tick()
-        return self.entries.accepting()
+        entries = self.view().entries.values()
+        return tuple(one for one in entries if one.accepting)
+
+    def view(self) -> RegistryView:
+        """Return what all control VMs together tell, with all requests.
+
+        The entry VMs that report here are counted to the millisecond, those
+        that report elsewhere as their control VM told last.
+        """
+        now_s = self.timer.now()
+        if self.shown != (self.upstreams.version, self.entries.version):
+            self.shown = (self.upstreams.version, self.entries.version)
+            self.tables.take_own(self.own_news(self.tables.held_own(), now_s))
+        loads = SummedLoads((self.ledger.totals, self.tables.loads(now_s)))
+        return replace(self.tables.view(), loads=loads)
+
+    def leave(self, incarnation: str) -> None:
+        """Note that an incarnation is no longer at its address."""
+        self.tables.leave(incarnation)
 
     def tick(self) -> None:
         """Note who has fallen silent."""
@@ -222,64 +262,127 @@
             self.written_version < self.upstreams.version
         ):
             self.background.run('keep', self.keep)
+        self.heard_prefixes.forget(now_s)
         self.prefixes.forget(now_s)
         for name in self.entries.tick(now_s):
+            self.ledger.forget(name)
             log_change('registry:entry_absent', entry=name)
+        for place in self.ledger.tick(now_s):
+            self.metrics.count('registry_places_expired_total')
+            log_change(
+                'registry:place_expired',
+                number=place.number,
+                instance=place.instance,
+            )
         self.metrics.gauge('registry_upstreams', len(self.upstreams.entries))
         self.metrics.gauge('registry_entries', len(self.entries.entries))
 
     async def on_poll(self, sender: str, body: bytes) -> bytes:
-        """Answer an entry VM with what is new to it."""
+        """Answer an entry VM, or a control VM, with what is new to it."""
         poll = decode(ttypes.Poll, body)
         self.hear(poll, self.timer.now())
-        self.metrics.count('registry_polls_total')
-        return encode(self.reply(poll.entry.name, poll))
+        self.metrics.count(
+            'registry_polls_total',
+            role='control' if poll.entry is None else 'entry',
+        )
+        return encode(self.reply(poll))
 
     def hear(self, poll: ttypes.Poll, now_s: float) -> None:
         """Take what an entry VM tells."""
+        if poll.entry is None:
+            return
         record = entry_from_wire(poll.entry)
         if record.name not in self.entries.entries:
             log_change('registry:entry_heard', entry=record.name)
-        self.entries.hear(record, loads_from_wire(poll.loads), now_s)
-        self.prefixes.take(prefixes_from_wire(poll.prefixes, now_s))
+        self.entries.hear(record, now_s)
+        self.take_prefixes(poll.prefixes, now_s)
+        if poll.report is None:
+            self.ledger.forget(record.name)
+        else:
+            self.take_report(record.name, poll.report)
 
-    def reply(self, name: str, poll: ttypes.Poll) -> ttypes.PollReply:
-        """Return what is newer than what an entry VM holds."""
+    def take_report(self, name: str, report: ttypes.LoadReport) -> bool:
+        """Take an entry VM's requests; False where later ones are known."""
         now_s = self.timer.now()
-        upstreams = self.upstreams
-        whole = poll.source != self.source
-        known = 0 if whole else poll.version
-        known_entries = 0 if whole else poll.entries_version
+        self.take_prefixes(report.prefixes, now_s)
+        read = report_from_wire(report, self.source, now_s)
+        if not self.ledger.report(name, read):
+            return False
+        for notice in self.report_notices:
+            notice(name, report, read)
+        return True
+
+    def subscribe(self, notice: ReportNotice) -> None:
+        """Tell of each report that is taken from now on."""
+        self.report_notices.append(notice)
+
+    def take_prefixes(
+        self,
+        told: list[ttypes.PrefixInfo] | None,
+        now_s: float,
+    ) -> None:
+        """Take what an entry VM's requests have shown of kept prompts."""
+        for read in prefixes_from_wire(told, now_s):
+            self.heard_prefixes.note(read)
+            self.prefixes.note(read)
+
+    def reply(self, poll: ttypes.Poll) -> ttypes.PollReply:
+        """Return what is newer than what whoever asks holds."""
+        now_s = self.timer.now()
+        held = {one.source: one for one in poll.held or ()}
+        prefixes = self.prefixes
+        if poll.entry is None:
+            prefixes = self.heard_prefixes
         return ttypes.PollReply(
             source=self.source,
-            version=upstreams.version,
-            whole=whole,
-            upstreams=[
-                upstream_to_wire(each, now_s)
-                for each in upstreams.changed_since(known)
-            ],
-            gone=ends_to_wire(upstreams.gone_since(known)),
-            entries=[
-                entry_to_wire(each)
-                for each in self.entries.changed_since(known_entries)
+            tables=[
+                self.own_news(held.get(self.source), now_s),
+                *self.tables.news(held, now_s),
             ],
-            gone_entries=list(self.entries.gone_since(known_entries)),
-            loads=loads_to_wire(self.entries.loads_without(name)),
-            entries_version=self.entries.version,
+            loads=self.loads_for(poll, now_s),
             prefixes=prefixes_to_wire(
-                self.prefixes_after(poll.prefixes_version, whole=whole),
+                prefixes_after(prefixes, poll.prefixes_version),
                 now_s,
             ),
-            prefixes_version=self.prefixes.version,
+            prefixes_version=prefixes.version,
+            gives_places=self.gives_places,
         )
 
-    def prefixes_after(
+    def own_news(
         self,
-        version: int | None,
-        *,
-        whole: bool,
-    ) -> tuple[PrefixRead, ...]:
-        """Return what was read after a version; nothing where not asked."""
-        if version is None or version < 0:
-            return ()
-        return self.prefixes.since(0 if whole else version)
+        held: ttypes.TableHeld | None,
+        now_s: float,
+    ) -> ttypes.TableNews:
+        """Return what is new in this control VM's own table."""
+        return own_news(
+            self.source,
+            self.place,
+            self.upstreams,
+            self.entries,
+            held,
+            now_s,
+        )
+
+    def loads_for(
+        self,
+        poll: ttypes.Poll,
+        now_s: float,
+    ) -> list[ttypes.UpstreamLoad] | None:
+        """Return requests at upstreams; None where they are not asked for."""
+        if not poll.wants_loads:
+            return None
+        if poll.entry is None:
+            return loads_to_wire(self.ledger.totals.items())
+        mine = dict(self.ledger.totals_without(poll.entry.name))
+        summed = SummedLoads((mine, self.tables.loads(now_s)))
+        return loads_to_wire(summed.items())
+
+
+def prefixes_after(
+    prefixes: PrefixTable,
+    version: int | None,
+) -> tuple[PrefixRead, ...]:
+    """Return what was read after a version; nothing where not asked."""
+    if version is None or version < 0:
+        return ()
+    return prefixes.since(version)
--- a/godwitshunt/registry/tests/test_after_the_dark.py
+++ b/godwitshunt/registry/tests/test_after_the_dark.py
@@ -10,11 +10,12 @@
 from godwitshunt.registry.kept_upstreams import FILE_NAME, KeptUpstreams
 from godwitshunt.registry.service import RegistryService
 from godwitshunt.registry.table import Stale, Taken
-from godwitshunt.registry.tests.test_prefixes import Clock
+from godwitshunt.registry.tests.deployment import place
 from godwitshunt.registry.tests.test_table import announced
-from godwitshunt.registry.tests.test_views import REGIONS, reply
+from godwitshunt.registry.tests.test_views import REGIONS, news
 from godwitshunt.storage import KeptFile, KeptRecord
 from godwitshunt.telemetry import Metrics
+from godwitshunt.timer import VirtualTimerService
 
 BORN = 1_790_000_000_000
 
@@ -22,7 +23,8 @@
 def started(folder) -> RegistryService:
     """Return a control VM's registry that has just started."""
     kept = KeptUpstreams(folder)
-    service = RegistryService(None, Clock(), Metrics(), kept)
+    timer = VirtualTimerService()
+    service = RegistryService(place(), None, timer, Metrics(), kept)
     service.restore()
     return service
 
@@ -62,7 +64,7 @@
     assert after.upstreams.entries['i-1'].told.draining
     assert after.announce(announced('i-2', 9, port=81)) == Stale()
     joined = JoinedTables(REGIONS)
-    joined.take('c-1', reply(after.upstreams, 0), 0, 0)
+    joined.take(news(after.upstreams, 0), 0, 0)
     assert list(joined.view(0).upstreams) == ['i-1']
 
 
@@ -74,8 +76,8 @@
     one.withdraw('i-1')
     after_one, after_other = await restarted(one), await restarted(other)
     joined = JoinedTables(REGIONS)
-    joined.take('c-2', reply(after_other.upstreams, 0, source='c-2'), 0, 0)
-    joined.take('c-1', reply(after_one.upstreams, 0), 0, 0)
+    joined.take(news(after_other.upstreams, 0, source='c-2'), 0, 0)
+    joined.take(news(after_one.upstreams, 0), 0, 0)
     assert joined.view(0).upstreams == {}
 
 
--- a/godwitshunt/registry/tests/test_starts.py
+++ b/godwitshunt/registry/tests/test_starts.py
@@ -15,7 +15,7 @@
     UpstreamTable,
 )
 from godwitshunt.registry.tests.test_table import announced
-from godwitshunt.registry.tests.test_views import REGIONS, reply
+from godwitshunt.registry.tests.test_views import REGIONS, news
 
 FIRST, SECOND, THIRD = 1_000_000, 1_000_700, 1_001_200
 
@@ -38,8 +38,8 @@
         """Return the upstreams that the entry VM believes in."""
         for control, table in self.tables.items():
             table.tick(now_s)
-            message = reply(table, now_s, source=control)
-            self.joined.take(control, message, now_s, now_s)
+            told_now = news(table, now_s, source=control)
+            self.joined.take(told_now, now_s, now_s)
         seen = self.joined.view(now_s).upstreams
         return {name: one.told for name, one in seen.items()}
 
--- a/godwitshunt/registry/tests/test_views.py
+++ b/godwitshunt/registry/tests/test_views.py
@@ -3,7 +3,7 @@
 from godwitshunt.registry.entries import ABSENT_AFTER_S, EntryTable
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.joined import JoinedTables
-from godwitshunt.registry.records import EntryRecord, Load
+from godwitshunt.registry.records import EntryRecord
 from godwitshunt.registry.table import UpstreamTable
 from godwitshunt.registry.tests.test_table import announced
 from godwitshunt.registry.views import FRESH_S
@@ -23,19 +23,21 @@
     return EntryRecord(name, 's', 'kochi', 'a', address, address, accepting)
 
 
-def reply(table, now_s, source='c-1', entries=(), whole=True):
-    """Return a control VM's whole table as a reply."""
-    return ttypes.PollReply(
+def news(table, now_s, source='c-1', entries=(), whole=True):
+    """Return a control VM's whole table as it tells it itself."""
+    return ttypes.TableNews(
+        control=ttypes.Endpoint(source, 1),
         source=source,
         version=table.version,
         whole=whole,
+        age_ms=0,
+        region='kochi',
         upstreams=[
             upstream_to_wire(one, now_s) for one in table.entries.values()
         ],
         gone=ends_to_wire(table.gone_since(0)),
         entries=[entry_to_wire(one) for one in entries],
         gone_entries=[],
-        loads=[],
         entries_version=0,
     )
 
@@ -49,8 +51,8 @@
     old.announce(announced(sequence=5), 0)
     new.announce(announced(sequence=4, draining=True), 0)
     joined = JoinedTables(REGIONS)
-    joined.take('c-1', reply(old, 0), 0, 0)
-    joined.take('c-2', reply(new, 0, source='c-2'), 0, 0)
+    joined.take(news(old, 0), 0, 0)
+    joined.take(news(new, 0, source='c-2'), 0, 0)
     assert joined.view(0).upstreams['i-1'].told.draining
 
 
@@ -60,8 +62,8 @@
     stays.announce(announced(sequence=1), 0)
     left.withdraw('i-1', 0)
     joined = JoinedTables(REGIONS)
-    joined.take('c-2', reply(left, 0, source='c-2'), 0, 0)
-    joined.take('c-1', reply(stays, 0), 0, 0)
+    joined.take(news(left, 0, source='c-2'), 0, 0)
+    joined.take(news(stays, 0), 0, 0)
     assert joined.view(0).upstreams == {}
 
 
@@ -72,9 +74,9 @@
     quiet.tick(5)
     hearing.announce(announced(sequence=5), 5)
     joined = JoinedTables(REGIONS)
-    joined.take('c-1', reply(quiet, 5), 5, 5)
+    joined.take(news(quiet, 5), 5, 5)
     assert joined.view(5).upstreams['i-1'].silent
-    joined.take('c-2', reply(hearing, 5, source='c-2'), 5, 5)
+    joined.take(news(hearing, 5, source='c-2'), 5, 5)
     assert not joined.view(5).upstreams['i-1'].silent
 
 
@@ -83,7 +85,7 @@
     table = UpstreamTable()
     table.announce(announced(), 0)
     joined = JoinedTables(REGIONS)
-    joined.take('c-1', reply(table, 0, entries=(entry(),)), 0, 0)
+    joined.take(news(table, 0, entries=(entry(),)), 0, 0)
     view = joined.view(FRESH_S + 10)
     assert not view.upstreams['i-1'].silent
     assert 'e-1' in view.entries
@@ -94,40 +96,26 @@
     table = UpstreamTable()
     table.announce(announced(), 0)
     joined = JoinedTables(REGIONS)
-    joined.take('c-1', reply(table, 0), 0, 0)
+    joined.take(news(table, 0), 0, 0)
     joined.leave('i-1', 1)
-    joined.take('c-1', reply(table, 1), 1, 1)
+    joined.take(news(table, 1), 1, 1)
     assert joined.view(1).upstreams == {}
 
 
-def test_loads_add_up_and_leave_out_who_asks():
-    """Each entry VM knows its own requests better than control does."""
-    table = EntryTable()
-    table.hear(entry('e-1'), {'i-1': Load(2, 30)}, 0)
-    table.hear(entry('e-2'), {'i-1': Load(1, 10), 'i-2': Load(4, 0)}, 0)
-    assert dict(table.loads_without('e-1')) == {
-        'i-1': Load(1, 10),
-        'i-2': Load(4, 0),
-    }
-    table.hear(entry('e-2'), {}, 0.5)
-    assert dict(table.loads_without('e-1')) == {}
-
-
 def test_silent_entry_vm_leaves_the_directory():
     """An entry VM loses power; callers sent there would hang."""
     table = EntryTable()
-    table.hear(entry('e-1'), {'i-1': Load(2, 30)}, 0)
+    table.hear(entry('e-1'), 0)
     assert table.accepting() == (entry('e-1'),)
     known = table.version
     assert table.tick(ABSENT_AFTER_S + 0.1) == ('e-1',)
     assert table.accepting() == ()
     assert table.gone_since(known) == ('e-1',)
-    assert table.totals == {}
 
 
 def test_draining_entry_vm_is_not_named():
     """A VM that was told to stop must get no new callers."""
     table = EntryTable()
-    table.hear(entry('e-1'), {}, 0)
-    table.hear(entry('e-1', accepting=False), {}, 0.3)
+    table.hear(entry('e-1'), 0)
+    table.hear(entry('e-1', accepting=False), 0.3)
     assert table.accepting() == ()
--- a/godwitshunt/registry/views.py
+++ b/godwitshunt/registry/views.py
@@ -1,18 +1,24 @@
 """What an entry VM hears of control VMs, and what it makes of that; pure."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
-from math import inf
 
 from godwitshunt.registry.gen.wire import ttypes
-from godwitshunt.registry.records import EntryRecord, Load, UpstreamAnnounced
-from godwitshunt.registry.starts import EndedStart
+from godwitshunt.registry.records import (
+    EntryRecord,
+    Load,
+    UpstreamAnnounced,
+    incarnation_name,
+)
+from godwitshunt.registry.starts import TOMBSTONE_S, EndedStart
+from godwitshunt.registry.table import GoneStart
 from godwitshunt.registry.wire import (
+    address_of,
     ends_from_wire,
     entry_from_wire,
-    loads_from_wire,
     upstream_from_wire,
 )
+from godwitshunt.settings import Address
 
 # A control VM that has not answered for so long says nothing about who is
 # alive; what it said of those who leave still holds.
@@ -22,96 +28,157 @@
 
 @dataclass
 class HeardUpstream:
-    """One incarnation as one control VM tells of it."""
+    """One incarnation as one control VM tells of it.
+
+    Parameters
+    ----------
+    version : int
+        Of the control VM's table, when this was told.
+    """
 
     told: UpstreamAnnounced
     cold_until_s: float
     ends_at_s: float | None
     silent: bool
+    version: int = 0
+
+
+@dataclass
+class HeardEntry:
+    """An entry VM as one control VM tells of it; None for one that left."""
+
+    record: EntryRecord | None
+    version: int
 
 
 @dataclass
 class ControlTable:
-    """The table of one control VM, as last heard.
+    """The table of one control VM, as it told it or another one did.
+
+    Each part keeps the version of the news that it came with. That is never
+    lower than the version in which it changed; so whoever asks for what is
+    newer than a version is told of it, perhaps once more than needed.
 
     Parameters
     ----------
     source : str
-        The control VM's process; empty before the first reply.
+        The control VM's process; empty before the first news.
+    control : Address or None
+        Where peers reach it.
+    region : str
+        Where it stands.
     version, entries_version : int
         What to ask changes after.
     answered_s : float
-        When the last poll that was answered was *sent*, so that what the
-        control VM acknowledged before then is known here.
-    round_trip_s : float
-        What its last answer took.
-    prefixes_version : int
-        What to ask held prefixes after.
-    prefixes_told : int
-        Version of this VM's own reads that the control VM has been told.
+        The table is at least as new as this: when the poll that brought it
+        was *sent*, less the age that the teller gave it.
     upstreams : dict
         The start of each upstream that it tells of, by the upstream's name.
+    gone : dict
+        Starts that it told the end of, by incarnation.
     ended : dict
-        When the newest start that it told the end of was born, likewise; None
-        where it does not know.
+        When the newest start that it told the end of was born, by the
+        upstream's name; None where it does not know.
+    entries : dict
+        Entry VMs by name, those that left among them.
     """
 
     source: str = ''
+    control: Address | None = None
+    region: str = ''
     version: int = 0
     entries_version: int = 0
     answered_s: float = NEVER_S
-    round_trip_s: float = inf
-    prefixes_version: int = 0
-    prefixes_told: int = 0
     upstreams: dict[str, HeardUpstream] = field(default_factory=dict)
+    gone: dict[str, GoneStart] = field(default_factory=dict)
     ended: dict[str, int | None] = field(default_factory=dict)
-    entries: dict[str, EntryRecord] = field(default_factory=dict)
-    loads: Mapping[str, Load] = field(default_factory=dict)
+    entries: dict[str, HeardEntry] = field(default_factory=dict)
 
     def take(
         self,
-        reply: ttypes.PollReply,
-        sent_s: float,
+        news: ttypes.TableNews,
+        asof_s: float,
         now_s: float,
     ) -> tuple[EndedStart, ...]:
-        """Take a reply; return the starts that ended."""
-        if reply.whole:
-            self.upstreams.clear()
-            self.ended.clear()
-            self.entries.clear()
-            self.prefixes_version = 0
-            self.prefixes_told = 0
-        self.source = reply.source
-        self.version = reply.version
-        self.entries_version = reply.entries_version
-        self.answered_s = sent_s
-        self.round_trip_s = now_s - sent_s
-        gone = ends_from_wire(reply.gone)
+        """Take news; return the starts that ended.
+
+        News comes by several ways, and may be older than what is known.
+        """
+        if self.is_past(news, asof_s):
+            return ()
+        if news.whole:
+            self.begin_anew(news)
+        self.answered_s = max(self.answered_s, asof_s)
+        if news.version < self.version:
+            return ()
+        self.version = news.version
+        gone = ends_from_wire(news.gone)
         for start in gone:
-            self.end(start)
-        for info in reply.upstreams or ():
+            self.end(start, now_s)
+        for info in news.upstreams or ():
             told = upstream_from_wire(info)
             self.upstreams[told.instance] = heard(
                 told,
                 now_s,
                 silent=bool(info.silent),
+                version=news.version,
             )
-        for name in reply.gone_entries or ():
-            self.entries.pop(name, None)
-        for entry in map(entry_from_wire, reply.entries or ()):
-            self.entries[entry.name] = entry
-        self.loads = loads_from_wire(reply.loads)
+        self.take_entries(news)
         return gone
 
-    def end(self, start: EndedStart) -> None:
+    def is_past(self, news: ttypes.TableNews, asof_s: float) -> bool:
+        """Tell whether news is of a process that another one has followed.
+
+        News of a process that is not known is of use only where it is the
+        whole table, and newer than what is held.
+        """
+        if news.source == self.source:
+            return False
+        return not news.whole or asof_s <= self.answered_s
+
+    def begin_anew(self, news: ttypes.TableNews) -> None:
+        """Forget what the process before told."""
+        if news.source == self.source and news.version < self.version:
+            return
+        self.upstreams.clear()
+        self.gone.clear()
+        self.ended.clear()
+        self.entries.clear()
+        self.source = news.source
+        self.region = news.region or ''
+        if news.control is not None:
+            self.control = address_of(news.control)
+        self.version = 0
+        self.entries_version = 0
+
+    def take_entries(self, news: ttypes.TableNews) -> None:
+        """Take what is told of entry VMs."""
+        version = news.entries_version
+        if version < self.entries_version:
+            return
+        self.entries_version = version
+        for name in news.gone_entries or ():
+            self.entries[name] = HeardEntry(None, version)
+        for entry in map(entry_from_wire, news.entries or ()):
+            self.entries[entry.name] = HeardEntry(entry, version)
+
+    def end(self, start: EndedStart, now_s: float) -> None:
         """Take the end of a start; a later one of the upstream stays."""
         known = self.upstreams.get(start.instance)
         if known is not None and known.told.born_ms == start.born_ms:
             self.upstreams.pop(start.instance)
+        name = incarnation_name(start.instance, start.born_ms)
+        self.gone[name] = GoneStart(start, self.version, now_s)
         ended_ms = self.ended.get(start.instance)
         if ended_ms is None or (start.born_ms or 0) > ended_ms:
             self.ended[start.instance] = start.born_ms
 
+    def forget(self, now_s: float) -> None:
+        """Drop ends of long ago; nobody holds a table that old."""
+        for name, gone in tuple(self.gone.items()):
+            if now_s - gone.gone_s > TOMBSTONE_S:
+                self.gone.pop(name)
+
     def has_judged(self, instance: str, born_ms: int | None) -> bool:
         """Tell whether the control VM itself knows that a start is over.
 
@@ -124,19 +191,27 @@
         return born_ms is None or (ended_ms is not None and ended_ms >= born_ms)
 
     def is_fresh(self, now_s: float) -> bool:
-        """Tell whether the control VM has answered of late."""
+        """Tell whether the table is as of late."""
         return now_s - self.answered_s <= FRESH_S
 
+    def present(self) -> Iterator[EntryRecord]:
+        """Give the entry VMs that it hears."""
+        for entry in self.entries.values():
+            if entry.record is not None:
+                yield entry.record
+
 
 def heard(
     told: UpstreamAnnounced,
     now_s: float,
     *,
     silent: bool,
+    version: int = 0,
 ) -> HeardUpstream:
     """Return an incarnation with its durations as points in time."""
     ends_at_s = None if told.ends_in_s is None else now_s + told.ends_in_s
-    return HeardUpstream(told, now_s + told.cold_s, ends_at_s, silent)
+    cold_until_s = now_s + told.cold_s
+    return HeardUpstream(told, cold_until_s, ends_at_s, silent, version)
 
 
 @dataclass(frozen=True)
