--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -1,26 +1,29 @@
-"""The entry side: polls every control VM and keeps one joined view."""
+"""The entry side: asks control VMs and keeps one joined view."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
+from math import inf
 
 from result import Err
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.registry.contacts import Contacts, KnownControl
 from godwitshunt.registry.gen.wire import ttypes
-from godwitshunt.registry.joined import JoinedTables
+from godwitshunt.registry.joined import JoinedTables, TakenNews
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
 from godwitshunt.registry.records import (
     EntryRecord,
     Load,
+    UpstreamAnnounced,
     incarnation_name,
 )
-from godwitshunt.registry.starts import EndedStart
-from godwitshunt.registry.views import ControlTable, RegistryView
+from godwitshunt.registry.views import RegistryView
 from godwitshunt.registry.wire import (
+    MILLISECONDS,
     entry_to_wire,
-    loads_to_wire,
+    loads_from_wire,
     prefixes_from_wire,
     prefixes_to_wire,
 )
@@ -28,44 +31,50 @@
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Subscription, Timer
 
-# An upstream that leaves must get nothing 3 s after any control VM has
-# acknowledged it, so the news has to be here well before.
+# A VM without a picker chooses on what it has heard, so it asks often.
 POLL_PERIOD_S = 0.35
-# Where entry VMs are many, each asks less often, so that a control VM answers
-# about so many polls a second; never less often than this, for the same bound.
-POLLS_A_SECOND = 125
-LONGEST_PERIOD_S = 0.7
+# With one, what is asked for is who leaves and which VMs there are: see
+# `contacts.STALE_AFTER_S` for the bound that this must keep.
+CALM_PERIOD_S = 0.7
+# Whether a control VM is due is looked at so often.
+TICK_S = 0.1
 POLL_TIMEOUT_S = 0.8
 # A control VM that has not answered yet is asked again so soon: without any
 # table a VM that has just started can serve nobody.
 FIRST_RETRY_S = 0.1
 # After the start of all VMs each of them hears of the others by and by: for so
-# long the nearest control VM is asked this often, and a request that finds no
+# long the first control VM is asked this often, and a request that finds no
 # upstream may wait for the next answer.
 YOUNG_S = 2.0
 YOUNG_PERIOD_S = 0.12
 # A view is joined anew at most so often; its parts change with every reply.
 VIEW_KEPT_S = 0.1
-# Held prefixes are asked of the nearest control VM alone: every one hears of
-# all, and their bytes between regions would be paid several times.
 NOT_ASKED = -1
-# Timers fire a little early or late.
-PERIOD_MARGIN_S = 0.1
+# Other VMs' requests that were told longer ago than this say nothing.
+LOADS_KEPT_S = 3.0
 
 
 @dataclass(frozen=True)
 class OwnState:
-    """What this VM tells with each poll."""
+    """What this VM tells with each poll.
+
+    Parameters
+    ----------
+    report : callable
+        Returns its requests at upstreams, as a struct, for a control process.
+    """
 
     record: EntryRecord
-    loads: Mapping[str, Load]
+    report: Callable[[str], ttypes.LoadReport]
 
 
 class RegistryWatch:
-    """Polls control VMs and tells what upstreams and entry VMs there are.
+    """Asks control VMs what upstreams and entry VMs there are.
 
     Parameters
     ----------
+    region : str
+        Where this VM stands.
     regions : mapping
         Region of each failure domain.
     control : callable
@@ -82,6 +91,7 @@
 
     def __init__(
         self,
+        region: str,
         regions: Mapping[str, str],
         control: Callable[[], tuple[Address, ...]],
         own: Callable[[], OwnState],
@@ -89,28 +99,30 @@
         timer: Timer,
         metrics: Metrics,
     ) -> None:
+        self.region = region
         self.control = control
         self.own = own
         self.links = links
         self.timer = timer
         self.metrics = metrics
         self.joined = JoinedTables(regions)
+        self.contacts = Contacts()
         self.own_prefixes = PrefixTable()
         self.prefixes = PrefixTable()
+        self.loads: Mapping[str, Load] = {}
+        self.loads_s = float('-inf')
         self.background = Background()
         self.subscription: Subscription | None = None
-        self.young: Subscription | None = None
         self.started_s = float('-inf')
         self.cached = RegistryView()
         self.cached_s = float('-inf')
-        self.polled_s = float('-inf')
         self.lost: set[str] = set()
+        self.told_picker: str | None = None
 
     def start(self) -> None:
         """Begin to poll."""
         self.started_s = self.timer.now()
-        self.subscription = self.timer.every(POLL_PERIOD_S, self.tick)
-        self.young = self.timer.every(YOUNG_PERIOD_S, self.poll_nearest)
+        self.subscription = self.timer.every(TICK_S, self.tick)
         self.poll_all()
 
     async def close(self) -> None:
@@ -118,7 +130,6 @@
         if self.subscription is not None:
             self.subscription.cancel()
             self.subscription = None
-            self.young.cancel()
         await self.background.close()
 
     def view(self) -> RegistryView:
@@ -129,7 +140,7 @@
         return self.cached
 
     def age_s(self) -> float:
-        """Return the age of the newest answer of a control VM, in seconds."""
+        """Return the age of the newest table of a control VM, in seconds."""
         answered_s = max(
             (table.answered_s for table in self.joined.tables.values()),
             default=float('-inf'),
@@ -144,7 +155,9 @@
 
     def refresh(self, now_s: float) -> None:
         """Join the tables anew."""
-        self.cached = self.joined.view(now_s)
+        is_late = now_s - self.loads_s > LOADS_KEPT_S
+        loads = {} if is_late else self.loads
+        self.cached = replace(self.joined.view(now_s), loads=loads)
         self.cached_s = now_s
 
     def leave(self, incarnation: str) -> None:
@@ -154,44 +167,81 @@
         self.refresh(now_s)
         log_change('registry:instance_replaced', instance=incarnation)
 
+    def is_over(self, told: UpstreamAnnounced) -> bool:
+        """Tell whether this VM knows that a start of an upstream is over."""
+        return self.joined.is_over(told, self.timer.now())
+
+    def known_control(self) -> list[KnownControl]:
+        """Return the control VMs that may be asked."""
+        known = []
+        for address in self.control():
+            table = self.joined.tables.get(str(address))
+            is_here = table is not None and table.region == self.region
+            asof_s = float('-inf') if table is None else table.answered_s
+            known.append(KnownControl(str(address), is_here, asof_s))
+        return known
+
+    def picker(self) -> Address | None:
+        """Return the control VM that gives places here; None for none."""
+        name = self.contacts.picker(self.known_control(), self.timer.now())
+        if name != self.told_picker:
+            log_change('registry:picker', now=name, before=self.told_picker)
+            self.told_picker = name
+        return None if name is None else self.address_of(name)
+
+    def has_control_here(self) -> bool:
+        """Tell whether this VM's region is known to have a control VM."""
+        tables = self.joined.tables.values()
+        return any(table.region == self.region for table in tables)
+
+    def round_trips(self) -> dict[str, float]:
+        """Return the seconds to each region and back, as far as known."""
+        found: dict[str, float] = {}
+        for control, table in self.joined.tables.items():
+            took_s = self.contacts.of(control).round_trip_s
+            if table.region and took_s < found.get(table.region, inf):
+                found[table.region] = took_s
+        return found
+
+    def address_of(self, name: str) -> Address | None:
+        """Return a control VM's address."""
+        for address in self.control():
+            if str(address) == name:
+                return address
+        return None
+
     def tick(self) -> None:
-        """Ask again where it is time; forget what upstreams hold no more."""
+        """Ask where it is time; forget what upstreams hold no more."""
         now_s = self.timer.now()
         self.own_prefixes.forget(now_s)
         self.prefixes.forget(now_s)
-        if now_s - self.polled_s >= self.period_s() - PERIOD_MARGIN_S:
-            self.poll_all()
+        due = self.contacts.to_ask(self.known_control(), now_s, self.period_s())
+        for address in self.control():
+            if str(address) in due:
+                self.begin(address)
 
     @property
     def is_young(self) -> bool:
         """True for a while after the start, as long as news is still coming."""
         return self.timer.now() - self.started_s < YOUNG_S
 
-    def poll_nearest(self) -> None:
-        """Ask the nearest control VM, while this VM is young."""
-        if not self.is_young:
-            self.young.cancel()
-            return
-        nearest = self.joined.nearest(self.timer.now())
-        for address in self.control():
-            if str(address) == nearest:
-                self.begin(address)
-
     def poll_all(self) -> None:
         """Ask every control VM that is not being asked."""
-        self.polled_s = self.timer.now()
         for address in self.control():
             self.begin(address)
 
     def period_s(self) -> float:
-        """Return how often control VMs are asked."""
-        wanted_s = len(self.cached.entries) / POLLS_A_SECOND
-        return min(LONGEST_PERIOD_S, max(POLL_PERIOD_S, wanted_s))
+        """Return how often the first control VM is asked."""
+        if self.is_young:
+            return YOUNG_PERIOD_S
+        return POLL_PERIOD_S if self.told_picker is None else CALM_PERIOD_S
 
     async def poll(self, address: Address) -> None:
         """Ask one control VM for what is new."""
         control = str(address)
         sent_s = self.timer.now()
+        contact = self.contacts.of(control)
+        contact.asked_s = sent_s
         told = self.own_prefixes.version
         reply = await self.links.call(
             address,
@@ -204,16 +254,13 @@
             self.retry_first(address)
             return
         self.note_back(control)
-        now_s = self.timer.now()
         message = decode(ttypes.PollReply, reply.ok_value)
-        self.take(control, message, sent_s, now_s)
-        self.take_prefixes(control, message, told, now_s)
+        self.take(control, message, sent_s, told)
 
     def retry_first(self, address: Address) -> None:
         """Ask a control VM that never answered again, soon."""
-        if self.subscription is not None and (
-            str(address) not in self.joined.tables
-        ):
+        never = not self.contacts.of(str(address)).source
+        if never and self.is_young and self.subscription is not None:
             self.timer.after(FIRST_RETRY_S, partial(self.begin, address))
 
     def begin(self, address: Address) -> None:
@@ -221,21 +268,27 @@
         self.background.run(str(address), partial(self.poll, address))
 
     def message_to(self, control: str, now_s: float) -> ttypes.Poll:
-        """Return what one control VM is told and asked."""
-        table = self.joined.tables.get(control, ControlTable())
+        """Return what one control VM is told and asked.
+
+        The one that gives places here knows where prompts are kept and what
+        others send; a VM that chooses by itself must know it, too.
+        """
+        contact = self.contacts.of(control)
         own = self.own()
-        asks = control == self.joined.nearest(now_s)
+        known = self.known_control()
+        is_first = control == self.contacts.first(known, now_s)
+        chooses = self.contacts.picker(known, now_s) is None
+        asks = is_first and chooses
         return ttypes.Poll(
             entry=entry_to_wire(own.record),
-            source=table.source,
-            version=table.version,
-            entries_version=table.entries_version,
-            loads=loads_to_wire(own.loads.items()),
+            held=self.joined.held(),
+            report=own.report(contact.source) if is_first else None,
             prefixes=prefixes_to_wire(
-                self.own_prefixes.since(table.prefixes_told),
+                self.own_prefixes.since(contact.prefixes_told),
                 now_s,
             ),
-            prefixes_version=table.prefixes_version if asks else NOT_ASKED,
+            prefixes_version=contact.prefixes_version if asks else NOT_ASKED,
+            wants_loads=asks,
         )
 
     def take(
@@ -243,57 +296,78 @@
         control: str,
         message: ttypes.PollReply,
         sent_s: float,
-        now_s: float,
-    ) -> None:
-        """Take what a control VM tells of upstreams and entry VMs."""
-        gone = self.joined.take(control, message, sent_s, now_s)
-        if gone or message.upstreams or message.gone_entries:
-            self.refresh(now_s)
-            self.log_news(control, message, gone)
-
-    def take_prefixes(
-        self,
-        control: str,
-        message: ttypes.PollReply,
         told: int,
-        now_s: float,
     ) -> None:
-        """Take what a control VM tells of prefixes that upstreams hold.
+        """Take what a control VM tells.
 
-        One that has just started was told only what was new to the one
+        A process that has just started was told only what was new to the one
         before it; it is told all again with the next poll.
+
+        Parameters
+        ----------
+        told : int
+            Version of this VM's own reads that the poll held.
         """
-        table = self.joined.tables[control]
-        if not message.whole:
-            table.prefixes_told = told
+        now_s = self.timer.now()
+        for news in message.tables or ():
+            self.take_table(control, news, sent_s, now_s)
+        contact = self.contacts.of(control)
+        is_known = message.source == contact.source
+        contact.answer(message.source, sent_s, now_s)
+        contact.gives_places = bool(message.gives_places)
         self.prefixes.take(prefixes_from_wire(message.prefixes, now_s))
-        if message.prefixes:
-            table.prefixes_version = message.prefixes_version
+        if is_known:
+            contact.prefixes_told = told
+        if is_known and message.prefixes:
+            contact.prefixes_version = message.prefixes_version
+        if message.loads is not None:
+            self.loads = loads_from_wire(message.loads)
+            self.loads_s = now_s
+
+    def take_table(
+        self,
+        control: str,
+        news: ttypes.TableNews,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Take what is told of one control VM's table."""
+        taken = self.joined.take(news, sent_s, now_s)
+        if taken is None:
+            return
+        if taken.gone or news.upstreams or news.gone_entries:
+            self.refresh(now_s)
+            self.log_news(control, news, taken)
 
     def log_news(
         self,
-        control: str,
-        message: ttypes.PollReply,
-        gone: tuple[EndedStart, ...],
+        teller: str,
+        news: ttypes.TableNews,
+        taken: TakenNews,
     ) -> None:
-        """Log what a reply changed in what this VM believes."""
+        """Log what news changed in what this VM believes."""
+        upstreams = news.upstreams or ()
         log_change(
             'registry:news',
-            control=control,
-            version=message.version,
-            draining=[
-                one.instance for one in message.upstreams if one.draining
+            control=taken.control,
+            teller=teller,
+            age_s=news.age_ms / MILLISECONDS,
+            version=news.version,
+            draining=[one.instance for one in upstreams if one.draining],
+            cold=[one.instance for one in upstreams if one.cold_ms],
+            silent=[one.instance for one in upstreams if one.silent],
+            told=len(upstreams),
+            gone=[
+                incarnation_name(one.instance, one.born_ms)
+                for one in taken.gone
             ],
-            cold=[one.instance for one in message.upstreams if one.cold_ms],
-            silent=[one.instance for one in message.upstreams if one.silent],
-            told=len(message.upstreams),
-            gone=[incarnation_name(one.instance, one.born_ms) for one in gone],
-            gone_entries=list(message.gone_entries),
+            gone_entries=list(news.gone_entries or ()),
         )
 
     def note_lost(self, control: str, reason: str) -> None:
-        """Count a poll without answer; log the first of several."""
+        """Count a call without answer; log the first of several."""
         self.metrics.count('registry_polls_failed_total')
+        self.contacts.of(control).fail()
         if control not in self.lost:
             self.lost.add(control)
             log_change('registry:control_lost', control=control, reason=reason)
--- a/godwitshunt/registry/wire.py
+++ b/godwitshunt/registry/wire.py
@@ -4,6 +4,7 @@
 
 from godwitshunt.exceptions import FrameError
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.ledger import Report, ReportedLoad
 from godwitshunt.registry.prefixes import PrefixRead
 from godwitshunt.registry.records import EntryRecord, Load, UpstreamAnnounced
 from godwitshunt.registry.starts import EndedStart
@@ -11,6 +12,7 @@
 from godwitshunt.settings import Address
 
 MILLISECONDS = 1000
+LONGEST_AGE_MS = 1_000_000
 
 
 def endpoint(address: Address) -> ttypes.Endpoint:
@@ -36,12 +38,35 @@
     known: UpstreamEntry,
     now_s: float,
 ) -> ttypes.UpstreamInfo:
-    """Return an incarnation as a struct."""
-    told = known.told
+    """Return an incarnation in a control VM's own table as a struct."""
+    ends_in_s = known.told.ends_in_s
+    if ends_in_s is not None:
+        ends_in_s -= now_s - known.heard_s
+    return told_to_wire(
+        known.told,
+        cold_s=known.cold_until_s - now_s,
+        ends_in_s=ends_in_s,
+        silent=known.silent,
+    )
+
+
+def told_to_wire(
+    told: UpstreamAnnounced,
+    *,
+    cold_s: float,
+    ends_in_s: float | None,
+    silent: bool,
+) -> ttypes.UpstreamInfo:
+    """Return an incarnation as a struct.
+
+    Parameters
+    ----------
+    cold_s, ends_in_s : float
+        Seconds from now; those of the announcement are from its arrival.
+    """
     ends_in_ms = None
-    if told.ends_in_s is not None:
-        elapsed_s = now_s - known.heard_s
-        ends_in_ms = int((told.ends_in_s - elapsed_s) * MILLISECONDS)
+    if ends_in_s is not None:
+        ends_in_ms = int(ends_in_s * MILLISECONDS)
     return ttypes.UpstreamInfo(
         instance=told.instance,
         service_name=told.service,
@@ -49,9 +74,9 @@
         failure_domain=told.failure_domain,
         slots=told.slots,
         draining=told.draining,
-        cold_ms=max(0, int((known.cold_until_s - now_s) * MILLISECONDS)),
+        cold_ms=max(0, int(cold_s * MILLISECONDS)),
         sequence=told.sequence,
-        silent=known.silent,
+        silent=silent,
         ends_in_ms=ends_in_ms,
         born_ms=told.born_ms,
     )
@@ -136,6 +161,72 @@
     }
 
 
+def report_to_wire(
+    report: Report,
+    places_of: str,
+    now_s: float,
+) -> ttypes.LoadReport:
+    """Return an entry VM's own requests as a struct.
+
+    Parameters
+    ----------
+    places_of : str
+        The control process whose places the report holds.
+    """
+    return ttypes.LoadReport(
+        number=report.number,
+        session=report.session,
+        loads=[
+            ttypes.UpstreamLoad(
+                instance,
+                one.load.in_flight,
+                one.load.pending_tokens,
+                age_ms(one.oldest_s, now_s),
+                age_ms(one.heard_s, now_s),
+            )
+            for instance, one in report.loads.items()
+        ],
+        places_of=places_of,
+        places_taken=report.places_taken,
+    )
+
+
+def report_from_wire(
+    told: ttypes.LoadReport,
+    source: str,
+    now_s: float,
+) -> Report:
+    """Read an entry VM's own requests.
+
+    Parameters
+    ----------
+    source : str
+        The process that reads it; places of another one are not its own.
+    """
+    loads = {
+        one.instance: ReportedLoad(
+            Load(one.in_flight, one.pending_tokens),
+            since_s(one.waiting_ms, now_s),
+            since_s(one.heard_ms, now_s),
+        )
+        for one in told.loads or ()
+    }
+    taken = told.places_taken if told.places_of == source else 0
+    return Report(told.session or '', told.number, loads, taken)
+
+
+def age_ms(since_s: float | None, now_s: float) -> int | None:
+    """Return a point in time as milliseconds ago."""
+    if since_s is None:
+        return None
+    return min(LONGEST_AGE_MS, max(0, int((now_s - since_s) * MILLISECONDS)))
+
+
+def since_s(age: int | None, now_s: float) -> float | None:
+    """Return milliseconds ago as a point in time."""
+    return None if age is None else now_s - age / MILLISECONDS
+
+
 def prefixes_to_wire(
     reads: Iterable[PrefixRead],
     now_s: float,
--- a/godwitshunt/routing/cold_budget.py
+++ b/godwitshunt/routing/cold_budget.py
@@ -1,8 +1,8 @@
 """A bound on what a cold upstream gets each second, over all VMs together.
 
-Nobody counts for all: the bound is divided evenly among the VMs that can send
-to the upstream, and holds whether they hear each other or not. A VM that has
-just started sends none until the others count it, too.
+Nobody counts for all: the bound is divided among the processes that can give
+work to the upstream, and holds whether they hear each other or not. One that
+has just started gives none until the others count it, too.
 """
 
 from collections import deque
@@ -35,17 +35,17 @@
 
 @dataclass
 class ColdBudget:
-    """What this VM sent to cold upstreams of late.
+    """What this process gave to cold upstreams of late.
 
     Examples
     --------
     >>> budget = ColdBudget(ColdBounds(factor=1.5, allowance=3), started_s=0)
-    >>> taken = [budget.spend('a', 6.6, 3, now_s=10) for _ in range(6)]
+    >>> taken = [budget.spend('a', 6.6, 1 / 3, now_s=10) for _ in range(6)]
     >>> taken
     [True, True, True, True, False, False]
-    >>> budget.spend('a', 6.6, 3, now_s=11.3)
+    >>> budget.spend('a', 6.6, 1 / 3, now_s=11.3)
     True
-    >>> budget.spend('a', 6.6, 30, now_s=20)
+    >>> budget.spend('a', 6.6, 1 / 30, now_s=20)
     False
     """
 
@@ -57,10 +57,10 @@
         self,
         instance: str,
         rate_per_s: float,
-        vms: int,
+        share: float,
         now_s: float,
     ) -> bool:
-        """Take one request; False where this VM's part is used up.
+        """Take one request; False where this process's part is used up.
 
         Parameters
         ----------
@@ -68,22 +68,31 @@
             The cold upstream.
         rate_per_s : float
             Requests a second that it states to bear.
-        vms : int
-            VMs that can send to it, this one among them.
+        share : float
+            This process's part of all that may be sent to it.
         now_s : float
             Monotonic seconds.
         """
+        if not self.has_room(instance, rate_per_s, share, now_s):
+            return False
+        self.sent[instance].append(now_s)
+        return True
+
+    def has_room(
+        self,
+        instance: str,
+        rate_per_s: float,
+        share: float,
+        now_s: float,
+    ) -> bool:
+        """Tell whether one more request may go to a cold upstream."""
         if now_s - self.started_s < NEWCOMER_S:
             return False
         bound = rate_per_s * self.bounds.factor + self.bounds.allowance
-        part = floor(bound / max(1, vms))
         sent = self.sent.setdefault(instance, deque())
         while sent and now_s - sent[0] > WINDOW_S + MARGIN_S:
             sent.popleft()
-        if len(sent) >= part:
-            return False
-        sent.append(now_s)
-        return True
+        return len(sent) < floor(bound * share)
 
     def forget(self, present: frozenset[str]) -> None:
         """Drop upstreams that are gone."""
--- a/godwitshunt/routing/selection.py
+++ b/godwitshunt/routing/selection.py
@@ -293,7 +293,7 @@
     return Ranked(candidate, predicted_s, cost_s, unread)
 
 
-def near_best(ranked: list[Ranked]) -> list[Ranked]:
-    """Return those that are as good as the best, within `NEAR_S`."""
-    limit_s = ranked[0].cost_s + NEAR_S
+def near_best(ranked: list[Ranked], near_s: float = NEAR_S) -> list[Ranked]:
+    """Return those that are as good as the best, within some seconds."""
+    limit_s = ranked[0].cost_s + near_s
     return [one for one in ranked if one.cost_s <= limit_s]
--- a/godwitshunt/routing/tests/test_shared_budgets.py
+++ b/godwitshunt/routing/tests/test_shared_budgets.py
@@ -52,7 +52,7 @@
     for _ in range(3000):
         now_s += random.expovariate(400)
         budget = random.choice(budgets)
-        if budget.spend('i-1', RATE_PER_S, vms, now_s):
+        if budget.spend('i-1', RATE_PER_S, 1 / vms, now_s):
             sent.append(now_s)
     assert sent or vms > 12
     for end_s in sent:
--- a/godwitshunt/routing/upstream_health.py
+++ b/godwitshunt/routing/upstream_health.py
@@ -3,7 +3,6 @@
 Times are seconds on this VM's monotonic clock.
 """
 
-from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from godwitshunt.registry.records import Load
@@ -45,7 +44,8 @@
     delay_noted_s : float
         When that was.
     waiting_since : dict
-        When each request was sent that has shown nothing yet.
+        When each request was sent that has shown nothing yet, by its number;
+        for requests of another VM the oldest one's time, by the VM's name.
     """
 
     in_flight: int = 0
@@ -56,7 +56,7 @@
     full_until_s: float = float('-inf')
     delay_s: float = 0.0
     delay_noted_s: float = 0.0
-    waiting_since: OrderedDict[int, float] = field(default_factory=OrderedDict)
+    waiting_since: dict[int | str, float] = field(default_factory=dict)
 
     @property
     def load(self) -> Load:
@@ -92,11 +92,38 @@
         Zero where no request waits; else the time since the oldest waiting
         request was sent or since it last sent bytes, whichever is later.
         """
-        if not self.waiting_since:
+        oldest_s = self.oldest_s()
+        if oldest_s is None:
             return 0.0
-        oldest_s = next(iter(self.waiting_since.values()))
         return max(0.0, now_s - max(oldest_s, self.heard_s))
 
+    def oldest_s(self) -> float | None:
+        """Return when the oldest waiting request was sent; None for none."""
+        return min(self.waiting_since.values(), default=None)
+
+    def note_reported(
+        self,
+        reporter: str,
+        oldest_s: float | None,
+        heard_s: float | None,
+    ) -> None:
+        """Note what another VM reports of its requests there.
+
+        Parameters
+        ----------
+        reporter : str
+            Its name.
+        oldest_s : float or None
+            When the oldest of its waiting requests was sent.
+        heard_s : float or None
+            When it last heard bytes of the upstream.
+        """
+        self.waiting_since.pop(reporter, None)
+        if oldest_s is not None:
+            self.waiting_since[reporter] = oldest_s
+        if heard_s is not None:
+            self.heard_s = max(self.heard_s, heard_s)
+
     def note_time(
         self,
         took_s: float,
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -214,6 +214,11 @@
     keeps_upstreams : bool
         True where a replica keeps what it knows of announced upstreams, and
         tells VMs of them after a restart before they announce themselves.
+    domains : dict
+        Region of each failure domain of the deployment.
+    bounds : BoundSettings
+        What all entry VMs together may do; a replica that gives places to
+        those of its region keeps it for them.
     """
 
     data_folder: Path
@@ -226,3 +231,5 @@
     heals: bool = False
     keeps_revision: bool = False
     keeps_upstreams: bool = False
+    domains: dict[Name, Name] = Field(default_factory=dict)
+    bounds: BoundSettings = BoundSettings()
--- a/godwitshunt/tracing/story.py
+++ b/godwitshunt/tracing/story.py
@@ -18,7 +18,7 @@
     (
         'ingress:draining',
         'ingress:drain_cut',
-        'ingress:upstream_left_out',
+        'picking:upstream_left_out',
         'registry:control_lost',
         'registry:control_back',
         'registry:instance_replaced',
--- a/tests/test_platform_heartbeats.py
+++ b/tests/test_platform_heartbeats.py
@@ -14,8 +14,9 @@
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.service import RegistryService
 from godwitshunt.registry.table import Foreign, Stale, Taken
-from godwitshunt.registry.tests.test_prefixes import Clock
+from godwitshunt.registry.tests.deployment import place
 from godwitshunt.telemetry import Metrics
+from godwitshunt.timer import VirtualTimerService
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'platform'))
 
@@ -133,6 +134,11 @@
     assert read(news={'deep': [1]}) == read()
 
 
+def started() -> RegistryService:
+    """Return a control VM's registry that has just started."""
+    return RegistryService(place(), None, VirtualTimerService(), Metrics())
+
+
 @settings(max_examples=300, deadline=None)
 @given(
     changes=st.dictionaries(
@@ -147,7 +153,7 @@
     A number that a message between VMs cannot hold would end every poll, and
     all servers would be lost for good with it.
     """
-    service = RegistryService(None, Clock(), Metrics())
+    service = started()
     assert service.announce(read()) == Taken()
     body = raw
     if raw is None:
@@ -158,11 +164,10 @@
         told = None
     if told is not None:
         service.announce(told)
-    poll = ttypes.Poll(
-        source='', version=0, entries_version=0, prefixes_version=0
-    )
-    reply = decode(ttypes.PollReply, encode(service.reply('e-1', poll)))
-    assert 'i-1' in {one.instance for one in reply.upstreams}
+    poll = ttypes.Poll(held=[], prefixes=[], prefixes_version=0)
+    reply = decode(ttypes.PollReply, encode(service.reply(poll)))
+    assert len(reply.tables) == 1
+    assert 'i-1' in {one.instance for one in reply.tables[0].upstreams}
     if instance != 'i-1':
         assert service.announce(read(sequence=5)) == Taken()
 
@@ -181,7 +186,7 @@
     Taken over, the server's callers would be sent elsewhere, and its own
     heartbeats would be late ones from then on.
     """
-    service = RegistryService(None, Clock(), Metrics())
+    service = started()
     service.announce(read())
     assert service.announce(read(sequence=900, **changes)) == Foreign(field)
     assert service.announce(read(sequence=5)) == Taken()
@@ -208,7 +213,7 @@
     A server that was told that it may exit would get requests of those who
     remember it as ready.
     """
-    service = RegistryService(None, Clock(), Metrics())
+    service = started()
     asked = []
 
     async def settle():
