Let entry VMs tell their control VM the tables that it misses

The picker of kozhikode knew no entry VM of another region after 3 s, and refused all short requests, whose homes are the other two regions: 71 refused.

Ruled out: letting the entry VM choose wherever the picker finds nothing (then all choose alike again in every overload).

Change: a control VM that misses tables says so; an entry VM that holds newer ones (it asks their control VMs itself when they are old) tells them with its next poll, requests at upstreams with them, which are part of tables now.

--- a/godwitshunt/registry/contacts.py
+++ b/godwitshunt/registry/contacts.py
@@ -27,6 +27,21 @@
 PROBE_PERIOD_S = 0.7
 
 
+@dataclass(frozen=True)
+class HeldTable:
+    """A table as a control VM holds it.
+
+    Parameters
+    ----------
+    asof_s : float
+        It is as of then.
+    """
+
+    version: int
+    entries_version: int
+    asof_s: float
+
+
 @dataclass
 class ControlContact:
     """What this VM's own calls to one control VM have shown.
@@ -50,6 +65,9 @@
         What to ask held prefixes after.
     prefixes_told : int
         Version of this VM's own reads that it has been told.
+    misses : dict
+        Tables that it has said to miss the newest of, as it holds them: by
+        their process, with the time that they are as of.
     """
 
     source: str = ''
@@ -61,6 +79,7 @@
     gives_places: bool = False
     prefixes_version: int = 0
     prefixes_told: int = 0
+    misses: dict[str, HeldTable] = field(default_factory=dict)
 
     def answer(self, source: str, sent_s: float, now_s: float) -> None:
         """Note an answer; another process than before was told nothing."""
--- a/godwitshunt/registry/control_tables.py
+++ b/godwitshunt/registry/control_tables.py
@@ -5,8 +5,7 @@
 between two of them.
 """
 
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator, Mapping
 from functools import partial
 
 from result import Err
@@ -23,7 +22,6 @@
 from godwitshunt.registry.views import RegistryView
 from godwitshunt.registry.wire import (
     address_of,
-    loads_from_wire,
     prefixes_from_wire,
 )
 from godwitshunt.settings import Address
@@ -37,6 +35,8 @@
 # A control VM whose table has not come from itself for so long is asked for
 # at the others, too: three periods and the way between two regions.
 AROUND_AFTER_S = 0.75
+# An entry VM of the region needs no longer than this to tell a table.
+LONGEST_WAY_S = 0.1
 # Requests at upstreams that were told longer ago than this say nothing.
 LOADS_KEPT_S = 3.0
 # Where another control VM of the own region falls silent, its entry VMs report
@@ -46,20 +46,6 @@
 MOVED_AFTER_S = 0.6
 
 
-@dataclass(frozen=True)
-class ToldLoads:
-    """Requests at upstreams of the entry VMs that report to a control VM.
-
-    Parameters
-    ----------
-    asof_s : float
-        They are at least as new as this.
-    """
-
-    loads: Mapping[str, Load]
-    asof_s: float
-
-
 class ControlTables:
     """Asks the other control VMs and keeps their tables beside the own one.
 
@@ -88,8 +74,8 @@
         self.timer = timer
         self.joined = JoinedTables(place.regions)
         self.contacts: dict[str, ControlContact] = {}
-        self.told: dict[str, ToldLoads] = {}
-        self.summed: Mapping[str, Load] | None = None
+        self.summed: Mapping[str, Load] = {}
+        self.summed_of: tuple[tuple[str, float], ...] = ()
         self.background = Background()
         self.subscription: Subscription | None = None
 
@@ -123,6 +109,7 @@
         poll = ttypes.Poll(
             held=self.joined.held(),
             prefixes=[],
+            newer=[],
             prefixes_version=contact.prefixes_version,
             wants_loads=True,
             scope=Scope.all if self.misses_any(sent_s) else Scope.own,
@@ -182,8 +169,6 @@
         contact.answer(message.source, sent_s, now_s)
         for news in message.tables or ():
             self.take_table(news, sent_s, now_s)
-        self.told[control] = ToldLoads(loads_from_wire(message.loads), sent_s)
-        self.summed = None
         self.prefixes.take(prefixes_from_wire(message.prefixes, now_s))
         if is_known:
             contact.prefixes_version = message.prefixes_version
@@ -201,6 +186,17 @@
         if whose != self.own:
             self.joined.take(news, sent_s, now_s)
 
+    def take_newer(self, told: Iterable[ttypes.TableNews]) -> None:
+        """Take tables that an entry VM holds as newer ones.
+
+        Control VMs may be cut off from one another while entry VMs reach all
+        of them. A region's picker that knows no entry VM of another region
+        has no door to it, and refuses what only that region may serve.
+        """
+        now_s = self.timer.now()
+        for news in told:
+            self.take_table(news, now_s - LONGEST_WAY_S, now_s)
+
     def held_own(self) -> ttypes.TableHeld | None:
         """Return which version of the own table stands beside the others."""
         table = self.joined.tables.get(self.own)
@@ -221,6 +217,8 @@
         self,
         held: Mapping[str, ttypes.TableHeld],
         now_s: float,
+        *,
+        with_loads: bool,
     ) -> Iterator[ttypes.TableNews]:
         """Give what is new in the other control VMs' tables.
 
@@ -228,23 +226,30 @@
         ----------
         held : mapping
             What whoever asks holds, by the control VM's process.
+        with_loads : bool
+            True where requests at upstreams are told as well.
         """
         for control, table in self.joined.tables.items():
             if control != self.own and table.source:
-                yield relayed_news(table, held.get(table.source), now_s)
+                yield relayed_news(
+                    table,
+                    held.get(table.source),
+                    now_s,
+                    with_loads=with_loads,
+                )
 
     def loads(self, now_s: float) -> Mapping[str, Load]:
         """Return what other control VMs told of requests, of late, in sum."""
-        late = [
-            control
-            for control, one in self.told.items()
-            if now_s - one.asof_s > self.kept_s(control)
-        ]
-        for control in late:
-            self.told.pop(control)
-            self.summed = None
-        if self.summed is None:
-            parts = tuple(one.loads for one in self.told.values())
+        telling = {
+            control: table
+            for control, table in self.joined.tables.items()
+            if control != self.own
+            and now_s - table.loads_s <= self.kept_s(control)
+        }
+        of = tuple((control, one.loads_s) for control, one in telling.items())
+        if of != self.summed_of:
+            self.summed_of = of
+            parts = tuple(table.loads for table in telling.values())
             self.summed = dict(SummedLoads(parts))
         return self.summed
 
@@ -257,9 +262,9 @@
         """Return what time a region's requests were told as of."""
         return max(
             (
-                one.asof_s
-                for control, one in self.told.items()
-                if self.region_of(control) == region
+                table.loads_s
+                for table in self.joined.tables.values()
+                if table.region == region
             ),
             default=float('-inf'),
         )
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -1155,9 +1155,11 @@
      - prefixes: What the entry VM's requests have shown since the last poll.
      - prefixes_version: Version of the held prefixes that it has heard of here; a negative one
     asks for none.
-     - wants_loads: True where the requests of others are asked for.
+     - wants_loads: True where requests at upstreams are asked for.
      - scope: A member of `Scope`: whose tables are asked for.
      - from_control: True where a control VM asks.
+     - newer: Tables that the entry VM holds as newer ones than the control VM that it
+    asks, which has said that it misses some.
 
     """
 
@@ -1170,10 +1172,11 @@
         'wants_loads',
         'scope',
         'from_control',
+        'newer',
     )
 
 
-    def __init__(self, entry=None, held=None, report=None, prefixes=None, prefixes_version=None, wants_loads=None, scope=None, from_control=None,):
+    def __init__(self, entry=None, held=None, report=None, prefixes=None, prefixes_version=None, wants_loads=None, scope=None, from_control=None, newer=None,):
         self.entry = entry
         self.held = held
         self.report = report
@@ -1182,6 +1185,7 @@
         self.wants_loads = wants_loads
         self.scope = scope
         self.from_control = from_control
+        self.newer = newer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1246,6 +1250,17 @@
                     self.from_control = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.newer = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = TableNews()
+                        _elem38.read(iprot)
+                        self.newer.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1263,8 +1278,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter33 in self.held:
-                iter33.write(oprot)
+            for iter39 in self.held:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -1274,8 +1289,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter34 in self.prefixes:
-                iter34.write(oprot)
+            for iter40 in self.prefixes:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1294,6 +1309,13 @@
             oprot.writeFieldBegin('from_control', TType.BOOL, 8)
             oprot.writeBool(self.from_control)
             oprot.writeFieldEnd()
+        if self.newer is not None:
+            oprot.writeFieldBegin('newer', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.newer))
+            for iter41 in self.newer:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1336,6 +1358,8 @@
      - entries
      - gone_entries: Names of entry VMs that are not heard any more.
      - entries_version
+     - loads: Requests of the entry VMs that report to the control VM; absent where
+    they are not asked for.
 
     """
 
@@ -1351,10 +1375,11 @@
         'entries',
         'gone_entries',
         'entries_version',
+        'loads',
     )
 
 
-    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None,):
+    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None, loads=None,):
         self.control = control
         self.source = source
         self.version = version
@@ -1366,6 +1391,7 @@
         self.entries = entries
         self.gone_entries = gone_entries
         self.entries_version = entries_version
+        self.loads = loads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1410,43 +1436,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = UpstreamInfo()
-                        _elem40.read(iprot)
-                        self.upstreams.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = UpstreamInfo()
+                        _elem47.read(iprot)
+                        self.upstreams.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = StartEnded()
-                        _elem46.read(iprot)
-                        self.gone.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = StartEnded()
+                        _elem53.read(iprot)
+                        self.gone.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = EntryInfo()
-                        _elem52.read(iprot)
-                        self.entries.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = EntryInfo()
+                        _elem59.read(iprot)
+                        self.entries.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1455,6 +1481,17 @@
                     self.entries_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = UpstreamLoad()
+                        _elem71.read(iprot)
+                        self.loads.append(_elem71)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1492,35 +1529,42 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter59 in self.upstreams:
-                iter59.write(oprot)
+            for iter72 in self.upstreams:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter60 in self.gone:
-                iter60.write(oprot)
+            for iter73 in self.gone:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter61 in self.entries:
-                iter61.write(oprot)
+            for iter74 in self.entries:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter62 in self.gone_entries:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter75 in self.gone_entries:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
             oprot.writeFieldBegin('entries_version', TType.I64, 11)
             oprot.writeI64(self.entries_version)
             oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter76 in self.loads:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1551,12 +1595,12 @@
     Attributes:
      - source: The control VM's process.
      - tables: The control VM's own table, and what it knows of the others'.
-     - loads: Requests at upstreams: to an entry VM, those of all others; to a control
-    VM, those of the entry VMs that report to this one.
+     - loads: Requests of all other entry VMs; absent where not asked for.
      - prefixes: Prefixes that were read after the version asked for.
      - prefixes_version
      - gives_places: True where this control VM gives places to its region's entry VMs.
      - region: Where this control VM stands.
+     - misses_tables: True where some table is old here: whoever holds it as newer may tell.
 
     """
 
@@ -1568,10 +1612,11 @@
         'gives_places',
         'source',
         'region',
+        'misses_tables',
     )
 
 
-    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None, region=None,):
+    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None, region=None, misses_tables=None,):
         self.source = source
         self.tables = tables
         self.loads = loads
@@ -1579,6 +1624,7 @@
         self.prefixes_version = prefixes_version
         self.gives_places = gives_places
         self.region = region
+        self.misses_tables = misses_tables
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1597,33 +1643,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = TableNews()
-                        _elem68.read(iprot)
-                        self.tables.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = TableNews()
+                        _elem82.read(iprot)
+                        self.tables.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = UpstreamLoad()
-                        _elem74.read(iprot)
-                        self.loads.append(_elem74)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = UpstreamLoad()
+                        _elem88.read(iprot)
+                        self.loads.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = PrefixInfo()
-                        _elem80.read(iprot)
-                        self.prefixes.append(_elem80)
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = PrefixInfo()
+                        _elem94.read(iprot)
+                        self.prefixes.append(_elem94)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1642,6 +1688,11 @@
                     self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.misses_tables = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1655,22 +1706,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter81 in self.tables:
-                iter81.write(oprot)
+            for iter95 in self.tables:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter82 in self.loads:
-                iter82.write(oprot)
+            for iter96 in self.loads:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter83 in self.prefixes:
-                iter83.write(oprot)
+            for iter97 in self.prefixes:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1689,6 +1740,10 @@
             oprot.writeFieldBegin('region', TType.STRING, 7)
             oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
             oprot.writeFieldEnd()
+        if self.misses_tables is not None:
+            oprot.writeFieldBegin('misses_tables', TType.BOOL, 8)
+            oprot.writeBool(self.misses_tables)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1827,10 +1882,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem89)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1892,8 +1947,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter90 in self.excluded:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter104 in self.excluded:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2149,22 +2204,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = UpstreamInfo()
-                        _elem96.read(iprot)
-                        self.upstreams.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = UpstreamInfo()
+                        _elem110.read(iprot)
+                        self.upstreams.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = StartEnded()
-                        _elem102.read(iprot)
-                        self.gone.append(_elem102)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = StartEnded()
+                        _elem116.read(iprot)
+                        self.gone.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2181,15 +2236,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter103 in self.upstreams:
-                iter103.write(oprot)
+            for iter117 in self.upstreams:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter104 in self.gone:
-                iter104.write(oprot)
+            for iter118 in self.gone:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2310,6 +2365,7 @@
     (6, TType.BOOL, 'wants_loads', None, None, ),  # 6
     (7, TType.I32, 'scope', None, None, ),  # 7
     (8, TType.BOOL, 'from_control', None, None, ),  # 8
+    (9, TType.LIST, 'newer', (TType.STRUCT, [TableNews, None], False), None, ),  # 9
 )
 all_structs.append(TableNews)
 TableNews.thrift_spec = (
@@ -2325,6 +2381,7 @@
     (9, TType.LIST, 'entries', (TType.STRUCT, [EntryInfo, None], False), None, ),  # 9
     (10, TType.LIST, 'gone_entries', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.I64, 'entries_version', None, None, ),  # 11
+    (12, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 12
 )
 all_structs.append(PollReply)
 PollReply.thrift_spec = (
@@ -2336,6 +2393,7 @@
     (5, TType.BOOL, 'gives_places', None, None, ),  # 5
     (6, TType.STRING, 'source', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'region', 'UTF8', None, ),  # 7
+    (8, TType.BOOL, 'misses_tables', None, None, ),  # 8
 )
 all_structs.append(PlaceAsked)
 PlaceAsked.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -122,12 +122,15 @@
   /** Version of the held prefixes that it has heard of here; a negative one
       asks for none. */
   5: i64 prefixes_version
-  /** True where the requests of others are asked for. */
+  /** True where requests at upstreams are asked for. */
   6: bool wants_loads
   /** A member of `Scope`: whose tables are asked for. */
   7: i32 scope
   /** True where a control VM asks. */
   8: bool from_control
+  /** Tables that the entry VM holds as newer ones than the control VM that it
+      asks, which has said that it misses some. */
+  9: list<TableNews> newer
 }
 
 /** News of one control VM's table, from itself or from another one. */
@@ -151,6 +154,9 @@
   /** Names of entry VMs that are not heard any more. */
   10: list<string> gone_entries
   11: i64 entries_version
+  /** Requests of the entry VMs that report to the control VM; absent where
+      they are not asked for. */
+  12: optional list<UpstreamLoad> loads
 }
 
 struct PollReply {
@@ -158,9 +164,8 @@
   6: string source
   /** The control VM's own table, and what it knows of the others'. */
   1: list<TableNews> tables
-  /** Requests at upstreams: to an entry VM, those of all others; to a control
-      VM, those of the entry VMs that report to this one. */
-  2: list<UpstreamLoad> loads
+  /** Requests of all other entry VMs; absent where not asked for. */
+  2: optional list<UpstreamLoad> loads
   /** Prefixes that were read after the version asked for. */
   3: list<PrefixInfo> prefixes
   4: i64 prefixes_version
@@ -168,6 +173,8 @@
   5: bool gives_places
   /** Where this control VM stands. */
   7: string region
+  /** True where some table is old here: whoever holds it as newer may tell. */
+  8: bool misses_tables
 }
 
 /** From an entry VM to its region's picker: a place for a request. */
--- a/godwitshunt/registry/relay.py
+++ b/godwitshunt/registry/relay.py
@@ -18,6 +18,7 @@
     endpoint,
     ends_to_wire,
     entry_to_wire,
+    loads_to_wire,
     told_to_wire,
     upstream_to_wire,
 )
@@ -103,11 +104,22 @@
     table: ControlTable,
     held: ttypes.TableHeld | None,
     now_s: float,
+    *,
+    with_loads: bool,
 ) -> ttypes.TableNews:
     """Return what is new in a table that another control VM told.
 
     Where whoever asks holds a later version, only the age is told.
+
+    Parameters
+    ----------
+    with_loads : bool
+        True where requests at upstreams are told as well. They are told only
+        where they are as new as the table.
     """
+    loads = None
+    if with_loads and table.loads_s >= table.answered_s:
+        loads = loads_to_wire(table.loads.items())
     whole = held is None
     known = held or NOTHING
     return ttypes.TableNews(
@@ -138,6 +150,7 @@
             if one.record is None and one.version > known.entries_version
         ],
         entries_version=table.entries_version,
+        loads=loads,
     )
 
 
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Self
 
@@ -289,6 +289,7 @@
 
     def hear(self, poll: ttypes.Poll, now_s: float) -> None:
         """Take what an entry VM tells."""
+        self.tables.take_newer(poll.newer or ())
         if poll.entry is None:
             return
         record = entry_from_wire(poll.entry)
@@ -333,16 +334,12 @@
         prefixes = self.prefixes
         if poll.from_control:
             prefixes = self.heard_prefixes
-        tables = []
-        if poll.scope != Scope.none:
-            tables.append(self.own_news(held.get(self.source), now_s))
-        if poll.scope == Scope.all:
-            tables.extend(self.tables.news(held, now_s))
         return ttypes.PollReply(
             source=self.source,
-            tables=tables,
+            tables=self.news_for(poll, held, now_s),
             region=self.place.region,
             loads=self.loads_for(poll, now_s),
+            misses_tables=self.tables.misses_any(now_s),
             prefixes=prefixes_to_wire(
                 prefixes_after(prefixes, poll.prefixes_version),
                 now_s,
@@ -366,18 +363,33 @@
             now_s,
         )
 
+    def news_for(
+        self,
+        poll: ttypes.Poll,
+        held: Mapping[str, ttypes.TableHeld],
+        now_s: float,
+    ) -> list[ttypes.TableNews]:
+        """Return what is new in the tables that are asked for."""
+        if poll.scope == Scope.none:
+            return []
+        own = self.own_news(held.get(self.source), now_s)
+        is_report = poll.entry is not None
+        if poll.wants_loads and not is_report:
+            own.loads = loads_to_wire(self.ledger.totals.items())
+        if poll.scope == Scope.own:
+            return [own]
+        loads = poll.from_control
+        return [own, *self.tables.news(held, now_s, with_loads=loads)]
+
     def loads_for(
         self,
         poll: ttypes.Poll,
         now_s: float,
     ) -> list[ttypes.UpstreamLoad] | None:
-        """Return requests at upstreams; None where they are not asked for."""
-        if not poll.wants_loads:
+        """Return the requests of others; None where they are not asked for."""
+        if poll.entry is None or not poll.wants_loads:
             return None
-        if poll.from_control:
-            return loads_to_wire(self.ledger.totals.items())
-        name = '' if poll.entry is None else poll.entry.name
-        mine = dict(self.ledger.totals_without(name))
+        mine = dict(self.ledger.totals_without(poll.entry.name))
         summed = SummedLoads((mine, self.tables.loads(now_s)))
         return loads_to_wire(summed.items())
 
--- a/godwitshunt/registry/views.py
+++ b/godwitshunt/registry/views.py
@@ -16,6 +16,7 @@
     address_of,
     ends_from_wire,
     entry_from_wire,
+    loads_from_wire,
     upstream_from_wire,
 )
 from godwitshunt.settings import Address
@@ -81,6 +82,10 @@
         upstream's name; None where it does not know.
     entries : dict
         Entry VMs by name, those that left among them.
+    loads : mapping
+        Requests of the entry VMs that report to it.
+    loads_s : float
+        These are at least as new as this.
     """
 
     source: str = ''
@@ -93,6 +98,8 @@
     gone: dict[str, GoneStart] = field(default_factory=dict)
     ended: dict[str, int | None] = field(default_factory=dict)
     entries: dict[str, HeardEntry] = field(default_factory=dict)
+    loads: Mapping[str, Load] = field(default_factory=dict)
+    loads_s: float = NEVER_S
 
     def take(
         self,
@@ -109,6 +116,7 @@
         if news.whole:
             self.begin_anew(news)
         self.answered_s = max(self.answered_s, asof_s)
+        self.take_loads(news, asof_s)
         if news.version < self.version:
             return ()
         self.version = news.version
@@ -151,6 +159,12 @@
         self.version = 0
         self.entries_version = 0
 
+    def take_loads(self, news: ttypes.TableNews, asof_s: float) -> None:
+        """Take requests at upstreams, where they are newer."""
+        if news.loads is not None and asof_s > self.loads_s:
+            self.loads = loads_from_wire(news.loads)
+            self.loads_s = asof_s
+
     def take_entries(self, news: ttypes.TableNews) -> None:
         """Take what is told of entry VMs."""
         version = news.entries_version
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -9,7 +9,12 @@
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
-from godwitshunt.registry.contacts import Contacts, KnownControl
+from godwitshunt.registry.contacts import (
+    Contacts,
+    ControlContact,
+    HeldTable,
+    KnownControl,
+)
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.joined import JoinedTables, TakenNews
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
@@ -19,7 +24,7 @@
     UpstreamAnnounced,
     incarnation_name,
 )
-from godwitshunt.registry.relay import Scope
+from godwitshunt.registry.relay import Scope, relayed_news
 from godwitshunt.registry.views import RegistryView
 from godwitshunt.registry.wire import (
     MILLISECONDS,
@@ -47,6 +52,8 @@
 # long the first control VM is asked this often, and a request that finds no
 # upstream may wait for the next answer.
 YOUNG_S = 2.0
+# A table is told to a control VM that misses it if it is newer here by this.
+NEWER_BY_S = 0.5
 YOUNG_PERIOD_S = 0.12
 # Whole tables are asked of another region's control VM only if none of the own
 # region has answered by then.
@@ -304,8 +311,9 @@
             return ttypes.Poll(
                 held=self.joined.held(),
                 prefixes=[],
+                newer=[],
                 prefixes_version=NOT_ASKED,
-                wants_loads=False,
+                wants_loads=True,
                 scope=Scope.own if is_known else Scope.none,
             )
         contact = self.contacts.of(control)
@@ -322,8 +330,50 @@
             prefixes_version=contact.prefixes_version if chooses else NOT_ASKED,
             wants_loads=chooses,
             scope=Scope.all,
+            newer=self.newer_than(contact, now_s),
         )
 
+    def newer_than(
+        self,
+        contact: ControlContact,
+        now_s: float,
+    ) -> list[ttypes.TableNews]:
+        """Return the tables that a control VM misses and this VM holds."""
+        newer = []
+        for table in self.joined.tables.values():
+            held = contact.misses.get(table.source)
+            known = None
+            if held is not None:
+                if table.answered_s - held.asof_s < NEWER_BY_S:
+                    continue
+                known = ttypes.TableHeld(
+                    table.source,
+                    held.version,
+                    held.entries_version,
+                )
+            if contact.misses and table.source:
+                news = relayed_news(table, known, now_s, with_loads=True)
+                newer.append(news)
+        return newer
+
+    def note_misses(
+        self,
+        contact: ControlContact,
+        message: ttypes.PollReply,
+        sent_s: float,
+    ) -> None:
+        """Note which tables a control VM holds, where it misses some."""
+        contact.misses = {}
+        if message.misses_tables:
+            contact.misses = {
+                news.source: HeldTable(
+                    news.version,
+                    news.entries_version,
+                    sent_s - news.age_ms / MILLISECONDS,
+                )
+                for news in message.tables or ()
+            }
+
     def take(
         self,
         control: str,
@@ -350,6 +400,7 @@
         contact.answer(message.source, sent_s, now_s)
         contact.gives_places = bool(message.gives_places)
         contact.region = message.region or ''
+        self.note_misses(contact, message, sent_s)
         self.prefixes.take(prefixes_from_wire(message.prefixes, now_s))
         if is_known:
             contact.prefixes_told = told
