--- a/godwitshunt/picking/tests/test_cut_control.py
+++ b/godwitshunt/picking/tests/test_cut_control.py
@@ -20,7 +20,7 @@
     region = PickedRegion({1: 'a', 2: 'a', 3: 'b'})
     for number in range(2):
         region.announce(3, engine(f'j-{number}', 'b'))
-    near = [region.start_entry(100 + number) for number in range(2)]
+    near = [region.start_entry(100 + each) for each in range(2)]
     far = region.start_entry(200, 'b')
     await region.settle(*near, far)
     await region.settle(*near, far)
