--- a/godwitshunt/routing/upstream_health.py
+++ b/godwitshunt/routing/upstream_health.py
@@ -16,6 +16,12 @@
 # ago says little of a queue that is read in one.
 MEMORY = 0.15
 DELAY_HALVED_S = 1.0
+# A picker hears of a hundred answers a second whose predictions are all as old
+# as the queue that they waited in. With the full weight for each, the average
+# swung between the bounds below: an engine with 36 requests in flight was
+# predicted at 0.27 s and took 2.2 s. So answers that come together share the
+# weight of one: within this time they add up to the whole difference at most.
+LEARNED_WITHIN_S = 2.0
 LONGEST_DELAY_S = 3.0
 # Predictions count queues at their full length, and engines serve urgent
 # requests out of turn; so they may be wrong to the other side by so much.
@@ -133,9 +139,10 @@
         """Learn from how long an answer took against its prediction."""
         late_s = min(LONGEST_DELAY_S, took_s - predicted_s)
         known_s = self.expected_delay_s(now_s)
+        weight = min(MEMORY, (now_s - self.delay_noted_s) / LEARNED_WITHIN_S)
         # The prediction held the delay that was expected then; so this is by
         # how much that expectation was wrong.
-        self.delay_s = max(-MOST_EARLY_S, known_s + MEMORY * late_s)
+        self.delay_s = max(-MOST_EARLY_S, known_s + weight * late_s)
         self.delay_noted_s = now_s
 
     def expected_delay_s(self, now_s: float) -> float:
