--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -141,7 +141,7 @@
             timer=timer,
             metrics=metrics,
         )
-        chooser.cold_room = parts.cold_room
+        chooser.filter.cold_room = parts.cold_room
         made = cls(parts)
         parts.revision = made.current
         return made
--- a/godwitshunt/picking/choosing.py
+++ b/godwitshunt/picking/choosing.py
@@ -1,6 +1,6 @@
 """Where one request goes now: an upstream here, another region, nowhere."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -12,6 +12,7 @@
     NoPlace,
     SendHere,
 )
+from godwitshunt.picking.filters import UpstreamFilter, is_full
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams, of_service
 from godwitshunt.registry import (
@@ -36,29 +37,18 @@
 MUTE_PENALTY_S = 1.0
 # Shown nothing for so long although requests wait: it may hang, or be dark.
 MUTE_AFTER_S = 0.6
-# One that is about to be gone gets nothing that would not be done by then.
-LEAST_LIFE_S = 1.5
 # A request that is predicted to wait for others for longer than its objective
 # times this is refused at once: it would be late, and make those behind it
 # late. Reading its own prompt counts besides, or the longest prompts would be
 # refused by idle engines. Two heavy days were worth 0.01 and 0.02 more than
 # with 1.3, the own reading in it; single plays differ by as much.
 LONGEST_WAIT_SHARE = 0.8
-# An engine takes this many requests for each of its slots. Logs of an
-# overloaded day show first events on time up to twice the slots; with more,
-# they come late, and streams outlast their time.
-REQUESTS_A_SLOT = 2.0
 LEAST_RETRY_S = 0.1
 # Where no upstream is known to open at a time. A VM that has just started
 # hears of other regions' VMs with its second poll, a third of a second later.
 NO_UPSTREAM_RETRY_S = 0.4
 
 
-def always(seen: UpstreamSeen, ask: Ask) -> bool:
-    """Let a cold upstream get any request."""
-    return True
-
-
 @dataclass
 class Chooser:
     """Chooses by what control tells and what this VM's requests have shown.
@@ -69,8 +59,6 @@
         This VM's region.
     away_s : float
         Seconds of waiting that serving a request in its own region is worth.
-    cold_room : callable
-        Tells whether a cold upstream may get one more request by this process.
     near_s : float
         Upstreams whose cost differs by less are drawn from; 0 for a process
         that no other one chooses beside.
@@ -81,9 +69,11 @@
     neighbours: Neighbours
     random: Random
     away_s: float = 0.0
-    cold_room: Callable[[UpstreamSeen, Ask], bool] = always
     near_s: float = NEAR_S
 
+    def __post_init__(self) -> None:
+        self.filter = UpstreamFilter(self.region, self.upstreams)
+
     def choose(
         self,
         ask: Ask,
@@ -130,7 +120,7 @@
             return SendHere(
                 seen,
                 chosen.predicted_s,
-                self.may_be_cold(seen, ask),
+                self.filter.may_be_cold(seen, ask),
                 ranked,
                 chosen.unread_tokens,
                 candidate.cached,
@@ -140,21 +130,6 @@
         entry = self.random.choice(doors)
         return HandOver(entry, chosen.predicted_s, ranked, chosen)
 
-    def may_be_cold(self, seen: UpstreamSeen, ask: Ask) -> bool:
-        """Tell whether an upstream must get no more than cold ones bear.
-
-        One that could not be reached may have crashed and started again under
-        its name, cut off from every control VM: then nobody hears that it is
-        cold, and the load that its VMs go on to send would crash it.
-        """
-        if seen.cold_until_s > ask.now_s:
-            return True
-        cold = ask.service.cold_start
-        if cold is None:
-            return False
-        health = self.upstreams.of(seen.told.incarnation)
-        return ask.now_s - health.unreached_s < cold.duration_s
-
     def candidates(
         self,
         ask: Ask,
@@ -213,38 +188,11 @@
                 continue
             if seen.told.incarnation in left_out:
                 continue
-            if self.refusal(seen, ask, revision) is None:
+            if self.filter.refusal(seen, ask, revision) is None:
                 candidate = self.candidate(seen, ask, view)
                 if not is_full(candidate):
                     yield candidate
 
-    def refusal(
-        self,
-        seen: UpstreamSeen,
-        ask: Ask,
-        revision: Revision,
-    ) -> str | None:
-        """Return why an upstream would take no request now; None if it would.
-
-        What a cold one may get is counted in its own region: taken for a free
-        one elsewhere, it would draw what is then refused there.
-        """
-        now_s = ask.now_s
-        if seen.told.failure_domain in revision.evacuated:
-            return 'evacuated'
-        if seen.told.draining or ends_soon(seen, now_s):
-            return 'leaves'
-        if seen.region != self.region:
-            return 'cold' if seen.cold_until_s > now_s else None
-        health = self.upstreams.of(seen.told.incarnation)
-        if now_s < health.down_until_s:
-            return 'unreached'
-        if now_s < health.full_until_s:
-            return 'turned away'
-        if self.may_be_cold(seen, ask) and not self.cold_room(seen, ask):
-            return 'cold'
-        return None
-
     def left_out(
         self,
         ask: Ask,
@@ -257,7 +205,7 @@
         told = []
         for seen in of_service(view, ask.service.name):
             instance = seen.told.incarnation
-            why = self.refusal(seen, ask, revision)
+            why = self.filter.refusal(seen, ask, revision)
             if seen.region not in reachable:
                 why = 'out of reach'
             elif instance in ask.excluded:
@@ -334,16 +282,6 @@
         return wait_s * self.random.uniform(0.8, 1.4)
 
 
-def is_full(candidate: Candidate) -> bool:
-    """Tell whether an upstream has as many requests as it should."""
-    return candidate.in_flight >= REQUESTS_A_SLOT * candidate.slots
-
-
-def ends_soon(seen: UpstreamSeen, now_s: float) -> bool:
-    """Tell whether an upstream will be gone before an answer is whole."""
-    return seen.ends_at_s is not None and seen.ends_at_s - now_s < LEAST_LIFE_S
-
-
 def penalty_s(
     seen: UpstreamSeen,
     health: UpstreamHealth,
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -149,9 +149,9 @@
             self.upstreams,
             self.neighbours,
             self.random,
-            cold_room=self.cold_room,
             near_s=0.0,
         )
+        self.chooser.filter.cold_room = self.cold_room
 
     def rank_among(self, own: str, pickers: Collection[str]) -> None:
         """Take the part of cold upstreams' budgets that is this picker's.
--- a/godwitshunt/picking/tests/test_choosing.py
+++ b/godwitshunt/picking/tests/test_choosing.py
@@ -148,7 +148,7 @@
     asked = replace(ask(SHORT), service=service)
     chooser.upstreams.of('k-0').miss(NOW_S - missed_ago_s)
     seen = upstream('k-0', 'kochi')
-    assert chooser.may_be_cold(seen, asked) is may_be_cold
+    assert chooser.filter.may_be_cold(seen, asked) is may_be_cold
 
 
 @pytest.mark.parametrize(
--- a/godwitshunt/registry/contacts.py
+++ b/godwitshunt/registry/contacts.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from godwitshunt.registry.gen.wire import ttypes
+
 NEVER_S = float('-inf')
 # Control VMs tell each other of changes each quarter of a second, and entry
 # VMs ask for them each 0.7 s; over two regions a table is up to 0.5 s old when
@@ -41,6 +43,10 @@
     entries_version: int
     asof_s: float
 
+    def to_wire(self, source: str) -> ttypes.TableHeld:
+        """Return it as a struct, with the process that the table is of."""
+        return ttypes.TableHeld(source, self.version, self.entries_version)
+
 
 @dataclass
 class ControlContact:
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -1,6 +1,5 @@
 """The control side: hears upstreams, answers the polls of entry VMs."""
 
-import asyncio
 import secrets
 import time
 from collections.abc import Callable, Mapping
@@ -8,11 +7,11 @@
 from typing import Self
 
 from godwitshunt.configuration.background import Background
-from godwitshunt.exceptions import StorageError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.registry.control_tables import ControlTables
 from godwitshunt.registry.entries import EntryTable
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.keeper import UpstreamKeeper
 from godwitshunt.registry.kept_upstreams import KeptUpstreams
 from godwitshunt.registry.ledger import LoadLedger, Report, SummedLoads
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
@@ -75,17 +74,14 @@
         kept: KeptUpstreams | None = None,
     ) -> None:
         self.place = place
-        self.kept = kept
-        self.written_version = 0
         self.shown = (-1, -1)
-        self.writing = asyncio.Lock()
-        self.disk_fault = ''
         self.background = Background()
         self.links = links
         self.timer = timer
         self.metrics = metrics
         self.source = secrets.token_hex(SOURCE_BYTES)
         self.upstreams = UpstreamTable()
+        self.keeper = UpstreamKeeper(kept, self.upstreams, timer, metrics)
         self.entries = EntryTable()
         self.ledger = LoadLedger()
         # What entry VMs told here, and that with what other control VMs were
@@ -121,22 +117,11 @@
         StorageError
             Where the data folder cannot be read.
         """
-        self.restore()
+        self.keeper.restore()
         self.links.subscribe(MessageKind.registry_poll, self.on_poll)
         self.subscription = self.timer.every(TICK_S, self.tick)
         self.tables.start()
 
-    def restore(self) -> None:
-        """Take up what this VM knew before its process ended."""
-        now_s = self.timer.now()
-        if self.kept is not None and self.kept.restore(self.upstreams, now_s):
-            self.written_version = self.upstreams.version
-            log_change(
-                'registry:kept_taken',
-                upstreams=sorted(self.upstreams.entries),
-                gone=len(self.upstreams.gone),
-            )
-
     async def close(self) -> None:
         """Watch over silences no more."""
         if self.subscription is not None:
@@ -150,35 +135,7 @@
         That an upstream leaves is acknowledged only then: after a loss of
         power it would else get work from those who remember it as ready.
         """
-        if self.kept is None:
-            return True
-        version = self.upstreams.version
-        if self.written_version < version:
-            await self.keep()
-        return self.written_version >= version
-
-    async def keep(self) -> None:
-        """Write what is known of upstreams; a failure is counted."""
-        async with self.writing:
-            if self.written_version >= self.upstreams.version:
-                return
-            record = self.kept.render(self.upstreams, self.timer.now())
-            try:
-                await asyncio.to_thread(self.kept.file.write, record)
-            except StorageError as failed:
-                self.metrics.count('registry_keep_failed_total')
-                self.note_disk(failed.reason)
-                return
-            self.written_version = record.number
-            self.note_disk('')
-
-    def note_disk(self, reason: str) -> None:
-        """Log where the disk fails and where it is well again, once each."""
-        if reason and not self.disk_fault:
-            log_change('registry:keep_failed', reason=reason)
-        if self.disk_fault and not reason:
-            log_change('registry:keep_recovered', reason=self.disk_fault)
-        self.disk_fault = reason
+        return await self.keeper.settle()
 
     def announce(self, told: UpstreamAnnounced) -> AnnounceOutcome:
         """Take an upstream's announcement."""
@@ -258,10 +215,8 @@
         """Note who has fallen silent."""
         now_s = self.timer.now()
         self.upstreams.tick(now_s)
-        if self.kept is not None and (
-            self.written_version < self.upstreams.version
-        ):
-            self.background.run('keep', self.keep)
+        if self.keeper.is_due:
+            self.background.run('keep', self.keeper.keep)
         self.heard_prefixes.forget(now_s)
         self.prefixes.forget(now_s)
         for name in self.entries.tick(now_s):
--- a/godwitshunt/registry/tests/test_after_the_dark.py
+++ b/godwitshunt/registry/tests/test_after_the_dark.py
@@ -25,14 +25,14 @@
     kept = KeptUpstreams(folder)
     timer = VirtualTimerService()
     service = RegistryService(place(), None, timer, Metrics(), kept)
-    service.restore()
+    service.keeper.restore()
     return service
 
 
 async def restarted(service: RegistryService) -> RegistryService:
     """Return the registry after a loss of power, once all was written."""
     assert await service.settle()
-    return started(service.kept.folder)
+    return started(service.keeper.kept.folder)
 
 
 async def test_upstreams_are_known_before_they_announce_themselves(tmp_path):
@@ -114,7 +114,7 @@
     """
     lines = []
     monkeypatch.setattr(
-        'godwitshunt.registry.service.log_change',
+        'godwitshunt.registry.keeper.log_change',
         lambda kind, **fields: lines.append(kind),
     )
     service = started(tmp_path)
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -9,12 +9,13 @@
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
-from godwitshunt.registry.contacts import (
-    Contacts,
-    ControlContact,
-    HeldTable,
-    KnownControl,
+from godwitshunt.registry.asking import (
+    ToldFirst,
+    missed_tables,
+    question_to_another,
+    question_to_first,
 )
+from godwitshunt.registry.contacts import Contacts, KnownControl
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.joined import JoinedTables, TakenNews
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
@@ -24,14 +25,11 @@
     UpstreamAnnounced,
     incarnation_name,
 )
-from godwitshunt.registry.relay import Scope, relayed_news
 from godwitshunt.registry.views import RegistryView
 from godwitshunt.registry.wire import (
     MILLISECONDS,
-    entry_to_wire,
     loads_from_wire,
     prefixes_from_wire,
-    prefixes_to_wire,
 )
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics, log_change
@@ -52,15 +50,12 @@
 # long the first control VM is asked this often, and a request that finds no
 # upstream may wait for the next answer.
 YOUNG_S = 2.0
-# A table is told to a control VM that misses it if it is newer here by this.
-NEWER_BY_S = 0.5
 YOUNG_PERIOD_S = 0.12
 # Whole tables are asked of another region's control VM only if none of the own
 # region has answered by then.
 NEAR_ONLY_S = 0.3
 # A view is joined anew at most so often; its parts change with every reply.
 VIEW_KEPT_S = 0.1
-NOT_ASKED = -1
 # Other VMs' requests that were told longer ago than this say nothing.
 LOADS_KEPT_S = 3.0
 
@@ -296,83 +291,19 @@
         self.background.run(str(address), partial(self.poll, address))
 
     def message_to(self, control: str, now_s: float) -> ttypes.Poll:
-        """Return what one control VM is told and asked.
-
-        The first one hears of this VM, and tells all tables; another one is
-        asked for its own only, and for nothing before it is known where it
-        stands: whole tables of 195 entry VMs from each of five control VMs
-        were most of what crossed between regions. The one that gives places
-        here knows where prompts are kept and what others send; a VM that
-        chooses by itself must know it, too.
-        """
+        """Return what one control VM is told and asked."""
         known = self.known_control()
-        if control != self.contacts.first(known, now_s):
-            is_known = bool(self.contacts.of(control).source)
-            return ttypes.Poll(
-                held=self.joined.held(),
-                prefixes=[],
-                newer=[],
-                prefixes_version=NOT_ASKED,
-                wants_loads=True,
-                scope=Scope.own if is_known else Scope.none,
-            )
         contact = self.contacts.of(control)
+        if control != self.contacts.first(known, now_s):
+            return question_to_another(contact, self.joined)
         own = self.own()
-        chooses = self.contacts.picker(known, now_s) is None
-        return ttypes.Poll(
-            entry=entry_to_wire(own.record),
-            held=self.joined.held(),
-            report=own.report(contact.source),
-            prefixes=prefixes_to_wire(
-                self.own_prefixes.since(contact.prefixes_told),
-                now_s,
-            ),
-            prefixes_version=contact.prefixes_version if chooses else NOT_ASKED,
-            wants_loads=chooses,
-            scope=Scope.all,
-            newer=self.newer_than(contact, now_s),
+        told = ToldFirst(
+            own.record,
+            own.report(contact.source),
+            self.own_prefixes.since(contact.prefixes_told),
+            chooses=self.contacts.picker(known, now_s) is None,
         )
-
-    def newer_than(
-        self,
-        contact: ControlContact,
-        now_s: float,
-    ) -> list[ttypes.TableNews]:
-        """Return the tables that a control VM misses and this VM holds."""
-        newer = []
-        for table in self.joined.tables.values():
-            held = contact.misses.get(table.source)
-            known = None
-            if held is not None:
-                if table.answered_s - held.asof_s < NEWER_BY_S:
-                    continue
-                known = ttypes.TableHeld(
-                    table.source,
-                    held.version,
-                    held.entries_version,
-                )
-            if contact.misses and table.source:
-                news = relayed_news(table, known, now_s, with_loads=True)
-                newer.append(news)
-        return newer
-
-    def note_misses(
-        self,
-        contact: ControlContact,
-        message: ttypes.PollReply,
-        sent_s: float,
-    ) -> None:
-        """Note which tables a control VM holds, where it misses some."""
-        contact.misses = {}
-        if message.misses_tables:
-            contact.misses = {
-                news.source: HeldTable(
-                    news.version,
-                    news.entries_version,
-                    sent_s - news.age_ms / MILLISECONDS,
-                )
-                for news in message.tables or ()
-            }
+        return question_to_first(contact, self.joined, told, now_s)
 
     def take(
         self,
@@ -400,7 +331,7 @@
         contact.answer(message.source, sent_s, now_s)
         contact.gives_places = bool(message.gives_places)
         contact.region = message.region or ''
-        self.note_misses(contact, message, sent_s)
+        contact.misses = missed_tables(message, sent_s)
         self.prefixes.take(prefixes_from_wire(message.prefixes, now_s))
         if is_known:
             contact.prefixes_told = told
--- a/godwitshunt/routing/tests/test_upstream_health.py
+++ b/godwitshunt/routing/tests/test_upstream_health.py
@@ -37,8 +37,8 @@
 
 
 def test_a_delay_of_long_ago_says_little():
-    """A queue is read in seconds; what was learned of it must not outlast it."""
+    """A queue is read in seconds; what it taught must not outlast it."""
     health = UpstreamHealth()
     health.note_time(2.0, 0.5, now_s=10.0)
     assert health.expected_delay_s(10.0) == pytest.approx(0.225)
-    assert health.expected_delay_s(13.0) < 0.03
+    assert health.expected_delay_s(13.0) < health.expected_delay_s(10.0) / 7
