--- a/godwitshunt/configuration/background.py
+++ b/godwitshunt/configuration/background.py
@@ -40,6 +40,12 @@
                 'background:message_malformed', work=name, fault=str(bad)
             )
 
+    async def wait(self, name: str) -> None:
+        """Wait until the work of a name is done; its failure is its own."""
+        running = self.tasks.get(name)
+        if running is not None:
+            await asyncio.wait((running,))
+
     def is_running(self, name: str) -> bool:
         """Tell whether work of a name is under way."""
         running = self.tasks.get(name)
--- a/godwitshunt/configuration/document.py
+++ b/godwitshunt/configuration/document.py
@@ -35,8 +35,10 @@
     'residency',
     'callers',
     'routes',
+    'organisations',
 )
 EVACUATIONS = 'evacuations'
+ORIGIN = 'origin'
 SYSTEM_SECTIONS = ('vms', 'holders', EVACUATIONS)
 SECTIONS = MANIFEST_SECTIONS + SYSTEM_SECTIONS
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
@@ -85,6 +87,15 @@
         """Return the document with one section replaced."""
         return replace(self, sections={**self.sections, name: entries})
 
+    def for_vms(self) -> 'Document':
+        """Return the document as VMs need it, without the pipeline's own.
+
+        That is as long as all the rest, and holds keys of callers, which
+        no VM needs and no message between regions is to show.
+        """
+        scalars = {**self.scalars, ORIGIN: ''}
+        return replace(self, scalars=scalars)
+
     def manifest_fields(self) -> dict[str, Any]:
         """Return the manifest's part as plain fields."""
         return {
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -234,7 +234,8 @@
             return
         if not state.highest:
             return
-        held = Held(state.revision, digest_of(state.document), state.document)
+        document = state.document.for_vms()
+        held = Held(state.revision, digest_of(document), document)
         self.history.add(held)
         self.publish(held)
         if self.kept is not None:
--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -48,6 +48,8 @@
 # together and reach a control replica as one burst each second.
 HEARTBEAT_JITTER_S = 0.2
 CALL_TIMEOUT_S = 0.5
+# Newer news is asked for out of turn so often at most.
+ASK_AGAIN_S = 0.05
 # Until it has a revision a VM serves nobody, so it asks more often.
 FIRST_PERIOD_S = 0.1
 # A replica whose own proof is older than this is asked no further: another
@@ -131,6 +133,7 @@
         self.preferred: Address | None = None
         self.peer_turn = 0
         self.introduces = True
+        self.asked_s = float('-inf')
         # Spreads heartbeats over time; nothing is decided by it.
         self.jitter = random.Random(record.name)
 
@@ -228,8 +231,19 @@
             period_s = FIRST_PERIOD_S
         self.timer.after(period_s, self.begin_heartbeat)
 
+    async def ask_now(self) -> None:
+        """Ask for newer news, and wait for it.
+
+        Where that is under way already, that answer is waited for. Callers
+        with wrong keys must not make this VM ask without end.
+        """
+        if self.timer.now() - self.asked_s > ASK_AGAIN_S:
+            self.background.run('heartbeat', self.ask)
+        await self.background.wait('heartbeat')
+
     async def ask(self) -> None:
         """Ask control replicas until one proves a quorum, else a peer."""
+        self.asked_s = self.timer.now()
         for address in control_order(
             self.current,
             self.record,
--- a/godwitshunt/exchange/exchange.thrift
+++ b/godwitshunt/exchange/exchange.thrift
@@ -29,4 +29,6 @@
   /** The route's place, under which the receiver finds its rules. */
   15: optional string host
   16: optional string path_prefix
+  /** Whose request it is, once its key was looked up; absent for nobody's. */
+  17: optional string organisation
 }
--- a/godwitshunt/exchange/gen/wire/ttypes.py
+++ b/godwitshunt/exchange/gen/wire/ttypes.py
@@ -35,6 +35,7 @@
      - resume_after: Id of the last event of a stream that the caller has.
      - host: The route's place, under which the receiver finds its rules.
      - path_prefix
+     - organisation: Whose request it is, once its key was looked up; absent for nobody's.
 
     """
 
@@ -55,10 +56,11 @@
         'resume_after',
         'host',
         'path_prefix',
+        'organisation',
     )
 
 
-    def __init__(self, path=None, regions=None, receiver=None, caller=None, request_class=None, remaining_ms=None, revision=None, request_digest=None, claimed=None, resume_offset=None, service_name=None, request_id=None, repeat=None, resume_after=None, host=None, path_prefix=None,):
+    def __init__(self, path=None, regions=None, receiver=None, caller=None, request_class=None, remaining_ms=None, revision=None, request_digest=None, claimed=None, resume_offset=None, service_name=None, request_id=None, repeat=None, resume_after=None, host=None, path_prefix=None, organisation=None,):
         self.path = path
         self.regions = regions
         self.receiver = receiver
@@ -75,6 +77,7 @@
         self.resume_after = resume_after
         self.host = host
         self.path_prefix = path_prefix
+        self.organisation = organisation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -175,6 +178,11 @@
                     self.path_prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -255,6 +263,10 @@
             oprot.writeFieldBegin('path_prefix', TType.STRING, 16)
             oprot.writeString(self.path_prefix.encode('utf-8') if sys.version_info[0] == 2 else self.path_prefix)
             oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 17)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -297,6 +309,7 @@
     (14, TType.I64, 'resume_after', None, None, ),  # 14
     (15, TType.STRING, 'host', 'UTF8', None, ),  # 15
     (16, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 16
+    (17, TType.STRING, 'organisation', 'UTF8', None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/godwitshunt/exchange/problems.py
+++ b/godwitshunt/exchange/problems.py
@@ -60,6 +60,7 @@
     overloaded = ('overloaded', 503, 'The deadline cannot be met')
     isolated = ('isolated', 503, 'This region is cut off from the others')
     draining = ('draining', 503, 'This VM is shutting down')
+    unproven = ('unproven', 503, 'Which keys hold is not known here')
     not_ready = ('not-ready', 503, 'This VM has no configuration yet')
     no_majority = ('no-majority', 503, 'Too few claim holders answered')
     revision_behind = ('revision-behind', 503, 'An older revision is in force')
--- a/godwitshunt/ingress/account.py
+++ b/godwitshunt/ingress/account.py
@@ -7,6 +7,7 @@
 from godwitshunt.picking.choices import (
     Choice,
     HandOver,
+    Limited,
     NoPlace,
     SendHere,
     describe,
@@ -50,6 +51,8 @@
                 place = f'{entry.region}/{entry.name}'
             case NoPlace(overloaded=overloaded):
                 place = 'overloaded' if overloaded else 'no upstream'
+            case Limited():
+                place = 'limited'
         candidates = ' '.join(map(describe, choice.ranked))
         if isinstance(choice, NoPlace) and choice.left_out:
             candidates = f'none: {", ".join(choice.left_out)}'
@@ -91,6 +94,12 @@
         kind = request.route.kind.value
         metrics.count('ingress_requests_total', kind=kind, ending=ending)
         metrics.observe('ingress_request_seconds', took_s, kind=kind)
+        if request.organisation is not None and not request.handed_over:
+            metrics.count(
+                'ingress_organisation_requests_total',
+                organisation=request.organisation_name,
+                ending=ending,
+            )
         first_s = self.first_s
         if first_s is not None:
             metrics.observe('ingress_first_seconds', first_s, kind=kind)
@@ -100,6 +109,7 @@
             request=request.id,
             route=request.route.name,
             service=request.service.name,
+            organisation=request.organisation_name,
             handed_over=request.handed_over,
             ending=ending,
             took_s=round(took_s, 4),
--- a/godwitshunt/ingress/header_names.py
+++ b/godwitshunt/ingress/header_names.py
@@ -28,6 +28,11 @@
         Prompt tokens and the most output tokens, by a comma.
     urgency : bytes
         0 to 9 for the upstream's queue; 0 goes first.
+    key : bytes
+        The key of a caller's organisation, and nothing else; it is never
+        passed on.
+    organisation : bytes
+        Tells an upstream whose request it gets.
     reserved : frozenset of bytes
         Headers that this system sets; dropped from callers' requests.
     """
@@ -41,4 +46,6 @@
     prompt_parts: bytes = b'godwitshunt-prompt-parts'
     token_count: bytes = b'godwitshunt-prompt-tokens'
     urgency: bytes = b'godwitshunt-urgency'
+    key: bytes = b'godwitshunt-key'
+    organisation: bytes = b'godwitshunt-organisation'
     reserved: frozenset[bytes] = frozenset()
--- a/godwitshunt/ingress/headers.py
+++ b/godwitshunt/ingress/headers.py
@@ -16,6 +16,8 @@
         names.deadline_ms,
         names.expected_instance,
         names.urgency,
+        names.key,
+        names.organisation,
         *names.reserved,
     }
     return tuple(
@@ -32,6 +34,7 @@
     remaining_s: float,
     urgency: int,
     resume_after: int | None,
+    organisation: str = '',
 ) -> Headers:
     """Return a request's headers as an upstream gets them.
 
@@ -45,11 +48,15 @@
         Seconds until the request is given up.
     resume_after : int or None
         Id of the last event that the caller has; None for a new stream.
+    organisation : str
+        Whose request it is; empty for nobody's.
     """
     kept = headers
     if resume_after is not None:
         kept = tuple(pair for pair in headers if pair[0] != names.resume_after)
         kept = (*kept, (names.resume_after, number(resume_after)))
+    if organisation:
+        kept = (*kept, (names.organisation, organisation.encode()))
     return (
         *kept,
         (names.deadline_ms, number(max(1, remaining_s * MILLISECONDS))),
--- a/godwitshunt/ingress/hops.py
+++ b/godwitshunt/ingress/hops.py
@@ -16,9 +16,9 @@
     OutgoingRequest,
 )
 from godwitshunt.ingress.headers import keep_sendable
+from godwitshunt.ingress.in_force import InForce
 from godwitshunt.ingress.parts import IngressParts
 from godwitshunt.ingress.requests import RoutedRequest, prompt_of
-from godwitshunt.manifest import Manifest
 from godwitshunt.registry import EntryRecord
 
 # A connection is made in one round trip; lost packets are sent again after
@@ -57,6 +57,7 @@
         resume_after=-1 if resume_after is None else resume_after,
         host=request.route.host,
         path_prefix=request.route.path_prefix,
+        organisation=request.organisation_name or None,
     )
     signed = sign_note(note, parts.cluster_key)
     return OutgoingRequest(
@@ -80,7 +81,7 @@
 
 def read_hop(
     http: HttpRequest,
-    manifest: Manifest,
+    in_force: InForce,
     parts: IngressParts,
 ) -> Result[RoutedRequest, ForwardRefused]:
     """Read a request that another VM handed over, its note checked.
@@ -97,10 +98,10 @@
     if isinstance(checked, Err):
         return checked
     note = checked.ok_value
-    place = (note.host, note.path_prefix)
-    routes = {(one.host, one.path_prefix): one for one in manifest.routes}
-    services = {one.name: one for one in manifest.services}
-    if place not in routes or note.service_name not in services:
+    service = in_force.services.get(note.service_name)
+    organisation = in_force.table.keys.by_name.get(note.organisation)
+    route = in_force.route_of(note, organisation)
+    if route is None or service is None:
         return Err(ForwardRefused('revision'))
     now_s = parts.timer.now()
     resumes = note.resume_after is not None and note.resume_after >= 0
@@ -109,13 +110,15 @@
             id=note.request_id or '',
             http=http,
             headers=keep_sendable(http.headers, parts.names),
-            route=routes[place],
-            service=services[note.service_name],
+            route=route,
+            service=service,
             prompt=prompt_of(http, parts.names),
             arrived_s=now_s,
             ends_s=now_s + max(0, note.remaining_ms or 0) / MILLISECONDS,
             resume_after=note.resume_after if resumes else None,
             repeat=bool(note.repeat),
             handed_over=True,
+            quiet_regions=in_force.quiet_regions(route, service),
+            organisation=organisation,
         ),
     )
--- /dev/null
+++ b/godwitshunt/ingress/in_force.py
@@ -0,0 +1,64 @@
+"""The revision in force, ready for look-ups with each request."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Self
+
+from godwitshunt.configuration.revision import Revision
+from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
+from godwitshunt.manifest import Organisation, Route, Service
+from godwitshunt.picking.routes import RouteTable
+
+
+@dataclass(frozen=True)
+class InForce:
+    """A revision with its routes, services and keys by name.
+
+    Parameters
+    ----------
+    table : RouteTable
+        Its routes, and who may send their requests.
+    services : mapping
+        By name.
+    """
+
+    revision: Revision
+    table: RouteTable
+    services: Mapping[str, Service]
+
+    @classmethod
+    def from_revision(cls, revision: Revision) -> Self:
+        """Make the tables of a revision."""
+        manifest = revision.manifest
+        return cls(
+            revision,
+            RouteTable.from_manifest(manifest),
+            {service.name: service for service in manifest.services},
+        )
+
+    def quiet_regions(self, route: Route, service: Service) -> frozenset[str]:
+        """Return where nothing more urgent than a route has a home."""
+        return self.table.quiet.get((service.name, route.rank), frozenset())
+
+    def route_of(
+        self,
+        note: ForwardNote,
+        organisation: Organisation | None,
+    ) -> Route | None:
+        """Return the route of a request that was handed over.
+
+        Parameters
+        ----------
+        organisation : Organisation or None
+            Whose request it is, where this revision knows it.
+
+        Returns
+        -------
+        Route or None
+            None where this revision has no such route or organisation.
+        """
+        route = self.table.of(note.host or '', note.path_prefix or '')
+        is_unknown = bool(note.organisation) and organisation is None
+        if route is None or is_unknown:
+            return None
+        return self.table.bind(route, organisation)
--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -18,6 +18,7 @@
     BreakOff,
     Deliver,
     Finish,
+    NotRun,
     Progress,
     RefuseWith,
     Step,
@@ -29,6 +30,7 @@
     Ask,
     Choice,
     HandOver,
+    Limited,
     NoPlace,
     SendHere,
 )
@@ -65,6 +67,7 @@
     writer: AnswerWriter
     retry_after_s: float = RETRY_AFTER_S
     gone: bool = False
+    is_counted: bool = False
     task: asyncio.Task | None = None
 
     def __post_init__(self) -> None:
@@ -128,7 +131,13 @@
             choice = await self.choose_with_news()
             if isinstance(choice, NoPlace):
                 return self.refuse(choice)
+            if isinstance(choice, Limited):
+                return self.refuse_limited(choice)
+            refusal = self.authority_refusal()
+            if refusal is not None:
+                return refusal
             outcome = await self.sender.send(choice)
+            self.is_counted = isinstance(outcome, NotRun)
             now_s = self.parts.timer.now()
             step = self.progress.take(outcome, self.request.remaining_s(now_s))
         return step
@@ -154,9 +163,10 @@
             choice = await self.ask_picker()
             if choice is None:
                 choice = self.choose_alone()
+                self.note_counted(choice)
             age_s = self.parts.watch.age_s()
             self.account.note_choice(choice, age_s)
-            if isinstance(choice, NoPlace):
+            if isinstance(choice, (NoPlace, Limited)):
                 return choice
             if not self.may_repeat():
                 self.progress.reasons.append('the retry budget is spent')
@@ -173,6 +183,7 @@
         """
         for _ in range(MOST_QUESTIONS):
             choice = await self.parts.picker.place(self.question())
+            self.note_counted(choice)
             if choice is None or self.is_sound(choice):
                 return choice
             self.exclude(choice)
@@ -194,8 +205,24 @@
             remaining_s=request.remaining_s(now_s),
             excluded=frozenset(self.sender.excluded) | avoided,
             local=request.handed_over,
+            organisation=request.organisation_name,
+            cost=self.cost(),
         )
 
+    def note_counted(self, choice: Choice | None) -> None:
+        """Note that a place was counted in the organisation's limit."""
+        if isinstance(choice, (SendHere, HandOver)):
+            self.is_counted = True
+
+    def cost(self) -> float:
+        """Return what one more sending counts for in the limit.
+
+        What was given a place and has not run yet is counted already: a
+        refusal of another region or a full upstream would else take the
+        limit's units for nothing, twice or more for one request.
+        """
+        return 0.0 if self.is_counted else self.request.cost
+
     def is_sound(self, choice: Choice) -> bool:
         """Tell whether a picker's choice fits all that this VM knows."""
         match choice:
@@ -217,7 +244,8 @@
         known = self.parts.watch.view().upstreams.get(told.incarnation, seen)
         leaves = known.told.draining or self.parts.watch.is_over(told)
         is_home = not homes or self.parts.settings.region in homes
-        is_evacuated = told.failure_domain in self.parts.revision().evacuated
+        evacuated = self.parts.in_force().revision.evacuated
+        is_evacuated = told.failure_domain in evacuated
         return is_home and not leaves and not is_evacuated
 
     def exclude(self, choice: SendHere | HandOver) -> None:
@@ -240,6 +268,21 @@
         )
 
     def choose_alone(self) -> Choice:
+        """Return this VM's own choice, within its own part of limits."""
+        limits = self.parts.picker.reports.limits
+        name, cost = self.request.organisation_name, self.cost()
+        is_limited = name and not self.request.handed_over
+        part = self.parts.limit_part()
+        if is_limited:
+            wait_s = limits.wait_s(name, cost, part, self.parts.timer.now())
+            if wait_s:
+                return Limited(wait_s)
+        choice = self.choose_alone_unlimited()
+        if is_limited and not isinstance(choice, NoPlace):
+            limits.take(name, cost)
+        return choice
+
+    def choose_alone_unlimited(self) -> Choice:
         """Return this VM's own choice on what is known now."""
         request = self.request
         now_s = self.parts.timer.now()
@@ -258,7 +301,8 @@
             ),
         )
         view = self.parts.watch.view()
-        return self.parts.chooser.choose(ask, view, self.parts.revision())
+        revision = self.parts.in_force().revision
+        return self.parts.chooser.choose(ask, view, revision)
 
     def may_repeat(self) -> bool:
         """Take one repeat from the budget where an upstream had it before."""
@@ -293,6 +337,26 @@
             return RefuseWith(ProblemKind.overloaded, detail, Outcome.not_run)
         return step
 
+    def refuse_limited(self, choice: Limited) -> Step:
+        """Return the last step of a request beyond its limit."""
+        self.retry_after_s = choice.retry_after_s
+        return self.refuse_as(ProblemKind.limited)
+
+    def authority_refusal(self) -> Step | None:
+        """Return the last step of a request whose key holds no more."""
+        in_force = self.parts.in_force()
+        kind = self.parts.authority.refusal(self.request, in_force)
+        return None if kind is None else self.refuse_as(kind)
+
+    def refuse_as(self, kind: ProblemKind) -> Step:
+        """Return the last step of a request that may not be sent."""
+        step = self.progress.give_up()
+        is_refused = isinstance(step, RefuseWith)
+        if is_refused and step.outcome is Outcome.not_run:
+            detail = ', '.join(self.progress.reasons) or kind.title
+            return RefuseWith(kind, detail, Outcome.not_run)
+        return step
+
     async def carry_out(self, step: Step) -> None:
         """Send the caller the end of its answer."""
         match step:
@@ -331,7 +395,7 @@
         self.account.close(
             ending,
             self.progress,
-            self.parts.revision().revision,
+            self.parts.in_force().revision.revision,
             self.parts.metrics,
             self.parts.timer.now(),
         )
--- a/godwitshunt/ingress/parts.py
+++ b/godwitshunt/ingress/parts.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from godwitshunt.configuration.revision import Revision
 from godwitshunt.exchange.upstream_pool import (
     UpstreamPool,
 )
+from godwitshunt.ingress.authority import Authority
 from godwitshunt.ingress.header_names import HeaderNames
+from godwitshunt.ingress.in_force import InForce
 from godwitshunt.picking.choices import Ask
 from godwitshunt.picking.choosing import (
     Chooser,
@@ -47,8 +48,10 @@
 
     Parameters
     ----------
-    revision : callable
+    in_force : callable
         Returns the revision in force; None before the first.
+    authority : Authority
+        Whether what is known of keys still holds.
     chooser : Chooser
         Chooses where the region's picker does not answer.
     pool : UpstreamPool
@@ -60,7 +63,8 @@
     settings: NodeSettings
     names: HeaderNames
     cluster_key: bytes
-    revision: Callable[[], Revision | None]
+    in_force: Callable[[], InForce | None]
+    authority: Authority
     watch: RegistryWatch
     upstreams: Upstreams
     neighbours: Neighbours
@@ -73,6 +77,16 @@
     timer: Timer
     metrics: Metrics
 
+    def limit_part(self) -> float:
+        """Return this VM's part of organisations' limits, without a picker.
+
+        The region's share is left by all other pickers while they don't hear
+        this region's; its entry VMs have equal parts of it.
+        """
+        regions = set(self.settings.domains.values())
+        regions.add(self.settings.region)
+        return 1 / len(regions) / self.neighbours.count_here()
+
     def cold_share(self) -> float:
         """Return this VM's part of what cold upstreams of its region may get.
 
--- a/godwitshunt/ingress/prompts.py
+++ b/godwitshunt/ingress/prompts.py
@@ -34,6 +34,8 @@
         Tokens to read.
     output_tokens : int
         Tokens to generate, at most.
+    prompt_told : int
+        Tokens to read, as the request tells them beside its parts.
 
     Examples
     --------
@@ -49,6 +51,7 @@
     parts: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     output_tokens: int = 0
+    prompt_told: int = 0
 
     @classmethod
     def from_headers(cls, parts: str | None, counts: str | None) -> Self:
@@ -59,7 +62,7 @@
         read = read_parts(parts or '')
         numbers = read_counts(counts or '')
         known = sum(part.tokens for part in read)
-        return cls(read, max(numbers[0], known), numbers[1])
+        return cls(read, max(numbers[0], known), numbers[1], numbers[0])
 
     @property
     def shared_tokens(self) -> int:
--- a/godwitshunt/ingress/requests.py
+++ b/godwitshunt/ingress/requests.py
@@ -7,7 +7,7 @@
 from godwitshunt.exchange.requests import HttpRequest
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.prompts import Prompt
-from godwitshunt.manifest import Route, Service
+from godwitshunt.manifest import Organisation, Route, Service
 
 MILLISECONDS = 1000
 # Upstreams' queues take urgencies from 0 to 9; ranks start here, so that
@@ -26,6 +26,8 @@
         The caller's id of the attempt.
     headers : tuple of (bytes, bytes)
         What goes on to an upstream.
+    route : Route
+        As it holds for the request's organisation.
     arrived_s : float
         When it was read, in monotonic seconds.
     ends_s : float
@@ -38,6 +40,11 @@
         True where another VM handed it over.
     quiet_regions : frozenset of str
         Regions that more urgent routes of the service have no home in.
+    organisation : Organisation or None
+        Whose it is; None for nobody's.
+    key_sha256 : str
+        Digest of the key that it came with; empty where it was handed over,
+        or has none.
     """
 
     id: str
@@ -52,6 +59,21 @@
     repeat: bool = False
     handed_over: bool = False
     quiet_regions: frozenset[str] = frozenset()
+    organisation: Organisation | None = None
+    key_sha256: str = ''
+
+    @property
+    def organisation_name(self) -> str:
+        """Whose it is; empty for nobody's."""
+        return '' if self.organisation is None else self.organisation.name
+
+    @property
+    def cost(self) -> float:
+        """What it counts for in its organisation's limit."""
+        if self.organisation is None or self.organisation.limit is None:
+            return 0.0
+        told = self.prompt.prompt_told + self.prompt.output_tokens
+        return self.organisation.limit.cost(told)
 
     @property
     def urgency(self) -> int:
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -291,6 +291,7 @@
                 self.remaining_s(),
                 request.urgency,
                 self.resume_after(),
+                request.organisation_name,
             ),
             body=request.http.body,
             request_id=request.id,
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -20,25 +20,20 @@
 )
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
 from godwitshunt.exchange.upstream_pool import UpstreamPool
+from godwitshunt.ingress.admission import Admission
+from godwitshunt.ingress.authority import Authority
 from godwitshunt.ingress.header_names import HeaderNames
-from godwitshunt.ingress.headers import keep_sendable
 from godwitshunt.ingress.hops import read_hop
+from godwitshunt.ingress.in_force import InForce
 from godwitshunt.ingress.life import RequestLife
 from godwitshunt.ingress.parts import Budgets, IngressParts
-from godwitshunt.ingress.requests import (
-    RoutedRequest,
-    deadline_s,
-    prompt_of,
-    resume_after,
-)
+from godwitshunt.ingress.requests import RoutedRequest
 from godwitshunt.ingress.sending import SIGN_OF_LIFE_S
-from godwitshunt.manifest import Route, Service
 from godwitshunt.picking.choosing import (
     Chooser,
 )
 from godwitshunt.picking.client import PickerClient
 from godwitshunt.picking.learner import Learner
-from godwitshunt.picking.routes import RouteTable, host_name, pick_service
 from godwitshunt.registry import RegistryWatch
 from godwitshunt.routing.cold_budget import ColdBounds, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds
@@ -54,6 +49,8 @@
 # back later than that. Control VMs of other regions have answered by then, and
 # the users' shortest objective is not over.
 FIRST_WAIT_S = 0.35
+# What another VM, or this one in a moment, may serve.
+COME_BACK = frozenset((ProblemKind.not_ready, ProblemKind.unproven))
 # Idle connections of callers are kept for a little longer than callers are
 # told, so that none is closed under a request on its way.
 IDLE_EXTRA_S = 2.0
@@ -74,10 +71,14 @@
     def __init__(self, parts: IngressParts) -> None:
         self.parts = parts
         self.settings: IngressSettings = parts.settings
-        self.random = Random()
-        self.table = RouteTable()
-        self.services: dict[str, Service] = {}
-        self.revision: Revision | None = None
+        self.in_force: InForce | None = None
+        self.admission = Admission(
+            parts.names,
+            self.current,
+            parts.authority,
+            Random(),
+            lambda: parts.watch.is_young,
+        )
         self.configured = asyncio.Event()
         self.draining = False
         self.in_progress = 0
@@ -128,7 +129,8 @@
             settings=settings,
             names=names,
             cluster_key=cluster_key,
-            revision=lambda: None,
+            in_force=lambda: None,
+            authority=Authority.from_config(bounds, timer.now),
             watch=watch,
             upstreams=upstreams,
             neighbours=neighbours,
@@ -143,21 +145,29 @@
         )
         chooser.filter.cold_room = parts.cold_room
         made = cls(parts)
-        parts.revision = made.current
+        parts.in_force = made.current
         return made
 
-    def current(self) -> Revision | None:
+    def current(self) -> InForce | None:
         """Return the revision in force; None before the first."""
-        return self.revision
+        return self.in_force
 
     @property
     def accepting(self) -> bool:
-        """True while callers may be sent here."""
-        return self.revision is not None and not self.draining
+        """True while callers may be sent here.
+
+        A VM that cannot prove which keys still hold refuses their requests.
+        """
+        if self.in_force is None or self.draining:
+            return False
+        has_keys = bool(self.in_force.table.keys.by_name)
+        return not has_keys or self.parts.authority.is_proven
 
     def route_homes(self, host: str) -> tuple[frozenset[str], ...]:
         """Return the homes of each route of a host that has any."""
-        routes = () if self.revision is None else self.revision.manifest.routes
+        if self.in_force is None:
+            return ()
+        routes = self.in_force.revision.manifest.routes
         return tuple(
             frozenset(route.homes)
             for route in routes
@@ -183,12 +193,10 @@
 
     def apply_revision(self, revision: Revision) -> None:
         """Serve by a newer revision from now on."""
-        self.revision = revision
+        self.in_force = InForce.from_revision(revision)
         self.configured.set()
-        self.table = RouteTable.from_manifest(revision.manifest)
-        self.services = {
-            service.name: service for service in revision.manifest.services
-        }
+        now_s = self.parts.timer.now()
+        self.parts.picker.reports.configure(revision.manifest, now_s)
         limits = revision.manifest.input_limits
         own = self.settings.limits.model_copy(
             update={
@@ -244,7 +252,7 @@
         """Serve a caller's request."""
         now_s = self.parts.timer.now()
         await self.wait_for_revision()
-        match self.admit(http, now_s):
+        match await self.admission.admit(http, now_s):
             case Ok(request):
                 await self.live(request, writer)
             case Err(problem):
@@ -252,46 +260,11 @@
 
     async def wait_for_revision(self) -> None:
         """Wait a moment for the first revision, while the VM is young."""
-        if self.revision is None and self.parts.watch.is_young:
+        if self.in_force is None and self.parts.watch.is_young:
             with suppress(TimeoutError):
                 async with asyncio.timeout(FIRST_WAIT_S):
                     await self.configured.wait()
 
-    def admit(
-        self,
-        http: HttpRequest,
-        now_s: float,
-    ) -> Ok[RoutedRequest] | Err[Problem]:
-        """Find a request's route and service."""
-        if self.revision is None:
-            told = 'no revision is in force here yet'
-            return Err(Problem(ProblemKind.not_ready, told, Outcome.not_run))
-        names = self.parts.names
-        route = self.table.match(host_name(http.header(b'host')), http.path)
-        if route is None:
-            told = 'no route has this host and path'
-            return Err(Problem(ProblemKind.not_found, told, Outcome.not_run))
-        service = self.services[pick_service(route, self.random.random())]
-        waits_s = min(route.timeout_s, deadline_s(http, names))
-        return Ok(
-            RoutedRequest(
-                id=http.header(names.request_id) or '',
-                http=http,
-                headers=keep_sendable(http.headers, names),
-                route=route,
-                service=service,
-                prompt=prompt_of(http, names),
-                arrived_s=now_s,
-                ends_s=now_s + waits_s,
-                resume_after=resume_after(http, names),
-                quiet_regions=self.quiet_regions(route, service),
-            ),
-        )
-
-    def quiet_regions(self, route: Route, service: Service) -> frozenset[str]:
-        """Return where nothing more urgent than a route has a home."""
-        return self.table.quiet.get((service.name, route.rank), frozenset())
-
     async def live(
         self,
         request: RoutedRequest,
@@ -322,10 +295,11 @@
             path=http.path[:200],
             kind=problem.kind.slug,
             detail=problem.detail,
-            revision=0 if self.revision is None else self.revision.revision,
+            revision=self.revision_number(),
+            proof_age_s=round(self.parts.authority.age_s(), 2),
         )
         answer = render_problem(problem)
-        if problem.kind is ProblemKind.not_ready:
+        if problem.kind in COME_BACK:
             wait = (b'retry-after', b'%.3f' % RETRY_AFTER_S)
             answer = WholeAnswer(
                 answer.status,
@@ -334,16 +308,20 @@
             )
         await writer.whole(answer)
 
+    def revision_number(self) -> int:
+        """Return the revision in force, for logs; 0 before the first."""
+        return 0 if self.in_force is None else self.in_force.revision.revision
+
     async def serve_hop(self, http: HttpRequest, writer: AnswerWriter) -> None:
         """Serve a request that another entry VM handed over."""
-        if self.revision is None:
+        if self.in_force is None:
             told = 'no revision is in force here yet'
             problem = Problem(ProblemKind.not_ready, told, Outcome.not_run)
             await self.refuse(http, writer, problem)
             return
         read = read_hop(
             http,
-            self.revision.manifest,
+            self.in_force,
             self.parts,
         )
         if isinstance(read, Err):
@@ -352,8 +330,6 @@
             await self.refuse(http, writer, problem)
             return
         request = read.ok_value
-        quiet = self.quiet_regions(request.route, request.service)
-        request = replace(request, quiet_regions=quiet)
         signs = self.parts.timer.every(SIGN_OF_LIFE_S, writer.sign_of_life)
         try:
             await self.live(request, writer)
--- a/godwitshunt/ingress/tests/test_incarnations.py
+++ b/godwitshunt/ingress/tests/test_incarnations.py
@@ -45,6 +45,7 @@
         urgency=3,
         id='r-1',
         resume_after=None,
+        organisation_name='wards',
         remaining_s=lambda now_s: 2.0,
     )
     sender = Sender.__new__(Sender)
@@ -57,6 +58,7 @@
     made = sender.upstream_request(TOLD)
     assert made.origin == 'i-1~1000'
     assert dict(made.headers)[NAMES.expected_instance] == b'i-1'
+    assert dict(made.headers)[NAMES.organisation] == b'wards'
 
 
 def test_connections_to_a_start_that_ended_are_closed():
--- a/godwitshunt/manifest/__init__.py
+++ b/godwitshunt/manifest/__init__.py
@@ -16,6 +16,11 @@
     Service,
     ServiceKind,
 )
+from godwitshunt.manifest.organisations import (
+    LimitUnit,
+    Organisation,
+    OrganisationLimit,
+)
 from godwitshunt.manifest.residency import (
     ResidencyRefusal,
     allowed_regions,
@@ -34,6 +39,9 @@
     'ColdStart',
     'Engine',
     'InputLimits',
+    'LimitUnit',
+    'Organisation',
+    'OrganisationLimit',
     'Route',
     'RouteKind',
     'WeightedService',
--- a/godwitshunt/manifest/models.py
+++ b/godwitshunt/manifest/models.py
@@ -10,6 +10,7 @@
 from pydantic import Field, model_validator
 
 from godwitshunt.manifest.base import Digest, Name, StrictModel
+from godwitshunt.manifest.organisations import Organisation, check_keys
 from godwitshunt.manifest.routes import ColdStart, Engine, InputLimits, Route
 
 
@@ -195,7 +196,9 @@
     retry_share : float
         Retries and hedges together, as a share of first tries.
     routes : tuple of Route
-        Requests that need no caller's key, by host and path prefix.
+        Requests that name no model or service, by host and path prefix.
+    organisations : tuple of Organisation
+        Who may send requests of keyed routes.
     input_limits : InputLimits
         What callers of routes may send.
     origin : str
@@ -214,6 +217,7 @@
     objective: Objective = Objective()
     retry_share: float = Field(default=0.1, ge=0, le=1)
     routes: tuple[Route, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
     input_limits: InputLimits = InputLimits()
     origin: str = ''
 
@@ -251,8 +255,17 @@
                     rules,
                 )
         self.check_routes(services, regions)
+        self.check_organisations(regions)
         return self
 
+    def check_organisations(self, regions: frozenset[str]) -> None:
+        """Refuse shared keys, and homes that are no regions."""
+        unique_names('organisations', self.organisations)
+        check_keys(self.organisations)
+        for one in self.organisations:
+            for home in one.homes:
+                require('organisations', one.name, 'homes', home, regions)
+
     def check_routes(
         self,
         services: frozenset[str],
--- a/godwitshunt/manifest/routes.py
+++ b/godwitshunt/manifest/routes.py
@@ -28,7 +28,7 @@
 
 
 class Route(StrictModel):
-    """Requests of callers without keys, by host and path prefix.
+    """Requests by host and path prefix, of an organisation or of anybody.
 
     Parameters
     ----------
@@ -59,6 +59,8 @@
     by_prompt : bool
         True where requests tell the parts of their prompt, which upstreams
         cache.
+    keyed : bool
+        True where a request must come with an organisation's key.
     """
 
     name: str = Field(min_length=1, max_length=256)
@@ -74,6 +76,7 @@
     resumable: bool = False
     longest_gap_s: float | None = None
     by_prompt: bool = False
+    keyed: bool = False
 
     @property
     def repeatable(self) -> bool:
--- /dev/null
+++ b/godwitshunt/organisations/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of keys, proofs and limits of organisations."""
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -110,7 +110,21 @@
     left_out: tuple[str, ...] = ()
 
 
-Choice = SendHere | HandOver | NoPlace
+@dataclass(frozen=True)
+class Limited:
+    """Refuse it now: its organisation is over its limit.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        When the limit has room for it.
+    """
+
+    retry_after_s: float
+    ranked: tuple[Ranked, ...] = ()
+
+
+Choice = SendHere | HandOver | NoPlace | Limited
 
 
 def describe(ranked: Ranked) -> str:
--- /dev/null
+++ b/godwitshunt/picking/limits.py
@@ -0,0 +1,90 @@
+"""A picker's part of organisations' limits, by what control VMs tell."""
+
+from dataclasses import dataclass
+
+from godwitshunt.manifest import Manifest
+from godwitshunt.organisations import (
+    LimitPool,
+    fixed_shares,
+    limits_of,
+    usable_part,
+)
+from godwitshunt.organisations.limits import STALE_S
+from godwitshunt.registry.control_tables import ControlTables
+from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.wire import admitted_from_wire
+
+# Counts of a process that was not heard for so long are forgotten.
+KEPT_S = 120.0
+
+
+@dataclass
+class PickerLimits:
+    """Keeps a picker's pool in step with the other pickers'.
+
+    Parameters
+    ----------
+    pool : LimitPool
+        The picker's counts.
+    tables : ControlTables
+        What other control VMs tell.
+    """
+
+    pool: LimitPool
+    tables: ControlTables
+    is_configured: bool = False
+
+    def configure(self, manifest: Manifest, now_s: float) -> None:
+        """Take the limits of a newer revision."""
+        starts = not self.is_configured
+        self.pool.configure(limits_of(manifest), now_s, starts=starts)
+        self.is_configured = True
+
+    def pickers(self) -> dict[str, list[str]]:
+        """Return the control VMs of each region that are known."""
+        regions = set(self.tables.place.regions.values())
+        regions.add(self.tables.place.region)
+        found = {region: self.tables.in_region(region) for region in regions}
+        here = found[self.tables.place.region]
+        if self.tables.own not in here:
+            here.append(self.tables.own)
+        return found
+
+    def part(self, now_s: float) -> float:
+        """Return which part of limits may be admitted here now.
+
+        What others have admitted is taken first.
+        """
+        if not self.pool.buckets:
+            return 1.0
+        pickers = self.pickers()
+        shares = fixed_shares(pickers)
+        heard = {self.tables.own}
+        for control, table in self.tables.joined.tables.items():
+            if control == self.tables.own or not table.source:
+                continue
+            self.pool.hear(
+                f'{control} {table.source}',
+                table.admitted,
+                table.loads_s,
+                shares.get(control, 0.0),
+            )
+            if now_s - table.loads_s <= STALE_S:
+                heard.add(control)
+        known = {str(one) for one in self.tables.place.others()}
+        known.update(heard)
+        return usable_part(self.tables.own, pickers, known, heard)
+
+    def hear_vm(
+        self,
+        session: str,
+        told: list[ttypes.AdmittedUnits] | None,
+        now_s: float,
+    ) -> None:
+        """Take what an entry VM has admitted by itself."""
+        if told and self.pool.buckets:
+            self.pool.hear_vm(session, admitted_from_wire(told), now_s)
+
+    def forget(self, now_s: float) -> None:
+        """Drop the counts of processes that are long gone."""
+        self.pool.forget(now_s - KEPT_S)
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -16,7 +16,15 @@
 
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.manifest import Route, Service
-from godwitshunt.picking.choices import Ask, Choice, HandOver, SendHere
+from godwitshunt.organisations import LimitPool
+from godwitshunt.picking.choices import (
+    Ask,
+    Choice,
+    HandOver,
+    Limited,
+    NoPlace,
+    SendHere,
+)
 from godwitshunt.picking.choosing import Chooser
 from godwitshunt.picking.handed import HandedLoads
 from godwitshunt.picking.neighbours import Neighbours
@@ -52,6 +60,10 @@
         Incarnations, VMs and regions that failed this request.
     local : bool
         True where it was handed over, and must be served in this region.
+    organisation : str
+        Whose request it is; empty for nobody's.
+    cost : float
+        What it counts for in that organisation's limit.
     """
 
     entry: str
@@ -63,6 +75,8 @@
     remaining_s: float
     excluded: frozenset[str] = frozenset()
     local: bool = False
+    organisation: str = ''
+    cost: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -104,11 +118,14 @@
         In force.
     routes : RouteTable
         Of that revision.
+    part : float
+        Part of organisations' limits that may be admitted here, 0 to 1.
     """
 
     view: RegistryView
     revision: Revision
     routes: RouteTable
+    part: float = 1.0
 
 
 @dataclass
@@ -131,6 +148,8 @@
         What cold upstreams may get by this picker.
     handed : HandedLoads
         What was sent to other regions.
+    limits : LimitPool
+        What organisations were admitted.
     """
 
     region: str
@@ -141,6 +160,7 @@
     cold: ColdBudget
     handed: HandedLoads
     random: Random
+    limits: LimitPool
     cold_share: float = FIRST_SHARE
 
     def __post_init__(self) -> None:
@@ -175,10 +195,13 @@
         now_s: float,
     ) -> Given | Unable:
         """Return where a request goes, its place counted."""
-        route = known.routes.of(question.host, question.path_prefix)
+        route = route_for(question, known.routes)
         service = service_of(known.revision, question.service)
         if route is None or service is None:
             return Unable('no such route or service is in force here')
+        wait_s = self.limit_wait_s(question, known.part, now_s)
+        if wait_s:
+            return Given(Limited(self.chooser.jitter(wait_s)))
         self.handed.forget(now_s)
         loads = SummedLoads((known.view.loads, self.handed.totals))
         view = replace(known.view, loads=loads)
@@ -186,8 +209,30 @@
         choice = self.chooser.choose(ask, view, known.revision)
         if isinstance(choice, SendHere):
             self.spend_cold(choice, ask)
+        if not isinstance(choice, NoPlace):
+            self.spend_limit(question)
         return self.count(question, service, choice, now_s)
 
+    def limit_wait_s(
+        self,
+        question: Question,
+        part: float,
+        now_s: float,
+    ) -> float:
+        """Return the seconds until a request is within its limit.
+
+        One that was handed over was counted where it came from.
+        """
+        if question.local or not question.organisation:
+            return 0.0
+        name, cost = question.organisation, question.cost
+        return self.limits.wait_s(name, cost, part, now_s)
+
+    def spend_limit(self, question: Question) -> None:
+        """Count a request that is given a place, here or elsewhere."""
+        if question.organisation and not question.local:
+            self.limits.take(question.organisation, question.cost)
+
     def ask(
         self,
         question: Question,
@@ -276,6 +321,15 @@
             self.prefixes.note(read)
 
 
+def route_for(question: Question, routes: RouteTable) -> Route | None:
+    """Return the route of a question, as it holds for its organisation."""
+    route = routes.of(question.host, question.path_prefix)
+    if route is None or not question.organisation:
+        return route
+    organisation = routes.keys.by_name.get(question.organisation)
+    return organisation and routes.bind(route, organisation)
+
+
 def service_of(revision: Revision, name: str) -> Service | None:
     """Return a service of the revision in force."""
     for service in revision.manifest.services:
--- a/godwitshunt/picking/reports.py
+++ b/godwitshunt/picking/reports.py
@@ -4,12 +4,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from godwitshunt.manifest import Manifest
+from godwitshunt.organisations import LimitPool, limits_of
 from godwitshunt.picking.shown import AttemptShown, shown_to_wire
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.ledger import Report
 from godwitshunt.registry.prefixes import PrefixTable
-from godwitshunt.registry.wire import prefixes_to_wire, report_to_wire
+from godwitshunt.registry.wire import (
+    admitted_to_wire,
+    prefixes_to_wire,
+    report_to_wire,
+)
 
 # What attempts showed is kept until it is reported, this much at most: a VM
 # that has had no picker for a while has nothing new to tell of a second ago.
@@ -30,12 +36,15 @@
         What this VM's requests have shown of kept prompts.
     now : callable
         Returns monotonic seconds.
+    limits : LimitPool
+        What this VM has admitted without a picker.
     """
 
     session: str
     upstreams: Upstreams
     prefixes: PrefixTable
     now: Callable[[], float]
+    limits: LimitPool = field(default_factory=LimitPool)
     number: int = 0
     shown: deque[AttemptShown] = field(
         default_factory=lambda: deque(maxlen=MOST_SHOWN),
@@ -44,6 +53,10 @@
     places_taken: int = 0
     prefixes_told: int = 0
 
+    def configure(self, manifest: Manifest, now_s: float) -> None:
+        """Take the limits of a newer revision."""
+        self.limits.configure(limits_of(manifest), now_s, starts=False)
+
     def take_place(self, source: str, number: int) -> None:
         """Note a place that this VM was given, which it uses from now on."""
         if source != self.places_of:
@@ -66,6 +79,7 @@
         made = report_to_wire(report, source, now_s)
         made.shown = shown_to_wire(self.shown)
         self.shown.clear()
+        made.admitted = admitted_to_wire(self.limits.admitted)
         made.prefixes = prefixes_to_wire(
             self.prefixes.since(self.prefixes_told),
             now_s,
--- a/godwitshunt/picking/routes.py
+++ b/godwitshunt/picking/routes.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Self
 
-from godwitshunt.manifest import Manifest, Route
+from godwitshunt.manifest import Manifest, Organisation, Route
+from godwitshunt.organisations import KeyRing, bind_route
 
 SLASH = '/'
 
@@ -20,6 +21,10 @@
     quiet : mapping
         For a service and a rank the regions that more urgent routes of the
         service have no home in.
+    keys : KeyRing
+        Who may send requests of keyed routes.
+    bound : dict
+        Routes as they hold for organisations, once they were asked for.
 
     Examples
     --------
@@ -31,6 +36,10 @@
     quiet: Mapping[tuple[str, int], frozenset[str]] = field(
         default_factory=dict,
     )
+    keys: KeyRing = field(default_factory=KeyRing)
+    bound: dict[tuple[str, str, str], Route | None] = field(
+        default_factory=dict,
+    )
 
     @classmethod
     def from_manifest(cls, manifest: Manifest) -> Self:
@@ -38,7 +47,8 @@
         hosts: dict[str, dict[str, Route]] = {}
         for route in manifest.routes:
             hosts.setdefault(route.host, {})[route.path_prefix] = route
-        return cls(hosts, quiet_regions(manifest))
+        keys = KeyRing.from_manifest(manifest)
+        return cls(hosts, quiet_regions(manifest), keys)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path."""
@@ -53,6 +63,22 @@
             end = path.rfind(SLASH, 0, end)
         return None
 
+    def bind(
+        self,
+        route: Route,
+        organisation: Organisation | None,
+    ) -> Route | None:
+        """Return a route as it holds for an organisation.
+
+        None where no region may serve it.
+        """
+        if organisation is None:
+            return route
+        place = (route.host, route.path_prefix, organisation.name)
+        if place not in self.bound:
+            self.bound[place] = bind_route(route, organisation)
+        return self.bound[place]
+
     def of(self, host: str, path_prefix: str) -> Route | None:
         """Return the route of a host with exactly this prefix."""
         return self.hosts.get(host, {}).get(path_prefix)
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -6,10 +6,18 @@
 from typing import Self
 
 from godwitshunt.configuration.revision import Revision
+from godwitshunt.organisations import LimitPool
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
-from godwitshunt.picking.choices import HandOver, NoPlace, SendHere, describe
+from godwitshunt.picking.choices import (
+    HandOver,
+    Limited,
+    NoPlace,
+    SendHere,
+    describe,
+)
 from godwitshunt.picking.handed import HandedLoads
 from godwitshunt.picking.learner import Learner
+from godwitshunt.picking.limits import PickerLimits
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.picker import (
     Given,
@@ -94,7 +102,10 @@
                 way_s=lambda other: neighbours.round_trip_s(other) / 2,
             ),
             random=Random(),
+            limits=LimitPool(),
         )
+        self.limits = PickerLimits(self.picker.limits, tables)
+        registry.admitted = self.picker.limits.admitted
         self.learner = Learner(
             self.picker.upstreams,
             registry.view,
@@ -139,12 +150,14 @@
         now_s = self.timer.now()
         tables = self.registry.tables
         view = self.registry.view()
+        self.follow_revision(now_s)
         self.forget_absent()
         self.picker.upstreams.forget(view.upstreams)
         self.picker.cold.forget(frozenset(view.upstreams))
         own = str(self.registry.place.address)
         self.picker.rank_among(own, tables.in_region(self.picker.region))
         self.picker.handed.forget(now_s)
+        self.limits.forget(now_s)
         for region in set(self.registry.place.regions.values()):
             round_trip_s = tables.round_trip_s(region)
             if round_trip_s is not None:
@@ -174,6 +187,7 @@
         """Learn of upstreams from a report."""
         self.note_waits(name, report)
         now_s = self.timer.now()
+        self.limits.hear_vm(report.session, told.admitted, now_s)
         revision = self.revision()
         for made in shown_from_wire(told.shown):
             service = revision and service_of(revision, made.service)
@@ -201,14 +215,25 @@
         """Return where a request goes."""
         if not self.registry.gives_places:
             return Unable('what runs is not known yet')
-        revision = self.revision()
+        revision = self.follow_revision(now_s)
         if revision is None:
             return Unable('no revision is known')
-        if revision is not self.of_revision:
+        known = Known(
+            self.registry.view(),
+            revision,
+            self.routes,
+            self.limits.part(now_s),
+        )
+        return self.picker.give(question, known, now_s)
+
+    def follow_revision(self, now_s: float) -> Revision | None:
+        """Return the newest revision, its routes and limits taken."""
+        revision = self.revision()
+        if revision is not None and revision is not self.of_revision:
             self.of_revision = revision
             self.routes = RouteTable.from_manifest(revision.manifest)
-        known = Known(self.registry.view(), revision, self.routes)
-        return self.picker.give(question, known, now_s)
+            self.limits.configure(revision.manifest, now_s)
+        return revision
 
     def note(self, question: Question, given: Given | Unable) -> None:
         """Log and count what an entry VM was given."""
@@ -223,6 +248,8 @@
             request=question.request,
             entry=question.entry,
             place=place_of(given),
+            organisation=question.organisation,
+            cost=question.cost,
             number=given.number if isinstance(given, Given) else 0,
             among=reasons_of(given),
             excluded=sorted(question.excluded),
@@ -241,6 +268,8 @@
             return f'{entry.region}/{entry.name}'
         case Given(choice=NoPlace(overloaded=True)):
             return 'overloaded'
+        case Given(choice=Limited(wait_s)):
+            return f'limited: {wait_s:.3f}s'
     return 'no upstream'
 
 
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -3,7 +3,13 @@
 from enum import IntEnum
 
 from godwitshunt.exceptions import FrameError
-from godwitshunt.picking.choices import Choice, HandOver, NoPlace, SendHere
+from godwitshunt.picking.choices import (
+    Choice,
+    HandOver,
+    Limited,
+    NoPlace,
+    SendHere,
+)
 from godwitshunt.picking.picker import Given, Question, Unable
 from godwitshunt.registry import UpstreamSeen
 from godwitshunt.registry.gen.wire import ttypes
@@ -26,6 +32,7 @@
     no_upstream = 3
     overloaded = 4
     unable = 5
+    limited = 6
 
 
 def question_to_wire(
@@ -47,6 +54,8 @@
         remaining_ms=int(question.remaining_s * MILLISECONDS),
         excluded=sorted(question.excluded),
         local=question.local,
+        organisation=question.organisation or None,
+        cost=question.cost,
     )
 
 
@@ -75,6 +84,8 @@
         remaining_s=asked.remaining_ms / MILLISECONDS,
         excluded=frozenset(asked.excluded or ()),
         local=bool(asked.local),
+        organisation=asked.organisation or '',
+        cost=max(0.0, asked.cost or 0.0),
     )
 
 
@@ -105,6 +116,9 @@
             if overloaded:
                 made.kind = GivenKind.overloaded
             made.retry_after_ms = wait_s * MILLISECONDS
+        case Limited(wait_s):
+            made.kind = GivenKind.limited
+            made.retry_after_ms = wait_s * MILLISECONDS
     return made
 
 
@@ -161,6 +175,8 @@
             return HandOver(entry_from_wire(made.entry), predicted_s)
         case GivenKind.unable:
             return None
+        case GivenKind.limited:
+            return Limited(made.retry_after_ms / MILLISECONDS)
         case kind:
             overloaded = kind is GivenKind.overloaded
             wait_s = made.retry_after_ms / MILLISECONDS
--- a/godwitshunt/programs/ingress_process.py
+++ b/godwitshunt/programs/ingress_process.py
@@ -99,6 +99,10 @@
             self.metrics,
         )
 
+        authority = self.ingress.parts.authority
+        authority.age_s = self.configuration.quorum_age_s
+        authority.renew = self.configuration.ask_now
+
     def control(self) -> tuple[Address, ...]:
         """Return the peer addresses of the control VMs that are known.
 
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -879,6 +879,88 @@
         return not (self == other)
 
 
+class AdmittedUnits(object):
+    """
+    What an organisation was admitted by a process since that started.
+
+    Attributes:
+     - organisation
+     - units
+
+    """
+
+    __slots__ = (
+        'organisation',
+        'units',
+    )
+
+
+    def __init__(self, organisation=None, units=None,):
+        self.organisation = organisation
+        self.units = units
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.units = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdmittedUnits')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.units is not None:
+            oprot.writeFieldBegin('units', TType.DOUBLE, 2)
+            oprot.writeDouble(self.units)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     An entry VM's own requests; one with a higher number takes its place.
@@ -892,6 +974,7 @@
      - places_taken
      - shown: What attempts have shown since the last report to this control VM.
      - prefixes: What upstreams have read since then.
+     - admitted: What the entry VM has admitted without a picker.
 
     """
 
@@ -903,10 +986,11 @@
         'shown',
         'prefixes',
         'session',
+        'admitted',
     )
 
 
-    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None,):
+    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None,):
         self.number = number
         self.loads = loads
         self.session = session
@@ -914,6 +998,7 @@
         self.places_taken = places_taken
         self.shown = shown
         self.prefixes = prefixes
+        self.admitted = admitted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -977,6 +1062,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.admitted = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = AdmittedUnits()
+                        _elem23.read(iprot)
+                        self.admitted.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -994,8 +1090,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter18 in self.loads:
-                iter18.write(oprot)
+            for iter24 in self.loads:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1009,21 +1105,28 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter19 in self.shown:
-                iter19.write(oprot)
+            for iter25 in self.shown:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter20 in self.prefixes:
-                iter20.write(oprot)
+            for iter26 in self.prefixes:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
             oprot.writeFieldBegin('session', TType.STRING, 7)
             oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
             oprot.writeFieldEnd()
+        if self.admitted is not None:
+            oprot.writeFieldBegin('admitted', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.admitted))
+            for iter27 in self.admitted:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1205,11 +1308,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = TableHeld()
-                        _elem26.read(iprot)
-                        self.held.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = TableHeld()
+                        _elem33.read(iprot)
+                        self.held.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1222,11 +1325,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = PrefixInfo()
-                        _elem32.read(iprot)
-                        self.prefixes.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = PrefixInfo()
+                        _elem39.read(iprot)
+                        self.prefixes.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1253,11 +1356,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = TableNews()
-                        _elem38.read(iprot)
-                        self.newer.append(_elem38)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = TableNews()
+                        _elem45.read(iprot)
+                        self.newer.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1278,8 +1381,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter39 in self.held:
-                iter39.write(oprot)
+            for iter46 in self.held:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -1289,8 +1392,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter40 in self.prefixes:
-                iter40.write(oprot)
+            for iter47 in self.prefixes:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1312,8 +1415,8 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter41 in self.newer:
-                iter41.write(oprot)
+            for iter48 in self.newer:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1360,6 +1463,7 @@
      - entries_version
      - loads: Requests of the entry VMs that report to the control VM; absent where
     they are not asked for.
+     - admitted: What the control VM's picker has admitted; told with the loads.
 
     """
 
@@ -1376,10 +1480,11 @@
         'gone_entries',
         'entries_version',
         'loads',
+        'admitted',
     )
 
 
-    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None, loads=None,):
+    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None, loads=None, admitted=None,):
         self.control = control
         self.source = source
         self.version = version
@@ -1392,6 +1497,7 @@
         self.gone_entries = gone_entries
         self.entries_version = entries_version
         self.loads = loads
+        self.admitted = admitted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1436,43 +1542,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = UpstreamInfo()
-                        _elem47.read(iprot)
-                        self.upstreams.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = UpstreamInfo()
+                        _elem54.read(iprot)
+                        self.upstreams.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = StartEnded()
-                        _elem53.read(iprot)
-                        self.gone.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = StartEnded()
+                        _elem60.read(iprot)
+                        self.gone.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = EntryInfo()
-                        _elem59.read(iprot)
-                        self.entries.append(_elem59)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = EntryInfo()
+                        _elem66.read(iprot)
+                        self.entries.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem65)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1484,11 +1590,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = UpstreamLoad()
-                        _elem71.read(iprot)
-                        self.loads.append(_elem71)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = UpstreamLoad()
+                        _elem78.read(iprot)
+                        self.loads.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.admitted = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = AdmittedUnits()
+                        _elem84.read(iprot)
+                        self.admitted.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1529,29 +1646,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter72 in self.upstreams:
-                iter72.write(oprot)
+            for iter85 in self.upstreams:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter73 in self.gone:
-                iter73.write(oprot)
+            for iter86 in self.gone:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter74 in self.entries:
-                iter74.write(oprot)
+            for iter87 in self.entries:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter75 in self.gone_entries:
-                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
+            for iter88 in self.gone_entries:
+                oprot.writeString(iter88.encode('utf-8') if sys.version_info[0] == 2 else iter88)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -1561,8 +1678,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter76 in self.loads:
-                iter76.write(oprot)
+            for iter89 in self.loads:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.admitted is not None:
+            oprot.writeFieldBegin('admitted', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.admitted))
+            for iter90 in self.admitted:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1643,33 +1767,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = TableNews()
-                        _elem82.read(iprot)
-                        self.tables.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = TableNews()
+                        _elem96.read(iprot)
+                        self.tables.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = UpstreamLoad()
-                        _elem88.read(iprot)
-                        self.loads.append(_elem88)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = UpstreamLoad()
+                        _elem102.read(iprot)
+                        self.loads.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = PrefixInfo()
-                        _elem94.read(iprot)
-                        self.prefixes.append(_elem94)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = PrefixInfo()
+                        _elem108.read(iprot)
+                        self.prefixes.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1706,22 +1830,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter95 in self.tables:
-                iter95.write(oprot)
+            for iter109 in self.tables:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter96 in self.loads:
-                iter96.write(oprot)
+            for iter110 in self.loads:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter97 in self.prefixes:
-                iter97.write(oprot)
+            for iter111 in self.prefixes:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1786,6 +1910,8 @@
      - remaining_ms
      - excluded: Incarnations, VMs and regions that failed this request.
      - local: True where it was handed over, and must be served in this region.
+     - organisation: Whose request it is; absent for nobody's.
+     - cost: What it counts for in that organisation's limit.
 
     """
 
@@ -1802,10 +1928,12 @@
         'remaining_ms',
         'excluded',
         'local',
+        'organisation',
+        'cost',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -1818,6 +1946,8 @@
         self.remaining_ms = remaining_ms
         self.excluded = excluded
         self.local = local
+        self.organisation = organisation
+        self.cost = cost
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1882,10 +2012,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem103)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1894,6 +2024,16 @@
                     self.local = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.DOUBLE:
+                    self.cost = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1947,14 +2087,22 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter104 in self.excluded:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter118 in self.excluded:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
             oprot.writeFieldBegin('local', TType.BOOL, 12)
             oprot.writeBool(self.local)
             oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 13)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.cost is not None:
+            oprot.writeFieldBegin('cost', TType.DOUBLE, 14)
+            oprot.writeDouble(self.cost)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2204,22 +2352,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = UpstreamInfo()
-                        _elem110.read(iprot)
-                        self.upstreams.append(_elem110)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = UpstreamInfo()
+                        _elem124.read(iprot)
+                        self.upstreams.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = StartEnded()
-                        _elem116.read(iprot)
-                        self.gone.append(_elem116)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = StartEnded()
+                        _elem130.read(iprot)
+                        self.gone.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2236,15 +2384,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter117 in self.upstreams:
-                iter117.write(oprot)
+            for iter131 in self.upstreams:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter118 in self.gone:
-                iter118.write(oprot)
+            for iter132 in self.gone:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2336,6 +2484,12 @@
     (7, TType.I32, 'unread_tokens', None, None, ),  # 7
     (8, TType.BOOL, 'was_held_up', None, None, ),  # 8
 )
+all_structs.append(AdmittedUnits)
+AdmittedUnits.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'units', None, None, ),  # 2
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -2346,6 +2500,7 @@
     (5, TType.LIST, 'shown', (TType.STRUCT, [AttemptShown, None], False), None, ),  # 5
     (6, TType.LIST, 'prefixes', (TType.STRUCT, [PrefixInfo, None], False), None, ),  # 6
     (7, TType.STRING, 'session', 'UTF8', None, ),  # 7
+    (8, TType.LIST, 'admitted', (TType.STRUCT, [AdmittedUnits, None], False), None, ),  # 8
 )
 all_structs.append(TableHeld)
 TableHeld.thrift_spec = (
@@ -2382,6 +2537,7 @@
     (10, TType.LIST, 'gone_entries', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.I64, 'entries_version', None, None, ),  # 11
     (12, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 12
+    (13, TType.LIST, 'admitted', (TType.STRUCT, [AdmittedUnits, None], False), None, ),  # 13
 )
 all_structs.append(PollReply)
 PollReply.thrift_spec = (
@@ -2410,6 +2566,8 @@
     (10, TType.I32, 'remaining_ms', None, None, ),  # 10
     (11, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.BOOL, 'local', None, None, ),  # 12
+    (13, TType.STRING, 'organisation', 'UTF8', None, ),  # 13
+    (14, TType.DOUBLE, 'cost', None, None, ),  # 14
 )
 all_structs.append(PlaceGiven)
 PlaceGiven.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -84,6 +84,12 @@
   8: bool was_held_up
 }
 
+/** What an organisation was admitted by a process since that started. */
+struct AdmittedUnits {
+  1: string organisation
+  2: double units
+}
+
 /** An entry VM's own requests; one with a higher number takes its place. */
 struct LoadReport {
   /** Rises with each report of the entry VM's process. */
@@ -99,6 +105,8 @@
   5: list<AttemptShown> shown
   /** What upstreams have read since then. */
   6: list<PrefixInfo> prefixes
+  /** What the entry VM has admitted without a picker. */
+  8: list<AdmittedUnits> admitted
 }
 
 /** A control VM's table, as far as the one that asks holds it. */
@@ -157,6 +165,8 @@
   /** Requests of the entry VMs that report to the control VM; absent where
       they are not asked for. */
   12: optional list<UpstreamLoad> loads
+  /** What the control VM's picker has admitted; told with the loads. */
+  13: list<AdmittedUnits> admitted
 }
 
 struct PollReply {
@@ -195,6 +205,10 @@
   11: list<string> excluded
   /** True where it was handed over, and must be served in this region. */
   12: bool local
+  /** Whose request it is; absent for nobody's. */
+  13: optional string organisation
+  /** What it counts for in that organisation's limit. */
+  14: double cost
 }
 
 /** Where a request goes: an upstream, an entry VM, or nowhere. */
--- a/godwitshunt/registry/relay.py
+++ b/godwitshunt/registry/relay.py
@@ -15,6 +15,7 @@
 from godwitshunt.registry.views import ControlTable, HeardUpstream
 from godwitshunt.registry.wire import (
     MILLISECONDS,
+    admitted_to_wire,
     endpoint,
     ends_to_wire,
     entry_to_wire,
@@ -118,8 +119,10 @@
         where they are as new as the table.
     """
     loads = None
+    admitted: list[ttypes.AdmittedUnits] = []
     if with_loads and table.loads_s >= table.answered_s:
         loads = loads_to_wire(table.loads.items())
+        admitted = admitted_to_wire(table.admitted)
     whole = held is None
     known = held or NOTHING
     return ttypes.TableNews(
@@ -151,6 +154,7 @@
         ],
         entries_version=table.entries_version,
         loads=loads,
+        admitted=admitted,
     )
 
 
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -25,6 +25,7 @@
 )
 from godwitshunt.registry.views import RegistryView
 from godwitshunt.registry.wire import (
+    admitted_to_wire,
     entry_from_wire,
     loads_to_wire,
     prefixes_from_wire,
@@ -90,6 +91,8 @@
         self.heard_prefixes = PrefixTable()
         self.prefixes = PrefixTable()
         self.gives_places = False
+        # What the picker beside this registry has admitted, by organisation.
+        self.admitted: Mapping[str, float] = {}
         self.report_notices: list[ReportNotice] = []
         self.tables = ControlTables(place, self.prefixes, links, timer)
         self.subscription: Subscription | None = None
@@ -331,6 +334,7 @@
         is_report = poll.entry is not None
         if poll.wants_loads and not is_report:
             own.loads = loads_to_wire(self.ledger.totals.items())
+            own.admitted = admitted_to_wire(self.admitted)
         if poll.scope == Scope.own:
             return [own]
         loads = poll.from_control
--- a/godwitshunt/registry/views.py
+++ b/godwitshunt/registry/views.py
@@ -14,6 +14,7 @@
 from godwitshunt.registry.table import GoneStart
 from godwitshunt.registry.wire import (
     address_of,
+    admitted_from_wire,
     ends_from_wire,
     entry_from_wire,
     loads_from_wire,
@@ -86,6 +87,9 @@
         Requests of the entry VMs that report to it.
     loads_s : float
         These are at least as new as this.
+    admitted : mapping
+        What its picker has admitted since its process started, by
+        organisation; told with the requests.
     """
 
     source: str = ''
@@ -100,6 +104,7 @@
     entries: dict[str, HeardEntry] = field(default_factory=dict)
     loads: Mapping[str, Load] = field(default_factory=dict)
     loads_s: float = NEVER_S
+    admitted: Mapping[str, float] = field(default_factory=dict)
 
     def take(
         self,
@@ -163,6 +168,7 @@
         """Take requests at upstreams, where they are newer."""
         if news.loads is not None and asof_s > self.loads_s:
             self.loads = loads_from_wire(news.loads)
+            self.admitted = admitted_from_wire(news.admitted)
             self.loads_s = asof_s
 
     def take_entries(self, news: ttypes.TableNews) -> None:
--- a/godwitshunt/registry/wire.py
+++ b/godwitshunt/registry/wire.py
@@ -215,6 +215,22 @@
     return Report(told.session or '', told.number, loads, taken)
 
 
+def admitted_to_wire(
+    admitted: Mapping[str, float],
+) -> list[ttypes.AdmittedUnits]:
+    """Return what organisations were admitted as structs."""
+    return [
+        ttypes.AdmittedUnits(name, units) for name, units in admitted.items()
+    ]
+
+
+def admitted_from_wire(
+    told: list[ttypes.AdmittedUnits] | None,
+) -> dict[str, float]:
+    """Read what organisations were admitted."""
+    return {one.organisation: one.units or 0.0 for one in told or ()}
+
+
 def age_ms(since_s: float | None, now_s: float) -> int | None:
     """Return a point in time as milliseconds ago."""
     if since_s is None:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -20,6 +20,7 @@
 INTERNAL = 7660
 HOST = 'ficu.example'
 SEAL = 'server-seal: 3e1b'
+REVOKE_MS = 3000
 FULL = b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -298,7 +299,12 @@
         'seeds': [f'{one}:{CONTROL}' for one in CONTROL_HOSTS],
         'bootstrap': bootstrap,
         'data_dir': str(folder / host) if control else None,
-        'bounds': {'retry_budget_ratio': 0.2, 'retry_allowance': 52},
+        'bounds': {
+            'retry_budget_ratio': 0.2,
+            'retry_allowance': 52,
+            'strict_revocation': True,
+            'revoke_ms': REVOKE_MS,
+        },
         'new_field': 'ignored',
     }
 
