--- a/benchmarks/organisations.py
+++ b/benchmarks/organisations.py
@@ -63,8 +63,7 @@
         unit=LimitUnit.tokens,
         untold_tokens=200,
     )
-    numbers = [KEYS_EACH] * count
-    numbers[0] = keys
+    numbers = [keys, *(KEYS_EACH for _ in range(count - 1))]
     organisations = tuple(
         Organisation(
             name=f'organisation-{owner}',
