Tell how long requests take from stage to stage; log who kept a prompt before its place was given

godwitshunt stages FILES prints, for each route, how long its requests took to be admitted, placed, connected, sent and heard.

--- a/godwitshunt/ingress/account.py
+++ b/godwitshunt/ingress/account.py
@@ -1,9 +1,10 @@
 """What a request went through, for its one log line and for counters."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from godwitshunt.ingress.outcomes import AttemptOutcome, Progress
-from godwitshunt.ingress.requests import RoutedRequest
+from godwitshunt.ingress.requests import MILLISECONDS, RoutedRequest
 from godwitshunt.picking.choices import (
     Choice,
     HandOver,
@@ -15,6 +16,21 @@
 from godwitshunt.telemetry import Metrics, log_change
 
 
+class Stage(StrEnum):
+    """What a request has reached for the first time.
+
+    `admitted`: its route and its key are known; `placed`: it is known where
+    it goes; `connected`: there is a connection to it; `sent`: it is written
+    out; `heard`: the head of an answer has come.
+    """
+
+    admitted = 'admitted'
+    placed = 'placed'
+    connected = 'connected'
+    sent = 'sent'
+    heard = 'heard'
+
+
 @dataclass
 class RequestAccount:
     """Choices, attempts and times of one request.
@@ -31,6 +47,8 @@
         Longest pause between bytes of the caller's stream.
     control_age_s : float
         Age of what control told when the last choice was made, in seconds.
+    stages : dict
+        Milliseconds from its arrival to each stage.
     """
 
     request: RoutedRequest
@@ -40,6 +58,13 @@
     heard_s: float | None = None
     longest_gap_s: float = 0.0
     control_age_s: float = 0.0
+    stages: dict[str, float] = field(default_factory=dict)
+
+    def note_stage(self, stage: Stage, now_s: float) -> None:
+        """Note when a stage is reached for the first time."""
+        if stage not in self.stages:
+            took_s = now_s - self.request.arrived_s
+            self.stages[stage.value] = round(took_s * MILLISECONDS, 1)
 
     def note_choice(self, choice: Choice, control_age_s: float) -> None:
         """Note a choice with its candidates, and how old its news was."""
@@ -125,4 +150,5 @@
             prompt_tokens=request.prompt.prompt_tokens,
             shared_tokens=request.prompt.shared_tokens,
             control_age_s=round(self.control_age_s, 2),
+            stages=self.stages,
         )
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -25,6 +25,7 @@
     UpstreamCall,
     UpstreamPool,
 )
+from godwitshunt.ingress.account import Stage
 from godwitshunt.ingress.events import NumberedEvents
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.headers import CONNECTION_ONLY
@@ -87,6 +88,10 @@
         True where another VM answers, which may refuse by itself.
     on_life : callable
         Told of every sign of life.
+    on_begun : callable
+        Told when the head of a stream goes to the caller.
+    on_stage : callable
+        Told of how far the request has come.
     """
 
     names: HeaderNames
@@ -97,6 +102,7 @@
     answer_bytes: int
     on_life: Callable[[], None]
     on_begun: Callable[[], None]
+    on_stage: Callable[[Stage], None]
     from_vm: bool = False
     misdirected: bool = False
     connected: bool = False
@@ -113,6 +119,7 @@
         if isinstance(opened, Err):
             return NotRun(f'connect: {opened.err_value.reason}')
         self.connected = True
+        self.on_stage(Stage.connected)
         self.call = opened.ok_value
         try:
             return await self.converse(writer)
@@ -124,8 +131,10 @@
     async def converse(self, writer: AnswerWriter) -> AttemptOutcome:
         """Send the request, hear the answer."""
         await self.call.send(self.outgoing)
+        self.on_stage(Stage.sent)
         head = await self.call.head(self.outgoing, self.patience.first_s)
         self.on_life()
+        self.on_stage(Stage.heard)
         fields = dict(head.headers)
         if self.names.not_run in fields or head.status == MISDIRECTED:
             return await self.hear_refusal(head)
--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -11,7 +11,7 @@
     render_problem,
 )
 from godwitshunt.exchange.requests import AnswerWriter
-from godwitshunt.ingress.account import RequestAccount
+from godwitshunt.ingress.account import RequestAccount, Stage
 from godwitshunt.ingress.attempt import ARRIVED_HEADER
 from godwitshunt.ingress.outcomes import (
     Again,
@@ -95,6 +95,8 @@
         if channel.ended:
             raise ConnectionResetError('the caller is gone')
         self.task = asyncio.current_task()
+        now_s = self.parts.timer.now()
+        self.account.note_stage(Stage.admitted, now_s)
         channel.on_lost = self.lose_caller
         try:
             step = await self.decide()
@@ -129,6 +131,7 @@
         step: Step = Again()
         while isinstance(step, Again):
             choice = await self.choose_with_news()
+            self.account.note_stage(Stage.placed, self.parts.timer.now())
             if isinstance(choice, NoPlace):
                 return self.refuse(choice)
             if isinstance(choice, Limited):
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -9,7 +9,7 @@
 from godwitshunt.exchange.upstream_messages import (
     OutgoingRequest,
 )
-from godwitshunt.ingress.account import RequestAccount
+from godwitshunt.ingress.account import RequestAccount, Stage
 from godwitshunt.ingress.attempt import Attempt, Patience
 from godwitshunt.ingress.events import NumberedEvents
 from godwitshunt.ingress.headers import for_upstream
@@ -224,9 +224,14 @@
             answer_bytes=self.parts.settings.limits.answer_bytes,
             on_life=partial(self.note_life, on_life),
             on_begun=self.note_begun,
+            on_stage=self.note_stage,
             from_vm=from_vm,
         )
 
+    def note_stage(self, stage: Stage) -> None:
+        """Note how far the request has come."""
+        self.account.note_stage(stage, self.parts.timer.now())
+
     def note_life(self, on_life: Callable[[], None]) -> None:
         """Note that something came, of a stream that the caller gets, too."""
         on_life()
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -35,6 +35,7 @@
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.ledger import Report
 from godwitshunt.routing.cold_budget import ColdBounds, ColdBudget
+from godwitshunt.routing.selection import Demand
 from godwitshunt.settings import BoundSettings
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Subscription, Timer
@@ -170,8 +171,9 @@
         question = question_from_wire(asked)
         self.registry.take_report(question.entry, asked.report)
         now_s = self.timer.now()
+        holders = self.holders(question.demand, now_s)
         given = self.give(question, now_s)
-        self.note(question, given)
+        self.note(question, given, holders)
         return encode(given_to_wire(given, self.registry.source, now_s))
 
     async def on_report(self, sender: str, body: bytes) -> None:
@@ -235,14 +237,20 @@
             self.limits.configure(revision.manifest, now_s)
         return revision
 
-    def note(self, question: Question, given: Given | Unable) -> None:
-        """Log and count what an entry VM was given."""
+    def holders(self, demand: Demand, now_s: float) -> frozenset[str]:
+        """Return the upstreams that keep a prompt's shared parts."""
+        if not demand.has_affinity:
+            return frozenset()
+        return self.picker.prefixes.holders(demand.shared_key, now_s)
+
+    def note(
+        self,
+        question: Question,
+        given: Given | Unable,
+        holders: frozenset[str],
+    ) -> None:
+        """Log and count what an entry VM was given, and why."""
         self.metrics.count('picking_places_total', kind=kind_of(given))
-        demand = question.demand
-        holders: frozenset[str] = frozenset()
-        if demand.has_affinity:
-            now_s = self.timer.now()
-            holders = self.picker.prefixes.holders(demand.shared_key, now_s)
         log_change(
             'picking:place',
             request=question.request,
--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -16,7 +16,7 @@
     read_manifest,
     show,
 )
-from godwitshunt.programs.tracing import losses, trace
+from godwitshunt.programs.tracing import losses, stages, trace
 
 WAIT_PERIOD_S = 0.5
 
@@ -270,6 +270,7 @@
         remove_vm,
         trace,
         losses,
+        stages,
     ]
     try:
         defopt.run(commands, short={})
--- a/godwitshunt/programs/tracing.py
+++ b/godwitshunt/programs/tracing.py
@@ -1,14 +1,24 @@
-"""The commands that read many processes' logs: ``trace`` and ``losses``."""
+"""The commands that read many logs: ``trace``, ``losses``, ``stages``."""
 
 import json
 from pathlib import Path
 
 from godwitshunt.exceptions import FieldProblem, SettingsError
 from godwitshunt.programs.operator_session import ExitCode, leave
-from godwitshunt.tracing import LossRow, read_logs, tabulate, tell
+from godwitshunt.tracing import (
+    LossRow,
+    StageTimes,
+    read_logs,
+    tabulate,
+    tabulate_stages,
+    tell,
+)
 from godwitshunt.tracing.losses import WINDOW_S
+from godwitshunt.tracing.stages import percentile
 
 MOST_SHOWN = 4
+MEDIAN = 0.5
+TAIL = 0.99
 
 
 def trace(request: str, *files: Path) -> None:
@@ -51,6 +61,41 @@
         print(f'{row.count:6} {reason}: {describe(row)}')
 
 
+def stages(*files: Path, from_s: float = 0.0, to_s: float = 1e12) -> None:
+    """Tell how long requests took from stage to stage.
+
+    Prints for each route, by stage, the median and the 99th percentile of the
+    milliseconds since the stage before, and how many requests took longer
+    than a tenth, and than half, of their objective to be sent out.
+
+    :param files: logs of entry VMs, one file a process, or one file in which
+        each line begins with its process's name.
+    :param from_s: seconds after the first line from which requests count.
+    :param to_s: seconds after the first line until which they count.
+    """
+    try:
+        lines = tuple(read_logs(files))
+    except OSError as unread:
+        raise unreadable(unread) from None
+    start_s = min((line.at_s for line in lines), default=0.0)
+    counted = [one for one in lines if from_s <= one.at_s - start_s < to_s]
+    for route, times in tabulate_stages(counted).items():
+        print(f'{route}: {describe_stages(times)}')
+
+
+def describe_stages(times: StageTimes) -> str:
+    """Return what one route's requests took."""
+    parts = [
+        f'{stage} {percentile(took, MEDIAN):.1f}/{percentile(took, TAIL):.1f}'
+        for stage, took in times.took_ms.items()
+    ]
+    return (
+        f'{times.requests} requests, objective {times.objective_s:.3f} s; '
+        f'ms {", ".join(parts)}; sent after a tenth of it {times.late}, '
+        f'after half {times.very_late}'
+    )
+
+
 def describe(row: LossRow) -> str:
     """Return a row's commonest routes and moments, and an example."""
     routes = ', '.join(
