--- a/godwitshunt/configuration/explanation.py
+++ b/godwitshunt/configuration/explanation.py
@@ -4,6 +4,8 @@
 
 from godwitshunt.configuration.narrowing import model_regions, rule_regions
 from godwitshunt.configuration.state import ControlState
+from godwitshunt.manifest import Manifest, Organisation, Route
+from godwitshunt.organisations import bind_route
 
 
 def explain(
@@ -43,3 +45,66 @@
         'served_while_home_is_isolated': declared['home'] in allowed,
         'away_from_home_only': declared['home'] not in allowed,
     }
+
+
+def explain_route(
+    state: ControlState,
+    host: str,
+    path: str,
+    organisation: str | None,
+) -> dict[str, Any]:
+    """Return which route a request has, and by which rules it goes where.
+
+    Parameters
+    ----------
+    organisation : str or None
+        Whose request it is; None for one without a key.
+
+    Raises
+    ------
+    KeyError
+        Where the manifest declares no such organisation.
+    """
+    manifest = Manifest.model_validate(state.document.manifest_fields())
+    holders = {one.name: one for one in manifest.organisations}
+    holder = None if organisation is None else holders[organisation]
+    told = {
+        'revision': state.revision,
+        'number': state.highest,
+        'organisation': organisation,
+    }
+    route = route_at(manifest, host, path)
+    if route is None:
+        return {**told, 'answer': '404: no route has this host and path'}
+    told |= {'route': route.name, 'keyed': route.keyed}
+    return {**told, **rules_of(route, holder)}
+
+
+def route_at(manifest: Manifest, host: str, path: str) -> Route | None:
+    """Return the route with the longest prefix that begins a path."""
+    fitting = [
+        route
+        for route in manifest.routes
+        if route.host == host.lower() and path.startswith(route.path_prefix)
+    ]
+    return max(fitting, key=lambda one: len(one.path_prefix), default=None)
+
+
+def rules_of(route: Route, holder: Organisation | None) -> dict[str, Any]:
+    """Return what holds for an organisation's requests of a route."""
+    if route.keyed and holder is None:
+        return {'answer': '401: the route asks for a key'}
+    bound = bind_route(route, holder if route.keyed else None)
+    if bound is None:
+        return {
+            'answer': '503: route and organisation have no home in common',
+            'homes_of_route': list(route.homes),
+            'homes_of_organisation': list(holder.homes),
+        }
+    limit = None if holder is None else holder.limit
+    return {
+        'answer': 'served',
+        'homes': list(bound.homes) or 'all',
+        'rank': bound.rank,
+        'limit': None if limit is None else limit.model_dump(mode='json'),
+    }
--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -17,7 +17,7 @@
     Pending,
 )
 from godwitshunt.configuration.document import MALFORMED
-from godwitshunt.configuration.explanation import explain
+from godwitshunt.configuration.explanation import explain, explain_route
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.news_wire import require_fields
 from godwitshunt.configuration.operator_http import (
@@ -296,19 +296,30 @@
     async def explain(self, request: OperatorRequest) -> OperatorAnswer:
         """Tell where a caller's request may go, and by which rule."""
         try:
-            asked = json.loads(request.body)
-            document = explain(
-                self.service.state,
-                str(asked['caller']),
-                str(asked['service']),
-                asked.get('model'),
-            )
+            document = self.explanation(json.loads(request.body))
         except MALFORMED as bad:
             return refusal(
                 OperatorProblem('invalid-document', 400, repr(bad)),
             )
         return answer(document)
 
+    def explanation(self, asked: dict[str, Any]) -> dict[str, Any]:
+        """Explain a caller's request of a service, or one of a route."""
+        match asked:
+            case {'host': host, 'path': path}:
+                return explain_route(
+                    self.service.state,
+                    str(host),
+                    str(path),
+                    asked.get('organisation'),
+                )
+        return explain(
+            self.service.state,
+            str(asked['caller']),
+            str(asked['service']),
+            asked.get('model'),
+        )
+
     async def init(self, request: OperatorRequest) -> OperatorAnswer:
         """Make the cluster, once; only the first named replica does."""
         if self.cluster is None:
--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -141,6 +141,32 @@
     show(session.require('POST', '/v1/explain', asked))
 
 
+def explain_route(
+    *,
+    host: str,
+    path: str,
+    control: str,
+    token_file: Path,
+    organisation: str | None = None,
+    authority: Path | None = None,
+) -> None:
+    """Print which route a request has, and what holds for an organisation.
+
+    :param host: host of the request, without port.
+    :param path: its path.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
+    :param token_file: file with the operator's token.
+    :param organisation: name of the organisation; leave out for a request
+        without a key.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
+    """
+    asked = {'host': host, 'path': path, 'organisation': organisation}
+    session = Session(control, token_file, authority)
+    show(session.require('POST', '/v1/explain', asked))
+
+
 def init(
     *,
     control: str,
@@ -264,6 +290,7 @@
         apply,
         status,
         explain,
+        explain_route,
         init,
         replace,
         order,
