Hand requests over to a few usual entry VMs of each region, whose connections stay open

Cause: a picker drew the entry VM of the other region at random, so nearly each hand-over opened a connection: one more round trip between regions.

Ways: at random (as before) | two by rendezvous hashing of the one that asks. Ruled out: asking for the place while the body is still read (10 to 25 ms of a long prompt's objective of 1,263 only).

--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -302,6 +302,7 @@
                 request.prompt.shared_key,
                 now_s,
             ),
+            entry=self.parts.settings.name,
         )
         view = self.parts.watch.view()
         revision = self.parts.in_force().revision
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -26,6 +26,8 @@
         Regions that more urgent routes of the service have no home in.
     holders : frozenset of str
         Incarnations that keep the prompt's shared parts.
+    entry : str
+        The entry VM that asks, or chooses by itself.
     """
 
     route: Route
@@ -37,6 +39,7 @@
     local: bool = False
     quiet_regions: frozenset[str] = frozenset()
     holders: frozenset[str] = frozenset()
+    entry: str = ''
 
     def affinity(self, region: str) -> float:
         """Return a region's share of shared prompt parts, against others."""
--- a/godwitshunt/picking/choosing.py
+++ b/godwitshunt/picking/choosing.py
@@ -21,6 +21,7 @@
     RegistryView,
     UpstreamSeen,
 )
+from godwitshunt.routing.hashing import name_hash, rank_weight
 from godwitshunt.routing.selection import (
     NEAR_S,
     Candidate,
@@ -44,6 +45,9 @@
 # with 1.3, the own reading in it; single plays differ by as much.
 LONGEST_WAIT_SHARE = 0.8
 LEAST_RETRY_S = 0.1
+# An entry VM hands requests over to so many VMs of each other region: one
+# could be lost, or busy with another asker's.
+USUAL_DOORS = 2
 # Where no upstream is known to open at a time. A VM that has just started
 # hears of other regions' VMs with its second poll, a third of a second later.
 NO_UPSTREAM_RETRY_S = 0.4
@@ -127,7 +131,7 @@
                 candidate.pending_tokens,
             )
         doors = self.doors(candidate.region, ask, view)
-        entry = self.random.choice(doors)
+        entry = self.random.choice(usual_doors(doors, ask.entry))
         return HandOver(entry, chosen.predicted_s, ranked, chosen)
 
     def candidates(
@@ -282,6 +286,22 @@
         return wait_s * self.random.uniform(0.8, 1.4)
 
 
+def usual_doors(doors: list[EntryRecord], asker: str) -> list[EntryRecord]:
+    """Return the few entry VMs of a region that another VM hands over to.
+
+    With any of them at random, each hand-over would need a new connection,
+    and so one more round trip between regions. The few keep theirs open. Each
+    asker has others, by rendezvous hashing, so that the load is spread.
+    """
+    key = name_hash(asker)
+    ranked = sorted(
+        doors,
+        key=lambda one: (rank_weight(key, one.name), one.name),
+        reverse=True,
+    )
+    return ranked[:USUAL_DOORS]
+
+
 def penalty_s(
     seen: UpstreamSeen,
     health: UpstreamHealth,
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -258,6 +258,7 @@
             local=question.local,
             quiet_regions=quiet,
             holders=self.prefixes.holders(demand.shared_key, now_s),
+            entry=question.entry,
         )
 
     def cold_room(self, seen: UpstreamSeen, ask: Ask) -> bool:
