--- a/godwitshunt/configuration/explanation.py
+++ b/godwitshunt/configuration/explanation.py
@@ -105,6 +105,7 @@
     return {
         'answer': 'served',
         'homes': list(bound.homes) or 'all',
-        'rank': bound.rank,
+        'rank_of_route': bound.rank,
+        'rank_of_organisation': None if holder is None else holder.rank,
         'limit': None if limit is None else limit.model_dump(mode='json'),
     }
--- a/godwitshunt/ingress/hops.py
+++ b/godwitshunt/ingress/hops.py
@@ -119,6 +119,7 @@
             repeat=bool(note.repeat),
             handed_over=True,
             quiet_regions=in_force.quiet_regions(route, service),
+            level=in_force.table.level(route, organisation),
             organisation=organisation,
         ),
     )
--- a/godwitshunt/ingress/requests.py
+++ b/godwitshunt/ingress/requests.py
@@ -10,9 +10,9 @@
 from godwitshunt.manifest import Organisation, Route, Service
 
 MILLISECONDS = 1000
-# Upstreams' queues take urgencies from 0 to 9; ranks start here, so that
+# Upstreams' queues take urgencies from 0 to 9; levels start here, so that
 # there is room above them for what must not wait.
-URGENCY_OF_FIRST_RANK = 3
+URGENCY_OF_FIRST_LEVEL = 3
 LEAST_URGENT = 9
 
 
@@ -40,6 +40,8 @@
         True where another VM handed it over.
     quiet_regions : frozenset of str
         Regions that more urgent routes of the service have no home in.
+    level : int
+        How urgent it is; 0 goes first.
     organisation : Organisation or None
         Whose it is; None for nobody's.
     key_sha256 : str
@@ -59,6 +61,7 @@
     repeat: bool = False
     handed_over: bool = False
     quiet_regions: frozenset[str] = frozenset()
+    level: int = 0
     organisation: Organisation | None = None
     key_sha256: str = ''
 
@@ -78,7 +81,7 @@
     @property
     def urgency(self) -> int:
         """Urgency in an upstream's queue."""
-        return min(LEAST_URGENT, URGENCY_OF_FIRST_RANK + self.route.rank)
+        return min(LEAST_URGENT, URGENCY_OF_FIRST_LEVEL + self.level)
 
     def remaining_s(self, now_s: float) -> float:
         """Return the seconds until it is given up."""
--- a/godwitshunt/manifest/organisations.py
+++ b/godwitshunt/manifest/organisations.py
@@ -74,7 +74,8 @@
     keys_sha256 : tuple of str
         SHA-256 of each of its keys, in hexadecimal.
     rank : int or None
-        Urgency of its requests, in place of their route's; None leaves it.
+        Its requests go before those of a higher rank, whatever the route;
+        among equals the route's rank decides. None is 0.
     homes : tuple of str
         Regions that may serve it; empty for all. Where a route has homes as
         well, both bind.
--- a/godwitshunt/organisations/__init__.py
+++ b/godwitshunt/organisations/__init__.py
@@ -5,7 +5,7 @@
 `limits` keeps an organisation's limit over all VMs.
 """
 
-from godwitshunt.organisations.binding import bind_route
+from godwitshunt.organisations.binding import UrgencyLevels, bind_route
 from godwitshunt.organisations.keys import KeyRing, key_digest
 from godwitshunt.organisations.limits import LimitPool, Sums, limits_of
 from godwitshunt.organisations.proofs import ProofRule
@@ -16,6 +16,7 @@
     'LimitPool',
     'ProofRule',
     'Sums',
+    'UrgencyLevels',
     'bind_route',
     'fixed_shares',
     'key_digest',
--- a/godwitshunt/picking/routes.py
+++ b/godwitshunt/picking/routes.py
@@ -5,7 +5,7 @@
 from typing import Self
 
 from godwitshunt.manifest import Manifest, Organisation, Route
-from godwitshunt.organisations import KeyRing, bind_route
+from godwitshunt.organisations import KeyRing, UrgencyLevels, bind_route
 
 SLASH = '/'
 
@@ -23,6 +23,8 @@
         service have no home in.
     keys : KeyRing
         Who may send requests of keyed routes.
+    levels : UrgencyLevels
+        In which order requests go first.
     bound : dict
         Routes as they hold for organisations, once they were asked for.
 
@@ -37,6 +39,7 @@
         default_factory=dict,
     )
     keys: KeyRing = field(default_factory=KeyRing)
+    levels: UrgencyLevels = field(default_factory=UrgencyLevels)
     bound: dict[tuple[str, str, str], Route | None] = field(
         default_factory=dict,
     )
@@ -48,7 +51,8 @@
         for route in manifest.routes:
             hosts.setdefault(route.host, {})[route.path_prefix] = route
         keys = KeyRing.from_manifest(manifest)
-        return cls(hosts, quiet_regions(manifest), keys)
+        levels = UrgencyLevels.from_manifest(manifest)
+        return cls(hosts, quiet_regions(manifest), keys, levels)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path."""
@@ -79,6 +83,11 @@
             self.bound[place] = bind_route(route, organisation)
         return self.bound[place]
 
+    def level(self, route: Route, organisation: Organisation | None) -> int:
+        """Return how urgent an organisation's request of a route is."""
+        rank = 0 if organisation is None else organisation.rank or 0
+        return self.levels.of(rank, route.rank)
+
     def of(self, host: str, path_prefix: str) -> Route | None:
         """Return the route of a host with exactly this prefix."""
         return self.hosts.get(host, {}).get(path_prefix)
