--- a/godwitshunt/routing/selection.py
+++ b/godwitshunt/routing/selection.py
@@ -42,6 +42,10 @@
 # Reading a prompt holds up every stream that runs beside it; this share of
 # their common delay counts.
 HOLD_UP_SHARE = 0.05
+# At an engine whose slots are all taken a request waits for one, or pushes out
+# a less urgent one, which is read in again. The time of the former is in the
+# prediction; for the latter it is worse by so many seconds.
+FULL_S = 0.1
 # Where an upstream keeps a prompt's shared parts, reading them again at
 # another one takes engine time from everybody there and pushes other parts
 # out of its memory. So it counts this many times more than the delay that it
@@ -285,6 +289,7 @@
     if speed.tokens_per_s:
         held_up = HOLD_UP_SHARE * speed.reading_s(unread)
         crowd_s = candidate.in_flight * (CROWDING_S + held_up)
+        crowd_s += FULL_S if over else 0.0
     raw_s = speed.first_s + reading_s + queueing_s + candidate.delay_s
     predicted_s = max(speed.first_s, raw_s) + candidate.away_s
     # That a busy one was faster than predicted is no reason to prefer it.
--- a/godwitshunt/routing/tests/test_selection.py
+++ b/godwitshunt/routing/tests/test_selection.py
@@ -188,3 +188,25 @@
     holder = engine(1, in_flight=30, pending=14000, cached=True)
     assert best([holder, engine(2)], LONG) == 'i-2'
     assert best([holder, engine(2)], TIMED) == 'i-1'
+
+
+@pytest.mark.parametrize(
+    ('in_flight', 'chosen'),
+    [(30, 'i-1'), (47, 'i-1'), (48, 'i-2'), (60, 'i-2')],
+)
+def test_full_engine_gives_way_to_one_with_slots_far_away(in_flight, chosen):
+    """A region's engines are full while another region's idle.
+
+    A short question that is sent to a full one pushes out a long prompt's
+    stream, which is read in again, and comes late.
+    """
+    near = engine(1, in_flight=in_flight)
+    far = engine(2, 'tvm', in_flight=24, away_s=ROUND_TRIP_S)
+    assert best([near, far], SHORT) == chosen
+
+
+def test_full_plain_upstreams_are_told_apart_by_their_queues_only():
+    """They have no streams that could be pushed out."""
+    near = Candidate('i-1', 'kochi', 6, 6, 0)
+    far = Candidate('i-2', 'tvm', 6, 0, 0, away_s=ROUND_TRIP_S)
+    assert best([near, far], Demand(), PLAIN) == 'i-1'
