Wait in the wire tests until the picker knows both engines

Cause: beside seven busy processes a request was served before the other control VM had told of the second engine, so a stream that broke had nowhere to go on (test_stream_goes_on_after_a_break failed once; the picker's line names one engine as all it knows). The fixture waits until its choices list both.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -349,6 +349,7 @@
         await until(self.is_configured, 20.0)
         self.beating = asyncio.create_task(self.beat())
         await until(self.is_serving, 20.0)
+        await until(self.knows_engines, 20.0)
 
     async def start_process(self, host, zone, *, control, bootstrap=True):
         """Start one process."""
@@ -390,6 +391,23 @@
                     return False
         return True
 
+    async def knows_engines(self):
+        """Tell whether the north's picker chooses among both its engines.
+
+        A stream that breaks goes on at the other one. Beside load a request
+        is served before the other control machine has told of that one.
+        """
+        await ask(NORTH, '/resumed/x')
+        engines = [
+            server.instance
+            for name, server in self.servers.items()
+            if name.startswith('north-llm')
+        ]
+        return any(
+            all(engine in ' '.join(line['among']) for engine in engines)
+            for line in self.logged(CONTROL_HOSTS[0], 'picking:place')
+        )
+
     async def control(self, method, path, document=None, host=None):
         """Make a call to a control process."""
         try:
