Let small organisations send several prompts between two messages of the pickers

Cause: a picker admits no more than its fixed share of what a limit has allowed since it heard the others. Of the smallest organisations (47,000 tokens a second) that is 17,000 tokens, one prompt: in calm every second of two that come close together would be refused.

--- a/godwitshunt/organisations/limits.py
+++ b/godwitshunt/organisations/limits.py
@@ -29,6 +29,8 @@
 # long is taken to be out of reach.
 STALE_S = 0.6
 LEAST_WAIT_S = 0.05
+# Of what operators bear beyond a limit, this part may be used up knowingly.
+USED_SHARE = 0.5
 # A limit without a burst is kept in pieces of so long.
 LEAST_BURST_S = 0.25
 
@@ -56,11 +58,14 @@
     heard_s : float
         All others that count as heard were heard since then; infinite where
         there are none.
+    allowance : float
+        Units beyond a limit that operators bear in a window.
     """
 
     part: float = 1.0
     share: float = 1.0
     heard_s: float = inf
+    allowance: float = 0.0
 
 
 @dataclass
@@ -128,10 +133,12 @@
         """Return this process's share of what the limit has allowed.
 
         That is since the others were heard: all of them may have admitted
-        their shares of it meanwhile.
+        their shares of it meanwhile. A small organisation's share may be less
+        than two of its prompts; a part of what operators bear goes to those.
         """
         passed_s = max(0.0, now_s - standing.heard_s)
-        return standing.share * (self.capacity + self.limit.per_s * passed_s)
+        allowed = self.capacity + self.limit.per_s * passed_s
+        return standing.share * (allowed + USED_SHARE * standing.allowance)
 
     def untold(self, standing: Standing, now_s: float) -> float:
         """Return what was admitted here since the others were heard."""
--- a/godwitshunt/organisations/tests/test_limits.py
+++ b/godwitshunt/organisations/tests/test_limits.py
@@ -70,6 +70,7 @@
             part=usable_part(self.name, REGIONS, PICKERS, heard),
             share=fixed_shares(REGIONS)[self.name],
             heard_s=min(fresh.values(), default=inf),
+            allowance=ALLOWANCE,
         )
 
 
@@ -318,6 +319,23 @@
     assert pool.wait_s(NAME, 60.0, ALL, 0.2) > 0
 
 
+def test_small_organisation_sends_several_prompts_at_once():
+    """Each of its prompts is a third of what its limit allows in a second.
+
+    Its region's share between two messages of the pickers is less than two
+    of them; kept to that alone, every second one would be refused in calm.
+    """
+    pool = LimitPool()
+    pool.configure({NAME: LIMIT}, 0.0, starts=False)
+    told = Standing(share=0.3, heard_s=0.9, allowance=4 * RATE)
+    for _ in range(3):
+        assert not pool.wait_s(NAME, 30.0, told, 1.0)
+        pool.take(NAME, 30.0, 1.0)
+    assert pool.wait_s(NAME, 30.0, told, 1.0) > 0
+    untold = Standing(share=0.3, heard_s=0.9)
+    assert pool.wait_s(NAME, 30.0, untold, 1.0) > 0
+
+
 def test_larger_request_than_the_burst_is_admitted_by_a_full_bucket():
     """A prompt counts more than a second of its organisation's limit."""
     pool = LimitPool()
--- a/godwitshunt/picking/limits.py
+++ b/godwitshunt/picking/limits.py
@@ -30,10 +30,13 @@
         The picker's counts.
     tables : ControlTables
         What other control VMs tell.
+    allowance : float
+        Units beyond a limit that operators bear in a window.
     """
 
     pool: LimitPool
     tables: ControlTables
+    allowance: float = 0.0
     is_configured: bool = False
 
     def configure(self, manifest: Manifest, now_s: float) -> None:
@@ -80,6 +83,7 @@
             part=usable_part(own, pickers, known, heard),
             share=shares[own],
             heard_s=min(heard.values()),
+            allowance=self.allowance,
         )
 
     def hear_vm(
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -105,7 +105,11 @@
             random=Random(),
             limits=LimitPool(),
         )
-        self.limits = PickerLimits(self.picker.limits, tables)
+        self.limits = PickerLimits(
+            self.picker.limits,
+            tables,
+            bounds.limit_allowance,
+        )
         registry.admitted = self.picker.limits.admitted
         self.learner = Learner(
             self.picker.upstreams,
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -150,6 +150,9 @@
     cold_factor, cold_allowance : float
         A cold upstream gets, in any second, at most its stated rate times the
         factor, plus the allowance.
+    limit_allowance : float
+        Units that an organisation may be admitted in a window of some seconds
+        beyond its limit, for what VMs cannot know of one another at once.
     revoke_s : float or None
         Seconds after the acknowledgement that took a key away in which it
         ceases to open anything, on every VM, also one that is cut off; None
@@ -161,6 +164,7 @@
     retry_window_s: float = Field(default=10.0, gt=0)
     cold_factor: float = Field(default=1.0, ge=0)
     cold_allowance: float = Field(default=0.0, ge=0)
+    limit_allowance: float = Field(default=0.0, ge=0)
     revoke_s: float | None = Field(default=None, gt=0.5)
 
 
