Log what a lost request was: its content's fingerprint and how its upstream's connection ended

A line `ingress:attempt_lost` now names the content (method, host, path, organisation, body), the upstream, how long it had the request, and whether it closed the connection. The fingerprint is taken only where an attempt is lost.

--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -92,6 +92,9 @@
         Told when the head of a stream goes to the caller.
     on_stage : callable
         Told of how far the request has come.
+    closed : bool
+        True where the other side had closed the connection, or reset it, when
+        the attempt ended.
     """
 
     names: HeaderNames
@@ -106,6 +109,7 @@
     from_vm: bool = False
     misdirected: bool = False
     connected: bool = False
+    closed: bool = False
     call: UpstreamCall | None = None
     heard_s: float = field(default=0.0)
 
@@ -126,6 +130,7 @@
         except (BrokenAnswerError, ConnectionError) as broken:
             return Lost(str(broken) or repr(broken))
         finally:
+            self.closed = self.call.channel.ended
             self.call.abandon()
 
     async def converse(self, writer: AnswerWriter) -> AttemptOutcome:
--- a/godwitshunt/ingress/learning.py
+++ b/godwitshunt/ingress/learning.py
@@ -16,6 +16,7 @@
 from godwitshunt.ingress.requests import RoutedRequest
 from godwitshunt.picking.choices import HandOver, SendHere
 from godwitshunt.picking.shown import AttemptShown, Shown
+from godwitshunt.telemetry import log_change
 
 # Without a sign of an answer for so long, an attempt that ends counts against
 # its upstream, whoever ended it.
@@ -78,6 +79,8 @@
 
     def of_upstream(self, made: UpstreamAttempt) -> None:
         """Learn from an attempt at an upstream of this region."""
+        if isinstance(made.outcome, Lost):
+            self.log_loss(made, made.outcome)
         shown = made.shown
         if shown is None:
             return
@@ -98,6 +101,23 @@
         if shown is Shown.answered:
             self.count_prompt(choice)
 
+    def log_loss(self, made: UpstreamAttempt, lost: Lost) -> None:
+        """Log that an attempt ended without a whole answer.
+
+        Repeats of a request have one fingerprint, whatever their ids.
+        """
+        first_s = made.first_s
+        log_change(
+            'ingress:attempt_lost',
+            request=self.request.id,
+            fingerprint=str(self.request.fingerprint),
+            instance=made.instance,
+            after_s=round(made.took_s, 4),
+            first_s=None if first_s is None else round(first_s, 4),
+            closed=made.attempt.closed,
+            reason=lost.reason,
+        )
+
     def count_prompt(self, choice: SendHere) -> None:
         """Count whether a long prompt's shared parts were kept there."""
         prompt = self.request.prompt
--- a/godwitshunt/ingress/requests.py
+++ b/godwitshunt/ingress/requests.py
@@ -1,6 +1,7 @@
 """A request of a route, once its route is known."""
 
 from dataclasses import dataclass
+from functools import cached_property
 from math import isfinite
 
 from godwitshunt.exchange.problems import Headers
@@ -8,6 +9,7 @@
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.prompts import Prompt
 from godwitshunt.manifest import Organisation, Route, Service
+from godwitshunt.quarantine import Fingerprint
 
 MILLISECONDS = 1000
 # Upstreams' queues take urgencies from 0 to 9; levels start here, so that
@@ -83,6 +85,22 @@
         """Urgency in an upstream's queue."""
         return min(LEAST_URGENT, URGENCY_OF_FIRST_LEVEL + self.level)
 
+    @cached_property
+    def fingerprint(self) -> Fingerprint:
+        """What a repeat of this request has in common with it.
+
+        It takes time for a long body, so it is asked for only where an
+        upstream was lost.
+        """
+        http = self.http
+        return Fingerprint.from_parts(
+            http.method,
+            (http.header(b'host') or '').encode('latin-1'),
+            http.target.encode('latin-1'),
+            self.organisation_name,
+            http.body,
+        )
+
     def remaining_s(self, now_s: float) -> float:
         """Return the seconds until it is given up."""
         return self.ends_s - now_s
