--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -319,6 +319,7 @@
     beating: asyncio.Task | None = None
     silent: set = field(default_factory=set)
     lock: object = None
+    server_type: type[Server] = Server
 
     async def start(self):
         """Start everything and wait until a request is served.
@@ -344,7 +345,7 @@
             ('north-llm-2', '127.0.9.103', 'llm', 'zone-a'),
             ('south-app', '127.0.9.104', 'app', 'zone-b'),
         ):
-            self.servers[name] = Server(host, service, zone)
+            self.servers[name] = self.server_type(host, service, zone)
             await self.servers[name].start()
         await until(self.is_configured, 20.0)
         self.beating = asyncio.create_task(self.beat())
