--- a/godwitshunt/exchange/channel.py
+++ b/godwitshunt/exchange/channel.py
@@ -38,6 +38,7 @@
         self.received = bytearray()
         self.ended = False
         self.ended_cleanly = False
+        self.fault: Exception | None = None
         self.transport: asyncio.Transport | None = None
         self.reading: asyncio.Future[None] | None = None
         self.writing: asyncio.Future[None] | None = None
@@ -75,6 +76,7 @@
 
     def connection_lost(self, reason: Exception | None) -> None:
         """Wake everyone who waits on this connection."""
+        self.fault = reason
         self.end()
         wake(self.writing)
 
@@ -144,6 +146,16 @@
         if self.ended:
             raise ConnectionResetError('the other side is gone')
 
+    @property
+    def ended_by_other_side(self) -> bool:
+        """True where the other side closed or reset the connection.
+
+        A connection that the kernel gave up, since nothing came back, ended
+        otherwise: the other side is dark, or cut off.
+        """
+        was_reset = isinstance(self.fault, ConnectionError)
+        return self.ended and (self.ended_cleanly or was_reset)
+
     def close(self) -> None:
         """Send what is queued, for a bounded time, then close."""
         if self.transport is None:
--- a/godwitshunt/exchange/problems.py
+++ b/godwitshunt/exchange/problems.py
@@ -58,6 +58,11 @@
     upstream_broken = ('upstream-broken', 502, 'The upstream broke off')
     no_upstream = ('no-upstream', 503, 'No upstream can take this request')
     overloaded = ('overloaded', 503, 'The deadline cannot be met')
+    quarantined = (
+        'quarantined',
+        503,
+        'Upstreams that ran this request crashed',
+    )
     isolated = ('isolated', 503, 'This region is cut off from the others')
     draining = ('draining', 503, 'This VM is shutting down')
     unproven = ('unproven', 503, 'Which keys hold is not known here')
--- /dev/null
+++ b/godwitshunt/ingress/assembly.py
@@ -0,0 +1,72 @@
+"""Makes what every request of an entry VM is served with."""
+
+from random import Random
+
+from godwitshunt.exchange.upstream_pool import UpstreamPool
+from godwitshunt.ingress.authority import Authority
+from godwitshunt.ingress.header_names import HeaderNames
+from godwitshunt.ingress.parts import Budgets, IngressParts
+from godwitshunt.ingress.witness import CrashWitness
+from godwitshunt.picking.choosing import Chooser
+from godwitshunt.picking.client import PickerClient
+from godwitshunt.picking.learner import Learner
+from godwitshunt.registry import RegistryWatch
+from godwitshunt.routing.cold_budget import ColdBounds, ColdBudget
+from godwitshunt.routing.retry_window import RetryBounds
+from godwitshunt.settings import IngressSettings
+from godwitshunt.telemetry import Metrics
+from godwitshunt.timer import Timer
+
+
+def make_parts(
+    settings: IngressSettings,
+    cluster_key: bytes,
+    names: HeaderNames,
+    watch: RegistryWatch,
+    picker: PickerClient,
+    timer: Timer,
+    metrics: Metrics,
+) -> IngressParts:
+    """Return the parts of an entry VM, before any revision is in force."""
+    upstreams = picker.reports.upstreams
+    source = settings.http.host
+    chooser = Chooser(
+        settings.region,
+        upstreams,
+        picker.neighbours,
+        Random(),
+        settings.away_s,
+    )
+    parts = IngressParts(
+        settings=settings,
+        names=names,
+        cluster_key=cluster_key,
+        in_force=lambda: None,
+        authority=Authority.from_config(settings.bounds, timer.now),
+        watch=watch,
+        upstreams=upstreams,
+        neighbours=picker.neighbours,
+        chooser=chooser,
+        learner=Learner(upstreams, watch.view, watch.leave),
+        picker=picker,
+        budgets=make_budgets(settings, timer.now()),
+        witness=CrashWitness(watch.quarantine, timer, source),
+        pool=UpstreamPool(metrics, source=source),
+        hops=UpstreamPool(metrics, source=source),
+        timer=timer,
+        metrics=metrics,
+    )
+    chooser.filter.cold_room = parts.cold_room
+    return parts
+
+
+def make_budgets(settings: IngressSettings, now_s: float) -> Budgets:
+    """Return what all VMs together may repeat, and send to cold upstreams."""
+    bounds = settings.bounds
+    cold = ColdBounds(bounds.cold_factor, bounds.cold_allowance)
+    retries = RetryBounds(
+        bounds.retry_share,
+        bounds.retry_allowance,
+        bounds.retry_window_s,
+    )
+    return Budgets(retries, ColdBudget(cold, now_s), {})
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -47,6 +47,8 @@
 # An upstream's own failures that another one may not have.
 SERVER_FAILURES = range(500, 600)
 ARRIVED_HEADER = b'godwitshunt-arrived'
+# Another VM keeps the request back, as this one would, and others will.
+QUARANTINED_HEADER = b'godwitshunt-quarantined'
 GAP_CHECK_S = 0.2
 
 
@@ -130,7 +132,7 @@
         except (BrokenAnswerError, ConnectionError) as broken:
             return Lost(str(broken) or repr(broken))
         finally:
-            self.closed = self.call.channel.ended
+            self.closed = self.call.channel.ended_by_other_side
             self.call.abandon()
 
     async def converse(self, writer: AnswerWriter) -> AttemptOutcome:
@@ -164,7 +166,11 @@
         body = await self.read_whole()
         reason = f'vm: {read_detail(body)}'
         if fields[OUTCOME_HEADER] == Outcome.not_run.value.encode():
-            return NotRun(reason, arrived=ARRIVED_HEADER in fields)
+            return NotRun(
+                reason,
+                arrived=ARRIVED_HEADER in fields,
+                is_final=QUARANTINED_HEADER in fields,
+            )
         return Lost(reason)
 
     async def hear_success(
--- a/godwitshunt/ingress/learning.py
+++ b/godwitshunt/ingress/learning.py
@@ -16,6 +16,7 @@
 from godwitshunt.ingress.requests import RoutedRequest
 from godwitshunt.picking.choices import HandOver, SendHere
 from godwitshunt.picking.shown import AttemptShown, Shown
+from godwitshunt.registry import UpstreamAnnounced
 from godwitshunt.telemetry import log_change
 
 # Without a sign of an answer for so long, an attempt that ends counts against
@@ -80,7 +81,9 @@
     def of_upstream(self, made: UpstreamAttempt) -> None:
         """Learn from an attempt at an upstream of this region."""
         if isinstance(made.outcome, Lost):
-            self.log_loss(made, made.outcome)
+            self.note_loss(made, made.outcome)
+        if isinstance(made.outcome, (Answered, Streamed, Failed)):
+            self.note_survival()
         shown = made.shown
         if shown is None:
             return
@@ -101,11 +104,20 @@
         if shown is Shown.answered:
             self.count_prompt(choice)
 
-    def log_loss(self, made: UpstreamAttempt, lost: Lost) -> None:
-        """Log that an attempt ended without a whole answer.
+    def note_loss(self, made: UpstreamAttempt, lost: Lost) -> None:
+        """Note that an attempt ended without a whole answer.
 
-        Repeats of a request have one fingerprint, whatever their ids.
+        Repeats of a request have one fingerprint, whatever their ids. One
+        that leaves ends as it said, whatever it runs.
         """
+        told = made.choice.seen.told
+        if made.attempt.closed and not self.leaves(told):
+            self.parts.witness.note_loss(
+                self.request,
+                place_of(made.choice),
+                told.address,
+                made.took_s,
+            )
         first_s = made.first_s
         log_change(
             'ingress:attempt_lost',
@@ -118,6 +130,19 @@
             reason=lost.reason,
         )
 
+    def leaves(self, told: UpstreamAnnounced) -> bool:
+        """Tell whether an upstream said that it leaves."""
+        watch = self.parts.watch
+        known = watch.view().upstreams.get(told.incarnation)
+        is_draining = known is not None and known.told.draining
+        return is_draining or watch.is_over(told)
+
+    def note_survival(self) -> None:
+        """Note a whole answer where upstreams were lost before."""
+        quarantine = self.parts.quarantine
+        if quarantine.knows_length(len(self.request.http.body)):
+            quarantine.clear(self.request.fingerprint)
+
     def count_prompt(self, choice: SendHere) -> None:
         """Count whether a long prompt's shared parts were kept there."""
         prompt = self.request.prompt
@@ -132,6 +157,7 @@
         choice: HandOver,
         attempt: Attempt,
         outcome: AttemptOutcome,
+        took_s: float,
     ) -> str | None:
         """Learn from a hand-over; return what not to choose again.
 
@@ -143,6 +169,13 @@
         now_s = self.parts.timer.now()
         entry = choice.entry
         neighbours = self.parts.neighbours
+        if isinstance(outcome, Lost) and attempt.closed:
+            self.parts.witness.note_loss(
+                self.request,
+                place_of(choice),
+                entry.hop,
+                took_s,
+            )
         if not attempt.connected or isinstance(outcome, Lost):
             neighbours.avoid(entry.name, now_s + AVOID_VM_S)
             return entry.name
@@ -152,3 +185,15 @@
                 neighbours.avoid(place, now_s + AVOID_REGION_S)
             return entry.region
         return None
+
+
+def place_of(choice: SendHere | HandOver) -> str:
+    """Return the process that a request is sent to.
+
+    An upstream's or an entry VM's next start is another one.
+    """
+    match choice:
+        case SendHere(seen=seen):
+            return seen.told.incarnation
+        case HandOver(entry=entry):
+            return f'{entry.region}/{entry.name}~{entry.session}'
--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -12,12 +12,15 @@
 )
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.ingress.account import RequestAccount, Stage
-from godwitshunt.ingress.attempt import ARRIVED_HEADER
+from godwitshunt.ingress.attempt import ARRIVED_HEADER, QUARANTINED_HEADER
+from godwitshunt.ingress.learning import place_of
 from godwitshunt.ingress.outcomes import (
     Again,
+    AttemptOutcome,
     BreakOff,
     Deliver,
     Finish,
+    Lost,
     NotRun,
     Progress,
     RefuseWith,
@@ -35,6 +38,7 @@
     SendHere,
 )
 from godwitshunt.picking.picker import Question
+from godwitshunt.quarantine import Standing
 from godwitshunt.registry import UpstreamSeen
 from godwitshunt.routing.selection import Demand
 
@@ -68,6 +72,8 @@
     retry_after_s: float = RETRY_AFTER_S
     gone: bool = False
     is_counted: bool = False
+    is_quarantined: bool = False
+    is_probe: bool = False
     task: asyncio.Task | None = None
 
     def __post_init__(self) -> None:
@@ -125,26 +131,77 @@
         except TimeoutError:
             under_way = self.sender.under_way
             return self.progress.pass_deadline(under_way=under_way)
+        finally:
+            if self.is_probe:
+                self.parts.quarantine.end_probe(self.request.fingerprint)
 
     async def make_attempts(self) -> Step:
         """Choose and send until an attempt settles the request."""
         step: Step = Again()
         while isinstance(step, Again):
-            choice = await self.choose_with_news()
-            self.account.note_stage(Stage.placed, self.parts.timer.now())
-            if isinstance(choice, NoPlace):
-                return self.refuse(choice)
-            if isinstance(choice, Limited):
-                return self.refuse_limited(choice)
-            refusal = self.authority_refusal()
-            if refusal is not None:
-                return refusal
-            outcome = await self.sender.send(choice)
-            self.is_counted = isinstance(outcome, NotRun)
-            now_s = self.parts.timer.now()
-            step = self.progress.take(outcome, self.request.remaining_s(now_s))
+            step = self.quarantine_step() or await self.make_attempt()
         return step
 
+    async def make_attempt(self) -> Step:
+        """Choose and send once; return what to do next."""
+        choice = await self.choose_with_news()
+        self.account.note_stage(Stage.placed, self.parts.timer.now())
+        if isinstance(choice, NoPlace):
+            return self.refuse(choice)
+        if isinstance(choice, Limited):
+            return self.refuse_limited(choice)
+        refusal = self.authority_refusal()
+        if refusal is not None:
+            return refusal
+        outcome = await self.sender.send(choice)
+        await self.note_outcome(choice, outcome)
+        now_s = self.parts.timer.now()
+        return self.progress.take(outcome, self.request.remaining_s(now_s))
+
+    async def note_outcome(
+        self,
+        choice: SendHere | HandOver,
+        outcome: AttemptOutcome,
+    ) -> None:
+        """Note what an attempt shows of the request's next one.
+
+        Whether an upstream ended under it is known before it is sent again.
+        """
+        self.is_counted = isinstance(outcome, NotRun)
+        if isinstance(outcome, NotRun) and outcome.is_final:
+            self.retry_after_s = self.parts.quarantine.length_s
+        if isinstance(outcome, Lost):
+            await self.parts.witness.settled(place_of(choice))
+
+    def quarantine_step(self) -> Step | None:
+        """Return the last step of a request that must not be sent.
+
+        One that is merely suspected is not sent again by this system: the
+        next upstream that ends would be the third.
+        """
+        quarantine = self.parts.quarantine
+        if not quarantine.knows_length(len(self.request.http.body)):
+            return None
+        fingerprint = self.request.fingerprint
+        believed = quarantine.believed(fingerprint, is_probe=self.is_probe)
+        if believed.standing is Standing.clear:
+            return None
+        if believed.standing is Standing.quarantined:
+            self.retry_after_s = believed.wait_s
+            self.is_quarantined = True
+            self.parts.metrics.count(
+                'quarantine_refused_total',
+                service=self.request.service.name,
+            )
+            return self.progress.keep_back(believed.reason)
+        if self.progress.runs:
+            self.progress.reasons.append(believed.reason)
+            return self.progress.give_up()
+        if believed.standing is Standing.on_probation:
+            self.is_probe = True
+            quarantine.begin_probe(fingerprint)
+        return None
+
     async def choose_with_news(self) -> Choice:
         """Return where the request goes, perhaps after the next news."""
         choice = await self.choose()
@@ -389,6 +446,8 @@
         extra = [(b'retry-after', b'%.3f' % self.retry_after_s)]
         if self.request.handed_over and self.progress.arrivals:
             extra.append((ARRIVED_HEADER, b'true'))
+        if self.request.handed_over and self.is_quarantined:
+            extra.append((QUARANTINED_HEADER, b'true'))
         return WholeAnswer(
             answer.status,
             (*answer.headers, *extra),
--- a/godwitshunt/ingress/outcomes.py
+++ b/godwitshunt/ingress/outcomes.py
@@ -22,10 +22,13 @@
         For logs and counters.
     arrived : bool
         True where an upstream got it and turned it away.
+    is_final : bool
+        True where it is not to be sent elsewhere.
     """
 
     reason: str
     arrived: bool = False
+    is_final: bool = False
 
 
 @dataclass(frozen=True)
@@ -130,9 +133,11 @@
                 return Finish()
             case Answered(answer):
                 return Deliver(answer)
-            case NotRun(reason, arrived):
+            case NotRun(reason, arrived, is_final):
                 self.arrivals += arrived
                 self.reasons.append(reason)
+                if is_final:
+                    return self.keep_back(reason)
             case Failed(answer):
                 self.note_run(f'status {answer.status}')
                 self.fallback = answer
@@ -172,6 +177,16 @@
             return RefuseWith(kind, detail, Outcome.unknown)
         return RefuseWith(ProblemKind.no_upstream, detail, Outcome.not_run)
 
+    def keep_back(self, reason: str) -> Step:
+        """Return the last step of a request that crashes upstreams."""
+        if reason not in self.reasons:
+            self.reasons.append(reason)
+        step = self.give_up()
+        is_refused = isinstance(step, RefuseWith)
+        if is_refused and step.outcome is Outcome.not_run:
+            return RefuseWith(ProblemKind.quarantined, reason, Outcome.not_run)
+        return step
+
     def pass_deadline(self, *, under_way: bool) -> Step:
         """Return the last step of a request whose time is over."""
         if self.begun:
--- a/godwitshunt/ingress/parts.py
+++ b/godwitshunt/ingress/parts.py
@@ -9,6 +9,7 @@
 from godwitshunt.ingress.authority import Authority
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.in_force import InForce
+from godwitshunt.ingress.witness import CrashWitness
 from godwitshunt.organisations import Standing
 from godwitshunt.picking.choices import Ask
 from godwitshunt.picking.choosing import (
@@ -18,6 +19,7 @@
 from godwitshunt.picking.learner import Learner
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.quarantine import Quarantine
 from godwitshunt.registry import RegistryWatch, UpstreamSeen
 from godwitshunt.routing.cold_budget import ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds, RetryWindow
@@ -55,6 +57,8 @@
         Whether what is known of keys still holds.
     chooser : Chooser
         Chooses where the region's picker does not answer.
+    witness : CrashWitness
+        Finds out which upstreams ended while they had requests.
     pool : UpstreamPool
         Connections to upstreams of this region.
     hops : UpstreamPool
@@ -73,11 +77,17 @@
     learner: Learner
     picker: PickerClient
     budgets: Budgets
+    witness: CrashWitness
     pool: UpstreamPool
     hops: UpstreamPool
     timer: Timer
     metrics: Metrics
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """What is held against requests that upstreams ended under."""
+        return self.watch.quarantine
+
     def limit_standing(self) -> Standing:
         """Return this VM's part of organisations' limits, without a picker.
 
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -187,10 +187,12 @@
             ignore,
             from_vm=True,
         )
+        sent_s = self.parts.timer.now()
         outcome = await self.make(attempt)
+        took_s = self.parts.timer.now() - sent_s
         place = f'{choice.entry.region}/{choice.entry.name}'
         self.account.note_attempt(place, outcome)
-        failed = self.lessons.of_vm(choice, attempt, outcome)
+        failed = self.lessons.of_vm(choice, attempt, outcome, took_s)
         if failed is not None:
             self.excluded.add(failed)
         return outcome
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -19,24 +19,17 @@
     render_problem,
 )
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
-from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.ingress.admission import Admission
-from godwitshunt.ingress.authority import Authority
+from godwitshunt.ingress.assembly import make_parts
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.hops import read_hop
 from godwitshunt.ingress.in_force import InForce
 from godwitshunt.ingress.life import RequestLife
-from godwitshunt.ingress.parts import Budgets, IngressParts
+from godwitshunt.ingress.parts import IngressParts
 from godwitshunt.ingress.requests import RoutedRequest
 from godwitshunt.ingress.sending import SIGN_OF_LIFE_S
-from godwitshunt.picking.choosing import (
-    Chooser,
-)
 from godwitshunt.picking.client import PickerClient
-from godwitshunt.picking.learner import Learner
 from godwitshunt.registry import RegistryWatch
-from godwitshunt.routing.cold_budget import ColdBounds, ColdBudget
-from godwitshunt.routing.retry_window import RetryBounds
 from godwitshunt.settings import IngressSettings
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Subscription, Timer
@@ -108,42 +101,15 @@
         metrics: Metrics,
     ) -> Self:
         """Make the ingress of an entry VM."""
-        upstreams = picker.reports.upstreams
-        neighbours = picker.neighbours
-        bounds = settings.bounds
-        chooser = Chooser(
-            settings.region,
-            upstreams,
-            neighbours,
-            Random(),
-            settings.away_s,
-        )
-        cold = ColdBounds(bounds.cold_factor, bounds.cold_allowance)
-        retries = RetryBounds(
-            bounds.retry_share,
-            bounds.retry_allowance,
-            bounds.retry_window_s,
-        )
-        source = settings.http.host
-        parts = IngressParts(
-            settings=settings,
-            names=names,
-            cluster_key=cluster_key,
-            in_force=lambda: None,
-            authority=Authority.from_config(bounds, timer.now),
-            watch=watch,
-            upstreams=upstreams,
-            neighbours=neighbours,
-            chooser=chooser,
-            learner=Learner(upstreams, watch.view, watch.leave),
-            picker=picker,
-            budgets=Budgets(retries, ColdBudget(cold, timer.now()), {}),
-            pool=UpstreamPool(metrics, source=source),
-            hops=UpstreamPool(metrics, source=source),
-            timer=timer,
-            metrics=metrics,
+        parts = make_parts(
+            settings,
+            cluster_key,
+            names,
+            watch,
+            picker,
+            timer,
+            metrics,
         )
-        chooser.filter.cold_room = parts.cold_room
         made = cls(parts)
         parts.in_force = made.current
         return made
@@ -241,6 +207,7 @@
             log_change('ingress:drain_cut', requests=cut)
         if self.subscription is not None:
             self.subscription.cancel()
+        await self.parts.witness.close()
         self.parts.pool.close()
         self.parts.hops.close()
 
--- a/godwitshunt/ingress/tests/test_full_upstreams.py
+++ b/godwitshunt/ingress/tests/test_full_upstreams.py
@@ -119,10 +119,12 @@
         timer=SimpleNamespace(now=lambda: 1.0),
         learner=SimpleNamespace(learn=lambda shown, service, now_s: None),
         picker=SimpleNamespace(note_shown=told.append),
+        quarantine=SimpleNamespace(knows_length=lambda length: False),
     )
     request = SimpleNamespace(
         service=SERVICE,
         prompt=SimpleNamespace(worth_keeping=False),
+        http=SimpleNamespace(body=b''),
     )
     attempt = SimpleNamespace(misdirected=False, connected=True)
     made = UpstreamAttempt(chosen, attempt, Streamed(), 0.06, 0.5)
--- a/godwitshunt/picking/reports.py
+++ b/godwitshunt/picking/reports.py
@@ -8,9 +8,11 @@
 from godwitshunt.organisations import LimitPool, limits_of
 from godwitshunt.picking.shown import AttemptShown, shown_to_wire
 from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.quarantine import SuspectTable
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.ledger import Report
 from godwitshunt.registry.prefixes import PrefixTable
+from godwitshunt.registry.suspect_wire import suspects_to_wire
 from godwitshunt.registry.wire import (
     admitted_to_wire,
     prefixes_to_wire,
@@ -38,6 +40,8 @@
         Returns monotonic seconds.
     limits : LimitPool
         What this VM has admitted without a picker.
+    suspects : SuspectTable
+        What this VM's requests were lost to upstreams.
     """
 
     session: str
@@ -45,6 +49,7 @@
     prefixes: PrefixTable
     now: Callable[[], float]
     limits: LimitPool = field(default_factory=LimitPool)
+    suspects: SuspectTable = field(default_factory=SuspectTable)
     number: int = 0
     shown: deque[AttemptShown] = field(
         default_factory=lambda: deque(maxlen=MOST_SHOWN),
@@ -52,6 +57,7 @@
     places_of: str = ''
     places_taken: int = 0
     prefixes_told: int = 0
+    suspects_told: int = 0
 
     def configure(self, manifest: Manifest, now_s: float) -> None:
         """Take the limits of a newer revision."""
@@ -63,6 +69,7 @@
             self.places_of = source
             self.places_taken = 0
             self.prefixes_told = 0
+            self.suspects_told = 0
         self.places_taken = max(self.places_taken, number)
 
     def make(self, source: str) -> ttypes.LoadReport:
@@ -85,4 +92,7 @@
             now_s,
         )
         self.prefixes_told = self.prefixes.version
+        news = self.suspects.news(self.suspects_told)
+        made.suspects = suspects_to_wire(news.records, now_s)
+        self.suspects_told = news.version
         return made
--- a/godwitshunt/programs/ingress_process.py
+++ b/godwitshunt/programs/ingress_process.py
@@ -75,11 +75,13 @@
             self.timer,
             self.metrics,
         )
+        self.watch.quarantine.length_s = settings.bounds.quarantine_s
         self.reports = Reports(
             self.session,
             Upstreams(),
             self.watch.own_prefixes,
             self.timer.now,
+            suspects=self.watch.quarantine.own,
         )
         self.picker = PickerClient(
             Neighbours(settings.name, settings.region),
--- /dev/null
+++ b/godwitshunt/quarantine/table.py
@@ -0,0 +1,208 @@
+"""All requests that were lost to upstreams of late, bounded; pure."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from godwitshunt.quarantine.fingerprint import Fingerprint
+from godwitshunt.quarantine.records import Loss, SuspectRecord
+from godwitshunt.quarantine.verdicts import find_guilty
+
+# Requests that are remembered. An engine that ends takes up to its slots of
+# requests with it; this holds twenty such ends of 48.
+MOST_RECORDS = 1024
+# Losses from which on a request is told to entry VMs, which take note of its
+# answers from then on.
+SUSPECTED_SCORE = 2
+# Records that one message tells, at most; the rest come with the next one.
+MOST_TOLD = 256
+
+
+@dataclass(frozen=True)
+class Lost:
+    """A request that was lost to a place, as one VM saw it."""
+
+    fingerprint: Fingerprint
+    organisation: str
+    body_bytes: int
+    loss: Loss
+
+
+@dataclass(frozen=True)
+class SuspectNews:
+    """What is new in a table.
+
+    Parameters
+    ----------
+    version : int or None
+        That whoever hears it holds from then on; None where nobody asked.
+    """
+
+    records: tuple[SuspectRecord, ...]
+    version: int | None
+
+
+@dataclass
+class SuspectTable:
+    """Requests that were lost, and which of them crash upstreams.
+
+    Parameters
+    ----------
+    most : int
+        Records that it holds.
+
+    Examples
+    --------
+    >>> table = SuspectTable()
+    >>> lethal = Fingerprint(bytes(16))
+    >>> for number in range(3):
+    ...     loss = Loss(f'i-{number}', float(number), 0.1)
+    ...     _ = table.note_loss(Lost(lethal, '', 5, loss))
+    >>> lethal in table.guilty()
+    True
+    >>> table.knows_length(5), table.knows_length(6)
+    (True, False)
+    """
+
+    most: int = MOST_RECORDS
+    records: dict[Fingerprint, SuspectRecord] = field(default_factory=dict)
+    version: int = 0
+    judged_version: int = -1
+    judged: dict[Fingerprint, int] = field(default_factory=dict)
+    lengths: frozenset[int] = frozenset()
+
+    def note_loss(self, lost: Lost) -> bool:
+        """Take a loss that was seen here; False where it is known."""
+        record = self.records.get(lost.fingerprint) or SuspectRecord(
+            lost.fingerprint,
+            lost.organisation,
+            lost.body_bytes,
+        )
+        if not record.take_loss(lost.loss):
+            return False
+        self.keep(record)
+        return True
+
+    def clear(self, fingerprint: Fingerprint, at_s: float) -> bool:
+        """Hold nothing until a moment against a request.
+
+        Returns
+        -------
+        bool
+            False where nothing was held against it.
+        """
+        record = self.records.get(fingerprint)
+        if record is None or not record.losses or not record.clear(at_s):
+            return False
+        self.keep(record)
+        return True
+
+    def join(self, told: Iterable[SuspectRecord]) -> bool:
+        """Take what another process knows; False for nothing new."""
+        changes = [self.join_one(one) for one in told]
+        return any(changes)
+
+    def join_one(self, told: SuspectRecord) -> bool:
+        """Take what another process knows of one request."""
+        record = self.records.get(told.fingerprint) or SuspectRecord(
+            told.fingerprint,
+            told.organisation,
+            told.body_bytes,
+        )
+        if not record.join(told):
+            return False
+        self.keep(record)
+        return True
+
+    def keep(self, record: SuspectRecord) -> None:
+        """Note that a record has changed; make room for it."""
+        self.version += 1
+        record.version = self.version
+        self.records[record.fingerprint] = record
+        while len(self.records) > self.most:
+            self.records.pop(self.least_needed().fingerprint)
+
+    def least_needed(self) -> SuspectRecord:
+        """Return the record that yields.
+
+        It is one of the organisation that has the most: nobody can push out
+        what others' requests have shown by sending many. Of these it is the
+        one with the least against it.
+        """
+        sizes = Counter(one.organisation for one in self.records.values())
+        largest = max(sizes, key=sizes.__getitem__)
+        return min(
+            (
+                one
+                for one in self.records.values()
+                if one.organisation == largest
+            ),
+            key=lambda one: (len(one.losses), one.last_loss_s()),
+        )
+
+    def since(
+        self,
+        version: int,
+        least_losses: int = 0,
+    ) -> tuple[SuspectRecord, ...]:
+        """Return the records that changed after a version.
+
+        Parameters
+        ----------
+        least_losses : int
+            Those that were lost less often are left out, but for those that
+            were cleared.
+        """
+        return tuple(
+            one
+            for one in self.records.values()
+            if one.version > version
+            and (len(one.losses) >= least_losses or one.is_cleared)
+        )
+
+    def news(self, version: int, least_losses: int = 0) -> SuspectNews:
+        """Return what one message tells of the records after a version."""
+        records = sorted(
+            self.since(version, least_losses),
+            key=lambda one: one.version,
+        )
+        if len(records) <= MOST_TOLD:
+            return SuspectNews(tuple(records), self.version)
+        told = tuple(records[:MOST_TOLD])
+        return SuspectNews(told, told[-1].version)
+
+    def knows_length(self, body_bytes: int) -> bool:
+        """Tell whether a suspected request has a body of a length."""
+        self.judge()
+        return body_bytes in self.lengths
+
+    def guilty(self) -> dict[Fingerprint, int]:
+        """Return the requests that crash upstreams, with their scores."""
+        self.judge()
+        return self.judged
+
+    def judge(self) -> None:
+        """Judge anew where something has changed."""
+        if self.judged_version == self.version:
+            return
+        self.judged_version = self.version
+        self.judged = find_guilty(self.records.values())
+        self.lengths = frozenset(
+            one.body_bytes
+            for one in self.records.values()
+            if len(one.losses) >= SUSPECTED_SCORE
+        )
+
+    def forget(self, until_s: float) -> None:
+        """Drop losses until a moment, and records without any."""
+        changed = [
+            record
+            for record in self.records.values()
+            if record.drop_losses(until_s) or not record.losses
+        ]
+        for record in changed:
+            if record.losses:
+                self.keep(record)
+            elif record.cleared_s <= until_s:
+                self.version += 1
+                self.records.pop(record.fingerprint)
--- /dev/null
+++ b/godwitshunt/quarantine/verdicts.py
@@ -0,0 +1,46 @@
+"""Which of several lost requests crashes upstreams; pure.
+
+An upstream that ends takes with it all that it runs. Each of those requests
+was lost there, one of them is the cause. What tells them apart: the cause is
+lost at each upstream that runs it, and others are answered elsewhere.
+"""
+
+from collections.abc import Iterable
+
+from godwitshunt.quarantine.fingerprint import Fingerprint
+from godwitshunt.quarantine.records import SuspectRecord
+
+# Upstreams that end under a request, with no answer in between, until it is
+# held to be the cause.
+GUILTY_SCORE = 3
+# Of these so many must not be explained by another request: a second cause
+# that was lost beside the first one each time is found by its next two.
+UNEXPLAINED_SCORE = 2
+
+
+def find_guilty(
+    records: Iterable[SuspectRecord],
+) -> dict[Fingerprint, int]:
+    """Return the requests that crash upstreams, with the score of each.
+
+    The one with the highest score goes first, and what ended under it speaks
+    against no other request any more: who merely stood by each time is not
+    held guilty with it. Among equals it is the one that upstreams had for the
+    shorter time, since the cause ends them soon and a bystander is there by
+    chance.
+    """
+    suspects = [one for one in records if one.score() >= GUILTY_SCORE]
+    suspects.sort(key=strength)
+    guilty: dict[Fingerprint, int] = {}
+    explained: set[str] = set()
+    for record in suspects:
+        if record.score(explained) >= UNEXPLAINED_SCORE:
+            guilty[record.fingerprint] = record.score()
+            explained.update(record.losses)
+    return guilty
+
+
+def strength(record: SuspectRecord) -> tuple[int, float, bytes]:
+    """Return a key that sorts the strongest suspect first."""
+    digest = record.fingerprint.digest
+    return (-record.score(), record.exposure_s(), digest)
--- a/godwitshunt/registry/asking.py
+++ b/godwitshunt/registry/asking.py
@@ -8,12 +8,14 @@
 
 from dataclasses import dataclass
 
+from godwitshunt.quarantine import SuspectRecord
 from godwitshunt.registry.contacts import ControlContact, HeldTable
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.joined import JoinedTables
 from godwitshunt.registry.prefixes import PrefixRead
 from godwitshunt.registry.records import EntryRecord
 from godwitshunt.registry.relay import Scope, relayed_news
+from godwitshunt.registry.suspect_wire import suspects_to_wire
 from godwitshunt.registry.views import ControlTable
 from godwitshunt.registry.wire import (
     MILLISECONDS,
@@ -21,7 +23,8 @@
     prefixes_to_wire,
 )
 
-# Version of held prompts that stands for not being asked.
+# Version of held prompts, or of suspected requests, that stands for not being
+# asked.
 NOT_ASKED = -1
 # A table is told to a control VM that misses it if it is newer here by this.
 NEWER_BY_S = 0.5
@@ -37,6 +40,8 @@
         Its requests at upstreams.
     reads : tuple of PrefixRead
         What they have shown of kept prompts.
+    suspects : tuple of SuspectRecord
+        Those of them that were lost to upstreams.
     chooses : bool
         True where it has no picker: then it must know where prompts are kept
         and what others send.
@@ -45,6 +50,7 @@
     record: EntryRecord
     report: ttypes.LoadReport
     reads: tuple[PrefixRead, ...]
+    suspects: tuple[SuspectRecord, ...]
     chooses: bool
 
 
@@ -65,6 +71,8 @@
         wants_loads=told.chooses,
         scope=Scope.all,
         newer=newer_tables(contact, joined, now_s),
+        suspects=suspects_to_wire(told.suspects, now_s),
+        suspects_version=contact.suspects_version,
     )
 
 
@@ -78,6 +86,8 @@
         prefixes=[],
         newer=[],
         prefixes_version=NOT_ASKED,
+        suspects=[],
+        suspects_version=NOT_ASKED,
         wants_loads=True,
         scope=Scope.own if contact.source else Scope.none,
     )
--- a/godwitshunt/registry/contacts.py
+++ b/godwitshunt/registry/contacts.py
@@ -71,6 +71,10 @@
         What to ask held prefixes after.
     prefixes_told : int
         Version of this VM's own reads that it has been told.
+    suspects_version : int
+        What to ask suspected requests after.
+    suspects_told : int
+        Version of this VM's own lost requests that it has been told.
     misses : dict
         Tables that it has said to miss the newest of, as it holds them: by
         their process, with the time that they are as of.
@@ -85,6 +89,8 @@
     gives_places: bool = False
     prefixes_version: int = 0
     prefixes_told: int = 0
+    suspects_version: int = 0
+    suspects_told: int = 0
     misses: dict[str, HeldTable] = field(default_factory=dict)
 
     def answer(self, source: str, sent_s: float, now_s: float) -> None:
@@ -93,6 +99,8 @@
             self.source = source
             self.prefixes_version = 0
             self.prefixes_told = 0
+            self.suspects_version = 0
+            self.suspects_told = 0
         self.answered_s = max(self.answered_s, sent_s)
         took_s = now_s - sent_s
         self.round_trip_s = min(took_s, self.round_trip_s * LONGER)
--- a/godwitshunt/registry/control_tables.py
+++ b/godwitshunt/registry/control_tables.py
@@ -12,6 +12,7 @@
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.quarantine import Quarantine
 from godwitshunt.registry.contacts import ControlContact
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.joined import JoinedTables
@@ -19,6 +20,7 @@
 from godwitshunt.registry.prefixes import PrefixTable
 from godwitshunt.registry.records import Load
 from godwitshunt.registry.relay import ControlPlace, Scope, relayed_news
+from godwitshunt.registry.suspect_wire import suspects_from_wire
 from godwitshunt.registry.views import RegistryView
 from godwitshunt.registry.wire import (
     address_of,
@@ -55,6 +57,8 @@
         Where this control VM stands, and which others there are.
     prefixes : PrefixTable
         Takes what others were told of kept prompts by entry VMs.
+    quarantine : Quarantine
+        Takes what others know of suspected requests.
     links : PeerLinks
         To the other control VMs.
     timer : Timer
@@ -65,11 +69,13 @@
         self,
         place: ControlPlace,
         prefixes: PrefixTable,
+        quarantine: Quarantine,
         links: PeerLinks,
         timer: Timer,
     ) -> None:
         self.place = place
         self.prefixes = prefixes
+        self.quarantine = quarantine
         self.links = links
         self.timer = timer
         self.joined = JoinedTables(place.regions)
@@ -114,6 +120,8 @@
             wants_loads=True,
             scope=Scope.all if self.misses_any(sent_s) else Scope.own,
             from_control=True,
+            suspects=[],
+            suspects_version=contact.suspects_version,
         )
         reply = await self.links.call(
             address,
@@ -172,6 +180,8 @@
         self.prefixes.take(prefixes_from_wire(message.prefixes, now_s))
         if is_known:
             contact.prefixes_version = message.prefixes_version
+        self.quarantine.join(suspects_from_wire(message.suspects, now_s))
+        contact.suspects_version = message.suspects_version or 0
 
     def take_table(
         self,
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -879,6 +879,228 @@
         return not (self == other)
 
 
+class PlaceLost(object):
+    """
+    A place that ended while it had a request.
+
+    Attributes:
+     - place
+     - age_ms: Milliseconds since then, from when this was written.
+     - exposure_ms: Milliseconds for which it had the request.
+
+    """
+
+    __slots__ = (
+        'place',
+        'age_ms',
+        'exposure_ms',
+    )
+
+
+    def __init__(self, place=None, age_ms=None, exposure_ms=None,):
+        self.place = place
+        self.age_ms = age_ms
+        self.exposure_ms = exposure_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.place = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.exposure_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceLost')
+        if self.place is not None:
+            oprot.writeFieldBegin('place', TType.STRING, 1)
+            oprot.writeString(self.place.encode('utf-8') if sys.version_info[0] == 2 else self.place)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.exposure_ms is not None:
+            oprot.writeFieldBegin('exposure_ms', TType.I64, 3)
+            oprot.writeI64(self.exposure_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SuspectInfo(object):
+    """
+    A request that was lost to upstreams, named by its content.
+
+    Attributes:
+     - fingerprint: 16 bytes.
+     - organisation: Whose request it is; empty for nobody's.
+     - body_bytes
+     - losses
+     - cleared_ms: Milliseconds since it was answered whole, or pardoned; absent for
+    never.
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'organisation',
+        'body_bytes',
+        'losses',
+        'cleared_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, organisation=None, body_bytes=None, losses=None, cleared_ms=None,):
+        self.fingerprint = fingerprint
+        self.organisation = organisation
+        self.body_bytes = body_bytes
+        self.losses = losses
+        self.cleared_ms = cleared_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.body_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.losses = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = PlaceLost()
+                        _elem5.read(iprot)
+                        self.losses.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.cleared_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectInfo')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I64, 3)
+            oprot.writeI64(self.body_bytes)
+            oprot.writeFieldEnd()
+        if self.losses is not None:
+            oprot.writeFieldBegin('losses', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.losses))
+            for iter6 in self.losses:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared_ms is not None:
+            oprot.writeFieldBegin('cleared_ms', TType.I64, 5)
+            oprot.writeI64(self.cleared_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class AdmittedUnits(object):
     """
     What an organisation was admitted by a process since that started.
@@ -975,6 +1197,7 @@
      - shown: What attempts have shown since the last report to this control VM.
      - prefixes: What upstreams have read since then.
      - admitted: What the entry VM has admitted without a picker.
+     - suspects: Requests that were lost to upstreams since the last report.
 
     """
 
@@ -987,10 +1210,11 @@
         'prefixes',
         'session',
         'admitted',
+        'suspects',
     )
 
 
-    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None,):
+    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None, suspects=None,):
         self.number = number
         self.loads = loads
         self.session = session
@@ -999,6 +1223,7 @@
         self.shown = shown
         self.prefixes = prefixes
         self.admitted = admitted
+        self.suspects = suspects
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1017,11 +1242,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = UpstreamLoad()
-                        _elem5.read(iprot)
-                        self.loads.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = UpstreamLoad()
+                        _elem12.read(iprot)
+                        self.loads.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1043,33 +1268,44 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.shown = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = AttemptShown()
-                        _elem11.read(iprot)
-                        self.shown.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = AttemptShown()
+                        _elem18.read(iprot)
+                        self.shown.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = PrefixInfo()
-                        _elem17.read(iprot)
-                        self.prefixes.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = PrefixInfo()
+                        _elem24.read(iprot)
+                        self.prefixes.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = AdmittedUnits()
-                        _elem23.read(iprot)
-                        self.admitted.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = AdmittedUnits()
+                        _elem30.read(iprot)
+                        self.admitted.append(_elem30)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = SuspectInfo()
+                        _elem36.read(iprot)
+                        self.suspects.append(_elem36)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1090,8 +1326,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter24 in self.loads:
-                iter24.write(oprot)
+            for iter37 in self.loads:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1105,15 +1341,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter25 in self.shown:
-                iter25.write(oprot)
+            for iter38 in self.shown:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter26 in self.prefixes:
-                iter26.write(oprot)
+            for iter39 in self.prefixes:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1123,8 +1359,15 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter27 in self.admitted:
-                iter27.write(oprot)
+            for iter40 in self.admitted:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter41 in self.suspects:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1263,6 +1506,8 @@
      - from_control: True where a control VM asks.
      - newer: Tables that the entry VM holds as newer ones than the control VM that it
     asks, which has said that it misses some.
+     - suspects: Requests that the entry VM lost to upstreams since the last poll.
+     - suspects_version: Version of the suspected requests that it has heard of here.
 
     """
 
@@ -1276,10 +1521,12 @@
         'scope',
         'from_control',
         'newer',
+        'suspects',
+        'suspects_version',
     )
 
 
-    def __init__(self, entry=None, held=None, report=None, prefixes=None, prefixes_version=None, wants_loads=None, scope=None, from_control=None, newer=None,):
+    def __init__(self, entry=None, held=None, report=None, prefixes=None, prefixes_version=None, wants_loads=None, scope=None, from_control=None, newer=None, suspects=None, suspects_version=None,):
         self.entry = entry
         self.held = held
         self.report = report
@@ -1289,6 +1536,8 @@
         self.scope = scope
         self.from_control = from_control
         self.newer = newer
+        self.suspects = suspects
+        self.suspects_version = suspects_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1308,11 +1557,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = TableHeld()
-                        _elem33.read(iprot)
-                        self.held.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = TableHeld()
+                        _elem47.read(iprot)
+                        self.held.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1325,11 +1574,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = PrefixInfo()
-                        _elem39.read(iprot)
-                        self.prefixes.append(_elem39)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = PrefixInfo()
+                        _elem53.read(iprot)
+                        self.prefixes.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1356,14 +1605,30 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = TableNews()
-                        _elem45.read(iprot)
-                        self.newer.append(_elem45)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = TableNews()
+                        _elem59.read(iprot)
+                        self.newer.append(_elem59)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = SuspectInfo()
+                        _elem65.read(iprot)
+                        self.suspects.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.suspects_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1381,8 +1646,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter46 in self.held:
-                iter46.write(oprot)
+            for iter66 in self.held:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -1392,8 +1657,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter47 in self.prefixes:
-                iter47.write(oprot)
+            for iter67 in self.prefixes:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1415,10 +1680,21 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter48 in self.newer:
-                iter48.write(oprot)
+            for iter68 in self.newer:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter69 in self.suspects:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects_version is not None:
+            oprot.writeFieldBegin('suspects_version', TType.I64, 11)
+            oprot.writeI64(self.suspects_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1542,43 +1818,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = UpstreamInfo()
-                        _elem54.read(iprot)
-                        self.upstreams.append(_elem54)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = UpstreamInfo()
+                        _elem75.read(iprot)
+                        self.upstreams.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = StartEnded()
-                        _elem60.read(iprot)
-                        self.gone.append(_elem60)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = StartEnded()
+                        _elem81.read(iprot)
+                        self.gone.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = EntryInfo()
-                        _elem66.read(iprot)
-                        self.entries.append(_elem66)
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = EntryInfo()
+                        _elem87.read(iprot)
+                        self.entries.append(_elem87)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem72)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1590,22 +1866,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = UpstreamLoad()
-                        _elem78.read(iprot)
-                        self.loads.append(_elem78)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = UpstreamLoad()
+                        _elem99.read(iprot)
+                        self.loads.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = AdmittedUnits()
-                        _elem84.read(iprot)
-                        self.admitted.append(_elem84)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = AdmittedUnits()
+                        _elem105.read(iprot)
+                        self.admitted.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1646,29 +1922,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter85 in self.upstreams:
-                iter85.write(oprot)
+            for iter106 in self.upstreams:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter86 in self.gone:
-                iter86.write(oprot)
+            for iter107 in self.gone:
+                iter107.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter87 in self.entries:
-                iter87.write(oprot)
+            for iter108 in self.entries:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter88 in self.gone_entries:
-                oprot.writeString(iter88.encode('utf-8') if sys.version_info[0] == 2 else iter88)
+            for iter109 in self.gone_entries:
+                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -1678,15 +1954,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter89 in self.loads:
-                iter89.write(oprot)
+            for iter110 in self.loads:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter90 in self.admitted:
-                iter90.write(oprot)
+            for iter111 in self.admitted:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1725,6 +2001,8 @@
      - gives_places: True where this control VM gives places to its region's entry VMs.
      - region: Where this control VM stands.
      - misses_tables: True where some table is old here: whoever holds it as newer may tell.
+     - suspects: Suspected requests that changed after the version asked for.
+     - suspects_version
 
     """
 
@@ -1737,10 +2015,12 @@
         'source',
         'region',
         'misses_tables',
+        'suspects',
+        'suspects_version',
     )
 
 
-    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None, region=None, misses_tables=None,):
+    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None, region=None, misses_tables=None, suspects=None, suspects_version=None,):
         self.source = source
         self.tables = tables
         self.loads = loads
@@ -1749,6 +2029,8 @@
         self.gives_places = gives_places
         self.region = region
         self.misses_tables = misses_tables
+        self.suspects = suspects
+        self.suspects_version = suspects_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1767,33 +2049,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = TableNews()
-                        _elem96.read(iprot)
-                        self.tables.append(_elem96)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = TableNews()
+                        _elem117.read(iprot)
+                        self.tables.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = UpstreamLoad()
-                        _elem102.read(iprot)
-                        self.loads.append(_elem102)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = UpstreamLoad()
+                        _elem123.read(iprot)
+                        self.loads.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = PrefixInfo()
-                        _elem108.read(iprot)
-                        self.prefixes.append(_elem108)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = PrefixInfo()
+                        _elem129.read(iprot)
+                        self.prefixes.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1817,6 +2099,22 @@
                     self.misses_tables = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = SuspectInfo()
+                        _elem135.read(iprot)
+                        self.suspects.append(_elem135)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.suspects_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1830,22 +2128,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter109 in self.tables:
-                iter109.write(oprot)
+            for iter136 in self.tables:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter110 in self.loads:
-                iter110.write(oprot)
+            for iter137 in self.loads:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter111 in self.prefixes:
-                iter111.write(oprot)
+            for iter138 in self.prefixes:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1868,6 +2166,17 @@
             oprot.writeFieldBegin('misses_tables', TType.BOOL, 8)
             oprot.writeBool(self.misses_tables)
             oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter139 in self.suspects:
+                iter139.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects_version is not None:
+            oprot.writeFieldBegin('suspects_version', TType.I64, 10)
+            oprot.writeI64(self.suspects_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2012,10 +2321,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem117)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2087,8 +2396,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter118 in self.excluded:
-                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            for iter146 in self.excluded:
+                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2327,18 +2636,21 @@
     Attributes:
      - upstreams
      - gone
+     - suspects: Requests under which upstreams ended.
 
     """
 
     __slots__ = (
         'upstreams',
         'gone',
+        'suspects',
     )
 
 
-    def __init__(self, upstreams=None, gone=None,):
+    def __init__(self, upstreams=None, gone=None, suspects=None,):
         self.upstreams = upstreams
         self.gone = gone
+        self.suspects = suspects
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2352,22 +2664,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = UpstreamInfo()
-                        _elem124.read(iprot)
-                        self.upstreams.append(_elem124)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = UpstreamInfo()
+                        _elem152.read(iprot)
+                        self.upstreams.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = StartEnded()
-                        _elem130.read(iprot)
-                        self.gone.append(_elem130)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = StartEnded()
+                        _elem158.read(iprot)
+                        self.gone.append(_elem158)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = SuspectInfo()
+                        _elem164.read(iprot)
+                        self.suspects.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2384,15 +2707,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter131 in self.upstreams:
-                iter131.write(oprot)
+            for iter165 in self.upstreams:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter132 in self.gone:
-                iter132.write(oprot)
+            for iter166 in self.gone:
+                iter166.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter167 in self.suspects:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2484,6 +2814,22 @@
     (7, TType.I32, 'unread_tokens', None, None, ),  # 7
     (8, TType.BOOL, 'was_held_up', None, None, ),  # 8
 )
+all_structs.append(PlaceLost)
+PlaceLost.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'place', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+    (3, TType.I64, 'exposure_ms', None, None, ),  # 3
+)
+all_structs.append(SuspectInfo)
+SuspectInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'body_bytes', None, None, ),  # 3
+    (4, TType.LIST, 'losses', (TType.STRUCT, [PlaceLost, None], False), None, ),  # 4
+    (5, TType.I64, 'cleared_ms', None, None, ),  # 5
+)
 all_structs.append(AdmittedUnits)
 AdmittedUnits.thrift_spec = (
     None,  # 0
@@ -2501,6 +2847,7 @@
     (6, TType.LIST, 'prefixes', (TType.STRUCT, [PrefixInfo, None], False), None, ),  # 6
     (7, TType.STRING, 'session', 'UTF8', None, ),  # 7
     (8, TType.LIST, 'admitted', (TType.STRUCT, [AdmittedUnits, None], False), None, ),  # 8
+    (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 9
 )
 all_structs.append(TableHeld)
 TableHeld.thrift_spec = (
@@ -2521,6 +2868,8 @@
     (7, TType.I32, 'scope', None, None, ),  # 7
     (8, TType.BOOL, 'from_control', None, None, ),  # 8
     (9, TType.LIST, 'newer', (TType.STRUCT, [TableNews, None], False), None, ),  # 9
+    (10, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 10
+    (11, TType.I64, 'suspects_version', None, None, ),  # 11
 )
 all_structs.append(TableNews)
 TableNews.thrift_spec = (
@@ -2550,6 +2899,8 @@
     (6, TType.STRING, 'source', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'region', 'UTF8', None, ),  # 7
     (8, TType.BOOL, 'misses_tables', None, None, ),  # 8
+    (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 9
+    (10, TType.I64, 'suspects_version', None, None, ),  # 10
 )
 all_structs.append(PlaceAsked)
 PlaceAsked.thrift_spec = (
@@ -2589,6 +2940,7 @@
     None,  # 0
     (1, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamInfo, None], False), None, ),  # 1
     (2, TType.LIST, 'gone', (TType.STRUCT, [StartEnded, None], False), None, ),  # 2
+    (3, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/godwitshunt/registry/keeper.py
+++ b/godwitshunt/registry/keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from godwitshunt.exceptions import StorageError
+from godwitshunt.quarantine import SuspectTable
 from godwitshunt.registry.kept_upstreams import KeptUpstreams
 from godwitshunt.registry.table import UpstreamTable
 from godwitshunt.telemetry import Metrics, log_change
@@ -18,6 +19,8 @@
         Where it is kept; None keeps nothing.
     upstreams : UpstreamTable
         The table.
+    suspects : SuspectTable
+        Requests that were lost to upstreams, kept beside it.
     timer : Timer
         Monotonic time.
     metrics : Metrics
@@ -28,22 +31,27 @@
         self,
         kept: KeptUpstreams | None,
         upstreams: UpstreamTable,
+        suspects: SuspectTable,
         timer: Timer,
         metrics: Metrics,
     ) -> None:
         self.kept = kept
         self.upstreams = upstreams
+        self.suspects = suspects
         self.timer = timer
         self.metrics = metrics
         self.written_version = 0
+        self.written_suspects = 0
         self.writing = asyncio.Lock()
         self.disk_fault = ''
 
     @property
     def is_due(self) -> bool:
         """True where something is known that is not on disk."""
-        behind = self.written_version < self.upstreams.version
-        return self.kept is not None and behind
+        if self.kept is None:
+            return False
+        is_behind = self.written_version < self.upstreams.version
+        return is_behind or self.written_suspects < self.suspects.version
 
     def restore(self) -> None:
         """Take up what this VM knew before its process ended.
@@ -54,12 +62,16 @@
             Where the data folder cannot be read.
         """
         now_s = self.timer.now()
-        if self.kept is not None and self.kept.restore(self.upstreams, now_s):
+        if self.kept is None:
+            return
+        if self.kept.restore(self.upstreams, self.suspects, now_s):
             self.written_version = self.upstreams.version
+            self.written_suspects = self.suspects.version
             log_change(
                 'registry:kept_taken',
                 upstreams=sorted(self.upstreams.entries),
                 gone=len(self.upstreams.gone),
+                suspects=len(self.suspects.records),
             )
 
     async def settle(self) -> bool:
@@ -76,7 +88,9 @@
         async with self.writing:
             if not self.is_due:
                 return
-            record = self.kept.render(self.upstreams, self.timer.now())
+            suspects_version = self.suspects.version
+            now_s = self.timer.now()
+            record = self.kept.render(self.upstreams, self.suspects, now_s)
             try:
                 await asyncio.to_thread(self.kept.file.write, record)
             except StorageError as failed:
@@ -84,6 +98,7 @@
                 self.note_disk(failed.reason)
                 return
             self.written_version = record.number
+            self.written_suspects = suspects_version
             self.note_disk('')
 
     def note_disk(self, reason: str) -> None:
--- a/godwitshunt/registry/kept_upstreams.py
+++ b/godwitshunt/registry/kept_upstreams.py
@@ -9,7 +9,12 @@
 
 from godwitshunt.exceptions import FrameError
 from godwitshunt.peer import decode, encode
+from godwitshunt.quarantine import SUSPECTED_SCORE, SuspectTable
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.suspect_wire import (
+    suspects_from_wire,
+    suspects_to_wire,
+)
 from godwitshunt.registry.table import UpstreamTable
 from godwitshunt.registry.wire import (
     ends_from_wire,
@@ -35,8 +40,13 @@
         """Where the table is kept."""
         return KeptFile(self.folder / FILE_NAME, MAGIC)
 
-    def restore(self, table: UpstreamTable, now_s: float) -> bool:
-        """Put what was kept into an empty table; False where there is none.
+    def restore(
+        self,
+        table: UpstreamTable,
+        suspects: SuspectTable,
+        now_s: float,
+    ) -> bool:
+        """Put what was kept into empty tables; False where there is none.
 
         Raises
         ------
@@ -50,18 +60,30 @@
             told = decode(ttypes.KeptUpstreams, kept.body)
             upstreams = [upstream_from_wire(one) for one in told.upstreams]
             ends = ends_from_wire(told.gone)
+            lost = suspects_from_wire(told.suspects, now_s)
         except (FrameError, TypeError) as fault:
             log_change('registry:kept_unreadable', fault=repr(fault))
             return False
         table.restore(upstreams, ends, now_s)
+        suspects.join(lost)
         return True
 
-    def render(self, table: UpstreamTable, now_s: float) -> KeptRecord:
-        """Return a table as it is kept."""
+    def render(
+        self,
+        table: UpstreamTable,
+        suspects: SuspectTable,
+        now_s: float,
+    ) -> KeptRecord:
+        """Return tables as they are kept.
+
+        Of lost requests only those are kept that are suspected.
+        """
+        lost = suspects.since(0, SUSPECTED_SCORE)
         body = ttypes.KeptUpstreams(
             upstreams=[
                 upstream_to_wire(one, now_s) for one in table.entries.values()
             ],
             gone=ends_to_wire(table.gone_since(0)),
+            suspects=suspects_to_wire(lost, now_s),
         )
         return KeptRecord(table.version, encode(body))
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -84,6 +84,28 @@
   8: bool was_held_up
 }
 
+/** A place that ended while it had a request. */
+struct PlaceLost {
+  1: string place
+  /** Milliseconds since then, from when this was written. */
+  2: i64 age_ms
+  /** Milliseconds for which it had the request. */
+  3: i64 exposure_ms
+}
+
+/** A request that was lost to upstreams, named by its content. */
+struct SuspectInfo {
+  /** 16 bytes. */
+  1: binary fingerprint
+  /** Whose request it is; empty for nobody's. */
+  2: string organisation
+  3: i64 body_bytes
+  4: list<PlaceLost> losses
+  /** Milliseconds since it was answered whole, or pardoned; absent for
+      never. */
+  5: optional i64 cleared_ms
+}
+
 /** What an organisation was admitted by a process since that started. */
 struct AdmittedUnits {
   1: string organisation
@@ -107,6 +129,8 @@
   6: list<PrefixInfo> prefixes
   /** What the entry VM has admitted without a picker. */
   8: list<AdmittedUnits> admitted
+  /** Requests that were lost to upstreams since the last report. */
+  9: list<SuspectInfo> suspects
 }
 
 /** A control VM's table, as far as the one that asks holds it. */
@@ -139,6 +163,10 @@
   /** Tables that the entry VM holds as newer ones than the control VM that it
       asks, which has said that it misses some. */
   9: list<TableNews> newer
+  /** Requests that the entry VM lost to upstreams since the last poll. */
+  10: list<SuspectInfo> suspects
+  /** Version of the suspected requests that it has heard of here. */
+  11: i64 suspects_version
 }
 
 /** News of one control VM's table, from itself or from another one. */
@@ -185,6 +213,9 @@
   7: string region
   /** True where some table is old here: whoever holds it as newer may tell. */
   8: bool misses_tables
+  /** Suspected requests that changed after the version asked for. */
+  9: list<SuspectInfo> suspects
+  10: i64 suspects_version
 }
 
 /** From an entry VM to its region's picker: a place for a request. */
@@ -232,4 +263,6 @@
 struct KeptUpstreams {
   1: list<UpstreamInfo> upstreams
   2: list<StartEnded> gone
+  /** Requests under which upstreams ended. */
+  3: list<SuspectInfo> suspects
 }
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -8,6 +8,12 @@
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.quarantine import (
+    QUARANTINE_S,
+    SUSPECTED_SCORE,
+    Quarantine,
+    SuspectNews,
+)
 from godwitshunt.registry.control_tables import ControlTables
 from godwitshunt.registry.entries import EntryTable
 from godwitshunt.registry.gen.wire import ttypes
@@ -17,6 +23,10 @@
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
 from godwitshunt.registry.records import EntryRecord, UpstreamAnnounced
 from godwitshunt.registry.relay import ControlPlace, Scope, own_news
+from godwitshunt.registry.suspect_wire import (
+    suspects_from_wire,
+    suspects_to_wire,
+)
 from godwitshunt.registry.table import (
     AnnounceOutcome,
     Taken,
@@ -82,7 +92,14 @@
         self.metrics = metrics
         self.source = secrets.token_hex(SOURCE_BYTES)
         self.upstreams = UpstreamTable()
-        self.keeper = UpstreamKeeper(kept, self.upstreams, timer, metrics)
+        self.quarantine = Quarantine(QUARANTINE_S, timer.now, metrics)
+        self.keeper = UpstreamKeeper(
+            kept,
+            self.upstreams,
+            self.quarantine.table,
+            timer,
+            metrics,
+        )
         self.entries = EntryTable()
         self.ledger = LoadLedger()
         # What entry VMs told here, and that with what other control VMs were
@@ -94,7 +111,13 @@
         # What the picker beside this registry has admitted, by organisation.
         self.admitted: Mapping[str, float] = {}
         self.report_notices: list[ReportNotice] = []
-        self.tables = ControlTables(place, self.prefixes, links, timer)
+        self.tables = ControlTables(
+            place,
+            self.prefixes,
+            self.quarantine,
+            links,
+            timer,
+        )
         self.subscription: Subscription | None = None
 
     @classmethod
@@ -110,7 +133,9 @@
         kept = None
         if settings.keeps_upstreams:
             kept = KeptUpstreams(settings.data_folder)
-        return cls(place, links, timer, metrics, kept)
+        made = cls(place, links, timer, metrics, kept)
+        made.quarantine.length_s = settings.bounds.quarantine_s
+        return made
 
     def start(self) -> None:
         """Take up what is kept, and answer polls.
@@ -218,6 +243,7 @@
         """Note who has fallen silent."""
         now_s = self.timer.now()
         self.upstreams.tick(now_s)
+        self.quarantine.tick()
         if self.keeper.is_due:
             self.background.run('keep', self.keeper.keep)
         self.heard_prefixes.forget(now_s)
@@ -255,6 +281,7 @@
             log_change('registry:entry_heard', entry=record.name)
         self.entries.hear(record, now_s)
         self.take_prefixes(poll.prefixes, now_s)
+        self.quarantine.join(suspects_from_wire(poll.suspects, now_s))
         if poll.report is None:
             self.ledger.forget(record.name)
         else:
@@ -264,6 +291,7 @@
         """Take an entry VM's requests; False where later ones are known."""
         now_s = self.timer.now()
         self.take_prefixes(report.prefixes, now_s)
+        self.quarantine.join(suspects_from_wire(report.suspects, now_s))
         read = report_from_wire(report, self.source, now_s)
         if not self.ledger.report(name, read):
             return False
@@ -292,6 +320,7 @@
         prefixes = self.prefixes
         if poll.from_control:
             prefixes = self.heard_prefixes
+        suspects = self.suspects_for(poll)
         return ttypes.PollReply(
             source=self.source,
             tables=self.news_for(poll, held, now_s),
@@ -304,8 +333,22 @@
             ),
             prefixes_version=prefixes.version,
             gives_places=self.gives_places,
+            suspects=suspects_to_wire(suspects.records, now_s),
+            suspects_version=suspects.version,
         )
 
+    def suspects_for(self, poll: ttypes.Poll) -> SuspectNews:
+        """Return the suspected requests that are new to whoever asks.
+
+        Entry VMs hear of those that may soon be kept back; control VMs of
+        all, since only together they may know that.
+        """
+        version = poll.suspects_version
+        if version is None or version < 0:
+            return SuspectNews((), None)
+        least = 0 if poll.from_control else SUSPECTED_SCORE
+        return self.quarantine.table.news(version, least)
+
     def own_news(
         self,
         held: ttypes.TableHeld | None,
--- a/godwitshunt/registry/tests/test_after_the_dark.py
+++ b/godwitshunt/registry/tests/test_after_the_dark.py
@@ -6,6 +6,7 @@
 import pytest
 
 from godwitshunt.exceptions import StorageError
+from godwitshunt.quarantine import Fingerprint, Loss, Lost, Standing
 from godwitshunt.registry.joined import JoinedTables
 from godwitshunt.registry.kept_upstreams import FILE_NAME, KeptUpstreams
 from godwitshunt.registry.service import RegistryService
@@ -18,6 +19,7 @@
 from godwitshunt.timer import VirtualTimerService
 
 BORN = 1_790_000_000_000
+LETHAL = Fingerprint(bytes(16))
 
 
 def started(folder) -> RegistryService:
@@ -170,3 +172,17 @@
     assert await first
     assert await second
     assert started(tmp_path).upstreams.entries == {}
+
+
+async def test_what_is_kept_back_stays_so_after_the_dark(tmp_path):
+    """A request that three upstreams ended under ends three more."""
+    before = started(tmp_path)
+    before.announce(announced('i-1'))
+    assert await before.settle()
+    for number in range(3):
+        loss = Loss(f'i-{number}', before.timer.now(), 0.1)
+        before.quarantine.note_loss(Lost(LETHAL, '', 5, loss))
+    await before.keeper.keep()
+    after = started(tmp_path)
+    believed = after.quarantine.believed(LETHAL)
+    assert believed.standing is Standing.quarantined
--- /dev/null
+++ b/godwitshunt/registry/tests/test_suspects.py
@@ -0,0 +1,146 @@
+"""How what requests did to upstreams becomes known to all VMs."""
+
+import pytest
+
+from godwitshunt.peer import encode
+from godwitshunt.quarantine import Fingerprint, Loss, Lost, Standing
+from godwitshunt.registry.tests.deployment import Deployment, address
+
+LETHAL = Fingerprint(bytes(16))
+
+
+@pytest.fixture
+async def deployment():
+    """Return two regions with a control VM and an entry VM each."""
+    return Deployment({1: 'a', 2: 'b'})
+
+
+def lose(watch, place, fingerprint=LETHAL, organisation=''):
+    """Let an upstream end under a request of an entry VM."""
+    loss = Loss(place, watch.timer.now(), 0.1)
+    watch.quarantine.note_loss(Lost(fingerprint, organisation, 5, loss))
+
+
+def standing(watch):
+    """Return what an entry VM holds against the lethal request."""
+    return watch.quarantine.believed(LETHAL).standing
+
+
+async def spread(deployment, *watches):
+    """Let each VM tell what it has seen, and hear what is known."""
+    for watch in watches:
+        await deployment.poll(watch)
+    await deployment.exchange()
+    await deployment.exchange()
+    for watch in watches:
+        await deployment.poll(watch)
+
+
+async def test_ends_seen_by_several_vms_are_counted_together(deployment):
+    """One end seen in each region, and one by a third VM."""
+    watches = [
+        deployment.entry(11, 'a'),
+        deployment.entry(12, 'b'),
+        deployment.entry(13, 'a'),
+    ]
+    for number, watch in enumerate(watches):
+        await deployment.greet(watch)
+        lose(watch, f'i-{number}')
+    deployment.timer.advance(1)
+    await spread(deployment, *watches)
+    assert {standing(one) for one in watches} == {Standing.quarantined}
+
+
+async def test_vm_that_starts_anew_hears_of_what_is_kept_back(deployment):
+    """A repeat that comes to an entry VM that has just started."""
+    watch = deployment.entry(11, 'a')
+    await deployment.greet(watch)
+    for number in range(3):
+        lose(watch, f'i-{number}')
+    await spread(deployment, watch)
+    young = deployment.entry(12, 'b')
+    await deployment.greet(young)
+    assert standing(young) is Standing.quarantined
+
+
+async def test_control_vm_that_starts_anew_is_told_again(deployment):
+    """All that was known, lost with the control VM's process."""
+    watch = deployment.entry(11, 'a')
+    await deployment.greet(watch)
+    for number in range(3):
+        lose(watch, f'i-{number}')
+    await spread(deployment, watch)
+    for number in (1, 2):
+        deployment.restart(number)
+    deployment.timer.advance(1)
+    for _ in range(3):
+        await deployment.poll(watch, 1)
+        deployment.timer.advance(1)
+    young = deployment.entry(12, 'a')
+    await deployment.greet(young)
+    assert standing(young) is Standing.quarantined
+
+
+async def test_each_side_of_a_cut_knows_what_it_saw(deployment):
+    """Two regions that don't hear each other, then do."""
+    north, south = deployment.entry(11, 'a'), deployment.entry(12, 'b')
+    for watch in (north, south):
+        await deployment.greet(watch)
+    for one, other in ((1, 2), (11, 2), (12, 1)):
+        deployment.network.split(address(one), address(other))
+    for number in range(3):
+        lose(north, f'i-{number}')
+    lose(south, 'j-1')
+    deployment.timer.advance(1)
+    await spread(deployment, north, south)
+    assert standing(north) is Standing.quarantined
+    assert standing(south) is Standing.clear
+    deployment.network.heal()
+    deployment.timer.advance(1)
+    await spread(deployment, north, south)
+    assert standing(south) is Standing.quarantined
+
+
+async def test_whole_answer_seen_by_one_vm_clears_for_all(deployment):
+    """A popular request, kept back by VMs that saw no answer to it."""
+    north, south = deployment.entry(11, 'a'), deployment.entry(12, 'b')
+    for watch in (north, south):
+        await deployment.greet(watch)
+    lose(north, 'i-1')
+    lose(north, 'i-2')
+    deployment.timer.advance(1)
+    await spread(deployment, north, south)
+    assert standing(south) is Standing.suspected
+    deployment.timer.advance(1)
+    south.quarantine.clear(LETHAL)
+    await spread(deployment, north, south)
+    lose(north, 'i-3')
+    assert standing(north) is Standing.clear
+
+
+async def test_entry_vms_hear_nothing_of_what_was_lost_once(deployment):
+    """An end of an engine that costs bytes at each of many VMs."""
+    watch = deployment.entry(11, 'a')
+    await deployment.greet(watch)
+    for number in range(48):
+        lose(watch, 'i-1', Fingerprint(number.to_bytes(16, 'big')))
+    await spread(deployment, watch)
+    other = deployment.entry(12, 'a')
+    await deployment.greet(other)
+    assert not other.quarantine.table.records
+    control = deployment.controls[1]
+    assert len(control.quarantine.table.records) == 48
+
+
+async def test_in_calm_polls_and_replies_carry_nothing_of_it(deployment):
+    """Bytes between regions for what never happened."""
+    watch = deployment.entry(11, 'a')
+    await deployment.greet(watch)
+    now_s = deployment.timer.now()
+    poll = watch.message_to(str(address(1)), now_s)
+    reply = deployment.controls[1].reply(poll)
+    assert (poll.suspects, reply.suspects) == ([], [])
+    before = len(encode(reply))
+    reply.suspects = None
+    reply.suspects_version = None
+    assert before - len(encode(reply)) <= 8
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -9,13 +9,18 @@
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.quarantine import QUARANTINE_S, Quarantine
 from godwitshunt.registry.asking import (
     ToldFirst,
     missed_tables,
     question_to_another,
     question_to_first,
 )
-from godwitshunt.registry.contacts import Contacts, KnownControl
+from godwitshunt.registry.contacts import (
+    Contacts,
+    ControlContact,
+    KnownControl,
+)
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.joined import JoinedTables, TakenNews
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
@@ -25,6 +30,7 @@
     UpstreamAnnounced,
     incarnation_name,
 )
+from godwitshunt.registry.suspect_wire import suspects_from_wire
 from godwitshunt.registry.views import RegistryView
 from godwitshunt.registry.wire import (
     MILLISECONDS,
@@ -74,6 +80,22 @@
     report: Callable[[str], ttypes.LoadReport]
 
 
+@dataclass(frozen=True)
+class OwnVersion:
+    """Versions of what this VM has observed itself.
+
+    Parameters
+    ----------
+    prefixes : int
+        Of what upstreams have read.
+    suspects : int
+        Of requests that were lost to upstreams.
+    """
+
+    prefixes: int
+    suspects: int
+
+
 class RegistryWatch:
     """Asks control VMs what upstreams and entry VMs there are.
 
@@ -115,6 +137,7 @@
         self.contacts = Contacts()
         self.own_prefixes = PrefixTable()
         self.prefixes = PrefixTable()
+        self.quarantine = Quarantine(QUARANTINE_S, timer.now, metrics)
         self.loads: Mapping[str, Load] = {}
         self.loads_s = float('-inf')
         self.background = Background()
@@ -230,6 +253,7 @@
         now_s = self.timer.now()
         self.own_prefixes.forget(now_s)
         self.prefixes.forget(now_s)
+        self.quarantine.tick()
         due = self.contacts.to_ask(self.known_control(), now_s, self.period_s())
         for address in self.control():
             if str(address) in due:
@@ -265,7 +289,7 @@
         sent_s = self.timer.now()
         contact = self.contacts.of(control)
         contact.asked_s = sent_s
-        told = self.own_prefixes.version
+        told = self.own_version(control)
         reply = await self.links.call(
             address,
             MessageKind.registry_poll,
@@ -301,6 +325,7 @@
             own.record,
             own.report(contact.source),
             self.own_prefixes.since(contact.prefixes_told),
+            self.quarantine.own.news(contact.suspects_told).records,
             chooses=self.contacts.picker(known, now_s) is None,
         )
         return question_to_first(contact, self.joined, told, now_s)
@@ -310,7 +335,7 @@
         control: str,
         message: ttypes.PollReply,
         sent_s: float,
-        told: int,
+        told: OwnVersion,
     ) -> None:
         """Take what a control VM tells.
 
@@ -319,8 +344,8 @@
 
         Parameters
         ----------
-        told : int
-            Version of this VM's own reads that the poll held.
+        told : OwnVersion
+            What the poll held of this VM's own observations.
         """
         now_s = self.timer.now()
         was_first = self.first()
@@ -334,14 +359,34 @@
         contact.misses = missed_tables(message, sent_s)
         self.prefixes.take(prefixes_from_wire(message.prefixes, now_s))
         if is_known:
-            contact.prefixes_told = told
+            contact.prefixes_told = told.prefixes
+            contact.suspects_told = told.suspects
         if is_known and message.prefixes:
             contact.prefixes_version = message.prefixes_version
+        self.take_suspects(contact, message, now_s)
         if message.loads is not None:
             self.loads = loads_from_wire(message.loads)
             self.loads_s = now_s
         self.follow_first(was_first)
 
+    def take_suspects(
+        self,
+        contact: ControlContact,
+        message: ttypes.PollReply,
+        now_s: float,
+    ) -> None:
+        """Take what a control VM tells of suspected requests, where asked."""
+        told = suspects_from_wire(message.suspects, now_s)
+        if message.suspects_version is not None:
+            self.quarantine.join(told)
+            contact.suspects_version = message.suspects_version
+
+    def own_version(self, control: str) -> OwnVersion:
+        """Return what a poll to a control VM holds of own observations."""
+        contact = self.contacts.of(control)
+        suspects = self.quarantine.own.news(contact.suspects_told)
+        return OwnVersion(self.own_prefixes.version, suspects.version)
+
     def first(self) -> str | None:
         """Return the control VM that this VM reports to."""
         return self.contacts.first(self.known_control(), self.timer.now())
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -5,6 +5,7 @@
 from pydantic import Field
 
 from godwitshunt.manifest.base import Name, StrictModel
+from godwitshunt.quarantine import QUARANTINE_S
 
 KIBIBYTE = 1024
 MEBIBYTE = KIBIBYTE * KIBIBYTE
@@ -157,6 +158,9 @@
         Seconds after the acknowledgement that took a key away in which it
         ceases to open anything, on every VM, also one that is cut off; None
         where that is owed only by VMs in touch with a quorum.
+    quarantine_s : float
+        Seconds for which a request is not sent, from when the last of three
+        upstreams or more ended under it.
     """
 
     retry_share: float = Field(default=0.1, ge=0, le=1)
@@ -166,6 +170,7 @@
     cold_allowance: float = Field(default=0.0, ge=0)
     limit_allowance: float = Field(default=0.0, ge=0)
     revoke_s: float | None = Field(default=None, gt=0.5)
+    quarantine_s: float = Field(default=QUARANTINE_S, gt=0)
 
 
 class IngressSettings(NodeSettings):
--- a/godwitshunt/tracing/story.py
+++ b/godwitshunt/tracing/story.py
@@ -19,6 +19,8 @@
         'ingress:draining',
         'ingress:drain_cut',
         'picking:upstream_left_out',
+        'quarantine:place_checked',
+        'quarantine:standing_changed',
         'registry:control_lost',
         'registry:control_back',
         'registry:instance_replaced',
