Let a message that its reader has a fault with end its own call only

A handler's fault other than a malformed frame ended the task group of its link: the connection closed, and every call of that VM with it. A question that a picker has a fault with went to the next control VM and did the same there.

Test: a good call beside a bad one on one link. Before: the good call failed. After: it has its reply, the fault is logged and counted.

--- a/godwitshunt/peer/links.py
+++ b/godwitshunt/peer/links.py
@@ -15,7 +15,7 @@
 from godwitshunt.peer.link import CONNECT_TIMEOUT_S, Link, PeerOptions
 from godwitshunt.peer.messages import CallFailed, MessageKind
 from godwitshunt.settings import Address
-from godwitshunt.telemetry import Metrics
+from godwitshunt.telemetry import Metrics, log_change
 
 # A peer pings each link that it holds; one that has sent nothing for so long
 # is gone without a reset, and its connection would else stay for ever.
@@ -193,6 +193,16 @@
             # sees no reply, other calls on the link go on.
             self.metrics.count('peer_frames_malformed_total')
             return
+        except Exception as fault:
+            # A fault of ours must end one call only, and be seen.
+            self.metrics.count('peer_handlers_failed_total')
+            log_change(
+                'peer:handler_failed',
+                sender=sender,
+                kind=envelope.kind,
+                fault=repr(fault),
+            )
+            return
         if reply is None or not envelope.call:
             return
         answer = Envelope(
--- a/godwitshunt/peer/tests/test_links.py
+++ b/godwitshunt/peer/tests/test_links.py
@@ -272,3 +272,27 @@
         second.subscribe(KIND, take_time)
         reply = await first.call(second.options.listen, KIND, b'late', 5)
         assert reply.ok_value == b'late'
+
+
+async def test_message_that_a_handler_fails_on_ends_no_other_call():
+    """A message that its reader has a fault with, sent on and on.
+
+    It took down the link with all calls on it, at one process after another.
+    """
+    async with started_links('a') as first, started_links('b') as second:
+
+        async def read(sender: str, body: bytes) -> bytes:
+            if body == b'bad':
+                raise KeyError('a fault of the reader')
+            await asyncio.sleep(0.1)
+            return body
+
+        second.subscribe(KIND, read)
+        address = second.options.listen
+        good, bad = await asyncio.gather(
+            first.call(address, KIND, b'good', 2),
+            first.call(address, KIND, b'bad', 0.5),
+        )
+        assert good.ok_value == b'good'
+        assert isinstance(bad.err_value, OutcomeUnknown)
+        assert b'peer_handlers_failed_total' in second.metrics.render()
