Refuse at once a prompt longer than any upstream's memory

An engine turns such a prompt away as if it were full; so up to four engines were asked in turn, each was left alone for 0.15 s, and one with free slots was counted as failing.

Test over the real processes: before, the prompt went to an engine (200 from the stand-in, which has no such bound); after, 503 *not run* without an invitation to come back, and no server saw it.

--- a/godwitshunt/ingress/admission.py
+++ b/godwitshunt/ingress/admission.py
@@ -14,13 +14,14 @@
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.headers import keep_sendable
 from godwitshunt.ingress.in_force import InForce
+from godwitshunt.ingress.prompts import Prompt
 from godwitshunt.ingress.requests import (
     RoutedRequest,
     deadline_s,
     prompt_of,
     resume_after,
 )
-from godwitshunt.manifest import Organisation, Route
+from godwitshunt.manifest import Organisation, Route, Service
 from godwitshunt.organisations import key_digest
 from godwitshunt.picking.routes import host_name, pick_service
 
@@ -183,6 +184,10 @@
             return refused(ProblemKind.no_upstream, told)
         name = pick_service(bound, self.random.random())
         service = in_force.services[name]
+        prompt = prompt_of(http, self.names)
+        if is_too_long(prompt, service):
+            told = 'its prompt is longer than the memory of any upstream'
+            return refused(ProblemKind.no_upstream, told)
         waits_s = min(bound.timeout_s, deadline_s(http, self.names))
         return Ok(
             RoutedRequest(
@@ -191,7 +196,7 @@
                 headers=keep_sendable(http.headers, self.names),
                 route=bound,
                 service=service,
-                prompt=prompt_of(http, self.names),
+                prompt=prompt,
                 arrived_s=now_s,
                 ends_s=now_s + waits_s,
                 resume_after=resume_after(http, self.names),
@@ -203,6 +208,15 @@
         )
 
 
+def is_too_long(prompt: Prompt, service: Service) -> bool:
+    """Tell whether no upstream of a service holds a prompt.
+
+    Each would turn it away as if it were full, one after the other.
+    """
+    engine = service.engine
+    return engine is not None and prompt.prompt_tokens > engine.memory_tokens
+
+
 def is_problem(
     found: Result[RoutedRequest, Problem],
     kind: ProblemKind,
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -152,6 +152,20 @@
     assert 1 <= ran <= 2
 
 
+async def test_prompt_beyond_every_engine_reaches_none(world):
+    """A prompt longer than an engine's memory, offered to one after another.
+
+    Each turns it away as if it were full, and is left alone for a moment.
+    """
+    longest = {'Token_Count': '9001,10', 'Prefix_Hash': '5c1e07a2:9001'}
+    attempt, answer = await ask(NORTH, '/once/x', **longest)
+    assert answer.status == 503
+    assert json.loads(answer.body)['outcome'] == 'not-run'
+    assert 'retry-after' not in answer.fields
+    heads = [one for server in world.servers.values() for one in server.heads]
+    assert not any(attempt in head for head in heads)
+
+
 async def test_caller_that_goes_stops_the_work(world):
     """A caller hangs up; half a second later nobody may work for it."""
     _, writer = await asyncio.open_connection(NORTH, FRONT)
