Commit no command that cannot be applied; let a part's fault end no other part

A command is now applied to the proposer's own state before it goes into the log: one that raises is an error of one call, not of every replica at each start. A part that fails on a committed state (claims, freshness, distribution) is logged and ends neither the replica nor the other parts. Work in the background that fails is logged, too; before, nobody saw it.

--- a/godwitshunt/configuration/background.py
+++ b/godwitshunt/configuration/background.py
@@ -32,13 +32,16 @@
         name: str,
         work: Callable[[], Coroutine[None, None, None]],
     ) -> None:
-        """Do the work; log a message of a peer that it could not read."""
+        """Do the work; log a fault, or a message that it could not read."""
         try:
             await work()
         except FrameError as bad:
             log_change(
                 'background:message_malformed', work=name, fault=str(bad)
             )
+        except Exception as fault:
+            # The next notice begins the work anew; the fault must be seen.
+            log_change('background:work_failed', work=name, fault=repr(fault))
 
     async def wait(self, name: str) -> None:
         """Wait until the work of a name is done; its failure is its own."""
--- a/godwitshunt/configuration/state_machine.py
+++ b/godwitshunt/configuration/state_machine.py
@@ -17,6 +17,7 @@
 )
 from godwitshunt.consensus import CommitUnknown, ProposalFailure
 from godwitshunt.exceptions import StorageError
+from godwitshunt.telemetry import log_change
 
 Notice = Callable[[ControlState], None]
 APPLY_TIMEOUT_S = 5.0
@@ -53,8 +54,7 @@
         waiting = self.waiting.get(proposal)
         if waiting is not None and not waiting.done():
             waiting.set_result(outcome)
-        for notice in self.subscribers:
-            notice(state)
+        self.tell()
 
     def take(self) -> bytes:
         """Return the state for a snapshot."""
@@ -74,8 +74,15 @@
                 raise StorageError('snapshot', repr(fault))
             case Ok(state):
                 self.state = state
+        self.tell()
+
+    def tell(self) -> None:
+        """Tell every part of the state; one that fails ends no other."""
         for notice in self.subscribers:
-            notice(self.state)
+            try:
+                notice(self.state)
+            except Exception as fault:
+                log_change('configuration:notice_failed', fault=repr(fault))
 
     async def propose(
         self,
@@ -84,9 +91,11 @@
         """Commit a command and return what it came to.
 
         The outcome is the one of this very entry, also where entries of
-        others were committed before it.
+        others were committed before it. A command that cannot be applied
+        raises here: in the log, it would end every replica.
         """
         proposal, payload = encode_command(command)
+        apply_command(self.state, decode_command(payload)[1])
         waiting: asyncio.Future[Outcome] = asyncio.Future()
         self.waiting[proposal] = waiting
         try:
