Let operators see quarantined requests, and release one

`godwitshunt quarantine` and `godwitshunt release`; a release goes to all VMs along the road of the losses.

--- a/godwitshunt/programs/control_process.py
+++ b/godwitshunt/programs/control_process.py
@@ -19,6 +19,7 @@
 from godwitshunt.placement import PlacementApi, PlacementTask
 from godwitshunt.programs.start import make_links, start_listening, vm_record
 from godwitshunt.registry import RegistryService
+from godwitshunt.registry.quarantine_api import QuarantineApi
 from godwitshunt.registry.relay import ControlPlace
 from godwitshunt.settings import Address, ControlSettings
 from godwitshunt.telemetry import Metrics, log_change
@@ -81,6 +82,9 @@
             self.metrics,
             settings,
         )
+        kept_back = QuarantineApi(self.registry.quarantine)
+        self.api.add_route('GET', '/v1/quarantine', kept_back.show)
+        self.api.add_route('POST', '/v1/quarantine/release', kept_back.release)
         self.picker = PickerService.from_config(
             self.registry,
             self.service.newest_revision,
--- a/godwitshunt/programs/operator.py
+++ b/godwitshunt/programs/operator.py
@@ -217,6 +217,52 @@
     show(session.require('POST', f'/v1/replicas/{name}/replace', asked))
 
 
+def quarantine(
+    *,
+    control: str,
+    token_file: Path,
+    authority: Path | None = None,
+) -> None:
+    """Tell which requests are not sent, since upstreams crashed under them.
+
+    Prints each with its standing and its losses: the upstream, how long ago
+    it ended, and how long it had had the request.
+
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
+    :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
+    """
+    session = Session(control, token_file, authority)
+    show(session.require('GET', '/v1/quarantine'))
+
+
+def release(
+    *,
+    fingerprint: str,
+    control: str,
+    token_file: Path,
+    authority: Path | None = None,
+) -> None:
+    """Let a quarantined request be sent again.
+
+    For one whose upstreams were mended. It is sent from now on, on every VM
+    within a second or two; three more upstreams that end under it begin the
+    quarantine anew.
+
+    :param fingerprint: as ``quarantine`` and log lines name the request.
+    :param control: HTTP addresses of the control replicas,
+        HOST:PORT[,HOST:PORT...]; any one of them is enough.
+    :param token_file: file with the operator's token.
+    :param authority: certificate file of the authority that signed the
+        control replicas' certificates; leave out where they talk plain HTTP.
+    """
+    asked = {'fingerprint': fingerprint}
+    session = Session(control, token_file, authority)
+    show(session.require('POST', '/v1/quarantine/release', asked))
+
+
 def order(
     *,
     name: str,
@@ -294,6 +340,8 @@
         init,
         replace,
         order,
+        quarantine,
+        release,
         remove_vm,
         trace,
         losses,
--- a/godwitshunt/quarantine/standing.py
+++ b/godwitshunt/quarantine/standing.py
@@ -149,6 +149,17 @@
         """Note that a request on probation has ended."""
         self.probing.discard(fingerprint)
 
+    def describe(self) -> list[dict[str, object]]:
+        """Return what is held against requests, for operators."""
+        return [
+            {
+                'fingerprint': str(fingerprint),
+                'standing': standing.value,
+                **self.evidence(fingerprint),
+            }
+            for fingerprint, standing in self.told.items()
+        ]
+
     def tick(self) -> None:
         """Forget what was long ago."""
         until_s = self.now() - REMEMBERED_TIMES * self.length_s
