Wait for the verdict on a place only where a request was lost before

A first loss cannot make a request suspected, so its retry needs no verdict; what is done of ever new names is dropped, and a reader that holds all is told nothing without a look at the records.

--- a/godwitshunt/configuration/background.py
+++ b/godwitshunt/configuration/background.py
@@ -54,6 +54,12 @@
         running = self.tasks.get(name)
         return running is not None and not running.done()
 
+    def forget_done(self) -> None:
+        """Drop work that is done; for work of ever new names."""
+        for name, task in tuple(self.tasks.items()):
+            if task.done():
+                self.tasks.pop(name)
+
     async def close(self) -> None:
         """End all work."""
         for task in self.tasks.values():
--- a/godwitshunt/ingress/life.py
+++ b/godwitshunt/ingress/life.py
@@ -165,12 +165,15 @@
     ) -> None:
         """Note what an attempt shows of the request's next one.
 
-        Whether an upstream ended under it is known before it is sent again.
+        One that was lost before is sent again only once it is known whether
+        its upstream ended: that may be the last end before it is suspected.
         """
         self.is_counted = isinstance(outcome, NotRun)
         if isinstance(outcome, NotRun) and outcome.is_final:
             self.retry_after_s = self.parts.quarantine.length_s
-        if isinstance(outcome, Lost):
+        table = self.parts.quarantine.table
+        is_lost = isinstance(outcome, Lost)
+        if is_lost and table.has_losses(self.request.fingerprint):
             await self.parts.witness.settled(place_of(choice))
 
     def quarantine_step(self) -> Step | None:
--- a/godwitshunt/ingress/witness.py
+++ b/godwitshunt/ingress/witness.py
@@ -122,6 +122,7 @@
 
     def forget(self) -> None:
         """Drop what was found too long ago to hold."""
+        self.background.forget_done()
         now_s = self.timer.now()
         for place, known in tuple(self.shown.items()):
             if now_s - known.at_s >= SHOWN_KEPT_S:
--- a/godwitshunt/quarantine/table.py
+++ b/godwitshunt/quarantine/table.py
@@ -162,6 +162,8 @@
 
     def news(self, version: int, least_losses: int = 0) -> SuspectNews:
         """Return what one message tells of the records after a version."""
+        if version >= self.version:
+            return SuspectNews((), self.version)
         records = sorted(
             self.since(version, least_losses),
             key=lambda one: one.version,
@@ -171,6 +173,11 @@
         told = tuple(records[:MOST_TOLD])
         return SuspectNews(told, told[-1].version)
 
+    def has_losses(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether a request was lost before."""
+        record = self.records.get(fingerprint)
+        return record is not None and bool(record.losses)
+
     def knows_length(self, body_bytes: int) -> bool:
         """Tell whether a suspected request has a body of a length."""
         self.judge()
