Count places that end at one moment once; play crashes in virtual time

Requests that many callers send alike run at many places, and a lost rack ends them all at once: three losses without an answer in between, though no request did it.

--- a/godwitshunt/quarantine/records.py
+++ b/godwitshunt/quarantine/records.py
@@ -13,6 +13,9 @@
 
 # Losses that a record remembers; the oldest yield.
 MOST_PLACES = 16
+# VMs of other regions tell of one moment as of another, by the way of their
+# messages and of the news among control VMs.
+SAME_MOMENT_S = 0.2
 # A whole answer is told again only where it is later by this, in seconds, or
 # clears a loss.
 CLEAR_STEP_S = 5.0
@@ -119,12 +122,23 @@
     def score(self, explained: Collection[str] = ()) -> int:
         """Return how many losses speak against it.
 
+        Places that end at one moment share a fault that is not the request's,
+        such as a lost rack; they count once. Else requests that many callers
+        send alike, and that run at many places, would be held guilty.
+
         Parameters
         ----------
         explained : collection of str
             Places that ended under another request.
         """
-        return sum(place not in explained for place in self.losses)
+        score = 0
+        last_s = -inf
+        for loss in sorted(self.losses.values(), key=lambda one: one.at_s):
+            if loss.place in explained:
+                continue
+            score += loss.at_s - last_s > SAME_MOMENT_S
+            last_s = loss.at_s
+        return score
 
     def last_loss_s(self) -> float:
         """Return when it was lost last."""
--- a/godwitshunt/quarantine/tests/test_verdicts.py
+++ b/godwitshunt/quarantine/tests/test_verdicts.py
@@ -40,6 +40,18 @@
     assert not table.guilty()
 
 
+def test_places_that_end_at_one_moment_count_once():
+    """A lost rack that ends every place of a request that many send alike."""
+    table = SuspectTable()
+    for number in range(6):
+        lose(table, BYSTANDER, f'i-{number}', number / 50)
+    assert not table.guilty()
+    lose(table, BYSTANDER, 'j-1', 5)
+    assert not table.guilty()
+    lose(table, BYSTANDER, 'j-2', 9)
+    assert BYSTANDER in table.guilty()
+
+
 def test_bystander_of_each_end_is_not_held_guilty_with_the_cause():
     """A client's repeats that meet the lethal request each time."""
     table = SuspectTable()
--- a/godwitshunt/registry/tests/test_after_the_dark.py
+++ b/godwitshunt/registry/tests/test_after_the_dark.py
@@ -180,6 +180,7 @@
     before.announce(announced('i-1'))
     assert await before.settle()
     for number in range(3):
+        before.timer.advance(1)
         loss = Loss(f'i-{number}', before.timer.now(), 0.1)
         before.quarantine.note_loss(Lost(LETHAL, '', 5, loss))
     await before.keeper.keep()
--- a/godwitshunt/registry/tests/test_quarantine_api.py
+++ b/godwitshunt/registry/tests/test_quarantine_api.py
@@ -17,6 +17,7 @@
     """Return a deployment in which a request is kept back."""
     made = Deployment({1: 'a', 2: 'b'})
     for number in range(3):
+        made.timer.advance(1)
         loss = Loss(f'i-{number}', made.timer.now(), 0.1)
         lost = Lost(LETHAL, '', 5, loss)
         made.controls[1].quarantine.note_loss(lost)
