Count ends that follow one another closely: a moment begins with a counted end

A cause that comes each 0.15 s ended an upstream before the last end was half a moment ago; all of its ends were taken for one. Test: five ends 0.15 s apart; before, nothing was held against the request.

--- a/godwitshunt/quarantine/records.py
+++ b/godwitshunt/quarantine/records.py
@@ -131,13 +131,17 @@
         explained : collection of str
             Places that ended under another request.
         """
+        moments = sorted(
+            loss.at_s
+            for loss in self.losses.values()
+            if loss.place not in explained
+        )
         score = 0
-        last_s = -inf
-        for loss in sorted(self.losses.values(), key=lambda one: one.at_s):
-            if loss.place in explained:
-                continue
-            score += loss.at_s - last_s > SAME_MOMENT_S
-            last_s = loss.at_s
+        counted_s = -inf
+        for at_s in moments:
+            if at_s - counted_s > SAME_MOMENT_S:
+                score += 1
+                counted_s = at_s
         return score
 
     def last_loss_s(self) -> float:
--- a/godwitshunt/quarantine/tests/test_verdicts.py
+++ b/godwitshunt/quarantine/tests/test_verdicts.py
@@ -52,6 +52,14 @@
     assert BYSTANDER in table.guilty()
 
 
+def test_ends_that_follow_one_another_closely_count():
+    """A cause that comes again before its last end is half a moment ago."""
+    table = SuspectTable()
+    for number in range(5):
+        lose(table, LETHAL, f'i-{number}', number * 0.15)
+    assert LETHAL in table.guilty()
+
+
 def test_bystander_of_each_end_is_not_held_guilty_with_the_cause():
     """A client's repeats that meet the lethal request each time."""
     table = SuspectTable()
