Hear of suspected requests after a restart, and tell them to each first control VM

Found by reading: a VM took the version of a control process that had just started as its own, though the answer was to a question by the old process's versions; and it held its losses for told to a control VM that was asked for a table only. A request was then kept back by some VMs and sent by others.

Tests: a restart with lower versions; a control VM that becomes the first one later. Both failed before. Places of prompts have the second fault still: `prefixes_told`, which costs a prompt read again; open.

--- a/godwitshunt/registry/control_tables.py
+++ b/godwitshunt/registry/control_tables.py
@@ -178,10 +178,10 @@
         for news in message.tables or ():
             self.take_table(news, sent_s, now_s)
         self.prefixes.take(prefixes_from_wire(message.prefixes, now_s))
+        self.quarantine.join(suspects_from_wire(message.suspects, now_s))
         if is_known:
             contact.prefixes_version = message.prefixes_version
-        self.quarantine.join(suspects_from_wire(message.suspects, now_s))
-        contact.suspects_version = message.suspects_version or 0
+            contact.suspects_version = message.suspects_version or 0
 
     def take_table(
         self,
--- a/godwitshunt/registry/tests/test_suspects.py
+++ b/godwitshunt/registry/tests/test_suspects.py
@@ -145,3 +145,39 @@
     reply.suspects = None
     reply.suspects_version = None
     assert before - len(encode(reply)) <= 8
+
+
+async def test_lower_versions_of_a_process_that_started_anew_are_heard(
+    deployment,
+):
+    """A VM that asks the new process for what came after the old one's news."""
+    watch, other = deployment.entry(11, 'a'), deployment.entry(12, 'b')
+    for one in (watch, other):
+        await deployment.greet(one)
+    for number in range(50):
+        lose(watch, 'i-9', Fingerprint(number.to_bytes(16, 'little')))
+    await spread(deployment, watch)
+    for number in (1, 2):
+        deployment.restart(number)
+    for number in range(3):
+        lose(other, f'i-{number}', Fingerprint(bytes(range(16))))
+    await spread(deployment, other)
+    for _ in range(3):
+        await deployment.poll(watch, 1)
+    believed = watch.quarantine.believed(Fingerprint(bytes(range(16))))
+    assert believed.standing is Standing.quarantined
+
+
+async def test_control_vm_that_is_asked_first_later_is_told_all(deployment):
+    """Losses that were held to be told, to one that was asked for a table."""
+    watch = deployment.entry(11, 'a')
+    await deployment.greet(watch)
+    for number in range(3):
+        lose(watch, f'i-{number}')
+    await deployment.poll(watch, 2)
+    deployment.network.split(address(11), address(1))
+    deployment.network.split(address(1), address(2))
+    await deployment.poll(watch, 1)
+    await deployment.poll(watch, 2)
+    believed = deployment.controls[2].quarantine.believed(LETHAL)
+    assert believed.standing is Standing.quarantined
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -16,11 +16,7 @@
     question_to_another,
     question_to_first,
 )
-from godwitshunt.registry.contacts import (
-    Contacts,
-    ControlContact,
-    KnownControl,
-)
+from godwitshunt.registry.contacts import Contacts, KnownControl
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.joined import JoinedTables, TakenNews
 from godwitshunt.registry.prefixes import PrefixRead, PrefixTable
@@ -363,29 +359,23 @@
             contact.suspects_told = told.suspects
         if is_known and message.prefixes:
             contact.prefixes_version = message.prefixes_version
-        self.take_suspects(contact, message, now_s)
+        self.quarantine.join(suspects_from_wire(message.suspects, now_s))
+        if is_known and message.suspects_version is not None:
+            contact.suspects_version = message.suspects_version
         if message.loads is not None:
             self.loads = loads_from_wire(message.loads)
             self.loads_s = now_s
         self.follow_first(was_first)
 
-    def take_suspects(
-        self,
-        contact: ControlContact,
-        message: ttypes.PollReply,
-        now_s: float,
-    ) -> None:
-        """Take what a control VM tells of suspected requests, where asked."""
-        told = suspects_from_wire(message.suspects, now_s)
-        if message.suspects_version is not None:
-            self.quarantine.join(told)
-            contact.suspects_version = message.suspects_version
-
     def own_version(self, control: str) -> OwnVersion:
-        """Return what a poll to a control VM holds of own observations."""
-        contact = self.contacts.of(control)
-        suspects = self.quarantine.own.news(contact.suspects_told)
-        return OwnVersion(self.own_prefixes.version, suspects.version)
+        """Return what a poll to a control VM holds of own observations.
+
+        Only the first control VM is told of lost requests.
+        """
+        told = self.contacts.of(control).suspects_told
+        if control == self.first():
+            told = self.quarantine.own.news(told).version
+        return OwnVersion(self.own_prefixes.version, told)
 
     def first(self) -> str | None:
         """Return the control VM that this VM reports to."""
