Name each clearance, so that it is joined like a loss and cannot go around for ever

Found by a state machine over several processes (hypothesis): a moment until which nothing counts was told on as later by the way of each message; coming back it wiped a loss that was newer, the loss came back as newer still, and two control VMs told one another of both with every poll, so that neither ever expired. Clearances are named facts now, like losses: of two words of one the earlier counts, and what is held against a request follows from both.

--- a/benchmarks/crashing_requests.py
+++ b/benchmarks/crashing_requests.py
@@ -198,7 +198,8 @@
         """Answer a request whole, if the upstream still has it."""
         if number in upstream.running:
             asked, _ = upstream.running.pop(number)
-            self.table.clear(asked.fingerprint, self.now_s)
+            name = str(next(self.order))
+            self.table.clear(asked.fingerprint, name, self.now_s)
 
     def crash(self, upstream: Upstream, name: str, asked: Asked) -> None:
         """End an upstream under a request, if it has not ended before."""
--- a/godwitshunt/quarantine/records.py
+++ b/godwitshunt/quarantine/records.py
@@ -1,8 +1,9 @@
 """What is known of one request that was lost to upstreams; pure.
 
-Records are joined by union, so whoever tells whom, how often and in which
-order makes no difference: all processes that heard the same come to believe
-the same. Times are seconds on this VM's monotonic clock.
+Records are joined by union of named facts, so whoever tells whom, how often
+and in which order makes no difference: all processes that heard the same come
+to believe the same, but for the time that messages take. Times are seconds on
+this VM's monotonic clock.
 """
 
 from collections.abc import Collection
@@ -16,9 +17,11 @@
 # VMs of other regions tell of one moment as of another, by the way of their
 # messages and of the news among control VMs.
 SAME_MOMENT_S = 0.2
-# A whole answer is told again only where it is later by this, in seconds, or
-# clears a loss.
-CLEAR_STEP_S = 5.0
+# An earlier word of what is known counts only where it is earlier by this, in
+# seconds: messages tell ages in milliseconds.
+EARLIER_BY_S = 0.01
+# Whole answers, and words of operators, that a record remembers.
+MOST_CLEARANCES = 8
 
 
 @dataclass(frozen=True)
@@ -51,10 +54,10 @@
     body_bytes : int
         Length of its body: a request of another length is not compared.
     losses : dict
-        By place; since the last whole answer.
-    cleared_s : float
-        Nothing until then is held against it: a place that ran it gave a
-        whole answer, or an operator said so.
+        By place.
+    clearances : dict
+        Moments, by the name of each, up to which nothing is held against it:
+        a place gave a whole answer, or an operator said so.
     version : int
         Of the table, when this last changed.
 
@@ -67,7 +70,7 @@
     True
     >>> record.score(), record.score(explained={'i-1'})
     (2, 1)
-    >>> record.clear(at_s=3.0), record.score()
+    >>> record.take_clearance('a-1', at_s=3.0), record.score()
     (True, 0)
     """
 
@@ -75,13 +78,21 @@
     organisation: str
     body_bytes: int
     losses: dict[str, Loss] = field(default_factory=dict)
-    cleared_s: float = -inf
+    clearances: dict[str, float] = field(default_factory=dict)
     version: int = 0
 
     @property
-    def is_cleared(self) -> bool:
-        """True where something speaks for it."""
-        return self.cleared_s > -inf
+    def cleared_s(self) -> float:
+        """Until when nothing is held against it."""
+        return max(self.clearances.values(), default=-inf)
+
+    def held(self) -> list[Loss]:
+        """Return the losses that are held against it, the oldest first."""
+        cleared_s = self.cleared_s
+        return sorted(
+            (one for one in self.losses.values() if one.at_s > cleared_s),
+            key=moment,
+        )
 
     def take_loss(self, loss: Loss) -> bool:
         """Take a loss; False where it changes nothing.
@@ -91,32 +102,36 @@
         goes around among them cannot live for ever.
         """
         known = self.losses.get(loss.place)
-        is_known = known is not None and known.at_s <= loss.at_s
-        if is_known or loss.at_s <= self.cleared_s:
+        if known is not None and known.at_s <= loss.at_s + EARLIER_BY_S:
             return False
         self.losses[loss.place] = loss
         if len(self.losses) <= MOST_PLACES:
             return True
-        oldest = min(self.losses.values(), key=lambda one: one.at_s)
+        oldest = min(self.losses.values(), key=moment)
         self.losses.pop(oldest.place)
         return oldest is not loss
 
-    def clear(self, at_s: float) -> bool:
-        """Hold nothing until a moment against it; False for nothing new.
+    def take_clearance(self, name: str, at_s: float) -> bool:
+        """Take a moment until which nothing counts; False for nothing new.
 
-        A moment that is later by little and clears nothing is not taken, for
-        the same reason as the later word of a loss.
+        Of two words of one moment the earlier counts, as with a loss.
         """
-        is_later = at_s - self.cleared_s >= CLEAR_STEP_S
-        if self.drop_losses(at_s) or is_later:
-            self.cleared_s = max(at_s, self.cleared_s)
+        if self.clearances.get(name, inf) <= at_s + EARLIER_BY_S:
+            return False
+        self.clearances[name] = at_s
+        if len(self.clearances) <= MOST_CLEARANCES:
             return True
-        return False
+        oldest = min(self.clearances, key=self.clearances.__getitem__)
+        self.clearances.pop(oldest)
+        return oldest != name
 
     def join(self, other: 'SuspectRecord') -> bool:
         """Take all that another process knows; False for nothing new."""
-        changes = [other.is_cleared and self.clear(other.cleared_s)]
-        changes.extend(map(self.take_loss, other.losses.values()))
+        changes = list(map(self.take_loss, other.losses.values()))
+        changes.extend(
+            self.take_clearance(name, at_s)
+            for name, at_s in other.clearances.items()
+        )
         return any(changes)
 
     def score(self, explained: Collection[str] = ()) -> int:
@@ -131,30 +146,46 @@
         explained : collection of str
             Places that ended under another request.
         """
-        moments = sorted(
-            loss.at_s
-            for loss in self.losses.values()
-            if loss.place not in explained
-        )
         score = 0
         counted_s = -inf
-        for at_s in moments:
-            if at_s - counted_s > SAME_MOMENT_S:
+        for loss in self.held():
+            is_new = loss.at_s - counted_s > SAME_MOMENT_S
+            if is_new and loss.place not in explained:
                 score += 1
-                counted_s = at_s
+                counted_s = loss.at_s
         return score
 
     def last_loss_s(self) -> float:
-        """Return when it was lost last."""
-        return max((loss.at_s for loss in self.losses.values()), default=-inf)
+        """Return when it was lost last, of what is held against it."""
+        return max((loss.at_s for loss in self.held()), default=-inf)
 
     def exposure_s(self) -> float:
         """Return the seconds for which places that ended had it, in sum."""
-        return sum(loss.exposure_s for loss in self.losses.values())
-
-    def drop_losses(self, until_s: float) -> bool:
-        """Forget losses until a moment; False where there were none."""
-        old = [one.place for one in self.losses.values() if one.at_s <= until_s]
-        for place in old:
-            self.losses.pop(place)
-        return bool(old)
+        return sum(loss.exposure_s for loss in self.held())
+
+    def forget(self, until_s: float) -> bool:
+        """Drop what was until a moment; False where there was nothing."""
+        losses = {
+            place: loss
+            for place, loss in self.losses.items()
+            if loss.at_s > until_s
+        }
+        clearances = {
+            name: at_s
+            for name, at_s in self.clearances.items()
+            if at_s > until_s
+        }
+        known = (len(self.losses), len(self.clearances))
+        self.losses = losses
+        self.clearances = clearances
+        return known != (len(losses), len(clearances))
+
+    @property
+    def is_empty(self) -> bool:
+        """True where nothing speaks for it or against it."""
+        return not self.losses and not self.clearances
+
+
+def moment(loss: Loss) -> float:
+    """Return when something was lost."""
+    return loss.at_s
--- a/godwitshunt/quarantine/table.py
+++ b/godwitshunt/quarantine/table.py
@@ -15,6 +15,7 @@
 SUSPECTED_SCORE = 2
 # Records that one message tells, at most; the rest come with the next one.
 MOST_TOLD = 256
+NEVER_JUDGED = -1
 
 
 @dataclass(frozen=True)
@@ -66,7 +67,7 @@
     most: int = MOST_RECORDS
     records: dict[Fingerprint, SuspectRecord] = field(default_factory=dict)
     version: int = 0
-    judged_version: int = -1
+    judged_version: int = NEVER_JUDGED
     judged: dict[Fingerprint, int] = field(default_factory=dict)
     lengths: frozenset[int] = frozenset()
 
@@ -83,17 +84,28 @@
         self.trim()
         return True
 
-    def clear(self, fingerprint: Fingerprint, at_s: float) -> bool:
+    def clear(
+        self,
+        fingerprint: Fingerprint,
+        name: str,
+        at_s: float,
+    ) -> bool:
         """Hold nothing until a moment against a request.
 
+        Parameters
+        ----------
+        name : str
+            Names this moment among all processes.
+
         Returns
         -------
         bool
             False where nothing was held against it.
         """
         record = self.records.get(fingerprint)
-        if record is None or not record.losses or not record.clear(at_s):
+        if record is None or not record.held():
             return False
+        record.take_clearance(name, at_s)
         self.keep(record)
         return True
 
@@ -156,7 +168,7 @@
             one
             for one in self.records.values()
             if one.version > version
-            and (len(one.losses) >= least_losses or one.is_cleared)
+            and (len(one.losses) >= least_losses or one.clearances)
         )
 
     def news(self, version: int, least_losses: int = 0) -> SuspectNews:
@@ -175,7 +187,7 @@
     def has_losses(self, fingerprint: Fingerprint) -> bool:
         """Tell whether a request was lost before."""
         record = self.records.get(fingerprint)
-        return record is not None and bool(record.losses)
+        return record is not None and bool(record.held())
 
     def knows_length(self, body_bytes: int) -> bool:
         """Tell whether a suspected request has a body of a length."""
@@ -196,27 +208,23 @@
         self.lengths = frozenset(
             one.body_bytes
             for one in self.records.values()
-            if len(one.losses) >= SUSPECTED_SCORE
+            if len(one.held()) >= SUSPECTED_SCORE
         )
 
     def forget(self, until_s: float) -> None:
-        """Drop losses until a moment, and records without any."""
+        """Drop what was until a moment, and records without anything."""
         changed = [
-            record
-            for record in self.records.values()
-            if record.drop_losses(until_s) or not record.losses
+            record for record in self.records.values() if record.forget(until_s)
         ]
         for record in changed:
-            if record.losses:
-                self.keep(record)
-            elif record.cleared_s <= until_s:
-                self.version += 1
+            self.judged_version = NEVER_JUDGED
+            if record.is_empty:
                 self.records.pop(record.fingerprint)
 
 
 def need(record: SuspectRecord) -> tuple[int, float]:
     """Return a key that sorts what may be forgotten first."""
-    return (len(record.losses), record.last_loss_s())
+    return (len(record.held()), record.last_loss_s())
 
 
 def fair_share(sizes: Iterable[int], total: int) -> int:
--- a/godwitshunt/quarantine/verdicts.py
+++ b/godwitshunt/quarantine/verdicts.py
@@ -36,7 +36,7 @@
     for record in suspects:
         if record.score(explained) >= UNEXPLAINED_SCORE:
             guilty[record.fingerprint] = record.score()
-            explained.update(record.losses)
+            explained.update(one.place for one in record.held())
     return guilty
 
 
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -973,6 +973,89 @@
         return not (self == other)
 
 
+class Clearance(object):
+    """
+    A moment until which nothing is held against a request: it was answered
+    whole, or an operator said so.
+
+    Attributes:
+     - name: Names the moment.
+     - age_ms: Milliseconds since then, from when this was written.
+
+    """
+
+    __slots__ = (
+        'name',
+        'age_ms',
+    )
+
+
+    def __init__(self, name=None, age_ms=None,):
+        self.name = name
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Clearance')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SuspectInfo(object):
     """
     A request that was lost to upstreams, named by its content.
@@ -982,8 +1065,7 @@
      - organisation: Whose request it is; empty for nobody's.
      - body_bytes
      - losses
-     - cleared_ms: Milliseconds since it was answered whole, or pardoned; absent for
-    never.
+     - clearances
 
     """
 
@@ -992,16 +1074,16 @@
         'organisation',
         'body_bytes',
         'losses',
-        'cleared_ms',
+        'clearances',
     )
 
 
-    def __init__(self, fingerprint=None, organisation=None, body_bytes=None, losses=None, cleared_ms=None,):
+    def __init__(self, fingerprint=None, organisation=None, body_bytes=None, losses=None, clearances=None,):
         self.fingerprint = fingerprint
         self.organisation = organisation
         self.body_bytes = body_bytes
         self.losses = losses
-        self.cleared_ms = cleared_ms
+        self.clearances = clearances
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1039,8 +1121,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I64:
-                    self.cleared_ms = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.clearances = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = Clearance()
+                        _elem11.read(iprot)
+                        self.clearances.append(_elem11)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1068,13 +1156,16 @@
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter6 in self.losses:
-                iter6.write(oprot)
+            for iter12 in self.losses:
+                iter12.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.cleared_ms is not None:
-            oprot.writeFieldBegin('cleared_ms', TType.I64, 5)
-            oprot.writeI64(self.cleared_ms)
+        if self.clearances is not None:
+            oprot.writeFieldBegin('clearances', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.clearances))
+            for iter13 in self.clearances:
+                iter13.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1242,11 +1333,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = UpstreamLoad()
-                        _elem12.read(iprot)
-                        self.loads.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = UpstreamLoad()
+                        _elem19.read(iprot)
+                        self.loads.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1268,44 +1359,44 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.shown = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = AttemptShown()
-                        _elem18.read(iprot)
-                        self.shown.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = AttemptShown()
+                        _elem25.read(iprot)
+                        self.shown.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = PrefixInfo()
-                        _elem24.read(iprot)
-                        self.prefixes.append(_elem24)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = PrefixInfo()
+                        _elem31.read(iprot)
+                        self.prefixes.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype28, _size25) = iprot.readListBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = AdmittedUnits()
-                        _elem30.read(iprot)
-                        self.admitted.append(_elem30)
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = AdmittedUnits()
+                        _elem37.read(iprot)
+                        self.admitted.append(_elem37)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype34, _size31) = iprot.readListBegin()
-                    for _i35 in range(_size31):
-                        _elem36 = SuspectInfo()
-                        _elem36.read(iprot)
-                        self.suspects.append(_elem36)
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = SuspectInfo()
+                        _elem43.read(iprot)
+                        self.suspects.append(_elem43)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1326,8 +1417,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter37 in self.loads:
-                iter37.write(oprot)
+            for iter44 in self.loads:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1341,15 +1432,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter38 in self.shown:
-                iter38.write(oprot)
+            for iter45 in self.shown:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter39 in self.prefixes:
-                iter39.write(oprot)
+            for iter46 in self.prefixes:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1359,15 +1450,15 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter40 in self.admitted:
-                iter40.write(oprot)
+            for iter47 in self.admitted:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter41 in self.suspects:
-                iter41.write(oprot)
+            for iter48 in self.suspects:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1557,11 +1648,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = TableHeld()
-                        _elem47.read(iprot)
-                        self.held.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = TableHeld()
+                        _elem54.read(iprot)
+                        self.held.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1574,11 +1665,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = PrefixInfo()
-                        _elem53.read(iprot)
-                        self.prefixes.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = PrefixInfo()
+                        _elem60.read(iprot)
+                        self.prefixes.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1605,22 +1696,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = TableNews()
-                        _elem59.read(iprot)
-                        self.newer.append(_elem59)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = TableNews()
+                        _elem66.read(iprot)
+                        self.newer.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = SuspectInfo()
-                        _elem65.read(iprot)
-                        self.suspects.append(_elem65)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = SuspectInfo()
+                        _elem72.read(iprot)
+                        self.suspects.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1646,8 +1737,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter66 in self.held:
-                iter66.write(oprot)
+            for iter73 in self.held:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -1657,8 +1748,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter67 in self.prefixes:
-                iter67.write(oprot)
+            for iter74 in self.prefixes:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1680,15 +1771,15 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter68 in self.newer:
-                iter68.write(oprot)
+            for iter75 in self.newer:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter69 in self.suspects:
-                iter69.write(oprot)
+            for iter76 in self.suspects:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -1818,43 +1909,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = UpstreamInfo()
-                        _elem75.read(iprot)
-                        self.upstreams.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = UpstreamInfo()
+                        _elem82.read(iprot)
+                        self.upstreams.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = StartEnded()
-                        _elem81.read(iprot)
-                        self.gone.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = StartEnded()
+                        _elem88.read(iprot)
+                        self.gone.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype85, _size82) = iprot.readListBegin()
-                    for _i86 in range(_size82):
-                        _elem87 = EntryInfo()
-                        _elem87.read(iprot)
-                        self.entries.append(_elem87)
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = EntryInfo()
+                        _elem94.read(iprot)
+                        self.entries.append(_elem94)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem93)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1866,22 +1957,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype97, _size94) = iprot.readListBegin()
-                    for _i98 in range(_size94):
-                        _elem99 = UpstreamLoad()
-                        _elem99.read(iprot)
-                        self.loads.append(_elem99)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = UpstreamLoad()
+                        _elem106.read(iprot)
+                        self.loads.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = AdmittedUnits()
-                        _elem105.read(iprot)
-                        self.admitted.append(_elem105)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = AdmittedUnits()
+                        _elem112.read(iprot)
+                        self.admitted.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1922,29 +2013,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter106 in self.upstreams:
-                iter106.write(oprot)
+            for iter113 in self.upstreams:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter107 in self.gone:
-                iter107.write(oprot)
+            for iter114 in self.gone:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter108 in self.entries:
-                iter108.write(oprot)
+            for iter115 in self.entries:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter109 in self.gone_entries:
-                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
+            for iter116 in self.gone_entries:
+                oprot.writeString(iter116.encode('utf-8') if sys.version_info[0] == 2 else iter116)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -1954,15 +2045,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter110 in self.loads:
-                iter110.write(oprot)
+            for iter117 in self.loads:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter111 in self.admitted:
-                iter111.write(oprot)
+            for iter118 in self.admitted:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2049,33 +2140,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = TableNews()
-                        _elem117.read(iprot)
-                        self.tables.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = TableNews()
+                        _elem124.read(iprot)
+                        self.tables.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = UpstreamLoad()
-                        _elem123.read(iprot)
-                        self.loads.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = UpstreamLoad()
+                        _elem130.read(iprot)
+                        self.loads.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = PrefixInfo()
-                        _elem129.read(iprot)
-                        self.prefixes.append(_elem129)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = PrefixInfo()
+                        _elem136.read(iprot)
+                        self.prefixes.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2102,11 +2193,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = SuspectInfo()
-                        _elem135.read(iprot)
-                        self.suspects.append(_elem135)
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i141 in range(_size137):
+                        _elem142 = SuspectInfo()
+                        _elem142.read(iprot)
+                        self.suspects.append(_elem142)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2128,22 +2219,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter136 in self.tables:
-                iter136.write(oprot)
+            for iter143 in self.tables:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter137 in self.loads:
-                iter137.write(oprot)
+            for iter144 in self.loads:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter138 in self.prefixes:
-                iter138.write(oprot)
+            for iter145 in self.prefixes:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2169,8 +2260,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter139 in self.suspects:
-                iter139.write(oprot)
+            for iter146 in self.suspects:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2321,10 +2412,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem145)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2396,8 +2487,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter146 in self.excluded:
-                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
+            for iter153 in self.excluded:
+                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2664,33 +2755,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = UpstreamInfo()
-                        _elem152.read(iprot)
-                        self.upstreams.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = UpstreamInfo()
+                        _elem159.read(iprot)
+                        self.upstreams.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = StartEnded()
-                        _elem158.read(iprot)
-                        self.gone.append(_elem158)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = StartEnded()
+                        _elem165.read(iprot)
+                        self.gone.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = SuspectInfo()
-                        _elem164.read(iprot)
-                        self.suspects.append(_elem164)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = SuspectInfo()
+                        _elem171.read(iprot)
+                        self.suspects.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2707,22 +2798,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter165 in self.upstreams:
-                iter165.write(oprot)
+            for iter172 in self.upstreams:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter166 in self.gone:
-                iter166.write(oprot)
+            for iter173 in self.gone:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter167 in self.suspects:
-                iter167.write(oprot)
+            for iter174 in self.suspects:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2821,6 +2912,12 @@
     (2, TType.I64, 'age_ms', None, None, ),  # 2
     (3, TType.I64, 'exposure_ms', None, None, ),  # 3
 )
+all_structs.append(Clearance)
+Clearance.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(SuspectInfo)
 SuspectInfo.thrift_spec = (
     None,  # 0
@@ -2828,7 +2925,7 @@
     (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
     (3, TType.I64, 'body_bytes', None, None, ),  # 3
     (4, TType.LIST, 'losses', (TType.STRUCT, [PlaceLost, None], False), None, ),  # 4
-    (5, TType.I64, 'cleared_ms', None, None, ),  # 5
+    (5, TType.LIST, 'clearances', (TType.STRUCT, [Clearance, None], False), None, ),  # 5
 )
 all_structs.append(AdmittedUnits)
 AdmittedUnits.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -93,6 +93,15 @@
   3: i64 exposure_ms
 }
 
+/** A moment until which nothing is held against a request: it was answered
+    whole, or an operator said so. */
+struct Clearance {
+  /** Names the moment. */
+  1: string name
+  /** Milliseconds since then, from when this was written. */
+  2: i64 age_ms
+}
+
 /** A request that was lost to upstreams, named by its content. */
 struct SuspectInfo {
   /** 16 bytes. */
@@ -101,9 +110,7 @@
   2: string organisation
   3: i64 body_bytes
   4: list<PlaceLost> losses
-  /** Milliseconds since it was answered whole, or pardoned; absent for
-      never. */
-  5: optional i64 cleared_ms
+  5: list<Clearance> clearances
 }
 
 /** What an organisation was admitted by a process since that started. */
--- a/godwitshunt/registry/suspect_wire.py
+++ b/godwitshunt/registry/suspect_wire.py
@@ -1,13 +1,12 @@
 """Between lost requests and their thrift structs."""
 
 from collections.abc import Iterable
-from math import inf
 
 from godwitshunt.exceptions import FrameError
 from godwitshunt.quarantine import Fingerprint, Loss, SuspectRecord
 from godwitshunt.quarantine.fingerprint import DIGEST_BYTES
 from godwitshunt.registry.gen.wire import ttypes
-from godwitshunt.registry.wire import MILLISECONDS, since_s
+from godwitshunt.registry.wire import MILLISECONDS
 
 
 def suspects_to_wire(
@@ -23,9 +22,6 @@
     now_s: float,
 ) -> ttypes.SuspectInfo:
     """Return one lost request as a struct."""
-    cleared_ms = None
-    if record.is_cleared:
-        cleared_ms = milliseconds_ago(record.cleared_s, now_s)
     return ttypes.SuspectInfo(
         fingerprint=record.fingerprint.digest,
         organisation=record.organisation,
@@ -38,7 +34,10 @@
             )
             for loss in record.losses.values()
         ],
-        cleared_ms=cleared_ms,
+        clearances=[
+            ttypes.Clearance(name, milliseconds_ago(at_s, now_s))
+            for name, at_s in record.clearances.items()
+        ],
     )
 
 
@@ -71,15 +70,16 @@
     """Read one lost request."""
     if len(info.fingerprint) != DIGEST_BYTES:
         raise FrameError(f'SuspectInfo: {len(info.fingerprint)} bytes')
-    cleared_s = since_s(info.cleared_ms, now_s)
     record = SuspectRecord(
         Fingerprint(info.fingerprint),
         info.organisation or '',
         int(info.body_bytes),
-        cleared_s=-inf if cleared_s is None else cleared_s,
     )
+    for cleared in info.clearances or ():
+        at_s = now_s - cleared.age_ms / MILLISECONDS
+        record.take_clearance(cleared.name, at_s)
     for lost in info.losses or ():
         exposure_s = lost.exposure_ms / MILLISECONDS
-        at_s = since_s(lost.age_ms, now_s)
+        at_s = now_s - lost.age_ms / MILLISECONDS
         record.take_loss(Loss(lost.place, at_s, exposure_s))
     return record
