--- a/benchmarks/crashing_requests.py
+++ b/benchmarks/crashing_requests.py
@@ -15,7 +15,7 @@
 
 import defopt
 
-from godwitshunt.quarantine import Fingerprint, Loss, Lost, SuspectTable
+from godwitshunt.quarantine import Fingerprint, Loss, LostRequest, SuspectTable
 
 UPSTREAMS = 18
 REQUESTS_PER_S = 150.0
@@ -220,7 +220,7 @@
         upstream.is_up = False
         for asked, since_s in upstream.running.values():
             loss = Loss(upstream.name, self.now_s, self.now_s - since_s)
-            lost = Lost(asked.fingerprint, '', 5, loss)
+            lost = LostRequest(asked.fingerprint, '', 5, loss)
             self.at(self.day.news_s, self.table.note_loss, lost)
             if asked.left:
                 again = Asked(asked.content, asked.is_cause, asked.left - 1)
--- a/godwitshunt/ingress/tests/test_quarantined_life.py
+++ b/godwitshunt/ingress/tests/test_quarantined_life.py
@@ -14,8 +14,12 @@
     Progress,
     RefuseWith,
 )
-from godwitshunt.quarantine import Fingerprint, Loss, Quarantine
-from godwitshunt.quarantine import Lost as LostRequest
+from godwitshunt.quarantine import (
+    Fingerprint,
+    Loss,
+    LostRequest,
+    Quarantine,
+)
 from godwitshunt.telemetry import Metrics
 
 LETHAL = Fingerprint(bytes(16))
--- a/godwitshunt/ingress/witness.py
+++ b/godwitshunt/ingress/witness.py
@@ -13,7 +13,7 @@
 
 from godwitshunt.configuration.background import Background
 from godwitshunt.ingress.requests import RoutedRequest
-from godwitshunt.quarantine import Loss, Lost, Quarantine
+from godwitshunt.quarantine import Loss, LostRequest, Quarantine
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import log_change
 from godwitshunt.timer import Timer
@@ -54,7 +54,7 @@
     timer: Timer
     source: str | None = None
     background: Background = field(default_factory=Background)
-    waiting: dict[str, list[Lost]] = field(default_factory=dict)
+    waiting: dict[str, list[LostRequest]] = field(default_factory=dict)
     shown: dict[str, PlaceShown] = field(default_factory=dict)
 
     def note_loss(
@@ -66,7 +66,7 @@
     ) -> None:
         """Take a request whose connection a place closed within an answer."""
         now_s = self.timer.now()
-        lost = Lost(
+        lost = LostRequest(
             request.fingerprint,
             request.organisation_name,
             len(request.http.body),
@@ -115,7 +115,7 @@
         writer.close()
         return False
 
-    def judge(self, lost: Lost, *, ended: bool) -> None:
+    def judge(self, lost: LostRequest, *, ended: bool) -> None:
         """Hold a loss against a request where its place ended."""
         if ended:
             self.quarantine.note_loss(lost)
--- a/godwitshunt/quarantine/__init__.py
+++ b/godwitshunt/quarantine/__init__.py
@@ -16,7 +16,7 @@
 )
 from godwitshunt.quarantine.table import (
     SUSPECTED_SCORE,
-    Lost,
+    LostRequest,
     SuspectNews,
     SuspectTable,
 )
@@ -25,7 +25,7 @@
 __all__ = [
     'Fingerprint',
     'Loss',
-    'Lost',
+    'LostRequest',
     'SuspectRecord',
     'SuspectTable',
     'SuspectNews',
--- a/godwitshunt/quarantine/standing.py
+++ b/godwitshunt/quarantine/standing.py
@@ -8,7 +8,11 @@
 
 from godwitshunt.quarantine.fingerprint import Fingerprint
 from godwitshunt.quarantine.records import SuspectRecord
-from godwitshunt.quarantine.table import SUSPECTED_SCORE, Lost, SuspectTable
+from godwitshunt.quarantine.table import (
+    SUSPECTED_SCORE,
+    LostRequest,
+    SuspectTable,
+)
 from godwitshunt.telemetry import Metrics, log_change
 
 # Losses are remembered for this many times the length of a quarantine: what
@@ -97,7 +101,7 @@
     session: str = field(default_factory=draw_session)
     numbers: Iterator[int] = field(default_factory=count)
 
-    def note_loss(self, lost: Lost) -> None:
+    def note_loss(self, lost: LostRequest) -> None:
         """Take a loss that was seen here."""
         self.own.note_loss(lost)
         if self.table.note_loss(lost):
--- a/godwitshunt/quarantine/table.py
+++ b/godwitshunt/quarantine/table.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True)
-class Lost:
+class LostRequest:
     """A request that was lost to a place, as one VM saw it."""
 
     fingerprint: Fingerprint
@@ -57,7 +57,7 @@
     >>> lethal = Fingerprint(bytes(16))
     >>> for number in range(3):
     ...     loss = Loss(f'i-{number}', float(number), 0.1)
-    ...     _ = table.note_loss(Lost(lethal, '', 5, loss))
+    ...     _ = table.note_loss(LostRequest(lethal, '', 5, loss))
     >>> lethal in table.guilty()
     True
     >>> table.knows_length(5), table.knows_length(6)
@@ -71,7 +71,7 @@
     judged: dict[Fingerprint, int] = field(default_factory=dict)
     lengths: frozenset[int] = frozenset()
 
-    def note_loss(self, lost: Lost) -> bool:
+    def note_loss(self, lost: LostRequest) -> bool:
         """Take a loss that was seen here; False where it is known."""
         record = self.records.get(lost.fingerprint) or SuspectRecord(
             lost.fingerprint,
--- a/godwitshunt/quarantine/tests/test_joining.py
+++ b/godwitshunt/quarantine/tests/test_joining.py
@@ -11,7 +11,7 @@
 from godwitshunt.quarantine import (
     Fingerprint,
     Loss,
-    Lost,
+    LostRequest,
     SuspectTable,
 )
 from godwitshunt.registry.gen.wire import ttypes
@@ -21,7 +21,7 @@
 )
 
 losses = st.builds(
-    Lost,
+    LostRequest,
     fingerprint=st.integers(0, 3).map(
         lambda number: Fingerprint(bytes((number,)) * 16),
     ),
@@ -78,7 +78,7 @@
     """A loss that looks younger with each way, and lives for ever."""
     first, second = SuspectTable(), SuspectTable()
     lethal = Fingerprint(bytes(16))
-    first.note_loss(Lost(lethal, '', 5, Loss('i-1', 10.0, 0.1)))
+    first.note_loss(LostRequest(lethal, '', 5, Loss('i-1', 10.0, 0.1)))
     now_s = 10.0
     for _ in range(100):
         for one, other in ((first, second), (second, first)):
@@ -98,7 +98,7 @@
     table, heard = SuspectTable(), SuspectTable()
     for number in range(700):
         name = Fingerprint(number.to_bytes(16, 'big'))
-        table.note_loss(Lost(name, '', 5, Loss('i-1', 1.0, 0.1)))
+        table.note_loss(LostRequest(name, '', 5, Loss('i-1', 1.0, 0.1)))
     version, rounds = 0, 0
     while version < table.version:
         news = table.news(version)
@@ -115,12 +115,14 @@
     table = SuspectTable(most=100)
     for number in range(100):
         name = Fingerprint(number.to_bytes(16, 'big'))
-        table.note_loss(Lost(name, 'o-1', 5, Loss('i-1', 1.0, 0.1)))
+        table.note_loss(LostRequest(name, 'o-1', 5, Loss('i-1', 1.0, 0.1)))
     other = SuspectTable()
     for number in range(200, 450):
         name = Fingerprint(number.to_bytes(16, 'big'))
         organisation = f'o-{number % 2 + 2}'
-        other.note_loss(Lost(name, organisation, 5, Loss('i-1', 2.0, 0.1)))
+        other.note_loss(
+            LostRequest(name, organisation, 5, Loss('i-1', 2.0, 0.1))
+        )
     table.join(other.since(0))
     owners = Counter(one.organisation for one in table.records.values())
     assert owners == {'o-1': 33, 'o-2': 33, 'o-3': 33}
--- a/godwitshunt/quarantine/tests/test_machine.py
+++ b/godwitshunt/quarantine/tests/test_machine.py
@@ -10,7 +10,7 @@
     GUILTY_SCORE,
     Fingerprint,
     Loss,
-    Lost,
+    LostRequest,
     Quarantine,
     Standing,
 )
@@ -65,7 +65,7 @@
         self.places += 1
         for fingerprint, exposure_s in ((LETHAL, 0.1), (POPULAR, 0.5)):
             loss = Loss(f'i-{self.places}', at_s, exposure_s)
-            lost = Lost(fingerprint, '', 5, loss)
+            lost = LostRequest(fingerprint, '', 5, loss)
             self.quarantines[process].note_loss(lost)
         self.lethal_ends.append(at_s)
 
--- a/godwitshunt/quarantine/tests/test_standing.py
+++ b/godwitshunt/quarantine/tests/test_standing.py
@@ -5,7 +5,7 @@
 from godwitshunt.quarantine import (
     Fingerprint,
     Loss,
-    Lost,
+    LostRequest,
     Quarantine,
     Standing,
 )
@@ -44,7 +44,7 @@
 def lose(quarantine, place):
     """Let an upstream end under the request."""
     loss = Loss(place, quarantine.now(), 0.1)
-    quarantine.note_loss(Lost(LETHAL, '', 5, loss))
+    quarantine.note_loss(LostRequest(LETHAL, '', 5, loss))
 
 
 def standing(quarantine, **fields):
--- a/godwitshunt/quarantine/tests/test_verdicts.py
+++ b/godwitshunt/quarantine/tests/test_verdicts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitshunt.quarantine import Fingerprint, Loss, Lost, SuspectTable
+from godwitshunt.quarantine import Fingerprint, Loss, LostRequest, SuspectTable
 
 SHORT_S, LONG_S = 0.1, 2.0
 
@@ -19,7 +19,7 @@
     """Note a loss."""
     told = {'organisation': '', 'body_bytes': 5, **fields}
     loss = Loss(place, at_s, exposure_s)
-    table.note_loss(Lost(fingerprint, loss=loss, **told))
+    table.note_loss(LostRequest(fingerprint, loss=loss, **told))
 
 
 def test_third_upstream_that_ends_shows_the_request():
--- a/godwitshunt/registry/tests/test_after_the_dark.py
+++ b/godwitshunt/registry/tests/test_after_the_dark.py
@@ -6,7 +6,7 @@
 import pytest
 
 from godwitshunt.exceptions import StorageError
-from godwitshunt.quarantine import Fingerprint, Loss, Lost, Standing
+from godwitshunt.quarantine import Fingerprint, Loss, LostRequest, Standing
 from godwitshunt.registry.joined import JoinedTables
 from godwitshunt.registry.kept_upstreams import FILE_NAME, KeptUpstreams
 from godwitshunt.registry.service import RegistryService
@@ -182,7 +182,7 @@
     for number in range(3):
         before.timer.advance(1)
         loss = Loss(f'i-{number}', before.timer.now(), 0.1)
-        before.quarantine.note_loss(Lost(LETHAL, '', 5, loss))
+        before.quarantine.note_loss(LostRequest(LETHAL, '', 5, loss))
     await before.keeper.keep()
     after = started(tmp_path)
     believed = after.quarantine.believed(LETHAL)
--- a/godwitshunt/registry/tests/test_quarantine_api.py
+++ b/godwitshunt/registry/tests/test_quarantine_api.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitshunt.configuration.operator_http import OperatorRequest
-from godwitshunt.quarantine import Fingerprint, Loss, Lost, Standing
+from godwitshunt.quarantine import Fingerprint, Loss, LostRequest, Standing
 from godwitshunt.registry.quarantine_api import QuarantineApi
 from godwitshunt.registry.tests.deployment import Deployment
 
@@ -19,7 +19,7 @@
     for number in range(3):
         made.timer.advance(1)
         loss = Loss(f'i-{number}', made.timer.now(), 0.1)
-        lost = Lost(LETHAL, '', 5, loss)
+        lost = LostRequest(LETHAL, '', 5, loss)
         made.controls[1].quarantine.note_loss(lost)
     await made.exchange()
     made.timer.advance(1)
--- a/godwitshunt/registry/tests/test_suspects.py
+++ b/godwitshunt/registry/tests/test_suspects.py
@@ -3,7 +3,7 @@
 import pytest
 
 from godwitshunt.peer import encode
-from godwitshunt.quarantine import Fingerprint, Loss, Lost, Standing
+from godwitshunt.quarantine import Fingerprint, Loss, LostRequest, Standing
 from godwitshunt.registry.tests.deployment import Deployment, address
 
 LETHAL = Fingerprint(bytes(16))
@@ -19,7 +19,7 @@
     """Let an upstream have ended under a request, each at another second."""
     at_s = watch.timer.now() - 10 + int(place[-1])
     loss = Loss(place, at_s, 0.1)
-    watch.quarantine.note_loss(Lost(fingerprint, '', 5, loss))
+    watch.quarantine.note_loss(LostRequest(fingerprint, '', 5, loss))
 
 
 def standing(watch):
