--- a/tests/crashing_server.py
+++ b/tests/crashing_server.py
@@ -8,7 +8,9 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from tests.platform_world import NORTH, SOUTH, Server, World, ask
+from tests.platform_client import ask
+from tests.platform_server import Server
+from tests.platform_world import NORTH, SOUTH, World
 
 LETHAL = b'a body that no engine survives'
 BACK_AFTER_S = 1.5
--- /dev/null
+++ b/tests/platform_client.py
@@ -0,0 +1,80 @@
+"""A client and an operator of the platform, played by the tests."""
+
+import asyncio
+import json
+import secrets
+from dataclasses import dataclass
+
+from tests.platform_server import fields_of
+
+FRONT = 8144
+HOST = 'ficu.example'
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What came of a call; the status is 0 where the connection ended."""
+
+    status: int
+    fields: dict
+    body: bytes
+    complete: bool = True
+
+
+async def send(host, port, raw, wait_s=6.0):
+    """Send raw bytes on a new connection; return what comes until its end."""
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        writer.write(raw)
+        async with asyncio.timeout(wait_s):
+            return await read_answer(reader)
+    except (ConnectionError, EOFError):
+        return Answer(0, {}, b'', complete=False)
+    finally:
+        writer.close()
+
+
+async def read_answer(reader):
+    """Read one answer."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    status = int(head.split(b' ', 2)[1])
+    fields = fields_of(head)
+    if fields.get('transfer-encoding') != 'chunked':
+        length = int(fields.get('content-length', 0))
+        return Answer(status, fields, await reader.readexactly(length))
+    parts = []
+    while True:
+        try:
+            size = int(await reader.readline(), 16)
+            parts.append((await reader.readexactly(size + 2))[:-2])
+        except (ConnectionError, EOFError, ValueError):
+            return Answer(status, fields, b''.join(parts), complete=False)
+        if not size:
+            return Answer(status, fields, b''.join(parts))
+
+
+async def call(host, port, method, path, document=None):
+    """Make a call with a JSON body; return its answer."""
+    body = document if isinstance(document, bytes) else b''
+    if isinstance(document, dict):
+        body = json.dumps(document).encode()
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: {host}\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return await send(host, port, head.encode() + body)
+
+
+async def ask(entry, path, method='POST', body=b'hello', **fields):
+    """Send a client's request; return its id and the answer."""
+    attempt = fields.pop('attempt', None) or secrets.token_hex(8)
+    extra = ''.join(
+        f'{name.replace("_", "-")}: {content}\r\n'
+        for name, content in fields.items()
+    )
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'Attempt-Id: {attempt}\r\nDeadline-Ms: 3000\r\n{extra}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return attempt, await send(entry, FRONT, head.encode() + body)
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -13,13 +13,9 @@
     lethal_times,
     play,
 )
-from tests.platform_world import (
-    CONTROL_HOSTS,
-    NORTH,
-    SOUTH,
-    ask,
-    until,
-)
+from tests.platform_client import ask
+from tests.platform_documents import CONTROL_HOSTS
+from tests.platform_world import NORTH, SOUTH, until
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -9,23 +9,16 @@
 import pytest_asyncio
 
 from godwitshunt.tracing import read_logs, tell
-from tests.platform_world import (
+from tests.platform_client import FRONT, HOST, ask, call, send
+from tests.platform_documents import (
     CONTROL_HOSTS,
     DIRECTORY,
-    FRONT,
-    HOST,
-    NORTH,
     READY,
-    SOUTH,
-    World,
-    ask,
-    call,
     configuration,
-    fields_of,
     route,
-    send,
-    until,
 )
+from tests.platform_server import fields_of
+from tests.platform_world import NORTH, SOUTH, World, until
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.platform_world import Answer
+from tests.platform_client import Answer
 from trials.soak import Findings, Seen, Soak, soak
 
 OWN = {'attempt-id': 'a', 'server-seal': '3e1b'}
--- a/trials/lethal.py
+++ b/trials/lethal.py
@@ -25,7 +25,8 @@
     lethal_times,
     play,
 )
-from tests.platform_world import CONTROL_HOSTS, ENTRY_ZONES
+from tests.platform_documents import CONTROL_HOSTS
+from tests.platform_world import ENTRY_ZONES
 
 ENDS_KNOWN_BY = 3
 # The platform's bounds: so long after the third end every machine in touch
--- a/trials/soak.py
+++ b/trials/soak.py
@@ -19,17 +19,10 @@
 
 import defopt
 
-from tests.platform_world import CONTROL as CONTROL_PORT
-from tests.platform_world import (
-    CONTROL_HOSTS,
-    ENTRY_ZONES,
-    Answer,
-    World,
-    ask,
-    call,
-    configuration,
-    until,
-)
+from tests.platform_client import Answer, ask, call
+from tests.platform_documents import CONTROL as CONTROL_PORT
+from tests.platform_documents import CONTROL_HOSTS, configuration
+from tests.platform_world import ENTRY_ZONES, World, until
 
 PATHS = ('/safe/x', '/unsafe/x', '/once/x', '/resumed/x', '/south/x')
 ONCE = ('/unsafe', '/once')
