--- /dev/null
+++ b/godwitshunt/ingress/tests/test_hops.py
@@ -0,0 +1,72 @@
+"""Requests that another entry VM hands over, and what this one knows."""
+
+from types import SimpleNamespace
+
+import pytest
+from result import Ok
+
+from godwitshunt.exchange.forwarding import (
+    FORWARD_HEADER,
+    request_digest,
+    sign_note,
+)
+from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
+from godwitshunt.exchange.requests import HttpRequest
+from godwitshunt.ingress.header_names import HeaderNames
+from godwitshunt.ingress.hops import read_hop
+from godwitshunt.ingress.tests.test_authority import OTHERS, WARDS, in_force
+
+KEY = b'cluster'
+
+
+def handed_over(organisation: str) -> HttpRequest:
+    """Return a request of an organisation, as another VM hands it over."""
+    note = ForwardNote(
+        path=['e-1'],
+        regions=['tvm'],
+        receiver='e-2',
+        caller='-',
+        request_class='-',
+        remaining_ms=1000,
+        revision=0,
+        request_digest=request_digest('GET', '/x', b''),
+        claimed=False,
+        resume_offset=0,
+        service_name='app',
+        request_id='q-1',
+        repeat=False,
+        resume_after=-1,
+        host='a.example',
+        path_prefix='/',
+        organisation=organisation,
+    )
+    headers = (
+        (b'host', b'a.example'),
+        (FORWARD_HEADER, sign_note(note, KEY)),
+    )
+    return HttpRequest('GET', '/x', '', headers, b'')
+
+
+@pytest.mark.parametrize(
+    ('organisation', 'is_taken'),
+    [('wards', True), ('others', False)],
+)
+def test_organisation_that_is_not_known_here_yet_is_refused(
+    organisation,
+    is_taken,
+):
+    """A VM that is a revision behind, and serves what it knows no homes of."""
+    parts = SimpleNamespace(
+        settings=SimpleNamespace(name='e-2'),
+        cluster_key=KEY,
+        names=HeaderNames(),
+        timer=SimpleNamespace(now=lambda: 5.0),
+    )
+    read = read_hop(handed_over(organisation), in_force(WARDS), parts)
+    assert isinstance(read, Ok) is is_taken
+    if is_taken:
+        assert read.ok_value.organisation == WARDS
+        return
+    assert read.err_value.reason == 'revision'
+    later = read_hop(handed_over(organisation), in_force(WARDS, OTHERS), parts)
+    assert later.ok_value.organisation == OTHERS
