Count what other pickers admit also while a region asks for nothing

Found by a test without network that was owed since the limits were built (counts between control VMs): 40 units of an organisation's burst of 40 were admitted in one region, and 40 more 0.2 s later in another one that had asked for nothing before. Within the users' window of 8 s that is 400 for 396 where both go on at the limit (reckoned), an allowance aside.

Causes: a picker heard of the others' counts only with a question, so that after an idle while they counted as admitted through a silence, which leaves no debt; and a bucket was filled for the idle time after what was heard was taken from it. Both are needed: without either, the test fails.

Sites without organisations have no buckets, and nothing changes for them.

--- a/godwitshunt/organisations/limits.py
+++ b/godwitshunt/organisations/limits.py
@@ -274,6 +274,9 @@
         for name, units in gained(known.sums, sums):
             bucket = self.buckets.get(name)
             if bucket is not None:
+                # Time that has passed fills a bucket once, not once more
+                # after what was taken at its end.
+                bucket.fill(bucket.part, asof_s)
                 left_to_it = bucket.limit.per_s * share * silent_s
                 bucket.take_heard(max(0.0, units - left_to_it), silent_s)
 
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -162,6 +162,9 @@
         own = str(self.registry.place.address)
         self.picker.rank_among(own, tables.in_region(self.picker.region))
         self.picker.handed.forget(now_s)
+        # Heard with questions only, what others admit while this region asks
+        # for nothing would look admitted through a silence of theirs.
+        self.limits.standing(now_s)
         self.limits.forget(now_s)
         for region in set(self.registry.place.regions.values()):
             round_trip_s = tables.round_trip_s(region)
