Hold a request guilty by three places that ended at two moments

Ends of one moment counted once, so a cause of which four copies come at once ended 9 to 12 upstreams until it was known.

--- a/godwitshunt/quarantine/__init__.py
+++ b/godwitshunt/quarantine/__init__.py
@@ -15,12 +15,16 @@
     Standing,
 )
 from godwitshunt.quarantine.table import (
-    SUSPECTED_SCORE,
+    SUSPECTED_PLACES,
     LostRequest,
     SuspectNews,
     SuspectTable,
 )
-from godwitshunt.quarantine.verdicts import GUILTY_SCORE, find_guilty
+from godwitshunt.quarantine.verdicts import (
+    GUILTY_MOMENTS,
+    GUILTY_PLACES,
+    find_guilty,
+)
 
 __all__ = [
     'Fingerprint',
@@ -29,8 +33,9 @@
     'SuspectRecord',
     'SuspectTable',
     'SuspectNews',
-    'SUSPECTED_SCORE',
-    'GUILTY_SCORE',
+    'SUSPECTED_PLACES',
+    'GUILTY_PLACES',
+    'GUILTY_MOMENTS',
     'find_guilty',
     'Quarantine',
     'QUARANTINE_S',
--- a/godwitshunt/quarantine/records.py
+++ b/godwitshunt/quarantine/records.py
@@ -68,9 +68,9 @@
     True
     >>> record.take_loss(Loss('i-2', at_s=2.0, exposure_s=0.1))
     True
-    >>> record.score(), record.score(explained={'i-1'})
+    >>> record.moments(), record.moments(explained={'i-1'})
     (2, 1)
-    >>> record.take_clearance('a-1', at_s=3.0), record.score()
+    >>> record.take_clearance('a-1', at_s=3.0), record.moments()
     (True, 0)
     """
 
@@ -134,26 +134,25 @@
         )
         return any(changes)
 
-    def score(self, explained: Collection[str] = ()) -> int:
-        """Return how many losses speak against it.
+    def moments(self, explained: Collection[str] = ()) -> int:
+        """Return at how many moments places ended under it.
 
-        Places that end at one moment share a fault that is not the request's,
-        such as a lost rack; they count once. Else requests that many callers
-        send alike, and that run at many places, would be held guilty.
+        Places that end at one moment may share a fault that is not the
+        request's, such as a lost rack.
 
         Parameters
         ----------
         explained : collection of str
             Places that ended under another request.
         """
-        score = 0
+        moments = 0
         counted_s = -inf
         for loss in self.held():
             is_new = loss.at_s - counted_s > SAME_MOMENT_S
             if is_new and loss.place not in explained:
-                score += 1
+                moments += 1
                 counted_s = loss.at_s
-        return score
+        return moments
 
     def last_loss_s(self) -> float:
         """Return when it was lost last, of what is held against it."""
--- a/godwitshunt/quarantine/table.py
+++ b/godwitshunt/quarantine/table.py
@@ -12,7 +12,7 @@
 MOST_RECORDS = 1024
 # Losses from which on a request is told to entry VMs, which take note of its
 # answers from then on.
-SUSPECTED_SCORE = 2
+SUSPECTED_PLACES = 2
 # Records that one message tells, at most; the rest come with the next one.
 MOST_TOLD = 256
 NEVER_JUDGED = -1
@@ -208,7 +208,7 @@
         self.lengths = frozenset(
             one.body_bytes
             for one in self.records.values()
-            if len(one.held()) >= SUSPECTED_SCORE
+            if len(one.held()) >= SUSPECTED_PLACES
         )
 
     def forget(self, until_s: float) -> None:
--- a/godwitshunt/quarantine/verdicts.py
+++ b/godwitshunt/quarantine/verdicts.py
@@ -12,35 +12,45 @@
 
 # Upstreams that end under a request, with no answer in between, until it is
 # held to be the cause.
-GUILTY_SCORE = 3
-# Of these so many must not be explained by another request: a second cause
-# that was lost beside the first one each time is found by its next two.
-UNEXPLAINED_SCORE = 2
+GUILTY_PLACES = 3
+# They must have ended at so many moments: a lost rack ends several at one, and
+# with them a request that many callers send alike.
+GUILTY_MOMENTS = 2
+# At so many moments no other cause must explain the ends: a second cause that
+# was lost beside the first one each time is found by its next two.
+UNEXPLAINED_MOMENTS = 2
 
 
 def find_guilty(
     records: Iterable[SuspectRecord],
 ) -> dict[Fingerprint, int]:
-    """Return the requests that crash upstreams, with the score of each.
+    """Return the requests that crash upstreams, with the ends under each.
 
-    The one with the highest score goes first, and what ended under it speaks
+    The one with the most ends goes first, and what ended under it speaks
     against no other request any more: who merely stood by each time is not
     held guilty with it. Among equals it is the one that upstreams had for the
     shorter time, since the cause ends them soon and a bystander is there by
     chance.
     """
-    suspects = [one for one in records if one.score() >= GUILTY_SCORE]
+    suspects = [one for one in records if is_suspect(one)]
     suspects.sort(key=strength)
     guilty: dict[Fingerprint, int] = {}
     explained: set[str] = set()
     for record in suspects:
-        if record.score(explained) >= UNEXPLAINED_SCORE:
-            guilty[record.fingerprint] = record.score()
+        if record.moments(explained) >= UNEXPLAINED_MOMENTS:
+            guilty[record.fingerprint] = len(record.held())
             explained.update(one.place for one in record.held())
     return guilty
 
 
+def is_suspect(record: SuspectRecord) -> bool:
+    """Tell whether a request may be a cause, whatever else was lost."""
+    if len(record.held()) < GUILTY_PLACES:
+        return False
+    return record.moments() >= GUILTY_MOMENTS
+
+
 def strength(record: SuspectRecord) -> tuple[int, float, bytes]:
     """Return a key that sorts the strongest suspect first."""
     digest = record.fingerprint.digest
-    return (-record.score(), record.exposure_s(), digest)
+    return (-len(record.held()), record.exposure_s(), digest)
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -10,7 +10,7 @@
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.quarantine import (
     QUARANTINE_S,
-    SUSPECTED_SCORE,
+    SUSPECTED_PLACES,
     Quarantine,
     SuspectNews,
 )
@@ -346,7 +346,7 @@
         version = poll.suspects_version
         if version is None or version < 0:
             return SuspectNews((), None)
-        least = 0 if poll.from_control else SUSPECTED_SCORE
+        least = 0 if poll.from_control else SUSPECTED_PLACES
         return self.quarantine.table.news(version, least)
 
     def own_news(
