--- a/godwitshunt/quarantine/table.py
+++ b/godwitshunt/quarantine/table.py
@@ -195,7 +195,7 @@
         return body_bytes in self.lengths
 
     def guilty(self) -> dict[Fingerprint, int]:
-        """Return the requests that crash upstreams, with their scores."""
+        """Return the requests that crash upstreams, with their ends."""
         self.judge()
         return self.judged
 
