Log the rate limits that upstreams state in their answers

Heads of answers are read where they are received; a change of the stated limit is a log line, each answer with a limit is counted. A text that is no decimal number (words, signs, nan, 1e999) is counted and logged once. No decision uses the table yet.

--- /dev/null
+++ b/godwitshunt/backpressure/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the backpressure package."""
--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -7,6 +7,7 @@
 from godwitshunt.ingress.context import Budgets, IngressContext
 from godwitshunt.ingress.crash_detector import CrashDetector
 from godwitshunt.ingress.header_names import HeaderNames
+from godwitshunt.ingress.upstream_headers import AnswerHeaderReader
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
 from godwitshunt.picking.chooser import Chooser
 from godwitshunt.picking.client import PickerClient
@@ -52,6 +53,9 @@
         ),
         picker=picker,
         budgets=make_budgets(settings, timer.now()),
+        answer_headers=AnswerHeaderReader(
+            names, upstreams.rate_limits, timer, metrics
+        ),
         crash_detector=CrashDetector(watch.quarantine, timer, source),
         pool=UpstreamPool(metrics, source=source),
         hops=UpstreamPool(metrics, source=source),
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -93,6 +93,9 @@
         Called when the head of a stream is sent to the caller.
     on_stage : callable
         Called when the request reaches a stage.
+    on_head : callable
+        Called with the head of an answer by the upstream that the request was
+        meant for.
     is_forward : bool
         True where the request goes to another entry VM, which may itself refuse
         it.
@@ -110,6 +113,7 @@
     on_activity: Callable[[], None]
     on_begun: Callable[[], None]
     on_stage: Callable[[Stage], None]
+    on_head: Callable[[AnswerHead], None]
     is_forward: bool = False
     misdirected: bool = False
     connected: bool = False
@@ -144,6 +148,8 @@
         head = await self.call.head(self.outgoing, self.timeouts.first_s)
         self.on_activity()
         self.on_stage(Stage.answer_started)
+        if head.status != MISDIRECTED:
+            self.on_head(head)
         fields = dict(head.headers)
         if self.names.not_run in fields or head.status == MISDIRECTED:
             return await self.receive_refusal(head)
--- a/godwitshunt/ingress/context.py
+++ b/godwitshunt/ingress/context.py
@@ -10,6 +10,7 @@
 from godwitshunt.ingress.authorization import Authorizer
 from godwitshunt.ingress.crash_detector import CrashDetector
 from godwitshunt.ingress.header_names import HeaderNames
+from godwitshunt.ingress.upstream_headers import AnswerHeaderReader
 from godwitshunt.organisations import AdmissionShare
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
 from godwitshunt.picking.choices import ChoiceRequest
@@ -57,6 +58,8 @@
         Decides which keys may be relied on.
     chooser : Chooser
         Chooses where the region's picker does not answer.
+    answer_headers : AnswerHeaderReader
+        Reads what upstreams state in their answers.
     crash_detector : CrashDetector
         Detects upstreams that crashed while they had requests.
     pool : UpstreamPool
@@ -77,6 +80,7 @@
     attempt_recorder: AttemptRecorder
     picker: PickerClient
     budgets: Budgets
+    answer_headers: AnswerHeaderReader
     crash_detector: CrashDetector
     pool: UpstreamPool
     hops: UpstreamPool
--- a/godwitshunt/ingress/header_names.py
+++ b/godwitshunt/ingress/header_names.py
@@ -28,6 +28,9 @@
         Prompt tokens and maximum output tokens, comma-separated.
     urgency : bytes
         Priority from 0 to 9 in the upstream's queue; 0 is served first.
+    rate_limit : bytes
+        Requests per second that the upstream that answered accepts from all
+        VMs together; absent if it has no limit.
     key : bytes
         The key of the caller's organisation; it is never passed on.
     organisation : bytes
@@ -45,6 +48,7 @@
     prompt_parts: bytes = b'godwitshunt-prompt-parts'
     token_count: bytes = b'godwitshunt-prompt-tokens'
     urgency: bytes = b'godwitshunt-urgency'
+    rate_limit: bytes = b'godwitshunt-rate-limit'
     key: bytes = b'godwitshunt-key'
     organisation: bytes = b'godwitshunt-organisation'
     reserved: frozenset[bytes] = frozenset()
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -7,6 +7,7 @@
 
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.upstream_messages import (
+    AnswerHead,
     OutgoingRequest,
 )
 from godwitshunt.ingress.attempt import Attempt, ResponseTimeouts
@@ -144,6 +145,12 @@
             self.build_upstream_request(announcement),
             self.timeouts(choice.predicted_s),
             activity.record,
+            on_head=partial(
+                context.answer_headers.read,
+                announcement.incarnation,
+                self.request.id,
+                sent_s=sent_s,
+            ),
         )
         self.prompt_reader = announcement.incarnation
         outcome: AttemptOutcome | None = None
@@ -188,6 +195,7 @@
             self.build_forward_request(choice),
             self.forward_timeouts(),
             ignore_activity,
+            on_head=ignore_head,
             is_forward=True,
         )
         sent_s = self.context.timer.now()
@@ -215,6 +223,7 @@
         timeouts: ResponseTimeouts,
         on_activity: Callable[[], None],
         *,
+        on_head: Callable[[AnswerHead], None],
         is_forward: bool = False,
     ) -> Attempt:
         """Create an attempt; a stream that has begun is resumed."""
@@ -230,6 +239,7 @@
             on_activity=partial(self.record_activity, on_activity),
             on_begun=self.record_begun,
             on_stage=self.record_stage,
+            on_head=on_head,
             is_forward=is_forward,
         )
 
@@ -338,3 +348,10 @@
 
 def ignore_activity() -> None:
     """Ignore keepalives of another VM."""
+
+
+def ignore_head(head: AnswerHead) -> None:
+    """Ignore the head of another VM's answer.
+
+    What it states is of an upstream that this VM does not send requests to.
+    """
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -158,6 +158,7 @@
         self.context.upstreams.remove_absent(view.upstreams)
         self.context.pool.remove_absent(view.upstreams)
         self.context.budgets.cold.remove_absent(frozenset(view.upstreams))
+        self.context.answer_headers.remove_absent(frozenset(view.upstreams))
         self.context.metrics.gauge('ingress_in_progress', self.in_progress)
 
     def apply_revision(self, revision: Revision) -> None:
--- a/godwitshunt/ingress/tests/test_incarnations.py
+++ b/godwitshunt/ingress/tests/test_incarnations.py
@@ -79,10 +79,12 @@
         upstreams=SimpleNamespace(remove_absent=lambda present: None),
         budgets=SimpleNamespace(cold=recorder),
         pool=recorder,
+        answer_headers=recorder,
         metrics=SimpleNamespace(gauge=lambda name, value: None),
     )
     task.tick()
-    assert removed_except == [{'i-1~1000'}, {'i-1~1000'}]
+    assert len(removed_except) == 3
+    assert all(present == {'i-1~1000'} for present in removed_except)
 
 
 @pytest.mark.parametrize('connected', [True, False])
--- /dev/null
+++ b/godwitshunt/ingress/tests/test_upstream_headers.py
@@ -0,0 +1,46 @@
+"""What an entry VM learns from the heads of answers."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from godwitshunt.backpressure import RateLimitTable
+from godwitshunt.exchange.upstream_messages import AnswerHead
+from godwitshunt.ingress import HeaderNames
+from godwitshunt.ingress.upstream_headers import AnswerHeaderReader
+from godwitshunt.telemetry import Metrics
+
+NAMES = HeaderNames()
+NOW_S = 10.0
+
+
+def reader() -> AnswerHeaderReader:
+    """Return a reader at a fixed time."""
+    timer = SimpleNamespace(now=lambda: NOW_S)
+    return AnswerHeaderReader(NAMES, RateLimitTable(), timer, Metrics())
+
+
+def head(limit: bytes | None) -> AnswerHead:
+    """Return the head of an answer that states a limit, or none."""
+    headers = () if limit is None else ((NAMES.rate_limit, limit),)
+    return AnswerHead(200, headers)
+
+
+def test_stated_limit_holds_until_an_answer_without_it():
+    """A limit that is kept after the upstream has recovered."""
+    answers = reader()
+    answers.read('i-1', 'r-1', head(b'2.5'), sent_s=9.0)
+    assert answers.rate_limits.per_s('i-1') == pytest.approx(2.5)
+    answers.read('i-1', 'r-2', head(None), sent_s=NOW_S + 1)
+    assert answers.rate_limits.per_s('i-1') is None
+
+
+@pytest.mark.parametrize('text', [b'many', b'-1', b'+1', b'nan', b'1e999'])
+def test_invalid_limit_changes_nothing(text):
+    """A value that stops an upstream's traffic, or ends a limit in force."""
+    answers = reader()
+    answers.read('i-1', 'r-1', head(text), sent_s=9.0)
+    assert answers.rate_limits.per_s('i-1') is None
+    answers.read('i-1', 'r-2', head(b'3'), sent_s=9.0)
+    answers.read('i-1', 'r-3', head(text), sent_s=NOW_S + 1)
+    assert answers.rate_limits.per_s('i-1') == pytest.approx(3)
--- /dev/null
+++ b/godwitshunt/ingress/upstream_headers.py
@@ -0,0 +1,107 @@
+"""Reading of what upstreams state in the headers of their answers."""
+
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from godwitshunt.backpressure import (
+    InvalidHeader,
+    RateLimitNotice,
+    RateLimitTable,
+    read_decimal,
+)
+from godwitshunt.exchange.upstream_messages import AnswerHead
+from godwitshunt.ingress.header_names import HeaderNames
+from godwitshunt.telemetry import Metrics, log_change
+from godwitshunt.timer import Timer
+
+MAX_LOGGED_CHARACTERS = 100
+
+
+@dataclass
+class AnswerHeaderReader:
+    """Records what upstreams state in the heads of their answers.
+
+    A head is read when it is received: the rest of its answer may be lost.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Names of the headers.
+    rate_limits : RateLimitTable
+        Receives the stated rate limits.
+    ignored : dict
+        Last invalid header of each upstream, which is logged once.
+    """
+
+    names: HeaderNames
+    rate_limits: RateLimitTable
+    timer: Timer
+    metrics: Metrics
+    ignored: dict[str, InvalidHeader] = field(default_factory=dict)
+
+    def read(
+        self,
+        incarnation: str,
+        request_id: str,
+        head: AnswerHead,
+        sent_s: float,
+    ) -> None:
+        """Record what the head of an upstream's answer states.
+
+        Parameters
+        ----------
+        incarnation : str
+            The upstream that has made the answer.
+        request_id : str
+            The request, for logs.
+        sent_s : float
+            When the request was sent, in monotonic seconds.
+        """
+        match read_decimal(head.headers, self.names.rate_limit):
+            case Err(invalid):
+                self.log_ignored(incarnation, request_id, invalid)
+            case Ok(per_s):
+                asof_s = sent_s if per_s is None else self.timer.now()
+                notice = RateLimitNotice(incarnation, per_s, asof_s)
+                self.record_rate_limit(notice, request_id)
+
+    def record_rate_limit(
+        self, notice: RateLimitNotice, request_id: str
+    ) -> None:
+        """Record a notice about a rate limit; log a change."""
+        before = self.rate_limits.per_s(notice.incarnation)
+        if notice.per_s is not None:
+            self.metrics.count('ingress_rate_limited_answers_total')
+        if self.rate_limits.record(notice):
+            log_change(
+                'ingress:upstream_rate_limit',
+                instance=notice.incarnation,
+                request=request_id,
+                per_s=notice.per_s,
+                before=before,
+            )
+
+    def log_ignored(
+        self, incarnation: str, request_id: str, invalid: InvalidHeader
+    ) -> None:
+        """Count an invalid header and log it where it is a new one."""
+        name = invalid.name.decode('latin-1')
+        self.metrics.count('ingress_headers_ignored_total', header=name)
+        if self.ignored.get(incarnation) == invalid:
+            return
+        self.ignored[incarnation] = invalid
+        texts = b', '.join(invalid.texts).decode('latin-1')
+        log_change(
+            'ingress:header_ignored',
+            instance=incarnation,
+            request=request_id,
+            header=name,
+            content=texts[:MAX_LOGGED_CHARACTERS],
+        )
+
+    def remove_absent(self, present: frozenset[str]) -> None:
+        """Remove upstreams that are not present."""
+        self.rate_limits.remove_absent(present, self.timer.now())
+        for incarnation in self.ignored.keys() - present:
+            self.ignored.pop(incarnation)
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from math import isfinite
 
+from godwitshunt.backpressure import RateLimitTable
 from godwitshunt.manifest import Service
 from godwitshunt.picking.learned_speed import LearnedSpeed
 from godwitshunt.registry import RegistryView, UpstreamSeen
@@ -32,11 +33,14 @@
         Health and load by incarnation.
     speeds, outliers : dict
         Speed and outlier detection by service.
+    rate_limits : RateLimitTable
+        Rate limits that upstreams have stated.
     """
 
     health: dict[str, UpstreamHealth] = field(default_factory=dict)
     speeds: dict[str, LearnedSpeed] = field(default_factory=dict)
     outliers: dict[str, OutlierDetector] = field(default_factory=dict)
+    rate_limits: RateLimitTable = field(default_factory=RateLimitTable)
 
     def health_of(self, instance: str) -> UpstreamHealth:
         """Return the health of an incarnation."""
