--- /dev/null
+++ b/tests/limited_server.py
@@ -0,0 +1,147 @@
+"""A server that states a rate limit, and a world to send to it."""
+
+import asyncio
+import itertools
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from tests.platform_client import ask
+from tests.platform_server import Server
+from tests.platform_world import ENTRY_ZONES, NORTH, SOUTH, World
+
+NORTH_2 = '127.0.9.12'
+ENTRIES = (NORTH, NORTH_2, SOUTH)
+
+# The platform counts what reaches a server in any window of this length.
+WINDOW_S = 4.0
+FACTOR = 1.5
+ALLOWANCE = 5
+LIMIT_LINE = 'server-limit: '
+
+
+@dataclass
+class LimitedServer(Server):
+    """A server that adds headers of its own to all its answers.
+
+    Parameters
+    ----------
+    stated : str
+        Header lines, each with its end.
+    arrivals : list of (float, str)
+        When requests reached it, by the loop's clock, and their path.
+    breaks : bool
+        True to break off each answer after its head.
+    """
+
+    stated: str = ''
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    breaks: bool = False
+
+    def state_limit(self, text):
+        """State a rate limit from now on; None ends it."""
+        self.stated = '' if text is None else f'{LIMIT_LINE}{text}\r\n'
+
+    async def answer(self, reader, writer, head, fields, body):
+        """Answer a request with the stated headers."""
+        if fields.get('expect-instance') == self.instance:
+            now_s = asyncio.get_running_loop().time()
+            self.arrivals.append((now_s, head.split(b' ', 2)[1].decode()))
+        stating = StatingWriter(writer, self.stated.encode(), self.breaks)
+        await super().answer(reader, stating, head, fields, body)
+
+    def times(self, since_s=0.0):
+        """Return when requests reached it since a time."""
+        return [at_s for at_s, _ in self.arrivals if at_s >= since_s]
+
+    def reborn(self):
+        """Return another incarnation that takes over the address."""
+        self.listener.close()
+        return type(self)(self.host, self.service, self.zone, port=self.port)
+
+
+class StatingWriter:
+    """Adds header lines after the status line of an answer."""
+
+    def __init__(self, writer, stated, breaks):
+        self.writer = writer
+        self.stated = stated
+        self.breaks = breaks
+        self.transport = writer.transport
+
+    def write(self, content):
+        """Write bytes; an answer's head with the added lines."""
+        if content.startswith(b'HTTP/1.1 '):
+            status, rest = content.split(b'\r\n', 1)
+            content = b'%s\r\n%s%s' % (status, self.stated, rest)
+            if self.breaks:
+                head = content.split(b'\r\n\r\n', 1)[0]
+                self.writer.write(b'%s\r\n\r\n' % head)
+                self.writer.close()
+                return
+        if not self.writer.is_closing():
+            self.writer.write(content)
+
+    async def drain(self):
+        """Wait until the written bytes are sent."""
+        await self.writer.drain()
+
+
+class LimitedWorld(World):
+    """A world of servers that state rate limits."""
+
+    def __init__(self, folder):
+        zones = {**ENTRY_ZONES, NORTH_2: 'zone-a'}
+        super().__init__(folder, server_type=LimitedServer, entry_zones=zones)
+
+    def state(self, service, text):
+        """Have all servers of a service state a limit; None ends it."""
+        for server in self.servers.values():
+            if server.service == service:
+                server.state_limit(text)
+
+
+async def ask_steadily(entries, path, seconds, per_s, answers=None):
+    """Send requests at a steady rate; return the answers and their times.
+
+    Returns
+    -------
+    list of (float, float, Answer)
+        When each request was sent and answered.
+    """
+    answers = [] if answers is None else answers
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + seconds
+    tasks = []
+    for entry in itertools.cycle(entries):
+        if loop.time() >= end_s:
+            break
+        tasks.append(asyncio.create_task(ask_once(entry, path, answers)))
+        await asyncio.sleep(1 / per_s)
+    await asyncio.gather(*tasks)
+    return answers
+
+
+async def ask_once(entry, path, answers):
+    """Send one request and keep its answer."""
+    loop = asyncio.get_running_loop()
+    sent_s = loop.time()
+    with suppress(OSError, TimeoutError):
+        _, answer = await ask(entry, path)
+        answers.append((sent_s, loop.time(), answer))
+
+
+def most_in_a_window(times, since_s=0.0):
+    """Return the most requests in any window that ends after a time."""
+    most = 0
+    first = 0
+    for place, at_s in enumerate(times):
+        while at_s - times[first] >= WINDOW_S:
+            first += 1
+        if at_s >= since_s:
+            most = max(most, place + 1 - first)
+    return most
+
+
+def allowed(per_s):
+    """Return how many requests a limit allows in a window."""
+    return FACTOR * per_s * WINDOW_S + ALLOWANCE
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -35,6 +35,7 @@
     silent: set = field(default_factory=set)
     lock: object = None
     server_type: type[Server] = Server
+    entry_zones: dict = field(default_factory=lambda: dict(ENTRY_ZONES))
 
     async def start(self):
         """Start everything and wait until a request is served.
@@ -52,7 +53,7 @@
             key.write_text(secrets.token_hex(32))
         for host in CONTROL_HOSTS:
             await self.start_process(host, 'zone-a', control=True)
-        for host, zone in ENTRY_ZONES.items():
+        for host, zone in self.entry_zones.items():
             await self.start_process(host, zone, control=False)
         for name, host, service, zone in (
             ('north-app', '127.0.9.101', 'app', 'zone-a'),
@@ -96,7 +97,7 @@
 
     async def is_serving(self):
         """Tell whether every service answers through every entry."""
-        for entry in ENTRY_ZONES:
+        for entry in self.entry_zones:
             for path in ('/safe/x', '/south/x', '/resumed/x'):
                 try:
                     _, answer = await ask(entry, path)
