Keep the rate limits that upstreams state in their answers

What callers saw: nothing at once; an overloaded upstream got its usual load.

Cause: an answer's head was passed on and read by nobody.

The region's picker, which assigns nearly all requests, keeps a token bucket of nine tenths of the limit; the other pickers and the VMs that choose without one have fixed shares, so that all add up to less than is tolerated without any message between them. A VM reads the head when it comes, and tells the picker with each report. A callers' request that nobody can take is refused at once, with the time of the next token.

--- a/godwitshunt/backpressure/__init__.py
+++ b/godwitshunt/backpressure/__init__.py
@@ -1,19 +1,31 @@
 """Backpressure: what upstreams state about their load in answers.
 
 An upstream limits the requests that it is sent by headers of its answers. This
-package reads such headers and keeps what each upstream has stated. It performs
-no I/O.
+package reads such headers, keeps what each upstream has stated, and divides its
+limit among the processes that send to it. It performs no I/O.
 """
 
 from godwitshunt.backpressure.headers import InvalidHeader, read_decimal
+from godwitshunt.backpressure.rate_limiter import RateLimiter
 from godwitshunt.backpressure.rate_limits import (
     RateLimitNotice,
     RateLimitTable,
 )
+from godwitshunt.backpressure.rate_shares import (
+    NO_SHARE,
+    RateShare,
+    entry_share,
+    picker_share,
+)
 
 __all__ = [
     'InvalidHeader',
+    'NO_SHARE',
     'RateLimitNotice',
     'RateLimitTable',
+    'RateLimiter',
+    'RateShare',
+    'entry_share',
+    'picker_share',
     'read_decimal',
 ]
--- a/godwitshunt/ingress/context.py
+++ b/godwitshunt/ingress/context.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from godwitshunt.backpressure import NO_SHARE, RateShare, entry_share
 from godwitshunt.exchange.upstream_pool import (
     UpstreamPool,
 )
@@ -22,7 +23,7 @@
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.quarantine import Quarantine
 from godwitshunt.registry import RegistryWatch, UpstreamSeen
-from godwitshunt.routing.cold_budget import ColdBudget
+from godwitshunt.routing.cold_budget import STARTUP_HOLD_S, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds, RetryWindow
 from godwitshunt.settings import NodeSettings
 from godwitshunt.telemetry import Metrics
@@ -115,6 +116,19 @@
             return 0.0
         return 1 / self.neighbours.count_in_region()
 
+    def rate_share(self) -> RateShare:
+        """Return this VM's share of the rate limits of upstreams.
+
+        None for a VM that has just started: it does not know yet how many VMs
+        divide the limits.
+        """
+        if self.timer.now() - self.budgets.cold.started_s < STARTUP_HOLD_S:
+            return NO_SHARE
+        return entry_share(
+            has_pickers=self.watch.has_local_control(),
+            count=self.neighbours.count_in_region(),
+        )
+
     def has_cold_capacity(
         self, upstream: UpstreamSeen, request: ChoiceRequest
     ) -> bool:
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -252,6 +252,7 @@
                 self.progress.reasons.append('the retry budget is spent')
                 return NoPlace(overloaded=True, retry_after_s=RETRY_AFTER_S)
             if isinstance(choice, HandOver) or self.spend_cold_request(choice):
+                self.charge_rate_limit(choice)
                 return choice
             self.sender.excluded.add(choice.upstream.announcement.incarnation)
 
@@ -417,6 +418,14 @@
             self.context.timer.now(),
         )
 
+    def charge_rate_limit(self, choice: SendHere | HandOver) -> None:
+        """Count a request that this VM chose an upstream for by itself."""
+        if isinstance(choice, SendHere) and not choice.chosen_by_picker:
+            self.context.upstreams.rate_limiter.spend(
+                choice.upstream.announcement.incarnation,
+                self.context.timer.now(),
+            )
+
     def refuse(self, choice: NoPlace) -> Step:
         """Return the last step of a request without a destination."""
         self.retry_after_s = choice.retry_after_s
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -159,6 +159,9 @@
         self.context.pool.remove_absent(view.upstreams)
         self.context.budgets.cold.remove_absent(frozenset(view.upstreams))
         self.context.answer_headers.remove_absent(frozenset(view.upstreams))
+        limiter = self.context.upstreams.rate_limiter
+        limiter.remove_absent(view.upstreams, now_s)
+        limiter.share = self.context.rate_share()
         self.context.metrics.gauge('ingress_in_progress', self.in_progress)
 
     def apply_revision(self, revision: Revision) -> None:
--- a/godwitshunt/ingress/tests/test_incarnations.py
+++ b/godwitshunt/ingress/tests/test_incarnations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitshunt.backpressure import NO_SHARE
 from godwitshunt.exchange.requests import HttpRequest
 from godwitshunt.ingress.feedback import CompletedAttempt
 from godwitshunt.ingress.header_names import HeaderNames
@@ -76,10 +77,11 @@
         watch=SimpleNamespace(view=lambda: view, round_trips=dict),
         timer=SimpleNamespace(now=lambda: NOW_S),
         neighbours=SimpleNamespace(record_entries=lambda entries, now_s: None),
-        upstreams=SimpleNamespace(remove_absent=lambda present: None),
+        upstreams=Upstreams(),
         budgets=SimpleNamespace(cold=recorder),
         pool=recorder,
         answer_headers=recorder,
+        rate_share=lambda: NO_SHARE,
         metrics=SimpleNamespace(gauge=lambda name, value: None),
     )
     task.tick()
--- a/godwitshunt/ingress/upstream_headers.py
+++ b/godwitshunt/ingress/upstream_headers.py
@@ -101,7 +101,6 @@
         )
 
     def remove_absent(self, present: frozenset[str]) -> None:
-        """Remove upstreams that are not present."""
-        self.rate_limits.remove_absent(present, self.timer.now())
+        """Remove the invalid headers of upstreams that are not present."""
         for incarnation in self.ignored.keys() - present:
             self.ignored.pop(incarnation)
--- a/godwitshunt/picking/attempt_reports.py
+++ b/godwitshunt/picking/attempt_reports.py
@@ -61,6 +61,11 @@
     unread_tokens: int = 0
     was_held_up: bool = False
 
+    @property
+    def is_answer(self) -> bool:
+        """True if the upstream has answered, by a refusal or completely."""
+        return self.shown in {AttemptResult.answered, AttemptResult.full}
+
 
 def attempts_to_wire(
     reports: Iterable[AttemptReport],
--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -1,6 +1,6 @@
 """Choice of an upstream, another region, or a refusal for one request."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -96,10 +96,9 @@
         if not candidates and not request.local:
             candidates = tuple(self.fallbacks(request, view, revision))
         if not candidates:
-            wait_s = self.jitter(self.opens_in_s(request, view))
             return NoPlace(
                 overloaded=False,
-                retry_after_s=wait_s,
+                retry_after_s=self.retry_wait_s(request, view),
                 exclusions=self.exclusions(request, view, revision),
             )
         speed = self.upstreams.speed(request.service)
@@ -153,6 +152,25 @@
             request, view, revision, request.excluded | ejected
         )
 
+    def retry_wait_s(self, request: ChoiceRequest, view: RegistryView) -> float:
+        """Return the retry delay of a request without an upstream."""
+        now_s = request.now_s
+        upstreams = tuple(of_service(view, request.service.name))
+        limited = {
+            upstream.announcement.incarnation
+            for upstream in upstreams
+            if self.filter.rate_wait_s(upstream, now_s)
+        }
+        if not limited:
+            return self.jitter(self.opens_in_s(request, view))
+        unlimited = [
+            upstream
+            for upstream in upstreams
+            if upstream.announcement.incarnation not in limited
+        ]
+        waits = self.pauses_s(unlimited, now_s)
+        return min((*waits, self.rate_limited_s(limited, now_s)))
+
     def opens_in_s(self, request: ChoiceRequest, view: RegistryView) -> float:
         """Return the seconds until an upstream may accept a request again.
 
@@ -161,17 +179,33 @@
         for upstreams that drain or have not announced themselves yet.
         """
         avoided_until = self.neighbours.avoided_until
-        ends = [
+        opens = [
             avoided_until.get(f'{region} {request.service.name}', 0.0)
+            - request.now_s
             for region in view.entry_points
         ]
-        for upstream in of_service(view, request.service.name):
+        opens = [open_s for open_s in opens if open_s > 0]
+        upstreams = of_service(view, request.service.name)
+        opens.extend(self.pauses_s(upstreams, request.now_s))
+        return max(MIN_RETRY_S, min(opens, default=NO_UPSTREAM_RETRY_S))
+
+    def pauses_s(
+        self, upstreams: Iterable[UpstreamSeen], now_s: float
+    ) -> list[float]:
+        """Return the remaining pauses after failed connections and refusals."""
+        ends = []
+        for upstream in upstreams:
             health = self.upstreams.health_of(upstream.announcement.incarnation)
             ends.extend((health.down_until_s, health.full_until_s))
-        opens = [
-            end_s - request.now_s for end_s in ends if end_s > request.now_s
-        ]
-        return max(MIN_RETRY_S, min(opens, default=NO_UPSTREAM_RETRY_S))
+        return [end_s - now_s for end_s in ends if end_s > now_s]
+
+    def rate_limited_s(self, limited: Iterable[str], now_s: float) -> float:
+        """Return the retry delay that rate limits permit."""
+        limiter = self.upstreams.rate_limiter
+        waits = {name: limiter.retry_wait_s(name, now_s) for name in limited}
+        first = min(waits, key=waits.__getitem__)
+        limiter.record_retry(first, now_s + waits[first])
+        return waits[first]
 
     def fallbacks(
         self,
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -83,12 +83,24 @@
             return 'unreached'
         if now_s < health.full_until_s:
             return 'refused a request as full'
+        if self.rate_wait_s(upstream, now_s):
+            return 'rate limit'
         if self.may_be_cold(upstream, request) and not self.has_cold_capacity(
             upstream, request
         ):
             return 'cold'
         return None
 
+    def rate_wait_s(self, upstream: UpstreamSeen, now_s: float) -> float:
+        """Return the seconds until an upstream's rate limit permits a request.
+
+        The limit of an upstream of another region is kept in that region.
+        """
+        if upstream.region != self.region:
+            return 0.0
+        incarnation = upstream.announcement.incarnation
+        return self.upstreams.rate_limiter.wait_s(incarnation, now_s)
+
 
 def is_full(candidate: Candidate) -> bool:
     """Return whether an upstream has its maximum number of requests."""
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -217,6 +217,9 @@
         choice = self.chooser.choose(request, view, context.revision)
         if isinstance(choice, SendHere):
             self.charge_cold(choice, request)
+            self.upstreams.rate_limiter.spend(
+                choice.upstream.announcement.incarnation, now_s
+            )
         if not isinstance(choice, NoPlace):
             self.charge_limit(query, now_s)
         return self.record_choice(query, service, choice, now_s)
--- a/godwitshunt/picking/reports.py
+++ b/godwitshunt/picking/reports.py
@@ -8,6 +8,7 @@
 from godwitshunt.organisations import LimitPool, limits_of
 from godwitshunt.picking.attempt_reports import AttemptReport, attempts_to_wire
 from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.picking.wire_limits import rate_limits_to_wire
 from godwitshunt.quarantine import SuspectTable
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.ledger import Report
@@ -102,6 +103,9 @@
         load_report = report_to_wire(report, source, now_s)
         load_report.shown = attempts_to_wire(self.attempts)
         self.attempts.clear()
+        load_report.rate_limits = rate_limits_to_wire(
+            self.upstreams.rate_limiter.table.limited(), now_s
+        )
         load_report.admitted = admitted_to_wire(self.limits.admitted)
         load_report.prefixes = prefixes_to_wire(
             self.prefixes.since(self.prefixes_version_sent),
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -1,15 +1,19 @@
 """Picker service of a control VM: answers queries of the entry VMs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
 from typing import Self
 
+from godwitshunt.backpressure import RateLimitNotice, picker_share
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.organisations import LimitPool
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
-from godwitshunt.picking.attempt_reports import attempts_from_wire
+from godwitshunt.picking.attempt_reports import (
+    AttemptReport,
+    attempts_from_wire,
+)
 from godwitshunt.picking.choices import (
     HandOver,
     Limited,
@@ -31,6 +35,7 @@
 from godwitshunt.picking.routes import RouteTable
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.picking.wire import assignment_to_wire, query_from_wire
+from godwitshunt.picking.wire_limits import rate_limits_from_wire
 from godwitshunt.registry import RegistryService
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.ledger import Report
@@ -160,9 +165,11 @@
         self.picker.upstreams.remove_absent(view.upstreams)
         self.picker.cold.remove_absent(frozenset(view.upstreams))
         own = str(self.registry.location.address)
-        self.picker.set_cold_share(
-            own, tables.controls_in_region(self.picker.region)
-        )
+        pickers = tables.controls_in_region(self.picker.region)
+        self.picker.set_cold_share(own, pickers)
+        limiter = self.picker.upstreams.rate_limiter
+        limiter.remove_absent(view.upstreams, now_s)
+        limiter.share = picker_share(own, pickers, tables.count_unlocated())
         self.picker.handovers.remove_reported(now_s)
         # Applies the peers' totals at each tick. If they were applied with
         # queries only, units admitted while this region has no requests would
@@ -212,12 +219,42 @@
         self.record_waits(name, report)
         now_s = self.timer.now()
         self.limits.apply_vm_report(report.session, load_report.admitted, now_s)
+        attempts = attempts_from_wire(load_report.shown)
+        self.record_rate_limits(load_report, attempts, now_s)
         revision = self.revision()
-        for attempt in attempts_from_wire(load_report.shown):
+        for attempt in attempts:
             service = revision and service_of(revision, attempt.service)
             if service:
                 self.attempt_recorder.record(attempt, service, now_s)
 
+    def record_rate_limits(
+        self,
+        load_report: ttypes.LoadReport,
+        attempts: Iterable[AttemptReport],
+        now_s: float,
+    ) -> None:
+        """Update the rate limits of upstreams from an entry VM's report.
+
+        A report contains all limits that are in force at the entry VM. So an
+        upstream that has answered it and is not among them stated no limit.
+        """
+        notices = rate_limits_from_wire(load_report.rate_limits, now_s)
+        limited = {notice.incarnation for notice in notices}
+        notices.extend(
+            RateLimitNotice(attempt.instance, None, now_s - attempt.took_s)
+            for attempt in attempts
+            if attempt.is_answer and attempt.instance not in limited
+        )
+        table = self.picker.upstreams.rate_limiter.table
+        for notice in notices:
+            if table.record(notice):
+                log_change(
+                    'picking:upstream_rate_limit',
+                    instance=notice.incarnation,
+                    per_s=notice.per_s,
+                    age_s=round(now_s - notice.asof_s, 3),
+                )
+
     def record_waits(self, name: str, report: Report) -> None:
         """Record how long an entry VM has waited for each upstream."""
         before = self.reported_instances.get(name, frozenset())
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from math import isfinite
 
-from godwitshunt.backpressure import RateLimitTable
+from godwitshunt.backpressure import RateLimiter
 from godwitshunt.manifest import Service
 from godwitshunt.picking.learned_speed import LearnedSpeed
 from godwitshunt.registry import RegistryView, UpstreamSeen
@@ -33,14 +33,14 @@
         Health and load by incarnation.
     speeds, outliers : dict
         Speed and outlier detection by service.
-    rate_limits : RateLimitTable
-        Rate limits that upstreams have stated.
+    rate_limiter : RateLimiter
+        Keeps this process within its share of upstreams' rate limits.
     """
 
     health: dict[str, UpstreamHealth] = field(default_factory=dict)
     speeds: dict[str, LearnedSpeed] = field(default_factory=dict)
     outliers: dict[str, OutlierDetector] = field(default_factory=dict)
-    rate_limits: RateLimitTable = field(default_factory=RateLimitTable)
+    rate_limiter: RateLimiter = field(default_factory=RateLimiter)
 
     def health_of(self, instance: str) -> UpstreamHealth:
         """Return the health of an incarnation."""
--- a/godwitshunt/registry/control_tables.py
+++ b/godwitshunt/registry/control_tables.py
@@ -320,6 +320,12 @@
             if table.region == region
         ]
 
+    def count_unlocated(self) -> int:
+        """Return how many of the other control VMs are of unknown region."""
+        others = {str(address) for address in self.location.others()}
+        others.discard(self.own_name)
+        return sum(not self.region_of(control) for control in others)
+
     def view(self) -> RegistryView:
         """Return the merged view; the own table is always current."""
         now_s = self.timer.now()
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -1275,6 +1275,100 @@
         return not (self == other)
 
 
+class RateLimitInfo(object):
+    """
+    A rate limit that an upstream has stated in an answer.
+
+    Attributes:
+     - instance
+     - per_s: Requests per second from all VMs together.
+     - age_ms: Milliseconds since the answer was received when this was sent.
+
+    """
+
+    __slots__ = (
+        'instance',
+        'per_s',
+        'age_ms',
+    )
+
+
+    def __init__(self, instance=None, per_s=None, age_ms=None,):
+        self.instance = instance
+        self.per_s = per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLimitInfo')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     All requests of an entry VM; a report with a higher number replaces it.
@@ -1290,6 +1384,7 @@
      - prefixes: Cached prefixes since then.
      - admitted: Units that the entry VM has admitted without a picker.
      - suspects: Requests that were lost to upstreams since the last report.
+     - rate_limits: All rate limits of upstreams that are in force at the entry VM.
 
     """
 
@@ -1303,10 +1398,11 @@
         'session',
         'admitted',
         'suspects',
+        'rate_limits',
     )
 
 
-    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None, suspects=None,):
+    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None, suspects=None, rate_limits=None,):
         self.number = number
         self.loads = loads
         self.session = session
@@ -1316,6 +1412,7 @@
         self.prefixes = prefixes
         self.admitted = admitted
         self.suspects = suspects
+        self.rate_limits = rate_limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1401,6 +1498,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.rate_limits = []
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = RateLimitInfo()
+                        _elem49.read(iprot)
+                        self.rate_limits.append(_elem49)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1418,8 +1526,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter44 in self.loads:
-                iter44.write(oprot)
+            for iter50 in self.loads:
+                iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1433,15 +1541,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter45 in self.shown:
-                iter45.write(oprot)
+            for iter51 in self.shown:
+                iter51.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter46 in self.prefixes:
-                iter46.write(oprot)
+            for iter52 in self.prefixes:
+                iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1451,15 +1559,22 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter47 in self.admitted:
-                iter47.write(oprot)
+            for iter53 in self.admitted:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter48 in self.suspects:
-                iter48.write(oprot)
+            for iter54 in self.suspects:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rate_limits is not None:
+            oprot.writeFieldBegin('rate_limits', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
+            for iter55 in self.rate_limits:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1649,11 +1764,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = TableHeld()
-                        _elem54.read(iprot)
-                        self.held.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = TableHeld()
+                        _elem61.read(iprot)
+                        self.held.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1666,11 +1781,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = PrefixInfo()
-                        _elem60.read(iprot)
-                        self.prefixes.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = PrefixInfo()
+                        _elem67.read(iprot)
+                        self.prefixes.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1697,22 +1812,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = TableNews()
-                        _elem66.read(iprot)
-                        self.newer.append(_elem66)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = TableNews()
+                        _elem73.read(iprot)
+                        self.newer.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = SuspectInfo()
-                        _elem72.read(iprot)
-                        self.suspects.append(_elem72)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = SuspectInfo()
+                        _elem79.read(iprot)
+                        self.suspects.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1738,8 +1853,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter73 in self.held:
-                iter73.write(oprot)
+            for iter80 in self.held:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -1749,8 +1864,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter74 in self.prefixes:
-                iter74.write(oprot)
+            for iter81 in self.prefixes:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1772,15 +1887,15 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter75 in self.newer:
-                iter75.write(oprot)
+            for iter82 in self.newer:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter76 in self.suspects:
-                iter76.write(oprot)
+            for iter83 in self.suspects:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -1910,43 +2025,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = UpstreamInfo()
-                        _elem82.read(iprot)
-                        self.upstreams.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = UpstreamInfo()
+                        _elem89.read(iprot)
+                        self.upstreams.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = StartEnded()
-                        _elem88.read(iprot)
-                        self.gone.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = StartEnded()
+                        _elem95.read(iprot)
+                        self.gone.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = EntryInfo()
-                        _elem94.read(iprot)
-                        self.entries.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = EntryInfo()
+                        _elem101.read(iprot)
+                        self.entries.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1958,22 +2073,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = UpstreamLoad()
-                        _elem106.read(iprot)
-                        self.loads.append(_elem106)
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = UpstreamLoad()
+                        _elem113.read(iprot)
+                        self.loads.append(_elem113)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = AdmittedUnits()
-                        _elem112.read(iprot)
-                        self.admitted.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = AdmittedUnits()
+                        _elem119.read(iprot)
+                        self.admitted.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2014,29 +2129,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter113 in self.upstreams:
-                iter113.write(oprot)
+            for iter120 in self.upstreams:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter114 in self.gone:
-                iter114.write(oprot)
+            for iter121 in self.gone:
+                iter121.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter115 in self.entries:
-                iter115.write(oprot)
+            for iter122 in self.entries:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter116 in self.gone_entries:
-                oprot.writeString(iter116.encode('utf-8') if sys.version_info[0] == 2 else iter116)
+            for iter123 in self.gone_entries:
+                oprot.writeString(iter123.encode('utf-8') if sys.version_info[0] == 2 else iter123)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -2046,15 +2161,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter117 in self.loads:
-                iter117.write(oprot)
+            for iter124 in self.loads:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter118 in self.admitted:
-                iter118.write(oprot)
+            for iter125 in self.admitted:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2141,33 +2256,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = TableNews()
-                        _elem124.read(iprot)
-                        self.tables.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = TableNews()
+                        _elem131.read(iprot)
+                        self.tables.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = UpstreamLoad()
-                        _elem130.read(iprot)
-                        self.loads.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = UpstreamLoad()
+                        _elem137.read(iprot)
+                        self.loads.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = PrefixInfo()
-                        _elem136.read(iprot)
-                        self.prefixes.append(_elem136)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = PrefixInfo()
+                        _elem143.read(iprot)
+                        self.prefixes.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2194,11 +2309,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = SuspectInfo()
-                        _elem142.read(iprot)
-                        self.suspects.append(_elem142)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = SuspectInfo()
+                        _elem149.read(iprot)
+                        self.suspects.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2220,22 +2335,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter143 in self.tables:
-                iter143.write(oprot)
+            for iter150 in self.tables:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter144 in self.loads:
-                iter144.write(oprot)
+            for iter151 in self.loads:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter145 in self.prefixes:
-                iter145.write(oprot)
+            for iter152 in self.prefixes:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2261,8 +2376,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter146 in self.suspects:
-                iter146.write(oprot)
+            for iter153 in self.suspects:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2413,10 +2528,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2488,8 +2603,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter153 in self.excluded:
-                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
+            for iter160 in self.excluded:
+                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2756,33 +2871,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = UpstreamInfo()
-                        _elem159.read(iprot)
-                        self.upstreams.append(_elem159)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = UpstreamInfo()
+                        _elem166.read(iprot)
+                        self.upstreams.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = StartEnded()
-                        _elem165.read(iprot)
-                        self.gone.append(_elem165)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = StartEnded()
+                        _elem172.read(iprot)
+                        self.gone.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype169, _size166) = iprot.readListBegin()
-                    for _i170 in range(_size166):
-                        _elem171 = SuspectInfo()
-                        _elem171.read(iprot)
-                        self.suspects.append(_elem171)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = SuspectInfo()
+                        _elem178.read(iprot)
+                        self.suspects.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2799,22 +2914,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter172 in self.upstreams:
-                iter172.write(oprot)
+            for iter179 in self.upstreams:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter173 in self.gone:
-                iter173.write(oprot)
+            for iter180 in self.gone:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter174 in self.suspects:
-                iter174.write(oprot)
+            for iter181 in self.suspects:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2934,6 +3049,13 @@
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'units', None, None, ),  # 2
 )
+all_structs.append(RateLimitInfo)
+RateLimitInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -2946,6 +3068,7 @@
     (7, TType.STRING, 'session', 'UTF8', None, ),  # 7
     (8, TType.LIST, 'admitted', (TType.STRUCT, [AdmittedUnits, None], False), None, ),  # 8
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 9
+    (10, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimitInfo, None], False), None, ),  # 10
 )
 all_structs.append(TableHeld)
 TableHeld.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -120,6 +120,15 @@
   2: double units
 }
 
+/** A rate limit that an upstream has stated in an answer. */
+struct RateLimitInfo {
+  1: string instance
+  /** Requests per second from all VMs together. */
+  2: double per_s
+  /** Milliseconds since the answer was received when this was sent. */
+  3: i64 age_ms
+}
+
 /** All requests of an entry VM; a report with a higher number replaces it. */
 struct LoadReport {
   /** Rises with each report of the entry VM's process. */
@@ -139,6 +148,8 @@
   8: list<AdmittedUnits> admitted
   /** Requests that were lost to upstreams since the last report. */
   9: list<SuspectInfo> suspects
+  /** All rate limits of upstreams that are in force at the entry VM. */
+  10: list<RateLimitInfo> rate_limits
 }
 
 /** Versions of a control VM's table that the sender holds. */
