--- a/tests/limited_server.py
+++ b/tests/limited_server.py
@@ -7,9 +7,11 @@
 
 from tests.platform_client import ask
 from tests.platform_server import Server
-from tests.platform_world import ENTRY_ZONES, NORTH, SOUTH, World
+from tests.platform_world import World
 
-NORTH_2 = '127.0.9.12'
+NETWORK = '127.0.10'
+CONTROL_HOSTS = tuple(f'{NETWORK}.{number}' for number in (1, 2, 3))
+NORTH, NORTH_2, SOUTH = (f'{NETWORK}.{number}' for number in (11, 12, 21))
 ENTRIES = (NORTH, NORTH_2, SOUTH)
 
 # The platform counts what reaches a server in any window of this length.
@@ -90,8 +92,13 @@
     """A world of servers that state rate limits."""
 
     def __init__(self, folder):
-        zones = {**ENTRY_ZONES, NORTH_2: 'zone-a'}
-        super().__init__(folder, server_type=LimitedServer, entry_zones=zones)
+        super().__init__(
+            folder,
+            server_type=LimitedServer,
+            control_hosts=CONTROL_HOSTS,
+            entry_zones={NORTH: 'zone-a', NORTH_2: 'zone-a', SOUTH: 'zone-b'},
+            network=NETWORK,
+        )
 
     def state(self, service, text):
         """Have all servers of a service state a limit; None ends it."""
--- a/tests/platform_documents.py
+++ b/tests/platform_documents.py
@@ -63,7 +63,9 @@
     return {**fields, **changes}
 
 
-def boot_document(host, zone, folder, *, control, bootstrap=True):
+def boot_document(
+    host, zone, folder, *, control, bootstrap=True, seeds=CONTROL_HOSTS
+):
     """Return a settings file as the platform writes it."""
     listen = {
         'frontend': f'{host}:{FRONT}',
@@ -83,7 +85,7 @@
         'zones': ZONES,
         'listen': listen,
         'internal_port_range': [INTERNAL, INTERNAL + 15],
-        'seeds': [f'{one}:{CONTROL}' for one in CONTROL_HOSTS],
+        'seeds': [f'{one}:{CONTROL}' for one in seeds],
         'bootstrap': bootstrap,
         'data_dir': str(folder / host) if control else None,
         'bounds': {
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -20,13 +20,24 @@
 from tests.platform_server import Server
 
 ROOT = Path(__file__).resolve().parent.parent
-NORTH, SOUTH = '127.0.9.11', '127.0.9.21'
+NETWORK = '127.0.9'
+NORTH, SOUTH = f'{NETWORK}.11', f'{NETWORK}.21'
 ENTRY_ZONES = {NORTH: 'zone-a', SOUTH: 'zone-b'}
 
 
 @dataclass
 class World:
-    """Three control processes, two entries, and four servers."""
+    """Three control processes, two entries, and four servers.
+
+    Parameters
+    ----------
+    control_hosts : tuple of str
+        Addresses of the control processes.
+    entry_zones : dict
+        Zone of each entry process, by its address.
+    network : str
+        Beginning of all addresses. Worlds of one network run in turn.
+    """
 
     folder: Path
     processes: dict = field(default_factory=dict)
@@ -35,7 +46,9 @@
     silent: set = field(default_factory=set)
     lock: object = None
     server_type: type[Server] = Server
+    control_hosts: tuple = CONTROL_HOSTS
     entry_zones: dict = field(default_factory=lambda: dict(ENTRY_ZONES))
+    network: str = NETWORK
 
     async def start(self):
         """Start everything and wait until a request is served.
@@ -45,21 +58,21 @@
         """
         target = ROOT / 'target'
         target.mkdir(exist_ok=True)
-        self.lock = (target / 'world.lock').open('w')
+        self.lock = (target / f'world-{self.network}.lock').open('w')
         await asyncio.to_thread(fcntl.flock, self.lock, fcntl.LOCK_EX)
         key = ROOT / 'target' / 'cluster.key'
         key.parent.mkdir(exist_ok=True)
         if not key.exists():
             key.write_text(secrets.token_hex(32))
-        for host in CONTROL_HOSTS:
+        for host in self.control_hosts:
             await self.start_process(host, 'zone-a', control=True)
         for host, zone in self.entry_zones.items():
             await self.start_process(host, zone, control=False)
         for name, host, service, zone in (
-            ('north-app', '127.0.9.101', 'app', 'zone-a'),
-            ('north-llm', '127.0.9.102', 'llm', 'zone-a'),
-            ('north-llm-2', '127.0.9.103', 'llm', 'zone-a'),
-            ('south-app', '127.0.9.104', 'app', 'zone-b'),
+            ('north-app', f'{self.network}.101', 'app', 'zone-a'),
+            ('north-llm', f'{self.network}.102', 'llm', 'zone-a'),
+            ('north-llm-2', f'{self.network}.103', 'llm', 'zone-a'),
+            ('south-app', f'{self.network}.104', 'app', 'zone-b'),
         ):
             self.servers[name] = self.server_type(host, service, zone)
             await self.servers[name].start()
@@ -77,6 +90,7 @@
             self.folder,
             control=control,
             bootstrap=bootstrap,
+            seeds=self.control_hosts,
         )
         path.write_text(json.dumps(document))
         script = 'control.py' if control else 'entry.py'
@@ -114,7 +128,7 @@
         A stream that breaks goes on at the other one. Beside load a request
         is served before the other control machine has told of that one.
         """
-        await ask(NORTH, '/resumed/x')
+        await ask(next(iter(self.entry_zones)), '/resumed/x')
         engines = [
             server.instance
             for name, server in self.servers.items()
@@ -122,14 +136,14 @@
         ]
         return any(
             all(engine in ' '.join(line['among']) for engine in engines)
-            for line in self.logged(CONTROL_HOSTS[0], 'picking:place')
+            for line in self.logged(self.control_hosts[0], 'picking:place')
         )
 
     async def control(self, method, path, document=None, host=None):
         """Make a call to a control process."""
         try:
             return await call(
-                host or CONTROL_HOSTS[0],
+                host or self.control_hosts[0],
                 CONTROL,
                 method,
                 path,
@@ -153,7 +167,7 @@
             'PUT',
             f'/-/instances/{server.instance}',
             server.heartbeat(**changes),
-            CONTROL_HOSTS[place % len(CONTROL_HOSTS)],
+            self.control_hosts[place % len(self.control_hosts)],
         )
 
     async def close(self):
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -8,16 +8,18 @@
 import pytest_asyncio
 
 from tests.limited_server import (
+    CONTROL_HOSTS,
     ENTRIES,
+    NORTH,
     NORTH_2,
+    SOUTH,
     LimitedWorld,
     allowed,
     ask_steadily,
     most_in_a_window,
 )
 from tests.platform_client import ask
-from tests.platform_documents import CONTROL_HOSTS
-from tests.platform_world import NORTH, SOUTH, until
+from tests.platform_world import until
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
