Log the pauses that upstreams ask for when they refuse a request

Retry-After of a 503 is read from its head; each longer pause is a log line, each refusal with one is counted. A text that is no decimal number is logged once. No decision uses it yet.

--- a/godwitshunt/backpressure/__init__.py
+++ b/godwitshunt/backpressure/__init__.py
@@ -17,6 +17,7 @@
     entry_share,
     picker_share,
 )
+from godwitshunt.backpressure.rests import RestTable
 
 __all__ = [
     'InvalidHeader',
@@ -25,6 +26,7 @@
     'RateLimitTable',
     'RateLimiter',
     'RateShare',
+    'RestTable',
     'entry_share',
     'picker_share',
     'read_decimal',
--- /dev/null
+++ b/godwitshunt/backpressure/tests/test_rests.py
@@ -0,0 +1,34 @@
+"""Pauses that upstreams have asked a VM for."""
+
+import pytest
+
+from godwitshunt.backpressure import RestTable
+
+
+@pytest.mark.parametrize(
+    ('asked', 'now_s', 'remaining_s'),
+    [
+        ([(5.0, 3.0)], 5.0, 3.0),
+        ([(5.0, 3.0)], 8.0, 0.0),
+        # A later refusal asks for less: the earlier one still holds.
+        ([(5.0, 3.0), (6.0, 0.5)], 7.0, 1.0),
+        ([(5.0, 3.0), (7.0, 3.0)], 8.0, 2.0),
+        ([(5.0, 0.0)], 5.0, 0.0),
+    ],
+)
+def test_longest_pause_holds(asked, now_s, remaining_s):
+    """A pause that ends early because another refusal asked for less."""
+    rests = RestTable()
+    for asked_s, pause_s in asked:
+        rests.record('i-1', pause_s, asked_s)
+    assert rests.remaining_s('i-1', now_s) == pytest.approx(remaining_s)
+
+
+def test_ended_pauses_are_removed():
+    """A table that grows with each upstream that was ever overloaded."""
+    rests = RestTable()
+    rests.record('i-1', 3.0, 5.0)
+    rests.record('i-2', 9.0, 5.0)
+    rests.expire(8.5)
+    assert rests.until_s.keys() == {'i-2'}
+    assert rests.resting(9.0) == {'i-2': pytest.approx(5.0)}
--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -54,7 +54,11 @@
         picker=picker,
         budgets=make_budgets(settings, timer.now()),
         answer_headers=AnswerHeaderReader(
-            names, upstreams.rate_limiter.table, timer, metrics
+            names,
+            upstreams.rate_limiter.table,
+            upstreams.rests,
+            timer,
+            metrics,
         ),
         crash_detector=CrashDetector(watch.quarantine, timer, source),
         pool=UpstreamPool(metrics, source=source),
--- a/godwitshunt/ingress/tests/test_upstream_headers.py
+++ b/godwitshunt/ingress/tests/test_upstream_headers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitshunt.backpressure import RateLimitTable
+from godwitshunt.backpressure import RateLimitTable, RestTable
 from godwitshunt.exchange.upstream_messages import AnswerHead
 from godwitshunt.ingress import HeaderNames
 from godwitshunt.ingress.upstream_headers import AnswerHeaderReader
@@ -17,7 +17,9 @@
 def reader() -> AnswerHeaderReader:
     """Return a reader at a fixed time."""
     timer = SimpleNamespace(now=lambda: NOW_S)
-    return AnswerHeaderReader(NAMES, RateLimitTable(), timer, Metrics())
+    return AnswerHeaderReader(
+        NAMES, RateLimitTable(), RestTable(), timer, Metrics()
+    )
 
 
 def head(limit: bytes | None) -> AnswerHead:
@@ -44,3 +46,26 @@
     answers.read('i-1', 'r-2', head(b'3'), sent_s=9.0)
     answers.read('i-1', 'r-3', head(text), sent_s=NOW_S + 1)
     assert answers.rate_limits.per_s('i-1') == pytest.approx(3)
+
+
+@pytest.mark.parametrize(
+    ('status', 'text', 'remaining_s'),
+    [
+        (503, b'3', 3.0),
+        (503, b'0.25', 0.25),
+        (503, b'soon', 0.0),
+        (503, b'-3', 0.0),
+        (503, b'+3', 0.0),
+        (503, b'nan', 0.0),
+        (503, b'1e999', 0.0),
+        (503, b'Fri, 31 Dec 1999 23:59:59 GMT', 0.0),
+        (200, b'3', 0.0),
+        (429, b'3', 0.0),
+    ],
+)
+def test_pause_is_read_from_refusals(status, text, remaining_s):
+    """A pause that no refusal asked for, or one that never ends."""
+    answers = reader()
+    refusal = AnswerHead(status, ((b'retry-after', text),))
+    answers.read('i-1', 'r-1', refusal, sent_s=9.0)
+    assert answers.rests.remaining_s('i-1', NOW_S) == pytest.approx(remaining_s)
--- a/godwitshunt/ingress/upstream_headers.py
+++ b/godwitshunt/ingress/upstream_headers.py
@@ -8,6 +8,7 @@
     InvalidHeader,
     RateLimitNotice,
     RateLimitTable,
+    RestTable,
     read_decimal,
 )
 from godwitshunt.exchange.upstream_messages import AnswerHead
@@ -15,6 +16,8 @@
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Timer
 
+UNAVAILABLE = 503
+RETRY_AFTER = b'retry-after'
 MAX_LOGGED_CHARACTERS = 100
 
 
@@ -30,12 +33,15 @@
         Names of the headers.
     rate_limits : RateLimitTable
         Receives the stated rate limits.
+    rests : RestTable
+        Receives the pauses that refusals ask for.
     ignored : dict
         Last invalid header of each upstream, which is logged once.
     """
 
     names: HeaderNames
     rate_limits: RateLimitTable
+    rests: RestTable
     timer: Timer
     metrics: Metrics
     ignored: dict[str, InvalidHeader] = field(default_factory=dict)
@@ -65,6 +71,25 @@
                 asof_s = sent_s if per_s is None else self.timer.now()
                 notice = RateLimitNotice(incarnation, per_s, asof_s)
                 self.record_rate_limit(notice, request_id)
+        if head.status == UNAVAILABLE:
+            self.read_pause(incarnation, request_id, head)
+
+    def read_pause(
+        self, incarnation: str, request_id: str, head: AnswerHead
+    ) -> None:
+        """Record the pause that a refusal asks for."""
+        match read_decimal(head.headers, RETRY_AFTER):
+            case Err(invalid):
+                self.log_ignored(incarnation, request_id, invalid)
+            case Ok(float(pause_s)):
+                self.metrics.count('ingress_pauses_asked_total')
+                if self.rests.record(incarnation, pause_s, self.timer.now()):
+                    log_change(
+                        'ingress:upstream_pause',
+                        instance=incarnation,
+                        request=request_id,
+                        pause_s=pause_s,
+                    )
 
     def record_rate_limit(
         self, notice: RateLimitNotice, request_id: str
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from math import isfinite
 
-from godwitshunt.backpressure import RateLimiter
+from godwitshunt.backpressure import RateLimiter, RestTable
 from godwitshunt.manifest import Service
 from godwitshunt.picking.learned_speed import LearnedSpeed
 from godwitshunt.registry import RegistryView, UpstreamSeen
@@ -35,12 +35,15 @@
         Speed and outlier detection by service.
     rate_limiter : RateLimiter
         Keeps this process within its share of upstreams' rate limits.
+    rests : RestTable
+        Upstreams that have asked this VM for a pause.
     """
 
     health: dict[str, UpstreamHealth] = field(default_factory=dict)
     speeds: dict[str, LearnedSpeed] = field(default_factory=dict)
     outliers: dict[str, OutlierDetector] = field(default_factory=dict)
     rate_limiter: RateLimiter = field(default_factory=RateLimiter)
+    rests: RestTable = field(default_factory=RestTable)
 
     def health_of(self, instance: str) -> UpstreamHealth:
         """Return the health of an incarnation."""
