--- a/tests/limited_server.py
+++ b/tests/limited_server.py
@@ -18,6 +18,9 @@
 WINDOW_S = 4.0
 FACTOR = 1.5
 ALLOWANCE = 5
+# A VM knows of a rest this long after the refusal that asked for it.
+REST_KNOWN_S = 0.5
+FULL_HEAD = 'HTTP/1.1 503 Shed\r\nNot-Executed: 1\r\n'
 LIMIT_LINE = 'server-limit: '
 
 
@@ -30,14 +33,20 @@
     stated : str
         Header lines, each with its end.
     arrivals : list of (float, str)
-        When requests reached it, by the loop's clock, and their path.
+        When requests reached it, by the loop's clock, and from which VM.
     breaks : bool
         True to break off each answer after its head.
+    rest : str
+        Text of `Retry-After` in the refusal of every request; empty to serve.
+    rested : list of (float, str)
+        When it refused a request so, and from which VM.
     """
 
     stated: str = ''
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     breaks: bool = False
+    rest: str = ''
+    rested: list[tuple[float, str]] = field(default_factory=list)
 
     def state_limit(self, text):
         """State a rate limit from now on; None ends it."""
@@ -46,8 +55,15 @@
     async def answer(self, reader, writer, head, fields, body):
         """Answer a request with the stated headers."""
         if fields.get('expect-instance') == self.instance:
-            now_s = asyncio.get_running_loop().time()
-            self.arrivals.append((now_s, head.split(b' ', 2)[1].decode()))
+            arrival = (
+                asyncio.get_running_loop().time(),
+                writer.get_extra_info('peername')[0],
+            )
+            self.arrivals.append(arrival)
+            if self.rest:
+                self.rested.append(arrival)
+                writer.write(refusal(self.rest))
+                return
         stating = StatingWriter(writer, self.stated.encode(), self.breaks)
         await super().answer(reader, stating, head, fields, body)
 
@@ -61,6 +77,12 @@
         return type(self)(self.host, self.service, self.zone, port=self.port)
 
 
+def refusal(rest):
+    """Return a refusal that asks for rest."""
+    head = f'{FULL_HEAD}Retry-After: {rest}\r\nContent-Length: 0\r\n\r\n'
+    return head.encode()
+
+
 class StatingWriter:
     """Adds header lines after the status line of an answer."""
 
@@ -152,3 +174,20 @@
 def allowed(per_s):
     """Return how many requests a limit allows in a window."""
     return FACTOR * per_s * WINDOW_S + ALLOWANCE
+
+
+def most_within_a_rest(server, rest_s):
+    """Return the most requests of one VM within one rest that it was asked for.
+
+    The platform counts from half a second after the refusal on.
+    """
+    most = 0
+    for refused_s, refused_vm in server.rested:
+        within = [
+            at_s
+            for at_s, vm in server.arrivals
+            if vm == refused_vm
+            and refused_s + REST_KNOWN_S < at_s < refused_s + rest_s
+        ]
+        most = max(most, len(within))
+    return most
