Keep the pauses that upstreams ask for when they refuse a request

What callers saw: a second or third attempt at another upstream, and, where the retry budget was spent by such refusals, a refusal.

Cause: a refusal kept an upstream out for 0.15 s, whatever it asked for, and the picker that assigned the next request knew nothing of one VM's refusal.

An entry VM keeps the end of each pause; it names the pauses with each question to the picker, heeds them in its own choice, and drops a choice that a refusal has overtaken. Where all upstreams rest, callers are refused at once with the end of the first pause.

--- a/godwitshunt/backpressure/__init__.py
+++ b/godwitshunt/backpressure/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from godwitshunt.backpressure.headers import InvalidHeader, read_decimal
+from godwitshunt.backpressure.pauses import PauseTable
 from godwitshunt.backpressure.rate_limiter import RateLimiter
 from godwitshunt.backpressure.rate_limits import (
     RateLimitNotice,
@@ -17,7 +18,6 @@
     entry_share,
     picker_share,
 )
-from godwitshunt.backpressure.rests import RestTable
 
 __all__ = [
     'InvalidHeader',
@@ -26,7 +26,7 @@
     'RateLimitTable',
     'RateLimiter',
     'RateShare',
-    'RestTable',
+    'PauseTable',
     'entry_share',
     'picker_share',
     'read_decimal',
--- a/godwitshunt/backpressure/rests.py
+++ b/godwitshunt/backpressure/pauses.py
@@ -5,19 +5,19 @@
 
 
 @dataclass
-class RestTable:
+class PauseTable:
     """Upstreams that have asked this VM for a pause.
 
     A pause binds the VM that was refused. Others may send to the upstream.
 
     Examples
     --------
-    >>> rests = RestTable()
-    >>> rests.record('i-1', 3.0, now_s=5.0)
+    >>> pauses = PauseTable()
+    >>> pauses.record('i-1', 3.0, now_s=5.0)
     True
-    >>> rests.remaining_s('i-1', now_s=7.5)
+    >>> pauses.remaining_s('i-1', now_s=7.5)
     0.5
-    >>> rests.record('i-1', 0.1, now_s=7.5)
+    >>> pauses.record('i-1', 0.1, now_s=7.5)
     False
     """
 
@@ -38,7 +38,7 @@
         """Return the seconds until the pause of an upstream ends, or zero."""
         return max(0.0, self.until_s.get(incarnation, now_s) - now_s)
 
-    def resting(self, now_s: float) -> Mapping[str, float]:
+    def active(self, now_s: float) -> Mapping[str, float]:
         """Return the remaining seconds of all pauses, by incarnation."""
         return {
             incarnation: until_s - now_s
--- a/godwitshunt/backpressure/tests/test_rests.py
+++ b/godwitshunt/backpressure/tests/test_pauses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitshunt.backpressure import RestTable
+from godwitshunt.backpressure import PauseTable
 
 
 @pytest.mark.parametrize(
@@ -18,17 +18,17 @@
 )
 def test_longest_pause_holds(asked, now_s, remaining_s):
     """A pause that ends early because another refusal asked for less."""
-    rests = RestTable()
+    pauses = PauseTable()
     for asked_s, pause_s in asked:
-        rests.record('i-1', pause_s, asked_s)
-    assert rests.remaining_s('i-1', now_s) == pytest.approx(remaining_s)
+        pauses.record('i-1', pause_s, asked_s)
+    assert pauses.remaining_s('i-1', now_s) == pytest.approx(remaining_s)
 
 
 def test_ended_pauses_are_removed():
     """A table that grows with each upstream that was ever overloaded."""
-    rests = RestTable()
-    rests.record('i-1', 3.0, 5.0)
-    rests.record('i-2', 9.0, 5.0)
-    rests.expire(8.5)
-    assert rests.until_s.keys() == {'i-2'}
-    assert rests.resting(9.0) == {'i-2': pytest.approx(5.0)}
+    pauses = PauseTable()
+    pauses.record('i-1', 3.0, 5.0)
+    pauses.record('i-2', 9.0, 5.0)
+    pauses.expire(8.5)
+    assert pauses.until_s.keys() == {'i-2'}
+    assert pauses.active(9.0) == {'i-2': pytest.approx(5.0)}
--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -56,7 +56,7 @@
         answer_headers=AnswerHeaderReader(
             names,
             upstreams.rate_limiter.table,
-            upstreams.rests,
+            upstreams.pauses,
             timer,
             metrics,
         ),
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -290,6 +290,7 @@
             local=request.is_forwarded,
             organisation=request.organisation_name,
             cost=self.cost(),
+            pauses=self.context.upstreams.pauses.active(now_s),
         )
 
     def record_charge(self, choice: Choice | None) -> None:
@@ -321,7 +322,7 @@
 
         An upstream is unusable once any control VM has reported that it is
         leaving, that its incarnation has ended or that its failure domain is
-        evacuated.
+        evacuated, and while it has asked this VM for a pause.
         """
         announcement = upstream.announcement
         homes = self.request.route.homes
@@ -335,7 +336,10 @@
         is_home = not homes or self.context.settings.region in homes
         evacuated = self.context.active_revision().revision.evacuated
         is_evacuated = announcement.failure_domain in evacuated
-        return is_home and not is_leaving and not is_evacuated
+        is_paused = self.context.upstreams.pauses.remaining_s(
+            announcement.incarnation, self.context.timer.now()
+        )
+        return is_home and not (is_leaving or is_evacuated or is_paused)
 
     def exclude(self, choice: SendHere | HandOver) -> None:
         """Exclude a destination from further choices."""
@@ -390,6 +394,7 @@
                 now_s,
             ),
             entry=self.context.settings.name,
+            pauses=self.context.upstreams.pauses.active(now_s),
         )
         view = self.context.watch.view()
         revision = self.context.active_revision().revision
--- a/godwitshunt/ingress/tests/test_upstream_headers.py
+++ b/godwitshunt/ingress/tests/test_upstream_headers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitshunt.backpressure import RateLimitTable, RestTable
+from godwitshunt.backpressure import PauseTable, RateLimitTable
 from godwitshunt.exchange.upstream_messages import AnswerHead
 from godwitshunt.ingress import HeaderNames
 from godwitshunt.ingress.upstream_headers import AnswerHeaderReader
@@ -18,7 +18,7 @@
     """Return a reader at a fixed time."""
     timer = SimpleNamespace(now=lambda: NOW_S)
     return AnswerHeaderReader(
-        NAMES, RateLimitTable(), RestTable(), timer, Metrics()
+        NAMES, RateLimitTable(), PauseTable(), timer, Metrics()
     )
 
 
@@ -68,4 +68,6 @@
     answers = reader()
     refusal = AnswerHead(status, ((b'retry-after', text),))
     answers.read('i-1', 'r-1', refusal, sent_s=9.0)
-    assert answers.rests.remaining_s('i-1', NOW_S) == pytest.approx(remaining_s)
+    assert answers.pauses.remaining_s('i-1', NOW_S) == pytest.approx(
+        remaining_s
+    )
--- a/godwitshunt/ingress/upstream_headers.py
+++ b/godwitshunt/ingress/upstream_headers.py
@@ -6,9 +6,9 @@
 
 from godwitshunt.backpressure import (
     InvalidHeader,
+    PauseTable,
     RateLimitNotice,
     RateLimitTable,
-    RestTable,
     read_decimal,
 )
 from godwitshunt.exchange.upstream_messages import AnswerHead
@@ -33,7 +33,7 @@
         Names of the headers.
     rate_limits : RateLimitTable
         Receives the stated rate limits.
-    rests : RestTable
+    pauses : PauseTable
         Receives the pauses that refusals ask for.
     ignored : dict
         Last invalid header of each upstream, which is logged once.
@@ -41,7 +41,7 @@
 
     names: HeaderNames
     rate_limits: RateLimitTable
-    rests: RestTable
+    pauses: PauseTable
     timer: Timer
     metrics: Metrics
     ignored: dict[str, InvalidHeader] = field(default_factory=dict)
@@ -83,7 +83,7 @@
                 self.log_ignored(incarnation, request_id, invalid)
             case Ok(float(pause_s)):
                 self.metrics.count('ingress_pauses_asked_total')
-                if self.rests.record(incarnation, pause_s, self.timer.now()):
+                if self.pauses.record(incarnation, pause_s, self.timer.now()):
                     log_change(
                         'ingress:upstream_pause',
                         instance=incarnation,
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -1,6 +1,7 @@
 """Input and possible results of the choice of a destination; no I/O."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from godwitshunt.manifest import Route, Service
 from godwitshunt.registry import EntryRecord, UpstreamSeen
@@ -29,6 +30,9 @@
         Incarnations that have the shared parts of the prompt cached.
     entry : str
         Name of the entry VM that has the request.
+    pauses : mapping
+        Remaining seconds of the pauses that upstreams have asked that VM for,
+        by incarnation.
     """
 
     route: Route
@@ -41,6 +45,7 @@
     low_urgency_regions: frozenset[str] = frozenset()
     holders: frozenset[str] = frozenset()
     entry: str = ''
+    pauses: Mapping[str, float] = field(default_factory=dict)
 
     def affinity(self, region: str) -> float:
         """Return the hashing weight of a region for shared prompt parts."""
--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -45,6 +45,9 @@
 # engines would refuse the longest prompts.
 MAX_WAIT_SHARE = 0.8
 MIN_RETRY_S = 0.1
+# Retry delays for a pause that an upstream has asked for are longer by up to
+# this factor.
+MAX_PAUSE_SPREAD = 1.2
 # Number of entry VMs per other region to which an entry VM hands requests
 # over. One alone could fail, or be busy with requests of other VMs.
 PREFERRED_ENTRIES = 2
@@ -154,22 +157,33 @@
 
     def retry_wait_s(self, request: ChoiceRequest, view: RegistryView) -> float:
         """Return the retry delay of a request without an upstream."""
-        now_s = request.now_s
-        upstreams = tuple(of_service(view, request.service.name))
-        limited = {
-            upstream.announcement.incarnation
-            for upstream in upstreams
-            if self.filter.rate_wait_s(upstream, now_s)
-        }
-        if not limited:
+        held = {}
+        free = []
+        for upstream in of_service(view, request.service.name):
+            wait_s = self.held_s(upstream, request)
+            if wait_s:
+                held[upstream.announcement.incarnation] = wait_s
+            else:
+                free.append(upstream)
+        if not held:
             return self.jitter(self.opens_in_s(request, view))
-        unlimited = [
-            upstream
-            for upstream in upstreams
-            if upstream.announcement.incarnation not in limited
-        ]
-        waits = self.pauses_s(unlimited, now_s)
-        return min((*waits, self.rate_limited_s(limited, now_s)))
+        first = min(held, key=held.__getitem__)
+        limiter = self.upstreams.rate_limiter
+        limiter.record_retry(first, request.now_s + held[first])
+        return min((*self.backoffs_s(free, request.now_s), held[first]))
+
+    def held_s(self, upstream: UpstreamSeen, request: ChoiceRequest) -> float:
+        """Return for how long an upstream itself asks to get no request."""
+        now_s = request.now_s
+        incarnation = upstream.announcement.incarnation
+        # Callers that were refused at different times would come back together
+        # at the end of the pause.
+        spread = self.random.uniform(1.0, MAX_PAUSE_SPREAD)
+        wait_s = request.pauses.get(incarnation, 0.0) * spread
+        if self.filter.rate_wait_s(upstream, now_s):
+            limiter = self.upstreams.rate_limiter
+            wait_s = max(wait_s, limiter.retry_wait_s(incarnation, now_s))
+        return wait_s
 
     def opens_in_s(self, request: ChoiceRequest, view: RegistryView) -> float:
         """Return the seconds until an upstream may accept a request again.
@@ -186,27 +200,19 @@
         ]
         opens = [open_s for open_s in opens if open_s > 0]
         upstreams = of_service(view, request.service.name)
-        opens.extend(self.pauses_s(upstreams, request.now_s))
+        opens.extend(self.backoffs_s(upstreams, request.now_s))
         return max(MIN_RETRY_S, min(opens, default=NO_UPSTREAM_RETRY_S))
 
-    def pauses_s(
+    def backoffs_s(
         self, upstreams: Iterable[UpstreamSeen], now_s: float
     ) -> list[float]:
-        """Return the remaining pauses after failed connections and refusals."""
+        """Return remaining backoffs after failed connections and refusals."""
         ends = []
         for upstream in upstreams:
             health = self.upstreams.health_of(upstream.announcement.incarnation)
             ends.extend((health.down_until_s, health.full_until_s))
         return [end_s - now_s for end_s in ends if end_s > now_s]
 
-    def rate_limited_s(self, limited: Iterable[str], now_s: float) -> float:
-        """Return the retry delay that rate limits permit."""
-        limiter = self.upstreams.rate_limiter
-        waits = {name: limiter.retry_wait_s(name, now_s) for name in limited}
-        first = min(waits, key=waits.__getitem__)
-        limiter.record_retry(first, now_s + waits[first])
-        return waits[first]
-
     def fallbacks(
         self,
         request: ChoiceRequest,
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -83,6 +83,8 @@
             return 'unreached'
         if now_s < health.full_until_s:
             return 'refused a request as full'
+        if upstream.announcement.incarnation in request.pauses:
+            return 'asked for a pause'
         if self.rate_wait_s(upstream, now_s):
             return 'rate limit'
         if self.may_be_cold(upstream, request) and not self.has_cold_capacity(
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -10,8 +10,8 @@
 No I/O: each call gets the time and the known state.
 """
 
-from collections.abc import Collection
-from dataclasses import dataclass, replace
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
@@ -70,6 +70,9 @@
         The caller's organisation; empty if there is none.
     cost : float
         Units that the request uses of the organisation's limit.
+    pauses : mapping
+        Remaining seconds of the pauses that upstreams have asked the entry VM
+        for, by incarnation.
     """
 
     entry: str
@@ -83,6 +86,7 @@
     local: bool = False
     organisation: str = ''
     cost: float = 0.0
+    pauses: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -272,6 +276,7 @@
             low_urgency_regions=low_urgency,
             holders=self.prefixes.holders(demand.shared_key, now_s),
             entry=query.entry,
+            pauses=query.pauses,
         )
 
     def has_cold_capacity(
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from math import isfinite
 
-from godwitshunt.backpressure import RateLimiter, RestTable
+from godwitshunt.backpressure import PauseTable, RateLimiter
 from godwitshunt.manifest import Service
 from godwitshunt.picking.learned_speed import LearnedSpeed
 from godwitshunt.registry import RegistryView, UpstreamSeen
@@ -35,7 +35,7 @@
         Speed and outlier detection by service.
     rate_limiter : RateLimiter
         Keeps this process within its share of upstreams' rate limits.
-    rests : RestTable
+    pauses : PauseTable
         Upstreams that have asked this VM for a pause.
     """
 
@@ -43,7 +43,7 @@
     speeds: dict[str, LearnedSpeed] = field(default_factory=dict)
     outliers: dict[str, OutlierDetector] = field(default_factory=dict)
     rate_limiter: RateLimiter = field(default_factory=RateLimiter)
-    rests: RestTable = field(default_factory=RestTable)
+    pauses: PauseTable = field(default_factory=PauseTable)
 
     def health_of(self, instance: str) -> UpstreamHealth:
         """Return the health of an incarnation."""
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -56,6 +56,10 @@
         local=query.local,
         organisation=query.organisation or None,
         cost=query.cost,
+        pauses=[
+            ttypes.PauseInfo(instance, int(remaining_s * MILLISECONDS) + 1)
+            for instance, remaining_s in query.pauses.items()
+        ],
     )
 
 
@@ -86,6 +90,10 @@
         local=bool(message.local),
         organisation=message.organisation or '',
         cost=max(0.0, message.cost or 0.0),
+        pauses={
+            pause.instance: pause.remaining_ms / MILLISECONDS
+            for pause in message.pauses or ()
+        },
     )
 
 
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -2409,6 +2409,88 @@
         return not (self == other)
 
 
+class PauseInfo(object):
+    """
+    A pause that an upstream has asked an entry VM for.
+
+    Attributes:
+     - instance
+     - remaining_ms: Milliseconds until it ends when this was sent.
+
+    """
+
+    __slots__ = (
+        'instance',
+        'remaining_ms',
+    )
+
+
+    def __init__(self, instance=None, remaining_ms=None,):
+        self.instance = instance
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PauseInfo')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 2)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlaceAsked(object):
     """
     From an entry VM to its region's picker: requests a destination.
@@ -2428,6 +2510,7 @@
      - local: True if it was forwarded here and must be served in this region.
      - organisation: Organisation that sent it; absent for none.
      - cost: Units that it counts in that organisation's limit.
+     - pauses: Upstreams to which this entry VM must not send now.
 
     """
 
@@ -2446,10 +2529,11 @@
         'local',
         'organisation',
         'cost',
+        'pauses',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -2464,6 +2548,7 @@
         self.local = local
         self.organisation = organisation
         self.cost = cost
+        self.pauses = pauses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2550,6 +2635,17 @@
                     self.cost = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.pauses = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = PauseInfo()
+                        _elem165.read(iprot)
+                        self.pauses.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2603,8 +2699,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter160 in self.excluded:
-                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            for iter166 in self.excluded:
+                oprot.writeString(iter166.encode('utf-8') if sys.version_info[0] == 2 else iter166)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2619,6 +2715,13 @@
             oprot.writeFieldBegin('cost', TType.DOUBLE, 14)
             oprot.writeDouble(self.cost)
             oprot.writeFieldEnd()
+        if self.pauses is not None:
+            oprot.writeFieldBegin('pauses', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.pauses))
+            for iter167 in self.pauses:
+                iter167.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2871,33 +2974,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = UpstreamInfo()
-                        _elem166.read(iprot)
-                        self.upstreams.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = UpstreamInfo()
+                        _elem173.read(iprot)
+                        self.upstreams.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = StartEnded()
-                        _elem172.read(iprot)
-                        self.gone.append(_elem172)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = StartEnded()
+                        _elem179.read(iprot)
+                        self.gone.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = SuspectInfo()
-                        _elem178.read(iprot)
-                        self.suspects.append(_elem178)
+                    (_etype183, _size180) = iprot.readListBegin()
+                    for _i184 in range(_size180):
+                        _elem185 = SuspectInfo()
+                        _elem185.read(iprot)
+                        self.suspects.append(_elem185)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2914,22 +3017,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter179 in self.upstreams:
-                iter179.write(oprot)
+            for iter186 in self.upstreams:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter180 in self.gone:
-                iter180.write(oprot)
+            for iter187 in self.gone:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter181 in self.suspects:
-                iter181.write(oprot)
+            for iter188 in self.suspects:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3123,6 +3226,12 @@
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 9
     (10, TType.I64, 'suspects_version', None, None, ),  # 10
 )
+all_structs.append(PauseInfo)
+PauseInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'remaining_ms', None, None, ),  # 2
+)
 all_structs.append(PlaceAsked)
 PlaceAsked.thrift_spec = (
     None,  # 0
@@ -3140,6 +3249,7 @@
     (12, TType.BOOL, 'local', None, None, ),  # 12
     (13, TType.STRING, 'organisation', 'UTF8', None, ),  # 13
     (14, TType.DOUBLE, 'cost', None, None, ),  # 14
+    (15, TType.LIST, 'pauses', (TType.STRUCT, [PauseInfo, None], False), None, ),  # 15
 )
 all_structs.append(PlaceGiven)
 PlaceGiven.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -237,6 +237,13 @@
   10: i64 suspects_version
 }
 
+/** A pause that an upstream has asked an entry VM for. */
+struct PauseInfo {
+  1: string instance
+  /** Milliseconds until it ends when this was sent. */
+  2: i64 remaining_ms
+}
+
 /** From an entry VM to its region's picker: requests a destination. */
 struct PlaceAsked {
   1: string entry_name
@@ -259,6 +266,8 @@
   13: optional string organisation
   /** Units that it counts in that organisation's limit. */
   14: double cost
+  /** Upstreams to which this entry VM must not send now. */
+  15: list<PauseInfo> pauses
 }
 
 /** The destination of a request: an upstream, an entry VM, or none. */
--- a/tests/limited_server.py
+++ b/tests/limited_server.py
@@ -9,11 +9,6 @@
 from tests.platform_server import Server
 from tests.platform_world import World
 
-NETWORK = '127.0.10'
-CONTROL_HOSTS = tuple(f'{NETWORK}.{number}' for number in (1, 2, 3))
-NORTH, NORTH_2, SOUTH = (f'{NETWORK}.{number}' for number in (11, 12, 21))
-ENTRIES = (NORTH, NORTH_2, SOUTH)
-
 # The platform counts what reaches a server in any window of this length.
 WINDOW_S = 4.0
 FACTOR = 1.5
@@ -110,16 +105,34 @@
         await self.writer.drain()
 
 
+@dataclass(frozen=True)
+class Hosts:
+    """Addresses of a world with two entry VMs in the north."""
+
+    network: str
+
+    @property
+    def control(self):
+        """Addresses of the control processes."""
+        return tuple(f'{self.network}.{number}' for number in (1, 2, 3))
+
+    @property
+    def entries(self):
+        """Addresses of the entry processes, two of the north and the south."""
+        return tuple(f'{self.network}.{number}' for number in (11, 12, 21))
+
+
 class LimitedWorld(World):
     """A world of servers that state rate limits."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, hosts):
+        zones = ('zone-a', 'zone-a', 'zone-b')
         super().__init__(
             folder,
             server_type=LimitedServer,
-            control_hosts=CONTROL_HOSTS,
-            entry_zones={NORTH: 'zone-a', NORTH_2: 'zone-a', SOUTH: 'zone-b'},
-            network=NETWORK,
+            control_hosts=hosts.control,
+            entry_zones=dict(zip(hosts.entries, zones, strict=True)),
+            network=hosts.network,
         )
 
     def state(self, service, text):
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -8,11 +8,7 @@
 import pytest_asyncio
 
 from tests.limited_server import (
-    CONTROL_HOSTS,
-    ENTRIES,
-    NORTH,
-    NORTH_2,
-    SOUTH,
+    Hosts,
     LimitedWorld,
     allowed,
     ask_steadily,
@@ -23,6 +19,10 @@
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
+HOSTS = Hosts('127.0.10')
+CONTROL_HOSTS = HOSTS.control
+ENTRIES = HOSTS.entries
+NORTH, NORTH_2, SOUTH = ENTRIES
 OK, REFUSED = 200, 503
 # The platform's bound: a limit is kept this long after it was first stated.
 CONTACT_S = 5.0
@@ -34,7 +34,7 @@
 @pytest_asyncio.fixture(scope='module', loop_scope='module')
 async def started(tmp_path_factory):
     """Return a deployment with two entry VMs and two engines in one region."""
-    deployment = LimitedWorld(tmp_path_factory.mktemp('limits'))
+    deployment = LimitedWorld(tmp_path_factory.mktemp('limits'), HOSTS)
     try:
         await deployment.start()
         yield deployment
