Send nothing more to an upstream that states in an answer that it leaves

What callers saw: requests at a server that was about to end, where its heartbeats were late or lost.

Cause: only heartbeats were read for it. An entry VM that is cut off from control, or one whose control has not been told, went on sending although each answer said so.

The VM reads the header with the head of an answer, leaves the upstream out of its own choice and of the picker's choices, and reports it, so that the picker assigns nobody of the region there. Only the content 1 counts.

--- a/godwitshunt/backpressure/__init__.py
+++ b/godwitshunt/backpressure/__init__.py
@@ -5,7 +5,12 @@
 limit among the processes that send to it. It performs no I/O.
 """
 
-from godwitshunt.backpressure.headers import InvalidHeader, read_decimal
+from godwitshunt.backpressure.departures import DepartureTable
+from godwitshunt.backpressure.headers import (
+    InvalidHeader,
+    read_decimal,
+    read_flag,
+)
 from godwitshunt.backpressure.pauses import PauseTable
 from godwitshunt.backpressure.rate_limiter import RateLimiter
 from godwitshunt.backpressure.rate_limits import (
@@ -20,6 +25,7 @@
 )
 
 __all__ = [
+    'DepartureTable',
     'InvalidHeader',
     'NO_SHARE',
     'RateLimitNotice',
@@ -30,4 +36,5 @@
     'entry_share',
     'picker_share',
     'read_decimal',
+    'read_flag',
 ]
--- a/godwitshunt/backpressure/headers.py
+++ b/godwitshunt/backpressure/headers.py
@@ -1,4 +1,4 @@
-"""Strict reading of numeric headers in the answers of upstreams."""
+"""Strict reading of headers in the answers of upstreams."""
 
 import re
 from collections.abc import Iterable
@@ -9,11 +9,12 @@
 # No sign, no exponent, no name of a special value: `float` accepts them all,
 # and a limit of `nan` or `-1` would stop or free all traffic to an upstream.
 DECIMAL = re.compile(rb'\d{1,12}(?:\.\d{1,40})?')
+FLAG = b'1'
 
 
 @dataclass(frozen=True)
 class InvalidHeader:
-    """A header that does not hold one decimal number.
+    """A header that does not hold what was expected.
 
     Parameters
     ----------
@@ -55,3 +56,24 @@
     if len(set(texts)) > 1 or DECIMAL.fullmatch(texts[0]) is None:
         return Err(InvalidHeader(name, texts))
     return Ok(float(texts[0]))
+
+
+def read_flag(
+    headers: Iterable[tuple[bytes, bytes]],
+    name: bytes,
+) -> Result[bool, InvalidHeader]:
+    """Return whether a header is present, with 1 as its content.
+
+    Examples
+    --------
+    >>> read_flag([(b'leaving', b'1')], b'leaving')
+    Ok(True)
+    >>> read_flag([], b'leaving')
+    Ok(False)
+    >>> read_flag([(b'leaving', b'yes')], b'leaving').is_err()
+    True
+    """
+    texts = tuple(content for found, content in headers if found == name)
+    if set(texts) - {FLAG}:
+        return Err(InvalidHeader(name, texts))
+    return Ok(bool(texts))
--- a/godwitshunt/backpressure/tests/test_headers.py
+++ b/godwitshunt/backpressure/tests/test_headers.py
@@ -3,7 +3,7 @@
 import pytest
 from result import Ok
 
-from godwitshunt.backpressure import read_decimal
+from godwitshunt.backpressure import read_decimal, read_flag
 
 NAME = b'rate'
 
@@ -61,3 +61,22 @@
 def test_absent_header_is_no_number():
     """An answer without a limit, taken for one with a limit of zero."""
     assert read_decimal([(b'other', b'2')], NAME) == Ok(None)
+
+
+@pytest.mark.parametrize(
+    ('texts', 'is_set'),
+    [((), False), ((b'1',), True), ((b'1', b'1'), True)],
+)
+def test_flag_is_set_by_one(texts, is_set):
+    """An upstream that leaves, or does not, and is taken for the other."""
+    headers = [(NAME, text) for text in texts]
+    assert read_flag(headers, NAME) == Ok(is_set)
+
+
+@pytest.mark.parametrize(
+    'texts',
+    [(b'0',), (b'',), (b'yes',), (b'+1',), (b'-1',), (b'nan',), (b'1', b'0')],
+)
+def test_other_contents_of_a_flag_are_invalid(texts):
+    """A sound upstream that gets no more requests for a senseless header."""
+    assert read_flag([(NAME, text) for text in texts], NAME).is_err()
--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -57,6 +57,8 @@
             names,
             upstreams.rate_limiter.table,
             upstreams.pauses,
+            upstreams.departures,
+            picker.schedule_report,
             timer,
             metrics,
         ),
--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -141,7 +141,10 @@
         watch = self.context.watch
         current = watch.view().upstreams.get(announcement.incarnation)
         is_draining = current is not None and current.announcement.draining
-        return is_draining or watch.has_ended(announcement)
+        has_stated = (
+            announcement.incarnation in self.context.upstreams.departures
+        )
+        return is_draining or has_stated or watch.has_ended(announcement)
 
     def record_whole_answer(self) -> None:
         """Clear a suspected request that was answered whole."""
--- a/godwitshunt/ingress/header_names.py
+++ b/godwitshunt/ingress/header_names.py
@@ -31,6 +31,8 @@
     rate_limit : bytes
         Requests per second that the upstream that answered accepts from all
         VMs together; absent if it has no limit.
+    leaving : bytes
+        1 in the answers of an upstream that is leaving.
     key : bytes
         The key of the caller's organisation; it is never passed on.
     organisation : bytes
@@ -49,6 +51,7 @@
     token_count: bytes = b'godwitshunt-prompt-tokens'
     urgency: bytes = b'godwitshunt-urgency'
     rate_limit: bytes = b'godwitshunt-rate-limit'
+    leaving: bytes = b'godwitshunt-leaving'
     key: bytes = b'godwitshunt-key'
     organisation: bytes = b'godwitshunt-organisation'
     reserved: frozenset[bytes] = frozenset()
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -332,6 +332,7 @@
         is_leaving = (
             current.announcement.draining
             or self.context.watch.has_ended(announcement)
+            or announcement.incarnation in self.context.upstreams.departures
         )
         is_home = not homes or self.context.settings.region in homes
         evacuated = self.context.active_revision().revision.evacuated
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -160,6 +160,7 @@
         self.context.budgets.cold.remove_absent(frozenset(view.upstreams))
         self.context.answer_headers.remove_absent(frozenset(view.upstreams))
         self.context.upstreams.pauses.expire(now_s)
+        self.context.upstreams.departures.remove_absent(view.upstreams, now_s)
         limiter = self.context.upstreams.rate_limiter
         limiter.remove_absent(view.upstreams, now_s)
         limiter.share = self.context.rate_share()
--- a/godwitshunt/ingress/tests/test_upstream_headers.py
+++ b/godwitshunt/ingress/tests/test_upstream_headers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitshunt.backpressure import PauseTable, RateLimitTable
+from godwitshunt.backpressure import DepartureTable, PauseTable, RateLimitTable
 from godwitshunt.exchange.upstream_messages import AnswerHead
 from godwitshunt.ingress import HeaderNames
 from godwitshunt.ingress.upstream_headers import AnswerHeaderReader
@@ -18,7 +18,13 @@
     """Return a reader at a fixed time."""
     timer = SimpleNamespace(now=lambda: NOW_S)
     return AnswerHeaderReader(
-        NAMES, RateLimitTable(), PauseTable(), timer, Metrics()
+        NAMES,
+        RateLimitTable(),
+        PauseTable(),
+        DepartureTable(),
+        lambda: None,
+        timer,
+        Metrics(),
     )
 
 
--- a/godwitshunt/ingress/upstream_headers.py
+++ b/godwitshunt/ingress/upstream_headers.py
@@ -1,15 +1,18 @@
 """Reading of what upstreams state in the headers of their answers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from result import Err, Ok
 
 from godwitshunt.backpressure import (
+    DepartureTable,
     InvalidHeader,
     PauseTable,
     RateLimitNotice,
     RateLimitTable,
     read_decimal,
+    read_flag,
 )
 from godwitshunt.exchange.upstream_messages import AnswerHead
 from godwitshunt.ingress.header_names import HeaderNames
@@ -35,6 +38,10 @@
         Receives the stated rate limits.
     pauses : PauseTable
         Receives the pauses that refusals ask for.
+    departures : DepartureTable
+        Receives the upstreams that state that they are leaving.
+    on_departure : callable
+        Called when an upstream is first known to be leaving.
     ignored : dict
         Last invalid header of each upstream, which is logged once.
     """
@@ -42,6 +49,8 @@
     names: HeaderNames
     rate_limits: RateLimitTable
     pauses: PauseTable
+    departures: DepartureTable
+    on_departure: Callable[[], None]
     timer: Timer
     metrics: Metrics
     ignored: dict[str, InvalidHeader] = field(default_factory=dict)
@@ -71,6 +80,11 @@
                 asof_s = sent_s if per_s is None else self.timer.now()
                 notice = RateLimitNotice(incarnation, per_s, asof_s)
                 self.record_rate_limit(notice, request_id)
+        match read_flag(head.headers, self.names.leaving):
+            case Err(invalid):
+                self.log_ignored(incarnation, request_id, invalid)
+            case Ok(True):
+                self.record_departure(incarnation, request_id)
         if head.status == UNAVAILABLE:
             self.read_pause(incarnation, request_id, head)
 
@@ -91,6 +105,16 @@
                         pause_s=pause_s,
                     )
 
+    def record_departure(self, incarnation: str, request_id: str) -> None:
+        """Record that an upstream is leaving; log it once."""
+        if self.departures.record(incarnation, self.timer.now()):
+            self.on_departure()
+            log_change(
+                'ingress:upstream_leaving',
+                instance=incarnation,
+                request=request_id,
+            )
+
     def record_rate_limit(
         self, notice: RateLimitNotice, request_id: str
     ) -> None:
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -76,6 +76,8 @@
             return 'evacuated'
         if upstream.announcement.draining or ends_soon(upstream, now_s):
             return 'leaves'
+        if upstream.announcement.incarnation in self.upstreams.departures:
+            return 'leaves'
         if upstream.region != self.region:
             return 'cold' if upstream.cold_until_s > now_s else None
         health = self.upstreams.health_of(upstream.announcement.incarnation)
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -169,6 +169,8 @@
         self.picker.set_cold_share(own, pickers)
         limiter = self.picker.upstreams.rate_limiter
         limiter.remove_absent(view.upstreams, now_s)
+        departures = self.picker.upstreams.departures
+        departures.remove_absent(view.upstreams, now_s)
         limiter.share = picker_share(own, pickers, tables.count_unlocated())
         self.picker.handovers.remove_reported(now_s)
         # Applies the peers' totals at each tick. If they were applied with
@@ -221,6 +223,7 @@
         self.limits.apply_vm_report(report.session, load_report.admitted, now_s)
         attempts = attempts_from_wire(load_report.shown)
         self.record_rate_limits(load_report, attempts, now_s)
+        self.record_departures(load_report, now_s)
         revision = self.revision()
         for attempt in attempts:
             service = revision and service_of(revision, attempt.service)
@@ -255,6 +258,14 @@
                     age_s=round(now_s - notice.asof_s, 3),
                 )
 
+    def record_departures(
+        self, load_report: ttypes.LoadReport, now_s: float
+    ) -> None:
+        """Record the upstreams that an entry VM reports as leaving."""
+        departures = self.picker.upstreams.departures
+        for instance in departures.record_all(load_report.leaving or (), now_s):
+            log_change('picking:upstream_leaving', instance=instance)
+
     def record_waits(self, name: str, report: Report) -> None:
         """Record how long an entry VM has waited for each upstream."""
         before = self.reported_instances.get(name, frozenset())
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from math import isfinite
 
-from godwitshunt.backpressure import PauseTable, RateLimiter
+from godwitshunt.backpressure import DepartureTable, PauseTable, RateLimiter
 from godwitshunt.manifest import Service
 from godwitshunt.picking.learned_speed import LearnedSpeed
 from godwitshunt.registry import RegistryView, UpstreamSeen
@@ -37,6 +37,8 @@
         Keeps this process within its share of upstreams' rate limits.
     pauses : PauseTable
         Upstreams that have asked this VM for a pause.
+    departures : DepartureTable
+        Upstreams that have stated that they are leaving.
     """
 
     health: dict[str, UpstreamHealth] = field(default_factory=dict)
@@ -44,6 +46,7 @@
     outliers: dict[str, OutlierDetector] = field(default_factory=dict)
     rate_limiter: RateLimiter = field(default_factory=RateLimiter)
     pauses: PauseTable = field(default_factory=PauseTable)
+    departures: DepartureTable = field(default_factory=DepartureTable)
 
     def health_of(self, instance: str) -> UpstreamHealth:
         """Return the health of an incarnation."""
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -1385,6 +1385,7 @@
      - admitted: Units that the entry VM has admitted without a picker.
      - suspects: Requests that were lost to upstreams since the last report.
      - rate_limits: All rate limits of upstreams that are in force at the entry VM.
+     - leaving: Incarnations that have stated in an answer that they are leaving.
 
     """
 
@@ -1399,10 +1400,11 @@
         'admitted',
         'suspects',
         'rate_limits',
+        'leaving',
     )
 
 
-    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None, suspects=None, rate_limits=None,):
+    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None, suspects=None, rate_limits=None, leaving=None,):
         self.number = number
         self.loads = loads
         self.session = session
@@ -1413,6 +1415,7 @@
         self.admitted = admitted
         self.suspects = suspects
         self.rate_limits = rate_limits
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1509,6 +1512,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem55)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1526,8 +1539,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter50 in self.loads:
-                iter50.write(oprot)
+            for iter56 in self.loads:
+                iter56.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1541,15 +1554,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter51 in self.shown:
-                iter51.write(oprot)
+            for iter57 in self.shown:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter52 in self.prefixes:
-                iter52.write(oprot)
+            for iter58 in self.prefixes:
+                iter58.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1559,22 +1572,29 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter53 in self.admitted:
-                iter53.write(oprot)
+            for iter59 in self.admitted:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter54 in self.suspects:
-                iter54.write(oprot)
+            for iter60 in self.suspects:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter55 in self.rate_limits:
-                iter55.write(oprot)
+            for iter61 in self.rate_limits:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.leaving))
+            for iter62 in self.leaving:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1764,11 +1784,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = TableHeld()
-                        _elem61.read(iprot)
-                        self.held.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = TableHeld()
+                        _elem68.read(iprot)
+                        self.held.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1781,11 +1801,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = PrefixInfo()
-                        _elem67.read(iprot)
-                        self.prefixes.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = PrefixInfo()
+                        _elem74.read(iprot)
+                        self.prefixes.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1812,22 +1832,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype71, _size68) = iprot.readListBegin()
-                    for _i72 in range(_size68):
-                        _elem73 = TableNews()
-                        _elem73.read(iprot)
-                        self.newer.append(_elem73)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = TableNews()
+                        _elem80.read(iprot)
+                        self.newer.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = SuspectInfo()
-                        _elem79.read(iprot)
-                        self.suspects.append(_elem79)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = SuspectInfo()
+                        _elem86.read(iprot)
+                        self.suspects.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1853,8 +1873,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter80 in self.held:
-                iter80.write(oprot)
+            for iter87 in self.held:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -1864,8 +1884,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter81 in self.prefixes:
-                iter81.write(oprot)
+            for iter88 in self.prefixes:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1887,15 +1907,15 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter82 in self.newer:
-                iter82.write(oprot)
+            for iter89 in self.newer:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter83 in self.suspects:
-                iter83.write(oprot)
+            for iter90 in self.suspects:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2025,43 +2045,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = UpstreamInfo()
-                        _elem89.read(iprot)
-                        self.upstreams.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = UpstreamInfo()
+                        _elem96.read(iprot)
+                        self.upstreams.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = StartEnded()
-                        _elem95.read(iprot)
-                        self.gone.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = StartEnded()
+                        _elem102.read(iprot)
+                        self.gone.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = EntryInfo()
-                        _elem101.read(iprot)
-                        self.entries.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = EntryInfo()
+                        _elem108.read(iprot)
+                        self.entries.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem107)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2073,22 +2093,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype111, _size108) = iprot.readListBegin()
-                    for _i112 in range(_size108):
-                        _elem113 = UpstreamLoad()
-                        _elem113.read(iprot)
-                        self.loads.append(_elem113)
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = UpstreamLoad()
+                        _elem120.read(iprot)
+                        self.loads.append(_elem120)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype117, _size114) = iprot.readListBegin()
-                    for _i118 in range(_size114):
-                        _elem119 = AdmittedUnits()
-                        _elem119.read(iprot)
-                        self.admitted.append(_elem119)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = AdmittedUnits()
+                        _elem126.read(iprot)
+                        self.admitted.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2129,29 +2149,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter120 in self.upstreams:
-                iter120.write(oprot)
+            for iter127 in self.upstreams:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter121 in self.gone:
-                iter121.write(oprot)
+            for iter128 in self.gone:
+                iter128.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter122 in self.entries:
-                iter122.write(oprot)
+            for iter129 in self.entries:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter123 in self.gone_entries:
-                oprot.writeString(iter123.encode('utf-8') if sys.version_info[0] == 2 else iter123)
+            for iter130 in self.gone_entries:
+                oprot.writeString(iter130.encode('utf-8') if sys.version_info[0] == 2 else iter130)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -2161,15 +2181,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter124 in self.loads:
-                iter124.write(oprot)
+            for iter131 in self.loads:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter125 in self.admitted:
-                iter125.write(oprot)
+            for iter132 in self.admitted:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2256,33 +2276,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = TableNews()
-                        _elem131.read(iprot)
-                        self.tables.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = TableNews()
+                        _elem138.read(iprot)
+                        self.tables.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = UpstreamLoad()
-                        _elem137.read(iprot)
-                        self.loads.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = UpstreamLoad()
+                        _elem144.read(iprot)
+                        self.loads.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = PrefixInfo()
-                        _elem143.read(iprot)
-                        self.prefixes.append(_elem143)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = PrefixInfo()
+                        _elem150.read(iprot)
+                        self.prefixes.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2309,11 +2329,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype147, _size144) = iprot.readListBegin()
-                    for _i148 in range(_size144):
-                        _elem149 = SuspectInfo()
-                        _elem149.read(iprot)
-                        self.suspects.append(_elem149)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = SuspectInfo()
+                        _elem156.read(iprot)
+                        self.suspects.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2335,22 +2355,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter150 in self.tables:
-                iter150.write(oprot)
+            for iter157 in self.tables:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter151 in self.loads:
-                iter151.write(oprot)
+            for iter158 in self.loads:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter152 in self.prefixes:
-                iter152.write(oprot)
+            for iter159 in self.prefixes:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2376,8 +2396,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter153 in self.suspects:
-                iter153.write(oprot)
+            for iter160 in self.suspects:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2613,10 +2633,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem159)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2638,11 +2658,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = PauseInfo()
-                        _elem165.read(iprot)
-                        self.pauses.append(_elem165)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = PauseInfo()
+                        _elem172.read(iprot)
+                        self.pauses.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2699,8 +2719,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter166 in self.excluded:
-                oprot.writeString(iter166.encode('utf-8') if sys.version_info[0] == 2 else iter166)
+            for iter173 in self.excluded:
+                oprot.writeString(iter173.encode('utf-8') if sys.version_info[0] == 2 else iter173)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2718,8 +2738,8 @@
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter167 in self.pauses:
-                iter167.write(oprot)
+            for iter174 in self.pauses:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2974,33 +2994,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = UpstreamInfo()
-                        _elem173.read(iprot)
-                        self.upstreams.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = UpstreamInfo()
+                        _elem180.read(iprot)
+                        self.upstreams.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype177, _size174) = iprot.readListBegin()
-                    for _i178 in range(_size174):
-                        _elem179 = StartEnded()
-                        _elem179.read(iprot)
-                        self.gone.append(_elem179)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = StartEnded()
+                        _elem186.read(iprot)
+                        self.gone.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype183, _size180) = iprot.readListBegin()
-                    for _i184 in range(_size180):
-                        _elem185 = SuspectInfo()
-                        _elem185.read(iprot)
-                        self.suspects.append(_elem185)
+                    (_etype190, _size187) = iprot.readListBegin()
+                    for _i191 in range(_size187):
+                        _elem192 = SuspectInfo()
+                        _elem192.read(iprot)
+                        self.suspects.append(_elem192)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3017,22 +3037,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter186 in self.upstreams:
-                iter186.write(oprot)
+            for iter193 in self.upstreams:
+                iter193.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter187 in self.gone:
-                iter187.write(oprot)
+            for iter194 in self.gone:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter188 in self.suspects:
-                iter188.write(oprot)
+            for iter195 in self.suspects:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3172,6 +3192,7 @@
     (8, TType.LIST, 'admitted', (TType.STRUCT, [AdmittedUnits, None], False), None, ),  # 8
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 9
     (10, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimitInfo, None], False), None, ),  # 10
+    (11, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 11
 )
 all_structs.append(TableHeld)
 TableHeld.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -150,6 +150,8 @@
   9: list<SuspectInfo> suspects
   /** All rate limits of upstreams that are in force at the entry VM. */
   10: list<RateLimitInfo> rate_limits
+  /** Incarnations that have stated in an answer that they are leaving. */
+  11: list<string> leaving
 }
 
 /** Versions of a control VM's table that the sender holds. */
--- a/tests/limited_server.py
+++ b/tests/limited_server.py
@@ -62,6 +62,10 @@
         stating = StatingWriter(writer, self.stated.encode(), self.breaks)
         await super().answer(reader, stating, head, fields, body)
 
+    def state_leaving(self, text='1'):
+        """State that it leaves from now on; heartbeats say nothing of it."""
+        self.stated = f'server-leaving: {text}\r\n'
+
     def times(self, since_s=0.0):
         """Return when requests reached it since a time."""
         return [at_s for at_s, _ in self.arrivals if at_s >= since_s]
