Count relayed losses as of two crash times only where they certainly are

What callers would see: a request that many send, quarantined after a rack or a failure domain was lost at one moment.

By four messages of 0.055 s the losses of one moment are 0.2 s apart and counted as two.

A loss counts the messages that it has passed; two are of distinct times only if they are after 0.08 s has been taken off for each message.

--- a/godwitshunt/quarantine/records.py
+++ b/godwitshunt/quarantine/records.py
@@ -17,6 +17,9 @@
 # VMs of other regions report one crash at slightly different times, because of
 # the delay of messages and of updates between control VMs.
 SAME_CRASH_WINDOW_S = 0.2
+# Each message that a loss passes makes it look more recent, by the delay of the
+# message and a truncated millisecond, up to this.
+RELAY_DELAY_S = 0.08
 # A report replaces a known time only if it is earlier by this: messages state
 # ages in whole milliseconds.
 MIN_EARLIER_S = 0.01
@@ -34,13 +37,22 @@
         Incarnation of the upstream or entry VM that crashed.
     at_s : float
         When the request was lost.
+        An upper bound if the loss was received in messages.
     exposure_s : float
         Seconds for which the process had the request.
+    relays : int
+        Number of messages that the report has passed.
     """
 
     incarnation: str
     at_s: float
     exposure_s: float
+    relays: int = 0
+
+    @property
+    def earliest_s(self) -> float:
+        """Earliest time at which the request may have been lost."""
+        return self.at_s - self.relays * RELAY_DELAY_S
 
 
 @dataclass
@@ -145,7 +157,7 @@
     def count_crash_times(
         self, explained_incarnations: Collection[str] = ()
     ) -> int:
-        """Return the number of distinct times at which processes crashed.
+        """Return the number of times that are certain to be distinct.
 
         Processes that crash at the same time may share a cause other than the
         request, such as a failed rack.
@@ -158,7 +170,8 @@
         count = 0
         last_counted_s = -inf
         for loss in self.counted_losses():
-            is_new = loss.at_s - last_counted_s > SAME_CRASH_WINDOW_S
+            gap_s = loss.earliest_s - last_counted_s
+            is_new = gap_s > SAME_CRASH_WINDOW_S
             if is_new and loss.incarnation not in explained_incarnations:
                 count += 1
                 last_counted_s = loss.at_s
--- a/godwitshunt/quarantine/tests/test_joining.py
+++ b/godwitshunt/quarantine/tests/test_joining.py
@@ -12,6 +12,7 @@
     Fingerprint,
     Loss,
     LostRequest,
+    SuspectRecord,
     SuspectTable,
 )
 from godwitshunt.registry.gen.wire import ttypes
@@ -152,3 +153,40 @@
     suspect = ttypes.SuspectInfo(**{**fields, **change})
     with pytest.raises(FrameError):
         suspects_from_wire([suspect], now_s=1.0)
+
+
+def relayed(record: SuspectRecord, messages: int, delay_s: float = 0.055):
+    """Return a record as it is after it has passed several messages."""
+    now_s = 100.0
+    for _ in range(messages):
+        structs = suspects_to_wire([record], now_s)
+        now_s += delay_s
+        record = suspects_from_wire(structs, now_s)[0]
+    return record
+
+
+@pytest.mark.parametrize('messages', range(8))
+def test_relayed_losses_of_one_crash_time_count_once(messages):
+    """A failed rack whose losses come by ways of different lengths.
+
+    Each message makes a loss look more recent, so that two upstreams that
+    ended together seem to have ended one after the other, and a request that
+    many callers send is quarantined.
+    """
+    late, direct = (
+        SuspectRecord(Fingerprint(bytes(16)), '', 5) for _ in range(2)
+    )
+    for number in range(2):
+        late.add_loss(Loss(f'i-{number}', 99.0, 0.1))
+    direct.add_loss(Loss('i-2', 99.0, 0.1))
+    direct.join(relayed(late, messages))
+    assert direct.count_crash_times() == 1
+
+
+@pytest.mark.parametrize('messages', range(4))
+def test_relayed_losses_of_distinct_crash_times_count(messages):
+    """A request that crashes upstreams one by one and is never confirmed."""
+    record = SuspectRecord(Fingerprint(bytes(16)), '', 5)
+    for number in range(3):
+        record.add_loss(Loss(f'i-{number}', 97.0 + number, 0.1))
+    assert relayed(record, messages).count_crash_times() == 3
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -888,6 +888,7 @@
      - place
      - age_ms: Milliseconds since then when this was sent.
      - exposure_ms: Milliseconds for which it had the request.
+     - relays: Number of messages that the report passed before this one.
 
     """
 
@@ -895,13 +896,15 @@
         'place',
         'age_ms',
         'exposure_ms',
+        'relays',
     )
 
 
-    def __init__(self, place=None, age_ms=None, exposure_ms=None,):
+    def __init__(self, place=None, age_ms=None, exposure_ms=None, relays=None,):
         self.place = place
         self.age_ms = age_ms
         self.exposure_ms = exposure_ms
+        self.relays = relays
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -927,6 +930,11 @@
                     self.exposure_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.relays = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -949,6 +957,10 @@
             oprot.writeFieldBegin('exposure_ms', TType.I64, 3)
             oprot.writeI64(self.exposure_ms)
             oprot.writeFieldEnd()
+        if self.relays is not None:
+            oprot.writeFieldBegin('relays', TType.I32, 4)
+            oprot.writeI32(self.relays)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3150,6 +3162,7 @@
     (1, TType.STRING, 'place', 'UTF8', None, ),  # 1
     (2, TType.I64, 'age_ms', None, None, ),  # 2
     (3, TType.I64, 'exposure_ms', None, None, ),  # 3
+    (4, TType.I32, 'relays', None, None, ),  # 4
 )
 all_structs.append(Clearance)
 Clearance.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -92,6 +92,8 @@
   2: i64 age_ms
   /** Milliseconds for which it had the request. */
   3: i64 exposure_ms
+  /** Number of messages that the report passed before this one. */
+  4: i32 relays
 }
 
 /** A time up to which the losses of a request are disregarded: it was answered
--- a/godwitshunt/registry/suspect_wire.py
+++ b/godwitshunt/registry/suspect_wire.py
@@ -31,6 +31,7 @@
                 loss.incarnation,
                 milliseconds_ago(loss.at_s, now_s),
                 int(loss.exposure_s * MILLISECONDS),
+                loss.relays,
             )
             for loss in record.losses.values()
         ],
@@ -83,5 +84,6 @@
     for lost in struct.losses or ():
         exposure_s = lost.exposure_ms / MILLISECONDS
         at_s = now_s - lost.age_ms / MILLISECONDS
-        record.add_loss(Loss(lost.place, at_s, exposure_s))
+        relays = (lost.relays or 0) + 1
+        record.add_loss(Loss(lost.place, at_s, exposure_s, relays))
     return record
