Tell callers a finite time where a process has no share of a rate limit

What callers would see: Retry-After of inf, or an answer of 500, from a VM that chooses by itself in its first 3 s, or in a region of many VMs, while all upstreams are limited. Found by reading the change.

Cause: a process without a share waits for ever, and that was told; one that lost its share divided by a rate of zero. Such a refusal tells the usual delay of one without a known end. Both tests fail without the change (ZeroDivisionError, and inf).

--- a/godwitshunt/backpressure/rate_limiter.py
+++ b/godwitshunt/backpressure/rate_limiter.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Container
 from dataclasses import dataclass, field
-from math import inf
+from math import inf, isinf
 
 from godwitshunt.backpressure.rate_limits import RateLimitTable
 from godwitshunt.backpressure.rate_shares import NO_SHARE, RateShare
@@ -99,11 +99,12 @@
         """Return the retry delay of one more refused caller, in seconds.
 
         Each refused caller is told a later time than the one before, because
-        only one of them can be served with the next token.
+        only one of them can be served with the next token. The delay is
+        infinite if this process may never send to the upstream.
         """
         wait_s = self.wait_s(incarnation, now_s)
         bucket = self.buckets.get(incarnation)
-        if bucket is None:
+        if bucket is None or isinf(wait_s):
             return wait_s
         limit_per_s = max(MIN_PER_S, self.table.per_s(incarnation))
         interval_s = 1 / (self.share.rate * limit_per_s)
--- a/godwitshunt/backpressure/tests/test_rate_limiter.py
+++ b/godwitshunt/backpressure/tests/test_rate_limiter.py
@@ -183,3 +183,11 @@
         wait_s = limiter.retry_wait_s('i-1', 1.0)
         limiter.record_retry('i-1', 1.0 + wait_s)
     assert limiter.retry_wait_s('i-1', 1.0) <= MAX_QUEUE_S
+
+
+def test_process_that_loses_its_share_has_no_time_to_tell():
+    """More VMs join until a share is too small, and callers are told a time."""
+    limiter = limiter_of(FIRST_PICKER, 2.0)
+    limiter.wait_s('i-1', 1.0)
+    limiter.share = NO_SHARE
+    assert limiter.retry_wait_s('i-1', 2.0) == inf
--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
+from math import isinf
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
@@ -168,9 +169,14 @@
         if not held:
             return self.jitter(self.opens_in_s(request, view))
         first = min(held, key=held.__getitem__)
+        backoffs = self.backoffs_s(free, request.now_s)
+        if isinf(held[first]):
+            # This process has no share of the limits. No time is known.
+            wait_s = min(backoffs, default=NO_UPSTREAM_RETRY_S)
+            return self.jitter(max(MIN_RETRY_S, wait_s))
         limiter = self.upstreams.rate_limiter
         limiter.record_retry(first, request.now_s + held[first])
-        return min((*self.backoffs_s(free, request.now_s), held[first]))
+        return min((*backoffs, held[first]))
 
     def held_s(self, upstream: UpstreamSeen, request: ChoiceRequest) -> float:
         """Return for how long an upstream itself asks to get no request."""
--- a/godwitshunt/picking/tests/test_chooser.py
+++ b/godwitshunt/picking/tests/test_chooser.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from godwitshunt.backpressure import RateLimitNotice
 from godwitshunt.manifest import ColdStart
 from godwitshunt.picking.choices import (
     ChoiceRequest,
@@ -205,3 +206,20 @@
         make_request(SHORT), replace(view(), upstreams={})
     )
     assert delay_s == pytest.approx(0.3)
+
+
+def test_retry_delay_is_finite_without_a_share_of_a_rate_limit():
+    """A VM that has just started tells callers to come back at no time."""
+    chooser = Chooser(
+        'kochi',
+        Upstreams(),
+        Neighbours('k-e', 'kochi'),
+        Random(1),
+    )
+    limits = chooser.upstreams.rate_limiter.table
+    limits.record(RateLimitNotice('k-0', 2.0, NOW_S))
+    delay_s = chooser.retry_wait_s(
+        make_request(SHORT),
+        RegistryView(upstreams={'k-0': make_upstream('k-0', 'kochi')}),
+    )
+    assert MIN_RETRY_S <= delay_s <= 2 * NO_UPSTREAM_RETRY_S
