Ask a control VM again that did not answer while an entry VM started

What callers saw: nothing at once; a region's entry VMs used two pickers, each of which knew the other's counts late, and a rate limit's larger share was not used by those at the second one.

Cause: a control VM was taken for one of the own region only by its own answers. One that had answered none, while its table came fresh by another one, was neither local nor stale, and was never polled again.

The logs show the north's VM with the second control VM as its picker for all of the 20 s, the first one polled once, before it listened. The relayed table names the region, which counts now. test_control_vm_that_failed_at_the_start_is_preferred_later fails without it.

--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -215,7 +215,10 @@
         for address in self.control_addresses():
             table = self.merged.tables.get(str(address))
             contact = self.contacts.for_control(str(address))
-            is_local = contact.region == self.region
+            # One that has never answered is located by what others relay of it.
+            relayed_region = '' if table is None else table.region
+            region = contact.region or relayed_region
+            is_local = region == self.region
             asof_s = float('-inf') if table is None else table.asof_s
             known.append(KnownControl(str(address), is_local, asof_s))
         return known
