Let the address prefix of the process tests be set

Tests of two work trees could not run at the same time: they share fixed loopback addresses and one lock for each of them. GODWITSHUNT_TEST_NETWORK sets the prefix (default 127.0, as before).

--- a/tests/platform_documents.py
+++ b/tests/platform_documents.py
@@ -1,9 +1,14 @@
 """Configurations and settings files as the platform writes them."""
 
+import os
+
 from tests.platform_client import FRONT, HOST
 
+# Work trees whose tests run at the same time set different prefixes.
+ADDRESS_PREFIX = os.environ.get('GODWITSHUNT_TEST_NETWORK', '127.0')
+NETWORK = f'{ADDRESS_PREFIX}.9'
 ZONES = {'zone-a': 'north', 'zone-b': 'south'}
-CONTROL_HOSTS = ('127.0.9.1', '127.0.9.2', '127.0.9.3')
+CONTROL_HOSTS = (f'{NETWORK}.1', f'{NETWORK}.2', f'{NETWORK}.3')
 READY = 8140
 CONTROL, DIRECTORY = 8146, 8143
 INTERNAL = 7660
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -14,13 +14,13 @@
 from tests.platform_documents import (
     CONTROL,
     CONTROL_HOSTS,
+    NETWORK,
     boot_document,
     configuration,
 )
 from tests.platform_server import Server
 
 ROOT = Path(__file__).resolve().parent.parent
-NETWORK = '127.0.9'
 NORTH, SOUTH = f'{NETWORK}.11', f'{NETWORK}.21'
 ENTRY_ZONES = {NORTH: 'zone-a', SOUTH: 'zone-b'}
 
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -7,11 +7,12 @@
 import pytest_asyncio
 
 from tests.limited_server import Hosts, LimitedWorld, ask_steadily
+from tests.platform_documents import ADDRESS_PREFIX
 from tests.platform_world import until
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
-HOSTS = Hosts('127.0.12')
+HOSTS = Hosts(f'{ADDRESS_PREFIX}.12')
 CONTROL_HOSTS = HOSTS.control
 ENTRIES = HOSTS.entries
 NORTH, NORTH_2, SOUTH = ENTRIES
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -15,11 +15,12 @@
     most_in_a_window,
 )
 from tests.platform_client import ask
+from tests.platform_documents import ADDRESS_PREFIX
 from tests.platform_world import until
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
-HOSTS = Hosts('127.0.10')
+HOSTS = Hosts(f'{ADDRESS_PREFIX}.10')
 CONTROL_HOSTS = HOSTS.control
 ENTRIES = HOSTS.entries
 NORTH, NORTH_2, SOUTH = ENTRIES
