Request a delta again instead of the full document after a stale push

Cause: of two revisions in quick succession the second is pushed as a delta to the revision that the VM was last known to hold. A VM that has applied the first by then refused it as DigestMismatch and requested the full document.

Change: the next request states the revision that the VM holds, so its reply is a delta that applies. The full document is requested only after a second mismatch for the same document.

--- a/godwitshunt/configuration/sync_state.py
+++ b/godwitshunt/configuration/sync_state.py
@@ -36,6 +36,9 @@
     needs_full_document : bool
         True if a delta could not be applied and the next request asks for the
         full document.
+    mismatched_digest : str
+        Digest of the latest document if a delta to another one was received
+        since it was applied; empty otherwise.
     started_at : float
         Monotonic time when the process started, in seconds.
     unproven_after_s : float
@@ -46,6 +49,7 @@
     latest: DocumentRevision | None = None
     proof_at: float = NEVER
     needs_full_document: bool = False
+    mismatched_digest: str = ''
     started_at: float = NEVER
     unproven_after_s: float = -NEVER
 
@@ -116,19 +120,39 @@
         return sync_state, NoNewerRevision()
     match decode_document(latest, update):
         case Err(fault):
-            return replace(
-                sync_state, needs_full_document=True
-            ), UpdateRejected(fault)
+            return after_fault(sync_state, update), UpdateRejected(fault)
         case Ok(document):
             newer = DocumentRevision(update.revision, update.digest, document)
             sync_state = replace(
-                sync_state, latest=newer, needs_full_document=False
+                sync_state,
+                latest=newer,
+                needs_full_document=False,
+                mismatched_digest='',
             )
             return with_proof(
                 sync_state, update, requested_at
             ), RevisionApplied(newer)
 
 
+def after_fault(sync_state: SyncState, update: ConfigurationNews) -> SyncState:
+    """Return the state after an update that could not be applied.
+
+    Of two revisions in quick succession, the second is sent as a delta to the
+    one that this VM was last known to hold, which may be older than the one it
+    holds by then. The next request states that one, so its reply is a delta
+    that applies. The full document is requested only if that fails, too.
+    """
+    latest = sync_state.latest
+    is_other_base = (
+        latest is not None
+        and bool(update.base_digest)
+        and update.base_digest != latest.digest
+    )
+    if is_other_base and sync_state.mismatched_digest != latest.digest:
+        return replace(sync_state, mismatched_digest=latest.digest)
+    return replace(sync_state, needs_full_document=True)
+
+
 def may_start_with(
     sync_state: SyncState,
     update: ConfigurationNews,
--- a/godwitshunt/configuration/tests/test_sync_state.py
+++ b/godwitshunt/configuration/tests/test_sync_state.py
@@ -13,7 +13,11 @@
     unpack,
 )
 from godwitshunt.configuration.history import DocumentRevision, RevisionHistory
-from godwitshunt.configuration.sync_state import SyncState, apply_update
+from godwitshunt.configuration.sync_state import (
+    SyncState,
+    UpdateRejected,
+    apply_update,
+)
 
 entries = st.lists(
     st.builds(
@@ -101,6 +105,53 @@
     assert sync_state.needs_full_document
 
 
+def history_of(count):
+    """Return a history of that many revisions."""
+    history = RevisionHistory()
+    for number in range(1, count + 1):
+        document = Document({'number': number}, {})
+        history.add(DocumentRevision(number, digest_of(document), document))
+    return history
+
+
+def test_delta_to_an_older_base_does_not_cost_a_full_document():
+    """A push is a delta to a revision that the VM has replaced meanwhile.
+
+    If the VM requested the full document, each quick succession of changes
+    would send it whole to every VM.
+    """
+    history = history_of(2)
+    sync_state, _ = apply_update(SyncState(), history.make_update(0, 0), 0)
+    history = history_of(3)
+    sync_state, outcome = apply_update(
+        sync_state, history.make_update(1, 0), None
+    )
+    assert isinstance(outcome, UpdateRejected)
+    assert sync_state.base_revision == 2
+    reply = history.make_update(sync_state.base_revision, 0)
+    assert reply.base_digest
+    sync_state, _ = apply_update(sync_state, reply, 1)
+    assert sync_state.latest.revision == 3
+
+
+def test_second_delta_to_another_base_requests_the_full_document():
+    """A replica's document of the VM's revision differs from the VM's own.
+
+    Deltas to it never apply, so the VM would never become current.
+    """
+    history = history_of(3)
+    other = Document({'number': 9}, {})
+    held = DocumentRevision(2, digest_of(other), other)
+    sync_state = SyncState(latest=held)
+    for _ in range(2):
+        reply = history.make_update(sync_state.base_revision, 0)
+        sync_state, _ = apply_update(sync_state, reply, 0)
+    assert sync_state.needs_full_document
+    reply = history.make_update(sync_state.base_revision, 0)
+    sync_state, _ = apply_update(sync_state, reply, 1)
+    assert sync_state.latest.revision == 3
+
+
 @pytest.mark.parametrize(
     ('age_s', 'asked_at', 'from_peer', 'is_accepted'),
     [
