Push deltas to the revision that a VM was last sent

Cause: a control VM built each push on the revision of the VM's last heartbeat, which is up to a second old. Further changes within that second were deltas that could not be applied, and the VM asked again.

Change: a push is a delta to the last revision sent in a push or a reply to that process. What counts as applied still follows heartbeats only.

--- a/godwitshunt/configuration/heartbeats.py
+++ b/godwitshunt/configuration/heartbeats.py
@@ -32,9 +32,16 @@
 
 @dataclass
 class HeartbeatTable:
-    """The last heartbeat of each VM by name."""
+    """The last heartbeat of each VM by name.
+
+    Parameters
+    ----------
+    sent : dict
+        Session of each VM's process and the last revision sent to it.
+    """
 
     by_name: dict[str, HeartbeatRecord] = field(default_factory=dict)
+    sent: dict[str, tuple[str, int]] = field(default_factory=dict)
 
     def record(self, heartbeat: HeartbeatRecord) -> None:
         """Store a heartbeat unless a later one is known."""
@@ -42,6 +49,22 @@
         if previous is None or heartbeat.received_at >= previous.received_at:
             self.by_name[heartbeat.vm.name] = heartbeat
 
+    def record_sent(self, vm: VmRecord, revision: int) -> None:
+        """Record that an update to a revision was sent to a VM."""
+        self.sent[vm.name] = (vm.session, revision)
+
+    def expected_revision(self, heartbeat: HeartbeatRecord) -> int:
+        """Return the revision that a VM holds unless an update was lost.
+
+        Heartbeats arrive once a second, so the last one is older than the
+        updates that were sent since. A VM that lacks one of them requests it
+        when a delta does not apply.
+        """
+        session, revision = self.sent.get(heartbeat.vm.name, ('', 0))
+        if session != heartbeat.vm.session:
+            return heartbeat.revision
+        return max(heartbeat.revision, revision)
+
     def has_applied(self, name: str, revision: int) -> bool:
         """Return whether a VM has reported a revision as applied."""
         heartbeat = self.by_name.get(name)
@@ -79,3 +102,4 @@
         for name in tuple(self.by_name):
             if self.received_at(name) < before:
                 self.by_name.pop(name)
+                self.sent.pop(name, None)
--- a/godwitshunt/configuration/service.py
+++ b/godwitshunt/configuration/service.py
@@ -328,7 +328,10 @@
         for heartbeat in self.heartbeats.direct(self.timer.now()):
             if heartbeat.vm.name == self.record.name:
                 continue
-            update = self.history.make_update(heartbeat.revision, float('inf'))
+            update = self.history.make_update(
+                self.heartbeats.expected_revision(heartbeat), float('inf')
+            )
+            self.heartbeats.record_sent(heartbeat.vm, update.revision)
             self.links.notify(
                 heartbeat.vm.peer,
                 MessageKind.configuration_news,
@@ -352,6 +355,8 @@
             revision, self.freshness.quorum_age_s()
         )
         update.introduce = vm is None
+        if vm is not None:
+            self.heartbeats.record_sent(vm, update.revision)
         return encode(update)
 
     def heartbeat_vm(self, heartbeat: ttypes.VmHeartbeat) -> VmRecord | None:
