--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,6 +1,7 @@
 """What a decision costs, by the number of upstreams.
 
-``python -m benchmarks.decisions`` prints microseconds for each decision.
+``python -m benchmarks.decisions`` prints microseconds for each decision,
+``--picker-only`` those of a region's picker.
 """
 
 import sys
@@ -10,6 +11,7 @@
 
 import defopt
 
+from benchmarks.assignments import time_assignments
 from godwitshunt.manifest import Objective
 from godwitshunt.membership.views import (
     RegionSummary,
@@ -51,6 +53,7 @@
     Size('130 and 18 regions', 130, 18),
     Size('2,500 in one region', 2500, 0),
 )
+ASSIGNMENT_SIZES = (62, 2500)
 
 
 def make_view(size: Size, random: Random) -> RegionView:
@@ -152,14 +155,23 @@
     return RegionView(view.region, tuple(upstreams), view.summaries)
 
 
-def measure(count: int = 2000) -> None:
+def measure(count: int = 2000, *, picker_only: bool = False) -> None:
     """Print what a decision costs.
 
     Parameters
     ----------
     count : int
         Decisions of each size.
+    picker_only : bool
+        Whether to measure the choices of a region's picker only.
     """
+    if not picker_only:
+        measure_decisions(count)
+    measure_assignments(max(1, count // 10))
+
+
+def measure_decisions(count: int) -> None:
+    """Print what a decision among the upstreams of a view costs."""
     sys.stdout.write(f'{"size":26}{"same view":>12}{"changing":>12}  (µs)\n')
     for size in SIZES:
         same = time_decisions(size, count, changing=False)
@@ -167,6 +179,15 @@
         sys.stdout.write(f'{size.name:26}{same:12.1f}{changing:12.1f}\n')
 
 
+def measure_assignments(count: int) -> None:
+    """Print what a choice of a region's picker costs."""
+    for size in ASSIGNMENT_SIZES:
+        sys.stdout.write(f'{size:,} upstreams'.ljust(26))
+        sys.stdout.write(f'{"choose":>12}{"assign":>12}  (µs)\n')
+        for name, choose_us, assign_us in time_assignments(size, count):
+            sys.stdout.write(f'{name:26}{choose_us:12.1f}{assign_us:12.1f}\n')
+
+
 def main() -> None:
     """Run the command line."""
     sys.exit(defopt.run(measure))
