Keep the loads that a picker chooses by in place

For each question the control VM summed all loads anew and replaced two views, so that nothing told a chooser which loads had changed since the last choice. The totals are now tables that remember their changes, and a control VM's view is the same object until upstreams or entry VMs change; its loads are always current.

For the queue part: Picker.assign gets the chooser's view by view_with_handovers; the call of Chooser.choose itself is unchanged.

--- a/godwitshunt/picking/handover_loads.py
+++ b/godwitshunt/picking/handover_loads.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from godwitshunt.registry.load_table import LoadTable
 from godwitshunt.registry.records import Load
 
 # A region without a report for this long is partitioned: requests handed over
@@ -66,7 +67,7 @@
     reported_s: Callable[[str], float]
     one_way_s: Callable[[str], float]
     sent: deque[PendingHandover] = field(default_factory=deque)
-    totals: dict[str, Load] = field(default_factory=dict)
+    totals: LoadTable = field(default_factory=LoadTable)
 
     def add(
         self,
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -184,6 +184,8 @@
             near_best_s=0.0,
         )
         self.chooser.filter.has_cold_capacity = self.has_cold_capacity
+        self.view: RegistryView | None = None
+        self.summed_view = RegistryView()
 
     def set_cold_share(self, own: str, pickers: Collection[str]) -> None:
         """Set this picker's share of the budget for cold upstreams.
@@ -215,8 +217,7 @@
         if wait_s:
             return Assignment(Limited(self.chooser.jitter(wait_s)))
         self.handovers.remove_reported(now_s)
-        loads = SummedLoads((context.view.loads, self.handovers.totals))
-        view = replace(context.view, loads=loads)
+        view = self.view_with_handovers(context.view)
         request = self.make_request(query, route, service, context, now_s)
         choice = self.chooser.choose(request, view, context.revision)
         if isinstance(choice, SendHere):
@@ -228,6 +229,18 @@
             self.charge_limit(query, now_s)
         return self.record_choice(query, service, choice, now_s)
 
+    def view_with_handovers(self, view: RegistryView) -> RegistryView:
+        """Return a view whose loads include pending hand-overs.
+
+        The result is the same object for the same view, so that the chooser
+        applies only the loads that have changed.
+        """
+        if view is not self.view:
+            self.view = view
+            loads = SummedLoads((view.loads, self.handovers.totals))
+            self.summed_view = replace(view, loads=loads)
+        return self.summed_view
+
     def limit_wait_s(
         self,
         query: DestinationRequest,
--- a/godwitshunt/registry/control_tables.py
+++ b/godwitshunt/registry/control_tables.py
@@ -16,6 +16,7 @@
 from godwitshunt.registry.contacts import ControlContact
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.ledger import SummedLoads
+from godwitshunt.registry.load_table import LoadTable
 from godwitshunt.registry.merged_tables import MergedTables
 from godwitshunt.registry.prefixes import PrefixTable
 from godwitshunt.registry.records import Load
@@ -84,7 +85,7 @@
         self.timer = timer
         self.merged = MergedTables(location.regions)
         self.contacts: dict[str, ControlContact] = {}
-        self.summed: Mapping[str, Load] = {}
+        self.summed = LoadTable()
         self.summed_inputs: tuple[tuple[str, float], ...] = ()
         self.background = BackgroundTasks()
         self.subscription: Subscription | None = None
@@ -263,7 +264,10 @@
                 )
 
     def loads(self, now_s: float) -> Mapping[str, Load]:
-        """Return the sum of the other control VMs' recent loads."""
+        """Return the sum of the other control VMs' recent loads.
+
+        The mapping is always the same; it is updated with each call.
+        """
         recent = {
             control: table
             for control, table in self.merged.tables.items()
@@ -277,7 +281,7 @@
         if inputs != self.summed_inputs:
             self.summed_inputs = inputs
             parts = tuple(table.loads for table in recent.values())
-            self.summed = dict(SummedLoads(parts))
+            self.summed.replace_all(dict(SummedLoads(parts)))
         return self.summed
 
     def loads_ttl_s(self, control: str) -> float:
--- a/godwitshunt/registry/ledger.py
+++ b/godwitshunt/registry/ledger.py
@@ -10,7 +10,9 @@
 from collections import deque
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
+from godwitshunt.registry.load_table import LoadTable
 from godwitshunt.registry.records import Load
 
 # An entry VM's reports include a reservation within a few hundredths of a
@@ -98,7 +100,7 @@
     """
 
     entries: dict[str, EntryLoads] = field(default_factory=dict)
-    totals: dict[str, Load] = field(default_factory=dict)
+    totals: LoadTable = field(default_factory=LoadTable)
     last_number: int = 0
 
     def apply_report(self, name: str, report: Report) -> bool:
@@ -221,11 +223,28 @@
 
     parts: tuple[Mapping[str, Load], ...]
 
+    @cached_property
+    def tables(self) -> tuple[Mapping[str, Load], ...]:
+        """The mappings whose loads are added up, those of nested sums too."""
+        tables: list[Mapping[str, Load]] = []
+        for part in self.parts:
+            nested = part.tables if isinstance(part, SummedLoads) else (part,)
+            tables.extend(nested)
+        return tuple(tables)
+
     def __getitem__(self, instance: str) -> Load:
-        loads = [part[instance] for part in self.parts if instance in part]
-        if not loads:
+        load = self.get(instance)
+        if load is None:
             raise KeyError(instance)
-        return loads[0] if len(loads) == 1 else sum_loads(loads)
+        return load
+
+    def get(self, instance: str, default: Load | None = None) -> Load | None:
+        """Return a sum; faster than with an exception if there is none."""
+        loads = [table.get(instance) for table in self.tables]
+        known = [load for load in loads if load is not None]
+        if not known:
+            return default
+        return known[0] if len(known) == 1 else sum_loads(known)
 
     def __iter__(self) -> Iterator[str]:
         return iter({name for part in self.parts for name in part})
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -127,6 +127,9 @@
             links,
             timer,
         )
+        self.loads = SummedLoads((self.ledger.totals, self.tables.summed))
+        self.merged_view = RegistryView()
+        self.full_view = replace(self.merged_view, loads=self.loads)
         self.subscription: Subscription | None = None
 
     @classmethod
@@ -235,7 +238,9 @@
         """Return the view merged from all control VMs, with all loads.
 
         The loads of entry VMs that report here are exact, those of others as
-        recent as the last update from their control VM.
+        recent as the last update from their control VM. The view is the same
+        object until upstreams or entry VMs change; its loads are always
+        current.
         """
         now_s = self.timer.now()
         if self.viewed_versions != (
@@ -249,8 +254,12 @@
             self.tables.apply_own(
                 self.own_update(self.tables.held_own_version(), now_s),
             )
-        loads = SummedLoads((self.ledger.totals, self.tables.loads(now_s)))
-        return replace(self.tables.view(), loads=loads)
+        self.tables.loads(now_s)
+        merged = self.tables.view()
+        if merged is not self.merged_view:
+            self.merged_view = merged
+            self.full_view = replace(merged, loads=self.loads)
+        return self.full_view
 
     def mark_replaced(self, incarnation: str) -> None:
         """Record that another upstream answers at an incarnation's address."""
