Examine only the upstreams that may be the best for a request

Change: upstreams are indexed by service, region, slots and requests in flight, and ordered by pending tokens. Only those whose load has changed are moved; tables of loads tell which. A choice examines upstreams in the order of a lower bound of their cost until none can be better. Groups without room are skipped at once; so is the ranking while a service's requests are late everywhere. The owner of a prefix is found with one hash of all names. A report is applied to the ledger as differences. is_full gets the request. Exclusions in log lines are counts by reason and region.

--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -1,7 +1,9 @@
 """Choice of an upstream, another region, or a refusal for one request."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
+from functools import partial
 from math import isinf
 from random import Random
 
@@ -14,8 +16,13 @@
     SendHere,
 )
 from godwitshunt.picking.filters import UpstreamFilter, is_full
+from godwitshunt.picking.load_index import (
+    UpstreamIndex,
+    UpstreamRecord,
+)
 from godwitshunt.picking.neighbours import Neighbours
-from godwitshunt.picking.upstreams import Upstreams, of_service
+from godwitshunt.picking.search import Search
+from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import (
     EntryRecord,
     Load,
@@ -28,7 +35,6 @@
     Candidate,
     RankedCandidate,
     near_best,
-    rank,
 )
 from godwitshunt.routing.upstream_health import UpstreamHealth
 
@@ -88,6 +94,8 @@
 
     def __post_init__(self) -> None:
         self.filter = UpstreamFilter(self.region, self.upstreams)
+        self.index = UpstreamIndex()
+        self.late_kinds: set[tuple[str, bool]] = set()
 
     def choose(
         self,
@@ -96,27 +104,27 @@
         revision: Revision,
     ) -> Choice:
         """Return the destination of a request, or its refusal."""
-        candidates = tuple(self.candidates(request, view, revision))
-        if not candidates and not request.local:
-            candidates = tuple(self.fallbacks(request, view, revision))
-        if not candidates:
+        if late_key(request) in self.late_kinds:
+            search = self.search(request, view, revision)
+            late = self.late_choice(request, search)
+            if late is not None:
+                return late
+        first_search = self.search(request, view, revision)
+        search = first_search
+        ranked = search.ranked()
+        if not ranked and search.groups and not request.local:
+            search = self.fallback_search(request, view, revision)
+            ranked = search.ranked()
+        if not ranked:
             return NoPlace(
                 overloaded=False,
                 retry_after_s=self.retry_wait_s(request, view),
-                exclusions=self.exclusions(request, view, revision),
+                exclusions=self.exclusions(first_search),
             )
-        speed = self.upstreams.speed(request.service)
-        ranked = rank(candidates, request.demand, speed)
-        best = min(ranked, key=lambda candidate: candidate.predicted_s)
-        limit_s = min(
-            request.remaining_s,
-            request.route.objective_s * MAX_WAIT_SHARE
-            + speed.prefill_s(best.unread_tokens),
-        )
-        if best.predicted_s > limit_s:
-            over_s = best.predicted_s - request.route.objective_s
-            wait_s = self.jitter(max(MIN_RETRY_S, over_s))
-            return NoPlace(True, wait_s, tuple(ranked[:3]))
+        if not self.is_in_time(request, search, ranked):
+            late = self.late_choice(request, search)
+            if late is not None:
+                return late
         chosen = self.random.choice(near_best(ranked, self.near_best_s))
         return self.make_choice(chosen, request, view, tuple(ranked[:3]))
 
@@ -144,28 +152,93 @@
         entry = self.random.choice(preferred_entries(entries, request.entry))
         return HandOver(entry, chosen.predicted_s, ranked, chosen)
 
-    def candidates(
+    def search(
         self,
         request: ChoiceRequest,
         view: RegistryView,
         revision: Revision,
-    ) -> Iterator[Candidate]:
-        """Yield the upstreams that may get a request."""
+    ) -> Search:
+        """Return the search among the upstreams that may get a request."""
         ejected = self.upstreams.ejected(request.service.name, request.now_s)
-        return self.usable_candidates(
-            request, view, revision, request.excluded | ejected
+        return Search(
+            request=request,
+            revision=revision,
+            service=self.index.of_service(view, request.service.name),
+            speed=self.upstreams.speed(request.service),
+            filter=self.filter,
+            away_s={
+                region: self.away_s(region)
+                for region in self.reachable_regions(request, view)
+            },
+            excluded=request.excluded | ejected,
+            make_candidate=partial(
+                self.make_candidate, request=request, view=view
+            ),
+            penalty_s=penalty_s,
+            near_best_s=self.near_best_s,
         )
 
+    def fallback_search(
+        self,
+        request: ChoiceRequest,
+        view: RegistryView,
+        revision: Revision,
+    ) -> Search:
+        """Return the search among ejected upstreams of this region.
+
+        If the VMs of every region eject their upstream, all requests would be
+        refused although most would be answered. On a day on which all three
+        upstreams of a plain service failed two requests in five for four
+        seconds, 146 requests were refused for this reason.
+        """
+        search = self.search(replace(request, local=True), view, revision)
+        search.excluded = request.excluded
+        return search
+
+    def is_in_time(
+        self,
+        request: ChoiceRequest,
+        search: Search,
+        ranked: list[RankedCandidate],
+    ) -> bool:
+        """Return whether an upstream is fast enough by the strictest limit.
+
+        The fastest one is then fast enough by its own limit.
+        """
+        tokens = request.demand.unread_tokens(cached=True)
+        limit_s = wait_limit_s(request, search.speed.prefill_s(tokens))
+        return any(entry.predicted_s <= limit_s for entry in ranked)
+
+    def late_choice(
+        self, request: ChoiceRequest, search: Search
+    ) -> NoPlace | None:
+        """Return a refusal if even the fastest upstream would be late.
+
+        The next request of this kind is then probably late at all upstreams,
+        too, and begins with this check instead of the ranking.
+        """
+        best = search.fastest()
+        prefill_s = search.speed.prefill_s(best.unread_tokens) if best else 0
+        if best is None or best.predicted_s <= wait_limit_s(request, prefill_s):
+            self.late_kinds.discard(late_key(request))
+            return None
+        self.late_kinds.add(late_key(request))
+        over_s = best.predicted_s - request.route.objective_s
+        wait_s = self.jitter(max(MIN_RETRY_S, over_s))
+        return NoPlace(True, wait_s, (best,))
+
     def retry_wait_s(self, request: ChoiceRequest, view: RegistryView) -> float:
         """Return the retry delay of a request without an upstream."""
+        if not request.pauses and not self.filter.limits:
+            return self.jitter(self.opens_in_s(request, view))
         held = {}
         free = []
-        for upstream in of_service(view, request.service.name):
-            wait_s = self.held_s(upstream, request)
+        for record in self.records(request, view):
+            wait_s = self.held_s(record.upstream, request)
             if wait_s:
-                held[upstream.announcement.incarnation] = wait_s
+                held[record.name] = wait_s
             else:
-                free.append(upstream)
+                free.append(record)
         if not held:
             return self.jitter(self.opens_in_s(request, view))
         first = min(held, key=held.__getitem__)
@@ -205,85 +278,61 @@
             for region in view.entry_points
         ]
         opens = [open_s for open_s in opens if open_s > 0]
-        upstreams = of_service(view, request.service.name)
-        opens.extend(self.backoffs_s(upstreams, request.now_s))
+        records = self.records(request, view)
+        opens.extend(self.backoffs_s(records, request.now_s))
         return max(MIN_RETRY_S, min(opens, default=NO_UPSTREAM_RETRY_S))
 
     def backoffs_s(
-        self, upstreams: Iterable[UpstreamSeen], now_s: float
+        self, records: Iterable[UpstreamRecord], now_s: float
     ) -> list[float]:
         """Return remaining backoffs after failed connections and refusals."""
+        known = self.upstreams.health
         ends = []
-        for upstream in upstreams:
-            health = self.upstreams.health_of(upstream.announcement.incarnation)
-            ends.extend((health.down_until_s, health.full_until_s))
+        for record in records:
+            health = known.get(record.name)
+            if health is not None:
+                ends.append(health.down_until_s)
+                ends.append(health.full_until_s)
         return [end_s - now_s for end_s in ends if end_s > now_s]
 
-    def fallbacks(
-        self,
-        request: ChoiceRequest,
-        view: RegistryView,
-        revision: Revision,
-    ) -> Iterator[Candidate]:
-        """Yield ejected upstreams of this region if no other is left.
+    def records(
+        self, request: ChoiceRequest, view: RegistryView
+    ) -> list[UpstreamRecord]:
+        """Return all upstreams of a request's service."""
+        return self.index.of_service(view, request.service.name).records
 
-        If the VMs of every region eject their upstream, all requests would be
-        refused although most would be answered. On a day on which all three
-        upstreams of a plain service failed two requests in five for four
-        seconds, 146 requests were refused for this reason.
-        """
-        here = replace(request, local=True)
-        return self.usable_candidates(here, view, revision, request.excluded)
+    def exclusions(self, search: Search) -> tuple[str, ...]:
+        """Return for logs how many upstreams are excluded for each reason.
 
-    def usable_candidates(
-        self,
-        request: ChoiceRequest,
-        view: RegistryView,
-        revision: Revision,
-        excluded: frozenset[str],
-    ) -> Iterator[Candidate]:
-        """Yield the reachable upstreams that can accept a request.
-
-        Parameters
-        ----------
-        excluded : frozenset of str
-            Incarnations to skip.
+        The name is that of one of them, if each was examined.
         """
-        reachable = self.reachable_regions(request, view)
-        for upstream in of_service(view, request.service.name):
-            if upstream.region not in reachable:
-                continue
-            if upstream.announcement.incarnation in excluded:
-                continue
-            if self.filter.refusal(upstream, request, revision) is None:
-                candidate = self.make_candidate(upstream, request, view)
-                if not is_full(candidate):
-                    yield candidate
+        counts: Counter[str] = Counter()
+        names: dict[str, str] = {}
+        for group in search.service.groups.values():
+            if group.region not in search.away_s:
+                counts[f'unreachable@{group.region}'] += len(group.members)
+            elif is_full(group.emptiest, search.request):
+                counts[f'full@{group.region}'] += len(group.members)
+            else:
+                for member in group.members:
+                    reason = self.exclusion(search, member[2])
+                    counts[reason] += 1
+                    names[reason] = member[2].name
+        return tuple(
+            f'{count} {reason} {names.get(reason, "")}'.rstrip()
+            for reason, count in counts.items()
+        )
 
-    def exclusions(
-        self,
-        request: ChoiceRequest,
-        view: RegistryView,
-        revision: Revision,
-    ) -> tuple[str, ...]:
-        """Return for logs why each upstream is excluded."""
-        reachable = self.reachable_regions(request, view)
-        ejected = self.upstreams.ejected(request.service.name, request.now_s)
-        reasons = []
-        for upstream in of_service(view, request.service.name):
-            instance = upstream.announcement.incarnation
-            reason = self.filter.refusal(upstream, request, revision)
-            if upstream.region not in reachable:
-                reason = 'unreachable'
-            elif instance in request.excluded:
-                reason = 'failed this request'
-            elif instance in ejected:
-                reason = 'fails'
-            elif reason is None:
-                candidate = self.make_candidate(upstream, request, view)
-                reason = f'full: {candidate.in_flight} of {candidate.slots}'
-            reasons.append(f'{instance}@{upstream.region} {reason}')
-        return tuple(reasons)
+    def exclusion(self, search: Search, record: UpstreamRecord) -> str:
+        """Return why an upstream in reach is excluded."""
+        upstream = record.upstream
+        request = search.request
+        reason = self.filter.refusal(upstream, request, search.revision)
+        if record.name in request.excluded:
+            reason = 'failed this request'
+        elif record.name in search.excluded:
+            reason = 'fails'
+        return f'{reason or "full"}@{upstream.region}'
 
     def reachable_regions(
         self, request: ChoiceRequest, view: RegistryView
@@ -299,7 +348,7 @@
                     f'{region} {request.service.name}',
                     request.now_s,
                 )
-                and self.entries_in(region, request, view)
+                and any(self.entries_in(region, request, view))
             )
         if request.route.homes:
             regions.intersection_update(request.route.homes)
@@ -310,14 +359,20 @@
         region: str,
         request: ChoiceRequest,
         view: RegistryView,
-    ) -> list[EntryRecord]:
-        """Return the entry VMs of a region that accept hand-overs."""
-        return [
-            entry
-            for entry in view.entry_points.get(region, ())
-            if entry.name not in request.excluded
-            and not self.neighbours.is_avoided(entry.name, request.now_s)
-        ]
+    ) -> Iterator[EntryRecord]:
+        """Yield the entry VMs of a region that accept hand-overs."""
+        for entry in view.entry_points.get(region, ()):
+            if entry.name in request.excluded:
+                continue
+            if not self.neighbours.is_avoided(entry.name, request.now_s):
+                yield entry
+
+    def away_s(self, region: str) -> float:
+        """Return the cost in seconds of sending a request to a region."""
+        if region == self.region:
+            return 0.0
+        round_trip_s = self.neighbours.round_trip_s(region)
+        return self.remote_penalty_s + round_trip_s
 
     def make_candidate(
         self,
@@ -328,12 +383,6 @@
         """Return an upstream with its current load and statistics."""
         announcement = upstream.announcement
         health = self.upstreams.health_of(announcement.incarnation)
-        here = upstream.region == self.region
-        away_s = 0.0
-        if not here:
-            away_s = self.remote_penalty_s + self.neighbours.round_trip_s(
-                upstream.region
-            )
         load = view.loads.get(announcement.incarnation, Load()) + health.load
         return Candidate(
             instance=announcement.incarnation,
@@ -342,7 +391,7 @@
             in_flight=load.in_flight,
             pending_tokens=load.pending_tokens,
             delay_s=health.expected_delay_s(request.now_s),
-            away_s=away_s,
+            away_s=self.away_s(upstream.region),
             cached=announcement.incarnation in request.holders,
             affinity=request.affinity(upstream.region),
             penalty_s=penalty_s(upstream, health, request.now_s),
@@ -353,8 +402,25 @@
         return wait_s * self.random.uniform(0.8, 1.4)
 
 
+def late_key(request: ChoiceRequest) -> tuple[str, bool]:
+    """Return the kind of a request: its service and whether it is urgent."""
+    return request.service.name, request.demand.urgent
+
+
+def wait_limit_s(request: ChoiceRequest, prefill_s: float) -> float:
+    """Return the predicted time above which a request is refused.
+
+    Parameters
+    ----------
+    prefill_s : float
+        Prefill time of the prompt.
+    """
+    limit_s = request.route.objective_s * MAX_WAIT_SHARE + prefill_s
+    return min(request.remaining_s, limit_s)
+
+
 def preferred_entries(
-    entries: list[EntryRecord], vm_name: str
+    entries: Iterable[EntryRecord], vm_name: str
 ) -> list[EntryRecord]:
     """Return the entry VMs of a region to which a VM hands requests over.
 
@@ -365,7 +431,7 @@
 
     Parameters
     ----------
-    entries : list of EntryRecord
+    entries : iterable of EntryRecord
         Available entry VMs of the region.
     vm_name : str
         The VM that hands requests over.
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -111,8 +111,13 @@
         return self.upstreams.rate_limiter.wait_s(incarnation, now_s)
 
 
-def is_full(candidate: Candidate) -> bool:
-    """Return whether an upstream has its maximum number of requests."""
+def is_full(candidate: Candidate, request: ChoiceRequest) -> bool:
+    """Return whether an upstream has no room for a request.
+
+    A search asks this first for a candidate with the number of requests of
+    several upstreams and no pending tokens, and skips them all if that is full.
+    So more load never makes room.
+    """
     return candidate.in_flight >= MAX_REQUESTS_PER_SLOT * candidate.slots
 
 
--- /dev/null
+++ b/godwitshunt/picking/search.py
@@ -0,0 +1,313 @@
+"""Search for the best upstreams of a service; no I/O.
+
+Upstreams are examined in the order of a lower bound of their cost, until the
+bound exceeds the best cost found. The result is that of ranking all of them.
+"""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heapreplace
+from math import inf
+
+from godwitshunt.configuration.revision import Revision
+from godwitshunt.picking.choices import ChoiceRequest
+from godwitshunt.picking.filters import UpstreamFilter, is_full
+from godwitshunt.picking.load_index import (
+    LoadGroup,
+    ServiceIndex,
+    ServiceRegion,
+    UpstreamRecord,
+)
+from godwitshunt.registry import UpstreamSeen
+from godwitshunt.routing.selection import (
+    Candidate,
+    CostBound,
+    RankedCandidate,
+    ServiceSpeed,
+    add_reread_cost,
+    estimate,
+    has_holder_with_slack,
+    reread_cost_s,
+    weighted_rank,
+)
+from godwitshunt.routing.upstream_health import UpstreamHealth
+
+# Bounds and costs are added up in different orders; their rounding errors are
+# smaller than this.
+ROUNDING_S = 1e-9
+# Upstreams of exactly the same cost that are examined. Idle ones are all alike,
+# and any of them may be chosen.
+MAX_EQUAL = 4
+
+
+@dataclass
+class Search:
+    """The search for one request.
+
+    Parameters
+    ----------
+    service : ServiceIndex
+        Upstreams of the service.
+    away_s : mapping
+        Cost of each region that may serve the request.
+    excluded : frozenset of str
+        Incarnations to skip.
+    make_candidate : callable
+        Returns an upstream with its load and statistics.
+    penalty_s : callable
+        Returns the cost of an upstream beyond that of its load, from its
+        statistics and the time.
+    near_best_s : float
+        Upstreams whose cost is within this many seconds of the best are
+        wanted, too.
+    reread_s : float or None
+        Cost that a repeated prefill of the prefix causes others; None until
+        the upstreams that have it cached have been examined.
+    """
+
+    request: ChoiceRequest
+    revision: Revision
+    service: ServiceIndex
+    speed: ServiceSpeed
+    filter: UpstreamFilter
+    away_s: Mapping[str, float]
+    excluded: frozenset[str]
+    make_candidate: Callable[[UpstreamSeen], Candidate]
+    penalty_s: Callable[[UpstreamSeen, UpstreamHealth, float], float]
+    near_best_s: float
+    found: list[tuple[float, int, RankedCandidate]] = field(
+        default_factory=list,
+    )
+    examined: set[str] = field(default_factory=set)
+    best_s: float = inf
+    equal: int = 0
+    reread_s: float | None = None
+
+    def __post_init__(self) -> None:
+        self.bound = CostBound.of(self.request.demand, self.speed)
+        self.health = self.filter.upstreams.health
+        self.groups = [
+            group
+            for group in self.service.groups.values()
+            if group.region in self.away_s
+            and not is_full(group.emptiest, self.request)
+        ]
+
+    def ranked(self) -> list[RankedCandidate]:
+        """Return the best upstreams ordered by cost, best first.
+
+        They include all whose cost is near the best, unless very many are
+        equal. Empty if no upstream can accept the request.
+        """
+        if not self.groups:
+            return []
+        self.examine_special()
+        self.examine_others(self.reread_s)
+        self.found.sort(key=lambda entry: entry[:2])
+        return [entry[2] for entry in self.found]
+
+    def examine_special(self) -> None:
+        """Examine the upstreams that have or own the prefix, once."""
+        if self.reread_s is not None:
+            return
+        for region in self.away_s:
+            for record in self.holders_in(region):
+                self.examine(record)
+        demand = self.request.demand
+        ranked = [entry[2] for entry in self.found]
+        has_slack = has_holder_with_slack(ranked, demand)
+        self.reread_s = reread_cost_s(demand, self.speed) if has_slack else 0.0
+        if not self.found and demand.has_affinity:
+            self.examine_owner()
+
+    def holders_in(self, region: str) -> Iterator[UpstreamRecord]:
+        """Yield the upstreams of a region that have the prefix cached."""
+        known = self.service.regions.get(region)
+        if known is not None:
+            for name in self.request.holders & known.by_name.keys():
+                yield known.by_name[name]
+
+    def examine_owner(self) -> None:
+        """Examine the upstream that owns the prefix by hashing."""
+        demand = self.request.demand
+        owners = []
+        for region in self.away_s:
+            known = self.service.regions.get(region)
+            owner = known and self.owner_in(known)
+            if owner is not None:
+                affinity = self.request.affinity(region)
+                weight = weighted_rank(demand.shared_key, owner.name, affinity)
+                owners.append((weight, owner.name, owner))
+        if owners:
+            self.examine(max(owners)[2], is_owner=True)
+
+    def owner_in(self, region: ServiceRegion) -> UpstreamRecord | None:
+        """Return the available upstream of a region that ranks first."""
+        weights = region.packed.weights(self.request.demand.shared_key)
+        first = weights.index(max(weights))
+        if self.is_available(region.records[first]):
+            return region.records[first]
+        # Most are available as a rule; the full order is seldom needed.
+        order = sorted(
+            range(len(weights)), key=weights.__getitem__, reverse=True
+        )
+        for number in order[1:]:
+            if self.is_available(region.records[number]):
+                return region.records[number]
+        return None
+
+    def is_available(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream can accept the request."""
+        if is_full(record.group.emptiest, self.request) or not self.is_eligible(
+            record
+        ):
+            return False
+        candidate = self.make_candidate(record.upstream)
+        return not is_full(candidate, self.request)
+
+    def is_eligible(self, record: UpstreamRecord) -> bool:
+        """Return whether the request may be sent to an upstream at all."""
+        if record.name in self.excluded:
+            return False
+        request = self.request
+        reason = self.filter.refusal(record.upstream, request, self.revision)
+        return reason is None
+
+    def examine_others(self, reread_s: float) -> None:
+        """Examine upstreams until none can be better than those found.
+
+        Parameters
+        ----------
+        reread_s : float
+            Cost of upstreams that do not have the prefix cached.
+        """
+        token_s = self.bound.token_s
+        heap = self.first_of_groups(reread_s)
+        while heap and heap[0][0] <= self.limit_s():
+            bound_s, number, place, group_s = heap[0]
+            members = self.groups[number].members
+            record = members[place][2]
+            place += 1
+            if place < len(members):
+                next_s = group_s + token_s * members[place][0]
+                heapreplace(heap, (next_s, number, place, group_s))
+            else:
+                heappop(heap)
+            if self.may_be_near(record, bound_s):
+                self.examine(record, reread_s=reread_s)
+
+    def first_of_groups(
+        self, reread_s: float
+    ) -> list[tuple[float, int, int, float]]:
+        """Return a heap of the first upstream of each group.
+
+        Its items are the bound of the cost of an upstream, the number of its
+        group, its place there, and the bound without its pending tokens.
+        """
+        token_s = self.bound.token_s
+        heap = []
+        for number, group in enumerate(self.groups):
+            group_s = self.group_cost_s(group) + reread_s
+            first_s = group_s + token_s * group.members[0][0]
+            heap.append((first_s, number, 0, group_s))
+        heapify(heap)
+        return heap
+
+    def group_cost_s(self, group: LoadGroup) -> float:
+        """Return the least cost of a group's upstreams without a prompt."""
+        cost_s = self.bound.cost_s(group.slots, group.in_flight)
+        return cost_s + self.away_s[group.region]
+
+    def may_be_near(self, record: UpstreamRecord, bound_s: float) -> bool:
+        """Return whether an upstream may be near the best.
+
+        Parameters
+        ----------
+        bound_s : float
+            Lower bound of its cost by its load.
+        """
+        health = self.health.get(record.name)
+        if health is None:
+            return True
+        now_s = self.request.now_s
+        spare_s = self.limit_s() - bound_s
+        spare_s -= max(0.0, health.expected_delay_s(now_s))
+        if spare_s < 0:
+            return False
+        return self.penalty_s(record.upstream, health, now_s) <= spare_s
+
+    def limit_s(self) -> float:
+        """Return the cost above which upstreams are not wanted."""
+        if self.equal >= MAX_EQUAL:
+            return self.best_s - ROUNDING_S
+        return self.best_s + self.near_best_s + ROUNDING_S
+
+    def examine(
+        self,
+        record: UpstreamRecord,
+        *,
+        is_owner: bool = False,
+        reread_s: float = 0.0,
+    ) -> None:
+        """Add an upstream to those found, if it can accept the request."""
+        ranked = self.evaluate(record, is_owner=is_owner)
+        if ranked is None:
+            return
+        if reread_s:
+            ranked = add_reread_cost(ranked, self.request.demand, self.speed)
+        cost_s = ranked.cost_s
+        if cost_s < self.best_s:
+            self.best_s = cost_s
+            self.equal = 0
+        if not self.near_best_s and cost_s == self.best_s:
+            self.equal += 1
+        self.found.append((cost_s, record.order, ranked))
+
+    def evaluate(
+        self, record: UpstreamRecord, *, is_owner: bool = False
+    ) -> RankedCandidate | None:
+        """Return the cost of an upstream; None if it was examined or may not.
+
+        Parameters
+        ----------
+        is_owner : bool
+            Whether it owns the prefix by hashing.
+        """
+        if record.name in self.examined:
+            return None
+        self.examined.add(record.name)
+        if not self.is_eligible(record):
+            return None
+        candidate = self.make_candidate(record.upstream)
+        if is_full(candidate, self.request):
+            return None
+        return estimate(candidate, self.request.demand, self.speed, is_owner)
+
+    def fastest(self) -> RankedCandidate | None:
+        """Return the upstream with the earliest first event, of all."""
+        self.examine_special()
+        ranked = [entry[2] for entry in self.found]
+        best = min(ranked, key=lambda entry: entry.predicted_s, default=None)
+        best_s = inf if best is None else best.predicted_s
+        token_s = self.bound.token_s
+        for group in self.groups:
+            away_s = self.away_s[group.region]
+            group_s = away_s + self.bound.first_event_s(
+                group.slots, group.in_flight
+            )
+            least_s = away_s + self.speed.first_s
+            for tokens, _, record in group.members:
+                predicted_s = group_s + token_s * tokens + self.delay_s(record)
+                if max(least_s, predicted_s) >= best_s - ROUNDING_S:
+                    continue
+                other = self.evaluate(record)
+                if other is not None and other.predicted_s < best_s:
+                    best, best_s = other, other.predicted_s
+        return best
+
+    def delay_s(self, record: UpstreamRecord) -> float:
+        """Return by how much an upstream is later than its load predicts."""
+        health = self.health.get(record.name)
+        if health is None:
+            return 0.0
+        return health.expected_delay_s(self.request.now_s)
--- a/godwitshunt/picking/tests/test_choice_equivalence.py
+++ b/godwitshunt/picking/tests/test_choice_equivalence.py
@@ -27,6 +27,7 @@
 from godwitshunt.picking.upstreams import Upstreams, of_service
 from godwitshunt.registry import EntryRecord, Load, RegistryView, UpstreamSeen
 from godwitshunt.registry.ledger import LoadLedger, SummedLoads
+from godwitshunt.registry.load_table import LoadTable
 from godwitshunt.registry.records import UpstreamAnnounced
 from godwitshunt.routing import outliers
 from godwitshunt.routing.hashing import name_hash
@@ -94,7 +95,7 @@
             if self.is_refused(upstream, request, revision):
                 continue
             candidate = self.candidate(upstream, request, view)
-            if not is_full(candidate):
+            if not is_full(candidate, request):
                 found.append(candidate)
         return found
 
@@ -249,7 +250,8 @@
         )
         limiter = self.chooser.upstreams.rate_limiter
         limiter.share = FIRST_PICKER
-        self.reported = {}
+        # Entry VMs have loads that do not tell which of them have changed.
+        self.reported = {} if self.seed % 2 else LoadTable()
         self.loads = SummedLoads((self.ledger.totals, self.reported))
         self.make_view()
         for _ in range(int(self.load * 12 * self.size)):
--- a/godwitshunt/registry/ledger.py
+++ b/godwitshunt/registry/ledger.py
@@ -8,7 +8,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -166,13 +166,21 @@
         known: EntryLoads,
         loads: Mapping[str, ReportedLoad],
     ) -> None:
-        """Replace an entry VM's reported loads in the totals."""
+        """Replace an entry VM's reported loads in the totals.
+
+        Only differences are applied: most loads of a report are as before, and
+        a chooser updates its index for each total that changes.
+        """
         before = known.loads
         known.loads = loads
         for instance, reported in loads.items():
-            self.totals[instance] = self.total(instance) + reported.load
-        for instance, reported in before.items():
-            self.subtract(instance, reported.load)
+            old = before.get(instance)
+            if old is None or old.load != reported.load:
+                self.totals[instance] = self.total(instance) + reported.load
+                if old is not None:
+                    self.subtract(instance, old.load)
+        for instance in before.keys() - loads.keys():
+            self.subtract(instance, before[instance].load)
 
     def release(self, reservation: Reservation) -> None:
         """Remove a reservation from the totals."""
@@ -240,19 +248,15 @@
 
     def get(self, instance: str, default: Load | None = None) -> Load | None:
         """Return a sum; faster than with an exception if there is none."""
-        loads = [table.get(instance) for table in self.tables]
-        known = [load for load in loads if load is not None]
-        if not known:
-            return default
-        return known[0] if len(known) == 1 else sum_loads(known)
+        total = None
+        for table in self.tables:
+            load = table.get(instance)
+            if load is not None:
+                total = load if total is None else total + load
+        return default if total is None else total
 
     def __iter__(self) -> Iterator[str]:
         return iter({name for part in self.parts for name in part})
 
     def __len__(self) -> int:
         return len({name for part in self.parts for name in part})
-
-
-def sum_loads(loads: Iterable[Load]) -> Load:
-    """Return the sum of several loads."""
-    return sum(loads, start=NO_LOAD)
--- a/godwitshunt/registry/records.py
+++ b/godwitshunt/registry/records.py
@@ -1,6 +1,7 @@
 """Records of upstream incarnations, entry VMs and their load."""
 
 from dataclasses import dataclass
+from functools import cached_property
 
 from godwitshunt.settings import Address
 
@@ -56,7 +57,7 @@
     ends_in_s: float | None = None
     born_ms: int | None = None
 
-    @property
+    @cached_property
     def incarnation(self) -> str:
         """Name of this incarnation, unique among all upstreams."""
         return incarnation_name(self.instance, self.born_ms)
--- a/godwitshunt/routing/selection.py
+++ b/godwitshunt/routing/selection.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from math import log
+from typing import Self
 
 from godwitshunt.routing.hashing import WORD_MASK, rank_weight
 
@@ -229,10 +230,7 @@
     """Add the cost that a repeated prefill of the prefix causes others."""
     if ranked.candidate.cached:
         return ranked
-    reread_tokens = demand.unread_tokens(cached=False) - demand.unread_tokens(
-        cached=True
-    )
-    reread_s = REREAD_WEIGHT * speed.prefill_s(reread_tokens)
+    reread_s = reread_cost_s(demand, speed)
     return replace(ranked, cost_s=ranked.cost_s + reread_s)
 
 
@@ -312,3 +310,67 @@
     """Return the candidates whose cost is within `near_s` of the best."""
     limit_s = ranked[0].cost_s + near_s
     return [entry for entry in ranked if entry.cost_s <= limit_s]
+
+
+@dataclass(frozen=True)
+class CostBound:
+    """Lower bound of the cost of upstreams without the prefix cached.
+
+    A search for the best upstream uses it to skip others. Delays and penalties
+    only add to it. It must follow each change of `estimate`.
+
+    Parameters
+    ----------
+    idle_s : float
+        Cost at an idle upstream.
+    token_s : float
+        Cost of each pending token.
+    request_s : float
+        Cost of each request in flight.
+    full_s : float
+        Cost of an upstream without a free slot.
+    run_s : float
+        Seconds that a request occupies a slot.
+    """
+
+    idle_s: float
+    token_s: float
+    request_s: float
+    full_s: float
+    run_s: float
+
+    @classmethod
+    def of(cls, demand: Demand, speed: ServiceSpeed) -> Self:
+        """Return the bound for a demand."""
+        unread_s = speed.prefill_s(demand.unread_tokens(cached=False))
+        pending_share = URGENT_WAIT_SHARE if demand.urgent else 1.0
+        request_s = CROWDING_PER_REQUEST_S + STREAM_DELAY_SHARE * unread_s
+        reads = bool(speed.tokens_per_s)
+        return cls(
+            idle_s=speed.first_s + unread_s,
+            token_s=speed.prefill_s(pending_share),
+            request_s=request_s if reads else 0.0,
+            full_s=FULL_PENALTY_S if reads else 0.0,
+            run_s=speed.run_s,
+        )
+
+    def cost_s(self, slots: int, in_flight: int) -> float:
+        """Return the bound for a number of requests, without their tokens."""
+        cost_s = self.idle_s + self.request_s * in_flight
+        overflow = in_flight + 1 - slots
+        if overflow > 0:
+            cost_s += self.full_s + overflow * self.run_s / max(1, slots)
+        return cost_s
+
+    def first_event_s(self, slots: int, in_flight: int) -> float:
+        """Return the predicted time to the first event of such an upstream."""
+        overflow = max(0, in_flight + 1 - slots)
+        return self.idle_s + overflow * self.run_s / max(1, slots)
+
+
+def reread_cost_s(demand: Demand, speed: ServiceSpeed) -> float:
+    """Return the cost that a repeated prefill of the prefix causes others."""
+    reread_tokens = demand.unread_tokens(cached=False) - demand.unread_tokens(
+        cached=True
+    )
+    return REREAD_WEIGHT * speed.prefill_s(reread_tokens)
