--- a/godwitshunt/registry/ledger.py
+++ b/godwitshunt/registry/ledger.py
@@ -8,9 +8,11 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
+from godwitshunt.registry.load_table import LoadTable
 from godwitshunt.registry.records import Load
 
 # An entry VM's reports include a reservation within a few hundredths of a
@@ -98,7 +100,7 @@
     """
 
     entries: dict[str, EntryLoads] = field(default_factory=dict)
-    totals: dict[str, Load] = field(default_factory=dict)
+    totals: LoadTable = field(default_factory=LoadTable)
     last_number: int = 0
 
     def apply_report(self, name: str, report: Report) -> bool:
@@ -164,13 +166,21 @@
         known: EntryLoads,
         loads: Mapping[str, ReportedLoad],
     ) -> None:
-        """Replace an entry VM's reported loads in the totals."""
+        """Replace an entry VM's reported loads in the totals.
+
+        Only differences are applied: most loads of a report are as before, and
+        a chooser updates its index for each total that changes.
+        """
         before = known.loads
         known.loads = loads
         for instance, reported in loads.items():
-            self.totals[instance] = self.total(instance) + reported.load
-        for instance, reported in before.items():
-            self.subtract(instance, reported.load)
+            old = before.get(instance)
+            if old is None or old.load != reported.load:
+                self.totals[instance] = self.total(instance) + reported.load
+                if old is not None:
+                    self.subtract(instance, old.load)
+        for instance in before.keys() - loads.keys():
+            self.subtract(instance, before[instance].load)
 
     def release(self, reservation: Reservation) -> None:
         """Remove a reservation from the totals."""
@@ -221,19 +231,32 @@
 
     parts: tuple[Mapping[str, Load], ...]
 
+    @cached_property
+    def tables(self) -> tuple[Mapping[str, Load], ...]:
+        """The mappings whose loads are added up, those of nested sums too."""
+        tables: list[Mapping[str, Load]] = []
+        for part in self.parts:
+            nested = part.tables if isinstance(part, SummedLoads) else (part,)
+            tables.extend(nested)
+        return tuple(tables)
+
     def __getitem__(self, instance: str) -> Load:
-        loads = [part[instance] for part in self.parts if instance in part]
-        if not loads:
+        load = self.get(instance)
+        if load is None:
             raise KeyError(instance)
-        return loads[0] if len(loads) == 1 else sum_loads(loads)
+        return load
+
+    def get(self, instance: str, default: Load | None = None) -> Load | None:
+        """Return a sum; faster than with an exception if there is none."""
+        total = None
+        for table in self.tables:
+            load = table.get(instance)
+            if load is not None:
+                total = load if total is None else total + load
+        return default if total is None else total
 
     def __iter__(self) -> Iterator[str]:
         return iter({name for part in self.parts for name in part})
 
     def __len__(self) -> int:
         return len({name for part in self.parts for name in part})
-
-
-def sum_loads(loads: Iterable[Load]) -> Load:
-    """Return the sum of several loads."""
-    return sum(loads, start=NO_LOAD)
