--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -35,6 +35,8 @@
         Addresses of the control processes.
     entry_zones : dict
         Zone of each entry process, by its address.
+    entry_script : str
+        Program of the entry processes.
     network : str
         Beginning of all addresses. Worlds of one network run in turn.
     """
@@ -49,6 +51,7 @@
     control_hosts: tuple = CONTROL_HOSTS
     entry_zones: dict = field(default_factory=lambda: dict(ENTRY_ZONES))
     network: str = NETWORK
+    entry_script: str = 'platform/entry.py'
 
     async def start(self):
         """Start everything and wait until a request is served.
@@ -93,11 +96,11 @@
             seeds=self.control_hosts,
         )
         path.write_text(json.dumps(document))
-        script = 'control.py' if control else 'entry.py'
+        script = 'platform/control.py' if control else self.entry_script
         log = (self.folder / f'{host}.log').open('ab')
         self.processes[host] = await asyncio.create_subprocess_exec(
             sys.executable,
-            f'platform/{script}',
+            script,
             cwd=ROOT,
             env={**os.environ, 'GODWITSHUNT_BOOT': str(path)},
             stdout=log,
