Count an entry VM's calls and system calls for each request

Processor times on a shared machine vary by a third from run to run; the profile's counts hardly do.

--- a/benchmarks/entry_cost.py
+++ b/benchmarks/entry_cost.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import re
 import signal
 import sys
 import tempfile
@@ -17,6 +18,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from pstats import Stats
 from types import MappingProxyType
 
 import defopt
@@ -43,6 +45,12 @@
 OK = 200
 ENTRY_SCRIPT = 'platform/entry.py'
 PROFILED_SCRIPT = 'benchmarks/profiled_entry.py'
+# Methods of the interpreter that are one system call each.
+SYSTEM_CALL = re.compile(
+    "<(?:method|built-in method) '?(?:[a-z_]+[.])*"
+    "(send|recv|poll|register|modify|unregister|connect|setsockopt|accept)'?"
+    r"(?: of '(?:_socket|select)[.][a-z]+' objects)?>$",
+)
 PROFILE_VARIABLE = 'GODWITSHUNT_PROFILE'
 
 
@@ -237,6 +245,25 @@
     }
 
 
+def read_profile(path: Path, served: int, duration_s: float) -> dict:
+    """Return how often the profiled process called, and what it called.
+
+    These counts hardly depend on what else the machine does.
+    """
+    profile = Stats(str(path))
+    per_s = {'calls': profile.total_calls}
+    for function, spent in profile.stats.items():
+        found = SYSTEM_CALL.match(function[2])
+        if found is not None:
+            name = found.group(1)
+            per_s[name] = per_s.get(name, 0) + spent[0]
+    counted = served or duration_s
+    return {
+        'counts_for_each': 'request' if served else 'second',
+        **{name: round(each / counted, 2) for name, each in per_s.items()},
+    }
+
+
 async def measure_start(world: CostWorld) -> dict:
     """Measure the start of one more entry process, with its control VMs."""
     host = f'{NETWORK}.12'
@@ -282,7 +309,10 @@
             for _ in range(3):
                 report(await measure_start(world))
         for state in states:
-            report(await measure_state(world, state, duration_s))
+            line = await measure_state(world, state, duration_s)
+            report(line)
+            if profile is not None:
+                report(read_profile(profile, line['served'], duration_s))
     finally:
         await world.close()
 
