Do not poll sockets before each round of ready callbacks

The default event loop makes a poll, which is a system call, before each round of callbacks, also where callbacks are ready and none waits for a socket. Half of an entry VM's polls were such.

--- a/godwitshunt/programs/ingress.py
+++ b/godwitshunt/programs/ingress.py
@@ -1,6 +1,5 @@
 """``godwitshunt-ingress``: the process of an entry VM that serves routes."""
 
-import asyncio
 import sys
 from pathlib import Path
 
@@ -11,6 +10,7 @@
 from godwitshunt.programs.ingress_process import IngressProcess
 from godwitshunt.settings import IngressSettings
 from godwitshunt.telemetry import open_log
+from godwitshunt.timer.event_loop import run_event_loop
 
 WRONG_INPUT = 2
 
@@ -39,7 +39,7 @@
     try:
         loaded = read_settings(settings, IngressSettings)
         open_log(loaded.log.path)
-        asyncio.run(run_ingress(loaded))
+        run_event_loop(run_ingress(loaded))
     except GodwitshuntError as wrong:
         print(wrong, file=sys.stderr)
         return WRONG_INPUT
