--- a/godwitshunt/picking/handover_loads.py
+++ b/godwitshunt/picking/handover_loads.py
@@ -56,7 +56,7 @@
     ... )
     >>> handovers.add('i-1', 'tvm', tokens=300, lasts_s=0.5, now_s=5.2)
     >>> handovers.totals
-    {'i-1': Load(in_flight=1, pending_tokens=300)}
+    {'i-1': Load(in_flight=1, pending_tokens=300, reserved_tokens=0)}
     >>> handovers.reported_s = lambda region: 5.3
     >>> handovers.remove_reported(now_s=5.4)
     >>> handovers.totals
@@ -75,6 +75,7 @@
         tokens: int,
         lasts_s: float,
         now_s: float,
+        reserved_tokens: int = 0,
     ) -> None:
         """Count a request that is handed over to another region.
 
@@ -86,7 +87,7 @@
             ended: twelve requests of a third of a second filled an upstream
             that ran three, and callers of the own region were refused.
         """
-        load = Load(1, tokens)
+        load = Load(1, tokens, reserved_tokens)
         ends_s = now_s + self.one_way_s(region) + lasts_s
         handover = PendingHandover(instance, region, load, now_s, ends_s)
         self.sent.append(handover)
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -514,6 +514,88 @@
         return not (self == other)
 
 
+class SharedPrefix(object):
+    """
+    A shared prompt prefix that requests use at an upstream.
+
+    Attributes:
+     - key: Identifies the prefix; the same on all VMs.
+     - tokens
+
+    """
+
+    __slots__ = (
+        'key',
+        'tokens',
+    )
+
+
+    def __init__(self, key=None, tokens=None,):
+        self.key = key
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.key = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SharedPrefix')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I64, 1)
+            oprot.writeI64(self.key)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 2)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamLoad(object):
     """
     Load of an upstream by one or more entry VMs.
@@ -524,6 +606,10 @@
      - pending_tokens: Prompt tokens of requests that have not returned a first event.
      - waiting_ms: Milliseconds since the oldest such request was sent; absent for none.
      - heard_ms: Milliseconds since bytes last arrived from it; absent for never.
+     - reserved_tokens: Tokens of the upstream's memory that the requests need until they end,
+    without the prefixes in `shared`.
+     - shared: Shared prefixes that an entry VM's requests use, each of them once; only
+    in that VM's own reports.
 
     """
 
@@ -533,15 +619,19 @@
         'pending_tokens',
         'waiting_ms',
         'heard_ms',
+        'reserved_tokens',
+        'shared',
     )
 
 
-    def __init__(self, instance=None, in_flight=None, pending_tokens=None, waiting_ms=None, heard_ms=None,):
+    def __init__(self, instance=None, in_flight=None, pending_tokens=None, waiting_ms=None, heard_ms=None, reserved_tokens=None, shared=None,):
         self.instance = instance
         self.in_flight = in_flight
         self.pending_tokens = pending_tokens
         self.waiting_ms = waiting_ms
         self.heard_ms = heard_ms
+        self.reserved_tokens = reserved_tokens
+        self.shared = shared
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -577,6 +667,22 @@
                     self.heard_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.reserved_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.shared = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = SharedPrefix()
+                        _elem5.read(iprot)
+                        self.shared.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -607,6 +713,17 @@
             oprot.writeFieldBegin('heard_ms', TType.I32, 5)
             oprot.writeI32(self.heard_ms)
             oprot.writeFieldEnd()
+        if self.reserved_tokens is not None:
+            oprot.writeFieldBegin('reserved_tokens', TType.I64, 6)
+            oprot.writeI64(self.reserved_tokens)
+            oprot.writeFieldEnd()
+        if self.shared is not None:
+            oprot.writeFieldBegin('shared', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.shared))
+            for iter6 in self.shared:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -739,6 +856,9 @@
      - predicted_ms: Latency predicted when it was sent.
      - unread_tokens
      - was_held_up: True if the engine had other prompts to process, or was cold.
+     - route: The route, and the length of the whole answer in tokens; absent if it is
+    not known.
+     - answer_tokens
 
     """
 
@@ -751,10 +871,12 @@
         'predicted_ms',
         'unread_tokens',
         'was_held_up',
+        'route',
+        'answer_tokens',
     )
 
 
-    def __init__(self, instance=None, service_name=None, shown=None, first_ms=None, took_ms=None, predicted_ms=None, unread_tokens=None, was_held_up=None,):
+    def __init__(self, instance=None, service_name=None, shown=None, first_ms=None, took_ms=None, predicted_ms=None, unread_tokens=None, was_held_up=None, route=None, answer_tokens=None,):
         self.instance = instance
         self.service_name = service_name
         self.shown = shown
@@ -763,6 +885,8 @@
         self.predicted_ms = predicted_ms
         self.unread_tokens = unread_tokens
         self.was_held_up = was_held_up
+        self.route = route
+        self.answer_tokens = answer_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -813,6 +937,16 @@
                     self.was_held_up = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.answer_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -855,6 +989,14 @@
             oprot.writeFieldBegin('was_held_up', TType.BOOL, 8)
             oprot.writeBool(self.was_held_up)
             oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 9)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.answer_tokens is not None:
+            oprot.writeFieldBegin('answer_tokens', TType.I32, 10)
+            oprot.writeI32(self.answer_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1125,22 +1267,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = PlaceLost()
-                        _elem5.read(iprot)
-                        self.losses.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = PlaceLost()
+                        _elem12.read(iprot)
+                        self.losses.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.clearances = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = Clearance()
-                        _elem11.read(iprot)
-                        self.clearances.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = Clearance()
+                        _elem18.read(iprot)
+                        self.clearances.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1169,15 +1311,15 @@
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter12 in self.losses:
-                iter12.write(oprot)
+            for iter19 in self.losses:
+                iter19.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.clearances is not None:
             oprot.writeFieldBegin('clearances', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.clearances))
-            for iter13 in self.clearances:
-                iter13.write(oprot)
+            for iter20 in self.clearances:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1446,11 +1588,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = UpstreamLoad()
-                        _elem19.read(iprot)
-                        self.loads.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = UpstreamLoad()
+                        _elem26.read(iprot)
+                        self.loads.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1472,65 +1614,65 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.shown = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = AttemptShown()
-                        _elem25.read(iprot)
-                        self.shown.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = AttemptShown()
+                        _elem32.read(iprot)
+                        self.shown.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = PrefixInfo()
-                        _elem31.read(iprot)
-                        self.prefixes.append(_elem31)
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = PrefixInfo()
+                        _elem38.read(iprot)
+                        self.prefixes.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = AdmittedUnits()
-                        _elem37.read(iprot)
-                        self.admitted.append(_elem37)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = AdmittedUnits()
+                        _elem44.read(iprot)
+                        self.admitted.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = SuspectInfo()
-                        _elem43.read(iprot)
-                        self.suspects.append(_elem43)
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = SuspectInfo()
+                        _elem50.read(iprot)
+                        self.suspects.append(_elem50)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = RateLimitInfo()
-                        _elem49.read(iprot)
-                        self.rate_limits.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = RateLimitInfo()
+                        _elem56.read(iprot)
+                        self.rate_limits.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem55)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1551,8 +1693,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter56 in self.loads:
-                iter56.write(oprot)
+            for iter63 in self.loads:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1566,15 +1708,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter57 in self.shown:
-                iter57.write(oprot)
+            for iter64 in self.shown:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter58 in self.prefixes:
-                iter58.write(oprot)
+            for iter65 in self.prefixes:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1584,29 +1726,29 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter59 in self.admitted:
-                iter59.write(oprot)
+            for iter66 in self.admitted:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter60 in self.suspects:
-                iter60.write(oprot)
+            for iter67 in self.suspects:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter61 in self.rate_limits:
-                iter61.write(oprot)
+            for iter68 in self.rate_limits:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter62 in self.leaving:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter69 in self.leaving:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1796,11 +1938,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = TableHeld()
-                        _elem68.read(iprot)
-                        self.held.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = TableHeld()
+                        _elem75.read(iprot)
+                        self.held.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1813,11 +1955,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = PrefixInfo()
-                        _elem74.read(iprot)
-                        self.prefixes.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = PrefixInfo()
+                        _elem81.read(iprot)
+                        self.prefixes.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1844,22 +1986,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = TableNews()
-                        _elem80.read(iprot)
-                        self.newer.append(_elem80)
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = TableNews()
+                        _elem87.read(iprot)
+                        self.newer.append(_elem87)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = SuspectInfo()
-                        _elem86.read(iprot)
-                        self.suspects.append(_elem86)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = SuspectInfo()
+                        _elem93.read(iprot)
+                        self.suspects.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1885,8 +2027,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter87 in self.held:
-                iter87.write(oprot)
+            for iter94 in self.held:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -1896,8 +2038,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter88 in self.prefixes:
-                iter88.write(oprot)
+            for iter95 in self.prefixes:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -1919,15 +2061,15 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter89 in self.newer:
-                iter89.write(oprot)
+            for iter96 in self.newer:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter90 in self.suspects:
-                iter90.write(oprot)
+            for iter97 in self.suspects:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2057,43 +2199,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = UpstreamInfo()
-                        _elem96.read(iprot)
-                        self.upstreams.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = UpstreamInfo()
+                        _elem103.read(iprot)
+                        self.upstreams.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = StartEnded()
-                        _elem102.read(iprot)
-                        self.gone.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = StartEnded()
+                        _elem109.read(iprot)
+                        self.gone.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = EntryInfo()
-                        _elem108.read(iprot)
-                        self.entries.append(_elem108)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = EntryInfo()
+                        _elem115.read(iprot)
+                        self.entries.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem114)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2105,22 +2247,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = UpstreamLoad()
-                        _elem120.read(iprot)
-                        self.loads.append(_elem120)
+                    (_etype125, _size122) = iprot.readListBegin()
+                    for _i126 in range(_size122):
+                        _elem127 = UpstreamLoad()
+                        _elem127.read(iprot)
+                        self.loads.append(_elem127)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = AdmittedUnits()
-                        _elem126.read(iprot)
-                        self.admitted.append(_elem126)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = AdmittedUnits()
+                        _elem133.read(iprot)
+                        self.admitted.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2161,29 +2303,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter127 in self.upstreams:
-                iter127.write(oprot)
+            for iter134 in self.upstreams:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter128 in self.gone:
-                iter128.write(oprot)
+            for iter135 in self.gone:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter129 in self.entries:
-                iter129.write(oprot)
+            for iter136 in self.entries:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter130 in self.gone_entries:
-                oprot.writeString(iter130.encode('utf-8') if sys.version_info[0] == 2 else iter130)
+            for iter137 in self.gone_entries:
+                oprot.writeString(iter137.encode('utf-8') if sys.version_info[0] == 2 else iter137)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -2193,15 +2335,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter131 in self.loads:
-                iter131.write(oprot)
+            for iter138 in self.loads:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter132 in self.admitted:
-                iter132.write(oprot)
+            for iter139 in self.admitted:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2288,33 +2430,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = TableNews()
-                        _elem138.read(iprot)
-                        self.tables.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = TableNews()
+                        _elem145.read(iprot)
+                        self.tables.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = UpstreamLoad()
-                        _elem144.read(iprot)
-                        self.loads.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = UpstreamLoad()
+                        _elem151.read(iprot)
+                        self.loads.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = PrefixInfo()
-                        _elem150.read(iprot)
-                        self.prefixes.append(_elem150)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = PrefixInfo()
+                        _elem157.read(iprot)
+                        self.prefixes.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2341,11 +2483,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = SuspectInfo()
-                        _elem156.read(iprot)
-                        self.suspects.append(_elem156)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = SuspectInfo()
+                        _elem163.read(iprot)
+                        self.suspects.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2367,22 +2509,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter157 in self.tables:
-                iter157.write(oprot)
+            for iter164 in self.tables:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter158 in self.loads:
-                iter158.write(oprot)
+            for iter165 in self.loads:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter159 in self.prefixes:
-                iter159.write(oprot)
+            for iter166 in self.prefixes:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2408,8 +2550,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter160 in self.suspects:
-                iter160.write(oprot)
+            for iter167 in self.suspects:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2543,6 +2685,8 @@
      - organisation: Organisation that sent it; absent for none.
      - cost: Units that it counts in that organisation's limit.
      - pauses: Upstreams to which this entry VM must not send now.
+     - output_tokens: Maximum length of the answer in tokens, as stated by the request; absent
+    if it states none.
 
     """
 
@@ -2562,10 +2706,11 @@
         'organisation',
         'cost',
         'pauses',
+        'output_tokens',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, output_tokens=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -2581,6 +2726,7 @@
         self.organisation = organisation
         self.cost = cost
         self.pauses = pauses
+        self.output_tokens = output_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2645,10 +2791,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2670,14 +2816,19 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = PauseInfo()
-                        _elem172.read(iprot)
-                        self.pauses.append(_elem172)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = PauseInfo()
+                        _elem179.read(iprot)
+                        self.pauses.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I32:
+                    self.output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2731,8 +2882,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter173 in self.excluded:
-                oprot.writeString(iter173.encode('utf-8') if sys.version_info[0] == 2 else iter173)
+            for iter180 in self.excluded:
+                oprot.writeString(iter180.encode('utf-8') if sys.version_info[0] == 2 else iter180)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2750,10 +2901,14 @@
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter174 in self.pauses:
-                iter174.write(oprot)
+            for iter181 in self.pauses:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.output_tokens is not None:
+            oprot.writeFieldBegin('output_tokens', TType.I32, 18)
+            oprot.writeI32(self.output_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2795,6 +2950,8 @@
      - waiting_tokens
      - entry
      - retry_after_ms
+     - reserved_tokens: Tokens of the upstream's memory reserved for the request, without its
+    shared prefix.
 
     """
 
@@ -2810,10 +2967,11 @@
         'waiting_tokens',
         'entry',
         'retry_after_ms',
+        'reserved_tokens',
     )
 
 
-    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None,):
+    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None, reserved_tokens=None,):
         self.kind = kind
         self.source = source
         self.number = number
@@ -2825,6 +2983,7 @@
         self.waiting_tokens = waiting_tokens
         self.entry = entry
         self.retry_after_ms = retry_after_ms
+        self.reserved_tokens = reserved_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2892,6 +3051,11 @@
                     self.retry_after_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.reserved_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2946,6 +3110,10 @@
             oprot.writeFieldBegin('retry_after_ms', TType.DOUBLE, 11)
             oprot.writeDouble(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.reserved_tokens is not None:
+            oprot.writeFieldBegin('reserved_tokens', TType.I64, 18)
+            oprot.writeI64(self.reserved_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3006,33 +3174,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = UpstreamInfo()
-                        _elem180.read(iprot)
-                        self.upstreams.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = UpstreamInfo()
+                        _elem187.read(iprot)
+                        self.upstreams.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = StartEnded()
-                        _elem186.read(iprot)
-                        self.gone.append(_elem186)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = StartEnded()
+                        _elem193.read(iprot)
+                        self.gone.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype190, _size187) = iprot.readListBegin()
-                    for _i191 in range(_size187):
-                        _elem192 = SuspectInfo()
-                        _elem192.read(iprot)
-                        self.suspects.append(_elem192)
+                    (_etype197, _size194) = iprot.readListBegin()
+                    for _i198 in range(_size194):
+                        _elem199 = SuspectInfo()
+                        _elem199.read(iprot)
+                        self.suspects.append(_elem199)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3049,22 +3217,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter193 in self.upstreams:
-                iter193.write(oprot)
+            for iter200 in self.upstreams:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter194 in self.gone:
-                iter194.write(oprot)
+            for iter201 in self.gone:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter195 in self.suspects:
-                iter195.write(oprot)
+            for iter202 in self.suspects:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3128,6 +3296,12 @@
     (6, TType.STRUCT, 'hop', [Endpoint, None], None, ),  # 6
     (7, TType.BOOL, 'accepting', None, None, ),  # 7
 )
+all_structs.append(SharedPrefix)
+SharedPrefix.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'key', None, None, ),  # 1
+    (2, TType.I64, 'tokens', None, None, ),  # 2
+)
 all_structs.append(UpstreamLoad)
 UpstreamLoad.thrift_spec = (
     None,  # 0
@@ -3136,6 +3310,8 @@
     (3, TType.I64, 'pending_tokens', None, None, ),  # 3
     (4, TType.I32, 'waiting_ms', None, None, ),  # 4
     (5, TType.I32, 'heard_ms', None, None, ),  # 5
+    (6, TType.I64, 'reserved_tokens', None, None, ),  # 6
+    (7, TType.LIST, 'shared', (TType.STRUCT, [SharedPrefix, None], False), None, ),  # 7
 )
 all_structs.append(PrefixInfo)
 PrefixInfo.thrift_spec = (
@@ -3155,6 +3331,8 @@
     (6, TType.DOUBLE, 'predicted_ms', None, None, ),  # 6
     (7, TType.I32, 'unread_tokens', None, None, ),  # 7
     (8, TType.BOOL, 'was_held_up', None, None, ),  # 8
+    (9, TType.STRING, 'route', 'UTF8', None, ),  # 9
+    (10, TType.I32, 'answer_tokens', None, None, ),  # 10
 )
 all_structs.append(PlaceLost)
 PlaceLost.thrift_spec = (
@@ -3284,6 +3462,9 @@
     (13, TType.STRING, 'organisation', 'UTF8', None, ),  # 13
     (14, TType.DOUBLE, 'cost', None, None, ),  # 14
     (15, TType.LIST, 'pauses', (TType.STRUCT, [PauseInfo, None], False), None, ),  # 15
+    None,  # 16
+    None,  # 17
+    (18, TType.I32, 'output_tokens', None, None, ),  # 18
 )
 all_structs.append(PlaceGiven)
 PlaceGiven.thrift_spec = (
@@ -3299,6 +3480,13 @@
     (9, TType.I64, 'waiting_tokens', None, None, ),  # 9
     (10, TType.STRUCT, 'entry', [EntryInfo, None], None, ),  # 10
     (11, TType.DOUBLE, 'retry_after_ms', None, None, ),  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    (18, TType.I64, 'reserved_tokens', None, None, ),  # 18
 )
 all_structs.append(KeptUpstreams)
 KeptUpstreams.thrift_spec = (
--- a/godwitshunt/registry/ledger.py
+++ b/godwitshunt/registry/ledger.py
@@ -11,13 +11,15 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from godwitshunt.registry.records import Load
+from godwitshunt.registry.records import Load, MemoryClaim
+from godwitshunt.registry.shared_prefixes import SharedPrefixes
 
 # An entry VM's reports include a reservation within a few hundredths of a
 # second. If none has by this time, the reply was lost or the entry VM gave up
 # waiting for it, and the reservation must not block a slot any longer.
 RESERVATION_TTL_S = 1.0
 NO_LOAD = Load()
+NO_CLAIM = MemoryClaim()
 
 
 @dataclass(frozen=True)
@@ -26,16 +28,21 @@
 
     Parameters
     ----------
+    load : Load
+        Its `reserved_tokens` are those without shared prefixes.
     oldest_s : float or None
         When the oldest request without a response so far was sent; None if
         there is none.
     last_received_s : float or None
         When bytes last arrived from the upstream; None if never.
+    shared : mapping
+        Tokens of the shared prefixes that the requests use, by key.
     """
 
     load: Load
     oldest_s: float | None = None
     last_received_s: float | None = None
+    shared: Mapping[int, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -68,6 +75,7 @@
     instance: str
     load: Load
     reserved_s: float
+    claim: MemoryClaim = NO_CLAIM
 
 
 @dataclass
@@ -84,22 +92,34 @@
 class LoadLedger:
     """Load of each upstream, summed over the entry VMs that report here.
 
+    Parameters
+    ----------
+    totals : dict
+        Load by incarnation. The reserved tokens include each shared prefix
+        once.
+    shared : dict
+        Shared prefixes in use, by incarnation.
+    sharing : dict
+        Incarnations at which a shared prefix is in use, by its key.
+
     Examples
     --------
     >>> ledger = LoadLedger()
     >>> number = ledger.reserve('e-1', 'i-1', tokens=300, now_s=5.0)
     >>> ledger.totals['i-1']
-    Load(in_flight=1, pending_tokens=300)
+    Load(in_flight=1, pending_tokens=300, reserved_tokens=0)
     >>> loads = {'i-1': ReportedLoad(Load(1, 300))}
     >>> ledger.apply_report('e-1', Report('s', 1, loads, number))
     True
     >>> ledger.totals['i-1']
-    Load(in_flight=1, pending_tokens=300)
+    Load(in_flight=1, pending_tokens=300, reserved_tokens=0)
     """
 
     entries: dict[str, EntryLoads] = field(default_factory=dict)
     totals: dict[str, Load] = field(default_factory=dict)
     last_number: int = 0
+    shared: dict[str, SharedPrefixes] = field(default_factory=dict)
+    sharing: dict[int, set[str]] = field(default_factory=dict)
 
     def apply_report(self, name: str, report: Report) -> bool:
         """Apply a report; return False if a later one was applied before."""
@@ -123,19 +143,23 @@
         instance: str,
         tokens: int,
         now_s: float,
+        claim: MemoryClaim = NO_CLAIM,
     ) -> int:
-        """Reserve a slot for an entry VM; return the reservation's number."""
+        """Reserve a slot and memory; return the reservation's number."""
         self.last_number += 1
         reservation = Reservation(
             self.last_number,
             instance,
-            Load(1, tokens),
+            Load(1, tokens, claim.own_tokens),
             now_s,
+            claim,
         )
         self.entries.setdefault(name, EntryLoads()).reservations.append(
             reservation,
         )
         self.totals[instance] = self.total(instance) + reservation.load
+        if claim.shared_key is not None:
+            self.add_prefix(instance, claim.shared_key, claim.shared_tokens)
         return reservation.number
 
     def tick(self, now_s: float) -> tuple[Reservation, ...]:
@@ -169,13 +193,40 @@
         known.loads = loads
         for instance, reported in loads.items():
             self.totals[instance] = self.total(instance) + reported.load
+            for key, tokens in reported.shared.items():
+                self.add_prefix(instance, key, tokens)
         for instance, reported in before.items():
+            for key in reported.shared:
+                self.remove_prefix(instance, key)
             self.subtract(instance, reported.load)
 
     def release(self, reservation: Reservation) -> None:
         """Remove a reservation from the totals."""
+        if reservation.claim.shared_key is not None:
+            self.remove_prefix(
+                reservation.instance, reservation.claim.shared_key
+            )
         self.subtract(reservation.instance, reservation.load)
 
+    def add_prefix(self, instance: str, key: int, tokens: int) -> None:
+        """Add a user of a shared prefix at an upstream."""
+        prefixes = self.shared.setdefault(instance, SharedPrefixes())
+        reserved = prefixes.add(key, tokens)
+        self.sharing.setdefault(key, set()).add(instance)
+        self.totals[instance] = self.total(instance) + Load(0, 0, reserved)
+
+    def remove_prefix(self, instance: str, key: int) -> None:
+        """Remove a user of a shared prefix at an upstream."""
+        prefixes = self.shared[instance]
+        released = prefixes.remove(key)
+        if key not in prefixes.users:
+            self.sharing[key].discard(instance)
+            if not self.sharing[key]:
+                self.sharing.pop(key)
+        if not prefixes.users:
+            self.shared.pop(instance)
+        self.subtract(instance, Load(0, 0, released))
+
     def subtract(self, instance: str, load: Load) -> None:
         """Subtract a load from an upstream's total."""
         remaining = self.total(instance) - load
@@ -193,10 +244,24 @@
         own = self.entries.get(name, EntryLoads()).loads
         for instance, total in self.totals.items():
             own_load = own.get(instance)
-            others = total if own_load is None else total - own_load.load
+            others = total
+            if own_load is not None:
+                unshared = self.unshared_tokens(instance, own_load)
+                others = total - own_load.load - Load(0, 0, unshared)
             if others != NO_LOAD:
                 yield instance, others
 
+    def unshared_tokens(self, instance: str, own: ReportedLoad) -> int:
+        """Return the tokens of the prefixes that only one entry VM uses."""
+        prefixes = self.shared.get(instance)
+        if prefixes is None:
+            return 0
+        return sum(
+            prefixes.tokens[key]
+            for key in own.shared
+            if prefixes.users[key] == 1
+        )
+
 
 def is_expired(reservation: Reservation, now_s: float) -> bool:
     """Return whether a reservation is older than `RESERVATION_TTL_S`."""
@@ -216,7 +281,7 @@
     --------
     >>> summed = SummedLoads(({'i-1': Load(1, 5)}, {'i-1': Load(2, 0)}))
     >>> summed.get('i-1'), summed.get('i-2')
-    (Load(in_flight=3, pending_tokens=5), None)
+    (Load(in_flight=3, pending_tokens=5, reserved_tokens=0), None)
     """
 
     parts: tuple[Mapping[str, Load], ...]
--- a/godwitshunt/registry/records.py
+++ b/godwitshunt/registry/records.py
@@ -97,24 +97,48 @@
         Number of requests.
     pending_tokens : int
         Prompt tokens of the requests that have not returned a first event.
+    reserved_tokens : int
+        Tokens of an engine's memory that the requests need until they end.
     """
 
     in_flight: int = 0
     pending_tokens: int = 0
+    reserved_tokens: int = 0
 
     def __add__(self, other: 'Load') -> 'Load':
         return Load(
             self.in_flight + other.in_flight,
             self.pending_tokens + other.pending_tokens,
+            self.reserved_tokens + other.reserved_tokens,
         )
 
     def __sub__(self, other: 'Load') -> 'Load':
         return Load(
             self.in_flight - other.in_flight,
             self.pending_tokens - other.pending_tokens,
+            self.reserved_tokens - other.reserved_tokens,
         )
 
 
+@dataclass(frozen=True)
+class MemoryClaim:
+    """Memory of an engine that one request needs until it ends.
+
+    Parameters
+    ----------
+    own_tokens : int
+        Its prompt without the shared prefix, and its expected answer.
+    shared_key : int or None
+        Identifies the shared prefix of its prompt; None if there is none.
+    shared_tokens : int
+        Length of that prefix. An engine keeps it once for all requests.
+    """
+
+    own_tokens: int = 0
+    shared_key: int | None = None
+    shared_tokens: int = 0
+
+
 def incarnation_name(instance: str, born_ms: int | None) -> str:
     """Return the name of an incarnation of an upstream."""
     return instance if born_ms is None else f'{instance}~{born_ms}'
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -46,6 +46,13 @@
   7: bool accepting
 }
 
+/** A shared prompt prefix that requests use at an upstream. */
+struct SharedPrefix {
+  /** Identifies the prefix; the same on all VMs. */
+  1: i64 key
+  2: i64 tokens
+}
+
 /** Load of an upstream by one or more entry VMs. */
 struct UpstreamLoad {
   /** Name of the incarnation. */
@@ -57,6 +64,12 @@
   4: optional i32 waiting_ms
   /** Milliseconds since bytes last arrived from it; absent for never. */
   5: optional i32 heard_ms
+  /** Tokens of the upstream's memory that the requests need until they end,
+      without the prefixes in `shared`. */
+  6: optional i64 reserved_tokens
+  /** Shared prefixes that an entry VM's requests use, each of them once; only
+      in that VM's own reports. */
+  7: optional list<SharedPrefix> shared
 }
 
 /** Shared prompt parts that an upstream has processed and keeps cached. */
@@ -83,6 +96,10 @@
   7: i32 unread_tokens
   /** True if the engine had other prompts to process, or was cold. */
   8: bool was_held_up
+  /** The route, and the length of the whole answer in tokens; absent if it is
+      not known. */
+  9: optional string route
+  10: optional i32 answer_tokens
 }
 
 /** An upstream that terminated while it had a request. */
@@ -272,6 +289,9 @@
   14: double cost
   /** Upstreams to which this entry VM must not send now. */
   15: list<PauseInfo> pauses
+  /** Maximum length of the answer in tokens, as stated by the request; absent
+      if it states none. */
+  18: optional i32 output_tokens
 }
 
 /** The destination of a request: an upstream, an entry VM, or none. */
@@ -289,6 +309,9 @@
   9: i64 waiting_tokens
   10: optional EntryInfo entry
   11: double retry_after_ms
+  /** Tokens of the upstream's memory reserved for the request, without its
+      shared prefix. */
+  18: optional i64 reserved_tokens
 }
 
 /** The table of upstreams that a control VM stores on its disk. */
--- a/godwitshunt/registry/wire.py
+++ b/godwitshunt/registry/wire.py
@@ -155,7 +155,12 @@
 ) -> list[ttypes.UpstreamLoad]:
     """Return the loads of upstreams as structs."""
     return [
-        ttypes.UpstreamLoad(instance, load.in_flight, load.pending_tokens)
+        ttypes.UpstreamLoad(
+            instance,
+            load.in_flight,
+            load.pending_tokens,
+            reserved_tokens=load.reserved_tokens or None,
+        )
         for instance, load in loads
     ]
 
@@ -164,10 +169,16 @@
     structs: Iterable[ttypes.UpstreamLoad] | None,
 ) -> Mapping[str, Load]:
     """Read the loads of upstreams, by incarnation."""
-    return {
-        struct.instance: Load(struct.in_flight, struct.pending_tokens)
-        for struct in structs or ()
-    }
+    return {struct.instance: load_from_wire(struct) for struct in structs or ()}
+
+
+def load_from_wire(struct: ttypes.UpstreamLoad) -> Load:
+    """Read the load of an upstream; a previous build reserves no memory."""
+    return Load(
+        struct.in_flight,
+        struct.pending_tokens,
+        max(0, struct.reserved_tokens or 0),
+    )
 
 
 def report_to_wire(
@@ -192,6 +203,8 @@
                 reported.load.pending_tokens,
                 age_ms(reported.oldest_s, now_s),
                 age_ms(reported.last_received_s, now_s),
+                reported.load.reserved_tokens or None,
+                shared_to_wire(reported.shared),
             )
             for instance, reported in report.loads.items()
         ],
@@ -215,9 +228,10 @@
     """
     loads = {
         load.instance: ReportedLoad(
-            Load(load.in_flight, load.pending_tokens),
+            load_from_wire(load),
             time_of_age_s(load.waiting_ms, now_s),
             time_of_age_s(load.heard_ms, now_s),
+            shared_from_wire(load.shared),
         )
         for load in struct.loads or ()
     }
@@ -225,6 +239,22 @@
     return Report(struct.session or '', struct.number, loads, included)
 
 
+def shared_to_wire(
+    shared: Mapping[int, int],
+) -> list[ttypes.SharedPrefix] | None:
+    """Return shared prefixes as structs; None if there are none."""
+    if not shared:
+        return None
+    return [ttypes.SharedPrefix(key, tokens) for key, tokens in shared.items()]
+
+
+def shared_from_wire(
+    structs: Iterable[ttypes.SharedPrefix] | None,
+) -> Mapping[int, int]:
+    """Read the tokens of shared prefixes, by key."""
+    return {struct.key: max(0, struct.tokens or 0) for struct in structs or ()}
+
+
 def admitted_to_wire(
     admitted: Mapping[str, float],
 ) -> list[ttypes.AdmittedUnits]:
--- a/godwitshunt/routing/upstream_health.py
+++ b/godwitshunt/routing/upstream_health.py
@@ -5,7 +5,8 @@
 
 from dataclasses import dataclass, field
 
-from godwitshunt.registry.records import Load
+from godwitshunt.registry.records import Load, MemoryClaim
+from godwitshunt.registry.shared_prefixes import SharedPrefixes
 
 # No requests are sent for this time after a failed connection.
 CONNECT_BACKOFF_S = 1.0
@@ -26,6 +27,7 @@
 # Predictions count queues at their full length, but engines serve urgent
 # requests first; so answers may be earlier than predicted by up to this.
 MAX_EARLY_S = 2.0
+NO_CLAIM = MemoryClaim()
 
 
 @dataclass
@@ -54,6 +56,12 @@
     waiting_since : dict
         When each request without a first event was sent, by its number; for
         another VM's requests, the time of the oldest one, by the VM's name.
+    reserved_tokens : int
+        Memory that this VM's requests need there, without shared prefixes.
+    shared : SharedPrefixes
+        Shared prefixes that they use.
+    claims : dict
+        Memory that each request needs, by its number.
     """
 
     in_flight: int = 0
@@ -65,14 +73,36 @@
     delay_s: float = 0.0
     delay_updated_s: float = 0.0
     waiting_since: dict[int | str, float] = field(default_factory=dict)
+    reserved_tokens: int = 0
+    shared: SharedPrefixes = field(default_factory=SharedPrefixes)
+    claims: dict[int, MemoryClaim] = field(default_factory=dict)
 
     @property
     def load(self) -> Load:
         """Load that this VM's requests cause there."""
-        return Load(self.in_flight, self.pending_tokens)
+        return Load(
+            self.in_flight,
+            self.pending_tokens,
+            self.reserved_tokens + sum(self.shared.tokens.values()),
+        )
+
+    @property
+    def reported_load(self) -> Load:
+        """Load as it is reported, with shared prefixes apart."""
+        return Load(self.in_flight, self.pending_tokens, self.reserved_tokens)
 
-    def begin(self, number: int, tokens: int, now_s: float) -> None:
+    def begin(
+        self,
+        number: int,
+        tokens: int,
+        now_s: float,
+        claim: MemoryClaim = NO_CLAIM,
+    ) -> None:
         """Count a request that is sent."""
+        self.claims[number] = claim
+        self.reserved_tokens += claim.own_tokens
+        if claim.shared_key is not None:
+            self.shared.add(claim.shared_key, claim.shared_tokens)
         self.in_flight += 1
         self.pending_tokens += tokens
         self.waiting_since[number] = now_s
@@ -87,6 +117,10 @@
 
     def end(self, number: int, tokens: int) -> None:
         """Count a request that has ended, whatever its outcome."""
+        claim = self.claims.pop(number, NO_CLAIM)
+        self.reserved_tokens -= claim.own_tokens
+        if claim.shared_key is not None:
+            self.shared.remove(claim.shared_key)
         self.in_flight -= 1
         if self.waiting_since.pop(number, None) is not None:
             self.pending_tokens -= tokens
