Give engines no request beyond their memory

Cause: 24 requests in flight at an engine of 12 slots may need more than its memory; it then preempts one in mid-stream and prefills that prompt again. A candidate has its free tokens, a demand the tokens that it needs: its prompt, less a prefix that requests in flight use there already, plus the length that nine in ten answers of its route do not exceed. picking.filters excludes an engine without room. The rule is off until a service is declared as memory bound (Picker.is_memory_bound).

--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -38,6 +38,8 @@
         Seconds until the first activity of the answer.
     took_s : float
         Duration in seconds.
+    answer_tokens : int or None
+        Length of a complete stream; None if it is not known.
     """
 
     choice: SendHere
@@ -45,6 +47,7 @@
     outcome: AttemptOutcome | None
     first_s: float | None
     took_s: float
+    answer_tokens: int | None = None
 
     @property
     def incarnation(self) -> str:
@@ -99,6 +102,8 @@
             predicted_s=choice.predicted_s,
             unread_tokens=choice.unread_tokens,
             was_held_up=bool(choice.waiting_tokens) or choice.is_cold,
+            route=self.request.route.name,
+            answer_tokens=completed.answer_tokens,
         )
         now_s = self.context.timer.now()
         self.context.attempt_recorder.record(
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -1,7 +1,7 @@
 """Lifecycle of one request: choose, send and retry where allowed."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from godwitshunt.exchange.problems import (
     Outcome,
@@ -291,6 +291,7 @@
             organisation=request.organisation_name,
             cost=self.cost(),
             pauses=self.context.upstreams.pauses.active(now_s),
+            output_tokens=request.prompt.output_tokens,
         )
 
     def record_charge(self, choice: Choice | None) -> None:
@@ -352,14 +353,19 @@
 
     def demand(self) -> Demand:
         """Return what the request requires of an upstream."""
-        prompt = self.request.prompt
-        return Demand(
+        request = self.request
+        prompt = request.prompt
+        demand = Demand(
             prompt.prompt_tokens,
             prompt.shared_tokens,
             prompt.shared_key,
-            urgent=not self.request.route.rank,
-            objective_s=self.request.route.objective_s,
+            urgent=not request.route.rank,
+            objective_s=request.route.objective_s,
+        )
+        reserved_tokens = self.context.upstreams.reserved_tokens(
+            request.service, request.route.name, demand, prompt.output_tokens
         )
+        return replace(demand, reserved_tokens=reserved_tokens)
 
     def choose_locally(self) -> Choice:
         """Return this VM's own choice, within its share of the limits."""
@@ -396,6 +402,7 @@
             ),
             entry=self.context.settings.name,
             pauses=self.context.upstreams.pauses.active(now_s),
+            sharing=self.context.upstreams.sharing(request.prompt.shared_key),
         )
         view = self.context.watch.view()
         revision = self.context.active_revision().revision
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -22,6 +22,7 @@
     Lost,
     NotRun,
     Progress,
+    Streamed,
 )
 from godwitshunt.ingress.request_trace import RequestTrace, Stage
 from godwitshunt.ingress.requests import RoutedRequest
@@ -30,6 +31,9 @@
     SendHere,
 )
 from godwitshunt.registry import UpstreamAnnounced
+from godwitshunt.registry.records import MemoryClaim
+from godwitshunt.routing.engine_memory import memory_claim
+from godwitshunt.routing.selection import Demand
 from godwitshunt.routing.upstream_health import UpstreamHealth
 from godwitshunt.settings import Address
 from godwitshunt.timer import Timer
@@ -135,7 +139,7 @@
         )
         sent_s = context.timer.now()
         self.count_first_try(sent_s)
-        health.begin(activity.number, tokens, sent_s)
+        health.begin(activity.number, tokens, sent_s, self.claim(choice))
         context.picker.schedule_report()
         context.upstreams.record_sent(
             self.request.service.name, announcement.incarnation
@@ -161,6 +165,28 @@
             self.report(choice, attempt, outcome, activity, sent_s)
         return outcome
 
+    def claim(self, choice: SendHere) -> MemoryClaim:
+        """Return what the request claims of its engine's memory."""
+        prompt = self.request.prompt
+        demand = Demand(
+            prompt.prompt_tokens,
+            prompt.shared_tokens,
+            prompt.shared_key,
+            reserved_tokens=choice.reserved_tokens,
+        )
+        return memory_claim(demand)
+
+    def answer_tokens(self, outcome: AttemptOutcome | None) -> int | None:
+        """Return the length of a complete stream; None if it is not known.
+
+        Event ids begin at 1, also in a stream that was resumed.
+        """
+        engine = self.request.service.engine
+        is_complete = isinstance(outcome, Streamed)
+        if engine is None or not is_complete or not self.events.last_id:
+            return None
+        return self.events.last_id * engine.tokens_per_event
+
     def count_first_try(self, now_s: float) -> None:
         """Count a request that no upstream has received in the retry window."""
         if not self.progress.arrivals:
@@ -181,7 +207,14 @@
         if activity.first_at_s is not None:
             first_s = activity.first_at_s - sent_s
         took_s = self.context.timer.now() - sent_s
-        completed = CompletedAttempt(choice, attempt, outcome, first_s, took_s)
+        completed = CompletedAttempt(
+            choice,
+            attempt,
+            outcome,
+            first_s,
+            took_s,
+            self.answer_tokens(outcome),
+        )
         self.trace.record_attempt(completed.incarnation, outcome)
         if isinstance(outcome, (NotRun, Lost, Failed)):
             self.excluded.add(completed.incarnation)
--- a/godwitshunt/ingress/tests/test_feedback.py
+++ b/godwitshunt/ingress/tests/test_feedback.py
@@ -131,6 +131,7 @@
     )
     request = SimpleNamespace(
         service=SERVICE,
+        route=SimpleNamespace(name='r'),
         prompt=SimpleNamespace(is_worth_caching=False),
         http=SimpleNamespace(body=b''),
     )
--- a/godwitshunt/picking/attempt_recorder.py
+++ b/godwitshunt/picking/attempt_recorder.py
@@ -66,6 +66,8 @@
         upstream that is slow because it is busy must not be ejected as an
         outlier: its load would move to the others, which would be ejected next.
         """
+        if attempt.answer_tokens is not None:
+            self.upstreams.answers.record(attempt.route, attempt.answer_tokens)
         health = self.upstreams.health_of(attempt.instance)
         health.record_response_time(attempt.first_s, attempt.predicted_s, now_s)
         if self.has_free_slot(attempt.instance):
--- a/godwitshunt/picking/attempt_reports.py
+++ b/godwitshunt/picking/attempt_reports.py
@@ -50,6 +50,10 @@
     was_held_up : bool
         True if the engine had other prompts to prefill first or was cold, so
         that the times say nothing about its speed.
+    route : str
+        The route of the request.
+    answer_tokens : int or None
+        Length of the complete answer; None if it is not known.
     """
 
     instance: str
@@ -60,6 +64,8 @@
     predicted_s: float = 0.0
     unread_tokens: int = 0
     was_held_up: bool = False
+    route: str = ''
+    answer_tokens: int | None = None
 
     @property
     def is_answer(self) -> bool:
@@ -83,6 +89,8 @@
             predicted_ms=milliseconds(report.predicted_s),
             unread_tokens=report.unread_tokens,
             was_held_up=report.was_held_up,
+            route=None if report.answer_tokens is None else report.route,
+            answer_tokens=report.answer_tokens,
         )
         for report in reports
     ]
@@ -118,6 +126,8 @@
         predicted_s=struct.predicted_ms / MILLISECONDS,
         unread_tokens=struct.unread_tokens,
         was_held_up=bool(struct.was_held_up),
+        route=struct.route or '',
+        answer_tokens=struct.answer_tokens,
     )
 
 
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from math import isfinite
 
 from godwitshunt.manifest import Route, Service
 from godwitshunt.registry import EntryRecord, UpstreamSeen
@@ -28,6 +29,10 @@
         Regions in which no more urgent route of the service has a home.
     holders : frozenset of str
         Incarnations that have the shared parts of the prompt cached.
+    memory_bound : bool
+        True if upstreams get no request beyond their memory.
+    sharing : frozenset of str
+        Incarnations at which requests in flight use the shared parts.
     entry : str
         Name of the entry VM that has the request.
     pauses : mapping
@@ -46,6 +51,8 @@
     holders: frozenset[str] = frozenset()
     entry: str = ''
     pauses: Mapping[str, float] = field(default_factory=dict)
+    memory_bound: bool = False
+    sharing: frozenset[str] = frozenset()
 
     def affinity(self, region: str) -> float:
         """Return the hashing weight of a region for shared prompt parts."""
@@ -77,6 +84,8 @@
     chosen_by_picker : bool
         True if the region's picker assigned the upstream and charged the
         budgets.
+    reserved_tokens : int
+        Memory reserved for the request, without its shared prefix.
     """
 
     upstream: UpstreamSeen
@@ -87,6 +96,7 @@
     is_cached: bool = False
     waiting_tokens: float = 0.0
     chosen_by_picker: bool = False
+    reserved_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -156,6 +166,8 @@
     """Format a candidate as name, region, prediction, cost and load."""
     candidate = ranked.candidate
     cached = '/kept' if candidate.cached else ''
+    if isfinite(candidate.free_tokens):
+        cached = f'{cached}/free:{candidate.free_tokens:.0f}'
     return (
         f'{candidate.instance}@{candidate.region}={ranked.predicted_s:.3f}s'
         f'/{ranked.cost_s:.3f}/{candidate.in_flight}'
--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
-from math import isinf
+from math import inf, isinf
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
@@ -13,7 +13,11 @@
     NoPlace,
     SendHere,
 )
-from godwitshunt.picking.filters import UpstreamFilter, is_full
+from godwitshunt.picking.filters import (
+    UpstreamFilter,
+    describe_full,
+    is_full,
+)
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams, of_service
 from godwitshunt.registry import (
@@ -139,6 +143,7 @@
                 chosen.unread_tokens,
                 candidate.cached,
                 candidate.pending_tokens,
+                reserved_tokens=request.demand.reserved_tokens,
             )
         entries = self.entries_in(candidate.region, request, view)
         entry = self.random.choice(preferred_entries(entries, request.entry))
@@ -257,7 +262,7 @@
                 continue
             if self.filter.refusal(upstream, request, revision) is None:
                 candidate = self.make_candidate(upstream, request, view)
-                if not is_full(candidate):
+                if not is_full(candidate, request):
                     yield candidate
 
     def exclusions(
@@ -281,7 +286,7 @@
                 reason = 'fails'
             elif reason is None:
                 candidate = self.make_candidate(upstream, request, view)
-                reason = f'full: {candidate.in_flight} of {candidate.slots}'
+                reason = describe_full(candidate)
             reasons.append(f'{instance}@{upstream.region} {reason}')
         return tuple(reasons)
 
@@ -335,6 +340,10 @@
                 upstream.region
             )
         load = view.loads.get(announcement.incarnation, Load()) + health.load
+        free_tokens = inf
+        if request.memory_bound and request.service.engine is not None:
+            memory_tokens = request.service.engine.memory_tokens
+            free_tokens = memory_tokens - load.reserved_tokens
         return Candidate(
             instance=announcement.incarnation,
             region=upstream.region,
@@ -346,6 +355,8 @@
             cached=announcement.incarnation in request.holders,
             affinity=request.affinity(upstream.region),
             penalty_s=penalty_s(upstream, health, request.now_s),
+            free_tokens=free_tokens,
+            shares_prefix=announcement.incarnation in request.sharing,
         )
 
     def jitter(self, wait_s: float) -> float:
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import isinf
 
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.picking.choices import ChoiceRequest
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import UpstreamSeen
+from godwitshunt.routing.engine_memory import fits
 from godwitshunt.routing.selection import Candidate
 
 # An upstream that terminates sooner than this gets no new request, because the
@@ -111,9 +113,19 @@
         return self.upstreams.rate_limiter.wait_s(incarnation, now_s)
 
 
-def is_full(candidate: Candidate) -> bool:
-    """Return whether an upstream has its maximum number of requests."""
-    return candidate.in_flight >= MAX_REQUESTS_PER_SLOT * candidate.slots
+def is_full(candidate: Candidate, request: ChoiceRequest) -> bool:
+    """Return whether an upstream has no capacity for a request."""
+    if candidate.in_flight >= MAX_REQUESTS_PER_SLOT * candidate.slots:
+        return True
+    return request.memory_bound and not fits(candidate, request.demand)
+
+
+def describe_full(candidate: Candidate) -> str:
+    """Return for logs how much of an upstream is in use."""
+    slots = f'full: {candidate.in_flight} of {candidate.slots}'
+    if isinf(candidate.free_tokens):
+        return slots
+    return f'{slots}, {candidate.free_tokens:.0f} tokens free'
 
 
 def ends_soon(upstream: UpstreamSeen, now_s: float) -> bool:
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -10,7 +10,7 @@
 No I/O: each call gets the time and the known state.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -34,6 +34,7 @@
 from godwitshunt.registry.ledger import LoadLedger, SummedLoads
 from godwitshunt.registry.prefixes import CachedPrefix, PrefixTable
 from godwitshunt.routing.cold_budget import ColdBudget
+from godwitshunt.routing.engine_memory import memory_claim, unshared_tokens
 from godwitshunt.routing.selection import MIN_SHARED_TOKENS, Demand
 
 # Share of the budget for cold upstreams that the region's first picker by name
@@ -43,6 +44,11 @@
 NO_PEERS = AdmissionShare()
 
 
+def never(service: Service) -> bool:
+    """Apply a rule to no service."""
+    return False
+
+
 @dataclass(frozen=True)
 class DestinationRequest:
     """A request of an entry VM for a destination.
@@ -73,6 +79,8 @@
     pauses : mapping
         Remaining seconds of the pauses that upstreams have asked the entry VM
         for, by incarnation.
+    output_tokens : int
+        Maximum length of the answer that the request states; 0 for none.
     """
 
     entry: str
@@ -87,6 +95,7 @@
     organisation: str = ''
     cost: float = 0.0
     pauses: Mapping[str, float] = field(default_factory=dict)
+    output_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -162,6 +171,9 @@
         Units admitted per organisation.
     cold_share : float
         This picker's share of the budget for cold upstreams.
+    is_memory_bound : callable
+        Returns whether the engines of a service get no request beyond their
+        memory.
     """
 
     region: str
@@ -174,6 +186,7 @@
     random: Random
     limits: LimitPool
     cold_share: float = PRIMARY_COLD_SHARE
+    is_memory_bound: Callable[[Service], bool] = never
 
     def __post_init__(self) -> None:
         self.chooser = Chooser(
@@ -226,7 +239,8 @@
             )
         if not isinstance(choice, NoPlace):
             self.charge_limit(query, now_s)
-        return self.record_choice(query, service, choice, now_s)
+        known = replace(query, demand=request.demand)
+        return self.record_choice(known, service, choice, now_s)
 
     def limit_wait_s(
         self,
@@ -261,6 +275,9 @@
             query.demand,
             urgent=not route.rank,
             objective_s=route.objective_s,
+            reserved_tokens=self.upstreams.reserved_tokens(
+                service, route.name, query.demand, query.output_tokens
+            ),
         )
         low_urgency = context.routes.low_urgency.get(
             (service.name, route.rank), frozenset()
@@ -277,6 +294,8 @@
             holders=self.prefixes.holders(demand.shared_key, now_s),
             entry=query.entry,
             pauses=query.pauses,
+            memory_bound=self.is_memory_bound(service),
+            sharing=frozenset(self.ledger.sharing.get(demand.shared_key, ())),
         )
 
     def has_cold_capacity(
@@ -319,6 +338,7 @@
                     instance,
                     tokens,
                     now_s,
+                    memory_claim(query.demand),
                 )
                 return Assignment(choice, number)
             case HandOver(expected=expected):
@@ -328,6 +348,7 @@
                     expected.unread_tokens,
                     self.upstreams.speed(service).run_s,
                     now_s,
+                    unshared_tokens(query.demand),
                 )
         return Assignment(choice)
 
--- a/godwitshunt/picking/tests/region.py
+++ b/godwitshunt/picking/tests/region.py
@@ -23,7 +23,7 @@
 from godwitshunt.picking.reports import ReportBuilder
 from godwitshunt.picking.service import WARM_UP_S, PickerService
 from godwitshunt.picking.upstreams import Upstreams
-from godwitshunt.registry.records import UpstreamAnnounced
+from godwitshunt.registry.records import MemoryClaim, UpstreamAnnounced
 from godwitshunt.registry.tests.deployment import Deployment
 from godwitshunt.registry.watch import OwnState, RegistryWatch
 from godwitshunt.routing.selection import Demand
@@ -31,19 +31,25 @@
 from godwitshunt.telemetry import Metrics
 
 SLOTS = 4
+MEMORY = Engine(slots=SLOTS, memory_tokens=300_000)
+NO_CLAIM = MemoryClaim()
 HOST, PREFIX = 'a.example', '/q/'
 LONG = Demand(17_020, 13_300, 0x5C1E)
 SHORT = Demand(383, 92, 0x91BD)
 BOUNDS = BoundSettings(cold_factor=1.5, cold_allowance=3)
 
 
-def revision(number: int = 1, **changes) -> Revision:
+def revision(
+    number: int = 1,
+    memory: Engine = MEMORY,
+    **changes,
+) -> Revision:
     """Return a revision with one route to one service of engines."""
     service = Service(
         name='llm',
         kind=ServiceKind.plain,
         cold_start=ColdStart(duration_s=3.0, requests_per_s=3.6),
-        engine=Engine(slots=SLOTS, memory_tokens=300_000),
+        engine=memory,
     )
     route = Route(
         name='r',
@@ -106,11 +112,13 @@
         )
         return await self.client.request_destination(query)
 
-    def begin(self, instance: str, tokens: int = 0) -> int:
+    def begin(
+        self, instance: str, tokens: int = 0, claim: MemoryClaim = NO_CLAIM
+    ) -> int:
         """Record a request sent to an upstream; return its number."""
         self.sent += 1
         health = self.reports.upstreams.health_of(instance)
-        health.begin(self.sent, tokens, self.client.timer.now())
+        health.begin(self.sent, tokens, self.client.timer.now(), claim)
         self.client.schedule_report()
         return self.sent
 
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -6,15 +6,17 @@
 
 from godwitshunt.backpressure import DepartureTable, PauseTable, RateLimiter
 from godwitshunt.manifest import Service
+from godwitshunt.picking.learned_answers import LearnedAnswers
 from godwitshunt.picking.learned_speed import LearnedSpeed
 from godwitshunt.registry import RegistryView, UpstreamSeen
 from godwitshunt.registry.ledger import ReportedLoad
+from godwitshunt.routing.engine_memory import reserved_tokens
 from godwitshunt.routing.outliers import (
     Answered,
     AttemptOutcome,
     OutlierDetector,
 )
-from godwitshunt.routing.selection import ServiceSpeed
+from godwitshunt.routing.selection import Demand, ServiceSpeed
 from godwitshunt.routing.upstream_health import UpstreamHealth
 
 # Routes have many requests, so a probe soon shows that an upstream has
@@ -39,6 +41,8 @@
         Upstreams that have asked this VM for a pause.
     departures : DepartureTable
         Upstreams that have stated that they are leaving.
+    answers : LearnedAnswers
+        Lengths of answers by route.
     """
 
     health: dict[str, UpstreamHealth] = field(default_factory=dict)
@@ -47,6 +51,7 @@
     rate_limiter: RateLimiter = field(default_factory=RateLimiter)
     pauses: PauseTable = field(default_factory=PauseTable)
     departures: DepartureTable = field(default_factory=DepartureTable)
+    answers: LearnedAnswers = field(default_factory=LearnedAnswers)
 
     def health_of(self, instance: str) -> UpstreamHealth:
         """Return the health of an incarnation."""
@@ -115,13 +120,42 @@
         if detector is not None:
             detector.record_sent(instance)
 
+    def reserved_tokens(
+        self, service: Service, route: str, demand: Demand, stated: int
+    ) -> int:
+        """Return the memory of an engine that a request needs.
+
+        Parameters
+        ----------
+        stated : int
+            Maximum length of the answer that the request states; 0 for none.
+        """
+        if service.engine is None:
+            return 0
+        return reserved_tokens(
+            demand,
+            self.answers.expected_tokens(route, stated),
+            service.engine.memory_tokens,
+        )
+
+    def sharing(self, key: int | None) -> frozenset[str]:
+        """Return the upstreams at which this VM's requests use a prefix."""
+        if key is None:
+            return frozenset()
+        return frozenset(
+            instance
+            for instance, health in self.health.items()
+            if key in health.shared.users
+        )
+
     def load_reports(self) -> Mapping[str, ReportedLoad]:
         """Return this VM's requests in flight by incarnation."""
         return {
             instance: ReportedLoad(
-                health.load,
+                health.reported_load,
                 health.oldest_sent_s(),
                 health.last_seen_s if isfinite(health.last_seen_s) else None,
+                dict(health.shared.tokens),
             )
             for instance, health in self.health.items()
             if health.in_flight
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -23,6 +23,9 @@
 )
 from godwitshunt.routing.selection import Demand
 
+# Greatest integer of a thrift field of type i32. A caller may state any number.
+MAX_I32 = (1 << 31) - 1
+
 
 class AssignmentKind(IntEnum):
     """Kind of a picker's answer."""
@@ -60,6 +63,7 @@
             ttypes.PauseInfo(instance, int(remaining_s * MILLISECONDS) + 1)
             for instance, remaining_s in query.pauses.items()
         ],
+        output_tokens=min(query.output_tokens, MAX_I32) or None,
     )
 
 
@@ -94,6 +98,7 @@
             pause.instance: pause.remaining_ms / MILLISECONDS
             for pause in message.pauses or ()
         },
+        output_tokens=max(0, message.output_tokens or 0),
     )
 
 
@@ -121,6 +126,7 @@
             reply.unread_tokens = choice.unread_tokens
             reply.is_kept = choice.is_cached
             reply.waiting_tokens = int(choice.waiting_tokens)
+            reply.reserved_tokens = choice.reserved_tokens
         case HandOver(entry=entry, predicted_s=predicted_s):
             reply.kind = AssignmentKind.entry
             reply.predicted_ms = predicted_s * MILLISECONDS
@@ -185,6 +191,7 @@
                 is_cached=bool(reply.is_kept),
                 waiting_tokens=reply.waiting_tokens,
                 chosen_by_picker=True,
+                reserved_tokens=max(0, reply.reserved_tokens or 0),
             )
         case AssignmentKind.entry:
             predicted_s = reply.predicted_ms / MILLISECONDS
--- a/godwitshunt/routing/selection.py
+++ b/godwitshunt/routing/selection.py
@@ -16,7 +16,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from math import log
+from math import inf, log
 
 from godwitshunt.routing.hashing import WORD_MASK, rank_weight
 
@@ -97,6 +97,9 @@
     objective_s : float
         Objective for the time to the first event in seconds; with 0 the cost
         that a repeated prefill causes others is not counted.
+    reserved_tokens : int
+        Memory of an engine that the request needs until it ends, without a
+        shared prefix that is counted once for all its users.
     """
 
     prompt_tokens: int = 0
@@ -104,6 +107,7 @@
     shared_key: int | None = None
     urgent: bool = False
     objective_s: float = 0.0
+    reserved_tokens: int = 0
 
     def unread_tokens(self, *, cached: bool) -> int:
         """Return the prefill work, in tokens of a short prompt.
@@ -156,6 +160,12 @@
         Weight in rendezvous hashing: its relative share of prefixes.
     penalty_s : float
         Additional cost in seconds that does not depend on load.
+    free_tokens : float
+        Memory that the requests in flight leave; infinite where memory is not
+        limited.
+    shares_prefix : bool
+        Whether requests in flight there use the shared prefix, so that it is
+        reserved already.
     """
 
     instance: str
@@ -168,6 +178,8 @@
     cached: bool = False
     affinity: float = 1.0
     penalty_s: float = 0.0
+    free_tokens: float = inf
+    shares_prefix: bool = False
 
 
 @dataclass(frozen=True)
