--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from functools import partial
-from math import isinf
+from math import inf, isinf
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
@@ -147,6 +147,7 @@
                 chosen.unread_tokens,
                 candidate.cached,
                 candidate.pending_tokens,
+                reserved_tokens=request.demand.reserved_tokens,
             )
         entries = self.entries_in(candidate.region, request, view)
         entry = self.random.choice(preferred_entries(entries, request.entry))
@@ -384,6 +385,10 @@
         announcement = upstream.announcement
         health = self.upstreams.health_of(announcement.incarnation)
         load = view.loads.get(announcement.incarnation, Load()) + health.load
+        free_tokens = inf
+        if request.memory_bound and request.service.engine is not None:
+            memory_tokens = request.service.engine.memory_tokens
+            free_tokens = memory_tokens - load.reserved_tokens
         return Candidate(
             instance=announcement.incarnation,
             region=upstream.region,
@@ -395,6 +400,8 @@
             cached=announcement.incarnation in request.holders,
             affinity=request.affinity(upstream.region),
             penalty_s=penalty_s(upstream, health, request.now_s),
+            free_tokens=free_tokens,
+            shares_prefix=announcement.incarnation in request.sharing,
         )
 
     def jitter(self, wait_s: float) -> float:
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -7,6 +7,7 @@
 from godwitshunt.picking.choices import ChoiceRequest
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import UpstreamSeen
+from godwitshunt.routing.engine_memory import fits
 from godwitshunt.routing.selection import Candidate
 
 # An upstream that terminates sooner than this gets no new request, because the
@@ -118,7 +119,9 @@
     several upstreams and no pending tokens, and skips them all if that is full.
     So more load never makes room.
     """
-    return candidate.in_flight >= MAX_REQUESTS_PER_SLOT * candidate.slots
+    if candidate.in_flight >= MAX_REQUESTS_PER_SLOT * candidate.slots:
+        return True
+    return request.memory_bound and not fits(candidate, request.demand)
 
 
 def ends_soon(upstream: UpstreamSeen, now_s: float) -> bool:
