--- /dev/null
+++ b/godwitshunt/grants/__init__.py
@@ -0,0 +1,28 @@
+"""Capacity that regions grant to each other for hand-overs; no I/O."""
+
+from godwitshunt.grants.granting import GrantIssuer, Redemption
+from godwitshunt.grants.holding import GrantHolder, HeldGrant
+from godwitshunt.grants.records import (
+    GRANT_TTL_S,
+    Capacity,
+    Grant,
+    GrantNews,
+    GrantUse,
+    UnmetDemand,
+)
+from godwitshunt.grants.region import GrantQuery, RegionGrants
+
+__all__ = [
+    'GRANT_TTL_S',
+    'Capacity',
+    'Grant',
+    'GrantHolder',
+    'GrantIssuer',
+    'GrantNews',
+    'GrantQuery',
+    'GrantUse',
+    'HeldGrant',
+    'Redemption',
+    'RegionGrants',
+    'UnmetDemand',
+]
--- /dev/null
+++ b/godwitshunt/grants/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the grants slice."""
