--- a/godwitshunt/exchange/exchange.thrift
+++ b/godwitshunt/exchange/exchange.thrift
@@ -31,4 +31,9 @@
   16: optional string path_prefix
   /** Whose request it is, once its key was looked up; absent for nobody's. */
   17: optional string organisation
+  /** The granting picker's process, the grant's number and the index of its
+      slot; absent for a hand-over without a grant. */
+  18: optional string grant_source
+  19: optional i64 grant_number
+  20: optional i32 grant_slot
 }
--- a/godwitshunt/exchange/gen/wire/ttypes.py
+++ b/godwitshunt/exchange/gen/wire/ttypes.py
@@ -36,6 +36,10 @@
      - host: The route's place, under which the receiver finds its rules.
      - path_prefix
      - organisation: Whose request it is, once its key was looked up; absent for nobody's.
+     - grant_source: The granting picker's process, the grant's number and the index of its
+    slot; absent for a hand-over without a grant.
+     - grant_number
+     - grant_slot
 
     """
 
@@ -57,10 +61,13 @@
         'host',
         'path_prefix',
         'organisation',
+        'grant_source',
+        'grant_number',
+        'grant_slot',
     )
 
 
-    def __init__(self, path=None, regions=None, receiver=None, caller=None, request_class=None, remaining_ms=None, revision=None, request_digest=None, claimed=None, resume_offset=None, service_name=None, request_id=None, repeat=None, resume_after=None, host=None, path_prefix=None, organisation=None,):
+    def __init__(self, path=None, regions=None, receiver=None, caller=None, request_class=None, remaining_ms=None, revision=None, request_digest=None, claimed=None, resume_offset=None, service_name=None, request_id=None, repeat=None, resume_after=None, host=None, path_prefix=None, organisation=None, grant_source=None, grant_number=None, grant_slot=None,):
         self.path = path
         self.regions = regions
         self.receiver = receiver
@@ -78,6 +85,9 @@
         self.host = host
         self.path_prefix = path_prefix
         self.organisation = organisation
+        self.grant_source = grant_source
+        self.grant_number = grant_number
+        self.grant_slot = grant_slot
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -183,6 +193,21 @@
                     self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.grant_source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.grant_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.grant_slot = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -267,6 +292,18 @@
             oprot.writeFieldBegin('organisation', TType.STRING, 17)
             oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
             oprot.writeFieldEnd()
+        if self.grant_source is not None:
+            oprot.writeFieldBegin('grant_source', TType.STRING, 18)
+            oprot.writeString(self.grant_source.encode('utf-8') if sys.version_info[0] == 2 else self.grant_source)
+            oprot.writeFieldEnd()
+        if self.grant_number is not None:
+            oprot.writeFieldBegin('grant_number', TType.I64, 19)
+            oprot.writeI64(self.grant_number)
+            oprot.writeFieldEnd()
+        if self.grant_slot is not None:
+            oprot.writeFieldBegin('grant_slot', TType.I32, 20)
+            oprot.writeI32(self.grant_slot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -310,6 +347,9 @@
     (15, TType.STRING, 'host', 'UTF8', None, ),  # 15
     (16, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 16
     (17, TType.STRING, 'organisation', 'UTF8', None, ),  # 17
+    (18, TType.STRING, 'grant_source', 'UTF8', None, ),  # 18
+    (19, TType.I64, 'grant_number', None, None, ),  # 19
+    (20, TType.I32, 'grant_slot', None, None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/godwitshunt/registry/control_tables.py
+++ b/godwitshunt/registry/control_tables.py
@@ -5,7 +5,7 @@
 network failure between two of them.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from functools import partial
 
 from result import Err
@@ -25,7 +25,7 @@
     Scope,
     relayed_update,
 )
-from godwitshunt.registry.views import RegistryView
+from godwitshunt.registry.views import ControlTable, RegistryView
 from godwitshunt.registry.wire import (
     address_from_wire,
     prefixes_from_wire,
@@ -86,6 +86,8 @@
         self.contacts: dict[str, ControlContact] = {}
         self.summed: Mapping[str, Load] = {}
         self.summed_inputs: tuple[tuple[str, float], ...] = ()
+        # Called with each control VM and its table when new grants arrive.
+        self.on_grants: Callable[[str, ControlTable], None] = ignore_grants
         self.background = BackgroundTasks()
         self.subscription: Subscription | None = None
 
@@ -206,8 +208,12 @@
         control = self.merged.control_of_source(update.source)
         if update.control is not None:
             control = str(address_from_wire(update.control))
-        if control != self.own_name:
-            self.merged.apply(update, sent_s, now_s)
+        if control == self.own_name:
+            return
+        applied = self.merged.apply(update, sent_s, now_s)
+        if applied is not None and update.grants is not None:
+            table = self.merged.tables[applied.control]
+            self.on_grants(applied.control, table)
 
     def apply_newer(self, updates: Iterable[ttypes.TableNews]) -> None:
         """Apply updates of tables that are newer at an entry VM.
@@ -337,3 +343,7 @@
     def mark_replaced(self, incarnation: str) -> None:
         """Record that another upstream answers at an incarnation's address."""
         self.merged.mark_replaced(incarnation, self.timer.now())
+
+
+def ignore_grants(control: str, table: ControlTable) -> None:
+    """Ignore grants, where no picker runs."""
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -1959,6 +1959,539 @@
         return not (self == other)
 
 
+class GrantInfo(object):
+    """
+    Capacity that a picker grants to another region.
+
+    Attributes:
+     - number
+     - region: The region that receives it.
+     - service_name
+     - slots
+     - tokens: Tokens of engine memory; absent for no limit.
+     - remaining_ms: Milliseconds until it ends when this was sent.
+
+    """
+
+    __slots__ = (
+        'number',
+        'region',
+        'service_name',
+        'slots',
+        'tokens',
+        'remaining_ms',
+    )
+
+
+    def __init__(self, number=None, region=None, service_name=None, slots=None, tokens=None, remaining_ms=None,):
+        self.number = number
+        self.region = region
+        self.service_name = service_name
+        self.slots = slots
+        self.tokens = tokens
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.remaining_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantInfo')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 2)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 4)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 5)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 6)
+            oprot.writeI32(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DemandInfo(object):
+    """
+    Demand that a picker cannot serve in its region.
+
+    Attributes:
+     - service_name
+     - slots
+     - tokens
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'slots',
+        'tokens',
+    )
+
+
+    def __init__(self, service_name=None, slots=None, tokens=None,):
+        self.service_name = service_name
+        self.slots = slots
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandInfo')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 2)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 3)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RoundTripInfo(object):
+    """
+    Round trip that a control VM measures to another region.
+
+    Attributes:
+     - region
+     - round_trip_ms
+
+    """
+
+    __slots__ = (
+        'region',
+        'round_trip_ms',
+    )
+
+
+    def __init__(self, region=None, round_trip_ms=None,):
+        self.region = region
+        self.round_trip_ms = round_trip_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.round_trip_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RoundTripInfo')
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 1)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.round_trip_ms is not None:
+            oprot.writeFieldBegin('round_trip_ms', TType.DOUBLE, 2)
+            oprot.writeDouble(self.round_trip_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GrantsInfo(object):
+    """
+    Grants and demand of a control VM's picker.
+
+    Attributes:
+     - grants: All unexpired grants of the picker.
+     - demands
+     - reporters: Entry VMs that query the picker.
+     - round_trips
+
+    """
+
+    __slots__ = (
+        'grants',
+        'demands',
+        'reporters',
+        'round_trips',
+    )
+
+
+    def __init__(self, grants=None, demands=None, reporters=None, round_trips=None,):
+        self.grants = grants
+        self.demands = demands
+        self.reporters = reporters
+        self.round_trips = round_trips
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = GrantInfo()
+                        _elem96.read(iprot)
+                        self.grants.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = DemandInfo()
+                        _elem102.read(iprot)
+                        self.demands.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.reporters = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.round_trips = []
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = RoundTripInfo()
+                        _elem108.read(iprot)
+                        self.round_trips.append(_elem108)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantsInfo')
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter109 in self.grants:
+                iter109.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter110 in self.demands:
+                iter110.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reporters is not None:
+            oprot.writeFieldBegin('reporters', TType.I32, 3)
+            oprot.writeI32(self.reporters)
+            oprot.writeFieldEnd()
+        if self.round_trips is not None:
+            oprot.writeFieldBegin('round_trips', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.round_trips))
+            for iter111 in self.round_trips:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GrantUseInfo(object):
+    """
+    Use of one slot of a grant by a request that is handed over.
+
+    Attributes:
+     - source: The granting picker's process.
+     - number
+     - slot: Index of the slot within the grant.
+
+    """
+
+    __slots__ = (
+        'source',
+        'number',
+        'slot',
+    )
+
+
+    def __init__(self, source=None, number=None, slot=None,):
+        self.source = source
+        self.number = number
+        self.slot = slot
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slot = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantUseInfo')
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 1)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.slot is not None:
+            oprot.writeFieldBegin('slot', TType.I32, 3)
+            oprot.writeI32(self.slot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TableNews(object):
     """
     An update of one control VM's table, from itself or relayed.
@@ -1979,6 +2512,8 @@
      - loads: Loads by the entry VMs that report to the control VM; absent if not
     requested.
      - admitted: Units that the control VM's picker has admitted; sent with the loads.
+     - grants: Grants and demand of the control VM's picker; absent where it has no
+    scheduled service.
 
     """
 
@@ -1996,10 +2531,11 @@
         'entries_version',
         'loads',
         'admitted',
+        'grants',
     )
 
 
-    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None, loads=None, admitted=None,):
+    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None, loads=None, admitted=None, grants=None,):
         self.control = control
         self.source = source
         self.version = version
@@ -2013,6 +2549,7 @@
         self.entries_version = entries_version
         self.loads = loads
         self.admitted = admitted
+        self.grants = grants
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2057,43 +2594,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = UpstreamInfo()
-                        _elem96.read(iprot)
-                        self.upstreams.append(_elem96)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = UpstreamInfo()
+                        _elem117.read(iprot)
+                        self.upstreams.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = StartEnded()
-                        _elem102.read(iprot)
-                        self.gone.append(_elem102)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = StartEnded()
+                        _elem123.read(iprot)
+                        self.gone.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = EntryInfo()
-                        _elem108.read(iprot)
-                        self.entries.append(_elem108)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = EntryInfo()
+                        _elem129.read(iprot)
+                        self.entries.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem114)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2105,25 +2642,31 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = UpstreamLoad()
-                        _elem120.read(iprot)
-                        self.loads.append(_elem120)
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = UpstreamLoad()
+                        _elem141.read(iprot)
+                        self.loads.append(_elem141)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = AdmittedUnits()
-                        _elem126.read(iprot)
-                        self.admitted.append(_elem126)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = AdmittedUnits()
+                        _elem147.read(iprot)
+                        self.admitted.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.grants = GrantsInfo()
+                    self.grants.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2161,29 +2704,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter127 in self.upstreams:
-                iter127.write(oprot)
+            for iter148 in self.upstreams:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter128 in self.gone:
-                iter128.write(oprot)
+            for iter149 in self.gone:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter129 in self.entries:
-                iter129.write(oprot)
+            for iter150 in self.entries:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter130 in self.gone_entries:
-                oprot.writeString(iter130.encode('utf-8') if sys.version_info[0] == 2 else iter130)
+            for iter151 in self.gone_entries:
+                oprot.writeString(iter151.encode('utf-8') if sys.version_info[0] == 2 else iter151)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -2193,17 +2736,21 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter131 in self.loads:
-                iter131.write(oprot)
+            for iter152 in self.loads:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter132 in self.admitted:
-                iter132.write(oprot)
+            for iter153 in self.admitted:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.STRUCT, 14)
+            self.grants.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2288,33 +2835,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = TableNews()
-                        _elem138.read(iprot)
-                        self.tables.append(_elem138)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = TableNews()
+                        _elem159.read(iprot)
+                        self.tables.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = UpstreamLoad()
-                        _elem144.read(iprot)
-                        self.loads.append(_elem144)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = UpstreamLoad()
+                        _elem165.read(iprot)
+                        self.loads.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = PrefixInfo()
-                        _elem150.read(iprot)
-                        self.prefixes.append(_elem150)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = PrefixInfo()
+                        _elem171.read(iprot)
+                        self.prefixes.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2341,11 +2888,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = SuspectInfo()
-                        _elem156.read(iprot)
-                        self.suspects.append(_elem156)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = SuspectInfo()
+                        _elem177.read(iprot)
+                        self.suspects.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2367,22 +2914,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter157 in self.tables:
-                iter157.write(oprot)
+            for iter178 in self.tables:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter158 in self.loads:
-                iter158.write(oprot)
+            for iter179 in self.loads:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter159 in self.prefixes:
-                iter159.write(oprot)
+            for iter180 in self.prefixes:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2408,8 +2955,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter160 in self.suspects:
-                iter160.write(oprot)
+            for iter181 in self.suspects:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2543,6 +3090,7 @@
      - organisation: Organisation that sent it; absent for none.
      - cost: Units that it counts in that organisation's limit.
      - pauses: Upstreams to which this entry VM must not send now.
+     - grant: The grant by which the request was handed over to this region.
 
     """
 
@@ -2562,10 +3110,11 @@
         'organisation',
         'cost',
         'pauses',
+        'grant',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, grant=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -2581,6 +3130,7 @@
         self.organisation = organisation
         self.cost = cost
         self.pauses = pauses
+        self.grant = grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2645,10 +3195,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem166)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2670,14 +3220,20 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = PauseInfo()
-                        _elem172.read(iprot)
-                        self.pauses.append(_elem172)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = PauseInfo()
+                        _elem193.read(iprot)
+                        self.pauses.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.grant = GrantUseInfo()
+                    self.grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2731,8 +3287,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter173 in self.excluded:
-                oprot.writeString(iter173.encode('utf-8') if sys.version_info[0] == 2 else iter173)
+            for iter194 in self.excluded:
+                oprot.writeString(iter194.encode('utf-8') if sys.version_info[0] == 2 else iter194)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2750,10 +3306,14 @@
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter174 in self.pauses:
-                iter174.write(oprot)
+            for iter195 in self.pauses:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.STRUCT, 20)
+            self.grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2795,6 +3355,7 @@
      - waiting_tokens
      - entry
      - retry_after_ms
+     - grant: The grant by which the request is handed over.
 
     """
 
@@ -2810,10 +3371,11 @@
         'waiting_tokens',
         'entry',
         'retry_after_ms',
+        'grant',
     )
 
 
-    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None,):
+    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None, grant=None,):
         self.kind = kind
         self.source = source
         self.number = number
@@ -2825,6 +3387,7 @@
         self.waiting_tokens = waiting_tokens
         self.entry = entry
         self.retry_after_ms = retry_after_ms
+        self.grant = grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2892,6 +3455,12 @@
                     self.retry_after_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.grant = GrantUseInfo()
+                    self.grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2946,6 +3515,10 @@
             oprot.writeFieldBegin('retry_after_ms', TType.DOUBLE, 11)
             oprot.writeDouble(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.STRUCT, 20)
+            self.grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3006,33 +3579,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = UpstreamInfo()
-                        _elem180.read(iprot)
-                        self.upstreams.append(_elem180)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = UpstreamInfo()
+                        _elem201.read(iprot)
+                        self.upstreams.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = StartEnded()
-                        _elem186.read(iprot)
-                        self.gone.append(_elem186)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = StartEnded()
+                        _elem207.read(iprot)
+                        self.gone.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype190, _size187) = iprot.readListBegin()
-                    for _i191 in range(_size187):
-                        _elem192 = SuspectInfo()
-                        _elem192.read(iprot)
-                        self.suspects.append(_elem192)
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = SuspectInfo()
+                        _elem213.read(iprot)
+                        self.suspects.append(_elem213)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3049,22 +3622,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter193 in self.upstreams:
-                iter193.write(oprot)
+            for iter214 in self.upstreams:
+                iter214.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter194 in self.gone:
-                iter194.write(oprot)
+            for iter215 in self.gone:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter195 in self.suspects:
-                iter195.write(oprot)
+            for iter216 in self.suspects:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3229,6 +3802,44 @@
     (10, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 10
     (11, TType.I64, 'suspects_version', None, None, ),  # 11
 )
+all_structs.append(GrantInfo)
+GrantInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'region', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'slots', None, None, ),  # 4
+    (5, TType.I64, 'tokens', None, None, ),  # 5
+    (6, TType.I32, 'remaining_ms', None, None, ),  # 6
+)
+all_structs.append(DemandInfo)
+DemandInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'slots', None, None, ),  # 2
+    (3, TType.I64, 'tokens', None, None, ),  # 3
+)
+all_structs.append(RoundTripInfo)
+RoundTripInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'region', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'round_trip_ms', None, None, ),  # 2
+)
+all_structs.append(GrantsInfo)
+GrantsInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'grants', (TType.STRUCT, [GrantInfo, None], False), None, ),  # 1
+    (2, TType.LIST, 'demands', (TType.STRUCT, [DemandInfo, None], False), None, ),  # 2
+    (3, TType.I32, 'reporters', None, None, ),  # 3
+    (4, TType.LIST, 'round_trips', (TType.STRUCT, [RoundTripInfo, None], False), None, ),  # 4
+)
+all_structs.append(GrantUseInfo)
+GrantUseInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'source', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.I32, 'slot', None, None, ),  # 3
+)
 all_structs.append(TableNews)
 TableNews.thrift_spec = (
     None,  # 0
@@ -3245,6 +3856,7 @@
     (11, TType.I64, 'entries_version', None, None, ),  # 11
     (12, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 12
     (13, TType.LIST, 'admitted', (TType.STRUCT, [AdmittedUnits, None], False), None, ),  # 13
+    (14, TType.STRUCT, 'grants', [GrantsInfo, None], None, ),  # 14
 )
 all_structs.append(PollReply)
 PollReply.thrift_spec = (
@@ -3284,6 +3896,11 @@
     (13, TType.STRING, 'organisation', 'UTF8', None, ),  # 13
     (14, TType.DOUBLE, 'cost', None, None, ),  # 14
     (15, TType.LIST, 'pauses', (TType.STRUCT, [PauseInfo, None], False), None, ),  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.STRUCT, 'grant', [GrantUseInfo, None], None, ),  # 20
 )
 all_structs.append(PlaceGiven)
 PlaceGiven.thrift_spec = (
@@ -3299,6 +3916,15 @@
     (9, TType.I64, 'waiting_tokens', None, None, ),  # 9
     (10, TType.STRUCT, 'entry', [EntryInfo, None], None, ),  # 10
     (11, TType.DOUBLE, 'retry_after_ms', None, None, ),  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.STRUCT, 'grant', [GrantUseInfo, None], None, ),  # 20
 )
 all_structs.append(KeptUpstreams)
 KeptUpstreams.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -192,6 +192,51 @@
   11: i64 suspects_version
 }
 
+/** Capacity that a picker grants to another region. */
+struct GrantInfo {
+  1: i64 number
+  /** The region that receives it. */
+  2: string region
+  3: string service_name
+  4: i32 slots
+  /** Tokens of engine memory; absent for no limit. */
+  5: optional i64 tokens
+  /** Milliseconds until it ends when this was sent. */
+  6: i32 remaining_ms
+}
+
+/** Demand that a picker cannot serve in its region. */
+struct DemandInfo {
+  1: string service_name
+  2: i32 slots
+  3: optional i64 tokens
+}
+
+/** Round trip that a control VM measures to another region. */
+struct RoundTripInfo {
+  1: string region
+  2: double round_trip_ms
+}
+
+/** Grants and demand of a control VM's picker. */
+struct GrantsInfo {
+  /** All unexpired grants of the picker. */
+  1: list<GrantInfo> grants
+  2: list<DemandInfo> demands
+  /** Entry VMs that query the picker. */
+  3: i32 reporters
+  4: list<RoundTripInfo> round_trips
+}
+
+/** Use of one slot of a grant by a request that is handed over. */
+struct GrantUseInfo {
+  /** The granting picker's process. */
+  1: string source
+  2: i64 number
+  /** Index of the slot within the grant. */
+  3: i32 slot
+}
+
 /** An update of one control VM's table, from itself or relayed. */
 struct TableNews {
   /** Peer address of the control VM; present with a whole table. */
@@ -218,6 +263,9 @@
   12: optional list<UpstreamLoad> loads
   /** Units that the control VM's picker has admitted; sent with the loads. */
   13: list<AdmittedUnits> admitted
+  /** Grants and demand of the control VM's picker; absent where it has no
+      scheduled service. */
+  14: optional GrantsInfo grants
 }
 
 struct PollReply {
@@ -272,6 +320,8 @@
   14: double cost
   /** Upstreams to which this entry VM must not send now. */
   15: list<PauseInfo> pauses
+  /** The grant by which the request was handed over to this region. */
+  20: optional GrantUseInfo grant
 }
 
 /** The destination of a request: an upstream, an entry VM, or none. */
@@ -289,6 +339,8 @@
   9: i64 waiting_tokens
   10: optional EntryInfo entry
   11: double retry_after_ms
+  /** The grant by which the request is handed over. */
+  20: optional GrantUseInfo grant
 }
 
 /** The table of upstreams that a control VM stores on its disk. */
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -11,6 +11,7 @@
 from typing import Self
 
 from godwitshunt.configuration.background import BackgroundTasks
+from godwitshunt.grants import GrantNews
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.quarantine import (
     QUARANTINE_S,
@@ -21,6 +22,7 @@
 from godwitshunt.registry.control_tables import ControlTables
 from godwitshunt.registry.entries import EntryTable
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_wire import news_to_wire
 from godwitshunt.registry.ledger import LoadLedger, Report, SummedLoads
 from godwitshunt.registry.prefixes import CachedPrefix, PrefixTable
 from godwitshunt.registry.records import EntryRecord, UpstreamAnnounced
@@ -119,6 +121,8 @@
         self.picker_active = False
         # Units that the picker of this process has admitted, by organisation.
         self.admitted: Mapping[str, float] = {}
+        # Returns the grants and demand of this process's picker at a time.
+        self.make_grants: Callable[[float], GrantNews | None] = no_grants
         self.report_listeners: list[ReportListener] = []
         self.tables = ControlTables(
             location,
@@ -396,6 +400,7 @@
         if poll.wants_loads and not is_report:
             own.loads = loads_to_wire(self.ledger.totals.items())
             own.admitted = admitted_to_wire(self.admitted)
+            own.grants = news_to_wire(self.make_grants(now_s), now_s)
         if poll.scope == Scope.own:
             return [own]
         with_loads = poll.from_control
@@ -417,6 +422,10 @@
         return loads_to_wire(summed.items())
 
 
+def no_grants(now_s: float) -> None:
+    """Return no grants, where no picker runs."""
+
+
 def prefixes_after(
     prefixes: PrefixTable,
     version: int | None,
--- a/godwitshunt/registry/table_updates.py
+++ b/godwitshunt/registry/table_updates.py
@@ -11,6 +11,7 @@
 
 from godwitshunt.registry.entries import EntryTable
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_wire import news_to_wire
 from godwitshunt.registry.table import UpstreamTable
 from godwitshunt.registry.views import ControlTable, ReportedUpstream
 from godwitshunt.registry.wire import (
@@ -115,11 +116,14 @@
     Parameters
     ----------
     with_loads : bool
-        True to include the loads of upstreams. They are included only if they
-        are as recent as the table.
+        True to include the loads of upstreams and the grants. They are
+        included only if they are as recent as the table.
     """
     loads = None
     admitted: list[ttypes.AdmittedUnits] = []
+    grants = None
+    if with_loads and table.grants_asof_s >= table.asof_s:
+        grants = news_to_wire(table.grants, now_s)
     if with_loads and table.loads_asof_s >= table.asof_s:
         loads = loads_to_wire(table.loads.items())
         admitted = admitted_to_wire(table.admitted)
@@ -155,6 +159,7 @@
         entries_version=table.entries_version,
         loads=loads,
         admitted=admitted,
+        grants=grants,
     )
 
 
--- a/godwitshunt/registry/views.py
+++ b/godwitshunt/registry/views.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
+from godwitshunt.grants import GrantNews
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_wire import news_from_wire
 from godwitshunt.registry.incarnations import TOMBSTONE_TTL_S, EndedIncarnation
 from godwitshunt.registry.records import (
     EntryRecord,
@@ -13,6 +15,7 @@
 )
 from godwitshunt.registry.table import Tombstone
 from godwitshunt.registry.wire import (
+    MILLISECONDS,
     address_from_wire,
     admitted_from_wire,
     ends_from_wire,
@@ -96,6 +99,10 @@
     admitted : mapping
         Units that its picker has admitted since its process started, by
         organisation; received with the loads.
+    grants : GrantNews or None
+        Grants and demand of its picker; None before the first.
+    grants_asof_s : float
+        They are at least as recent as this.
     """
 
     source: str = ''
@@ -111,6 +118,8 @@
     loads: Mapping[str, Load] = field(default_factory=dict)
     loads_asof_s: float = NEVER_S
     admitted: Mapping[str, float] = field(default_factory=dict)
+    grants: GrantNews | None = None
+    grants_asof_s: float = NEVER_S
 
     def apply(
         self,
@@ -128,6 +137,7 @@
             self.reset(update)
         self.asof_s = max(self.asof_s, asof_s)
         self.apply_loads(update, asof_s)
+        self.apply_grants(update, asof_s)
         if update.version < self.version:
             return ()
         self.version = update.version
@@ -163,6 +173,7 @@
         self.tombstones.clear()
         self.ended_born_ms.clear()
         self.entries.clear()
+        self.grants = None
         self.source = update.source
         self.region = update.region or ''
         if update.control is not None:
@@ -177,6 +188,13 @@
             self.admitted = admitted_from_wire(update.admitted)
             self.loads_asof_s = asof_s
 
+    def apply_grants(self, update: ttypes.TableNews, asof_s: float) -> None:
+        """Replace the grants if those of an update are newer."""
+        if update.grants is not None and asof_s > self.grants_asof_s:
+            sent_s = asof_s + update.age_ms / MILLISECONDS
+            self.grants = news_from_wire(update.grants, update.source, sent_s)
+            self.grants_asof_s = asof_s
+
     def apply_entries(self, update: ttypes.TableNews) -> None:
         """Apply the changes of entry VMs."""
         version = update.entries_version
