Hand requests of scheduled services over within grants only

The picker chose other regions by loads that are up to half a second old, and one refused hand-over excluded its region for half a second for every request of the entry VM.

For scheduled services an upstream of another region is now a candidate only within a grant. The picker spends a slot of it, the hand-over's note names it, and the granting picker keeps that capacity from its own requests until the grant is used or expires. A refused hand-over excludes only its grant. Which services are scheduled is a predicate of PickerService; its default schedules none, so other deployments and an entry VM that chooses by itself hand over as before.

--- a/godwitshunt/grants/region.py
+++ b/godwitshunt/grants/region.py
@@ -173,6 +173,7 @@
         known = self.heard.get(control)
         if known is None or asof_s > known.asof_s:
             self.heard[control] = HeardNews(region, news, asof_s)
+        self.holder.expire(now_s)
         pickers = self.active_pickers(now_s)
         latest_s = now_s + GRANT_TTL_S
         return tuple(
@@ -187,6 +188,24 @@
             )
         )
 
+    def other_regions(self, now_s: float) -> tuple[str, ...]:
+        """Return the regions that may receive a grant.
+
+        A region whose pickers are not heard here may not hear this one, and
+        one without a picker cannot spend a grant.
+        """
+        return tuple(
+            sorted(
+                {
+                    heard.region
+                    for heard in self.heard.values()
+                    if heard.news.reporters
+                    and now_s - heard.asof_s <= NEWS_TTL_S
+                }
+                - {self.region, ''}
+            )
+        )
+
     def active_pickers(self, now_s: float) -> frozenset[str]:
         """Return the pickers of this region that divide its capacity.
 
--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -173,7 +173,8 @@
         Returns
         -------
         str or None
-            Name of the VM, or its region where that has no capacity.
+            Name of the VM, its region where that has no capacity, or the grant
+            that was not honoured.
         """
         now_s = self.context.timer.now()
         entry = choice.entry
@@ -189,6 +190,8 @@
             neighbours.avoid(entry.name, now_s + AVOID_VM_S)
             return entry.name
         if isinstance(outcome, NotRun):
+            if choice.grant is not None:
+                return choice.grant.grant_name
             if not outcome.arrived and NO_ATTEMPT in outcome.reason:
                 key = f'{entry.region} {self.request.service.name}'
                 neighbours.avoid(key, now_s + AVOID_REGION_S)
--- a/godwitshunt/ingress/hops.py
+++ b/godwitshunt/ingress/hops.py
@@ -15,6 +15,7 @@
 from godwitshunt.exchange.upstream_messages import (
     OutgoingRequest,
 )
+from godwitshunt.grants import GrantUse
 from godwitshunt.ingress.active_revision import ActiveRevision
 from godwitshunt.ingress.context import IngressContext
 from godwitshunt.ingress.headers import forwardable_headers
@@ -36,8 +37,15 @@
     resume_after: int | None,
     *,
     repeat: bool,
+    use: GrantUse | None = None,
 ) -> OutgoingRequest:
-    """Return a request as it is sent to another entry VM."""
+    """Return a request as it is sent to another entry VM.
+
+    Parameters
+    ----------
+    use : GrantUse or None
+        The grant of the other region that the request uses.
+    """
     http = request.http
     settings = context.settings
     note = ForwardNote(
@@ -58,6 +66,9 @@
         host=request.route.host,
         path_prefix=request.route.path_prefix,
         organisation=request.organisation_name or None,
+        grant_source=use and use.source,
+        grant_number=use and use.number,
+        grant_slot=use and use.slot,
     )
     signed = sign_note(note, context.cluster_key)
     return OutgoingRequest(
@@ -79,6 +90,13 @@
     return None if header is None else header.encode('latin-1')
 
 
+def read_grant(note: ForwardNote) -> GrantUse | None:
+    """Return the grant that a note names; None for none."""
+    if None in {note.grant_source, note.grant_number, note.grant_slot}:
+        return None
+    return GrantUse(note.grant_source, note.grant_number, note.grant_slot)
+
+
 def read_forwarded_request(
     http: HttpRequest,
     active_revision: ActiveRevision,
@@ -123,5 +141,6 @@
             ),
             level=active_revision.table.level(route, organisation),
             organisation=organisation,
+            grant=read_grant(note),
         ),
     )
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -291,6 +291,7 @@
             organisation=request.organisation_name,
             cost=self.cost(),
             pauses=self.context.upstreams.pauses.active(now_s),
+            grant=request.grant,
         )
 
     def record_charge(self, choice: Choice | None) -> None:
--- a/godwitshunt/ingress/requests.py
+++ b/godwitshunt/ingress/requests.py
@@ -6,6 +6,7 @@
 
 from godwitshunt.exchange.problems import Headers
 from godwitshunt.exchange.requests import HttpRequest
+from godwitshunt.grants import GrantUse
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.prompts import Prompt
 from godwitshunt.manifest import Organisation, Route, Service
@@ -48,6 +49,8 @@
         The organisation that sent it; None for none.
     key_sha256 : str
         Digest of its key; empty where it was forwarded or has none.
+    grant : GrantUse or None
+        The grant of this region by which it was forwarded.
     """
 
     id: str
@@ -65,6 +68,7 @@
     level: int = 0
     organisation: Organisation | None = None
     key_sha256: str = ''
+    grant: GrantUse | None = None
 
     @property
     def organisation_name(self) -> str:
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -343,6 +343,7 @@
             self.remaining_s(),
             self.resume_after(),
             repeat=bool(self.progress.arrivals),
+            use=choice.grant,
         )
 
 
--- a/godwitshunt/ingress/tests/test_hops.py
+++ b/godwitshunt/ingress/tests/test_hops.py
@@ -12,6 +12,7 @@
 )
 from godwitshunt.exchange.gen.wire.ttypes import ForwardNote
 from godwitshunt.exchange.requests import HttpRequest
+from godwitshunt.grants import GrantUse
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.hops import read_forwarded_request
 from godwitshunt.ingress.tests.test_authorization import (
@@ -21,9 +22,15 @@
 )
 
 KEY = b'cluster'
+CONTEXT = SimpleNamespace(
+    settings=SimpleNamespace(name='e-2'),
+    cluster_key=KEY,
+    names=HeaderNames(),
+    timer=SimpleNamespace(now=lambda: 5.0),
+)
 
 
-def forwarded_request(organisation: str) -> HttpRequest:
+def forwarded_request(organisation: str, **fields) -> HttpRequest:
     """Return a request of an organisation as another VM forwards it."""
     note = ForwardNote(
         path=['e-1'],
@@ -43,6 +50,7 @@
         host='a.example',
         path_prefix='/',
         organisation=organisation,
+        **fields,
     )
     headers = (
         (b'host', b'a.example'),
@@ -51,6 +59,24 @@
     return HttpRequest('GET', '/x', '', headers, b'')
 
 
+@pytest.mark.parametrize(
+    ('fields', 'grant'),
+    [
+        ({}, None),
+        ({'grant_source': 'p', 'grant_number': 7}, None),
+        (
+            {'grant_source': 'p', 'grant_number': 7, 'grant_slot': 0},
+            GrantUse('p', 7, 0),
+        ),
+    ],
+)
+def test_note_names_the_grant(fields, grant):
+    """A note of the previous build, or with a part of a grant, names none."""
+    request = forwarded_request('wards', **fields)
+    outcome = read_forwarded_request(request, active_revision(WARDS), CONTEXT)
+    assert outcome.ok_value.grant == grant
+
+
 @pytest.mark.parametrize(
     ('organisation', 'is_accepted'),
     [('wards', True), ('others', False)],
@@ -60,14 +86,8 @@
     is_accepted,
 ):
     """A VM one revision behind does not know the homes of the request."""
-    context = SimpleNamespace(
-        settings=SimpleNamespace(name='e-2'),
-        cluster_key=KEY,
-        names=HeaderNames(),
-        timer=SimpleNamespace(now=lambda: 5.0),
-    )
     outcome = read_forwarded_request(
-        forwarded_request(organisation), active_revision(WARDS), context
+        forwarded_request(organisation), active_revision(WARDS), CONTEXT
     )
     assert isinstance(outcome, Ok) is is_accepted
     if is_accepted:
@@ -75,6 +95,6 @@
         return
     assert outcome.err_value.reason == 'revision'
     later = read_forwarded_request(
-        forwarded_request(organisation), active_revision(WARDS, OTHERS), context
+        forwarded_request(organisation), active_revision(WARDS, OTHERS), CONTEXT
     )
     assert later.ok_value.organisation == OTHERS
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from godwitshunt.grants import GrantUse
 from godwitshunt.manifest import Route, Service
 from godwitshunt.registry import EntryRecord, UpstreamSeen
 from godwitshunt.routing.selection import Demand, RankedCandidate
@@ -33,6 +34,8 @@
     pauses : mapping
         Remaining seconds of the pauses that upstreams have asked that VM for,
         by incarnation.
+    is_granted : bool
+        True if another region spent a grant of this one for the request.
     """
 
     route: Route
@@ -46,6 +49,7 @@
     holders: frozenset[str] = frozenset()
     entry: str = ''
     pauses: Mapping[str, float] = field(default_factory=dict)
+    is_granted: bool = False
 
     def affinity(self, region: str) -> float:
         """Return the hashing weight of a region for shared prompt parts."""
@@ -104,12 +108,16 @@
     expected : RankedCandidate or None
         The upstream for which the region was selected; None if another
         process chose.
+    grant : GrantUse or None
+        The grant of that region that the request uses; None for a service
+        that is not scheduled.
     """
 
     entry: EntryRecord
     predicted_s: float
     ranked: tuple[RankedCandidate, ...] = ()
     expected: RankedCandidate | None = None
+    grant: GrantUse | None = None
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -1,6 +1,6 @@
 """Choice of an upstream, another region, or a refusal for one request."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 from math import isinf
 from random import Random
@@ -58,6 +58,13 @@
 NO_UPSTREAM_RETRY_S = 0.4
 
 
+def unrestricted(
+    regions: frozenset[str], request: ChoiceRequest, view: RegistryView
+) -> frozenset[str]:
+    """Permit all regions, where no grants are used."""
+    return regions
+
+
 @dataclass
 class Chooser:
     """Chooses by the control VMs' tables and by this process's statistics.
@@ -77,6 +84,8 @@
     near_best_s : float
         The choice is random among upstreams whose cost is within this many
         seconds of the best; 0 if no other process chooses at the same time.
+    restrict : callable
+        Returns those of some regions in which grants permit a request.
     """
 
     region: str
@@ -85,6 +94,9 @@
     random: Random
     remote_penalty_s: float = 0.0
     near_best_s: float = NEAR_BEST_S
+    restrict: Callable[
+        [frozenset[str], ChoiceRequest, RegistryView], frozenset[str]
+    ] = unrestricted
 
     def __post_init__(self) -> None:
         self.filter = UpstreamFilter(self.region, self.upstreams)
@@ -303,7 +315,7 @@
             )
         if request.route.homes:
             regions.intersection_update(request.route.homes)
-        return frozenset(regions)
+        return self.restrict(frozenset(regions), request, view)
 
     def entries_in(
         self,
--- a/godwitshunt/picking/neighbours.py
+++ b/godwitshunt/picking/neighbours.py
@@ -42,6 +42,10 @@
         """Return the round trip to another region in seconds."""
         return self.round_trips.get(region, UNKNOWN_ROUND_TRIP_S)
 
+    def one_way_s(self, region: str) -> float:
+        """Return the one-way network delay to another region in seconds."""
+        return self.round_trip_s(region) / 2
+
     def record_entries(
         self, entries: Mapping[str, EntryRecord], now_s: float
     ) -> None:
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -15,6 +15,7 @@
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
+from godwitshunt.grants import GrantUse, Redemption
 from godwitshunt.manifest import Route, Service
 from godwitshunt.organisations import AdmissionShare, LimitPool
 from godwitshunt.picking.choices import (
@@ -26,6 +27,7 @@
     SendHere,
 )
 from godwitshunt.picking.chooser import Chooser
+from godwitshunt.picking.grant_gate import GrantGate
 from godwitshunt.picking.handover_loads import HandoverLoads
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.routes import RouteTable
@@ -73,6 +75,8 @@
     pauses : mapping
         Remaining seconds of the pauses that upstreams have asked the entry VM
         for, by incarnation.
+    grant : GrantUse or None
+        The grant by which it was handed over.
     """
 
     entry: str
@@ -87,6 +91,7 @@
     organisation: str = ''
     cost: float = 0.0
     pauses: Mapping[str, float] = field(default_factory=dict)
+    grant: GrantUse | None = None
 
 
 @dataclass(frozen=True)
@@ -110,10 +115,14 @@
     ----------
     number : int
         0 if no upstream of this region was assigned.
+    redemption : Redemption or None
+        Whether the grant that the request was handed over by is honoured;
+        None if there is none.
     """
 
     choice: Choice
     number: int = 0
+    redemption: Redemption | None = None
 
 
 @dataclass(frozen=True)
@@ -160,6 +169,8 @@
         Requests handed over to other regions.
     limits : LimitPool
         Units admitted per organisation.
+    gate : GrantGate
+        Capacity granted between regions.
     cold_share : float
         This picker's share of the budget for cold upstreams.
     """
@@ -173,6 +184,7 @@
     handovers: HandoverLoads
     random: Random
     limits: LimitPool
+    gate: GrantGate
     cold_share: float = PRIMARY_COLD_SHARE
 
     def __post_init__(self) -> None:
@@ -182,6 +194,7 @@
             self.neighbours,
             self.random,
             near_best_s=0.0,
+            restrict=self.gate.restrict,
         )
         self.chooser.filter.has_cold_capacity = self.has_cold_capacity
 
@@ -218,7 +231,11 @@
         loads = SummedLoads((context.view.loads, self.handovers.totals))
         view = replace(context.view, loads=loads)
         request = self.make_request(query, route, service, context, now_s)
+        redemption = self.gate.redeem(query.grant, service, query.demand, now_s)
+        if redemption is Redemption.honoured:
+            request = replace(request, is_granted=True)
         choice = self.chooser.choose(request, view, context.revision)
+        choice = self.gate.record(choice, request)
         if isinstance(choice, SendHere):
             self.charge_cold(choice, request)
             self.upstreams.rate_limiter.spend(
@@ -226,7 +243,8 @@
             )
         if not isinstance(choice, NoPlace):
             self.charge_limit(query, now_s)
-        return self.record_choice(query, service, choice, now_s)
+        assignment = self.record_choice(query, service, choice, now_s)
+        return replace(assignment, redemption=redemption)
 
     def limit_wait_s(
         self,
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -7,6 +7,7 @@
 
 from godwitshunt.backpressure import RateLimitNotice, picker_share
 from godwitshunt.configuration.revision import Revision
+from godwitshunt.manifest import Service
 from godwitshunt.organisations import LimitPool
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
@@ -21,6 +22,8 @@
     SendHere,
     describe_candidate,
 )
+from godwitshunt.picking.grant_exchange import GrantExchange
+from godwitshunt.picking.grant_gate import GrantGate, never
 from godwitshunt.picking.handover_loads import HandoverLoads
 from godwitshunt.picking.limits import PickerLimits
 from godwitshunt.picking.neighbours import Neighbours
@@ -69,6 +72,9 @@
         Monotonic time.
     metrics : Metrics
         Counts assignments.
+    is_scheduled : callable
+        Returns whether a service is scheduled, so that requests are handed
+        over within grants only.
     """
 
     def __init__(
@@ -79,6 +85,7 @@
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
+        is_scheduled: Callable[[Service], bool] = never,
     ) -> None:
         self.registry = registry
         self.revision = revision
@@ -93,9 +100,20 @@
         region = registry.location.region
         tables = registry.tables
         neighbours = Neighbours(str(registry.location.address), region)
+        upstreams = Upstreams()
+        gate = GrantGate.from_config(
+            neighbours,
+            upstreams,
+            registry.source,
+            is_scheduled,
+            timer.now(),
+        )
+        self.grant_exchange = GrantExchange(
+            registry, gate, neighbours, revision, timer, metrics
+        )
         self.picker = Picker(
             region=region,
-            upstreams=Upstreams(),
+            upstreams=upstreams,
             neighbours=neighbours,
             ledger=registry.ledger,
             prefixes=registry.prefixes,
@@ -105,10 +123,11 @@
             ),
             handovers=HandoverLoads(
                 reported_s=tables.region_loads_asof_s,
-                one_way_s=lambda other: neighbours.round_trip_s(other) / 2,
+                one_way_s=neighbours.one_way_s,
             ),
             random=Random(),
             limits=LimitPool(),
+            gate=gate,
         )
         self.limits = PickerLimits(
             self.picker.limits,
@@ -131,9 +150,12 @@
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
+        is_scheduled: Callable[[Service], bool] = never,
     ) -> Self:
         """Create the picker service of a control VM."""
-        return cls(registry, revision, bounds, links, timer, metrics)
+        return cls(
+            registry, revision, bounds, links, timer, metrics, is_scheduled
+        )
 
     def start(self) -> None:
         """Subscribe to messages, and assign after the warm-up period."""
@@ -141,6 +163,7 @@
         self.links.subscribe(MessageKind.place_ask, self.handle_query)
         self.links.subscribe(MessageKind.load_report, self.handle_report)
         self.registry.subscribe(self.apply_report)
+        self.grant_exchange.start()
         self.subscription = self.timer.every(TICK_S, self.tick)
         self.timer.after(WARM_UP_S, partial(self.activate, 'warm-up is over'))
 
@@ -342,6 +365,7 @@
             among=assignment_reasons(assignment),
             excluded=sorted(query.excluded),
             holders=sorted(holders),
+            grant=grant_of(query, assignment),
         )
 
 
@@ -361,6 +385,16 @@
     return 'no upstream'
 
 
+def grant_of(query: DestinationRequest, assignment: Assignment | Unable) -> str:
+    """Return the grant that is spent, or honoured or not, for logs."""
+    match assignment:
+        case Assignment(choice=HandOver(grant=use)) if use is not None:
+            return f'{use.grant_name} spent'
+        case Assignment(redemption=redemption) if redemption is not None:
+            return f'{query.grant.grant_name} {redemption}'
+    return ''
+
+
 def assignment_reasons(assignment: Assignment | Unable) -> list[str]:
     """Return the ranked candidates or the exclusions, for logs."""
     if isinstance(assignment, Unable):
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -13,6 +13,7 @@
 from godwitshunt.picking.picker import Assignment, DestinationRequest, Unable
 from godwitshunt.registry import UpstreamSeen
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_wire import use_from_wire, use_to_wire
 from godwitshunt.registry.views import reported_upstream
 from godwitshunt.registry.wire import (
     MILLISECONDS,
@@ -60,6 +61,7 @@
             ttypes.PauseInfo(instance, int(remaining_s * MILLISECONDS) + 1)
             for instance, remaining_s in query.pauses.items()
         ],
+        grant=use_to_wire(query.grant),
     )
 
 
@@ -94,6 +96,7 @@
             pause.instance: pause.remaining_ms / MILLISECONDS
             for pause in message.pauses or ()
         },
+        grant=use_from_wire(message.grant),
     )
 
 
@@ -121,7 +124,8 @@
             reply.unread_tokens = choice.unread_tokens
             reply.is_kept = choice.is_cached
             reply.waiting_tokens = int(choice.waiting_tokens)
-        case HandOver(entry=entry, predicted_s=predicted_s):
+        case HandOver(entry=entry, predicted_s=predicted_s, grant=use):
+            reply.grant = use_to_wire(use)
             reply.kind = AssignmentKind.entry
             reply.predicted_ms = predicted_s * MILLISECONDS
             reply.entry = entry_to_wire(entry)
@@ -188,7 +192,11 @@
             )
         case AssignmentKind.entry:
             predicted_s = reply.predicted_ms / MILLISECONDS
-            return HandOver(entry_from_wire(reply.entry), predicted_s)
+            return HandOver(
+                entry_from_wire(reply.entry),
+                predicted_s,
+                grant=use_from_wire(reply.grant),
+            )
         case AssignmentKind.unable:
             return None
         case AssignmentKind.limited:
