--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -292,6 +292,7 @@
             cost=self.cost(),
             pauses=self.context.upstreams.pauses.active(now_s),
             output_tokens=request.prompt.output_tokens,
+            grant=request.grant,
         )
 
     def record_charge(self, choice: Choice | None) -> None:
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from math import isfinite
 
+from godwitshunt.grants import GrantUse
 from godwitshunt.manifest import Route, Service
 from godwitshunt.registry import EntryRecord, UpstreamSeen
 from godwitshunt.routing.selection import Demand, RankedCandidate
@@ -38,6 +39,8 @@
     pauses : mapping
         Remaining seconds of the pauses that upstreams have asked that VM for,
         by incarnation.
+    is_granted : bool
+        True if another region spent a grant of this one for the request.
     """
 
     route: Route
@@ -53,6 +56,7 @@
     pauses: Mapping[str, float] = field(default_factory=dict)
     memory_bound: bool = False
     sharing: frozenset[str] = frozenset()
+    is_granted: bool = False
 
     def affinity(self, region: str) -> float:
         """Return the hashing weight of a region for shared prompt parts."""
@@ -114,12 +118,16 @@
     expected : RankedCandidate or None
         The upstream for which the region was selected; None if another
         process chose.
+    grant : GrantUse or None
+        The grant of that region that the request uses; None for a service
+        that is not scheduled.
     """
 
     entry: EntryRecord
     predicted_s: float
     ranked: tuple[RankedCandidate, ...] = ()
     expected: RankedCandidate | None = None
+    grant: GrantUse | None = None
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -15,6 +15,7 @@
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
+from godwitshunt.grants import GrantUse, Redemption
 from godwitshunt.manifest import Route, Service
 from godwitshunt.organisations import AdmissionShare, LimitPool
 from godwitshunt.picking.choices import (
@@ -26,6 +27,7 @@
     SendHere,
 )
 from godwitshunt.picking.chooser import Chooser
+from godwitshunt.picking.grant_gate import GrantGate
 from godwitshunt.picking.handover_loads import HandoverLoads
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.routes import RouteTable
@@ -81,6 +83,8 @@
         for, by incarnation.
     output_tokens : int
         Maximum length of the answer that the request states; 0 for none.
+    grant : GrantUse or None
+        The grant by which it was handed over.
     """
 
     entry: str
@@ -96,6 +100,7 @@
     cost: float = 0.0
     pauses: Mapping[str, float] = field(default_factory=dict)
     output_tokens: int = 0
+    grant: GrantUse | None = None
 
 
 @dataclass(frozen=True)
@@ -119,10 +124,14 @@
     ----------
     number : int
         0 if no upstream of this region was assigned.
+    redemption : Redemption or None
+        Whether the grant that the request was handed over by is honoured;
+        None if there is none.
     """
 
     choice: Choice
     number: int = 0
+    redemption: Redemption | None = None
 
 
 @dataclass(frozen=True)
@@ -169,6 +178,8 @@
         Requests handed over to other regions.
     limits : LimitPool
         Units admitted per organisation.
+    gate : GrantGate
+        Capacity granted between regions.
     cold_share : float
         This picker's share of the budget for cold upstreams.
     is_memory_bound : callable
@@ -185,6 +196,7 @@
     handovers: HandoverLoads
     random: Random
     limits: LimitPool
+    gate: GrantGate
     cold_share: float = PRIMARY_COLD_SHARE
     is_memory_bound: Callable[[Service], bool] = never
 
@@ -195,6 +207,7 @@
             self.neighbours,
             self.random,
             near_best_s=0.0,
+            restrict=self.gate.restrict,
         )
         self.chooser.filter.has_cold_capacity = self.has_cold_capacity
         self.view: RegistryView | None = None
@@ -232,7 +245,11 @@
         self.handovers.remove_reported(now_s)
         view = self.view_with_handovers(context.view)
         request = self.make_request(query, route, service, context, now_s)
+        redemption = self.gate.redeem(query.grant, service, query.demand, now_s)
+        if redemption is Redemption.honoured:
+            request = replace(request, is_granted=True)
         choice = self.chooser.choose(request, view, context.revision)
+        choice = self.gate.record(choice, request)
         if isinstance(choice, SendHere):
             self.charge_cold(choice, request)
             self.upstreams.rate_limiter.spend(
@@ -241,7 +258,8 @@
         if not isinstance(choice, NoPlace):
             self.charge_limit(query, now_s)
         known = replace(query, demand=request.demand)
-        return self.record_choice(known, service, choice, now_s)
+        assignment = self.record_choice(known, service, choice, now_s)
+        return replace(assignment, redemption=redemption)
 
     def view_with_handovers(self, view: RegistryView) -> RegistryView:
         """Return a view whose loads include pending hand-overs.
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -13,6 +13,7 @@
 from godwitshunt.picking.picker import Assignment, DestinationRequest, Unable
 from godwitshunt.registry import UpstreamSeen
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_wire import use_from_wire, use_to_wire
 from godwitshunt.registry.views import reported_upstream
 from godwitshunt.registry.wire import (
     MILLISECONDS,
@@ -64,6 +65,7 @@
             for instance, remaining_s in query.pauses.items()
         ],
         output_tokens=min(query.output_tokens, MAX_I32) or None,
+        grant=use_to_wire(query.grant),
     )
 
 
@@ -99,6 +101,7 @@
             for pause in message.pauses or ()
         },
         output_tokens=max(0, message.output_tokens or 0),
+        grant=use_from_wire(message.grant),
     )
 
 
@@ -127,7 +130,8 @@
             reply.is_kept = choice.is_cached
             reply.waiting_tokens = int(choice.waiting_tokens)
             reply.reserved_tokens = choice.reserved_tokens
-        case HandOver(entry=entry, predicted_s=predicted_s):
+        case HandOver(entry=entry, predicted_s=predicted_s, grant=use):
+            reply.grant = use_to_wire(use)
             reply.kind = AssignmentKind.entry
             reply.predicted_ms = predicted_s * MILLISECONDS
             reply.entry = entry_to_wire(entry)
@@ -195,7 +199,11 @@
             )
         case AssignmentKind.entry:
             predicted_s = reply.predicted_ms / MILLISECONDS
-            return HandOver(entry_from_wire(reply.entry), predicted_s)
+            return HandOver(
+                entry_from_wire(reply.entry),
+                predicted_s,
+                grant=use_from_wire(reply.grant),
+            )
         case AssignmentKind.unable:
             return None
         case AssignmentKind.limited:
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -2101,6 +2101,539 @@
         return not (self == other)
 
 
+class GrantInfo(object):
+    """
+    Capacity that a picker grants to another region.
+
+    Attributes:
+     - number
+     - region: The region that receives it.
+     - service_name
+     - slots
+     - tokens: Tokens of engine memory; absent for no limit.
+     - remaining_ms: Milliseconds until it ends when this was sent.
+
+    """
+
+    __slots__ = (
+        'number',
+        'region',
+        'service_name',
+        'slots',
+        'tokens',
+        'remaining_ms',
+    )
+
+
+    def __init__(self, number=None, region=None, service_name=None, slots=None, tokens=None, remaining_ms=None,):
+        self.number = number
+        self.region = region
+        self.service_name = service_name
+        self.slots = slots
+        self.tokens = tokens
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.remaining_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantInfo')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 2)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 4)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 5)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 6)
+            oprot.writeI32(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DemandInfo(object):
+    """
+    Demand that a picker cannot serve in its region.
+
+    Attributes:
+     - service_name
+     - slots
+     - tokens
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'slots',
+        'tokens',
+    )
+
+
+    def __init__(self, service_name=None, slots=None, tokens=None,):
+        self.service_name = service_name
+        self.slots = slots
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandInfo')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 2)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 3)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RoundTripInfo(object):
+    """
+    Round trip that a control VM measures to another region.
+
+    Attributes:
+     - region
+     - round_trip_ms
+
+    """
+
+    __slots__ = (
+        'region',
+        'round_trip_ms',
+    )
+
+
+    def __init__(self, region=None, round_trip_ms=None,):
+        self.region = region
+        self.round_trip_ms = round_trip_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.round_trip_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RoundTripInfo')
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 1)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.round_trip_ms is not None:
+            oprot.writeFieldBegin('round_trip_ms', TType.DOUBLE, 2)
+            oprot.writeDouble(self.round_trip_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GrantsInfo(object):
+    """
+    Grants and demand of a control VM's picker.
+
+    Attributes:
+     - grants: All unexpired grants of the picker.
+     - demands
+     - reporters: Entry VMs that query the picker.
+     - round_trips
+
+    """
+
+    __slots__ = (
+        'grants',
+        'demands',
+        'reporters',
+        'round_trips',
+    )
+
+
+    def __init__(self, grants=None, demands=None, reporters=None, round_trips=None,):
+        self.grants = grants
+        self.demands = demands
+        self.reporters = reporters
+        self.round_trips = round_trips
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = GrantInfo()
+                        _elem103.read(iprot)
+                        self.grants.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = DemandInfo()
+                        _elem109.read(iprot)
+                        self.demands.append(_elem109)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.reporters = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.round_trips = []
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = RoundTripInfo()
+                        _elem115.read(iprot)
+                        self.round_trips.append(_elem115)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantsInfo')
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter116 in self.grants:
+                iter116.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter117 in self.demands:
+                iter117.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reporters is not None:
+            oprot.writeFieldBegin('reporters', TType.I32, 3)
+            oprot.writeI32(self.reporters)
+            oprot.writeFieldEnd()
+        if self.round_trips is not None:
+            oprot.writeFieldBegin('round_trips', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.round_trips))
+            for iter118 in self.round_trips:
+                iter118.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GrantUseInfo(object):
+    """
+    Use of one slot of a grant by a request that is handed over.
+
+    Attributes:
+     - source: The granting picker's process.
+     - number
+     - slot: Index of the slot within the grant.
+
+    """
+
+    __slots__ = (
+        'source',
+        'number',
+        'slot',
+    )
+
+
+    def __init__(self, source=None, number=None, slot=None,):
+        self.source = source
+        self.number = number
+        self.slot = slot
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slot = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantUseInfo')
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 1)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.slot is not None:
+            oprot.writeFieldBegin('slot', TType.I32, 3)
+            oprot.writeI32(self.slot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TableNews(object):
     """
     An update of one control VM's table, from itself or relayed.
@@ -2121,6 +2654,8 @@
      - loads: Loads by the entry VMs that report to the control VM; absent if not
     requested.
      - admitted: Units that the control VM's picker has admitted; sent with the loads.
+     - grants: Grants and demand of the control VM's picker; absent where it has no
+    scheduled service.
 
     """
 
@@ -2138,10 +2673,11 @@
         'entries_version',
         'loads',
         'admitted',
+        'grants',
     )
 
 
-    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None, loads=None, admitted=None,):
+    def __init__(self, control=None, source=None, version=None, whole=None, age_ms=None, region=None, upstreams=None, gone=None, entries=None, gone_entries=None, entries_version=None, loads=None, admitted=None, grants=None,):
         self.control = control
         self.source = source
         self.version = version
@@ -2155,6 +2691,7 @@
         self.entries_version = entries_version
         self.loads = loads
         self.admitted = admitted
+        self.grants = grants
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2199,43 +2736,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = UpstreamInfo()
-                        _elem103.read(iprot)
-                        self.upstreams.append(_elem103)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = UpstreamInfo()
+                        _elem124.read(iprot)
+                        self.upstreams.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = StartEnded()
-                        _elem109.read(iprot)
-                        self.gone.append(_elem109)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = StartEnded()
+                        _elem130.read(iprot)
+                        self.gone.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = EntryInfo()
-                        _elem115.read(iprot)
-                        self.entries.append(_elem115)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = EntryInfo()
+                        _elem136.read(iprot)
+                        self.entries.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem121)
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i141 in range(_size137):
+                        _elem142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem142)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2247,25 +2784,31 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype125, _size122) = iprot.readListBegin()
-                    for _i126 in range(_size122):
-                        _elem127 = UpstreamLoad()
-                        _elem127.read(iprot)
-                        self.loads.append(_elem127)
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = UpstreamLoad()
+                        _elem148.read(iprot)
+                        self.loads.append(_elem148)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = AdmittedUnits()
-                        _elem133.read(iprot)
-                        self.admitted.append(_elem133)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = AdmittedUnits()
+                        _elem154.read(iprot)
+                        self.admitted.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.grants = GrantsInfo()
+                    self.grants.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2303,29 +2846,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter134 in self.upstreams:
-                iter134.write(oprot)
+            for iter155 in self.upstreams:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter135 in self.gone:
-                iter135.write(oprot)
+            for iter156 in self.gone:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter136 in self.entries:
-                iter136.write(oprot)
+            for iter157 in self.entries:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter137 in self.gone_entries:
-                oprot.writeString(iter137.encode('utf-8') if sys.version_info[0] == 2 else iter137)
+            for iter158 in self.gone_entries:
+                oprot.writeString(iter158.encode('utf-8') if sys.version_info[0] == 2 else iter158)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -2335,17 +2878,21 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter138 in self.loads:
-                iter138.write(oprot)
+            for iter159 in self.loads:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter139 in self.admitted:
-                iter139.write(oprot)
+            for iter160 in self.admitted:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.STRUCT, 14)
+            self.grants.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2430,33 +2977,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = TableNews()
-                        _elem145.read(iprot)
-                        self.tables.append(_elem145)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = TableNews()
+                        _elem166.read(iprot)
+                        self.tables.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = UpstreamLoad()
-                        _elem151.read(iprot)
-                        self.loads.append(_elem151)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = UpstreamLoad()
+                        _elem172.read(iprot)
+                        self.loads.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = PrefixInfo()
-                        _elem157.read(iprot)
-                        self.prefixes.append(_elem157)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = PrefixInfo()
+                        _elem178.read(iprot)
+                        self.prefixes.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2483,11 +3030,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = SuspectInfo()
-                        _elem163.read(iprot)
-                        self.suspects.append(_elem163)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = SuspectInfo()
+                        _elem184.read(iprot)
+                        self.suspects.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2509,22 +3056,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter164 in self.tables:
-                iter164.write(oprot)
+            for iter185 in self.tables:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter165 in self.loads:
-                iter165.write(oprot)
+            for iter186 in self.loads:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter166 in self.prefixes:
-                iter166.write(oprot)
+            for iter187 in self.prefixes:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2550,8 +3097,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter167 in self.suspects:
-                iter167.write(oprot)
+            for iter188 in self.suspects:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2687,6 +3234,7 @@
      - pauses: Upstreams to which this entry VM must not send now.
      - output_tokens: Maximum length of the answer in tokens, as stated by the request; absent
     if it states none.
+     - grant: The grant by which the request was handed over to this region.
 
     """
 
@@ -2707,10 +3255,11 @@
         'cost',
         'pauses',
         'output_tokens',
+        'grant',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, output_tokens=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, output_tokens=None, grant=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -2727,6 +3276,7 @@
         self.cost = cost
         self.pauses = pauses
         self.output_tokens = output_tokens
+        self.grant = grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2791,10 +3341,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem173)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2816,11 +3366,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype177, _size174) = iprot.readListBegin()
-                    for _i178 in range(_size174):
-                        _elem179 = PauseInfo()
-                        _elem179.read(iprot)
-                        self.pauses.append(_elem179)
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = PauseInfo()
+                        _elem200.read(iprot)
+                        self.pauses.append(_elem200)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2829,6 +3379,12 @@
                     self.output_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.grant = GrantUseInfo()
+                    self.grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2882,8 +3438,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter180 in self.excluded:
-                oprot.writeString(iter180.encode('utf-8') if sys.version_info[0] == 2 else iter180)
+            for iter201 in self.excluded:
+                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -2901,14 +3457,18 @@
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter181 in self.pauses:
-                iter181.write(oprot)
+            for iter202 in self.pauses:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.output_tokens is not None:
             oprot.writeFieldBegin('output_tokens', TType.I32, 18)
             oprot.writeI32(self.output_tokens)
             oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.STRUCT, 20)
+            self.grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2952,6 +3512,7 @@
      - retry_after_ms
      - reserved_tokens: Tokens of the upstream's memory reserved for the request, without its
     shared prefix.
+     - grant: The grant by which the request is handed over.
 
     """
 
@@ -2968,10 +3529,11 @@
         'entry',
         'retry_after_ms',
         'reserved_tokens',
+        'grant',
     )
 
 
-    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None, reserved_tokens=None,):
+    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None, reserved_tokens=None, grant=None,):
         self.kind = kind
         self.source = source
         self.number = number
@@ -2984,6 +3546,7 @@
         self.entry = entry
         self.retry_after_ms = retry_after_ms
         self.reserved_tokens = reserved_tokens
+        self.grant = grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3056,6 +3619,12 @@
                     self.reserved_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.grant = GrantUseInfo()
+                    self.grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3114,6 +3683,10 @@
             oprot.writeFieldBegin('reserved_tokens', TType.I64, 18)
             oprot.writeI64(self.reserved_tokens)
             oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.STRUCT, 20)
+            self.grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3174,33 +3747,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = UpstreamInfo()
-                        _elem187.read(iprot)
-                        self.upstreams.append(_elem187)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = UpstreamInfo()
+                        _elem208.read(iprot)
+                        self.upstreams.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = StartEnded()
-                        _elem193.read(iprot)
-                        self.gone.append(_elem193)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = StartEnded()
+                        _elem214.read(iprot)
+                        self.gone.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = SuspectInfo()
-                        _elem199.read(iprot)
-                        self.suspects.append(_elem199)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = SuspectInfo()
+                        _elem220.read(iprot)
+                        self.suspects.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3217,22 +3790,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter200 in self.upstreams:
-                iter200.write(oprot)
+            for iter221 in self.upstreams:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter201 in self.gone:
-                iter201.write(oprot)
+            for iter222 in self.gone:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter202 in self.suspects:
-                iter202.write(oprot)
+            for iter223 in self.suspects:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3407,6 +3980,44 @@
     (10, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 10
     (11, TType.I64, 'suspects_version', None, None, ),  # 11
 )
+all_structs.append(GrantInfo)
+GrantInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'region', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'slots', None, None, ),  # 4
+    (5, TType.I64, 'tokens', None, None, ),  # 5
+    (6, TType.I32, 'remaining_ms', None, None, ),  # 6
+)
+all_structs.append(DemandInfo)
+DemandInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'slots', None, None, ),  # 2
+    (3, TType.I64, 'tokens', None, None, ),  # 3
+)
+all_structs.append(RoundTripInfo)
+RoundTripInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'region', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'round_trip_ms', None, None, ),  # 2
+)
+all_structs.append(GrantsInfo)
+GrantsInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'grants', (TType.STRUCT, [GrantInfo, None], False), None, ),  # 1
+    (2, TType.LIST, 'demands', (TType.STRUCT, [DemandInfo, None], False), None, ),  # 2
+    (3, TType.I32, 'reporters', None, None, ),  # 3
+    (4, TType.LIST, 'round_trips', (TType.STRUCT, [RoundTripInfo, None], False), None, ),  # 4
+)
+all_structs.append(GrantUseInfo)
+GrantUseInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'source', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.I32, 'slot', None, None, ),  # 3
+)
 all_structs.append(TableNews)
 TableNews.thrift_spec = (
     None,  # 0
@@ -3423,6 +4034,7 @@
     (11, TType.I64, 'entries_version', None, None, ),  # 11
     (12, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 12
     (13, TType.LIST, 'admitted', (TType.STRUCT, [AdmittedUnits, None], False), None, ),  # 13
+    (14, TType.STRUCT, 'grants', [GrantsInfo, None], None, ),  # 14
 )
 all_structs.append(PollReply)
 PollReply.thrift_spec = (
@@ -3465,6 +4077,8 @@
     None,  # 16
     None,  # 17
     (18, TType.I32, 'output_tokens', None, None, ),  # 18
+    None,  # 19
+    (20, TType.STRUCT, 'grant', [GrantUseInfo, None], None, ),  # 20
 )
 all_structs.append(PlaceGiven)
 PlaceGiven.thrift_spec = (
@@ -3487,6 +4101,8 @@
     None,  # 16
     None,  # 17
     (18, TType.I64, 'reserved_tokens', None, None, ),  # 18
+    None,  # 19
+    (20, TType.STRUCT, 'grant', [GrantUseInfo, None], None, ),  # 20
 )
 all_structs.append(KeptUpstreams)
 KeptUpstreams.thrift_spec = (
