Write to open peer links directly, and ping only where nothing answers

Each message to a peer woke the link's sending task, and each link pinged its peer whenever that had sent nothing for 0.4 s, also where it had answered everything. Messages are now written at once where nothing waits to be sent, and a ping goes out only 0.4 s after a message that nothing followed.

--- a/godwitshunt/peer/link.py
+++ b/godwitshunt/peer/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import ssl
+from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -31,7 +32,11 @@
 RECONNECT_DELAY_S = 0.1
 # A connection may stop carrying data without a reset while new connections
 # work; all calls on it then time out. A peer that has sent nothing for
-# PING_AFTER_S is pinged; after UNRESPONSIVE_AFTER_S the connection is replaced.
+# PING_AFTER_S since a message to it is pinged; after UNRESPONSIVE_AFTER_S the
+# connection is replaced. While no message waits to be followed by anything,
+# the peer is not pinged, and this is checked at each second PING_AFTER_S only:
+# an entry VM without requests sends a few messages a second, and pings and
+# their timers were most of its wake-ups.
 # UNRESPONSIVE_AFTER_S is below 1.5 election timeouts, so that a stalled
 # connection does not cost a quorum its leader.
 PING_AFTER_S = 0.4
@@ -41,6 +46,7 @@
 # four others would cause most of its wake-ups.
 IDLE_AFTER_S = 5.0
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+QUIET_CHECK_FACTOR = 2
 CONNECTION_ERRORS = (
     OSError,
     EOFError,
@@ -94,6 +100,9 @@
         self.call_ids = itertools.count(1)
         self.last_received_s = 0.0
         self.last_used_s = 0.0
+        # When the first message was sent since anything was received.
+        self.unanswered_since_s: float | None = None
+        self.writer: asyncio.StreamWriter | None = None
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -109,15 +118,36 @@
         self.fail_pending('link closed')
 
     def enqueue(self, envelope: Envelope) -> bool:
-        """Queue an envelope; return False if the outbox is full."""
+        """Write or queue an envelope; return False if the outbox is full."""
+        now_s = asyncio.get_running_loop().time()
         if envelope.kind != MessageKind.ping:
-            self.last_used_s = asyncio.get_running_loop().time()
+            self.last_used_s = now_s
+        if self.unanswered_since_s is None:
+            self.unanswered_since_s = now_s
+        if self.is_writable():
+            self.write(self.writer, envelope)
+            return True
         try:
             self.outbox.put_nowait(envelope)
         except asyncio.QueueFull:
             return False
         return True
 
+    def is_writable(self) -> bool:
+        """Return whether nothing waits to be written to an open connection.
+
+        The sending task would otherwise have to be woken for each message.
+        """
+        if self.writer is None or not self.outbox.empty():
+            return False
+        transport = self.writer.transport
+        return not (transport.is_closing() or transport.get_write_buffer_size())
+
+    def write(self, writer: asyncio.StreamWriter, envelope: Envelope) -> None:
+        """Write an envelope to a connection."""
+        self.written.add(envelope.call)
+        writer.write(frame(encode(envelope)))
+
     async def call(
         self,
         kind: MessageKind,
@@ -222,6 +252,7 @@
     ) -> None:
         """Send and receive until one of the tasks ends; raise its exception."""
         self.last_received_s = asyncio.get_running_loop().time()
+        self.unanswered_since_s = self.last_received_s
         tasks = (
             asyncio.create_task(self.send(writer, first)),
             asyncio.create_task(self.receive(reader)),
@@ -233,9 +264,8 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            self.writer = None
+            await cancel_all(tasks)
         for task in done:
             task.result()
 
@@ -247,9 +277,9 @@
         """Write an envelope, then those of the outbox."""
         while True:
             if self.should_send(envelope):
-                self.written.add(envelope.call)
-                writer.write(frame(encode(envelope)))
+                self.write(writer, envelope)
                 await writer.drain()
+            self.writer = writer
             envelope = await self.outbox.get()
 
     def should_send(self, envelope: Envelope) -> bool:
@@ -259,22 +289,39 @@
         return not envelope.call or envelope.call in self.pending
 
     async def send_keepalives(self) -> None:
-        """Ping a peer that sends nothing, until the link is idle.
+        """Ping a peer that does not answer, until the link is idle.
 
         Raises
         ------
         TimeoutError
-            If the peer sends nothing for `UNRESPONSIVE_AFTER_S`.
+            If the peer sends nothing for `UNRESPONSIVE_AFTER_S` after a
+            message.
         """
         loop = asyncio.get_running_loop()
         while self.pending or loop.time() - self.last_used_s < IDLE_AFTER_S:
-            await asyncio.sleep(PING_AFTER_S)
-            silent_s = loop.time() - self.last_received_s
-            if silent_s > UNRESPONSIVE_AFTER_S:
-                raise TimeoutError('peer is unresponsive')
-            if silent_s >= PING_AFTER_S:
-                call_id = next(self.call_ids)
-                self.enqueue(Envelope(MessageKind.ping, call_id, False, b''))
+            if self.pending and self.unanswered_since_s is None:
+                self.unanswered_since_s = self.last_received_s
+            is_quiet = self.unanswered_since_s is None
+            factor = QUIET_CHECK_FACTOR if is_quiet else 1
+            await asyncio.sleep(PING_AFTER_S * factor)
+            self.check_peer(loop.time())
+
+    def check_peer(self, now_s: float) -> None:
+        """Ping a peer that does not answer.
+
+        Raises
+        ------
+        TimeoutError
+            If it has not answered for too long.
+        """
+        if self.unanswered_since_s is None:
+            return
+        waited_s = now_s - self.unanswered_since_s
+        if waited_s > UNRESPONSIVE_AFTER_S:
+            raise TimeoutError('peer is unresponsive')
+        if waited_s >= PING_AFTER_S:
+            call_id = next(self.call_ids)
+            self.enqueue(Envelope(MessageKind.ping, call_id, False, b''))
 
     async def receive(self, reader: asyncio.StreamReader) -> None:
         """Read replies and complete their calls."""
@@ -282,6 +329,7 @@
         while True:
             body = await read_frame(reader, self.options.frame_bytes)
             self.last_received_s = loop.time()
+            self.unanswered_since_s = None
             envelope = decode(Envelope, body)
             # A reply to a call that timed out is dropped; call ids are never
             # reused on a link.
@@ -294,3 +342,10 @@
         for reply in self.pending.values():
             if not reply.done():
                 reply.set_exception(ConnectionError(reason))
+
+
+async def cancel_all(tasks: Iterable[asyncio.Task[None]]) -> None:
+    """Cancel tasks and wait for their ends."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/godwitshunt/peer/tests/test_links.py
+++ b/godwitshunt/peer/tests/test_links.py
@@ -297,3 +297,62 @@
         assert good.ok_value == b'good'
         assert isinstance(bad.err_value, OutcomeUnknown)
         assert b'peer_handlers_failed_total' in second.metrics.render()
+
+
+@pytest.mark.parametrize('quiet_s', [0.0, 0.3])
+async def test_a_connection_that_carries_nothing_is_replaced(
+    quiet_s, monkeypatch
+):
+    """A connection stalls without a reset, in use or after a quiet time.
+
+    All calls on it would time out, one after another, although a new
+    connection works.
+    """
+    monkeypatch.setattr('godwitshunt.peer.link.PING_AFTER_S', 0.05)
+    monkeypatch.setattr('godwitshunt.peer.link.UNRESPONSIVE_AFTER_S', 0.2)
+    async with started_links('a') as first, started_links('b') as second:
+        stalled = False
+
+        async def echo(sender: str, body: bytes) -> bytes | None:
+            return None if stalled else body
+
+        second.subscribe(KIND, echo)
+        second.subscribe(MessageKind.ping, echo)
+        address = second.options.listen
+        assert (await first.call(address, KIND, b'one', 5)).ok_value == b'one'
+        await asyncio.sleep(quiet_s)
+        stalled = True
+        reply = await first.call(address, KIND, b'two', 2)
+        assert 'unresponsive' in reply.err_value.reason
+        stalled = False
+        await asyncio.sleep(0.2)
+        reply = await first.call(address, KIND, b'three', 2)
+        assert reply.ok_value == b'three'
+
+
+async def test_a_peer_that_answered_everything_is_not_pinged(monkeypatch):
+    """An idle entry VM polls a few times a second and is answered each time.
+
+    Pings between polls, and their answers, were most of its messages.
+    """
+    monkeypatch.setattr('godwitshunt.peer.link.PING_AFTER_S', 0.02)
+    async with started_links('a') as first, started_links('b') as second:
+        pings = []
+
+        async def echo(sender: str, body: bytes) -> bytes:
+            return body
+
+        async def count(sender: str, body: bytes) -> bytes:
+            pings.append(body)
+            return body
+
+        second.subscribe(KIND, echo)
+        second.subscribe(MessageKind.ping, count)
+        address = second.options.listen
+        for _ in range(3):
+            await first.call(address, KIND, b'x', 5)
+            await asyncio.sleep(0.1)
+        assert not pings
+        first.notify(address, KIND, b'x')
+        await asyncio.sleep(0.1)
+        assert pings
