Set timers only for requests and answers that do not come at once

Reading a request set four timers, an answer's head and a whole answer one each, and each event of a gathered stream was recorded by itself.

--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -219,14 +219,17 @@
     ) -> HttpRequest:
         """Read one whole request within the time and size bounds."""
         limits = self.options.limits
+        head = parse_event(connection)
         try:
-            async with asyncio.timeout(limits.read_timeout_s):
-                head = await self.read_head(connection, channel)
+            # Most requests come whole; timers are set for the others only.
+            if head is h11.NEED_DATA:
+                async with asyncio.timeout(limits.read_timeout_s):
+                    head = await next_event(connection, channel)
+            self.check(head)
             if connection.they_are_waiting_for_100_continue:
                 proceed = h11.InformationalResponse(status_code=100, headers=[])
                 channel.write(connection.send(proceed))
-            async with asyncio.timeout(limits.read_timeout_s * BODY_TIMEOUTS):
-                body = await self.read_body(connection, channel, head)
+            body = await self.read_body(connection, channel, head)
         except TimeoutError:
             raise RefusedInput(
                 ProblemKind.timeout,
@@ -241,16 +244,12 @@
             body=body,
         )
 
-    async def read_head(
-        self,
-        connection: h11.Connection,
-        channel: Channel,
-    ) -> h11.Request:
-        """Read a request's head; refuse one that is wrong or too long."""
-        head = await next_event(connection, channel)
+    def check(self, head: h11.Request | h11.ConnectionClosed) -> None:
+        """Refuse a request's head that is wrong or too long."""
+        if isinstance(head, h11.ConnectionClosed):
+            raise ConnectionResetError('ended before a request')
         check_size(head, self.options.limits.header_bytes)
         check_head(head)
-        return head
 
     async def read_body(
         self,
@@ -260,24 +259,24 @@
     ) -> bytes:
         """Read the body; refuse it as soon as it is known to be too long."""
         limit = self.options.limits.body_bytes
-        too_long = RefusedInput(
-            ProblemKind.body_too_large,
-            f'more than {limit} bytes',
-        )
         for name, content in head.headers:
             if name == b'content-length' and int(content) > limit:
-                raise too_long
-        parts = []
-        size = 0
-        while True:
-            async with asyncio.timeout(self.options.limits.read_timeout_s):
-                event = await next_event(connection, channel)
+                raise too_long(limit)
+        body = Body(limit)
+        event = parse_event(connection)
+        while event is not h11.NEED_DATA:
             if isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
-            size += len(event.data)
-            if size > limit:
-                raise too_long
-            parts.append(bytes(event.data))
+                return body.whole()
+            body.add(event)
+            event = parse_event(connection)
+        read_timeout_s = self.options.limits.read_timeout_s
+        async with asyncio.timeout(read_timeout_s * BODY_TIMEOUTS):
+            while True:
+                async with asyncio.timeout(read_timeout_s):
+                    event = await next_event(connection, channel)
+                if isinstance(event, h11.EndOfMessage):
+                    return body.whole()
+                body.add(event)
 
     async def refuse(
         self,
@@ -303,6 +302,46 @@
                 await read_to_end(channel)
 
 
+class Body:
+    """Parts of a body, bounded.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes above which it is refused.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.parts: list[bytes] = []
+        self.size = 0
+
+    def add(self, event: h11.Data) -> None:
+        """Add a part.
+
+        Raises
+        ------
+        RefusedInput
+            Where the body is too long.
+        """
+        self.size += len(event.data)
+        if self.size > self.limit:
+            raise too_long(self.limit)
+        self.parts.append(bytes(event.data))
+
+    def whole(self) -> bytes:
+        """Return the body."""
+        return b''.join(self.parts)
+
+
+def too_long(limit: int) -> RefusedInput:
+    """Return the refusal of a body that is too long."""
+    return RefusedInput(
+        ProblemKind.body_too_large,
+        f'more than {limit} bytes',
+    )
+
+
 def is_reusable(connection: h11.Connection) -> bool:
     """Tell whether both sides ended their message cleanly."""
     states = (connection.our_state, connection.their_state)
--- a/godwitshunt/exchange/relay.py
+++ b/godwitshunt/exchange/relay.py
@@ -115,7 +115,7 @@
     on_begun : callable
         Told when the head goes out.
     on_bytes : callable or None
-        Told whenever bytes of the stream come.
+        Told whenever bytes of the stream are passed on.
     gather_s : float
         Events that come within this time of the last send are gathered and
         sent together at its end. The first event, one after a longer pause
@@ -165,8 +165,6 @@
             # Surplus bytes: the connection must not be used again.
             self.call.channel.received += received
             return
-        if received and self.on_bytes is not None:
-            self.on_bytes()
         self.gathered += received
         if not received:
             self.feed_gathered()
@@ -201,6 +199,8 @@
 
     def feed(self, received: bytes) -> None:
         """Parse and pass on bytes; empty where the connection ended."""
+        if received and self.on_bytes is not None:
+            self.on_bytes()
         try:
             self.call.feed(received)
         except BrokenAnswerError as broken:
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -86,6 +86,9 @@
             parts.append(self.connection.send(h11.Data(data=answer.body)))
         parts.append(self.connection.send(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
+        if not self.channel.write_paused:
+            await self.channel.drain()
+            return
         try:
             async with asyncio.timeout(STALL_S):
                 await self.channel.drain()
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -151,6 +151,8 @@
 
     async def sign_of_life(self, silence_s: float | None) -> object:
         """Return the next event; raise where none comes in time."""
+        if silence_s is None:
+            return await self.event()
         try:
             async with asyncio.timeout(silence_s):
                 return await self.event()
