--- a/godwitshunt/picking/search.py
+++ b/godwitshunt/picking/search.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heapreplace
 from math import inf
+from operator import itemgetter
 
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.picking.choices import ChoiceRequest
@@ -207,17 +208,13 @@
         token_s = self.bound.token_s
         heap = []
         for number, group in enumerate(self.groups):
-            group_s = self.group_cost_s(group) + reread_s
+            group_s = self.bound.cost_s(group.slots, group.in_flight)
+            group_s += self.away_s[group.region] + reread_s
             first_s = group_s + token_s * group.members[0][0]
             heap.append((first_s, number, 0, group_s))
         heapify(heap)
         return heap
 
-    def group_cost_s(self, group: LoadGroup) -> float:
-        """Return the least cost of a group's upstreams without a prompt."""
-        cost_s = self.bound.cost_s(group.slots, group.in_flight)
-        return cost_s + self.away_s[group.region]
-
     def may_be_near(self, record: UpstreamRecord, bound_s: float) -> bool:
         """Return whether an upstream may be near the best.
 
@@ -286,28 +283,45 @@
     def fastest(self) -> RankedCandidate | None:
         """Return the upstream with the earliest first event, of all."""
         self.examine_special()
-        ranked = [entry[2] for entry in self.found]
-        best = min(ranked, key=lambda entry: entry.predicted_s, default=None)
-        best_s = inf if best is None else best.predicted_s
-        token_s = self.bound.token_s
-        for group in self.groups:
-            away_s = self.away_s[group.region]
-            group_s = away_s + self.bound.first_event_s(
-                group.slots, group.in_flight
-            )
-            least_s = away_s + self.speed.first_s
-            for tokens, _, record in group.members:
-                predicted_s = group_s + token_s * tokens + self.delay_s(record)
-                if max(least_s, predicted_s) >= best_s - ROUNDING_S:
+        best = min(
+            (entry[2] for entry in self.found),
+            key=lambda entry: entry.predicted_s,
+            default=None,
+        )
+        limit_s = inf if best is None else best.predicted_s - ROUNDING_S
+        groups = [(self.group_first_s(group), group) for group in self.groups]
+        groups.sort(key=itemgetter(0))
+        for group_s, group in groups:
+            for member in group.members:
+                if not self.may_be_faster(member, group_s, limit_s):
                     continue
-                other = self.evaluate(record)
-                if other is not None and other.predicted_s < best_s:
-                    best, best_s = other, other.predicted_s
+                other = self.evaluate(member[2])
+                if other is not None and other.predicted_s < limit_s:
+                    best = other
+                    limit_s = other.predicted_s - ROUNDING_S
         return best
 
-    def delay_s(self, record: UpstreamRecord) -> float:
-        """Return by how much an upstream is later than its load predicts."""
+    def group_first_s(self, group: LoadGroup) -> float:
+        """Return the predicted time of a group's upstreams without tokens."""
+        first_s = self.bound.first_event_s(group.slots, group.in_flight)
+        return first_s + self.away_s[group.region]
+
+    def may_be_faster(
+        self,
+        member: tuple[float, int, UpstreamRecord],
+        group_s: float,
+        limit_s: float,
+    ) -> bool:
+        """Return whether an upstream's first event may be before a limit."""
+        tokens, _, record = member
+        first_s = group_s + self.bound.token_s * tokens
         health = self.health.get(record.name)
         if health is None:
-            return 0.0
-        return health.expected_delay_s(self.request.now_s)
+            return first_s < limit_s
+        # The delay becomes smaller with time, so that most upstreams are
+        # excluded without computing it.
+        if first_s + min(0, health.delay_s) >= limit_s:
+            return False
+        first_s += health.expected_delay_s(self.request.now_s)
+        least_s = self.away_s[record.group.region] + self.speed.first_s
+        return max(least_s, first_s) < limit_s
