Examine fewer upstreams whose costs are equal or whose answers are early

Cause: of upstreams with equal costs four were evaluated, and all whose answers are earlier than predicted, although the cost does not fall by that. Each hand-over sorted all entry VMs of its region by hash, and each answer computed the median slowness of its service.

Change: one of several equal upstreams is evaluated; the bound includes early answers; the order of entry VMs is kept until they change; the median is computed only for an upstream that is slow by itself.

--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -1,9 +1,10 @@
 """Choice of an upstream, another region, or a refusal for one request."""
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from functools import partial
+from itertools import islice
 from math import isinf
 from random import Random
 
@@ -96,6 +97,9 @@
         self.filter = UpstreamFilter(self.region, self.upstreams)
         self.index = UpstreamIndex()
         self.late_kinds: set[tuple[str, bool]] = set()
+        # Ranking of each region's entry VMs for each VM that hands over.
+        self.ranked_entries: dict[tuple[str, str], list[EntryRecord]] = {}
+        self.ranked_for: Mapping[str, tuple[EntryRecord, ...]] | None = None
 
     def choose(
         self,
@@ -148,8 +152,8 @@
                 candidate.cached,
                 candidate.pending_tokens,
             )
-        entries = self.entries_in(candidate.region, request, view)
-        entry = self.random.choice(preferred_entries(entries, request.entry))
+        entries = self.preferred_entries(candidate.region, request, view)
+        entry = self.random.choice(entries)
         return HandOver(entry, chosen.predicted_s, ranked, chosen)
 
     def search(
@@ -348,25 +352,43 @@
                     f'{region} {request.service.name}',
                     request.now_s,
                 )
-                and any(self.entries_in(region, request, view))
+                and any(self.available(view.entry_points[region], request))
             )
         if request.route.homes:
             regions.intersection_update(request.route.homes)
         return frozenset(regions)
 
-    def entries_in(
-        self,
-        region: str,
-        request: ChoiceRequest,
-        view: RegistryView,
+    def available(
+        self, entries: Iterable[EntryRecord], request: ChoiceRequest
     ) -> Iterator[EntryRecord]:
-        """Yield the entry VMs of a region that accept hand-overs."""
-        for entry in view.entry_points.get(region, ()):
+        """Yield the entry VMs that accept hand-overs."""
+        for entry in entries:
             if entry.name in request.excluded:
                 continue
             if not self.neighbours.is_avoided(entry.name, request.now_s):
                 yield entry
 
+    def preferred_entries(
+        self, region: str, request: ChoiceRequest, view: RegistryView
+    ) -> list[EntryRecord]:
+        """Return the entry VMs of a region that get a VM's hand-overs.
+
+        A few fixed VMs keep their connections open; with a random VM each time,
+        most hand-overs would need a new connection and thus another round trip
+        between regions. Rendezvous hashing gives each sender different VMs, so
+        that the load is spread.
+        """
+        if self.ranked_for is not view.entry_points:
+            self.ranked_for = view.entry_points
+            self.ranked_entries.clear()
+        key = (region, request.entry)
+        if key not in self.ranked_entries:
+            self.ranked_entries[key] = rank_entries(
+                view.entry_points[region], request.entry
+            )
+        available = self.available(self.ranked_entries[key], request)
+        return list(islice(available, PREFERRED_ENTRIES))
+
     def away_s(self, region: str) -> float:
         """Return the cost in seconds of sending a request to a region."""
         if region == self.region:
@@ -419,30 +441,16 @@
     return min(request.remaining_s, limit_s)
 
 
-def preferred_entries(
+def rank_entries(
     entries: Iterable[EntryRecord], vm_name: str
 ) -> list[EntryRecord]:
-    """Return the entry VMs of a region to which a VM hands requests over.
-
-    A few fixed VMs keep their connections open; with a random VM each time,
-    most hand-overs would need a new connection and thus another round trip
-    between regions. Rendezvous hashing gives each sender different VMs, so
-    that the load is spread.
-
-    Parameters
-    ----------
-    entries : iterable of EntryRecord
-        Available entry VMs of the region.
-    vm_name : str
-        The VM that hands requests over.
-    """
+    """Return entry VMs by rendezvous hashing for a VM, the first one first."""
     key = name_hash(vm_name)
-    ranked = sorted(
+    return sorted(
         entries,
         key=lambda entry: (rank_weight(key, entry.name), entry.name),
         reverse=True,
     )
-    return ranked[:PREFERRED_ENTRIES]
 
 
 def penalty_s(
--- a/godwitshunt/picking/search.py
+++ b/godwitshunt/picking/search.py
@@ -36,9 +36,6 @@
 # Bounds and costs are added up in different orders; their rounding errors are
 # smaller than this.
 ROUNDING_S = 1e-9
-# Upstreams of exactly the same cost that are examined. Idle ones are all alike,
-# and any of them may be chosen.
-MAX_EQUAL = 4
 
 
 @dataclass
@@ -81,7 +78,6 @@
     )
     examined: set[str] = field(default_factory=set)
     best_s: float = inf
-    equal: int = 0
     reread_s: float | None = None
 
     def __post_init__(self) -> None:
@@ -97,8 +93,9 @@
     def ranked(self) -> list[RankedCandidate]:
         """Return the best upstreams ordered by cost, best first.
 
-        They include all whose cost is near the best, unless very many are
-        equal. Empty if no upstream can accept the request.
+        They include all whose cost is near the best. Of several with equal
+        costs, one is enough if no others are wanted. Empty if no upstream can
+        accept the request.
         """
         if not self.groups:
             return []
@@ -227,15 +224,25 @@
         if health is None:
             return True
         now_s = self.request.now_s
-        spare_s = self.limit_s() - bound_s
-        spare_s -= max(0.0, health.expected_delay_s(now_s))
+        delay_s = health.expected_delay_s(now_s)
+        if delay_s < 0:
+            # A negative delay shortens the wait to no less than nothing, and
+            # the cost does not fall by it.
+            wait_s = self.group_first_s(record.group) - self.idle_s(record)
+            wait_s += self.bound.token_s * record.pending_tokens
+            delay_s = max(0.0, -delay_s - wait_s)
+        spare_s = self.limit_s() - bound_s - delay_s
         if spare_s < 0:
             return False
         return self.penalty_s(record.upstream, health, now_s) <= spare_s
 
+    def idle_s(self, record: UpstreamRecord) -> float:
+        """Return the least predicted time of an upstream, without a prompt."""
+        return self.away_s[record.group.region] + self.speed.first_s
+
     def limit_s(self) -> float:
         """Return the cost above which upstreams are not wanted."""
-        if self.equal >= MAX_EQUAL:
+        if not self.near_best_s:
             return self.best_s - ROUNDING_S
         return self.best_s + self.near_best_s + ROUNDING_S
 
@@ -253,11 +260,7 @@
         if reread_s:
             ranked = add_reread_cost(ranked, self.request.demand, self.speed)
         cost_s = ranked.cost_s
-        if cost_s < self.best_s:
-            self.best_s = cost_s
-            self.equal = 0
-        if not self.near_best_s and cost_s == self.best_s:
-            self.equal += 1
+        self.best_s = min(self.best_s, cost_s)
         self.found.append((cost_s, record.order, ranked))
 
     def evaluate(
@@ -323,5 +326,4 @@
         if first_s + min(0, health.delay_s) >= limit_s:
             return False
         first_s += health.expected_delay_s(self.request.now_s)
-        least_s = self.away_s[record.group.region] + self.speed.first_s
-        return max(least_s, first_s) < limit_s
+        return max(self.idle_s(record), first_s) < limit_s
--- a/godwitshunt/routing/outliers.py
+++ b/godwitshunt/routing/outliers.py
@@ -182,14 +182,18 @@
         """Return whether an upstream fails often or is unusually slow."""
         if state.samples < MIN_SAMPLES:
             return False
+        if state.failure_share > FAILURE_SHARE:
+            return True
+        # The median of the peers is seldom needed.
+        if state.slowdown <= SLOW_RATIO:
+            return False
         peers = [
             self.states[name]
             for name in present
             if name in self.states and self.states[name].samples
         ]
         typical = median(peer.slowdown for peer in peers) if peers else 1.0
-        slow = state.slowdown > SLOW_RATIO * max(1.0, typical)
-        return slow or state.failure_share > FAILURE_SHARE
+        return state.slowdown > SLOW_RATIO * max(1.0, typical)
 
     def may_eject(self, present: Collection[str]) -> bool:
         """Return whether one more ejection leaves enough upstreams."""
