Exclude a control VM's permanent objects from garbage collection

A control VM's process searched all 54,200 objects that live as long as it does at each full collection (7 ms of processor time, gc.collect after the imports of ControlProcess), as entry VMs no longer do.

--- a/godwitshunt/programs/control_process.py
+++ b/godwitshunt/programs/control_process.py
@@ -1,5 +1,7 @@
 """Every part of a control VM's process, wired together."""
 
+import gc
+
 from godwitshunt.claims import ClaimsTask
 from godwitshunt.configuration import (
     ConfigurationService,
@@ -133,6 +135,10 @@
         if self.settings.heals:
             self.healer.start()
         await start_listening(self.listener.start, 'http', self.settings.http)
+        # What lives as long as the process is not searched again at each
+        # collection: 54,200 objects take 7 ms, in which no entry VM gets an
+        # answer.
+        gc.freeze()
         log_change('control:started', name=self.settings.name)
 
     async def close(self) -> None:
