--- a/godwitshunt/picking/search.py
+++ b/godwitshunt/picking/search.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heapreplace
 from math import inf
+from operator import itemgetter
 
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.picking.choices import ChoiceRequest
@@ -35,9 +36,6 @@
 # Bounds and costs are added up in different orders; their rounding errors are
 # smaller than this.
 ROUNDING_S = 1e-9
-# Upstreams of exactly the same cost that are examined. Idle ones are all alike,
-# and any of them may be chosen.
-MAX_EQUAL = 4
 
 
 @dataclass
@@ -80,7 +78,6 @@
     )
     examined: set[str] = field(default_factory=set)
     best_s: float = inf
-    equal: int = 0
     reread_s: float | None = None
 
     def __post_init__(self) -> None:
@@ -96,8 +93,9 @@
     def ranked(self) -> list[RankedCandidate]:
         """Return the best upstreams ordered by cost, best first.
 
-        They include all whose cost is near the best, unless very many are
-        equal. Empty if no upstream can accept the request.
+        They include all whose cost is near the best. Of several with equal
+        costs, one is enough if no others are wanted. Empty if no upstream can
+        accept the request.
         """
         if not self.groups:
             return []
@@ -207,17 +205,13 @@
         token_s = self.bound.token_s
         heap = []
         for number, group in enumerate(self.groups):
-            group_s = self.group_cost_s(group) + reread_s
+            group_s = self.bound.cost_s(group.slots, group.in_flight)
+            group_s += self.away_s[group.region] + reread_s
             first_s = group_s + token_s * group.members[0][0]
             heap.append((first_s, number, 0, group_s))
         heapify(heap)
         return heap
 
-    def group_cost_s(self, group: LoadGroup) -> float:
-        """Return the least cost of a group's upstreams without a prompt."""
-        cost_s = self.bound.cost_s(group.slots, group.in_flight)
-        return cost_s + self.away_s[group.region]
-
     def may_be_near(self, record: UpstreamRecord, bound_s: float) -> bool:
         """Return whether an upstream may be near the best.
 
@@ -230,15 +224,25 @@
         if health is None:
             return True
         now_s = self.request.now_s
-        spare_s = self.limit_s() - bound_s
-        spare_s -= max(0.0, health.expected_delay_s(now_s))
+        delay_s = health.expected_delay_s(now_s)
+        if delay_s < 0:
+            # A negative delay shortens the wait to no less than nothing, and
+            # the cost does not fall by it.
+            wait_s = self.group_first_s(record.group) - self.idle_s(record)
+            wait_s += self.bound.token_s * record.pending_tokens
+            delay_s = max(0.0, -delay_s - wait_s)
+        spare_s = self.limit_s() - bound_s - delay_s
         if spare_s < 0:
             return False
         return self.penalty_s(record.upstream, health, now_s) <= spare_s
 
+    def idle_s(self, record: UpstreamRecord) -> float:
+        """Return the least predicted time of an upstream, without a prompt."""
+        return self.away_s[record.group.region] + self.speed.first_s
+
     def limit_s(self) -> float:
         """Return the cost above which upstreams are not wanted."""
-        if self.equal >= MAX_EQUAL:
+        if not self.near_best_s:
             return self.best_s - ROUNDING_S
         return self.best_s + self.near_best_s + ROUNDING_S
 
@@ -256,11 +260,7 @@
         if reread_s:
             ranked = add_reread_cost(ranked, self.request.demand, self.speed)
         cost_s = ranked.cost_s
-        if cost_s < self.best_s:
-            self.best_s = cost_s
-            self.equal = 0
-        if not self.near_best_s and cost_s == self.best_s:
-            self.equal += 1
+        self.best_s = min(self.best_s, cost_s)
         self.found.append((cost_s, record.order, ranked))
 
     def evaluate(
@@ -286,28 +286,44 @@
     def fastest(self) -> RankedCandidate | None:
         """Return the upstream with the earliest first event, of all."""
         self.examine_special()
-        ranked = [entry[2] for entry in self.found]
-        best = min(ranked, key=lambda entry: entry.predicted_s, default=None)
-        best_s = inf if best is None else best.predicted_s
-        token_s = self.bound.token_s
-        for group in self.groups:
-            away_s = self.away_s[group.region]
-            group_s = away_s + self.bound.first_event_s(
-                group.slots, group.in_flight
-            )
-            least_s = away_s + self.speed.first_s
-            for tokens, _, record in group.members:
-                predicted_s = group_s + token_s * tokens + self.delay_s(record)
-                if max(least_s, predicted_s) >= best_s - ROUNDING_S:
+        best = min(
+            (entry[2] for entry in self.found),
+            key=lambda entry: entry.predicted_s,
+            default=None,
+        )
+        limit_s = inf if best is None else best.predicted_s - ROUNDING_S
+        groups = [(self.group_first_s(group), group) for group in self.groups]
+        groups.sort(key=itemgetter(0))
+        for group_s, group in groups:
+            for member in group.members:
+                if not self.may_be_faster(member, group_s, limit_s):
                     continue
-                other = self.evaluate(record)
-                if other is not None and other.predicted_s < best_s:
-                    best, best_s = other, other.predicted_s
+                other = self.evaluate(member[2])
+                if other is not None and other.predicted_s < limit_s:
+                    best = other
+                    limit_s = other.predicted_s - ROUNDING_S
         return best
 
-    def delay_s(self, record: UpstreamRecord) -> float:
-        """Return by how much an upstream is later than its load predicts."""
+    def group_first_s(self, group: LoadGroup) -> float:
+        """Return the predicted time of a group's upstreams without tokens."""
+        first_s = self.bound.first_event_s(group.slots, group.in_flight)
+        return first_s + self.away_s[group.region]
+
+    def may_be_faster(
+        self,
+        member: tuple[float, int, UpstreamRecord],
+        group_s: float,
+        limit_s: float,
+    ) -> bool:
+        """Return whether an upstream's first event may be before a limit."""
+        tokens, _, record = member
+        first_s = group_s + self.bound.token_s * tokens
         health = self.health.get(record.name)
         if health is None:
-            return 0.0
-        return health.expected_delay_s(self.request.now_s)
+            return first_s < limit_s
+        # The delay becomes smaller with time, so that most upstreams are
+        # excluded without computing it.
+        if first_s + min(0, health.delay_s) >= limit_s:
+            return False
+        first_s += health.expected_delay_s(self.request.now_s)
+        return max(self.idle_s(record), first_s) < limit_s
--- a/godwitshunt/registry/control_tables.py
+++ b/godwitshunt/registry/control_tables.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from functools import partial
+from functools import cached_property, partial
 
 from result import Err
 
@@ -89,6 +89,7 @@
         self.summed_inputs: tuple[tuple[str, float], ...] = ()
         # Called with each control VM and its table when new grants arrive.
         self.on_grants: Callable[[str, ControlTable], None] = ignore_grants
+        self.update_count = 0
         self.background = BackgroundTasks()
         self.subscription: Subscription | None = None
 
@@ -103,7 +104,7 @@
             self.subscription.cancel()
         await self.background.close()
 
-    @property
+    @cached_property
     def own_name(self) -> str:
         """Key of this control VM's own table."""
         return str(self.location.address)
@@ -206,6 +207,7 @@
         now_s: float,
     ) -> None:
         """Apply an update, unless it is of this control VM's own table."""
+        self.update_count += 1
         control = self.merged.control_of_source(update.source)
         if update.control is not None:
             control = str(address_from_wire(update.control))
