Bound what an entry VM holds for slow callers and upstreams

Cause: a slow caller stopped the reading of its upstream for good; the upstream ends an answer that stays unread for seconds, so the answer was lost. Nothing bounded the total of send buffers, request bodies and whole answers. With LimitSettings.buffer_bytes (off by default) an answer is read on after 1 s and held, up to an eighth of the budget for each connection. When the budget is full, the least urgent request is ended, among equals the slowest, then the largest. Bytes beyond the high-water mark wait in pieces instead of the transport buffers, and long bodies are sent in slices instead of being copied there.

--- a/godwitshunt/exchange/channel.py
+++ b/godwitshunt/exchange/channel.py
@@ -1,13 +1,18 @@
 """One TCP connection as a byte channel with back-pressure in both ways."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 
+from godwitshunt.exchange.held_bytes import HeldBytes
 from godwitshunt.exchange.liveness import INCOMING, OUTGOING, probe
 
 READ_HIGH_WATER_BYTES = 64 * 1024
-WRITE_HIGH_WATER_BYTES = 64 * 1024
+WRITE_HIGH_WATER_BYTES = 16 * 1024
+# Bytes beyond the high-water mark wait in pieces of this size. In the growing
+# buffers of a thousand transports, 68 MB that were held took 155 MB of memory.
+PIECE_BYTES = 16 * 1024
 CLOSE_LINGER_S = 30.0
 
 
@@ -27,7 +32,8 @@
     `sink` is set it gets the bytes as they come, and empty bytes at the end;
     `on_writable` is called when the other side has caught up.
     `ended_cleanly` tells an end of the other side's bytes from a reset: an
-    answer without a length is whole only after the former.
+    answer without a length is whole only after the former. Where `held` is
+    set, the bytes that wait to be sent are counted there.
     """
 
     def __init__(
@@ -47,6 +53,9 @@
         self.on_lost: Callable[[], None] | None = None
         self.on_writable: Callable[[], None] | None = None
         self.sink: Callable[[bytes], None] | None = None
+        self.held: HeldBytes | None = None
+        self.backlog: deque[bytes] = deque()
+        self.backlog_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Take over a new connection."""
@@ -77,6 +86,9 @@
     def connection_lost(self, reason: Exception | None) -> None:
         """Wake everyone who waits on this connection."""
         self.fault = reason
+        self.drop_backlog()
+        if self.held is not None:
+            self.held.close(self)
         self.end()
         wake(self.writing)
 
@@ -85,8 +97,16 @@
         self.write_paused = True
 
     def resume_writing(self) -> None:
-        """Let the writing task go on."""
+        """Send the backlog, then let the writing task go on."""
         self.write_paused = False
+        while self.backlog and not self.write_paused:
+            piece = self.backlog.popleft()
+            self.backlog_bytes -= len(piece)
+            self.transport.write(piece)
+        if self.held is not None:
+            self.held.count()
+        if self.write_paused:
+            return
         wake(self.writing)
         if self.on_writable is not None:
             self.on_writable()
@@ -130,7 +150,27 @@
 
     def write(self, chunk: bytes) -> None:
         """Queue bytes for sending."""
-        self.transport.write(chunk)
+        if self.write_paused:
+            self.backlog_bytes += len(chunk)
+            self.backlog.extend(
+                chunk[start : start + PIECE_BYTES]
+                for start in range(0, len(chunk), PIECE_BYTES)
+            )
+        else:
+            self.transport.write(chunk)
+        if self.held is not None:
+            self.held.count(len(chunk))
+
+    def buffered_bytes(self) -> int:
+        """Return the bytes that wait to be sent."""
+        if self.transport is None:
+            return 0
+        return self.backlog_bytes + self.transport.get_write_buffer_size()
+
+    def drop_backlog(self) -> None:
+        """Release what will not be sent."""
+        self.backlog.clear()
+        self.backlog_bytes = 0
 
     async def drain(self) -> None:
         """Wait until the other side has taken enough of what was written.
@@ -160,14 +200,18 @@
         """Send what is queued, for a bounded time, then close."""
         if self.transport is None:
             return
+        for piece in self.backlog:
+            self.transport.write(piece)
+        self.drop_backlog()
         self.transport.close()
-        if self.transport.get_write_buffer_size():
+        if self.buffered_bytes():
             # The other side may never read: its answer must not be held.
             loop = asyncio.get_running_loop()
             loop.call_later(CLOSE_LINGER_S, self.transport.abort)
 
     def abort(self) -> None:
         """Close at once; what is queued is lost."""
+        self.drop_backlog()
         if self.transport is not None:
             self.transport.abort()
 
--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -8,7 +8,9 @@
 
 import h11
 
+from godwitshunt.exchange.buffer_budget import BufferBudget
 from godwitshunt.exchange.channel import Channel
+from godwitshunt.exchange.held_bytes import HeldBytes, count_body
 from godwitshunt.exchange.problems import (
     Problem,
     ProblemKind,
@@ -49,12 +51,15 @@
         None talks plain TCP.
     idle_timeout_s : float
         Seconds that a connection without a request is kept.
+    budget : BufferBudget or None
+        Bounds what is held for callers; None for no bound.
     """
 
     address: Address
     limits: LimitSettings
     tls: ssl.SSLContext | None = None
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    budget: BufferBudget | None = None
 
 
 class Listener:
@@ -132,6 +137,8 @@
 
     def accept(self, channel: Channel) -> None:
         """Start the task that owns a new connection."""
+        if self.options.budget is not None:
+            HeldBytes(self.options.budget, channel)
         task = asyncio.get_running_loop().create_task(self.serve(channel))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -182,9 +189,15 @@
             log_change('exchange:request_failed', error=repr(fault))
             raise RefusedInput(ProblemKind.internal, 'see the log') from fault
         finally:
-            self.answering.discard(answer)
-            if not self.answering:
-                self.quiet.set()
+            self.end_answer(answer)
+
+    def end_answer(self, answer: AnswerWriter) -> None:
+        """Note that a request has its answer."""
+        self.answering.discard(answer)
+        if answer.channel.held is not None:
+            answer.channel.held.end_request()
+        if not self.answering:
+            self.quiet.set()
 
     async def wait_for_request(
         self,
@@ -269,11 +282,13 @@
             async with asyncio.timeout(self.options.limits.read_timeout_s):
                 event = await next_event(connection, channel)
             if isinstance(event, h11.EndOfMessage):
+                count_body(channel, size)
                 return b''.join(parts)
             size += len(event.data)
             if size > limit:
                 raise too_long
             parts.append(bytes(event.data))
+            count_body(channel, size, is_receiving=True)
 
     async def refuse(
         self,
--- a/godwitshunt/exchange/relay.py
+++ b/godwitshunt/exchange/relay.py
@@ -17,6 +17,9 @@
 EVENT_END = b'\n\n'
 FINAL_EVENT = b'data: [DONE]\n\n'
 EVENT_STREAM = b'text/event-stream'
+# An upstream is slowed this long for a slow caller. It ends an answer that
+# stays unread for some seconds; so the answer is then read on and held.
+READ_ON_AFTER_S = 1.0
 
 
 @dataclass
@@ -114,6 +117,8 @@
         Told whenever bytes of the stream come.
     done : asyncio.Future
         None where the stream came to its clean end, else why it broke.
+    reading_on : bool
+        True while the stream is read although its caller is slow.
     """
 
     call: UpstreamCall
@@ -127,13 +132,15 @@
     done: asyncio.Future[str | None] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future(),
     )
+    reading_on: bool = False
+    patience: asyncio.TimerHandle | None = None
 
     def open(self) -> None:
         """Start to pass on, beginning with what came behind the head."""
         source = self.call.channel
         pending = source.take_received()
         source.sink = self.take
-        self.writer.channel.on_writable = source.resume
+        self.writer.channel.on_writable = self.catch_up
         self.pass_on()
         if pending:
             self.take(pending)
@@ -144,6 +151,7 @@
         """Pass on no more."""
         self.call.channel.sink = None
         self.writer.channel.on_writable = None
+        self.stop_patience()
 
     def take(self, received: bytes) -> None:
         """Take bytes as they come; empty bytes where the connection ended."""
@@ -181,4 +189,32 @@
             self.writer.put_head(self.status, self.headers)
         self.writer.put(whole)
         if self.writer.channel.write_paused:
-            self.call.channel.pause()
+            self.slow_down()
+
+    def slow_down(self) -> None:
+        """Read no more for now, unless the answer is read on."""
+        held = self.writer.channel.held
+        if self.reading_on and held is not None and held.has_room():
+            return
+        self.call.channel.pause()
+        if held is not None and self.patience is None and not self.reading_on:
+            loop = asyncio.get_running_loop()
+            self.patience = loop.call_later(READ_ON_AFTER_S, self.read_on)
+
+    def read_on(self) -> None:
+        """Read on although the caller is slow; the budget bounds it."""
+        self.patience = None
+        self.reading_on = True
+        self.call.channel.resume()
+
+    def catch_up(self) -> None:
+        """Read again, since the caller has caught up."""
+        self.stop_patience()
+        self.reading_on = False
+        self.call.channel.resume()
+
+    def stop_patience(self) -> None:
+        """Forget that the caller was slow."""
+        if self.patience is not None:
+            self.patience.cancel()
+            self.patience = None
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -11,6 +11,7 @@
 
 BODYLESS = frozenset((204, 304))
 STALL_S = 60.0
+SLICE_BYTES = 64 * 1024
 PROCESSING = 102
 
 
@@ -55,7 +56,7 @@
     """Writes one answer on a caller's connection.
 
     `bodyless` is set for answers to HEAD, which tell a length and no body.
-    A caller that takes nothing of a whole answer for a minute is cut off;
+    A caller that takes nothing of a complete answer for a minute is cut off;
     else its answer would stay in memory as long as it likes.
 
     Every method raises `ConnectionResetError` where the caller is gone.
@@ -79,10 +80,31 @@
         self.begun = True
         head = h11.Response(status_code=answer.status, headers=headers)
         parts = [self.connection.send(head)]
-        if answer.body and not self.bodyless:
-            parts.append(self.connection.send(h11.Data(data=answer.body)))
+        body = b'' if self.bodyless else answer.body
+        if len(body) > SLICE_BYTES:
+            self.channel.write(parts.pop())
+            await self.send_slices(body)
+        elif body:
+            parts.append(self.connection.send(h11.Data(data=body)))
         parts.append(self.connection.send(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
+        await self.drain()
+
+    async def send_slices(self, body: bytes) -> None:
+        """Send a long body as fast as the caller reads.
+
+        In one piece it would be copied to the send buffer, and be held twice.
+        """
+        held = self.channel.held
+        for start in range(0, len(body), SLICE_BYTES):
+            data = body[start : start + SLICE_BYTES]
+            if held is not None:
+                held.keep_answer(len(body) - start - len(data))
+            self.channel.write(self.connection.send(h11.Data(data=data)))
+            await self.drain()
+
+    async def drain(self) -> None:
+        """Wait while the caller reads slowly; cut it off if it has stopped."""
         try:
             async with asyncio.timeout(STALL_S):
                 await self.channel.drain()
@@ -124,7 +146,7 @@
     async def finish(self) -> None:
         """Send the final chunk: the answer is whole."""
         self.channel.write(self.connection.send(h11.EndOfMessage()))
-        await self.channel.drain()
+        await self.drain()
 
     def break_off(self) -> None:
         """Close without a final chunk, so that the caller sees the break."""
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from godwitshunt.exchange.channel import Channel
+from godwitshunt.exchange.requests import SLICE_BYTES
 from godwitshunt.exchange.upstream_messages import (
     IDLE_LIMIT_S,
     AnswerHead,
@@ -68,12 +69,25 @@
             headers=headers,
         )
         parts = [self.connection.send(head)]
-        if request.body:
+        if len(request.body) > SLICE_BYTES:
+            self.channel.write(parts.pop())
+            await self.send_slices(request.body)
+        elif request.body:
             parts.append(self.connection.send(h11.Data(data=request.body)))
         parts.append(self.connection.send(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
         await self.channel.drain()
 
+    async def send_slices(self, body: bytes) -> None:
+        """Write a long body as fast as the upstream reads.
+
+        In one piece it would be copied to the send buffer, and be held twice.
+        """
+        for start in range(0, len(body), SLICE_BYTES):
+            data = body[start : start + SLICE_BYTES]
+            self.channel.write(self.connection.send(h11.Data(data=data)))
+            await self.channel.drain()
+
     async def head(
         self,
         request: OutgoingRequest,
--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from godwitshunt.exchange.held_bytes import make_budget
 from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.ingress.authorization import Authorizer
 from godwitshunt.ingress.context import Budgets, IngressContext
@@ -67,6 +68,7 @@
         hops=UpstreamPool(metrics, source=source),
         timer=timer,
         metrics=metrics,
+        buffers=make_budget(settings.limits.buffer_bytes, metrics),
     )
     chooser.filter.has_cold_capacity = context.has_cold_capacity
     return context
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -133,13 +133,23 @@
         self.connected = True
         self.on_stage(Stage.connected)
         self.call = opened.ok_value
+        held = writer.channel.held
+        if held is not None:
+            held.join(self.call.channel)
         try:
             return await self.send_and_receive(writer)
         except (BrokenAnswerError, ConnectionError) as error:
             return Lost(str(error) or repr(error))
         finally:
-            self.closed_by_peer = self.call.channel.ended_by_other_side
-            self.call.abandon()
+            self.end_call()
+
+    def end_call(self) -> None:
+        """Close the connection, unless it was given back to the pool."""
+        channel = self.call.channel
+        if channel.held is not None:
+            channel.held.leave(channel)
+        self.closed_by_peer = channel.ended_by_other_side
+        self.call.abandon()
 
     async def send_and_receive(self, writer: AnswerWriter) -> AttemptOutcome:
         """Send the request and receive the answer."""
@@ -238,6 +248,8 @@
             if size > self.answer_bytes:
                 raise BrokenAnswerError('the answer is too long')
             parts.append(chunk)
+            if self.call.channel.held is not None:
+                self.call.channel.held.gather_answer(size)
         self.call.release()
         return b''.join(parts)
 
@@ -283,6 +295,9 @@
         loop = asyncio.get_running_loop()
         while not pipe.done.done():
             await asyncio.wait((pipe.done,), timeout=GAP_CHECK_PERIOD_S)
+            if self.call.channel.read_paused:
+                # The caller is slow, not the upstream.
+                self.last_bytes_s = loop.time()
             if loop.time() - self.last_bytes_s > gap_s and not pipe.done.done():
                 return 'silent within a stream'
         return pipe.done.result()
--- a/godwitshunt/ingress/context.py
+++ b/godwitshunt/ingress/context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from godwitshunt.backpressure import NO_SHARE, RateShare, entry_share
+from godwitshunt.exchange.buffer_budget import BufferBudget
 from godwitshunt.exchange.upstream_pool import (
     UpstreamPool,
 )
@@ -67,6 +68,9 @@
         Connections to upstreams of this region.
     hops : UpstreamPool
         Connections to entry VMs of other regions.
+    buffers : BufferBudget or None
+        Bounds what is held for slow callers and slow upstreams; None for no
+        bound.
     """
 
     settings: NodeSettings
@@ -87,6 +91,7 @@
     hops: UpstreamPool
     timer: Timer
     metrics: Metrics
+    buffers: BufferBudget | None = None
 
     @property
     def quarantine(self) -> Quarantine:
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -116,6 +116,8 @@
         self.task = asyncio.current_task()
         now_s = self.context.timer.now()
         self.trace.record_stage(Stage.admitted, now_s)
+        if channel.held is not None:
+            channel.held.begin_request(self.request.id, self.request.route.rank)
         channel.on_lost = self.cancel_on_disconnect
         try:
             step = await self.run_attempts()
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -80,6 +80,7 @@
             address=self.settings.http,
             limits=self.settings.limits,
             tls=caller_context(self.settings.tls),
+            budget=context.buffers,
         )
         self.listener = Listener(options, context.metrics, self.serve_caller)
         forward_options = replace(
@@ -165,6 +166,16 @@
         limiter.remove_absent(view.upstreams, now_s)
         limiter.share = self.context.rate_share()
         self.context.metrics.gauge('ingress_in_progress', self.in_progress)
+        self.measure_buffers()
+
+    def measure_buffers(self) -> None:
+        """Measure what is held for slow callers and slow upstreams."""
+        buffers = self.context.buffers
+        if buffers is not None:
+            buffers.measure(asyncio.get_running_loop().time())
+            self.context.metrics.gauge(
+                'exchange_held_bytes', buffers.held_bytes
+            )
 
     def apply_revision(self, revision: Revision) -> None:
         """Make a newer revision the active one."""
--- a/godwitshunt/ingress/tests/test_incarnations.py
+++ b/godwitshunt/ingress/tests/test_incarnations.py
@@ -83,6 +83,7 @@
         answer_headers=recorder,
         rate_share=lambda: NO_SHARE,
         metrics=SimpleNamespace(gauge=lambda name, value: None),
+        buffers=None,
     )
     task.tick()
     assert len(removed_except) == 3
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -33,7 +33,14 @@
 
 
 class LimitSettings(StrictModel):
-    """Limits on network input of a process."""
+    """Limits on network input of a process.
+
+    Parameters
+    ----------
+    buffer_bytes : int or None
+        Largest total of what an entry VM holds for slow callers and slow
+        upstreams; None for no limit.
+    """
 
     header_bytes: int = Field(default=16 * KIBIBYTE, ge=KIBIBYTE)
     body_bytes: int = Field(default=8 * MEBIBYTE, ge=KIBIBYTE)
@@ -41,6 +48,7 @@
     frame_bytes: int = Field(default=4 * MEBIBYTE, ge=KIBIBYTE)
     read_timeout_s: float = Field(default=10.0, gt=0)
     connections: int = Field(default=4096, ge=1)
+    buffer_bytes: int | None = Field(default=None, ge=MEBIBYTE)
 
 
 class LogSettings(StrictModel):
