--- a/tests/platform_documents.py
+++ b/tests/platform_documents.py
@@ -99,5 +99,6 @@
             'strict_revocation': True,
             'revoke_ms': REVOKE_MS,
         },
+        'limits': {'memory_mb': 200, 'cores': 0.516},
         'new_field': 'ignored',
     }
