--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -8,7 +8,9 @@
 
 import h11
 
+from godwitshunt.exchange.buffer_budget import BufferBudget
 from godwitshunt.exchange.channel import Channel
+from godwitshunt.exchange.held_bytes import HeldBytes, count_body
 from godwitshunt.exchange.liveness import INCOMING, probe
 from godwitshunt.exchange.problems import (
     Problem,
@@ -50,12 +52,15 @@
         None talks plain TCP.
     idle_timeout_s : float
         Seconds that a connection without a request is kept.
+    budget : BufferBudget or None
+        Bounds what is held for callers; None for no bound.
     """
 
     address: Address
     limits: LimitSettings
     tls: ssl.SSLContext | None = None
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    budget: BufferBudget | None = None
 
 
 class Listener:
@@ -136,6 +141,8 @@
 
     def accept(self, channel: Channel) -> None:
         """Start the task that owns a new connection."""
+        if self.options.budget is not None:
+            HeldBytes(self.options.budget, channel)
         task = asyncio.get_running_loop().create_task(self.serve(channel))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -186,9 +193,15 @@
             log_change('exchange:request_failed', error=repr(fault))
             raise RefusedInput(ProblemKind.internal, 'see the log') from fault
         finally:
-            self.answering.discard(answer)
-            if not self.answering:
-                self.quiet.set()
+            self.end_answer(answer)
+
+    def end_answer(self, answer: AnswerWriter) -> None:
+        """Note that a request has its answer."""
+        self.answering.discard(answer)
+        if answer.channel.held is not None:
+            answer.channel.held.end_request()
+        if not self.answering:
+            self.quiet.set()
 
     async def wait_for_request(
         self,
@@ -266,17 +279,21 @@
         event = parse_event(connection)
         while event is not h11.NEED_DATA:
             if isinstance(event, h11.EndOfMessage):
+                count_body(channel, body.size)
                 return body.whole()
             body.add(event)
             event = parse_event(connection)
+        count_body(channel, body.size, is_receiving=True)
         read_timeout_s = self.options.limits.read_timeout_s
         async with asyncio.timeout(read_timeout_s * BODY_TIMEOUTS):
             while True:
                 async with asyncio.timeout(read_timeout_s):
                     event = await next_event(connection, channel)
                 if isinstance(event, h11.EndOfMessage):
+                    count_body(channel, body.size)
                     return body.whole()
                 body.add(event)
+                count_body(channel, body.size, is_receiving=True)
 
     async def refuse(
         self,
