Budget the bytes that requests carry to another region

Bodies of long prompts that are handed over at a peak fill the link of a pair of regions, and short requests and polls wait behind them.

Each picker measures what the link to another region carries: bytes of its hand-overs against the growth of the polls' round trips. Requests with more value for each byte (rank and objective against body size) come first. It applies to scheduled services only; control messages are not counted or held back.

--- a/godwitshunt/grants/__init__.py
+++ b/godwitshunt/grants/__init__.py
@@ -2,6 +2,7 @@
 
 from godwitshunt.grants.granting import GrantIssuer, Redemption
 from godwitshunt.grants.holding import GrantHolder, HeldGrant
+from godwitshunt.grants.link_budget import Crossing, LinkBudget
 from godwitshunt.grants.records import (
     GRANT_TTL_S,
     Capacity,
@@ -15,6 +16,7 @@
 __all__ = [
     'GRANT_TTL_S',
     'Capacity',
+    'Crossing',
     'Grant',
     'GrantHolder',
     'GrantIssuer',
@@ -22,6 +24,7 @@
     'GrantQuery',
     'GrantUse',
     'HeldGrant',
+    'LinkBudget',
     'Redemption',
     'RegionGrants',
     'UnmetDemand',
--- /dev/null
+++ b/godwitshunt/grants/link_budget.py
@@ -0,0 +1,202 @@
+"""Budget of bytes that requests may carry to another region.
+
+Answers a peak whose requests would fill the link of a pair of regions: bodies
+of up to 200 kB queue there for longer than a short request's objective, and
+so do the polls that keep both regions informed. No I/O; times are seconds on
+this VM's monotonic clock.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+# Requests that compete for the budget, and bytes that were sent, are those of
+# this long. It is three poll periods, so that a single late poll decides
+# nothing.
+WINDOW_S = 0.6
+# The budget of a window is spent evenly over parts of this length. Spent at
+# once, it made queues of 0.3 s.
+PACE_S = 0.15
+# The shortest round trip of this long is taken as the delay without a queue.
+BASE_WINDOW_S = 30.0
+# Growth of the shortest round trip of a window that shows a queue. Busy
+# processes delay single polls by as much, but hardly all of a window.
+QUEUE_S = 0.05
+# A queue is drained within about this long.
+DRAIN_S = 0.6
+# Share of the measured rate that is sent, which lets a queue end, and its least
+# value while a long queue drains.
+SENT_SHARE = 0.9
+MIN_SENT_SHARE = 0.25
+# Growth of the measured rate for each window without a queue in which it was
+# needed: doubled until the first queue, then in small steps.
+FIRST_GROWTH = 2.0
+GROWTH = 1.05
+# Share of the budget from which it counts as needed.
+NEEDED_SHARE = 0.7
+# Bytes per second that are sent while nothing is known of the link. A peak of
+# long prompts needs ten times as much, which it gets two seconds later.
+FIRST_RATE = 1e6
+
+
+@dataclass(frozen=True)
+class Crossing:
+    """A request that could be sent to another region.
+
+    Parameters
+    ----------
+    size : int
+        Bytes of its body.
+    value : float
+        Worth of serving it; a more urgent one has a higher value.
+    """
+
+    size: int
+    value: float
+
+    @property
+    def value_density(self) -> float:
+        """Value for each byte."""
+        return self.value / max(1, self.size)
+
+    @classmethod
+    def from_route(cls, size: int, rank: int, objective_s: float) -> 'Crossing':
+        """Return a request's crossing by its route.
+
+        Examples
+        --------
+        >>> short = Crossing.from_route(2_000, rank=0, objective_s=0.8)
+        >>> long = Crossing.from_route(70_000, rank=1, objective_s=2.0)
+        >>> short.value_density > long.value_density
+        True
+        """
+        return cls(size, 1 / ((1 + rank) * max(0.1, objective_s)))
+
+
+@dataclass
+class LinkBudget:
+    """Bytes per second that requests may carry to one region.
+
+    Parameters
+    ----------
+    carried : float
+        Measured rate in bytes per second that the link carries of requests.
+    rate : float
+        Bytes per second that may be sent now.
+    last_queue_s : float
+        Delay by the queue when the rate was last adjusted.
+    has_queued : bool
+        True since the first queue.
+    trips : deque
+        Times and round trips of the last `BASE_WINDOW_S`.
+    sent, wanted : deque
+        Times and crossings of the last `WINDOW_S`.
+
+    Examples
+    --------
+    >>> link = LinkBudget()
+    >>> for poll in range(3):
+    ...     link.measure(0.11, poll / 5)
+    ...     link.spend(Crossing(300_000, 1.0), poll / 5)
+    >>> round(link.rate)
+    1000000
+    >>> link.measure(0.11, 0.6)
+    >>> round(link.rate)
+    2000000
+    """
+
+    carried: float = FIRST_RATE
+    rate: float = FIRST_RATE
+    changed_s: float = 0.0
+    last_queue_s: float = 0.0
+    has_queued: bool = False
+    trips: deque[tuple[float, float]] = field(default_factory=deque)
+    sent: deque[tuple[float, Crossing]] = field(default_factory=deque)
+    wanted: deque[tuple[float, Crossing]] = field(default_factory=deque)
+
+    def measure(self, round_trip_s: float, now_s: float) -> None:
+        """Adjust the budget by the round trip of a poll."""
+        self.trips.append((now_s, round_trip_s))
+        expire(self.trips, now_s - BASE_WINDOW_S)
+        expire(self.sent, now_s - WINDOW_S)
+        expire(self.wanted, now_s - WINDOW_S)
+        if now_s - self.changed_s >= WINDOW_S:
+            self.adjust(self.queue_s(now_s), self.sent_bytes() / WINDOW_S)
+            self.changed_s = now_s
+
+    def adjust(self, queue_s: float, sent_rate: float) -> None:
+        """Adjust the budget by the queue of a window.
+
+        Of what was sent, the part by which the queue grew was not carried yet.
+        """
+        growth = (queue_s - self.last_queue_s) / WINDOW_S
+        self.last_queue_s = queue_s
+        share = SENT_SHARE if self.has_queued else 1.0
+        if queue_s > QUEUE_S:
+            self.has_queued = True
+            if sent_rate:
+                self.carried = sent_rate / max(MIN_SENT_SHARE, 1 + growth)
+            share = max(MIN_SENT_SHARE, SENT_SHARE - queue_s / DRAIN_S)
+        elif sent_rate > NEEDED_SHARE * self.rate:
+            self.carried *= GROWTH if self.has_queued else FIRST_GROWTH
+        self.rate = share * self.carried
+
+    @property
+    def is_queueing(self) -> bool:
+        """True while a queue is seen in the link."""
+        return self.last_queue_s > QUEUE_S
+
+    def queue_s(self, now_s: float) -> float:
+        """Return by how much the round trip exceeds that without a queue."""
+        base_s = min((trip_s for _, trip_s in self.trips), default=0.0)
+        recent = [
+            trip_s for at_s, trip_s in self.trips if now_s - at_s <= WINDOW_S
+        ]
+        return min(recent, default=base_s) - base_s
+
+    def sent_bytes(self) -> int:
+        """Return the bytes that were sent in the last `WINDOW_S`."""
+        return sum(crossing.size for _, crossing in self.sent)
+
+    def admits(self, crossing: Crossing, now_s: float) -> bool:
+        """Return whether a request may be sent now.
+
+        Its bytes come after those of all requests with more value for each
+        byte that were wanted within the window, sent or not. So long prompts
+        leave room for the short requests to come, and those are not held up by
+        long prompts that have been sent.
+        """
+        expire(self.sent, now_s - WINDOW_S)
+        expire(self.wanted, now_s - WINDOW_S)
+        density = crossing.value_density
+        before = sum(
+            other.size
+            for _, other in self.wanted
+            if other.value_density > density
+        )
+        alike = [
+            (at_s, other.size)
+            for at_s, other in self.sent
+            if other.value_density == density
+        ]
+        total = before + sum(size for _, size in alike)
+        if not total:
+            # A body that exceeds the budget of a window crosses on its own.
+            return True
+        burst = sum(size for at_s, size in alike if now_s - at_s < PACE_S)
+        left = self.rate - before / WINDOW_S
+        is_paced = not burst or burst + crossing.size <= left * PACE_S
+        return is_paced and total + crossing.size <= self.rate * WINDOW_S
+
+    def want(self, crossing: Crossing, now_s: float) -> None:
+        """Record a request that finds no room in its own region."""
+        self.wanted.append((now_s, crossing))
+
+    def spend(self, crossing: Crossing, now_s: float) -> None:
+        """Record a request that is sent."""
+        self.sent.append((now_s, crossing))
+
+
+def expire(parts: deque, since_s: float) -> None:
+    """Remove the parts before a time."""
+    while parts and parts[0][0] <= since_s:
+        parts.popleft()
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -292,6 +292,7 @@
             cost=self.cost(),
             pauses=self.context.upstreams.pauses.active(now_s),
             grant=request.grant,
+            body_bytes=len(request.http.body),
         )
 
     def record_charge(self, choice: Choice | None) -> None:
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -36,6 +36,8 @@
         by incarnation.
     is_granted : bool
         True if another region spent a grant of this one for the request.
+    body_bytes : int
+        Bytes of its body.
     """
 
     route: Route
@@ -50,6 +52,7 @@
     entry: str = ''
     pauses: Mapping[str, float] = field(default_factory=dict)
     is_granted: bool = False
+    body_bytes: int = 0
 
     def affinity(self, region: str) -> float:
         """Return the hashing weight of a region for shared prompt parts."""
--- a/godwitshunt/picking/grant_exchange.py
+++ b/godwitshunt/picking/grant_exchange.py
@@ -132,12 +132,43 @@
             control, table.region, table.grants, table.grants_asof_s, now_s
         )
         self.count(received, 'received')
+        self.measure_link(control, table, now_s)
         # A control VM that is not reached from here may reach this region's
         # other control VMs and entry VMs; the round trip is the same.
         round_trip_s = table.grants.round_trips.get(self.neighbours.region)
         if round_trip_s is not None:
             self.neighbours.round_trips.setdefault(table.region, round_trip_s)
 
+    def measure_link(
+        self, control: str, table: ControlTable, now_s: float
+    ) -> None:
+        """Adjust the budget of bytes to a region by a poll's round trip."""
+        if table.region in {'', self.neighbours.region}:
+            return
+        contact = self.registry.tables.contacts.get(control)
+        # Other tables were relayed; their age is not that of a round trip.
+        if contact is None or contact.answered_s != table.asof_s:
+            return
+        link = self.gate.link(table.region)
+        was_queueing = link.is_queueing
+        link.measure(now_s - table.asof_s, now_s)
+        if link.is_queueing != was_queueing:
+            log_change(
+                'picking:link_queue',
+                region=table.region,
+                is_queueing=link.is_queueing,
+                queue_s=round(link.last_queue_s, 3),
+                bytes_per_s=round(link.rate),
+            )
+        self.metrics.gauge(
+            'picking_link_budget_bytes', link.rate, region=table.region
+        )
+        self.metrics.gauge(
+            'picking_link_queue_seconds',
+            link.last_queue_s,
+            region=table.region,
+        )
+
     def count(self, grants: tuple[Grant, ...], kind: str) -> None:
         """Count the slots of grants."""
         for grant in grants:
--- a/godwitshunt/picking/grant_gate.py
+++ b/godwitshunt/picking/grant_gate.py
@@ -13,8 +13,10 @@
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.grants import (
     Capacity,
+    Crossing,
     GrantQuery,
     GrantUse,
+    LinkBudget,
     Redemption,
     RegionGrants,
 )
@@ -55,6 +57,8 @@
     max_per_slot : float
         Requests in flight that an upstream of a scheduled service gets, per
         slot.
+    links : dict
+        Bytes that requests may carry to each other region.
     """
 
     region: str
@@ -62,6 +66,7 @@
     grants: RegionGrants
     is_scheduled: Callable[[Service], bool] = field(default=never)
     max_per_slot: float = MAX_REQUESTS_PER_SLOT
+    links: dict[str, LinkBudget] = field(default_factory=dict)
 
     @classmethod
     def from_config(
@@ -105,6 +110,7 @@
             for region in regions
             if region != self.region
             and self.grants.may_hand_over(region, query, request.now_s)
+            and self.link(region).admits(crossing_of(request), request.now_s)
         }
         if self.region in regions and (
             request.is_granted or self.has_unheld(request, view)
@@ -112,6 +118,10 @@
             allowed.add(self.region)
         return frozenset(allowed)
 
+    def link(self, region: str) -> LinkBudget:
+        """Return the budget of bytes to another region."""
+        return self.links.setdefault(region, LinkBudget())
+
     def has_unheld(self, request: ChoiceRequest, view: RegistryView) -> bool:
         """Return whether a request may take capacity of the own region.
 
@@ -189,11 +199,16 @@
                 self.grants.record_start(query.service, query.tokens, now_s)
             case HandOver(entry=entry):
                 self.grants.record_overflow(query.service, query.tokens, now_s)
+                link = self.link(entry.region)
+                link.want(crossing_of(request), now_s)
+                link.spend(crossing_of(request), now_s)
                 choice = replace(
                     choice, grant=self.grants.spend(entry.region, query, now_s)
                 )
             case NoPlace():
                 self.grants.record_overflow(query.service, query.tokens, now_s)
+                for link in self.links.values():
+                    link.want(crossing_of(request), now_s)
         return choice
 
 
@@ -204,6 +219,14 @@
     return is_warm and not is_leaving
 
 
+def crossing_of(request: ChoiceRequest) -> Crossing:
+    """Return what a request's hand-over carries to another region."""
+    route = request.route
+    return Crossing.from_route(
+        request.body_bytes, route.rank, route.objective_s
+    )
+
+
 def grant_query(
     service: Service, demand: Demand, excluded: Collection[str] = ()
 ) -> GrantQuery:
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -77,6 +77,8 @@
         for, by incarnation.
     grant : GrantUse or None
         The grant by which it was handed over.
+    body_bytes : int
+        Bytes of its body, which a hand-over carries to another region.
     """
 
     entry: str
@@ -92,6 +94,7 @@
     cost: float = 0.0
     pauses: Mapping[str, float] = field(default_factory=dict)
     grant: GrantUse | None = None
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True)
@@ -295,6 +298,7 @@
             holders=self.prefixes.holders(demand.shared_key, now_s),
             entry=query.entry,
             pauses=query.pauses,
+            body_bytes=query.body_bytes,
         )
 
     def has_cold_capacity(
--- a/godwitshunt/picking/tests/test_grants.py
+++ b/godwitshunt/picking/tests/test_grants.py
@@ -10,6 +10,7 @@
 import pytest
 
 from godwitshunt.grants import Redemption
+from godwitshunt.grants.link_budget import PACE_S
 from godwitshunt.ingress.feedback import AttemptFeedback
 from godwitshunt.ingress.outcomes import NO_ATTEMPT, NotRun
 from godwitshunt.picking.choices import HandOver, NoPlace, SendHere
@@ -155,6 +156,20 @@
     assert region.controls[3].make_grants(region.timer.now()) is None
 
 
+async def test_long_bodies_do_not_fill_the_link():
+    """There are grants for more requests than the link may carry at once."""
+    region = await start_region()
+    gate = region.pickers[1].grant_exchange.gate
+    assert gate.link('tvm').trips
+    body_bytes = int(gate.link('tvm').rate * PACE_S)
+    first = await region.local_vm.request_destination(body_bytes=body_bytes)
+    second = await region.local_vm.request_destination(body_bytes=body_bytes)
+    short = await region.local_vm.request_destination(body_bytes=1000)
+    assert isinstance(first, HandOver)
+    assert isinstance(second, NoPlace)
+    assert isinstance(short, HandOver)
+
+
 @pytest.mark.parametrize('is_granted', [False, True])
 async def test_refused_handover_excludes_only_its_grant(is_granted):
     """The region is avoided for all requests only where no grant is used."""
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -62,6 +62,7 @@
             for instance, remaining_s in query.pauses.items()
         ],
         grant=use_to_wire(query.grant),
+        body_bytes=query.body_bytes,
     )
 
 
@@ -97,6 +98,7 @@
             for pause in message.pauses or ()
         },
         grant=use_from_wire(message.grant),
+        body_bytes=message.body_bytes or 0,
     )
 
 
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -3091,6 +3091,7 @@
      - cost: Units that it counts in that organisation's limit.
      - pauses: Upstreams to which this entry VM must not send now.
      - grant: The grant by which the request was handed over to this region.
+     - body_bytes: Bytes of its body.
 
     """
 
@@ -3111,10 +3112,11 @@
         'cost',
         'pauses',
         'grant',
+        'body_bytes',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, grant=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, grant=None, body_bytes=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -3131,6 +3133,7 @@
         self.cost = cost
         self.pauses = pauses
         self.grant = grant
+        self.body_bytes = body_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3234,6 +3237,11 @@
                     self.grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.body_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3314,6 +3322,10 @@
             oprot.writeFieldBegin('grant', TType.STRUCT, 20)
             self.grant.write(oprot)
             oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I64, 21)
+            oprot.writeI64(self.body_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3901,6 +3913,7 @@
     None,  # 18
     None,  # 19
     (20, TType.STRUCT, 'grant', [GrantUseInfo, None], None, ),  # 20
+    (21, TType.I64, 'body_bytes', None, None, ),  # 21
 )
 all_structs.append(PlaceGiven)
 PlaceGiven.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -322,6 +322,8 @@
   15: list<PauseInfo> pauses
   /** The grant by which the request was handed over to this region. */
   20: optional GrantUseInfo grant
+  /** Bytes of its body. */
+  21: optional i64 body_bytes
 }
 
 /** The destination of a request: an upstream, an entry VM, or none. */
