--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -352,6 +352,11 @@
         self.metrics.count(
             'picking_places_total', kind=assignment_kind(assignment)
         )
+        if isinstance(assignment, Assignment) and assignment.redemption:
+            self.metrics.count(
+                'picking_grant_redemptions_total',
+                outcome=assignment.redemption.value,
+            )
         log_change(
             'picking:place',
             request=query.request,
