--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -295,6 +295,7 @@
             pauses=self.context.upstreams.pauses.active(now_s),
             output_tokens=request.prompt.output_tokens,
             grant=request.grant,
+            body_bytes=len(request.http.body),
         )
 
     def record_charge(self, choice: Choice | None) -> None:
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -41,6 +41,8 @@
         by incarnation.
     is_granted : bool
         True if another region spent a grant of this one for the request.
+    body_bytes : int
+        Bytes of its body.
     """
 
     route: Route
@@ -57,6 +59,7 @@
     memory_bound: bool = False
     sharing: frozenset[str] = frozenset()
     is_granted: bool = False
+    body_bytes: int = 0
 
     def affinity(self, region: str) -> float:
         """Return the hashing weight of a region for shared prompt parts."""
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -85,6 +85,8 @@
         Maximum length of the answer that the request states; 0 for none.
     grant : GrantUse or None
         The grant by which it was handed over.
+    body_bytes : int
+        Bytes of its body, which a hand-over carries to another region.
     """
 
     entry: str
@@ -101,6 +103,7 @@
     pauses: Mapping[str, float] = field(default_factory=dict)
     output_tokens: int = 0
     grant: GrantUse | None = None
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True)
@@ -327,6 +330,7 @@
             pauses=query.pauses,
             memory_bound=self.is_memory_bound(service),
             sharing=frozenset(self.ledger.sharing.get(demand.shared_key, ())),
+            body_bytes=query.body_bytes,
         )
 
     def has_cold_capacity(
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -66,6 +66,7 @@
         ],
         output_tokens=min(query.output_tokens, MAX_I32) or None,
         grant=use_to_wire(query.grant),
+        body_bytes=query.body_bytes,
     )
 
 
@@ -102,6 +103,7 @@
         },
         output_tokens=max(0, message.output_tokens or 0),
         grant=use_from_wire(message.grant),
+        body_bytes=message.body_bytes or 0,
     )
 
 
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -3235,6 +3235,7 @@
      - output_tokens: Maximum length of the answer in tokens, as stated by the request; absent
     if it states none.
      - grant: The grant by which the request was handed over to this region.
+     - body_bytes: Bytes of its body.
 
     """
 
@@ -3256,10 +3257,11 @@
         'pauses',
         'output_tokens',
         'grant',
+        'body_bytes',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, output_tokens=None, grant=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, output_tokens=None, grant=None, body_bytes=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -3277,6 +3279,7 @@
         self.pauses = pauses
         self.output_tokens = output_tokens
         self.grant = grant
+        self.body_bytes = body_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3385,6 +3388,11 @@
                     self.grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.body_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3469,6 +3477,10 @@
             oprot.writeFieldBegin('grant', TType.STRUCT, 20)
             self.grant.write(oprot)
             oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I64, 21)
+            oprot.writeI64(self.body_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4079,6 +4091,7 @@
     (18, TType.I32, 'output_tokens', None, None, ),  # 18
     None,  # 19
     (20, TType.STRUCT, 'grant', [GrantUseInfo, None], None, ),  # 20
+    (21, TType.I64, 'body_bytes', None, None, ),  # 21
 )
 all_structs.append(PlaceGiven)
 PlaceGiven.thrift_spec = (
