--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -11,6 +11,10 @@
 # use. They have time for prefill and delay nobody, so they own more of the
 # shared prompt parts. Bounded because these parts must fit into their memory.
 LOW_URGENCY_AFFINITY = 1.7
+# Requests in flight that an engine gets, per slot. Up to this number, first
+# events are on time under overload; with more requests they are late and
+# streams exceed their deadline.
+MAX_REQUESTS_PER_SLOT = 2.0
 
 
 @dataclass(frozen=True)
@@ -33,6 +37,10 @@
     pauses : mapping
         Remaining seconds of the pauses that upstreams have asked that VM for,
         by incarnation.
+    max_per_slot : float
+        Requests in flight that an upstream gets, per slot.
+    extra_in_flight : int
+        Requests in flight that it gets beyond these.
     """
 
     route: Route
@@ -46,6 +54,8 @@
     holders: frozenset[str] = frozenset()
     entry: str = ''
     pauses: Mapping[str, float] = field(default_factory=dict)
+    max_per_slot: float = MAX_REQUESTS_PER_SLOT
+    extra_in_flight: int = 0
 
     def affinity(self, region: str) -> float:
         """Return the hashing weight of a region for shared prompt parts."""
--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -257,7 +257,7 @@
                 continue
             if self.filter.refusal(upstream, request, revision) is None:
                 candidate = self.make_candidate(upstream, request, view)
-                if not is_full(candidate):
+                if not is_full(candidate, request):
                     yield candidate
 
     def exclusions(
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -12,10 +12,6 @@
 # An upstream that terminates sooner than this gets no new request, because the
 # answer might not be complete by then.
 MIN_REMAINING_S = 1.5
-# Requests in flight that an engine gets, per slot. Up to this number, first
-# events are on time under overload; with more requests they are late and
-# streams exceed their deadline.
-MAX_REQUESTS_PER_SLOT = 2.0
 
 
 def always(upstream: UpstreamSeen, request: ChoiceRequest) -> bool:
@@ -111,9 +107,10 @@
         return self.upstreams.rate_limiter.wait_s(incarnation, now_s)
 
 
-def is_full(candidate: Candidate) -> bool:
+def is_full(candidate: Candidate, request: ChoiceRequest) -> bool:
     """Return whether an upstream has its maximum number of requests."""
-    return candidate.in_flight >= MAX_REQUESTS_PER_SLOT * candidate.slots
+    most = request.max_per_slot * candidate.slots + request.extra_in_flight
+    return candidate.in_flight >= most
 
 
 def ends_soon(upstream: UpstreamSeen, now_s: float) -> bool:
--- /dev/null
+++ b/godwitshunt/scheduling/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the queue, its order and its forecast."""
