Add the setting of scheduled services

Cause: only services whose engines have few slots gain from a queue.

Change: scheduling.queue_max_slots of a control VM, 0 by default: no service is scheduled.

--- a/godwitshunt/settings/__init__.py
+++ b/godwitshunt/settings/__init__.py
@@ -10,6 +10,7 @@
     LimitSettings,
     LogSettings,
     NodeSettings,
+    SchedulingSettings,
     TlsSettings,
 )
 
@@ -23,5 +24,6 @@
     'LimitSettings',
     'LogSettings',
     'NodeSettings',
+    'SchedulingSettings',
     'TlsSettings',
 ]
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -7,6 +7,7 @@
 
 from pydantic import Field
 
+from godwitshunt.manifest import Service
 from godwitshunt.manifest.base import Name, StrictModel
 from godwitshunt.quarantine import QUARANTINE_S
 
@@ -179,6 +180,24 @@
     quarantine_s: float = Field(default=QUARANTINE_S, gt=0)
 
 
+class SchedulingSettings(StrictModel):
+    """Services whose requests wait in a queue of their region.
+
+    Parameters
+    ----------
+    queue_max_slots : int
+        A service is scheduled if its engines have at most this many slots; 0
+        if no service is.
+    """
+
+    queue_max_slots: int = Field(default=0, ge=0)
+
+    def applies_to(self, service: Service) -> bool:
+        """Return whether the requests to a service are queued."""
+        engine = service.engine
+        return engine is not None and engine.slots <= self.queue_max_slots
+
+
 class IngressSettings(NodeSettings):
     """Settings of ``godwitshunt-ingress``.
 
@@ -243,6 +262,8 @@
     bounds : BoundSettings
         Limits that hold for all entry VMs together; enforced by the replica
         that chooses destinations for the entry VMs of its region.
+    scheduling : SchedulingSettings
+        Services whose requests wait in a queue.
     """
 
     data_folder: Path
@@ -257,3 +278,4 @@
     keeps_upstreams: bool = False
     domains: dict[Name, Name] = Field(default_factory=dict)
     bounds: BoundSettings = BoundSettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
--- a/godwitshunt/settings/tests/test_models.py
+++ b/godwitshunt/settings/tests/test_models.py
@@ -5,8 +5,9 @@
 import pytest
 
 from godwitshunt.exceptions import SettingsError
+from godwitshunt.manifest import Engine, Service, ServiceKind
 from godwitshunt.manifest.documents import read_settings
-from godwitshunt.settings import EntrySettings
+from godwitshunt.settings import EntrySettings, SchedulingSettings
 
 SETTINGS = {
     'name': 'zagreb-1',
@@ -60,3 +61,20 @@
     settings = read_settings(path, EntrySettings)
     assert settings.http_endpoint.host == '127.0.0.9'
     assert settings.peer_endpoint == settings.peer
+
+
+def service(slots: int | None) -> Service:
+    """Return a service whose engines have some slots; None for no engine."""
+    engine = slots and Engine(slots=slots, memory_tokens=1000)
+    return Service(name='s', kind=ServiceKind.plain, engine=engine)
+
+
+@pytest.mark.parametrize(
+    ('queue_max_slots', 'slots', 'applies'),
+    [(0, 1, False), (32, 24, True), (32, 32, True), (32, 33, False)],
+)
+def test_services_with_few_slots_are_scheduled(queue_max_slots, slots, applies):
+    """Other deployments' services must not be queued without the setting."""
+    settings = SchedulingSettings(queue_max_slots=queue_max_slots)
+    assert settings.applies_to(service(slots)) is applies
+    assert not settings.applies_to(service(None))
