--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -13,6 +13,10 @@
 # use. They have time for prefill and delay nobody, so they own more of the
 # shared prompt parts. Bounded because these parts must fit into their memory.
 LOW_URGENCY_AFFINITY = 1.7
+# Requests in flight that an engine gets, per slot. Up to this number, first
+# events are on time under overload; with more requests they are late and
+# streams exceed their deadline.
+MAX_REQUESTS_PER_SLOT = 2.0
 
 
 @dataclass(frozen=True)
@@ -43,6 +47,10 @@
         True if another region spent a grant of this one for the request.
     body_bytes : int
         Bytes of its body.
+    max_per_slot : float
+        Requests in flight that an upstream gets, per slot.
+    extra_in_flight : int
+        Requests in flight that it gets beyond these.
     """
 
     route: Route
@@ -60,6 +68,8 @@
     sharing: frozenset[str] = frozenset()
     is_granted: bool = False
     body_bytes: int = 0
+    max_per_slot: float = MAX_REQUESTS_PER_SLOT
+    extra_in_flight: int = 0
 
     def affinity(self, region: str) -> float:
         """Return the hashing weight of a region for shared prompt parts."""
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -13,10 +13,6 @@
 # An upstream that terminates sooner than this gets no new request, because the
 # answer might not be complete by then.
 MIN_REMAINING_S = 1.5
-# Requests in flight that an engine gets, per slot. Up to this number, first
-# events are on time under overload; with more requests they are late and
-# streams exceed their deadline.
-MAX_REQUESTS_PER_SLOT = 2.0
 
 
 def always(upstream: UpstreamSeen, request: ChoiceRequest) -> bool:
@@ -119,7 +115,8 @@
     several upstreams and no pending tokens, and skips them all if that is full.
     So more load never makes room.
     """
-    if candidate.in_flight >= MAX_REQUESTS_PER_SLOT * candidate.slots:
+    most = request.max_per_slot * candidate.slots + request.extra_in_flight
+    if candidate.in_flight >= most:
         return True
     return request.memory_bound and not fits(candidate, request.demand)
 
--- a/godwitshunt/picking/grant_gate.py
+++ b/godwitshunt/picking/grant_gate.py
@@ -22,13 +22,14 @@
 )
 from godwitshunt.manifest import Service
 from godwitshunt.picking.choices import (
+    MAX_REQUESTS_PER_SLOT,
     Choice,
     ChoiceRequest,
     HandOver,
     NoPlace,
     SendHere,
 )
-from godwitshunt.picking.filters import MAX_REQUESTS_PER_SLOT, ends_soon
+from godwitshunt.picking.filters import ends_soon
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams, of_service
 from godwitshunt.registry import Load, RegistryView, UpstreamSeen
--- a/godwitshunt/picking/tests/test_grants.py
+++ b/godwitshunt/picking/tests/test_grants.py
@@ -13,8 +13,12 @@
 from godwitshunt.grants.link_budget import PACE_S
 from godwitshunt.ingress.feedback import AttemptFeedback
 from godwitshunt.ingress.outcomes import NO_ATTEMPT, NotRun
-from godwitshunt.picking.choices import HandOver, NoPlace, SendHere
-from godwitshunt.picking.filters import MAX_REQUESTS_PER_SLOT
+from godwitshunt.picking.choices import (
+    MAX_REQUESTS_PER_SLOT,
+    HandOver,
+    NoPlace,
+    SendHere,
+)
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.tests.region import SLOTS, PickedRegion, engine
 from godwitshunt.registry.control_tables import PEER_POLL_PERIOD_S
