--- a/godwitshunt/exchange/relay.py
+++ b/godwitshunt/exchange/relay.py
@@ -19,6 +19,8 @@
 FINAL_EVENT = b'data: [DONE]\n\n'
 EVENT_STREAM = b'text/event-stream'
 LAST_CHUNK = b'0\r\n\r\n'
+# The timer that sends gathered events is later by this share of the time.
+TIMER_SLACK = 0.5
 # Bytes that are gathered at most before they are passed on.
 GATHERED_BYTES = 16 * 1024
 
@@ -118,9 +120,10 @@
         Told whenever bytes of the stream are passed on.
     gather_s : float
         Events that come within this time of the last send are gathered and
-        sent together at its end. The first event, one after a longer pause
-        and the end of a chunked stream are sent at once. Of a stream that is
-        not chunked the end cannot be told, so it must be 0.
+        sent with the first event after it, or half this time later. The
+        first event, one after a longer pause and the end of a chunked stream
+        are sent at once. Of a stream that is not chunked the end cannot be
+        told, so it must be 0.
     done : asyncio.Future
         None where the stream came to its clean end, else why it broke.
     """
@@ -184,7 +187,10 @@
         if wait_s <= 0:
             return False
         if self.sending is None:
-            self.sending = loop.call_later(wait_s, self.feed_gathered)
+            # The next event usually sends what was gathered, in a wake-up of
+            # the process that takes place anyway.
+            delay_s = wait_s + self.gather_s * TIMER_SLACK
+            self.sending = loop.call_later(delay_s, self.feed_gathered)
         return True
 
     def feed_gathered(self) -> None:
