Ask for a first revision less often where the system has none

An entry VM without a revision polled every control replica ten times a second, for as long as the system had no revision: with 80 VMs and five replicas 4,000 calls a second. After 3 s, where a replica has answered that it has none, it now polls twice a second; the first revision is also pushed.

--- a/godwitshunt/configuration/task.py
+++ b/godwitshunt/configuration/task.py
@@ -55,6 +55,12 @@
 MIN_POLL_INTERVAL_S = 0.05
 # A VM without a revision serves no requests, so it polls more often.
 STARTUP_POLL_PERIOD_S = 0.1
+# A VM that starts unlisted polls all control replicas. Where they answer after
+# this time that they have no revision, the whole system has none yet: 80 VMs
+# that went on polling five replicas ten times a second would cost more than
+# callers do. The first revision is also pushed.
+STARTUP_S = 3.0
+UNCONFIGURED_POLL_PERIOD_S = 0.5
 # If a replica's own proof is older than this, the next replica is polled, since
 # it may have contact with the quorum.
 MAX_PROOF_AGE_S = 1.5
@@ -130,6 +136,8 @@
         self.history = RevisionHistory()
         self.subscribers: list[RevisionCallback] = []
         self.initial_replies = InitialReplies()
+        # Whether a control replica has answered that it has no revision.
+        self.is_unconfigured = False
         self.background = BackgroundTasks()
         self.closed = False
         self.lock = asyncio.Lock()
@@ -228,11 +236,19 @@
             self.poll_all_control()
         else:
             self.background.run('heartbeat', self.poll)
-        jitter_s = self.jitter.uniform(-HEARTBEAT_JITTER_S, HEARTBEAT_JITTER_S)
-        period_s = HEARTBEAT_PERIOD_S + jitter_s
-        if self.current is None:
-            period_s = STARTUP_POLL_PERIOD_S
-        self.timer.after(period_s, self.begin_heartbeat)
+        self.timer.after(self.poll_period_s(), self.begin_heartbeat)
+
+    def poll_period_s(self) -> float:
+        """Return the time until the next poll."""
+        if self.current is not None:
+            jitter_s = self.jitter.uniform(
+                -HEARTBEAT_JITTER_S, HEARTBEAT_JITTER_S
+            )
+            return HEARTBEAT_PERIOD_S + jitter_s
+        age_s = self.timer.now() - self.sync_state.started_at
+        if self.is_unconfigured and age_s > STARTUP_S:
+            return UNCONFIGURED_POLL_PERIOD_S
+        return STARTUP_POLL_PERIOD_S
 
     async def poll_now(self) -> None:
         """Poll for a newer revision and wait for the answer.
@@ -292,6 +308,7 @@
             self.sync_state = replace(self.sync_state, unproven_after_s=0.0)
         newest = self.initial_replies.newest()
         await self.receive_update(newest.update, newest.requested_at)
+        self.is_unconfigured = self.current is None
 
     async def poll_one(self, address: Address, kind: MessageKind) -> bool:
         """Send a heartbeat; return whether the reply proved a live quorum."""
--- a/godwitshunt/configuration/tests/test_distribution.py
+++ b/godwitshunt/configuration/tests/test_distribution.py
@@ -251,6 +251,40 @@
     assert len(set(deployment.revisions().values())) == 1
 
 
+async def test_a_system_without_a_revision_polls_seldom(deployment):
+    """All machines run, and the first manifest comes much later.
+
+    All VMs poll all replicas meanwhile. The first revision must still reach
+    them at once.
+    """
+    deployment.add_vm('early', 'zagreb', 205, unlisted=UnlistedStart())
+    await deployment.run(4)
+    task = deployment.tasks['early']
+    polls = []
+    poll_all_control = task.poll_all_control
+    task.poll_all_control = lambda: polls.append(poll_all_control())
+    await deployment.run(10)
+    assert 10 <= len(polls) <= 22
+    await deployment.accept(manifest())
+    await deployment.run(0.6)
+    assert deployment.revisions()['early']
+
+
+async def test_a_vm_that_no_replica_answers_polls_often(deployment):
+    """Its control replicas start again later than the VM itself.
+
+    Each tenth of a second that it asks later, its callers are refused longer.
+    """
+    await deployment.accept(manifest())
+    record = deployment.add_vm('early', 'zagreb', 205, unlisted=UnlistedStart())
+    deployment.partition_from_control(record.peer)
+    await deployment.run(6)
+    assert not deployment.revisions()['early']
+    deployment.network.partitioned.clear()
+    await deployment.run(0.2)
+    assert deployment.revisions()['early']
+
+
 async def active_after_start(replies: dict[int, int], newest: int) -> list[int]:
     """Return the active revision of a new VM at each 0.1 s of its first 0.8 s.
 
