Examine a prefix's owner once, and hash its candidates with less work

The owner of a prefix was looked up in each region and evaluated twice; the weights of names were unpacked twice as often as needed. Owners are now examined in the order of their rank over all regions until one has room.

--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -39,6 +39,7 @@
 )
 from godwitshunt.routing.upstream_health import UpstreamHealth
 
+NO_LOAD = Load()
 # Seconds added to the cost of an upstream that is cold, that no control VM has
 # heard from lately, or that does not respond to requests.
 COLD_PENALTY_S = 0.5
@@ -405,7 +406,9 @@
         """Return an upstream with its current load and statistics."""
         announcement = upstream.announcement
         health = self.upstreams.health_of(announcement.incarnation)
-        load = view.loads.get(announcement.incarnation, Load()) + health.load
+        load = view.loads.get(announcement.incarnation, NO_LOAD)
+        if health.in_flight:
+            load += health.load
         return Candidate(
             instance=announcement.incarnation,
             region=upstream.region,
--- a/godwitshunt/picking/search.py
+++ b/godwitshunt/picking/search.py
@@ -4,9 +4,10 @@
 bound exceeds the best cost found. The result is that of ranking all of them.
 """
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heapreplace
+from heapq import heapify, heappop, heapreplace, merge
+from itertools import chain
 from math import inf
 from operator import itemgetter
 
@@ -16,7 +17,6 @@
 from godwitshunt.picking.load_index import (
     LoadGroup,
     ServiceIndex,
-    ServiceRegion,
     UpstreamRecord,
 )
 from godwitshunt.registry import UpstreamSeen
@@ -127,41 +127,32 @@
 
     def examine_owner(self) -> None:
         """Examine the upstream that owns the prefix by hashing."""
-        demand = self.request.demand
-        owners = []
-        for region in self.away_s:
-            known = self.service.regions.get(region)
-            owner = known and self.owner_in(known)
-            if owner is not None:
-                affinity = self.request.affinity(region)
-                weight = weighted_rank(demand.shared_key, owner.name, affinity)
-                owners.append((weight, owner.name, owner))
-        if owners:
-            self.examine(max(owners)[2], is_owner=True)
-
-    def owner_in(self, region: ServiceRegion) -> UpstreamRecord | None:
-        """Return the available upstream of a region that ranks first."""
-        weights = region.packed.weights(self.request.demand.shared_key)
+        streams = [
+            self.owners_in(region)
+            for region in self.away_s
+            if region in self.service.regions
+        ]
+        for _, _, record in merge(*streams, reverse=True):
+            if self.examine(record, is_owner=True):
+                return
+
+    def owners_in(
+        self, region: str
+    ) -> Iterator[tuple[float, str, UpstreamRecord]]:
+        """Yield a region's upstreams by their rank for the prefix.
+
+        The first one is available as a rule, so that the others are seldom put
+        in order.
+        """
+        key = self.request.demand.shared_key
+        affinity = self.request.affinity(region)
+        known = self.service.regions[region]
+        weights = known.packed.weights(key)
         first = weights.index(max(weights))
-        if self.is_available(region.records[first]):
-            return region.records[first]
-        # Most are available as a rule; the full order is seldom needed.
-        order = sorted(
-            range(len(weights)), key=weights.__getitem__, reverse=True
-        )
-        for number in order[1:]:
-            if self.is_available(region.records[number]):
-                return region.records[number]
-        return None
-
-    def is_available(self, record: UpstreamRecord) -> bool:
-        """Return whether an upstream can accept the request."""
-        if is_full(record.group.emptiest, self.request) or not self.is_eligible(
-            record
-        ):
-            return False
-        candidate = self.make_candidate(record.upstream)
-        return not is_full(candidate, self.request)
+        order = chain((first,), in_order(weights))
+        for number in order:
+            record = known.records[number]
+            yield weighted_rank(key, record.name, affinity), record.name, record
 
     def is_eligible(self, record: UpstreamRecord) -> bool:
         """Return whether the request may be sent to an upstream at all."""
@@ -252,16 +243,17 @@
         *,
         is_owner: bool = False,
         reread_s: float = 0.0,
-    ) -> None:
+    ) -> bool:
         """Add an upstream to those found, if it can accept the request."""
         ranked = self.evaluate(record, is_owner=is_owner)
         if ranked is None:
-            return
+            return False
         if reread_s:
             ranked = add_reread_cost(ranked, self.request.demand, self.speed)
         cost_s = ranked.cost_s
         self.best_s = min(self.best_s, cost_s)
         self.found.append((cost_s, record.order, ranked))
+        return True
 
     def evaluate(
         self, record: UpstreamRecord, *, is_owner: bool = False
@@ -276,6 +268,8 @@
         if record.name in self.examined:
             return None
         self.examined.add(record.name)
+        if is_full(record.group.emptiest, self.request):
+            return None
         if not self.is_eligible(record):
             return None
         candidate = self.make_candidate(record.upstream)
@@ -327,3 +321,9 @@
             return False
         first_s += health.expected_delay_s(self.request.now_s)
         return max(self.idle_s(record), first_s) < limit_s
+
+
+def in_order(weights: Sequence[int]) -> Iterator[int]:
+    """Yield the positions of weights, the highest first."""
+    places = range(len(weights))
+    yield from sorted(places, key=weights.__getitem__, reverse=True)
--- a/godwitshunt/routing/packed_names.py
+++ b/godwitshunt/routing/packed_names.py
@@ -4,9 +4,11 @@
 ms. Here all names are mixed together as the lanes of one long integer.
 """
 
-from collections.abc import Iterable
+from array import array
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from struct import unpack
+from functools import cached_property
+from sys import byteorder
 from typing import Self
 
 from godwitshunt.routing.hashing import (
@@ -37,7 +39,8 @@
     --------
     >>> from godwitshunt.routing.hashing import rank_weight
     >>> packed = PackedNames.from_names(('a', 'b'))
-    >>> packed.weights(7) == [rank_weight(7, 'a'), rank_weight(7, 'b')]
+    >>> weights = [rank_weight(7, 'a'), rank_weight(7, 'b')]
+    >>> list(packed.weights(7)) == weights
     True
     """
 
@@ -58,9 +61,9 @@
             int.from_bytes(one * len(lanes), 'little'),
         )
 
-    def weights(self, key: int) -> list[int]:
+    def weights(self, key: int) -> Sequence[int]:
         """Return the weight of each name for a key, as `rank_weight` does."""
-        words = self.ones * WORD_MASK
+        words = self.words
         mixed = self.hashes ^ (self.ones * (key & WORD_MASK))
         # The low bits of the next lane are shifted into this one's upper half,
         # which the mask clears.
@@ -69,5 +72,13 @@
         mixed ^= (mixed >> 27) & words
         mixed = (mixed * MULTIPLIER_2) & words
         mixed ^= (mixed >> 31) & words
-        lanes = mixed.to_bytes(LANE_BYTES * self.count, 'little')
-        return list(unpack(f'<{2 * self.count}Q', lanes)[::2])
+        lanes = array('Q')
+        lanes.frombytes(mixed.to_bytes(LANE_BYTES * self.count, 'little'))
+        if byteorder == 'big':
+            lanes.byteswap()
+        return lanes[::2]
+
+    @cached_property
+    def words(self) -> int:
+        """The largest 64-bit word in each lane."""
+        return self.ones * WORD_MASK
