--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -302,9 +302,9 @@
 
     def records(
         self, request: ChoiceRequest, view: RegistryView
-    ) -> list[UpstreamRecord]:
-        """Return all upstreams of a request's service."""
-        return self.index.of_service(view, request.service.name).records
+    ) -> Iterator[UpstreamRecord]:
+        """Yield all upstreams of a request's service."""
+        return self.index.of_service(view, request.service.name).records()
 
     def exclusions(self, search: Search) -> tuple[str, ...]:
         """Return for logs how many upstreams are excluded for each reason.
--- a/godwitshunt/picking/load_index.py
+++ b/godwitshunt/picking/load_index.py
@@ -91,9 +91,14 @@
 
     @cached_property
     def packed(self) -> PackedNames:
-        """Hashes of their names; the records are complete when first used."""
+        """Hashes of their names."""
         return PackedNames.from_names(record.name for record in self.records)
 
+    def forget_names(self) -> None:
+        """Build `by_name` and `packed` anew after a change of the records."""
+        self.__dict__.pop('by_name', None)
+        self.__dict__.pop('packed', None)
+
 
 @dataclass
 class ServiceIndex:
@@ -102,17 +107,10 @@
     regions: dict[str, ServiceRegion] = field(default_factory=dict)
     groups: dict[GroupKey, LoadGroup] = field(default_factory=dict)
 
-    @cached_property
-    def records(self) -> list[UpstreamRecord]:
-        """All upstreams, in the order of the view."""
-        return sorted(
-            (
-                record
-                for region in self.regions.values()
-                for record in region.records
-            ),
-            key=lambda record: record.order,
-        )
+    def records(self) -> Iterator[UpstreamRecord]:
+        """Yield all upstreams."""
+        for region in self.regions.values():
+            yield from region.records
 
     def group_for(self, region: str, slots: int, in_flight: int) -> LoadGroup:
         """Return the group of upstreams with some load."""
@@ -124,12 +122,17 @@
             self.groups[key] = group
         return group
 
-    def move(self, record: UpstreamRecord, load: Load, turn: int) -> None:
-        """Apply a new load of an upstream."""
+    def leave_group(self, record: UpstreamRecord) -> None:
+        """Remove an upstream from its group, and the group if it is empty."""
         left = record.group
         left.remove(record)
         if not left.members:
             self.groups.pop((left.region, left.slots, left.in_flight))
+
+    def move(self, record: UpstreamRecord, load: Load, turn: int) -> None:
+        """Apply a new load of an upstream."""
+        left = record.group
+        self.leave_group(record)
         record.in_flight = load.in_flight
         record.pending_tokens = load.pending_tokens
         record.turn = turn
@@ -167,23 +170,38 @@
 
     def of_service(self, view: RegistryView, service: str) -> ServiceIndex:
         """Return the upstreams of a service with the loads of a view."""
-        if view.upstreams is not self.upstreams:
-            self.build(view)
-        elif view.loads is self.loads:
-            self.apply_changes()
-        else:
+        if view.loads is not self.loads:
             self.follow(view.loads)
-            self.apply_all()
+        self.apply_changes()
+        if view.upstreams is not self.upstreams:
+            self.apply_view(view.upstreams)
         return self.services.get(service, NO_SERVICE)
 
-    def build(self, view: RegistryView) -> None:
-        """Index the upstreams of a new view."""
-        self.follow(view.loads)
-        self.upstreams = view.upstreams
-        self.records.clear()
-        self.services.clear()
-        for order, (name, upstream) in enumerate(view.upstreams.items()):
-            self.add(name, upstream, order)
+    def apply_view(self, upstreams: Mapping[str, UpstreamSeen]) -> None:
+        """Apply the upstreams of a new view; most are as before as a rule."""
+        self.upstreams = upstreams
+        for gone in self.records.keys() - upstreams.keys():
+            self.remove(self.records.pop(gone))
+        for order, (name, upstream) in enumerate(upstreams.items()):
+            record = self.records.get(name)
+            if record is None:
+                self.add(name, upstream, order)
+            elif place_of(record.upstream) == place_of(upstream):
+                record.upstream = upstream
+                record.order = order
+            else:
+                self.remove(record)
+                self.add(name, upstream, order)
+
+    def remove(self, record: UpstreamRecord) -> None:
+        """Remove an upstream."""
+        service = self.services[record.upstream.announcement.service]
+        service.leave_group(record)
+        region = service.regions[record.upstream.region]
+        region.records.remove(record)
+        region.forget_names()
+        if not region.records:
+            service.regions.pop(record.upstream.region)
 
     def add(self, name: str, upstream: UpstreamSeen, order: int) -> None:
         """Add an upstream."""
@@ -206,13 +224,19 @@
         self.records[name] = record
         region = service.regions.setdefault(upstream.region, ServiceRegion())
         region.records.append(record)
+        region.forget_names()
 
     def follow(self, loads: Mapping[str, Load]) -> None:
-        """Apply the changes of other loads from now on."""
+        """Apply other loads from now on.
+
+        Another sum of the same tables has the same loads.
+        """
         self.loads = loads
         is_sum = isinstance(loads, SummedLoads)
-        self.tables = loads.tables if is_sum else (loads,)
-        self.versions = [table_version(table) for table in self.tables]
+        tables = loads.tables if is_sum else (loads,)
+        if list(map(id, tables)) != list(map(id, self.tables)):
+            self.tables = tables
+            self.apply_all()
 
     def apply_changes(self) -> None:
         """Apply the loads that have changed since the last call."""
@@ -254,3 +278,9 @@
 def table_version(table: Mapping[str, Load]) -> int:
     """Return the version of a table; negative if it records no changes."""
     return table.version if isinstance(table, LoadTable) else -1
+
+
+def place_of(upstream: UpstreamSeen) -> tuple[str, str, int]:
+    """Return what an upstream is grouped by, except for its load."""
+    announcement = upstream.announcement
+    return announcement.service, upstream.region, announcement.slots
--- a/godwitshunt/picking/tests/test_load_index.py
+++ b/godwitshunt/picking/tests/test_load_index.py
@@ -59,7 +59,9 @@
     left = {'k-1': make_upstream('k-1', 'kochi')}
     service = index.of_service(replace(view(), upstreams=left), 'llm')
     assert set(loads_in(service)) == {'k-1'}
-    assert not index.of_service(view(), 'other').records
+    assert set(service.regions['kochi'].by_name) == {'k-1'}
+    assert 'tvm' not in service.regions
+    assert not list(index.of_service(view(), 'other').records())
 
 
 def test_upstreams_of_equal_load_take_turns():
@@ -78,3 +80,25 @@
     service = index.of_service(watched, 'llm')
     idle = service.groups['kochi', 48, 0].members
     assert [member[2].name for member in idle] == ['k-1', 'k-2', 'k-3', 'k-0']
+
+
+def test_an_upstream_that_changed_is_grouped_anew():
+    """A restarted upstream may announce other slots than before.
+
+    By its old slots it would look full, or get more than it can run.
+    """
+    index = UpstreamIndex()
+    table = LoadTable()
+    table['k-1'] = Load(5, 70)
+    watched = replace(view(), loads=table)
+    index.of_service(watched, 'llm')
+    known = watched.upstreams['k-1']
+    fewer = replace(known.announcement, slots=3)
+    upstreams = {**watched.upstreams, 'k-1': replace(known, announcement=fewer)}
+    service = index.of_service(replace(watched, upstreams=upstreams), 'llm')
+    assert [
+        member[2].name for member in service.groups['kochi', 3, 5].members
+    ] == ['k-1']
+    assert (
+        service.regions['kochi'].by_name['k-1'].upstream.announcement is fewer
+    )
