--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -39,6 +39,7 @@
 )
 from godwitshunt.routing.upstream_health import UpstreamHealth
 
+NO_LOAD = Load()
 # Seconds added to the cost of an upstream that is cold, that no control VM has
 # heard from lately, or that does not respond to requests.
 COLD_PENALTY_S = 0.5
@@ -314,9 +315,9 @@
 
     def records(
         self, request: ChoiceRequest, view: RegistryView
-    ) -> list[UpstreamRecord]:
-        """Return all upstreams of a request's service."""
-        return self.index.of_service(view, request.service.name).records
+    ) -> Iterator[UpstreamRecord]:
+        """Yield all upstreams of a request's service."""
+        return self.index.of_service(view, request.service.name).records()
 
     def exclusions(self, search: Search) -> tuple[str, ...]:
         """Return for logs how many upstreams are excluded for each reason.
@@ -418,7 +419,9 @@
         """Return an upstream with its current load and statistics."""
         announcement = upstream.announcement
         health = self.upstreams.health_of(announcement.incarnation)
-        load = view.loads.get(announcement.incarnation, Load()) + health.load
+        load = view.loads.get(announcement.incarnation, NO_LOAD)
+        if health.in_flight:
+            load += health.load
         free_tokens = inf
         if request.memory_bound and request.service.engine is not None:
             memory_tokens = request.service.engine.memory_tokens
