Take absurd prompt sizes of callers as not stated

Cause: a stated size beyond 32 bits could not be encoded in the question to the picker, so the request ended with a fault of the gateway (OverflowError). Sizes above ten million tokens now count as absent, like malformed ones.

--- a/godwitshunt/ingress/prompts.py
+++ b/godwitshunt/ingress/prompts.py
@@ -6,6 +6,9 @@
 from godwitshunt.routing.selection import MIN_SHARED_TOKENS
 
 MAX_PARTS = 256
+# Longer prompts and answers than this count as not stated. Token counts, and
+# the work that they cause, are sent between VMs as integers of 32 bits.
+MAX_TOKENS = 10_000_000
 
 
 @dataclass(frozen=True)
@@ -109,6 +112,8 @@
             parts.append(PromptPart(int(key, 16), max(0, int(tokens))))
         except ValueError:
             return ()
+    if sum(part.tokens for part in parts) > MAX_TOKENS:
+        return ()
     return tuple(parts)
 
 
@@ -116,6 +121,10 @@
     """Parse ``PROMPT,OUTPUT`` tokens; zeros where malformed."""
     prompt, _, output = header.partition(',')
     try:
-        return max(0, int(prompt)), max(0, int(output or 0))
+        counts = int(prompt), int(output or 0)
     except ValueError:
         return 0, 0
+    prompt_tokens, output_tokens = (
+        count if 0 <= count <= MAX_TOKENS else 0 for count in counts
+    )
+    return prompt_tokens, output_tokens
