Leave room at home for requests bound to their region

Requests that any region may serve took the last slots of a region, and those that only this region may serve were refused beside idle regions.

A request that has a grant of another region leaves the own need and the recent refusals of bound requests free at home. Refused bound requests are no longer stated as demand, which no other region could serve. Evacuated failure domains no longer count as capacity that is free for own requests.

--- a/godwitshunt/grants/region.py
+++ b/godwitshunt/grants/region.py
@@ -86,6 +86,8 @@
         Last news of each other picker, by its control VM.
     meters : dict
         Demand for each scheduled service.
+    bound : dict
+        The part of it that only this region may serve.
     unmet : dict
         Demand that this region could not serve at the last `issue`.
     """
@@ -98,6 +100,7 @@
     reporters: int = 0
     heard: dict[str, HeardNews] = field(default_factory=dict)
     meters: dict[str, DemandMeter] = field(default_factory=dict)
+    bound: dict[str, DemandMeter] = field(default_factory=dict)
     unmet: dict[str, Capacity] = field(default_factory=dict)
 
     @classmethod
@@ -132,6 +135,22 @@
         """Record a request of this region that was assigned here."""
         self.meter(service).starts.add(Capacity(1, tokens), now_s)
 
+    def bound_meter(self, service: str) -> DemandMeter:
+        """Return the meter of the requests that only this region may serve."""
+        return self.bound.setdefault(service, DemandMeter())
+
+    def bound_need(self, service: str, now_s: float) -> int:
+        """Return the slots to keep for requests that are bound to the region.
+
+        Requests that other regions may serve are handed over before they take
+        these.
+        """
+        meter = self.bound.get(service)
+        if meter is None:
+            return 0
+        overflow = meter.overflow.total(now_s).slots
+        return meter.own_need(now_s) + overflow
+
     def record_overflow(
         self, service: str, tokens: float, now_s: float
     ) -> None:
--- a/godwitshunt/picking/grant_gate.py
+++ b/godwitshunt/picking/grant_gate.py
@@ -59,6 +59,8 @@
         slot.
     links : dict
         Bytes that requests may carry to each other region.
+    evacuated : collection of str
+        Evacuated failure domains, as of the last grants.
     """
 
     region: str
@@ -67,6 +69,7 @@
     is_scheduled: Callable[[Service], bool] = field(default=never)
     max_per_slot: float = MAX_REQUESTS_PER_SLOT
     links: dict[str, LinkBudget] = field(default_factory=dict)
+    evacuated: Collection[str] = ()
 
     @classmethod
     def from_config(
@@ -112,8 +115,11 @@
             and self.grants.may_hand_over(region, query, request.now_s)
             and self.link(region).admits(crossing_of(request), request.now_s)
         }
+        bound_need = 0
+        if allowed:
+            bound_need = self.grants.bound_need(query.service, request.now_s)
         if self.region in regions and (
-            request.is_granted or self.has_unheld(request, view)
+            request.is_granted or self.has_unheld(request, view, bound_need)
         ):
             allowed.add(self.region)
         return frozenset(allowed)
@@ -122,13 +128,20 @@
         """Return the budget of bytes to another region."""
         return self.links.setdefault(region, LinkBudget())
 
-    def has_unheld(self, request: ChoiceRequest, view: RegistryView) -> bool:
+    def has_unheld(
+        self, request: ChoiceRequest, view: RegistryView, bound_need: int
+    ) -> bool:
         """Return whether a request may take capacity of the own region.
 
         What grants hold is kept for the regions that received them.
+
+        Parameters
+        ----------
+        bound_need : int
+            Slots to keep for requests that no other region may serve.
         """
         service = request.service.name
-        held = self.grants.held_slots(service, request.now_s)
+        held = bound_need + self.grants.held_slots(service, request.now_s)
         if not held:
             return True
         free = 0.0
@@ -151,12 +164,11 @@
         Only slots are granted, not the requests beyond them that an upstream
         accepts: those would wait there.
         """
+        self.evacuated = revision.evacuated
         free = 0
         for upstream in self.own_upstreams(service.name, view, now_s):
-            announcement = upstream.announcement
-            if announcement.failure_domain not in revision.evacuated:
-                slots = announcement.slots - in_flight(upstream, view)
-                free += max(0, slots)
+            slots = upstream.announcement.slots - in_flight(upstream, view)
+            free += max(0, slots)
         return Capacity(free, inf if free else 0.0)
 
     def own_upstreams(
@@ -171,6 +183,8 @@
             incarnation = upstream.announcement.incarnation
             if upstream.region != self.region or incarnation in ejected:
                 continue
+            if upstream.announcement.failure_domain in self.evacuated:
+                continue
             health = self.upstreams.health_of(incarnation)
             closed_until_s = max(health.down_until_s, health.full_until_s)
             if now_s >= closed_until_s and is_lasting(upstream, now_s):
@@ -196,7 +210,7 @@
         now_s = request.now_s
         match choice:
             case SendHere():
-                self.grants.record_start(query.service, query.tokens, now_s)
+                self.record_start(request, query)
             case HandOver(entry=entry):
                 self.grants.record_overflow(query.service, query.tokens, now_s)
                 link = self.link(entry.region)
@@ -206,11 +220,35 @@
                     choice, grant=self.grants.spend(entry.region, query, now_s)
                 )
             case NoPlace():
-                self.grants.record_overflow(query.service, query.tokens, now_s)
-                for link in self.links.values():
-                    link.want(crossing_of(request), now_s)
+                self.record_refusal(request, query)
         return choice
 
+    def record_start(self, request: ChoiceRequest, query: GrantQuery) -> None:
+        """Record a request that is served in the own region."""
+        amount = Capacity(1, query.tokens)
+        meters = [self.grants.meter(query.service)]
+        if self.is_bound(request):
+            meters.append(self.grants.bound_meter(query.service))
+        for meter in meters:
+            meter.starts.add(amount, request.now_s)
+
+    def record_refusal(self, request: ChoiceRequest, query: GrantQuery) -> None:
+        """Record a request without a destination.
+
+        No other region is asked for what only this one may serve.
+        """
+        if self.is_bound(request):
+            meter = self.grants.bound_meter(query.service)
+            meter.overflow.add(Capacity(1, query.tokens), request.now_s)
+            return
+        self.grants.record_overflow(query.service, query.tokens, request.now_s)
+        for link in self.links.values():
+            link.want(crossing_of(request), request.now_s)
+
+    def is_bound(self, request: ChoiceRequest) -> bool:
+        """Return whether only the own region may serve a request."""
+        return set(request.route.homes) == {self.region}
+
 
 def is_lasting(upstream: UpstreamSeen, now_s: float) -> bool:
     """Return whether an upstream is warm, heard of, and not leaving."""
--- a/godwitshunt/picking/tests/test_grants.py
+++ b/godwitshunt/picking/tests/test_grants.py
@@ -13,10 +13,16 @@
 from godwitshunt.grants.link_budget import PACE_S
 from godwitshunt.ingress.feedback import AttemptFeedback
 from godwitshunt.ingress.outcomes import NO_ATTEMPT, NotRun
-from godwitshunt.picking.choices import HandOver, NoPlace, SendHere
+from godwitshunt.picking.choices import (
+    ChoiceRequest,
+    HandOver,
+    NoPlace,
+    SendHere,
+)
 from godwitshunt.picking.filters import MAX_REQUESTS_PER_SLOT
+from godwitshunt.picking.grant_gate import grant_query
 from godwitshunt.picking.neighbours import Neighbours
-from godwitshunt.picking.tests.region import SLOTS, PickedRegion, engine
+from godwitshunt.picking.tests.region import SHORT, SLOTS, PickedRegion, engine
 from godwitshunt.registry.control_tables import PEER_POLL_PERIOD_S
 from godwitshunt.registry.tests.deployment import address
 
@@ -156,6 +162,59 @@
     assert region.controls[3].make_grants(region.timer.now()) is None
 
 
+async def test_bound_requests_are_left_room_at_home():
+    """Both regions have engines; requests of one route are bound to the first.
+
+    Those that are not bound took the last slots of the home region, and the
+    bound ones were refused while the other region was idle.
+    """
+    region = ScheduledRegion()
+    region.announce(1, engine('i-0'))
+    region.announce(1, engine('i-1'))
+    await region.settle(region.local_vm, region.remote_vm)
+    await region.advance(8)
+    route = region.revision.manifest.routes[0]
+    bound = route.model_copy(update={'name': 'b', 'homes': ('kochi',)})
+    gate = region.pickers[1].grant_exchange.gate
+    for _ in range(2 * SLOTS):
+        request = request_of(region, bound)
+        gate.record_start(request, grant_query(request.service, SHORT))
+    kept = gate.grants.bound_need('llm', region.timer.now())
+    assert kept >= 2 * SLOTS
+    regions = frozenset(('kochi', 'tvm'))
+    unbound = request_of(region, route)
+    view = region.controls[1].view()
+    assert gate.restrict(regions, unbound, view) == regions
+    limit = int(MAX_REQUESTS_PER_SLOT * 2 * SLOTS)
+    for number in range(limit - kept):
+        region.local_vm.begin(f'i-{number % 2}')
+    region.local_vm.client.send_report()
+    view = region.controls[1].view()
+    assert gate.restrict(regions, unbound, view) == {'tvm'}
+    at_home = frozenset(('kochi',))
+    assert gate.restrict(at_home, request_of(region, bound), view) == at_home
+
+
+def request_of(region, route) -> ChoiceRequest:
+    """Return a request of a route."""
+    service = region.revision.manifest.services[0]
+    return ChoiceRequest(route, service, SHORT, 4.0, region.timer.now())
+
+
+async def test_refused_bound_requests_are_no_demand():
+    """Other regions may not serve them; capacity would be held for nobody."""
+    region = ScheduledRegion()
+    await region.settle(region.local_vm, region.remote_vm)
+    route = region.revision.manifest.routes[0]
+    bound = route.model_copy(update={'homes': ('kochi',)})
+    gate = region.pickers[1].grant_exchange.gate
+    for each in (bound, route):
+        gate.record(NoPlace(True, 0.1), request_of(region, each))
+    now_s = region.timer.now()
+    assert gate.grants.meter('llm').overflow.total(now_s).slots == 1
+    assert gate.grants.bound_meter('llm').overflow.total(now_s).slots == 1
+
+
 async def test_long_bodies_do_not_fill_the_link():
     """There are grants for more requests than the link may carry at once."""
     region = await start_region()
