Relay grants through entry VMs while control VMs are cut off

While control VMs did not reach each other, no relayed grant could be spent, and no request of a scheduled service left its region.

A control VM whose calls to another one are unanswered, and that had grants of it, says so in an optional field of its poll replies. Without scheduled services nothing changes.

--- a/godwitshunt/picking/tests/test_grants.py
+++ b/godwitshunt/picking/tests/test_grants.py
@@ -27,9 +27,16 @@
 from godwitshunt.registry.tests.deployment import address
 
 REMOTE_ENGINES = 3
+# Time in which an entry VM polls a second control VM and relays its table.
+RELAY_S = 0.02
 ATTEMPT = SimpleNamespace(connected=True, closed_by_peer=False)
 
 
+def number_of(control: str) -> int:
+    """Return the number of a control VM."""
+    return int(control.partition(':')[0].rpartition('.')[-1])
+
+
 class ScheduledRegion(PickedRegion):
     """A region without engines; the other region has some.
 
@@ -52,6 +59,16 @@
             await self.exchange()
             for entry in (self.local_vm, self.remote_vm):
                 await self.poll(entry.watch)
+                await self.relay_grants(entry.watch)
+
+    async def relay_grants(self, watch) -> None:
+        """Let an entry VM relay grants, if it is asked to."""
+        due = watch.due_for_grants(self.timer.now())
+        numbers = [each for each in self.controls if str(address(each)) in due]
+        if numbers:
+            await self.poll(watch, *numbers)
+            self.timer.advance(RELAY_S)
+            await self.poll(watch, number_of(watch.preferred()))
 
     @property
     def remote_grants(self):
@@ -265,3 +282,43 @@
     excluded = frozenset(names)
     refused = await region.local_vm.request_destination(excluded=excluded)
     assert isinstance(refused, NoPlace)
+
+
+async def test_partitioned_control_vms_get_grants_from_entry_vms():
+    """The control VMs don't reach each other; entry VMs reach all.
+
+    Without relayed grants no request would leave the region for as long as
+    the partition lasts.
+    """
+    region = await start_region()
+    region.network.split(address(1), address(3))
+    await region.advance(8)
+    found = 0
+    for _ in range(10):
+        await region.advance(1)
+        found += bool(await region.hand_over())
+    assert found
+
+
+async def test_second_picker_of_a_region_grants_nothing_unasked():
+    """Entry VMs query the first picker; the second holds nothing back."""
+    region = PickedRegion({1: 'a', 2: 'a', 3: 'b'})
+    for picker in region.pickers.values():
+        picker.grant_exchange.gate.is_scheduled = bool
+    region.announce(1, engine('i-0'))
+    entries = [region.start_entry(100), region.start_entry(200, 'b')]
+    await region.settle(*entries)
+    for _ in range(8):
+        region.timer.advance(PEER_POLL_PERIOD_S)
+        await region.exchange()
+        for entry in entries:
+            await region.poll(entry.watch)
+    now_s = region.timer.now()
+    first, second = (
+        region.pickers[number].grant_exchange.grants for number in (1, 2)
+    )
+    assert first.reporters
+    assert not second.reporters
+    assert not second.issuer.issued
+    assert first.active_pickers(now_s) == {first.own}
+    assert second.other_regions(now_s) == first.other_regions(now_s)
--- a/godwitshunt/registry/contacts.py
+++ b/godwitshunt/registry/contacts.py
@@ -72,6 +72,8 @@
         Its shortest recent round trip.
     is_failing : bool
         True from an unanswered call until the next answer.
+    wants_grants : bool
+        True if it wants grants that it does not get itself.
     picker_active : bool
         True if it assigns destinations to the entry VMs of its region.
     prefixes_version : int
@@ -93,6 +95,7 @@
     answered_s: float = NEVER_S
     round_trip_s: float = inf
     is_failing: bool = False
+    wants_grants: bool = False
     picker_active: bool = False
     prefixes_version: int = 0
     prefixes_sent_version: int = 0
--- a/godwitshunt/registry/control_tables.py
+++ b/godwitshunt/registry/control_tables.py
@@ -15,6 +15,7 @@
 from godwitshunt.quarantine import Quarantine
 from godwitshunt.registry.contacts import ControlContact
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_relays import misses_grants
 from godwitshunt.registry.ledger import SummedLoads
 from godwitshunt.registry.merged_tables import MergedTables
 from godwitshunt.registry.prefixes import PrefixTable
@@ -164,6 +165,15 @@
             if control != self.own_name
         )
 
+    def misses_grants(self, now_s: float) -> bool:
+        """Return whether grants of an unreachable control VM are wanted."""
+        others = {
+            control: table
+            for control, table in self.merged.tables.items()
+            if table.region != self.location.region
+        }
+        return misses_grants(others, self.contacts, now_s)
+
     def record_failure(
         self,
         control: str,
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -2789,6 +2789,8 @@
      - misses_tables: True if some table is stale here: an entry VM may send a newer copy.
      - suspects: Suspected requests that changed after the requested version.
      - suspects_version
+     - wants_grants: True if grants of another control VM are wanted that does not answer here:
+    some entry VMs poll it for them and send them at once.
 
     """
 
@@ -2803,10 +2805,11 @@
         'misses_tables',
         'suspects',
         'suspects_version',
+        'wants_grants',
     )
 
 
-    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None, region=None, misses_tables=None, suspects=None, suspects_version=None,):
+    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None, region=None, misses_tables=None, suspects=None, suspects_version=None, wants_grants=None,):
         self.source = source
         self.tables = tables
         self.loads = loads
@@ -2817,6 +2820,7 @@
         self.misses_tables = misses_tables
         self.suspects = suspects
         self.suspects_version = suspects_version
+        self.wants_grants = wants_grants
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2901,6 +2905,11 @@
                     self.suspects_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.wants_grants = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2963,6 +2972,10 @@
             oprot.writeFieldBegin('suspects_version', TType.I64, 10)
             oprot.writeI64(self.suspects_version)
             oprot.writeFieldEnd()
+        if self.wants_grants is not None:
+            oprot.writeFieldBegin('wants_grants', TType.BOOL, 11)
+            oprot.writeBool(self.wants_grants)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3883,6 +3896,7 @@
     (8, TType.BOOL, 'misses_tables', None, None, ),  # 8
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 9
     (10, TType.I64, 'suspects_version', None, None, ),  # 10
+    (11, TType.BOOL, 'wants_grants', None, None, ),  # 11
 )
 all_structs.append(PauseInfo)
 PauseInfo.thrift_spec = (
--- a/godwitshunt/registry/poll_messages.py
+++ b/godwitshunt/registry/poll_messages.py
@@ -11,6 +11,9 @@
 from godwitshunt.quarantine import SuspectRecord
 from godwitshunt.registry.contacts import ControlContact, HeldTable
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_relays import (
+    NEWER_BY_S as GRANTS_NEWER_BY_S,
+)
 from godwitshunt.registry.merged_tables import MergedTables
 from godwitshunt.registry.prefixes import CachedPrefix
 from godwitshunt.registry.records import EntryRecord
@@ -108,17 +111,18 @@
     newer = []
     for table in merged.tables.values():
         held = contact.outdated_tables.get(table.source)
-        if table.source and is_newer(table, held):
+        by_s = GRANTS_NEWER_BY_S if contact.wants_grants else NEWER_BY_S
+        if table.source and is_newer(table, held, by_s):
             known = None if held is None else held.to_wire(table.source)
             newer.append(relayed_update(table, known, now_s, with_loads=True))
     return newer
 
 
-def is_newer(table: ControlTable, held: HeldTable | None) -> bool:
+def is_newer(table: ControlTable, held: HeldTable | None, by_s: float) -> bool:
     """Return whether a table is newer here than at a control VM."""
     if held is None:
         return True
-    return table.asof_s - held.asof_s >= NEWER_BY_S
+    return table.asof_s - held.asof_s >= by_s
 
 
 def outdated_tables(
@@ -132,7 +136,7 @@
     sent_s : float
         When the poll was sent.
     """
-    if not message.misses_tables:
+    if not (message.misses_tables or message.wants_grants):
         return {}
     return {
         update.source: HeldTable(
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -287,6 +287,9 @@
   /** Suspected requests that changed after the requested version. */
   9: list<SuspectInfo> suspects
   10: i64 suspects_version
+  /** True if grants of another control VM are wanted that does not answer here:
+      some entry VMs poll it for them and send them at once. */
+  11: optional bool wants_grants
 }
 
 /** A pause that an upstream has asked an entry VM for. */
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -356,6 +356,7 @@
             gives_places=self.picker_active,
             suspects=suspects_to_wire(suspects.records, now_s),
             suspects_version=suspects.version,
+            wants_grants=self.tables.misses_grants(now_s) or None,
         )
 
     def suspects_for(self, poll: ttypes.Poll) -> SuspectUpdate:
--- a/godwitshunt/registry/tests/test_grant_messages.py
+++ b/godwitshunt/registry/tests/test_grant_messages.py
@@ -7,6 +7,7 @@
 from godwitshunt.grants import Capacity, Grant, GrantNews, UnmetDemand
 from godwitshunt.peer import decode, encode
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_relays import GIVEN_UP_AFTER_S
 from godwitshunt.registry.grant_wire import (
     news_from_wire,
     news_to_wire,
@@ -133,3 +134,50 @@
     """A picker without grants is told as such, with its reporters."""
     news = GrantNews(reporters=2)
     assert news_from_wire(news_to_wire(news, 5.0), 'c-1', 5.0) == news
+
+
+async def start_partition() -> tuple[GrantingDeployment, list]:
+    """Start five entry VMs; then the control VMs don't reach each other."""
+    deployment = GrantingDeployment()
+    watches = [deployment.entry(100 + number) for number in range(5)]
+    await deployment.exchange()
+    for watch in watches:
+        await deployment.poll_controls(watch)
+    deployment.network.split(address(1), address(2))
+    deployment.timer.advance(1.0)
+    for watch in watches:
+        await deployment.poll(watch, 1)
+    return deployment, watches
+
+
+async def test_few_entry_vms_relay_grants_more_often():
+    """All entry VMs of a region would fill its link with their polls."""
+    deployment, watches = await start_partition()
+    now_s = deployment.timer.now()
+    due = [bool(watch.due_for_grants(now_s)) for watch in watches]
+    assert due == [True, True, True, False, False]
+    deployment.network.heal()
+    await deployment.exchange()
+    for watch in watches:
+        await deployment.poll(watch, 1)
+    assert not any(watch.relays_grants() for watch in watches)
+
+
+async def test_grants_of_a_lost_control_vm_are_given_up():
+    """Entry VMs would poll it for as long as it is down."""
+    deployment, watches = await start_partition()
+    deployment.timer.advance(GIVEN_UP_AFTER_S)
+    await deployment.poll(watches[0], 1)
+    assert not watches[0].relays_grants()
+
+
+async def test_nothing_is_relayed_without_scheduled_services():
+    """Deployments without grants poll as before in a partition."""
+    deployment = Deployment({1: 'a', 2: 'b'})
+    watch = deployment.entry(100)
+    await deployment.exchange()
+    await deployment.poll_controls(watch)
+    deployment.network.split(address(1), address(2))
+    deployment.timer.advance(1.0)
+    await deployment.poll(watch, 1)
+    assert not watch.relays_grants()
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -15,6 +15,7 @@
 from godwitshunt.quarantine import QUARANTINE_S, Quarantine
 from godwitshunt.registry.contacts import Contacts, KnownControl
 from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.registry.grant_relays import controls_to_poll, is_relay
 from godwitshunt.registry.merged_tables import AppliedUpdate, MergedTables
 from godwitshunt.registry.poll_messages import (
     PollReport,
@@ -258,11 +259,28 @@
         self.own_prefixes.expire(now_s)
         self.prefixes.expire(now_s)
         self.quarantine.tick()
-        due = self.contacts.due(self.known_controls(), now_s, self.period_s())
+        due = {
+            *self.contacts.due(self.known_controls(), now_s, self.period_s()),
+            *self.due_for_grants(now_s),
+        }
         for address in self.control_addresses():
             if str(address) in due:
                 self.start_poll(address)
 
+    def due_for_grants(self, now_s: float) -> set[str]:
+        """Return the control VMs to poll for grants that others miss."""
+        if self.relays_grants():
+            return controls_to_poll(self.known_controls(), now_s)
+        return set()
+
+    def relays_grants(self) -> bool:
+        """Return whether this VM relays grants to the preferred control VM."""
+        preferred = self.preferred()
+        if preferred is None:
+            return False
+        wants_grants = self.contacts.for_control(preferred).wants_grants
+        return wants_grants and is_relay(self.own_state().record, self.view())
+
     @property
     def is_warming_up(self) -> bool:
         """True for `WARM_UP_S` after the start, while VMs become known."""
@@ -367,6 +385,7 @@
         contact.record_answer(message.source, sent_s, now_s)
         contact.picker_active = bool(message.gives_places)
         contact.region = message.region or ''
+        contact.wants_grants = bool(message.wants_grants)
         contact.outdated_tables = outdated_tables(message, sent_s)
         self.prefixes.record_all(prefixes_from_wire(message.prefixes, now_s))
         if is_known:
@@ -381,6 +400,8 @@
             self.loads = loads_from_wire(message.loads)
             self.loads_received_s = now_s
         self.poll_new_preferred(before)
+        if control != before and self.relays_grants():
+            self.report_now()
 
     def sent_versions(self, control: str) -> SentVersions:
         """Return the versions of own observations in a poll to a control VM.
