Grant small regions a few slots without demand

A tenth of the free slots of two engines is one slot. When a region without engines began to get requests, six of its first seven were refused while all slots of the other region were free.

Each region gets at least 4 slots without demand, if they are at most a quarter of its part of the free ones.

--- a/godwitshunt/grants/division.py
+++ b/godwitshunt/grants/division.py
@@ -17,6 +17,11 @@
 # With half of it, regions lacked what they had granted when the peak reached
 # them, and more requests were refused.
 UNDEMANDED_SHARE = 0.1
+# A region gets at least this many slots without demand, if they are at most a
+# quarter of its part. A tenth of two engines' slots was one slot, and six of
+# the first seven requests of a region without engines were refused.
+MIN_UNDEMANDED = 4
+MIN_UNDEMANDED_SHARE = 0.25
 
 
 def picker_share(own: str, active: Collection[str]) -> float:
@@ -121,12 +126,13 @@
     Examples
     --------
     >>> divide_room(48, {'a': 8}, ('a', 'b'))
-    {'a': 10, 'b': 2}
+    {'a': 12, 'b': 4}
     """
     demanded = {region: demands.get(region, 0) for region in regions}
     parts = divide(slots, demanded, turn)
     if not parts:
         return parts
-    rest = floor((slots - sum(parts.values())) * UNDEMANDED_SHARE)
-    equal = rest // len(parts)
+    rest = (slots - sum(parts.values())) / len(parts)
+    least = min(MIN_UNDEMANDED, floor(MIN_UNDEMANDED_SHARE * rest))
+    equal = max(least, floor(UNDEMANDED_SHARE * rest))
     return {region: part + equal for region, part in parts.items()}
--- a/godwitshunt/grants/granting.py
+++ b/godwitshunt/grants/granting.py
@@ -75,14 +75,14 @@
     ()
     >>> (grant,) = issuer.issue('chat', room, {'tvm': 4}, ('tvm',), now_s=1.0)
     >>> grant.capacity
-    Capacity(slots=4, tokens=400.0)
+    Capacity(slots=5, tokens=500.0)
     >>> use = GrantUse('p1', grant.number, slot=0)
     >>> issuer.redeem(use, 'chat', tokens=100, now_s=1.1)
     <Redemption.honoured: 'honoured'>
     >>> issuer.redeem(use, 'chat', tokens=100, now_s=1.1)
     <Redemption.used: 'used'>
     >>> issuer.held('chat', now_s=1.2)
-    Capacity(slots=3, tokens=300.0)
+    Capacity(slots=4, tokens=400.0)
     >>> issuer.held('chat', now_s=1.7)
     Capacity(slots=0, tokens=0.0)
     """
