--- a/godwitshunt/picking/tests/test_grants.py
+++ b/godwitshunt/picking/tests/test_grants.py
@@ -15,19 +15,28 @@
 from godwitshunt.ingress.outcomes import NO_ATTEMPT, NotRun
 from godwitshunt.picking.choices import (
     MAX_REQUESTS_PER_SLOT,
+    ChoiceRequest,
     HandOver,
     NoPlace,
     SendHere,
 )
+from godwitshunt.picking.grant_gate import grant_query
 from godwitshunt.picking.neighbours import Neighbours
-from godwitshunt.picking.tests.region import SLOTS, PickedRegion, engine
+from godwitshunt.picking.tests.region import SHORT, SLOTS, PickedRegion, engine
 from godwitshunt.registry.control_tables import PEER_POLL_PERIOD_S
 from godwitshunt.registry.tests.deployment import address
 
 REMOTE_ENGINES = 3
+# Time in which an entry VM polls a second control VM and relays its table.
+RELAY_S = 0.02
 ATTEMPT = SimpleNamespace(connected=True, closed_by_peer=False)
 
 
+def number_of(control: str) -> int:
+    """Return the number of a control VM."""
+    return int(control.partition(':')[0].rpartition('.')[-1])
+
+
 class ScheduledRegion(PickedRegion):
     """A region without engines; the other region has some.
 
@@ -50,6 +59,16 @@
             await self.exchange()
             for entry in (self.local_vm, self.remote_vm):
                 await self.poll(entry.watch)
+                await self.relay_grants(entry.watch)
+
+    async def relay_grants(self, watch) -> None:
+        """Let an entry VM relay grants, if it is asked to."""
+        due = watch.due_for_grants(self.timer.now())
+        numbers = [each for each in self.controls if str(address(each)) in due]
+        if numbers:
+            await self.poll(watch, *numbers)
+            self.timer.advance(RELAY_S)
+            await self.poll(watch, number_of(watch.preferred()))
 
     @property
     def remote_grants(self):
@@ -160,6 +179,59 @@
     assert region.controls[3].make_grants(region.timer.now()) is None
 
 
+async def test_bound_requests_are_left_room_at_home():
+    """Both regions have engines; requests of one route are bound to the first.
+
+    Those that are not bound took the last slots of the home region, and the
+    bound ones were refused while the other region was idle.
+    """
+    region = ScheduledRegion()
+    region.announce(1, engine('i-0'))
+    region.announce(1, engine('i-1'))
+    await region.settle(region.local_vm, region.remote_vm)
+    await region.advance(8)
+    route = region.revision.manifest.routes[0]
+    bound = route.model_copy(update={'name': 'b', 'homes': ('kochi',)})
+    gate = region.pickers[1].grant_exchange.gate
+    for _ in range(2 * SLOTS):
+        request = request_of(region, bound)
+        gate.record_start(request, grant_query(request.service, SHORT))
+    kept = gate.grants.bound_need('llm', region.timer.now())
+    assert kept >= 2 * SLOTS
+    regions = frozenset(('kochi', 'tvm'))
+    unbound = request_of(region, route)
+    view = region.controls[1].view()
+    assert gate.restrict(regions, unbound, view) == regions
+    limit = int(MAX_REQUESTS_PER_SLOT * 2 * SLOTS)
+    for number in range(limit - kept):
+        region.local_vm.begin(f'i-{number % 2}')
+    region.local_vm.client.send_report()
+    view = region.controls[1].view()
+    assert gate.restrict(regions, unbound, view) == {'tvm'}
+    at_home = frozenset(('kochi',))
+    assert gate.restrict(at_home, request_of(region, bound), view) == at_home
+
+
+def request_of(region, route) -> ChoiceRequest:
+    """Return a request of a route."""
+    service = region.revision.manifest.services[0]
+    return ChoiceRequest(route, service, SHORT, 4.0, region.timer.now())
+
+
+async def test_refused_bound_requests_are_no_demand():
+    """Other regions may not serve them; capacity would be held for nobody."""
+    region = ScheduledRegion()
+    await region.settle(region.local_vm, region.remote_vm)
+    route = region.revision.manifest.routes[0]
+    bound = route.model_copy(update={'homes': ('kochi',)})
+    gate = region.pickers[1].grant_exchange.gate
+    for each in (bound, route):
+        gate.record(NoPlace(True, 0.1), request_of(region, each))
+    now_s = region.timer.now()
+    assert gate.grants.meter('llm').overflow.total(now_s).slots == 1
+    assert gate.grants.bound_meter('llm').overflow.total(now_s).slots == 1
+
+
 async def test_long_bodies_do_not_fill_the_link():
     """There are grants for more requests than the link may carry at once."""
     region = await start_region()
@@ -210,3 +282,43 @@
     excluded = frozenset(names)
     refused = await region.local_vm.request_destination(excluded=excluded)
     assert isinstance(refused, NoPlace)
+
+
+async def test_partitioned_control_vms_get_grants_from_entry_vms():
+    """The control VMs don't reach each other; entry VMs reach all.
+
+    Without relayed grants no request would leave the region for as long as
+    the partition lasts.
+    """
+    region = await start_region()
+    region.network.split(address(1), address(3))
+    await region.advance(8)
+    found = 0
+    for _ in range(10):
+        await region.advance(1)
+        found += bool(await region.hand_over())
+    assert found
+
+
+async def test_second_picker_of_a_region_grants_nothing_unasked():
+    """Entry VMs query the first picker; the second holds nothing back."""
+    region = PickedRegion({1: 'a', 2: 'a', 3: 'b'})
+    for picker in region.pickers.values():
+        picker.grant_exchange.gate.is_scheduled = bool
+    region.announce(1, engine('i-0'))
+    entries = [region.start_entry(100), region.start_entry(200, 'b')]
+    await region.settle(*entries)
+    for _ in range(8):
+        region.timer.advance(PEER_POLL_PERIOD_S)
+        await region.exchange()
+        for entry in entries:
+            await region.poll(entry.watch)
+    now_s = region.timer.now()
+    first, second = (
+        region.pickers[number].grant_exchange.grants for number in (1, 2)
+    )
+    assert first.reporters
+    assert not second.reporters
+    assert not second.issuer.issued
+    assert first.active_pickers(now_s) == {first.own}
+    assert second.other_regions(now_s) == first.other_regions(now_s)
