Queue requests to scheduled services in the picker

Cause: a picker assigns or refuses each request when it arrives. Slots are idle between an end and the next start, or requests wait in engines that preempt.

Other requests wait in the picker, which assigns them as reports show ends. Entry VMs wait by one batched call (place_wait), ask again where a picker is silent or has lost a request, and withdraw what ended. All requests to a scheduled service have one urgency at engines. A VM of the previous build is assigned or refused, as the question has no waited_ms.

--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -37,7 +37,7 @@
     NoPlace,
     SendHere,
 )
-from godwitshunt.picking.picker import DestinationRequest
+from godwitshunt.picking.destinations import DestinationRequest
 from godwitshunt.quarantine import QuarantineStatus
 from godwitshunt.registry import UpstreamSeen
 from godwitshunt.routing.selection import Demand
@@ -291,8 +291,20 @@
             organisation=request.organisation_name,
             cost=self.cost(),
             pauses=self.context.upstreams.pauses.active(now_s),
+            waited_s=now_s - request.arrived_s,
+            fingerprint=self.queue_fingerprint(),
         )
 
+    def queue_fingerprint(self) -> bytes:
+        """Return what tells repeats apart where requests are queued.
+
+        A long body takes time to hash, so it is empty for other services.
+        """
+        request = self.request
+        if request.service.name not in self.context.picker.scheduled:
+            return b''
+        return request.fingerprint.digest
+
     def record_charge(self, choice: Choice | None) -> None:
         """Record that a choice was charged to the organisation's limit."""
         if isinstance(choice, (SendHere, HandOver)):
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -24,7 +24,10 @@
     Progress,
 )
 from godwitshunt.ingress.request_trace import RequestTrace, Stage
-from godwitshunt.ingress.requests import RoutedRequest
+from godwitshunt.ingress.requests import (
+    URGENCY_OF_FIRST_LEVEL,
+    RoutedRequest,
+)
 from godwitshunt.picking.choices import (
     HandOver,
     SendHere,
@@ -317,7 +320,7 @@
                 self.context.names,
                 announcement.instance,
                 self.remaining_s(),
-                request.urgency,
+                self.urgency(),
                 self.resume_after(),
                 request.organisation_name,
             ),
@@ -334,6 +337,16 @@
             origin=announcement.incarnation,
         )
 
+    def urgency(self) -> int:
+        """Return the urgency that an upstream is told.
+
+        It is the same for all requests to a scheduled service: the region's
+        queue has decided the order, and an upstream must not preempt one.
+        """
+        if self.request.service.name in self.context.picker.scheduled:
+            return URGENCY_OF_FIRST_LEVEL
+        return self.request.urgency
+
     def build_forward_request(self, choice: HandOver) -> OutgoingRequest:
         """Return the request as it is sent to another entry VM."""
         return build_forward_request(
--- a/godwitshunt/ingress/tests/test_incarnations.py
+++ b/godwitshunt/ingress/tests/test_incarnations.py
@@ -43,6 +43,7 @@
         route=SimpleNamespace(repeatable=True),
         http=HttpRequest('GET', '/x', '', (), b''),
         headers=(),
+        service=SimpleNamespace(name='s'),
         urgency=3,
         id='r-1',
         resume_after=None,
@@ -55,6 +56,7 @@
     sender.context = SimpleNamespace(
         names=NAMES,
         timer=SimpleNamespace(now=lambda: NOW_S),
+        picker=SimpleNamespace(scheduled=set()),
     )
     outgoing = sender.build_upstream_request(ANNOUNCEMENT)
     assert outgoing.origin == 'i-1~1000'
--- a/godwitshunt/peer/messages.py
+++ b/godwitshunt/peer/messages.py
@@ -21,6 +21,7 @@
     registry_poll = 310
     place_ask = 311
     load_report = 312
+    place_wait = 313
     claim_request = 400
     claim_finish = 401
     claim_release = 402
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -159,6 +159,20 @@
     ranked: tuple[RankedCandidate, ...] = ()
 
 
+@dataclass(frozen=True)
+class Queued:
+    """The request waits in the picker's queue.
+
+    Parameters
+    ----------
+    ticket : int
+        Identifies it there.
+    """
+
+    ticket: int
+    ranked: tuple[RankedCandidate, ...] = ()
+
+
 Choice = SendHere | HandOver | NoPlace | Limited
 
 
--- a/godwitshunt/picking/client.py
+++ b/godwitshunt/picking/client.py
@@ -5,11 +5,16 @@
 from godwitshunt.exceptions import FrameError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.picking.attempt_reports import AttemptReport
-from godwitshunt.picking.choices import Choice
+from godwitshunt.picking.choices import Choice, Queued
+from godwitshunt.picking.destinations import DestinationRequest
 from godwitshunt.picking.neighbours import Neighbours
-from godwitshunt.picking.picker import DestinationRequest
 from godwitshunt.picking.reports import ReportBuilder
-from godwitshunt.picking.wire import choice_from_wire, query_to_wire
+from godwitshunt.picking.waiting import WaitingRequests
+from godwitshunt.picking.wire import (
+    AssignmentKind,
+    choice_from_wire,
+    query_to_wire,
+)
 from godwitshunt.registry import RegistryWatch
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.settings import Address
@@ -24,6 +29,8 @@
 # Changes of this VM's requests are reported together, this long after the
 # first of them.
 REPORT_DELAY_S = 0.01
+# Pickers that may lose a request from their queue before this VM chooses.
+MAX_QUEUED = 4
 
 
 class PickerClient:
@@ -61,14 +68,35 @@
         self.timer = timer
         self.metrics = metrics
         self.is_scheduled = False
+        # Services whose requests the picker queues.
+        self.scheduled: set[str] = set()
+        self.waiting = WaitingRequests(
+            neighbours.name, reports, links, self.record_silent, metrics
+        )
 
     async def request_destination(
         self, query: DestinationRequest
     ) -> Choice | None:
-        """Return the picker's choice; None if this VM must choose itself."""
-        picker = self.watch.picker()
-        if picker is None:
-            return None
+        """Return the picker's choice; None if this VM must choose itself.
+
+        Waits while the picker has the request in its queue. A picker that
+        loses it is asked again, or the next one is, with the time waited.
+        """
+        begun_s = self.timer.now()
+        for _ in range(MAX_QUEUED):
+            picker = self.watch.picker()
+            if picker is None:
+                break
+            waited_s = self.timer.now() - begun_s
+            choice = await self.query(picker, query.after(waited_s))
+            if not isinstance(choice, Queued):
+                return choice
+        return None
+
+    async def query(
+        self, picker: Address, query: DestinationRequest
+    ) -> Choice | Queued | None:
+        """Return a picker's choice; `Queued` if it must be asked again."""
         name = str(picker)
         report = self.reports.make(self.watch.contacts.for_control(name).source)
         reply = await self.links.call(
@@ -81,12 +109,35 @@
             self.record_failure(picker, query, type(reply.err_value).__name__)
             return None
         try:
-            return self.apply_reply(decode(ttypes.PlaceGiven, reply.ok_value))
+            return await self.await_decision(
+                picker, query, decode(ttypes.PlaceGiven, reply.ok_value)
+            )
         except FrameError as bad:
             self.record_failure(picker, query, str(bad))
             return None
 
-    def apply_reply(self, reply: ttypes.PlaceGiven) -> Choice | None:
+    async def await_decision(
+        self,
+        picker: Address,
+        query: DestinationRequest,
+        reply: ttypes.PlaceGiven,
+    ) -> Choice | Queued | None:
+        """Return the choice in an answer, or the one that follows it."""
+        self.record_scheduled(query.service, reply)
+        choice = self.apply_reply(reply)
+        if not isinstance(choice, Queued):
+            return choice
+        place = await self.waiting.wait(picker, reply.source, choice.ticket)
+        return choice if place is None else self.apply_reply(place)
+
+    def record_scheduled(self, service: str, reply: ttypes.PlaceGiven) -> None:
+        """Record whether the requests to a service are queued."""
+        if reply.is_scheduled:
+            self.scheduled.add(service)
+        elif reply.kind != AssignmentKind.unable:
+            self.scheduled.discard(service)
+
+    def apply_reply(self, reply: ttypes.PlaceGiven) -> Choice | Queued | None:
         """Record the picker's assignment and return its choice."""
         self.reports.record_assignment(reply.source, reply.number or 0)
         choice = choice_from_wire(
@@ -100,13 +151,19 @@
 
     def record_failure(
         self, picker: Address, query: DestinationRequest, reason: str
+    ) -> None:
+        """Stop querying a picker that did not answer a request."""
+        self.record_silent(picker, reason, query.request)
+
+    def record_silent(
+        self, picker: Address, reason: str, request: str = ''
     ) -> None:
         """Stop querying this picker until it answers a poll."""
         self.metrics.count('picking_questions_failed_total', why='silent')
         log_change(
             'picking:picker_silent',
             picker=str(picker),
-            request=query.request,
+            request=request,
             reason=reason,
         )
         self.watch.contacts.for_control(str(picker)).record_failure()
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -10,8 +10,8 @@
 No I/O: each call gets the time and the known state.
 """
 
-from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Collection
+from dataclasses import dataclass, replace
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
@@ -26,6 +26,11 @@
     SendHere,
 )
 from godwitshunt.picking.chooser import Chooser
+from godwitshunt.picking.destinations import (
+    Assignment,
+    DestinationRequest,
+    Unable,
+)
 from godwitshunt.picking.handover_loads import HandoverLoads
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.routes import RouteTable
@@ -43,79 +48,6 @@
 NO_PEERS = AdmissionShare()
 
 
-@dataclass(frozen=True)
-class DestinationRequest:
-    """A request of an entry VM for a destination.
-
-    Parameters
-    ----------
-    entry : str
-        The entry VM.
-    request : str
-        Identifier of the caller's request, for logs.
-    host, path_prefix : str
-        Identify the route.
-    service : str
-        The service, drawn by the weights of the route.
-    demand : Demand
-        Work that the request causes at an upstream. Its objective is taken
-        from the route.
-    remaining_s : float
-        Seconds to the deadline of the request.
-    excluded : frozenset of str
-        Incarnations, VMs and regions that failed this request.
-    local : bool
-        True if the request was handed over and must be served in this region.
-    organisation : str
-        The caller's organisation; empty if there is none.
-    cost : float
-        Units that the request uses of the organisation's limit.
-    pauses : mapping
-        Remaining seconds of the pauses that upstreams have asked the entry VM
-        for, by incarnation.
-    """
-
-    entry: str
-    request: str
-    host: str
-    path_prefix: str
-    service: str
-    demand: Demand
-    remaining_s: float
-    excluded: frozenset[str] = frozenset()
-    local: bool = False
-    organisation: str = ''
-    cost: float = 0.0
-    pauses: Mapping[str, float] = field(default_factory=dict)
-
-
-@dataclass(frozen=True)
-class Unable:
-    """The picker cannot choose; the entry VM chooses by itself.
-
-    Parameters
-    ----------
-    reason : str
-        For logs.
-    """
-
-    reason: str
-
-
-@dataclass(frozen=True)
-class Assignment:
-    """A choice and its number in the ledger.
-
-    Parameters
-    ----------
-    number : int
-        0 if no upstream of this region was assigned.
-    """
-
-    choice: Choice
-    number: int = 0
-
-
 @dataclass(frozen=True)
 class PickingContext:
     """State that a picker uses for a choice.
@@ -214,10 +146,20 @@
         wait_s = self.limit_wait_s(query, context.admission_share, now_s)
         if wait_s:
             return Assignment(Limited(self.chooser.jitter(wait_s)))
+        request = self.make_request(query, route, service, context, now_s)
+        return self.place(query, request, context)
+
+    def place(
+        self,
+        query: DestinationRequest,
+        request: ChoiceRequest,
+        context: PickingContext,
+    ) -> Assignment:
+        """Choose the destination of a request within limits; count it."""
+        now_s = request.now_s
         self.handovers.remove_reported(now_s)
         loads = SummedLoads((context.view.loads, self.handovers.totals))
         view = replace(context.view, loads=loads)
-        request = self.make_request(query, route, service, context, now_s)
         choice = self.chooser.choose(request, view, context.revision)
         if isinstance(choice, SendHere):
             self.charge_cold(choice, request)
@@ -226,7 +168,7 @@
             )
         if not isinstance(choice, NoPlace):
             self.charge_limit(query, now_s)
-        return self.record_choice(query, service, choice, now_s)
+        return self.record_choice(query, request.service, choice, now_s)
 
     def limit_wait_s(
         self,
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -18,20 +18,25 @@
     HandOver,
     Limited,
     NoPlace,
+    Queued,
     SendHere,
     describe_candidate,
 )
+from godwitshunt.picking.destinations import (
+    Assignment,
+    DestinationRequest,
+    Unable,
+)
 from godwitshunt.picking.handover_loads import HandoverLoads
 from godwitshunt.picking.limits import PickerLimits
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.picker import (
-    Assignment,
-    DestinationRequest,
     Picker,
     PickingContext,
-    Unable,
+    route_for,
     service_of,
 )
+from godwitshunt.picking.queue_service import QueueService
 from godwitshunt.picking.routes import RouteTable
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.picking.wire import assignment_to_wire, query_from_wire
@@ -41,7 +46,7 @@
 from godwitshunt.registry.ledger import Report
 from godwitshunt.routing.cold_budget import ColdBounds, ColdBudget
 from godwitshunt.routing.selection import Demand
-from godwitshunt.settings import BoundSettings
+from godwitshunt.settings import BoundSettings, SchedulingSettings
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Subscription, Timer
 
@@ -50,6 +55,7 @@
 # go to upstreams that seem to be free but are full.
 WARM_UP_S = 0.7
 TICK_S = 0.25
+NOT_SCHEDULED = SchedulingSettings()
 
 
 class PickerService:
@@ -69,6 +75,8 @@
         Monotonic time.
     metrics : Metrics
         Counts assignments.
+    scheduling : SchedulingSettings
+        Services whose requests wait in a queue.
     """
 
     def __init__(
@@ -79,6 +87,7 @@
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
+        scheduling: SchedulingSettings = NOT_SCHEDULED,
     ) -> None:
         self.registry = registry
         self.revision = revision
@@ -116,6 +125,10 @@
             bounds.limit_allowance,
         )
         registry.admitted = self.picker.limits.admitted
+        self.scheduling = scheduling
+        self.queue = QueueService(
+            registry, self.picker, self.make_context, timer, metrics
+        )
         self.attempt_recorder = AttemptRecorder(
             self.picker.upstreams,
             registry.view,
@@ -131,15 +144,19 @@
         links: PeerLinks,
         timer: Timer,
         metrics: Metrics,
+        scheduling: SchedulingSettings,
     ) -> Self:
         """Create the picker service of a control VM."""
-        return cls(registry, revision, bounds, links, timer, metrics)
+        return cls(
+            registry, revision, bounds, links, timer, metrics, scheduling
+        )
 
     def start(self) -> None:
         """Subscribe to messages, and assign after the warm-up period."""
         self.started_s = self.timer.now()
         self.links.subscribe(MessageKind.place_ask, self.handle_query)
         self.links.subscribe(MessageKind.load_report, self.handle_report)
+        self.links.subscribe(MessageKind.place_wait, self.queue.handle_wait)
         self.registry.subscribe(self.apply_report)
         self.subscription = self.timer.every(TICK_S, self.tick)
         self.timer.after(WARM_UP_S, partial(self.activate, 'warm-up is over'))
@@ -149,6 +166,7 @@
         if self.subscription is not None:
             self.subscription.cancel()
         self.registry.picker_active = False
+        self.queue.close()
 
     def activate(self, reason: str) -> None:
         """Assign requests from now on."""
@@ -194,9 +212,20 @@
         assignment = self.assign(query, now_s)
         self.log_assignment(query, assignment, holders)
         return encode(
-            assignment_to_wire(assignment, self.registry.source, now_s)
+            assignment_to_wire(
+                assignment,
+                self.registry.source,
+                now_s,
+                is_scheduled=self.is_scheduled(query.service),
+            )
         )
 
+    def is_scheduled(self, name: str) -> bool:
+        """Return whether the requests to a service are queued."""
+        revision = self.applied_revision
+        service = revision and service_of(revision, name)
+        return service is not None and self.scheduling.applies_to(service)
+
     async def handle_report(self, sender: str, body: bytes) -> None:
         """Apply an entry VM's load report."""
         self.registry.apply_report(sender, decode(ttypes.LoadReport, body))
@@ -218,6 +247,7 @@
         report : Report
             The loads in it.
         """
+        before = self.reported_instances.get(name, frozenset())
         self.record_waits(name, report)
         now_s = self.timer.now()
         self.limits.apply_vm_report(report.session, load_report.admitted, now_s)
@@ -229,6 +259,7 @@
             service = revision and service_of(revision, attempt.service)
             if service:
                 self.attempt_recorder.record(attempt, service, now_s)
+        self.queue.record_report(before | report.loads.keys())
 
     def record_rate_limits(
         self,
@@ -293,16 +324,28 @@
         """Choose the destination of a request."""
         if not self.registry.picker_active:
             return Unable('the picker is warming up')
+        context = self.make_context(now_s)
+        if context is None:
+            return Unable('no revision is known')
+        service = service_of(context.revision, query.service)
+        route = route_for(query, context.routes)
+        if service is None or route is None:
+            return Unable('the active revision has no such route or service')
+        if self.scheduling.applies_to(service):
+            return self.queue.assign(query, route, service, context, now_s)
+        return self.picker.assign(query, context, now_s)
+
+    def make_context(self, now_s: float) -> PickingContext | None:
+        """Return the state that a choice uses; None without a revision."""
         revision = self.follow_revision(now_s)
         if revision is None:
-            return Unable('no revision is known')
-        context = PickingContext(
+            return None
+        return PickingContext(
             self.registry.view(),
             revision,
             self.routes,
             self.limits.admission_share(now_s),
         )
-        return self.picker.assign(query, context, now_s)
 
     def follow_revision(self, now_s: float) -> Revision | None:
         """Apply the routes and limits of the newest revision; return it."""
@@ -356,6 +399,8 @@
             return f'{entry.region}/{entry.name}'
         case Assignment(choice=NoPlace(overloaded=True)):
             return 'overloaded'
+        case Assignment(choice=Queued(ticket)):
+            return f'queued: {ticket}'
         case Assignment(choice=Limited(wait_s)):
             return f'limited: {wait_s:.3f}s'
     return 'no upstream'
--- a/godwitshunt/picking/tests/region.py
+++ b/godwitshunt/picking/tests/region.py
@@ -21,13 +21,13 @@
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.picker import DestinationRequest
 from godwitshunt.picking.reports import ReportBuilder
-from godwitshunt.picking.service import WARM_UP_S, PickerService
+from godwitshunt.picking.service import NOT_SCHEDULED, WARM_UP_S, PickerService
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry.records import UpstreamAnnounced
 from godwitshunt.registry.tests.deployment import Deployment
 from godwitshunt.registry.watch import OwnState, RegistryWatch
 from godwitshunt.routing.selection import Demand
-from godwitshunt.settings import Address, BoundSettings
+from godwitshunt.settings import Address, BoundSettings, SchedulingSettings
 from godwitshunt.telemetry import Metrics
 
 SLOTS = 4
@@ -123,8 +123,13 @@
 class PickedRegion(Deployment):
     """A region with pickers on its control VMs, and a second region."""
 
-    def __init__(self, control: dict[int, str] | None = None) -> None:
+    def __init__(
+        self,
+        control: dict[int, str] | None = None,
+        scheduling: SchedulingSettings = NOT_SCHEDULED,
+    ) -> None:
         super().__init__(control or {1: 'a', 2: 'a', 3: 'b'})
+        self.scheduling = scheduling
         self.revision = revision()
         self.pickers = {
             number: self.start_picker(number) for number in self.controls
@@ -141,6 +146,7 @@
             registry.links,
             self.timer,
             Metrics(),
+            self.scheduling,
         )
         picker.start()
         return picker
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -8,9 +8,14 @@
     HandOver,
     Limited,
     NoPlace,
+    Queued,
     SendHere,
 )
-from godwitshunt.picking.picker import Assignment, DestinationRequest, Unable
+from godwitshunt.picking.destinations import (
+    Assignment,
+    DestinationRequest,
+    Unable,
+)
 from godwitshunt.registry import UpstreamSeen
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.views import reported_upstream
@@ -33,6 +38,7 @@
     overloaded = 4
     unable = 5
     limited = 6
+    queued = 7
 
 
 def query_to_wire(
@@ -60,6 +66,10 @@
             ttypes.PauseInfo(instance, int(remaining_s * MILLISECONDS) + 1)
             for instance, remaining_s in query.pauses.items()
         ],
+        waited_ms=None
+        if query.waited_s is None
+        else int(query.waited_s * MILLISECONDS),
+        fingerprint=query.fingerprint or None,
     )
 
 
@@ -94,6 +104,10 @@
             pause.instance: pause.remaining_ms / MILLISECONDS
             for pause in message.pauses or ()
         },
+        waited_s=None
+        if message.waited_ms is None
+        else max(0, message.waited_ms) / MILLISECONDS,
+        fingerprint=message.fingerprint or b'',
     )
 
 
@@ -101,6 +115,8 @@
     assignment: Assignment | Unable,
     source: str,
     now_s: float,
+    *,
+    is_scheduled: bool = False,
 ) -> ttypes.PlaceGiven:
     """Convert an assignment to a thrift struct.
 
@@ -108,10 +124,16 @@
     ----------
     source : str
         The picker's process.
+    is_scheduled : bool
+        Whether requests to the service are queued.
     """
     if isinstance(assignment, Unable):
         return ttypes.PlaceGiven(kind=AssignmentKind.unable, source=source)
-    reply = ttypes.PlaceGiven(source=source, number=assignment.number)
+    reply = ttypes.PlaceGiven(
+        source=source,
+        number=assignment.number,
+        is_scheduled=is_scheduled or None,
+    )
     match assignment.choice:
         case SendHere() as choice:
             reply.kind = AssignmentKind.upstream
@@ -133,6 +155,9 @@
         case Limited(wait_s):
             reply.kind = AssignmentKind.limited
             reply.retry_after_ms = wait_s * MILLISECONDS
+        case Queued(ticket):
+            reply.kind = AssignmentKind.queued
+            reply.ticket = ticket
     return reply
 
 
@@ -140,7 +165,7 @@
     reply: ttypes.PlaceGiven,
     region: str,
     now_s: float,
-) -> Choice | None:
+) -> Choice | Queued | None:
     """Convert a thrift struct to a choice; None if the picker is unable.
 
     Parameters
@@ -163,7 +188,7 @@
     reply: ttypes.PlaceGiven,
     region: str,
     now_s: float,
-) -> Choice | None:
+) -> Choice | Queued | None:
     """Convert a thrift struct of any kind to a choice."""
     match AssignmentKind(reply.kind):
         case AssignmentKind.upstream:
@@ -193,6 +218,8 @@
             return None
         case AssignmentKind.limited:
             return Limited(reply.retry_after_ms / MILLISECONDS)
+        case AssignmentKind.queued:
+            return Queued(int(reply.ticket))
         case kind:
             overloaded = kind is AssignmentKind.overloaded
             wait_s = reply.retry_after_ms / MILLISECONDS
--- a/godwitshunt/programs/control_process.py
+++ b/godwitshunt/programs/control_process.py
@@ -92,6 +92,7 @@
             self.links,
             self.timer,
             self.metrics,
+            settings.scheduling,
         )
         self.healer = Healer(
             self.consensus,
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -2543,6 +2543,10 @@
      - organisation: Organisation that sent it; absent for none.
      - cost: Units that it counts in that organisation's limit.
      - pauses: Upstreams to which this entry VM must not send now.
+     - waited_ms: Milliseconds since an entry VM first asked for its destination; absent if
+    the sender cannot wait for one.
+     - fingerprint: Identifies its content; absent if the sender knows that the service is
+    not scheduled.
 
     """
 
@@ -2562,10 +2566,12 @@
         'organisation',
         'cost',
         'pauses',
+        'waited_ms',
+        'fingerprint',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, waited_ms=None, fingerprint=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -2581,6 +2587,8 @@
         self.organisation = organisation
         self.cost = cost
         self.pauses = pauses
+        self.waited_ms = waited_ms
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2678,6 +2686,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.waited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2754,6 +2772,14 @@
                 iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waited_ms is not None:
+            oprot.writeFieldBegin('waited_ms', TType.I32, 16)
+            oprot.writeI32(self.waited_ms)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 17)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2795,6 +2821,8 @@
      - waiting_tokens
      - entry
      - retry_after_ms
+     - ticket: Identifies the request in the picker's queue, if it is queued.
+     - is_scheduled: True if requests to the service are queued.
 
     """
 
@@ -2810,10 +2838,12 @@
         'waiting_tokens',
         'entry',
         'retry_after_ms',
+        'ticket',
+        'is_scheduled',
     )
 
 
-    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None,):
+    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None, ticket=None, is_scheduled=None,):
         self.kind = kind
         self.source = source
         self.number = number
@@ -2825,6 +2855,8 @@
         self.waiting_tokens = waiting_tokens
         self.entry = entry
         self.retry_after_ms = retry_after_ms
+        self.ticket = ticket
+        self.is_scheduled = is_scheduled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2892,6 +2924,16 @@
                     self.retry_after_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.is_scheduled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2946,6 +2988,340 @@
             oprot.writeFieldBegin('retry_after_ms', TType.DOUBLE, 11)
             oprot.writeDouble(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 12)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        if self.is_scheduled is not None:
+            oprot.writeFieldBegin('is_scheduled', TType.BOOL, 13)
+            oprot.writeBool(self.is_scheduled)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceWait(object):
+    """
+    From an entry VM to its region's picker: waits for a decision on any of its
+    queued requests.
+
+    Attributes:
+     - entry_name
+     - report
+     - source: The picker's process that gave the tickets.
+     - tickets
+     - withdrawn: Tickets of requests that ended or were cancelled.
+
+    """
+
+    __slots__ = (
+        'entry_name',
+        'report',
+        'source',
+        'tickets',
+        'withdrawn',
+    )
+
+
+    def __init__(self, entry_name=None, report=None, source=None, tickets=None, withdrawn=None,):
+        self.entry_name = entry_name
+        self.report = report
+        self.source = source
+        self.tickets = tickets
+        self.withdrawn = withdrawn
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.entry_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.report = LoadReport()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.tickets = []
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readI64()
+                        self.tickets.append(_elem180)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.withdrawn = []
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readI64()
+                        self.withdrawn.append(_elem186)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceWait')
+        if self.entry_name is not None:
+            oprot.writeFieldBegin('entry_name', TType.STRING, 1)
+            oprot.writeString(self.entry_name.encode('utf-8') if sys.version_info[0] == 2 else self.entry_name)
+            oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 2)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 3)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.tickets is not None:
+            oprot.writeFieldBegin('tickets', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.tickets))
+            for iter187 in self.tickets:
+                oprot.writeI64(iter187)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.withdrawn is not None:
+            oprot.writeFieldBegin('withdrawn', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.withdrawn))
+            for iter188 in self.withdrawn:
+                oprot.writeI64(iter188)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceDecided(object):
+    """
+    Attributes:
+     - ticket
+     - place
+
+    """
+
+    __slots__ = (
+        'ticket',
+        'place',
+    )
+
+
+    def __init__(self, ticket=None, place=None,):
+        self.ticket = ticket
+        self.place = place
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.place = PlaceGiven()
+                    self.place.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceDecided')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 1)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        if self.place is not None:
+            oprot.writeFieldBegin('place', TType.STRUCT, 2)
+            self.place.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceDecisions(object):
+    """
+    Attributes:
+     - source: The picker's process.
+     - decided
+     - unknown: Tickets of the call that the picker does not know.
+
+    """
+
+    __slots__ = (
+        'source',
+        'decided',
+        'unknown',
+    )
+
+
+    def __init__(self, source=None, decided=None, unknown=None,):
+        self.source = source
+        self.decided = decided
+        self.unknown = unknown
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.decided = []
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = PlaceDecided()
+                        _elem194.read(iprot)
+                        self.decided.append(_elem194)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.unknown = []
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = iprot.readI64()
+                        self.unknown.append(_elem200)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceDecisions')
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 1)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.decided is not None:
+            oprot.writeFieldBegin('decided', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.decided))
+            for iter201 in self.decided:
+                iter201.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unknown is not None:
+            oprot.writeFieldBegin('unknown', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.unknown))
+            for iter202 in self.unknown:
+                oprot.writeI64(iter202)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3006,33 +3382,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = UpstreamInfo()
-                        _elem180.read(iprot)
-                        self.upstreams.append(_elem180)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = UpstreamInfo()
+                        _elem208.read(iprot)
+                        self.upstreams.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = StartEnded()
-                        _elem186.read(iprot)
-                        self.gone.append(_elem186)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = StartEnded()
+                        _elem214.read(iprot)
+                        self.gone.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype190, _size187) = iprot.readListBegin()
-                    for _i191 in range(_size187):
-                        _elem192 = SuspectInfo()
-                        _elem192.read(iprot)
-                        self.suspects.append(_elem192)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = SuspectInfo()
+                        _elem220.read(iprot)
+                        self.suspects.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3049,22 +3425,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter193 in self.upstreams:
-                iter193.write(oprot)
+            for iter221 in self.upstreams:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter194 in self.gone:
-                iter194.write(oprot)
+            for iter222 in self.gone:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter195 in self.suspects:
-                iter195.write(oprot)
+            for iter223 in self.suspects:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3284,6 +3660,8 @@
     (13, TType.STRING, 'organisation', 'UTF8', None, ),  # 13
     (14, TType.DOUBLE, 'cost', None, None, ),  # 14
     (15, TType.LIST, 'pauses', (TType.STRUCT, [PauseInfo, None], False), None, ),  # 15
+    (16, TType.I32, 'waited_ms', None, None, ),  # 16
+    (17, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 17
 )
 all_structs.append(PlaceGiven)
 PlaceGiven.thrift_spec = (
@@ -3299,6 +3677,30 @@
     (9, TType.I64, 'waiting_tokens', None, None, ),  # 9
     (10, TType.STRUCT, 'entry', [EntryInfo, None], None, ),  # 10
     (11, TType.DOUBLE, 'retry_after_ms', None, None, ),  # 11
+    (12, TType.I64, 'ticket', None, None, ),  # 12
+    (13, TType.BOOL, 'is_scheduled', None, None, ),  # 13
+)
+all_structs.append(PlaceWait)
+PlaceWait.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'entry_name', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'report', [LoadReport, None], None, ),  # 2
+    (3, TType.STRING, 'source', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'tickets', (TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'withdrawn', (TType.I64, None, False), None, ),  # 5
+)
+all_structs.append(PlaceDecided)
+PlaceDecided.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ticket', None, None, ),  # 1
+    (2, TType.STRUCT, 'place', [PlaceGiven, None], None, ),  # 2
+)
+all_structs.append(PlaceDecisions)
+PlaceDecisions.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'source', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'decided', (TType.STRUCT, [PlaceDecided, None], False), None, ),  # 2
+    (3, TType.LIST, 'unknown', (TType.I64, None, False), None, ),  # 3
 )
 all_structs.append(KeptUpstreams)
 KeptUpstreams.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -272,6 +272,12 @@
   14: double cost
   /** Upstreams to which this entry VM must not send now. */
   15: list<PauseInfo> pauses
+  /** Milliseconds since an entry VM first asked for its destination; absent if
+      the sender cannot wait for one. */
+  16: optional i32 waited_ms
+  /** Identifies its content; absent if the sender knows that the service is
+      not scheduled. */
+  17: optional binary fingerprint
 }
 
 /** The destination of a request: an upstream, an entry VM, or none. */
@@ -289,6 +295,35 @@
   9: i64 waiting_tokens
   10: optional EntryInfo entry
   11: double retry_after_ms
+  /** Identifies the request in the picker's queue, if it is queued. */
+  12: optional i64 ticket
+  /** True if requests to the service are queued. */
+  13: optional bool is_scheduled
+}
+
+/** From an entry VM to its region's picker: waits for a decision on any of its
+    queued requests. */
+struct PlaceWait {
+  1: string entry_name
+  2: LoadReport report
+  /** The picker's process that gave the tickets. */
+  3: string source
+  4: list<i64> tickets
+  /** Tickets of requests that ended or were cancelled. */
+  5: list<i64> withdrawn
+}
+
+struct PlaceDecided {
+  1: i64 ticket
+  2: PlaceGiven place
+}
+
+struct PlaceDecisions {
+  /** The picker's process. */
+  1: string source
+  2: list<PlaceDecided> decided
+  /** Tickets of the call that the picker does not know. */
+  3: list<i64> unknown
 }
 
 /** The table of upstreams that a control VM stores on its disk. */
