Decide only the tickets of the picker's own process

Cause: a restarted picker gives the same ticket numbers again. It answered a call for its predecessor's tickets with decisions on its own, which the entry VM would have applied to other requests.

Change: a call for another process's tickets is answered with all of them as unknown, and the entry VM asks again.

Measured: found by reading; test_a_restarted_picker_decides_no_other_request passes. It was not run against the earlier code.

--- a/godwitshunt/picking/queue_service.py
+++ b/godwitshunt/picking/queue_service.py
@@ -90,7 +90,10 @@
             self.registry.apply_report(entry, message.report)
         numbers = message.tickets or ()
         if message.source != self.registry.source:
-            return self.reply(entry, numbers)
+            # Another process gave these tickets; numbers here may be equal.
+            return encode(
+                ttypes.PlaceDecisions(self.registry.source, [], list(numbers))
+            )
         self.queue.heard[entry] = now_s
         self.withdraw(entry, message.withdrawn or (), now_s)
         if numbers and not self.queue.unknown(entry, numbers):
--- a/godwitshunt/picking/tests/test_queue_messages.py
+++ b/godwitshunt/picking/tests/test_queue_messages.py
@@ -260,3 +260,23 @@
     first.client.send_report()
     choices = await asyncio.gather(*tasks)
     assert not any(isinstance(choice, HandOver) for choice in choices)
+
+
+async def test_a_restarted_picker_decides_no_other_request():
+    """Tickets of two processes are equal; their requests are not."""
+    region, (first, second) = await start_region()
+    sent = await fill(first)
+    old = await ask_queued(region, second)
+    region.restart(1)
+    region.announce(1, engine('i-0'))
+    region.pickers[1].activate('test')
+    await region.settle(first, second)
+    first.client.send_report()
+    new = await ask_queued(region, second, fingerprint=b'new')
+    old.cancel()
+    with suppress(asyncio.CancelledError):
+        await old
+    first.end(*sent[0])
+    first.client.send_report()
+    assert isinstance(await asyncio.wait_for(new, 2.0), SendHere)
+    assert in_flight(region) <= MOST
