--- a/godwitshunt/picking/grant_exchange.py
+++ b/godwitshunt/picking/grant_exchange.py
@@ -1,13 +1,16 @@
 """Exchange of grants between the pickers of all regions."""
 
 from collections.abc import Callable
+from typing import Self
 
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.grants import Grant, GrantNews, RegionGrants
 from godwitshunt.picking.grant_gate import GrantGate
 from godwitshunt.picking.neighbours import Neighbours
+from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import RegistryService
 from godwitshunt.registry.views import ControlTable
+from godwitshunt.settings import SchedulingSettings
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Timer
 
@@ -52,6 +55,35 @@
         self.metrics = metrics
         self.issued_s = float('-inf')
 
+    @classmethod
+    def from_config(
+        cls,
+        registry: RegistryService,
+        neighbours: Neighbours,
+        upstreams: Upstreams,
+        scheduling: SchedulingSettings,
+        revision: Callable[[], Revision | None],
+        timer: Timer,
+        metrics: Metrics,
+    ) -> Self:
+        """Create the exchange of a picker that starts now.
+
+        Parameters
+        ----------
+        upstreams : Upstreams
+            The picker's statistics of the upstreams.
+        scheduling : SchedulingSettings
+            Services whose requests are handed over within grants only.
+        """
+        gate = GrantGate.from_config(
+            neighbours,
+            upstreams,
+            registry.source,
+            scheduling.applies_to,
+            timer.now(),
+        )
+        return cls(registry, gate, neighbours, revision, timer, metrics)
+
     @property
     def grants(self) -> RegionGrants:
         """The picker's grants."""
--- a/godwitshunt/picking/grant_gate.py
+++ b/godwitshunt/picking/grant_gate.py
@@ -22,7 +22,6 @@
 )
 from godwitshunt.manifest import Service
 from godwitshunt.picking.choices import (
-    MAX_REQUESTS_PER_SLOT,
     Choice,
     ChoiceRequest,
     HandOver,
@@ -55,9 +54,6 @@
         Grants to other regions and of other regions.
     is_scheduled : callable
         Returns whether a service is scheduled.
-    max_per_slot : float
-        Requests in flight that an upstream of a scheduled service gets, per
-        slot.
     links : dict
         Bytes that requests may carry to each other region.
     evacuated : collection of str
@@ -68,7 +64,6 @@
     upstreams: Upstreams
     grants: RegionGrants
     is_scheduled: Callable[[Service], bool] = field(default=never)
-    max_per_slot: float = MAX_REQUESTS_PER_SLOT
     links: dict[str, LinkBudget] = field(default_factory=dict)
     evacuated: Collection[str] = ()
 
@@ -147,7 +142,8 @@
             return True
         free = 0.0
         for upstream in self.own_upstreams(service, view, request.now_s):
-            limit = self.max_per_slot * upstream.announcement.slots
+            limit = request.max_per_slot * upstream.announcement.slots
+            limit += request.extra_in_flight
             free += max(0.0, limit - in_flight(upstream, view))
             if free > held:
                 return True
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -10,12 +10,12 @@
 No I/O: each call gets the time and the known state.
 """
 
-from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, replace
 from random import Random
 
 from godwitshunt.configuration.revision import Revision
-from godwitshunt.grants import GrantUse, Redemption
+from godwitshunt.grants import Redemption
 from godwitshunt.manifest import Route, Service
 from godwitshunt.organisations import AdmissionShare, LimitPool
 from godwitshunt.picking.choices import (
@@ -27,6 +27,11 @@
     SendHere,
 )
 from godwitshunt.picking.chooser import Chooser
+from godwitshunt.picking.destinations import (
+    Assignment,
+    DestinationRequest,
+    Unable,
+)
 from godwitshunt.picking.grant_gate import GrantGate
 from godwitshunt.picking.handover_loads import HandoverLoads
 from godwitshunt.picking.neighbours import Neighbours
@@ -51,92 +56,6 @@
     return False
 
 
-@dataclass(frozen=True)
-class DestinationRequest:
-    """A request of an entry VM for a destination.
-
-    Parameters
-    ----------
-    entry : str
-        The entry VM.
-    request : str
-        Identifier of the caller's request, for logs.
-    host, path_prefix : str
-        Identify the route.
-    service : str
-        The service, drawn by the weights of the route.
-    demand : Demand
-        Work that the request causes at an upstream. Its objective is taken
-        from the route.
-    remaining_s : float
-        Seconds to the deadline of the request.
-    excluded : frozenset of str
-        Incarnations, VMs and regions that failed this request.
-    local : bool
-        True if the request was handed over and must be served in this region.
-    organisation : str
-        The caller's organisation; empty if there is none.
-    cost : float
-        Units that the request uses of the organisation's limit.
-    pauses : mapping
-        Remaining seconds of the pauses that upstreams have asked the entry VM
-        for, by incarnation.
-    output_tokens : int
-        Maximum length of the answer that the request states; 0 for none.
-    grant : GrantUse or None
-        The grant by which it was handed over.
-    body_bytes : int
-        Bytes of its body, which a hand-over carries to another region.
-    """
-
-    entry: str
-    request: str
-    host: str
-    path_prefix: str
-    service: str
-    demand: Demand
-    remaining_s: float
-    excluded: frozenset[str] = frozenset()
-    local: bool = False
-    organisation: str = ''
-    cost: float = 0.0
-    pauses: Mapping[str, float] = field(default_factory=dict)
-    output_tokens: int = 0
-    grant: GrantUse | None = None
-    body_bytes: int = 0
-
-
-@dataclass(frozen=True)
-class Unable:
-    """The picker cannot choose; the entry VM chooses by itself.
-
-    Parameters
-    ----------
-    reason : str
-        For logs.
-    """
-
-    reason: str
-
-
-@dataclass(frozen=True)
-class Assignment:
-    """A choice and its number in the ledger.
-
-    Parameters
-    ----------
-    number : int
-        0 if no upstream of this region was assigned.
-    redemption : Redemption or None
-        Whether the grant that the request was handed over by is honoured;
-        None if there is none.
-    """
-
-    choice: Choice
-    number: int = 0
-    redemption: Redemption | None = None
-
-
 @dataclass(frozen=True)
 class PickingContext:
     """State that a picker uses for a choice.
@@ -245,14 +164,32 @@
         wait_s = self.limit_wait_s(query, context.admission_share, now_s)
         if wait_s:
             return Assignment(Limited(self.chooser.jitter(wait_s)))
-        self.handovers.remove_reported(now_s)
-        view = self.view_with_handovers(context.view)
         request = self.make_request(query, route, service, context, now_s)
         redemption = self.gate.redeem(query.grant, service, query.demand, now_s)
         if redemption is Redemption.honoured:
             request = replace(request, is_granted=True)
+        assignment = self.place(query, request, context)
+        if isinstance(assignment.choice, NoPlace):
+            self.gate.record(assignment.choice, request)
+        return replace(assignment, redemption=redemption)
+
+    def place(
+        self,
+        query: DestinationRequest,
+        request: ChoiceRequest,
+        context: PickingContext,
+    ) -> Assignment:
+        """Choose the destination of a request within limits; count it.
+
+        A request that waits is tried several times, so the caller records
+        that there is no destination.
+        """
+        now_s = request.now_s
+        self.handovers.remove_reported(now_s)
+        view = self.view_with_handovers(context.view)
         choice = self.chooser.choose(request, view, context.revision)
-        choice = self.gate.record(choice, request)
+        if not isinstance(choice, NoPlace):
+            choice = self.gate.record(choice, request)
         if isinstance(choice, SendHere):
             self.charge_cold(choice, request)
             self.upstreams.rate_limiter.spend(
@@ -261,8 +198,7 @@
         if not isinstance(choice, NoPlace):
             self.charge_limit(query, now_s)
         known = replace(query, demand=request.demand)
-        assignment = self.record_choice(known, service, choice, now_s)
-        return replace(assignment, redemption=redemption)
+        return self.record_choice(known, request.service, choice, now_s)
 
     def view_with_handovers(self, view: RegistryView) -> RegistryView:
         """Return a view whose loads include pending hand-overs.
--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -8,9 +8,14 @@
     HandOver,
     Limited,
     NoPlace,
+    Queued,
     SendHere,
 )
-from godwitshunt.picking.picker import Assignment, DestinationRequest, Unable
+from godwitshunt.picking.destinations import (
+    Assignment,
+    DestinationRequest,
+    Unable,
+)
 from godwitshunt.registry import UpstreamSeen
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.grant_wire import use_from_wire, use_to_wire
@@ -37,6 +42,7 @@
     overloaded = 4
     unable = 5
     limited = 6
+    queued = 7
 
 
 def query_to_wire(
@@ -67,6 +73,10 @@
         output_tokens=min(query.output_tokens, MAX_I32) or None,
         grant=use_to_wire(query.grant),
         body_bytes=query.body_bytes,
+        waited_ms=None
+        if query.waited_s is None
+        else int(query.waited_s * MILLISECONDS),
+        fingerprint=query.fingerprint or None,
     )
 
 
@@ -104,6 +114,10 @@
         output_tokens=max(0, message.output_tokens or 0),
         grant=use_from_wire(message.grant),
         body_bytes=message.body_bytes or 0,
+        waited_s=None
+        if message.waited_ms is None
+        else max(0, message.waited_ms) / MILLISECONDS,
+        fingerprint=message.fingerprint or b'',
     )
 
 
@@ -111,6 +125,8 @@
     assignment: Assignment | Unable,
     source: str,
     now_s: float,
+    *,
+    is_scheduled: bool = False,
 ) -> ttypes.PlaceGiven:
     """Convert an assignment to a thrift struct.
 
@@ -118,10 +134,16 @@
     ----------
     source : str
         The picker's process.
+    is_scheduled : bool
+        Whether requests to the service are queued.
     """
     if isinstance(assignment, Unable):
         return ttypes.PlaceGiven(kind=AssignmentKind.unable, source=source)
-    reply = ttypes.PlaceGiven(source=source, number=assignment.number)
+    reply = ttypes.PlaceGiven(
+        source=source,
+        number=assignment.number,
+        is_scheduled=is_scheduled or None,
+    )
     match assignment.choice:
         case SendHere() as choice:
             reply.kind = AssignmentKind.upstream
@@ -145,6 +167,9 @@
         case Limited(wait_s):
             reply.kind = AssignmentKind.limited
             reply.retry_after_ms = wait_s * MILLISECONDS
+        case Queued(ticket):
+            reply.kind = AssignmentKind.queued
+            reply.ticket = ticket
     return reply
 
 
@@ -152,7 +177,7 @@
     reply: ttypes.PlaceGiven,
     region: str,
     now_s: float,
-) -> Choice | None:
+) -> Choice | Queued | None:
     """Convert a thrift struct to a choice; None if the picker is unable.
 
     Parameters
@@ -175,7 +200,7 @@
     reply: ttypes.PlaceGiven,
     region: str,
     now_s: float,
-) -> Choice | None:
+) -> Choice | Queued | None:
     """Convert a thrift struct of any kind to a choice."""
     match AssignmentKind(reply.kind):
         case AssignmentKind.upstream:
@@ -210,6 +235,8 @@
             return None
         case AssignmentKind.limited:
             return Limited(reply.retry_after_ms / MILLISECONDS)
+        case AssignmentKind.queued:
+            return Queued(int(reply.ticket))
         case kind:
             overloaded = kind is AssignmentKind.overloaded
             wait_s = reply.retry_after_ms / MILLISECONDS
--- a/godwitshunt/programs/control_process.py
+++ b/godwitshunt/programs/control_process.py
@@ -94,6 +94,7 @@
             self.links,
             self.timer,
             self.metrics,
+            settings.scheduling,
         )
         self.healer = Healer(
             self.consensus,
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -3249,6 +3249,10 @@
     if it states none.
      - grant: The grant by which the request was handed over to this region.
      - body_bytes: Bytes of its body.
+     - waited_ms: Milliseconds since an entry VM first asked for its destination; absent if
+    the sender cannot wait for one.
+     - fingerprint: Identifies its content; absent if the sender knows that the service is
+    not scheduled.
 
     """
 
@@ -3268,13 +3272,15 @@
         'organisation',
         'cost',
         'pauses',
+        'waited_ms',
+        'fingerprint',
         'output_tokens',
         'grant',
         'body_bytes',
     )
 
 
-    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, output_tokens=None, grant=None, body_bytes=None,):
+    def __init__(self, entry_name=None, report=None, request_id=None, host=None, path_prefix=None, service_name=None, prompt_tokens=None, shared_tokens=None, shared_key=None, remaining_ms=None, excluded=None, local=None, organisation=None, cost=None, pauses=None, output_tokens=None, grant=None, body_bytes=None, waited_ms=None, fingerprint=None,):
         self.entry_name = entry_name
         self.report = report
         self.request_id = request_id
@@ -3293,6 +3299,8 @@
         self.output_tokens = output_tokens
         self.grant = grant
         self.body_bytes = body_bytes
+        self.waited_ms = waited_ms
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3406,6 +3414,16 @@
                     self.body_bytes = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.waited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3482,6 +3500,14 @@
                 iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waited_ms is not None:
+            oprot.writeFieldBegin('waited_ms', TType.I32, 16)
+            oprot.writeI32(self.waited_ms)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 17)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
         if self.output_tokens is not None:
             oprot.writeFieldBegin('output_tokens', TType.I32, 18)
             oprot.writeI32(self.output_tokens)
@@ -3538,6 +3564,8 @@
      - reserved_tokens: Tokens of the upstream's memory reserved for the request, without its
     shared prefix.
      - grant: The grant by which the request is handed over.
+     - ticket: Identifies the request in the picker's queue, if it is queued.
+     - is_scheduled: True if requests to the service are queued.
 
     """
 
@@ -3553,12 +3581,14 @@
         'waiting_tokens',
         'entry',
         'retry_after_ms',
+        'ticket',
+        'is_scheduled',
         'reserved_tokens',
         'grant',
     )
 
 
-    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None, reserved_tokens=None, grant=None,):
+    def __init__(self, kind=None, source=None, number=None, predicted_ms=None, upstream=None, is_cold=None, unread_tokens=None, is_kept=None, waiting_tokens=None, entry=None, retry_after_ms=None, reserved_tokens=None, grant=None, ticket=None, is_scheduled=None,):
         self.kind = kind
         self.source = source
         self.number = number
@@ -3572,6 +3602,8 @@
         self.retry_after_ms = retry_after_ms
         self.reserved_tokens = reserved_tokens
         self.grant = grant
+        self.ticket = ticket
+        self.is_scheduled = is_scheduled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3650,6 +3682,16 @@
                     self.grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.is_scheduled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3704,6 +3746,14 @@
             oprot.writeFieldBegin('retry_after_ms', TType.DOUBLE, 11)
             oprot.writeDouble(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 12)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        if self.is_scheduled is not None:
+            oprot.writeFieldBegin('is_scheduled', TType.BOOL, 13)
+            oprot.writeBool(self.is_scheduled)
+            oprot.writeFieldEnd()
         if self.reserved_tokens is not None:
             oprot.writeFieldBegin('reserved_tokens', TType.I64, 18)
             oprot.writeI64(self.reserved_tokens)
@@ -3737,6 +3787,332 @@
         return not (self == other)
 
 
+class PlaceWait(object):
+    """
+    From an entry VM to its region's picker: waits for a decision on any of its
+    queued requests.
+
+    Attributes:
+     - entry_name
+     - report
+     - source: The picker's process that gave the tickets.
+     - tickets
+     - withdrawn: Tickets of requests that ended or were cancelled.
+
+    """
+
+    __slots__ = (
+        'entry_name',
+        'report',
+        'source',
+        'tickets',
+        'withdrawn',
+    )
+
+
+    def __init__(self, entry_name=None, report=None, source=None, tickets=None, withdrawn=None,):
+        self.entry_name = entry_name
+        self.report = report
+        self.source = source
+        self.tickets = tickets
+        self.withdrawn = withdrawn
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.entry_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.report = LoadReport()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.tickets = []
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = iprot.readI64()
+                        self.tickets.append(_elem208)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.withdrawn = []
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = iprot.readI64()
+                        self.withdrawn.append(_elem214)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceWait')
+        if self.entry_name is not None:
+            oprot.writeFieldBegin('entry_name', TType.STRING, 1)
+            oprot.writeString(self.entry_name.encode('utf-8') if sys.version_info[0] == 2 else self.entry_name)
+            oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 2)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 3)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.tickets is not None:
+            oprot.writeFieldBegin('tickets', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.tickets))
+            for iter215 in self.tickets:
+                oprot.writeI64(iter215)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.withdrawn is not None:
+            oprot.writeFieldBegin('withdrawn', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.withdrawn))
+            for iter216 in self.withdrawn:
+                oprot.writeI64(iter216)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceDecided(object):
+    """
+    Attributes:
+     - ticket
+     - place
+
+    """
+
+    __slots__ = (
+        'ticket',
+        'place',
+    )
+
+
+    def __init__(self, ticket=None, place=None,):
+        self.ticket = ticket
+        self.place = place
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ticket = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.place = PlaceGiven()
+                    self.place.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceDecided')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.I64, 1)
+            oprot.writeI64(self.ticket)
+            oprot.writeFieldEnd()
+        if self.place is not None:
+            oprot.writeFieldBegin('place', TType.STRUCT, 2)
+            self.place.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceDecisions(object):
+    """
+    Attributes:
+     - source: The picker's process.
+     - decided
+     - unknown: Tickets of the call that the picker does not know.
+
+    """
+
+    __slots__ = (
+        'source',
+        'decided',
+        'unknown',
+    )
+
+
+    def __init__(self, source=None, decided=None, unknown=None,):
+        self.source = source
+        self.decided = decided
+        self.unknown = unknown
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.decided = []
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = PlaceDecided()
+                        _elem222.read(iprot)
+                        self.decided.append(_elem222)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.unknown = []
+                    (_etype226, _size223) = iprot.readListBegin()
+                    for _i227 in range(_size223):
+                        _elem228 = iprot.readI64()
+                        self.unknown.append(_elem228)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceDecisions')
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 1)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.decided is not None:
+            oprot.writeFieldBegin('decided', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.decided))
+            for iter229 in self.decided:
+                iter229.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unknown is not None:
+            oprot.writeFieldBegin('unknown', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.unknown))
+            for iter230 in self.unknown:
+                oprot.writeI64(iter230)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class KeptUpstreams(object):
     """
     The table of upstreams that a control VM stores on its disk.
@@ -3772,33 +4148,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = UpstreamInfo()
-                        _elem208.read(iprot)
-                        self.upstreams.append(_elem208)
+                    (_etype234, _size231) = iprot.readListBegin()
+                    for _i235 in range(_size231):
+                        _elem236 = UpstreamInfo()
+                        _elem236.read(iprot)
+                        self.upstreams.append(_elem236)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype212, _size209) = iprot.readListBegin()
-                    for _i213 in range(_size209):
-                        _elem214 = StartEnded()
-                        _elem214.read(iprot)
-                        self.gone.append(_elem214)
+                    (_etype240, _size237) = iprot.readListBegin()
+                    for _i241 in range(_size237):
+                        _elem242 = StartEnded()
+                        _elem242.read(iprot)
+                        self.gone.append(_elem242)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype218, _size215) = iprot.readListBegin()
-                    for _i219 in range(_size215):
-                        _elem220 = SuspectInfo()
-                        _elem220.read(iprot)
-                        self.suspects.append(_elem220)
+                    (_etype246, _size243) = iprot.readListBegin()
+                    for _i247 in range(_size243):
+                        _elem248 = SuspectInfo()
+                        _elem248.read(iprot)
+                        self.suspects.append(_elem248)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3815,22 +4191,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter221 in self.upstreams:
-                iter221.write(oprot)
+            for iter249 in self.upstreams:
+                iter249.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter222 in self.gone:
-                iter222.write(oprot)
+            for iter250 in self.gone:
+                iter250.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter223 in self.suspects:
-                iter223.write(oprot)
+            for iter251 in self.suspects:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4100,8 +4476,8 @@
     (13, TType.STRING, 'organisation', 'UTF8', None, ),  # 13
     (14, TType.DOUBLE, 'cost', None, None, ),  # 14
     (15, TType.LIST, 'pauses', (TType.STRUCT, [PauseInfo, None], False), None, ),  # 15
-    None,  # 16
-    None,  # 17
+    (16, TType.I32, 'waited_ms', None, None, ),  # 16
+    (17, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 17
     (18, TType.I32, 'output_tokens', None, None, ),  # 18
     None,  # 19
     (20, TType.STRUCT, 'grant', [GrantUseInfo, None], None, ),  # 20
@@ -4121,8 +4497,8 @@
     (9, TType.I64, 'waiting_tokens', None, None, ),  # 9
     (10, TType.STRUCT, 'entry', [EntryInfo, None], None, ),  # 10
     (11, TType.DOUBLE, 'retry_after_ms', None, None, ),  # 11
-    None,  # 12
-    None,  # 13
+    (12, TType.I64, 'ticket', None, None, ),  # 12
+    (13, TType.BOOL, 'is_scheduled', None, None, ),  # 13
     None,  # 14
     None,  # 15
     None,  # 16
@@ -4131,6 +4507,28 @@
     None,  # 19
     (20, TType.STRUCT, 'grant', [GrantUseInfo, None], None, ),  # 20
 )
+all_structs.append(PlaceWait)
+PlaceWait.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'entry_name', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'report', [LoadReport, None], None, ),  # 2
+    (3, TType.STRING, 'source', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'tickets', (TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'withdrawn', (TType.I64, None, False), None, ),  # 5
+)
+all_structs.append(PlaceDecided)
+PlaceDecided.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ticket', None, None, ),  # 1
+    (2, TType.STRUCT, 'place', [PlaceGiven, None], None, ),  # 2
+)
+all_structs.append(PlaceDecisions)
+PlaceDecisions.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'source', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'decided', (TType.STRUCT, [PlaceDecided, None], False), None, ),  # 2
+    (3, TType.LIST, 'unknown', (TType.I64, None, False), None, ),  # 3
+)
 all_structs.append(KeptUpstreams)
 KeptUpstreams.thrift_spec = (
     None,  # 0
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -347,6 +347,12 @@
   20: optional GrantUseInfo grant
   /** Bytes of its body. */
   21: optional i64 body_bytes
+  /** Milliseconds since an entry VM first asked for its destination; absent if
+      the sender cannot wait for one. */
+  16: optional i32 waited_ms
+  /** Identifies its content; absent if the sender knows that the service is
+      not scheduled. */
+  17: optional binary fingerprint
 }
 
 /** The destination of a request: an upstream, an entry VM, or none. */
@@ -369,6 +375,35 @@
   18: optional i64 reserved_tokens
   /** The grant by which the request is handed over. */
   20: optional GrantUseInfo grant
+  /** Identifies the request in the picker's queue, if it is queued. */
+  12: optional i64 ticket
+  /** True if requests to the service are queued. */
+  13: optional bool is_scheduled
+}
+
+/** From an entry VM to its region's picker: waits for a decision on any of its
+    queued requests. */
+struct PlaceWait {
+  1: string entry_name
+  2: LoadReport report
+  /** The picker's process that gave the tickets. */
+  3: string source
+  4: list<i64> tickets
+  /** Tickets of requests that ended or were cancelled. */
+  5: list<i64> withdrawn
+}
+
+struct PlaceDecided {
+  1: i64 ticket
+  2: PlaceGiven place
+}
+
+struct PlaceDecisions {
+  /** The picker's process. */
+  1: string source
+  2: list<PlaceDecided> decided
+  /** Tickets of the call that the picker does not know. */
+  3: list<i64> unknown
 }
 
 /** The table of upstreams that a control VM stores on its disk. */
