Refuse a request at once if all upstreams of its service are full

The refusal built a search and looked at regions and entry VMs first, although the groups of upstreams already show that none has room.

--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -109,6 +109,13 @@
         revision: Revision,
     ) -> Choice:
         """Return the destination of a request, or its refusal."""
+        service = self.index.of_service(view, request.service.name)
+        if not service.has_room(request):
+            return NoPlace(
+                overloaded=False,
+                retry_after_s=self.retry_wait_s(request, view),
+                exclusions=service.full_counts(),
+            )
         if late_key(request) in self.late_kinds:
             search = self.search(request, view, revision)
             late = self.late_choice(request, search)
@@ -292,13 +299,16 @@
     ) -> list[float]:
         """Return remaining backoffs after failed connections and refusals."""
         known = self.upstreams.health
-        ends = []
+        waits = []
         for record in records:
             health = known.get(record.name)
-            if health is not None:
-                ends.append(health.down_until_s)
-                ends.append(health.full_until_s)
-        return [end_s - now_s for end_s in ends if end_s > now_s]
+            if health is None:
+                continue
+            if health.down_until_s > now_s:
+                waits.append(health.down_until_s - now_s)
+            if health.full_until_s > now_s:
+                waits.append(health.full_until_s - now_s)
+        return waits
 
     def records(
         self, request: ChoiceRequest, view: RegistryView
--- a/godwitshunt/picking/load_index.py
+++ b/godwitshunt/picking/load_index.py
@@ -13,6 +13,8 @@
 from functools import cached_property
 from itertools import count
 
+from godwitshunt.picking.choices import ChoiceRequest
+from godwitshunt.picking.filters import is_full
 from godwitshunt.registry import Load, RegistryView, UpstreamSeen
 from godwitshunt.registry.ledger import SummedLoads
 from godwitshunt.registry.load_table import LoadTable
@@ -112,6 +114,22 @@
         for region in self.regions.values():
             yield from region.records
 
+    def has_room(self, request: ChoiceRequest) -> bool:
+        """Return whether some upstream of any region may have room.
+
+        If not, a request is refused before anything is ranked.
+        """
+        return not all(
+            is_full(group.emptiest, request) for group in self.groups.values()
+        )
+
+    def full_counts(self) -> tuple[str, ...]:
+        """Return for logs how many upstreams of each region are full."""
+        return tuple(
+            f'{len(known.records)} full@{region}'
+            for region, known in self.regions.items()
+        )
+
     def group_for(self, region: str, slots: int, in_flight: int) -> LoadGroup:
         """Return the group of upstreams with some load."""
         key = (region, slots, in_flight)
