--- a/godwitshunt/telemetry/output.py
+++ b/godwitshunt/telemetry/output.py
@@ -13,6 +13,9 @@
 # Each batch wakes the thread twice. With 0.1 s that was a seventh of an entry
 # VM's wake-ups at ten requests a second.
 FLUSH_INTERVAL_S = 0.25
+# Collectors read a pipe in pieces and may cut what was written at once and is
+# longer.
+MAX_WRITE_BYTES = 8 * 1024
 CLOSE_TIMEOUT_S = 0.3
 DROPPED_REPORT_INTERVAL_S = 10.0
 DROPPED_KIND = 'telemetry:lines_dropped'
@@ -105,7 +108,8 @@
         remaining = memoryview(batch)
         try:
             while remaining:
-                remaining = remaining[os.write(self.descriptor, remaining) :]
+                piece = remaining[:MAX_WRITE_BYTES]
+                remaining = remaining[os.write(self.descriptor, piece) :]
         except OSError:
             # The log output itself is closed, so the error cannot be logged.
             return False
