Leave capacity of engines with few slots for urgent requests

Cause: the bound of the wait at an engine was the same for all ranks. At a peak long prompts of a less urgent route filled every engine with up to a second of prefill, and a quarter of the urgent requests was refused or late.

Change: for services whose engines have at most `admission_max_slots` slots, requests that are not of the first rank are refused where they would wait for more than .3 of their objective. A request that only other regions may serve no longer blocks the queue or is refused without being tried there.

--- a/benchmarks/queue_load.py
+++ b/benchmarks/queue_load.py
@@ -31,6 +31,7 @@
 from godwitshunt.organisations import LimitPool
 from godwitshunt.picking.choices import SendHere
 from godwitshunt.picking.destinations import Assignment, DestinationRequest
+from godwitshunt.picking.grant_gate import GrantGate, never
 from godwitshunt.picking.handover_loads import HandoverLoads
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.picker import Picker, PickingContext, route_for
@@ -139,16 +140,20 @@
         }
         self.ledger = LoadLedger()
         self.upstreams = Upstreams()
+        neighbours = Neighbours('p', 'r')
         self.picker = Picker(
             region='r',
             upstreams=self.upstreams,
-            neighbours=Neighbours('p', 'r'),
+            neighbours=neighbours,
             ledger=self.ledger,
             prefixes=PrefixTable(),
             cold=ColdBudget(ColdBounds(1.0, 0.0), 0.0),
             handovers=HandoverLoads(lambda region: 0.0, lambda region: 0.0),
             random=Random(pattern.seed),
             limits=LimitPool(),
+            gate=GrantGate.from_config(
+                neighbours, self.upstreams, 'p', never, 0.0
+            ),
         )
         queue = RegionQueue(self.picker.random.uniform)
         self.scheduled = ScheduledPicker(self.picker, queue)
--- a/godwitshunt/picking/choices.py
+++ b/godwitshunt/picking/choices.py
@@ -17,6 +17,15 @@
 # events are on time under overload; with more requests they are late and
 # streams exceed their deadline.
 MAX_REQUESTS_PER_SLOT = 2.0
+# A request whose predicted wait for other requests exceeds this share of its
+# objective is refused at once: it would be late and delay those behind it. The
+# prefill time of its own prompt is added to the bound, since otherwise idle
+# engines would refuse the longest prompts.
+MAX_WAIT_SHARE = 0.8
+# The same for requests that are not urgent, where they leave capacity for those
+# that are. A long prompt that waits at an engine delays every urgent request
+# which arrives there meanwhile.
+LESS_URGENT_WAIT_SHARE = 0.3
 
 
 @dataclass(frozen=True)
@@ -47,6 +56,8 @@
         True if another region spent a grant of this one for the request.
     body_bytes : int
         Bytes of its body.
+    wait_share : float
+        Longest predicted wait for other requests, as a share of the objective.
     max_per_slot : float
         Requests in flight that an upstream gets, per slot.
     extra_in_flight : int
@@ -68,6 +79,7 @@
     sharing: frozenset[str] = frozenset()
     is_granted: bool = False
     body_bytes: int = 0
+    wait_share: float = MAX_WAIT_SHARE
     max_per_slot: float = MAX_REQUESTS_PER_SLOT
     extra_in_flight: int = 0
 
--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -48,11 +48,6 @@
 # An upstream that sends nothing for this long while requests wait may hang or
 # have lost power.
 UNRESPONSIVE_AFTER_S = 0.6
-# A request whose predicted wait for other requests exceeds this share of its
-# objective is refused at once: it would be late and delay those behind it. The
-# prefill time of its own prompt is added to the bound, since otherwise idle
-# engines would refuse the longest prompts.
-MAX_WAIT_SHARE = 0.8
 MIN_RETRY_S = 0.1
 # Retry delays for a pause that an upstream has asked for are longer by up to
 # this factor.
@@ -469,7 +464,7 @@
     prefill_s : float
         Prefill time of the prompt.
     """
-    limit_s = request.route.objective_s * MAX_WAIT_SHARE + prefill_s
+    limit_s = request.route.objective_s * request.wait_share + prefill_s
     return min(request.remaining_s, limit_s)
 
 
--- a/godwitshunt/picking/grant_exchange.py
+++ b/godwitshunt/picking/grant_exchange.py
@@ -79,7 +79,7 @@
             neighbours,
             upstreams,
             registry.source,
-            scheduling.applies_to,
+            scheduling.needs_grants,
             timer.now(),
         )
         return cls(registry, gate, neighbours, revision, timer, metrics)
--- a/godwitshunt/picking/picker.py
+++ b/godwitshunt/picking/picker.py
@@ -19,6 +19,8 @@
 from godwitshunt.manifest import Route, Service
 from godwitshunt.organisations import AdmissionShare, LimitPool
 from godwitshunt.picking.choices import (
+    LESS_URGENT_WAIT_SHARE,
+    MAX_WAIT_SHARE,
     Choice,
     ChoiceRequest,
     HandOver,
@@ -107,6 +109,9 @@
     is_memory_bound : callable
         Returns whether the engines of a service get no request beyond their
         memory.
+    reserves_urgent : callable
+        Returns whether less urgent requests to a service leave capacity for
+        urgent ones.
     """
 
     region: str
@@ -121,6 +126,7 @@
     gate: GrantGate
     cold_share: float = PRIMARY_COLD_SHARE
     is_memory_bound: Callable[[Service], bool] = never
+    reserves_urgent: Callable[[Service], bool] = never
 
     def __post_init__(self) -> None:
         self.chooser = Chooser(
@@ -267,8 +273,21 @@
             memory_bound=self.is_memory_bound(service),
             sharing=frozenset(self.ledger.sharing.get(demand.shared_key, ())),
             body_bytes=query.body_bytes,
+            wait_share=self.wait_share(route, service),
         )
 
+    def wait_share(self, route: Route, service: Service) -> float:
+        """Return the longest wait of a route's requests at an upstream.
+
+        Load that this answers: long prompts of a less urgent route and short
+        ones of an urgent route, more than a region's engines serve. With one
+        bound for both, long prompts filled each engine with a second of
+        prefill, and a quarter of the urgent requests was refused.
+        """
+        if route.rank and self.reserves_urgent(service):
+            return LESS_URGENT_WAIT_SHARE
+        return MAX_WAIT_SHARE
+
     def has_cold_capacity(
         self, upstream: UpstreamSeen, request: ChoiceRequest
     ) -> bool:
--- a/godwitshunt/picking/region_queue.py
+++ b/godwitshunt/picking/region_queue.py
@@ -61,6 +61,8 @@
     redemption : Redemption or None
         Whether the grant that it was handed over by is honoured; None if
         there is none.
+    is_home : bool
+        Whether this region may serve it.
     """
 
     query: DestinationRequest
@@ -72,6 +74,7 @@
     weight: float
     prior: Work
     redemption: Redemption | None = None
+    is_home: bool = True
 
     @property
     def is_granted(self) -> bool:
@@ -124,7 +127,7 @@
     spread : callable
         Returns a random number between its arguments.
     queues : dict
-        By service.
+        By service, and whether this region may serve the requests.
     tickets : dict
         Requests that wait, by number.
     decided : dict
@@ -134,7 +137,7 @@
     """
 
     spread: Callable[[float, float], float]
-    queues: dict[str, ServiceQueue] = field(default_factory=dict)
+    queues: dict[tuple[str, bool], ServiceQueue] = field(default_factory=dict)
     sizes: dict[tuple[str, str], SizeShares] = field(default_factory=dict)
     tickets: dict[int, Ticket] = field(default_factory=dict)
     decided: dict[str, dict[int, Ticket]] = field(default_factory=dict)
@@ -149,7 +152,9 @@
 
     def queue_of(self, arrival: Arrival) -> ServiceQueue:
         """Return the queue of a service."""
-        name = arrival.service.name
+        # What only other regions may serve must not block what waits for an
+        # upstream here.
+        name = (arrival.service.name, arrival.is_home)
         if name not in self.queues:
             self.queues[name] = ServiceQueue(StartRates(arrival.prior))
         return self.queues[name]
--- a/godwitshunt/picking/scheduled.py
+++ b/godwitshunt/picking/scheduled.py
@@ -86,8 +86,9 @@
         ticket = self.queue.make_ticket(arrival, now_s)
         if arrival.is_granted or self.queue.is_first(ticket):
             ticket.assignment = self.place(ticket, context, now_s)
-        if ticket.assignment is None:
-            ticket.assignment = self.place_elsewhere(ticket, context, now_s)
+        if ticket.assignment is None or is_refusal(ticket.assignment):
+            elsewhere = self.place_elsewhere(ticket, context, now_s)
+            ticket.assignment = elsewhere or ticket.assignment
         if ticket.assignment is None:
             request = self.make_request(ticket, context, now_s)
             self.picker.gate.record(NoPlace(True, 0.0), request)
@@ -159,7 +160,8 @@
         queue = self.queue.queue_of(ticket.arrival)
         wait_s = queue.forecast_s(ticket.request, now_s)
         is_waiting = ticket.request.ticket in self.queue.tickets
-        if not is_waiting and wait_s < MIN_REMOTE_WAIT_S:
+        may_wait_here = not is_waiting and ticket.arrival.is_home
+        if may_wait_here and wait_s < MIN_REMOTE_WAIT_S:
             return None
         request = self.make_request(ticket, context, now_s)
         own = frozenset(
@@ -259,6 +261,7 @@
                 max(1, len(upstreams)) * PREFILL_SHARE * speed.tokens_per_s,
             ),
             redemption,
+            is_home=not route.homes or self.picker.region in route.homes,
         )
 
     def is_cached(
@@ -354,7 +357,7 @@
         """Return whether an upstream here may have room later."""
         homes = request.route.homes
         if homes and self.picker.region not in homes:
-            return False
+            return not request.local
         return any(
             upstream.region == self.picker.region
             and upstream.announcement.incarnation not in request.excluded
@@ -409,6 +412,11 @@
         )
 
 
+def is_refusal(assignment: Assignment) -> bool:
+    """Return whether an assignment has no destination."""
+    return isinstance(assignment.choice, NoPlace)
+
+
 def extra_in_flight(slots: int) -> int:
     """Return the requests that an upstream gets beyond its slots.
 
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -131,7 +131,8 @@
             random=Random(),
             limits=LimitPool(),
             gate=self.grant_exchange.gate,
-            is_memory_bound=scheduling.applies_to,
+            is_memory_bound=scheduling.limits_admission,
+            reserves_urgent=scheduling.limits_admission,
         )
         self.limits = PickerLimits(
             self.picker.limits,
--- a/godwitshunt/picking/tests/test_region_queue.py
+++ b/godwitshunt/picking/tests/test_region_queue.py
@@ -108,7 +108,7 @@
     ticket, _ = admit(queue, arrival())
     limited = Assignment(Limited(1.0))
     assert queue.place_first(lambda _: limited, NOW_S) == [ticket]
-    usage = queue.queues['llm'].meter.usages['']
+    usage = queue.queues['llm', True].meter.usages['']
     assert not usage.started
 
 
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -189,22 +189,43 @@
 
 
 class SchedulingSettings(StrictModel):
-    """Services whose requests wait in a queue of their region.
+    """Rules for services whose engines have few slots.
+
+    One long prompt takes a large share of such an engine.
 
     Parameters
     ----------
+    admission_max_slots : int
+        Engines with at most this many slots get no request beyond their
+        memory, and their less urgent requests leave capacity for more urgent
+        ones; 0 for no engines.
     queue_max_slots : int
-        A service is scheduled if its engines have at most this many slots; 0
-        if no service is.
+        A service is scheduled, so that its requests wait in a queue of their
+        region, if its engines have at most this many slots; 0 if no service
+        is.
+    uses_grants : bool
+        Whether requests to scheduled services are handed over to other regions
+        only within capacity that these have granted.
     """
 
+    admission_max_slots: int = Field(default=0, ge=0)
     queue_max_slots: int = Field(default=0, ge=0)
+    uses_grants: bool = False
+
+    def limits_admission(self, service: Service) -> bool:
+        """Return whether engines of a service get limited work."""
+        engine = service.engine
+        return engine is not None and engine.slots <= self.admission_max_slots
 
     def applies_to(self, service: Service) -> bool:
         """Return whether the requests to a service are queued."""
         engine = service.engine
         return engine is not None and engine.slots <= self.queue_max_slots
 
+    def needs_grants(self, service: Service) -> bool:
+        """Return whether a service's requests are handed over by grants."""
+        return self.uses_grants and self.applies_to(service)
+
 
 class IngressSettings(NodeSettings):
     """Settings of ``godwitshunt-ingress``.
--- a/tests/platform_documents.py
+++ b/tests/platform_documents.py
@@ -69,7 +69,14 @@
 
 
 def boot_document(
-    host, zone, folder, *, control, bootstrap=True, seeds=CONTROL_HOSTS
+    host,
+    zone,
+    folder,
+    *,
+    control,
+    bootstrap=True,
+    seeds=CONTROL_HOSTS,
+    scheduling=None,
 ):
     """Return a settings file as the platform writes it."""
     listen = {
@@ -101,4 +108,5 @@
         },
         'limits': {'memory_mb': 200, 'cores': 0.516},
         'new_field': 'ignored',
+        **({} if scheduling is None else {'scheduling': scheduling}),
     }
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -39,6 +39,8 @@
         Program of the entry processes.
     network : str
         Beginning of all addresses. Worlds of one network run in turn.
+    scheduling : dict or None
+        Scheduling section of the settings files; None for no such section.
     """
 
     folder: Path
@@ -51,6 +53,7 @@
     control_hosts: tuple = CONTROL_HOSTS
     entry_zones: dict = field(default_factory=lambda: dict(ENTRY_ZONES))
     network: str = NETWORK
+    scheduling: dict | None = None
     entry_script: str = 'platform/entry.py'
 
     async def start(self):
@@ -94,6 +97,7 @@
             control=control,
             bootstrap=bootstrap,
             seeds=self.control_hosts,
+            scheduling=self.scheduling,
         )
         path.write_text(json.dumps(document))
         script = 'platform/control.py' if control else self.entry_script
--- a/tests/test_platform_queue.py
+++ b/tests/test_platform_queue.py
@@ -50,6 +50,7 @@
     def __init__(self, folder, hosts):
         super().__init__(folder, hosts)
         self.server_type = CountingServer
+        self.scheduling = {'admission_max_slots': 32, 'queue_max_slots': 32}
 
 
 @pytest_asyncio.fixture(scope='module', loop_scope='module')
