Round the remaining time of a pause up by less than a millisecond

Cause: a pause was sent as its whole milliseconds plus one. With a pause of exactly 3 s a refused caller was told up to 3.6012 s, beyond the 3.6 s that the largest spread allows; test_pauses failed so once (3.6005).

Change: the time is rounded up.

--- a/godwitshunt/picking/wire.py
+++ b/godwitshunt/picking/wire.py
@@ -1,6 +1,7 @@
 """Conversion between a picker's data classes and thrift structs."""
 
 from enum import IntEnum
+from math import ceil
 
 from godwitshunt.exceptions import FrameError
 from godwitshunt.picking.choices import (
@@ -67,7 +68,7 @@
         organisation=query.organisation or None,
         cost=query.cost,
         pauses=[
-            ttypes.PauseInfo(instance, int(remaining_s * MILLISECONDS) + 1)
+            ttypes.PauseInfo(instance, ceil(remaining_s * MILLISECONDS))
             for instance, remaining_s in query.pauses.items()
         ],
         output_tokens=min(query.output_tokens, MAX_I32) or None,
