--- a/godwitshunt/picking/client.py
+++ b/godwitshunt/picking/client.py
@@ -30,7 +30,7 @@
 PICKER_TIMEOUT_S = 0.06
 # Changes of this VM's requests are reported together, this long after the
 # first of them. Each question carries a whole report and replaces a scheduled
-# one. With 10 ms a VM sent one report for each request beside its questions.
+# one.
 REPORT_DELAY_S = 0.015
 # A request that the picker placed counts there from its assignment on, so its
 # start is reported later. The report must arrive before the assignment expires
--- a/godwitshunt/picking/region_queue.py
+++ b/godwitshunt/picking/region_queue.py
@@ -30,8 +30,7 @@
 # A decision that the entry VM does not collect returns its slot after this, and
 # a waiting request whose entry VM does not ask for decisions is removed.
 UNCOLLECTED_S = 0.2
-# Share of the objective for what the prediction at an engine misses. On model
-# engines, .25 and .35 gave no fewer late answers.
+# Share of the objective for what the prediction at an engine misses.
 MARGIN_SHARE = 0.15
 # Retry delay of refused requests. Callers repeat a request once, so the delay
 # is spread over this factor.
--- a/godwitshunt/picking/scheduled.py
+++ b/godwitshunt/picking/scheduled.py
@@ -35,8 +35,8 @@
 # least one. They cover the delay between an end and the next start.
 EXTRA_SHARE = 1 / 8
 # Longest wait for other prompts that an upstream is given, beside the wait for
-# the requests beyond its slots. On model engines at 1.5 times their capacity,
-# .02 s gave .86 of first events on time, and .06 s .78.
+# the requests beyond its slots. A longer wait delays first events that another
+# upstream would send earlier.
 ENGINE_WAIT_S = 0.02
 # A request that has less time left than this accepts any upstream that has its
 # first event ready in time.
--- a/godwitshunt/telemetry/output.py
+++ b/godwitshunt/telemetry/output.py
@@ -10,8 +10,7 @@
 
 from godwitshunt.telemetry.budget import LineBudget, LineLimits
 
-# Each batch wakes the thread twice. With 0.1 s that was a seventh of an entry
-# VM's wake-ups at ten requests a second.
+# Each batch wakes the thread twice.
 FLUSH_INTERVAL_S = 0.25
 # Collectors read a pipe in pieces and may cut what was written at once and is
 # longer.
--- a/godwitshunt/timer/event_loop.py
+++ b/godwitshunt/timer/event_loop.py
@@ -9,7 +9,7 @@
 
 # The default loop polls its sockets after each round of callbacks, also where
 # callbacks are ready and none of them waits for a socket: a task that wakes
-# another one costs a system call. Half of all polls of an entry VM were such.
+# another one costs a system call.
 # Sockets wait for at most this many rounds more.
 MAX_SKIPPED_POLLS = 3
 
