--- a/godwitshunt/exchange/tests/test_gathering.py
+++ b/godwitshunt/exchange/tests/test_gathering.py
@@ -87,7 +87,7 @@
     return pipe
 
 
-def told(pipe):
+def sent_events(pipe):
     """Return the numbers of the events in each send to the caller."""
     return [
         [int(part.split(b'\n')[0]) for part in send.split(b'id: ')[1:]]
@@ -99,7 +99,7 @@
     """A held first event would make every stream later."""
     pipe = start()
     pipe.take(event(1))
-    assert told(pipe) == [[1]]
+    assert sent_events(pipe) == [[1]]
     assert pipe.writer.channel.sends[0].startswith(b'HTTP/1.1 200')
 
 
@@ -108,9 +108,9 @@
     pipe = start()
     for number in (1, 2, 3, 4):
         pipe.take(event(number))
-    assert told(pipe) == [[1]]
+    assert sent_events(pipe) == [[1]]
     await asyncio.sleep(GATHER_S * 2)
-    assert told(pipe) == [[1], [2, 3, 4]]
+    assert sent_events(pipe) == [[1], [2, 3, 4]]
 
 
 async def test_an_event_sends_what_was_gathered_before_the_timer_does(
@@ -122,9 +122,9 @@
     pipe.take(event(1))
     pipe.take(event(2))
     await asyncio.sleep(GATHER_S * 1.1)
-    assert told(pipe) == [[1]]
+    assert sent_events(pipe) == [[1]]
     pipe.take(event(3))
-    assert told(pipe) == [[1], [2, 3]]
+    assert sent_events(pipe) == [[1], [2, 3]]
     assert pipe.sending is None
 
 
@@ -134,7 +134,7 @@
     pipe.take(event(1))
     await asyncio.sleep(GATHER_S * 1.5)
     pipe.take(event(2))
-    assert told(pipe) == [[1], [2]]
+    assert sent_events(pipe) == [[1], [2]]
 
 
 async def test_the_end_does_not_wait_and_shares_its_send():
@@ -145,7 +145,7 @@
     pipe.take(event(3, b'0\r\n\r\n'))
     assert pipe.done.result() is None
     await pipe.writer.finish()
-    assert told(pipe) == [[1], [2, 3]]
+    assert sent_events(pipe) == [[1], [2, 3]]
     assert pipe.writer.channel.sends[-1].endswith(b'0\r\n\r\n')
 
 
@@ -166,7 +166,7 @@
     pipe.call.channel.ended = True
     pipe.take(b'')
     assert pipe.done.result()
-    assert told(pipe) == [[1], [2]]
+    assert sent_events(pipe) == [[1], [2]]
 
 
 @pytest.mark.parametrize('is_cancelled', [True, False])
@@ -180,7 +180,7 @@
     if is_cancelled:
         pipe.done.cancel()
     pipe.close()
-    assert told(pipe) == [[1], [2]]
+    assert sent_events(pipe) == [[1], [2]]
 
 
 async def test_a_last_event_goes_out_where_its_end_is_not_sent():
@@ -190,7 +190,7 @@
     pipe.take(event(2, b'0\r\n\r\n'))
     pipe.close()
     pipe.writer.break_off()
-    assert told(pipe) == [[1], [2]]
+    assert sent_events(pipe) == [[1], [2]]
     assert not pipe.writer.channel.sends[-1].endswith(b'0\r\n\r\n')
 
 
@@ -200,4 +200,4 @@
     pipe.take(event(1))
     pipe.take(event(2) * 1000)
     assert len(pipe.gathered) < 1000
-    assert len(told(pipe)) == 2
+    assert len(sent_events(pipe)) == 2
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -120,7 +120,7 @@
             head = await self.next_head(silence_s)
         check_answer(head, request)
         self.idle_limit_s = told_idle_limit_s(head.headers)
-        self.pool.record_heard(self.place)
+        self.pool.record_received(self.place)
         return head
 
     async def next_head(self, silence_s: float | None) -> AnswerHead:
@@ -378,7 +378,7 @@
         age_s = acknowledged_s(socket)
         return age_s is not None and age_s < LIVE_ACKNOWLEDGED_S
 
-    def record_heard(self, place: Place) -> None:
+    def record_received(self, place: Place) -> None:
         """Record that an answer began."""
         self.heard_s[place] = asyncio.get_running_loop().time()
 
--- a/godwitshunt/grants/region.py
+++ b/godwitshunt/grants/region.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(frozen=True)
-class HeardNews:
+class ReceivedNews:
     """The last news of another picker.
 
     Parameters
@@ -82,7 +82,7 @@
         Returns the one-way network delay to a region.
     reporters : int
         Entry VMs that query this picker now.
-    heard : dict
+    received : dict
         Last news of each other picker, by its control VM.
     meters : dict
         Demand for each scheduled service.
@@ -98,7 +98,7 @@
     holder: GrantHolder
     one_way_s: Callable[[str], float]
     reporters: int = 0
-    heard: dict[str, HeardNews] = field(default_factory=dict)
+    received: dict[str, ReceivedNews] = field(default_factory=dict)
     meters: dict[str, DemandMeter] = field(default_factory=dict)
     bound: dict[str, DemandMeter] = field(default_factory=dict)
     unmet: dict[str, Capacity] = field(default_factory=dict)
@@ -169,7 +169,7 @@
             self.issuer.started_s = now_s + NEWS_TTL_S
         self.reporters = count
 
-    def hear(
+    def receive(
         self,
         control: str,
         region: str,
@@ -189,9 +189,9 @@
             The news is at least as recent as this. It may have come over
             several paths, so older news may follow newer ones.
         """
-        known = self.heard.get(control)
+        known = self.received.get(control)
         if known is None or asof_s > known.asof_s:
-            self.heard[control] = HeardNews(region, news, asof_s)
+            self.received[control] = ReceivedNews(region, news, asof_s)
         self.holder.expire(now_s)
         pickers = self.active_pickers(now_s)
         latest_s = now_s + GRANT_TTL_S
@@ -217,7 +217,7 @@
             sorted(
                 {
                     heard.region
-                    for heard in self.heard.values()
+                    for heard in self.received.values()
                     if heard.news.reporters
                     and now_s - heard.asof_s <= NEWS_TTL_S
                 }
@@ -233,7 +233,7 @@
         """
         others = {
             control
-            for control, heard in self.heard.items()
+            for control, heard in self.received.items()
             if heard.region == self.region
             and (heard.news.reporters or now_s - heard.asof_s > NEWS_TTL_S)
         }
@@ -297,7 +297,7 @@
     ) -> dict[str, int]:
         """Return the slots that the pickers of each region demand."""
         demanded = dict.fromkeys(regions, 0)
-        for heard in self.heard.values():
+        for heard in self.received.values():
             if now_s - heard.asof_s > NEWS_TTL_S:
                 continue
             for demand in heard.news.demands:
@@ -323,7 +323,7 @@
         return sum(
             (
                 grant.capacity
-                for heard in self.heard.values()
+                for heard in self.received.values()
                 if heard.region == self.region
                 for grant in heard.news.grants
                 if grant.service == service and now_s < grant.expires_s
--- a/godwitshunt/grants/tests/regions.py
+++ b/godwitshunt/grants/tests/regions.py
@@ -335,11 +335,11 @@
             is_lost = self.random.random() < self.loss
             if not is_lost and not self.is_cut(name, other, now_s):
                 tell = partial(
-                    self.grants[other].hear, own.own, name, news, now_s
+                    self.grants[other].receive, own.own, name, news, now_s
                 )
-                self.simulation.after(ONE_WAY_S, partial(self.told, tell))
+                self.simulation.after(ONE_WAY_S, partial(self.deliver, tell))
 
-    def told(self, tell: Callable[[float], object]) -> None:
+    def deliver(self, tell: Callable[[float], object]) -> None:
         """Deliver news."""
         tell(self.now_s)
 
--- a/godwitshunt/grants/tests/test_promises.py
+++ b/godwitshunt/grants/tests/test_promises.py
@@ -122,7 +122,7 @@
         for other, region in PICKERS.items():
             if other != name and region == PICKERS[name]:
                 news = self.pickers[other].make_news({}, now_s)
-                self.pickers[name].hear(other, region, news, now_s, now_s)
+                self.pickers[name].receive(other, region, news, now_s, now_s)
 
     @rule(name=pickers, count=st.integers(0, 2))
     def move_entries(self, name: str, count: int) -> None:
@@ -142,7 +142,7 @@
         message = self.messages[-1 - position % len(self.messages)]
         if PICKERS[message.control] != PICKERS[name]:
             now_s = self.state.now_s
-            self.pickers[name].hear(
+            self.pickers[name].receive(
                 message.control,
                 PICKERS[message.control],
                 message.news,
--- a/godwitshunt/picking/grant_exchange.py
+++ b/godwitshunt/picking/grant_exchange.py
@@ -92,7 +92,7 @@
     def start(self) -> None:
         """Send and receive grants from now on."""
         self.registry.make_grants = self.make_news
-        self.registry.tables.on_grants = self.hear
+        self.registry.tables.on_grants = self.receive
 
     def make_news(self, now_s: float) -> GrantNews | None:
         """Return the grants and the demand of this picker.
@@ -157,10 +157,10 @@
                 kind='expired',
             )
 
-    def hear(self, control: str, table: ControlTable) -> None:
+    def receive(self, control: str, table: ControlTable) -> None:
         """Receive another picker's grants and demand."""
         now_s = self.timer.now()
-        received = self.grants.hear(
+        received = self.grants.receive(
             control, table.region, table.grants, table.grants_asof_s, now_s
         )
         self.count(received, 'received')
--- a/godwitshunt/picking/queue_service.py
+++ b/godwitshunt/picking/queue_service.py
@@ -100,7 +100,7 @@
             return encode(
                 ttypes.PlaceDecisions(self.registry.source, [], list(numbers))
             )
-        self.queue.heard[entry] = now_s
+        self.queue.last_calls[entry] = now_s
         self.withdraw(entry, message.withdrawn or (), now_s)
         if numbers and not self.queue.unknown(entry, numbers):
             await self.park(entry)
@@ -182,7 +182,7 @@
         self.is_ticking = False
         now_s = self.timer.now()
         context = self.make_context(now_s)
-        for abandoned in self.queue.remove_unheard(now_s):
+        for abandoned in self.queue.remove_silent(now_s):
             self.scheduled.release(abandoned)
             self.log('picking:withdrawn', abandoned, now_s, is_silent=True)
         if context is not None:
--- a/godwitshunt/picking/region_queue.py
+++ b/godwitshunt/picking/region_queue.py
@@ -131,7 +131,7 @@
         Requests that wait, by number.
     decided : dict
         Requests whose decision was not collected, by entry VM and number.
-    heard : dict
+    last_calls : dict
         When each entry VM last asked for decisions.
     """
 
@@ -140,7 +140,7 @@
     sizes: dict[tuple[str, str], SizeShares] = field(default_factory=dict)
     tickets: dict[int, Ticket] = field(default_factory=dict)
     decided: dict[str, dict[int, Ticket]] = field(default_factory=dict)
-    heard: dict[str, float] = field(default_factory=dict)
+    last_calls: dict[str, float] = field(default_factory=dict)
     refused: RefusedRequests = field(default_factory=RefusedRequests)
     numbers: count = field(default_factory=lambda: count(1))
 
@@ -183,7 +183,7 @@
         if not query.waited_s:
             sizes.record_arrival(query.demand.prompt_tokens, now_s)
         self.queue_of(arrival).record_arrival(request, now_s)
-        self.heard[query.entry] = now_s
+        self.last_calls[query.entry] = now_s
         return Ticket(request, arrival, now_s)
 
     def is_first(self, ticket: Ticket) -> bool:
@@ -323,18 +323,18 @@
                 removed.append(ticket)
         return removed
 
-    def remove_unheard(self, now_s: float) -> list[Ticket]:
+    def remove_silent(self, now_s: float) -> list[Ticket]:
         """Remove the requests of entry VMs that do not ask for decisions."""
         oldest_s = now_s - UNCOLLECTED_S
-        self.heard = {
-            entry: heard_s
-            for entry, heard_s in self.heard.items()
-            if heard_s >= oldest_s
+        self.last_calls = {
+            entry: called_s
+            for entry, called_s in self.last_calls.items()
+            if called_s >= oldest_s
         }
         removed = [
             ticket
             for ticket in self.tickets.values()
-            if ticket.entry not in self.heard
+            if ticket.entry not in self.last_calls
         ]
         removed.extend(
             ticket
--- a/godwitshunt/picking/tests/test_region_queue.py
+++ b/godwitshunt/picking/tests/test_region_queue.py
@@ -116,8 +116,8 @@
     """It was lost; its requests would take slots that nobody uses."""
     queue = make_queue()
     ticket, _ = admit(queue, arrival())
-    assert not queue.remove_unheard(NOW_S + UNCOLLECTED_S / 2)
-    assert queue.remove_unheard(NOW_S + 2 * UNCOLLECTED_S) == [ticket]
+    assert not queue.remove_silent(NOW_S + UNCOLLECTED_S / 2)
+    assert queue.remove_silent(NOW_S + 2 * UNCOLLECTED_S) == [ticket]
     assert not queue.waiting
 
 
