Keep other regions reachable when their upstreams break answers

What callers saw: requests of a region that must be served in another one were refused at once, 503 "no attempt was made", for up to a second after two answers there had been broken off.

Cause: a forwarded request that was lost made the sender avoid the entry VM that it had asked for 1 s, whoever lost it. A VM that reports the loss of its upstream, or breaks off an answer that has started, works. After losses by two VMs of a region no destination was left there.

Evidence: `ingress:request_ended` of the refused requests: choices "no upstream of none: 2 unreachable@north", no attempts; before each series two attempts "north/...: Lost". Refuted: no capacity (the region's own VMs were served in the same seconds) and lost contact to control (control_age_s 0.07 to 0.6).

Fix: a VM is avoided after a failed connection, a loss without the head of an answer, or silence within a stream. One that terminated within a stream refuses the next connection. New lines tell why a VM or a region is avoided.

The new test failed before (3 of 6 cases). A stub in test_grants got an id, which the new lines name.

test_process_memory_at_the_bound failed once beside four test runs and is listed; it is not caused by this change as far as its log shows (it uses no forwarding).

--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -103,6 +103,8 @@
     is_forward : bool
         True where the request goes to another entry VM, which may itself refuse
         it.
+    answer_started : bool
+        True where the head of an answer was received.
     closed_by_peer : bool
         True where the other side had closed or reset the connection when the
         attempt ended.
@@ -121,6 +123,7 @@
     is_forward: bool = False
     misdirected: bool = False
     connected: bool = False
+    answer_started: bool = False
     closed_by_peer: bool = False
     call: UpstreamCall | None = None
     last_bytes_s: float = field(default=0.0)
@@ -160,6 +163,7 @@
         await self.call.send(self.outgoing)
         self.on_stage(Stage.sent)
         head = await self.call.head(self.outgoing, self.timeouts.first_s)
+        self.answer_started = True
         self.on_activity()
         self.on_stage(Stage.answer_started)
         if head.status != MISDIRECTED:
@@ -193,7 +197,7 @@
                 arrived=ARRIVED_HEADER in fields,
                 is_final=QUARANTINED_HEADER in fields,
             )
-        return Lost(reason)
+        return Lost(reason, is_reported=True)
 
     async def receive_success(
         self,
--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -191,8 +191,16 @@
                 entry.hop,
                 took_s,
             )
-        if not attempt.connected or isinstance(outcome, Lost):
+        if has_vm_failed(attempt, outcome):
             neighbours.avoid(entry.name, now_s + AVOID_VM_S)
+            log_change(
+                'ingress:vm_avoided',
+                request=self.request.id,
+                vm=entry.name,
+                region=entry.region,
+                avoid_s=AVOID_VM_S,
+                reason=outcome.reason,
+            )
             return entry.name
         if isinstance(outcome, NotRun):
             if choice.grant is not None:
@@ -200,10 +208,33 @@
             if not outcome.arrived and NO_ATTEMPT in outcome.reason:
                 key = f'{entry.region} {self.request.service.name}'
                 neighbours.avoid(key, now_s + AVOID_REGION_S)
+                log_change(
+                    'ingress:region_avoided',
+                    request=self.request.id,
+                    vm=entry.name,
+                    region=entry.region,
+                    service=self.request.service.name,
+                    avoid_s=AVOID_REGION_S,
+                    reason=outcome.reason,
+                )
             return entry.region
         return None
 
 
+def has_vm_failed(attempt: Attempt, outcome: AttemptOutcome) -> bool:
+    """Tell whether a forwarded attempt shows that the other VM is unusable.
+
+    A VM that reports a loss, or breaks off an answer that has started, does so
+    because its upstream failed. If it terminated instead, the next connection
+    to it is refused.
+    """
+    if not attempt.connected:
+        return True
+    if not isinstance(outcome, Lost) or outcome.is_reported:
+        return False
+    return not (attempt.answer_started and attempt.closed_by_peer)
+
+
 def target_incarnation(choice: SendHere | HandOver) -> str:
     """Return the incarnation of the process that a request is sent to.
 
--- a/godwitshunt/ingress/outcomes.py
+++ b/godwitshunt/ingress/outcomes.py
@@ -33,9 +33,18 @@
 
 @dataclass(frozen=True)
 class Lost:
-    """No whole answer was received, and the request may have run."""
+    """No whole answer was received, and the request may have run.
+
+    Parameters
+    ----------
+    reason : str
+        For logs and metrics.
+    is_reported : bool
+        True where another VM answered that the request was lost there.
+    """
 
     reason: str
+    is_reported: bool = False
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/ingress/tests/test_feedback.py
+++ b/godwitshunt/ingress/tests/test_feedback.py
@@ -8,6 +8,8 @@
 from godwitshunt.ingress.outcomes import Lost, NotRun, Streamed
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
 from godwitshunt.picking.attempt_reports import AttemptReport, AttemptResult
+from godwitshunt.picking.choices import HandOver
+from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import Load, RegistryView
 from godwitshunt.routing.upstream_health import UpstreamHealth
@@ -139,3 +141,49 @@
     completed = CompletedAttempt(chosen, attempt, Streamed(), 0.06, 0.5)
     AttemptFeedback(context, request).report_upstream(completed)
     assert [report.was_held_up for report in reports] == [had_to_wait]
+
+
+def attempt_state(*, answer_started, closed_by_peer):
+    """Return what an attempt shows of a VM that was connected to."""
+    return SimpleNamespace(
+        connected=True,
+        answer_started=answer_started,
+        closed_by_peer=closed_by_peer,
+    )
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'answer_started', 'closed_by_peer', 'is_avoided'),
+    [
+        (Lost('vm: status 500', is_reported=True), True, False, False),
+        (Lost('vm: reset', is_reported=True), True, True, False),
+        (Lost('incomplete chunked read'), True, True, False),
+        (Lost('ended before an answer'), False, True, True),
+        (Lost('no sign of life'), False, False, True),
+        (Lost('silent within a stream'), True, False, True),
+    ],
+)
+def test_upstream_that_breaks_answers_closes_no_region(
+    outcome, answer_started, closed_by_peer, is_avoided
+):
+    """Two broken answers of an upstream made its whole region unreachable."""
+    neighbours = Neighbours('e-1', 'tvm')
+    context = SimpleNamespace(
+        timer=SimpleNamespace(now=lambda: 1.0),
+        neighbours=neighbours,
+        crash_detector=SimpleNamespace(record_loss=lambda *lost: None),
+    )
+    request = SimpleNamespace(id='r-1', service=SimpleNamespace(name='llm'))
+    entry = SimpleNamespace(
+        name='e-2', region='kochi', session='s', hop='127.0.0.1:1'
+    )
+    excluded = AttemptFeedback(context, request).report_vm(
+        HandOver(entry, 0.1),
+        attempt_state(
+            answer_started=answer_started, closed_by_peer=closed_by_peer
+        ),
+        outcome,
+        0.1,
+    )
+    assert (excluded == 'e-2') is is_avoided
+    assert bool(neighbours.avoided_for('llm', 1.5)) is is_avoided
--- a/godwitshunt/picking/tests/test_grants.py
+++ b/godwitshunt/picking/tests/test_grants.py
@@ -255,7 +255,7 @@
         choice = HandOver(choice.entry, choice.predicted_s)
     neighbours = Neighbours('e-100', 'kochi')
     context = SimpleNamespace(timer=region.timer, neighbours=neighbours)
-    request = SimpleNamespace(service=SimpleNamespace(name='llm'))
+    request = SimpleNamespace(id='r-1', service=SimpleNamespace(name='llm'))
     feedback = AttemptFeedback(context, request)
     excluded = feedback.report_vm(choice, ATTEMPT, NotRun(NO_ATTEMPT), 0.1)
     avoided = neighbours.avoided_for('llm', region.timer.now())
