--- a/godwitshunt/backpressure/departures.py
+++ b/godwitshunt/backpressure/departures.py
@@ -14,6 +14,13 @@
 
     An incarnation that is leaving never accepts requests again.
 
+    Parameters
+    ----------
+    stated_s : dict
+        When each departure was recorded, in monotonic seconds.
+    absent : set of str
+        Those of upstreams that were not present at the last update.
+
     Examples
     --------
     >>> departures = DepartureTable()
@@ -24,12 +31,20 @@
     """
 
     stated_s: dict[str, float] = field(default_factory=dict)
+    absent: set[str] = field(default_factory=set)
 
     def __contains__(self, incarnation: object) -> bool:
         return incarnation in self.stated_s
 
-    def __iter__(self) -> Iterator[str]:
-        return iter(self.stated_s)
+    def present(self) -> Iterator[str]:
+        """Yield the upstreams that are leaving and still present.
+
+        Only these are sent to other processes. Two processes that sent each
+        other the absent ones would never remove them.
+        """
+        for incarnation in self.stated_s:
+            if incarnation not in self.absent:
+                yield incarnation
 
     def record(self, incarnation: str, now_s: float) -> bool:
         """Record a departure; return whether it was unknown."""
@@ -46,6 +61,7 @@
 
     def remove_absent(self, present: Container[str], now_s: float) -> None:
         """Remove older departures of upstreams that are not present."""
+        self.absent = {name for name in self.stated_s if name not in present}
         for incarnation, stated_s in tuple(self.stated_s.items()):
             is_old = now_s - stated_s > RETENTION_S
             if is_old and incarnation not in present:
--- a/godwitshunt/peer/link.py
+++ b/godwitshunt/peer/link.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import ssl
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -89,11 +89,22 @@
     When the connection breaks, pending calls that were written to it fail
     with `OutcomeUnknown`, since the peer may have acted on them. Calls that
     were not yet written fail with `NotSent`.
+
+    Parameters
+    ----------
+    on_pushed : callable
+        Called with each message from the peer that is not a reply.
     """
 
-    def __init__(self, address: Address, options: PeerOptions) -> None:
+    def __init__(
+        self,
+        address: Address,
+        options: PeerOptions,
+        on_pushed: Callable[[Envelope], None],
+    ) -> None:
         self.address = address
         self.options = options
+        self.on_pushed = on_pushed
         self.outbox: asyncio.Queue[Envelope] = asyncio.Queue(OUTBOX_FRAMES)
         self.pending: dict[int, asyncio.Future[bytes]] = {}
         self.written: set[int] = set()
@@ -331,6 +342,9 @@
             self.last_received_s = loop.time()
             self.unanswered_since_s = None
             envelope = decode(Envelope, body)
+            if not envelope.reply:
+                self.on_pushed(envelope)
+                continue
             # A reply to a call that timed out is dropped; call ids are never
             # reused on a link.
             reply = self.pending.get(envelope.call)
--- a/godwitshunt/peer/links.py
+++ b/godwitshunt/peer/links.py
@@ -1,8 +1,9 @@
 """Peer links of one process, and the handlers of received messages."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
+from functools import partial
 from typing import Self
 
 from result import Result
@@ -20,6 +21,8 @@
 # A peer pings its open links, so an incoming connection without data for this
 # long has failed without a reset and would otherwise stay open indefinitely.
 INBOUND_IDLE_TIMEOUT_S = 10.0
+# Nothing is pushed to a peer that has left this much unread.
+MAX_UNREAD_BYTES = 64 * 1024
 
 PeerHandler = Callable[[str, bytes], Awaitable[bytes | None]]
 
@@ -42,6 +45,8 @@
         self.handlers: dict[int, PeerHandler] = {}
         self.links: dict[Address, Link] = {}
         self.inbound: set[asyncio.Task[None]] = set()
+        # Incoming connections by the authenticated name of the peer.
+        self.writers: dict[str, asyncio.StreamWriter] = {}
         self.server: asyncio.Server | None = None
 
     @classmethod
@@ -100,11 +105,37 @@
         if not self.link(address).enqueue(envelope):
             self.metrics.count('peer_messages_dropped_total')
 
+    def push(self, peer: str, kind: MessageKind, body: bytes) -> bool:
+        """Send a message over the connection that a peer has opened.
+
+        Returns
+        -------
+        bool
+            False if the peer has none, or does not read from it.
+        """
+        writer = self.writers.get(peer)
+        if writer is None or writer.transport.is_closing():
+            return False
+        if writer.transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
+            self.metrics.count('peer_messages_dropped_total')
+            return False
+        envelope = Envelope(kind=kind, call=0, reply=False, body=body)
+        writer.write(frame(encode(envelope)))
+        return True
+
+    def receive_pushed(self, address: Address, envelope: Envelope) -> None:
+        """Handle a message that a peer pushed over a link of this process."""
+        if envelope.call:
+            self.metrics.count('peer_messages_unhandled_total')
+            return
+        self.spawn(self.handle_message(None, str(address), envelope))
+
     def link(self, address: Address) -> Link:
         """Return the link to a peer, created at first use."""
         link = self.links.get(address)
         if link is None:
-            link = Link(address, self.options)
+            on_pushed = partial(self.receive_pushed, address)
+            link = Link(address, self.options, on_pushed)
             link.start()
             self.links[address] = link
         return link
@@ -119,8 +150,11 @@
         If this were a coroutine function, asyncio's server would own the task
         and log a traceback for each connection that `close` cancels.
         """
-        serving = self.serve_connection(reader, writer)
-        task = asyncio.get_running_loop().create_task(serving)
+        self.spawn(self.serve_connection(reader, writer))
+
+    def spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        """Run a coroutine in a task that `close` cancels."""
+        task = asyncio.get_running_loop().create_task(coroutine)
         self.inbound.add(task)
         task.add_done_callback(self.inbound.discard)
 
@@ -154,6 +188,7 @@
                 self.options.key,
                 self.options.name,
             )
+        self.writers[sender] = writer
         async with asyncio.TaskGroup() as group:
             try:
                 await self.dispatch_messages(reader, writer, sender, group)
@@ -161,6 +196,10 @@
                 self.metrics.count('peer_connections_ended_total')
             except FrameError:
                 self.metrics.count('peer_frames_malformed_total')
+            finally:
+                # A later connection of the peer may have replaced this one.
+                if self.writers.get(sender) is writer:
+                    self.writers.pop(sender)
 
     async def dispatch_messages(
         self,
@@ -178,11 +217,17 @@
 
     async def handle_message(
         self,
-        writer: asyncio.StreamWriter,
+        writer: asyncio.StreamWriter | None,
         sender: str,
         envelope: Envelope,
     ) -> None:
-        """Run the handler of one message and send its reply."""
+        """Run the handler of one message and send its reply.
+
+        Parameters
+        ----------
+        writer : StreamWriter or None
+            Where the reply is sent; None for a message without a reply.
+        """
         handler = self.handlers.get(envelope.kind)
         if handler is None:
             self.metrics.count('peer_messages_unhandled_total')
@@ -204,7 +249,7 @@
                 fault=repr(error),
             )
             return
-        if reply is None or not envelope.call:
+        if reply is None or writer is None or not envelope.call:
             return
         reply_envelope = Envelope(
             kind=envelope.kind,
--- a/godwitshunt/peer/messages.py
+++ b/godwitshunt/peer/messages.py
@@ -22,6 +22,7 @@
     place_ask = 311
     load_report = 312
     place_wait = 313
+    upstream_notices = 314
     claim_request = 400
     claim_finish = 401
     claim_release = 402
--- a/godwitshunt/peer/tests/test_links.py
+++ b/godwitshunt/peer/tests/test_links.py
@@ -356,3 +356,33 @@
         first.notify(address, KIND, b'x')
         await asyncio.sleep(0.1)
         assert pings
+
+
+async def test_message_is_pushed_over_a_connection_of_the_peer():
+    """A peer that only asks cannot be told anything in between."""
+    pushed = asyncio.Queue()
+
+    async def reply(sender: str, body: bytes) -> bytes:
+        return body
+
+    async def receive(sender: str, body: bytes) -> None:
+        await pushed.put((sender, body))
+
+    async with started_links('a') as asker, started_links('b') as server:
+        server.subscribe(KIND, reply)
+        asker.subscribe(MessageKind.load_report, receive)
+        assert not server.push('a', MessageKind.load_report, b'early')
+        address = server.options.listen
+        await asker.call(address, KIND, b'', 5)
+        assert server.push('a', MessageKind.load_report, b'news')
+        received = await asyncio.wait_for(pushed.get(), 5)
+        assert received == (str(address), b'news')
+        after = await asker.call(address, KIND, b'still', 5)
+        assert after.ok_value == b'still'
+        await asker.links.pop(address).close()
+        # The server reads the end of the connection a little later.
+        for _ in range(200):
+            if not server.push('a', MessageKind.load_report, b'late'):
+                break
+            await asyncio.sleep(0.01)
+        assert not server.push('a', MessageKind.load_report, b'late')
--- a/godwitshunt/picking/client.py
+++ b/godwitshunt/picking/client.py
@@ -11,6 +11,7 @@
 from godwitshunt.picking.destinations import DestinationRequest
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.reports import ReportBuilder
+from godwitshunt.picking.upstream_notices import NoticeReceiver
 from godwitshunt.picking.waiting import WaitingRequests
 from godwitshunt.picking.wire import (
     AssignmentKind,
@@ -81,6 +82,14 @@
         self.waiting = WaitingRequests(
             neighbours.name, reports, links, self.record_silent, metrics
         )
+        self.notices = NoticeReceiver(reports.upstreams, timer.now)
+
+    def start(self) -> None:
+        """Receive what upstreams have stated to other entry VMs."""
+        self.links.subscribe(
+            MessageKind.upstream_notices, self.notices.handle_pushed
+        )
+        self.watch.on_notices = self.notices.apply
 
     async def request_destination(
         self, query: DestinationRequest
--- a/godwitshunt/picking/reports.py
+++ b/godwitshunt/picking/reports.py
@@ -106,7 +106,7 @@
         load_report.rate_limits = rate_limits_to_wire(
             self.upstreams.rate_limiter.table.limited(), now_s
         )
-        load_report.leaving = sorted(self.upstreams.departures)
+        load_report.leaving = sorted(self.upstreams.departures.present())
         load_report.admitted = admitted_to_wire(self.limits.admitted)
         load_report.prefixes = prefixes_to_wire(
             self.prefixes.since(self.prefixes_version_sent),
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -1,19 +1,16 @@
 """Picker service of a control VM: answers queries of the entry VMs."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import partial
 from random import Random
 from typing import Self
 
-from godwitshunt.backpressure import RateLimitNotice, picker_share
+from godwitshunt.backpressure import picker_share
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.organisations import LimitPool
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
-from godwitshunt.picking.attempt_reports import (
-    AttemptReport,
-    attempts_from_wire,
-)
+from godwitshunt.picking.attempt_reports import attempts_from_wire
 from godwitshunt.picking.choices import (
     HandOver,
     Limited,
@@ -39,9 +36,9 @@
 )
 from godwitshunt.picking.queue_service import QueueService
 from godwitshunt.picking.routes import RouteTable
+from godwitshunt.picking.upstream_notices import NoticeCollector
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.picking.wire import assignment_to_wire, query_from_wire
-from godwitshunt.picking.wire_limits import rate_limits_from_wire
 from godwitshunt.registry import RegistryService
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.ledger import Report
@@ -140,6 +137,10 @@
             bounds.limit_allowance,
         )
         registry.admitted = self.picker.limits.admitted
+        self.notices = NoticeCollector(
+            upstreams, lambda: tuple(registry.ledger.entries), links, metrics
+        )
+        registry.make_notices = self.notices.make_notices
         self.scheduling = scheduling
         self.queue = QueueService(
             registry, self.picker, self.make_context, timer, metrics
@@ -267,8 +268,7 @@
         now_s = self.timer.now()
         self.limits.apply_vm_report(report.session, load_report.admitted, now_s)
         attempts = attempts_from_wire(load_report.shown)
-        self.record_rate_limits(load_report, attempts, now_s)
-        self.record_departures(load_report, now_s)
+        self.notices.apply_report(name, load_report, attempts, now_s)
         revision = self.revision()
         for attempt in attempts:
             service = revision and service_of(revision, attempt.service)
@@ -276,42 +276,6 @@
                 self.attempt_recorder.record(attempt, service, now_s)
         self.queue.record_report(name, report)
 
-    def record_rate_limits(
-        self,
-        load_report: ttypes.LoadReport,
-        attempts: Iterable[AttemptReport],
-        now_s: float,
-    ) -> None:
-        """Update the rate limits of upstreams from an entry VM's report.
-
-        A report contains all limits that are in force at the entry VM. So an
-        upstream that has answered it and is not among them stated no limit.
-        """
-        notices = rate_limits_from_wire(load_report.rate_limits, now_s)
-        limited = {notice.incarnation for notice in notices}
-        notices.extend(
-            RateLimitNotice(attempt.instance, None, now_s - attempt.took_s)
-            for attempt in attempts
-            if attempt.is_answer and attempt.instance not in limited
-        )
-        table = self.picker.upstreams.rate_limiter.table
-        for notice in notices:
-            if table.record(notice):
-                log_change(
-                    'picking:upstream_rate_limit',
-                    instance=notice.incarnation,
-                    per_s=notice.per_s,
-                    age_s=round(now_s - notice.asof_s, 3),
-                )
-
-    def record_departures(
-        self, load_report: ttypes.LoadReport, now_s: float
-    ) -> None:
-        """Record the upstreams that an entry VM reports as leaving."""
-        departures = self.picker.upstreams.departures
-        for instance in departures.record_all(load_report.leaving or (), now_s):
-            log_change('picking:upstream_leaving', instance=instance)
-
     def record_waits(self, name: str, report: Report) -> None:
         """Record how long an entry VM has waited for each upstream."""
         before = self.reported_instances.get(name, frozenset())
--- a/godwitshunt/picking/tests/region.py
+++ b/godwitshunt/picking/tests/region.py
@@ -196,6 +196,7 @@
             self.timer,
             Metrics(),
         )
+        client.start()
         return Entry(watch, reports, client)
 
     async def settle(self, *entries: Entry) -> None:
--- /dev/null
+++ b/godwitshunt/picking/upstream_notices.py
@@ -0,0 +1,164 @@
+"""What upstreams state to one entry VM, passed on to all of a region.
+
+An entry VM reports to its picker what upstreams have stated in answers. The
+picker pushes what is new to the other entry VMs that report to it, and repeats
+all of it in its replies to their polls. So a VM that chooses without a picker
+knows what its picker knew.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+
+from godwitshunt.backpressure import RateLimitNotice
+from godwitshunt.exceptions import FrameError
+from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
+from godwitshunt.picking.attempt_reports import AttemptReport
+from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.picking.wire_limits import rate_limits_from_wire
+from godwitshunt.registry.gen.wire import ttypes
+from godwitshunt.telemetry import Metrics, log_change
+
+
+class NoticeCollector:
+    """Collects notices from entry VMs' reports and passes them on.
+
+    Parameters
+    ----------
+    upstreams : Upstreams
+        What the picker knows of the upstreams.
+    entries : callable
+        Returns the names of the entry VMs that report to the picker.
+    links : PeerLinks
+        Connections from the entry VMs.
+    metrics : Metrics
+        Counts pushes.
+    """
+
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        entries: Callable[[], Collection[str]],
+        links: PeerLinks,
+        metrics: Metrics,
+    ) -> None:
+        self.upstreams = upstreams
+        self.entries = entries
+        self.links = links
+        self.metrics = metrics
+
+    def apply_report(
+        self,
+        name: str,
+        load_report: ttypes.LoadReport,
+        attempts: Iterable[AttemptReport],
+        now_s: float,
+    ) -> None:
+        """Record what upstreams have stated to an entry VM.
+
+        Parameters
+        ----------
+        name : str
+            The entry VM.
+        attempts : iterable of AttemptReport
+            The attempts in its report.
+        """
+        self.record_rate_limits(load_report, attempts, now_s)
+        self.record_departures(name, load_report, now_s)
+
+    def record_rate_limits(
+        self,
+        load_report: ttypes.LoadReport,
+        attempts: Iterable[AttemptReport],
+        now_s: float,
+    ) -> None:
+        """Update the rate limits of upstreams from an entry VM's report.
+
+        A report contains all limits that are in force at the entry VM. So an
+        upstream that has answered it and is not among them stated no limit.
+        """
+        notices = rate_limits_from_wire(load_report.rate_limits, now_s)
+        limited = {notice.incarnation for notice in notices}
+        notices.extend(
+            RateLimitNotice(attempt.instance, None, now_s - attempt.took_s)
+            for attempt in attempts
+            if attempt.is_answer and attempt.instance not in limited
+        )
+        table = self.upstreams.rate_limiter.table
+        for notice in notices:
+            if table.record(notice):
+                log_change(
+                    'picking:upstream_rate_limit',
+                    instance=notice.incarnation,
+                    per_s=notice.per_s,
+                    age_s=round(now_s - notice.asof_s, 3),
+                )
+
+    def record_departures(
+        self, name: str, load_report: ttypes.LoadReport, now_s: float
+    ) -> None:
+        """Record the upstreams that an entry VM reports as leaving."""
+        departures = self.upstreams.departures
+        new = departures.record_all(load_report.leaving or (), now_s)
+        for instance in new:
+            log_change(
+                'picking:upstream_leaving', instance=instance, source=name
+            )
+        if new:
+            self.push_departures(new, name)
+
+    def push_departures(
+        self, incarnations: Collection[str], reporter: str
+    ) -> None:
+        """Push departures to all entry VMs but the one that reported them."""
+        body = encode(ttypes.UpstreamNotices(sorted(incarnations)))
+        for entry in self.entries():
+            if entry == reporter:
+                continue
+            is_sent = self.links.push(entry, MessageKind.upstream_notices, body)
+            self.metrics.count(
+                'picking_notices_pushed_total',
+                outcome='sent' if is_sent else 'unsent',
+            )
+
+    def make_notices(self) -> ttypes.UpstreamNotices | None:
+        """Return all notices as a struct; None if there are none."""
+        leaving = sorted(self.upstreams.departures.present())
+        return ttypes.UpstreamNotices(leaving) if leaving else None
+
+
+class NoticeReceiver:
+    """Applies the notices that an entry VM receives.
+
+    Parameters
+    ----------
+    upstreams : Upstreams
+        What the entry VM knows of the upstreams.
+    now : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, upstreams: Upstreams, now: Callable[[], float]) -> None:
+        self.upstreams = upstreams
+        self.now = now
+
+    async def handle_pushed(self, control: str, body: bytes) -> None:
+        """Apply pushed notices.
+
+        Raises
+        ------
+        FrameError
+            If the message is malformed.
+        """
+        notices = decode(ttypes.UpstreamNotices, body)
+        if notices.leaving is None:
+            raise FrameError('UpstreamNotices: a field is missing')
+        self.apply(control, notices)
+
+    def apply(self, control: str, notices: ttypes.UpstreamNotices) -> None:
+        """Record notices; log those that are new."""
+        departures = self.upstreams.departures
+        for instance in departures.record_all(
+            notices.leaving or (), self.now()
+        ):
+            log_change(
+                'picking:upstream_leaving', instance=instance, source=control
+            )
--- a/godwitshunt/programs/ingress_process.py
+++ b/godwitshunt/programs/ingress_process.py
@@ -162,6 +162,7 @@
         self.configuration.subscribe(self.tell_control)
         await start_listening(self.links.start, 'peer', self.settings.peer)
         self.configuration.start()
+        self.picker.start()
         self.watch.start()
         await start_listening(self.ingress.start, 'http', self.settings.http)
         # What lives as long as the process is not searched again at each
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -1523,6 +1523,84 @@
         return not (self == other)
 
 
+class UpstreamNotices(object):
+    """
+    What upstreams have stated in answers to any entry VM.
+
+    Attributes:
+     - leaving: Incarnations that are leaving.
+
+    """
+
+    __slots__ = (
+        'leaving',
+    )
+
+
+    def __init__(self, leaving=None,):
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamNotices')
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.leaving))
+            for iter27 in self.leaving:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     All requests of an entry VM; a report with a higher number replaces it.
@@ -1588,11 +1666,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = UpstreamLoad()
-                        _elem26.read(iprot)
-                        self.loads.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = UpstreamLoad()
+                        _elem33.read(iprot)
+                        self.loads.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1614,65 +1692,65 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.shown = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = AttemptShown()
-                        _elem32.read(iprot)
-                        self.shown.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = AttemptShown()
+                        _elem39.read(iprot)
+                        self.shown.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = PrefixInfo()
-                        _elem38.read(iprot)
-                        self.prefixes.append(_elem38)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = PrefixInfo()
+                        _elem45.read(iprot)
+                        self.prefixes.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = AdmittedUnits()
-                        _elem44.read(iprot)
-                        self.admitted.append(_elem44)
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = AdmittedUnits()
+                        _elem51.read(iprot)
+                        self.admitted.append(_elem51)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype48, _size45) = iprot.readListBegin()
-                    for _i49 in range(_size45):
-                        _elem50 = SuspectInfo()
-                        _elem50.read(iprot)
-                        self.suspects.append(_elem50)
+                    (_etype55, _size52) = iprot.readListBegin()
+                    for _i56 in range(_size52):
+                        _elem57 = SuspectInfo()
+                        _elem57.read(iprot)
+                        self.suspects.append(_elem57)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = RateLimitInfo()
-                        _elem56.read(iprot)
-                        self.rate_limits.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = RateLimitInfo()
+                        _elem63.read(iprot)
+                        self.rate_limits.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem62)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1693,8 +1771,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter63 in self.loads:
-                iter63.write(oprot)
+            for iter70 in self.loads:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1708,15 +1786,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter64 in self.shown:
-                iter64.write(oprot)
+            for iter71 in self.shown:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter65 in self.prefixes:
-                iter65.write(oprot)
+            for iter72 in self.prefixes:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1726,29 +1804,29 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter66 in self.admitted:
-                iter66.write(oprot)
+            for iter73 in self.admitted:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter67 in self.suspects:
-                iter67.write(oprot)
+            for iter74 in self.suspects:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter68 in self.rate_limits:
-                iter68.write(oprot)
+            for iter75 in self.rate_limits:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter69 in self.leaving:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.leaving:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1938,11 +2016,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = TableHeld()
-                        _elem75.read(iprot)
-                        self.held.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = TableHeld()
+                        _elem82.read(iprot)
+                        self.held.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1955,11 +2033,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = PrefixInfo()
-                        _elem81.read(iprot)
-                        self.prefixes.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = PrefixInfo()
+                        _elem88.read(iprot)
+                        self.prefixes.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1986,22 +2064,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype85, _size82) = iprot.readListBegin()
-                    for _i86 in range(_size82):
-                        _elem87 = TableNews()
-                        _elem87.read(iprot)
-                        self.newer.append(_elem87)
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = TableNews()
+                        _elem94.read(iprot)
+                        self.newer.append(_elem94)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = SuspectInfo()
-                        _elem93.read(iprot)
-                        self.suspects.append(_elem93)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = SuspectInfo()
+                        _elem100.read(iprot)
+                        self.suspects.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2027,8 +2105,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter94 in self.held:
-                iter94.write(oprot)
+            for iter101 in self.held:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -2038,8 +2116,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter95 in self.prefixes:
-                iter95.write(oprot)
+            for iter102 in self.prefixes:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2061,15 +2139,15 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter96 in self.newer:
-                iter96.write(oprot)
+            for iter103 in self.newer:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter97 in self.suspects:
-                iter97.write(oprot)
+            for iter104 in self.suspects:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2445,22 +2523,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = GrantInfo()
-                        _elem103.read(iprot)
-                        self.grants.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = GrantInfo()
+                        _elem110.read(iprot)
+                        self.grants.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = DemandInfo()
-                        _elem109.read(iprot)
-                        self.demands.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = DemandInfo()
+                        _elem116.read(iprot)
+                        self.demands.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2472,11 +2550,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.round_trips = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = RoundTripInfo()
-                        _elem115.read(iprot)
-                        self.round_trips.append(_elem115)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = RoundTripInfo()
+                        _elem122.read(iprot)
+                        self.round_trips.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2493,15 +2571,15 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter116 in self.grants:
-                iter116.write(oprot)
+            for iter123 in self.grants:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter117 in self.demands:
-                iter117.write(oprot)
+            for iter124 in self.demands:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reporters is not None:
@@ -2511,8 +2589,8 @@
         if self.round_trips is not None:
             oprot.writeFieldBegin('round_trips', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.round_trips))
-            for iter118 in self.round_trips:
-                iter118.write(oprot)
+            for iter125 in self.round_trips:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2736,43 +2814,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = UpstreamInfo()
-                        _elem124.read(iprot)
-                        self.upstreams.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = UpstreamInfo()
+                        _elem131.read(iprot)
+                        self.upstreams.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = StartEnded()
-                        _elem130.read(iprot)
-                        self.gone.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = StartEnded()
+                        _elem137.read(iprot)
+                        self.gone.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = EntryInfo()
-                        _elem136.read(iprot)
-                        self.entries.append(_elem136)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = EntryInfo()
+                        _elem143.read(iprot)
+                        self.entries.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem142)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2784,22 +2862,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = UpstreamLoad()
-                        _elem148.read(iprot)
-                        self.loads.append(_elem148)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = UpstreamLoad()
+                        _elem155.read(iprot)
+                        self.loads.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = AdmittedUnits()
-                        _elem154.read(iprot)
-                        self.admitted.append(_elem154)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = AdmittedUnits()
+                        _elem161.read(iprot)
+                        self.admitted.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2846,29 +2924,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter155 in self.upstreams:
-                iter155.write(oprot)
+            for iter162 in self.upstreams:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter156 in self.gone:
-                iter156.write(oprot)
+            for iter163 in self.gone:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter157 in self.entries:
-                iter157.write(oprot)
+            for iter164 in self.entries:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter158 in self.gone_entries:
-                oprot.writeString(iter158.encode('utf-8') if sys.version_info[0] == 2 else iter158)
+            for iter165 in self.gone_entries:
+                oprot.writeString(iter165.encode('utf-8') if sys.version_info[0] == 2 else iter165)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -2878,15 +2956,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter159 in self.loads:
-                iter159.write(oprot)
+            for iter166 in self.loads:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter160 in self.admitted:
-                iter160.write(oprot)
+            for iter167 in self.admitted:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
@@ -2933,6 +3011,7 @@
      - suspects_version
      - wants_grants: True if grants of another control VM are wanted that does not answer here:
     some entry VMs poll it for them and send them at once.
+     - notices: What upstreams have stated to entry VMs; absent for nothing.
 
     """
 
@@ -2948,10 +3027,11 @@
         'suspects',
         'suspects_version',
         'wants_grants',
+        'notices',
     )
 
 
-    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None, region=None, misses_tables=None, suspects=None, suspects_version=None, wants_grants=None,):
+    def __init__(self, source=None, tables=None, loads=None, prefixes=None, prefixes_version=None, gives_places=None, region=None, misses_tables=None, suspects=None, suspects_version=None, wants_grants=None, notices=None,):
         self.source = source
         self.tables = tables
         self.loads = loads
@@ -2963,6 +3043,7 @@
         self.suspects = suspects
         self.suspects_version = suspects_version
         self.wants_grants = wants_grants
+        self.notices = notices
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2981,33 +3062,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = TableNews()
-                        _elem166.read(iprot)
-                        self.tables.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = TableNews()
+                        _elem173.read(iprot)
+                        self.tables.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = UpstreamLoad()
-                        _elem172.read(iprot)
-                        self.loads.append(_elem172)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = UpstreamLoad()
+                        _elem179.read(iprot)
+                        self.loads.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = PrefixInfo()
-                        _elem178.read(iprot)
-                        self.prefixes.append(_elem178)
+                    (_etype183, _size180) = iprot.readListBegin()
+                    for _i184 in range(_size180):
+                        _elem185 = PrefixInfo()
+                        _elem185.read(iprot)
+                        self.prefixes.append(_elem185)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3034,11 +3115,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype182, _size179) = iprot.readListBegin()
-                    for _i183 in range(_size179):
-                        _elem184 = SuspectInfo()
-                        _elem184.read(iprot)
-                        self.suspects.append(_elem184)
+                    (_etype189, _size186) = iprot.readListBegin()
+                    for _i190 in range(_size186):
+                        _elem191 = SuspectInfo()
+                        _elem191.read(iprot)
+                        self.suspects.append(_elem191)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3052,6 +3133,12 @@
                     self.wants_grants = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.notices = UpstreamNotices()
+                    self.notices.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3065,22 +3152,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter185 in self.tables:
-                iter185.write(oprot)
+            for iter192 in self.tables:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter186 in self.loads:
-                iter186.write(oprot)
+            for iter193 in self.loads:
+                iter193.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter187 in self.prefixes:
-                iter187.write(oprot)
+            for iter194 in self.prefixes:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -3106,8 +3193,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter188 in self.suspects:
-                iter188.write(oprot)
+            for iter195 in self.suspects:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -3118,6 +3205,10 @@
             oprot.writeFieldBegin('wants_grants', TType.BOOL, 11)
             oprot.writeBool(self.wants_grants)
             oprot.writeFieldEnd()
+        if self.notices is not None:
+            oprot.writeFieldBegin('notices', TType.STRUCT, 12)
+            self.notices.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3365,10 +3456,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem194)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3390,11 +3481,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype198, _size195) = iprot.readListBegin()
-                    for _i199 in range(_size195):
-                        _elem200 = PauseInfo()
-                        _elem200.read(iprot)
-                        self.pauses.append(_elem200)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = PauseInfo()
+                        _elem207.read(iprot)
+                        self.pauses.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3477,8 +3568,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter201 in self.excluded:
-                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
+            for iter208 in self.excluded:
+                oprot.writeString(iter208.encode('utf-8') if sys.version_info[0] == 2 else iter208)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -3496,8 +3587,8 @@
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter202 in self.pauses:
-                iter202.write(oprot)
+            for iter209 in self.pauses:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waited_ms is not None:
@@ -3845,20 +3936,20 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = iprot.readI64()
-                        self.tickets.append(_elem208)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = iprot.readI64()
+                        self.tickets.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype212, _size209) = iprot.readListBegin()
-                    for _i213 in range(_size209):
-                        _elem214 = iprot.readI64()
-                        self.withdrawn.append(_elem214)
+                    (_etype219, _size216) = iprot.readListBegin()
+                    for _i220 in range(_size216):
+                        _elem221 = iprot.readI64()
+                        self.withdrawn.append(_elem221)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3887,15 +3978,15 @@
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.tickets))
-            for iter215 in self.tickets:
-                oprot.writeI64(iter215)
+            for iter222 in self.tickets:
+                oprot.writeI64(iter222)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 5)
             oprot.writeListBegin(TType.I64, len(self.withdrawn))
-            for iter216 in self.withdrawn:
-                oprot.writeI64(iter216)
+            for iter223 in self.withdrawn:
+                oprot.writeI64(iter223)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4042,21 +4133,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.decided = []
-                    (_etype220, _size217) = iprot.readListBegin()
-                    for _i221 in range(_size217):
-                        _elem222 = PlaceDecided()
-                        _elem222.read(iprot)
-                        self.decided.append(_elem222)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = PlaceDecided()
+                        _elem229.read(iprot)
+                        self.decided.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.unknown = []
-                    (_etype226, _size223) = iprot.readListBegin()
-                    for _i227 in range(_size223):
-                        _elem228 = iprot.readI64()
-                        self.unknown.append(_elem228)
+                    (_etype233, _size230) = iprot.readListBegin()
+                    for _i234 in range(_size230):
+                        _elem235 = iprot.readI64()
+                        self.unknown.append(_elem235)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4077,15 +4168,15 @@
         if self.decided is not None:
             oprot.writeFieldBegin('decided', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.decided))
-            for iter229 in self.decided:
-                iter229.write(oprot)
+            for iter236 in self.decided:
+                iter236.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unknown is not None:
             oprot.writeFieldBegin('unknown', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.unknown))
-            for iter230 in self.unknown:
-                oprot.writeI64(iter230)
+            for iter237 in self.unknown:
+                oprot.writeI64(iter237)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4148,33 +4239,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype234, _size231) = iprot.readListBegin()
-                    for _i235 in range(_size231):
-                        _elem236 = UpstreamInfo()
-                        _elem236.read(iprot)
-                        self.upstreams.append(_elem236)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = UpstreamInfo()
+                        _elem243.read(iprot)
+                        self.upstreams.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype240, _size237) = iprot.readListBegin()
-                    for _i241 in range(_size237):
-                        _elem242 = StartEnded()
-                        _elem242.read(iprot)
-                        self.gone.append(_elem242)
+                    (_etype247, _size244) = iprot.readListBegin()
+                    for _i248 in range(_size244):
+                        _elem249 = StartEnded()
+                        _elem249.read(iprot)
+                        self.gone.append(_elem249)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype246, _size243) = iprot.readListBegin()
-                    for _i247 in range(_size243):
-                        _elem248 = SuspectInfo()
-                        _elem248.read(iprot)
-                        self.suspects.append(_elem248)
+                    (_etype253, _size250) = iprot.readListBegin()
+                    for _i254 in range(_size250):
+                        _elem255 = SuspectInfo()
+                        _elem255.read(iprot)
+                        self.suspects.append(_elem255)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4191,22 +4282,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter249 in self.upstreams:
-                iter249.write(oprot)
+            for iter256 in self.upstreams:
+                iter256.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter250 in self.gone:
-                iter250.write(oprot)
+            for iter257 in self.gone:
+                iter257.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter251 in self.suspects:
-                iter251.write(oprot)
+            for iter258 in self.suspects:
+                iter258.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4344,6 +4435,11 @@
     (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(UpstreamNotices)
+UpstreamNotices.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -4451,6 +4547,7 @@
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 9
     (10, TType.I64, 'suspects_version', None, None, ),  # 10
     (11, TType.BOOL, 'wants_grants', None, None, ),  # 11
+    (12, TType.STRUCT, 'notices', [UpstreamNotices, None], None, ),  # 12
 )
 all_structs.append(PauseInfo)
 PauseInfo.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -148,6 +148,12 @@
   3: i64 age_ms
 }
 
+/** What upstreams have stated in answers to any entry VM. */
+struct UpstreamNotices {
+  /** Incarnations that are leaving. */
+  1: list<string> leaving
+}
+
 /** All requests of an entry VM; a report with a higher number replaces it. */
 struct LoadReport {
   /** Rises with each report of the entry VM's process. */
@@ -307,6 +313,8 @@
   /** True if grants of another control VM are wanted that does not answer here:
       some entry VMs poll it for them and send them at once. */
   11: optional bool wants_grants
+  /** What upstreams have stated to entry VMs; absent for nothing. */
+  12: optional UpstreamNotices notices
 }
 
 /** A pause that an upstream has asked an entry VM for. */
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -127,6 +127,10 @@
         self.admitted: Mapping[str, float] = {}
         # Returns the grants and demand of this process's picker at a time.
         self.make_grants: Callable[[float], GrantNews | None] = no_grants
+        # Returns what upstreams have stated to entry VMs that report here.
+        self.make_notices: Callable[[], ttypes.UpstreamNotices | None] = (
+            no_notices
+        )
         self.report_listeners: list[ReportListener] = []
         self.tables = ControlTables(
             location,
@@ -377,6 +381,7 @@
             suspects=suspects_to_wire(suspects.records, now_s),
             suspects_version=suspects.version,
             wants_grants=self.tables.misses_grants(now_s) or None,
+            notices=None if poll.from_control else self.make_notices(),
         )
 
     def suspects_for(self, poll: ttypes.Poll) -> SuspectUpdate:
@@ -447,6 +452,10 @@
     """Return no grants, where no picker runs."""
 
 
+def no_notices() -> None:
+    """Return no notices of upstreams, where no picker runs."""
+
+
 def prefixes_after(
     prefixes: PrefixTable,
     version: int | None,
--- a/godwitshunt/registry/tests/deployment.py
+++ b/godwitshunt/registry/tests/deployment.py
@@ -38,6 +38,8 @@
     ----------
     handlers : dict
         Handlers of each address, by message kind.
+    addresses : dict
+        Address of each VM by its name.
     cut : set
         Pairs of addresses: messages from the first to the second are lost.
     frozen : set
@@ -47,6 +49,7 @@
     """
 
     handlers: dict[Address, dict[int, Handler]] = field(default_factory=dict)
+    addresses: dict[str, Address] = field(default_factory=dict)
     cut: set[tuple[Address, Address]] = field(default_factory=set)
     frozen: set[Address] = field(default_factory=set)
     delay: Callable[[], None] = lambda: None
@@ -75,6 +78,9 @@
     network: Network
     calls: list[tuple[Address, int]] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self.network.addresses[self.name] = self.own
+
     def subscribe(self, kind: int, handler: Handler) -> None:
         """Register a handler for a message kind."""
         self.network.handlers.setdefault(self.own, {})[kind] = handler
@@ -98,6 +104,11 @@
             return Err(OutcomeUnknown(str(target), 'cut'))
         return Ok(reply)
 
+    def push(self, peer: str, kind: int, body: bytes) -> bool:
+        """Deliver a message to a VM by its name."""
+        self.notify(self.network.addresses[peer], kind, body)
+        return True
+
     def notify(self, target: Address, kind: int, body: bytes) -> None:
         """Deliver a message that has no reply."""
         handler = self.network.handlers.get(target, {}).get(kind)
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -149,6 +149,10 @@
         self.cached_view_s = float('-inf')
         self.unresponsive: set[str] = set()
         self.last_picker: str | None = None
+        # Called with what upstreams have stated to other entry VMs.
+        self.on_notices: Callable[[str, ttypes.UpstreamNotices], None] = (
+            ignore_notices
+        )
         self.named_addresses: tuple[Address, ...] = ()
         self.names: tuple[str, ...] = ()
 
@@ -409,6 +413,8 @@
         self.quarantine.join(suspects_from_wire(message.suspects, now_s))
         if is_known and message.suspects_version is not None:
             contact.suspects_version = message.suspects_version
+        if message.notices is not None:
+            self.on_notices(control, message.notices)
         if message.loads is not None:
             self.loads = loads_from_wire(message.loads)
             self.loads_received_s = now_s
@@ -505,3 +511,7 @@
         if control in self.unresponsive:
             self.unresponsive.discard(control)
             log_change('registry:control_back', control=control)
+
+
+def ignore_notices(control: str, notices: ttypes.UpstreamNotices) -> None:
+    """Ignore notices of upstreams, where no requests are sent."""
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -96,6 +96,28 @@
     assert not server.arrivals
 
 
+async def test_vms_know_of_one_answer_without_their_pickers(world):
+    """A VM that was not answered itself chooses, and its pickers are frozen."""
+    await asyncio.sleep(POLLED_S)
+    server = world.servers['north-llm']
+    server.state_leaving()
+    server.arrivals.clear()
+    while not server.arrivals:
+        await ask_steadily((NORTH,), '/once/x', 0.1, PER_S)
+    await asyncio.sleep(0.5)
+    server.arrivals.clear()
+    controls = [world.processes[host] for host in CONTROL_HOSTS]
+    for process in controls:
+        process.send_signal(signal.SIGSTOP)
+    try:
+        answers = await ask_steadily((NORTH_2,), '/once/x', 2.0, PER_S)
+    finally:
+        for process in controls:
+            process.send_signal(signal.SIGCONT)
+    assert not server.arrivals
+    assert all(answer.status == OK for _, _, answer in answers)
+
+
 async def test_vms_that_choose_by_themselves_know_it(world):
     """All pickers are frozen when the server states that it leaves."""
     # Each VM has polled the engines, which its own choice is made from.
