Log how long an entry VM waited for a silent picker

The line gave the type of the failure only. A picker that did not reply, a broken connection and a VM that was itself not scheduled looked alike.

--- a/godwitshunt/picking/client.py
+++ b/godwitshunt/picking/client.py
@@ -117,6 +117,7 @@
         name = str(picker)
         self.cancel_report()
         report = self.reports.make(self.watch.contacts.for_control(name).source)
+        sent_s = self.timer.now()
         reply = await self.links.call(
             picker,
             MessageKind.place_ask,
@@ -124,14 +125,20 @@
             PICKER_TIMEOUT_S,
         )
         if isinstance(reply, Err):
-            self.record_failure(picker, query, type(reply.err_value).__name__)
+            failure = reply.err_value
+            self.record_silent(
+                picker,
+                f'{type(failure).__name__}: {failure.reason}',
+                query.request,
+                self.timer.now() - sent_s,
+            )
             return None
         try:
             return await self.await_decision(
                 picker, query, decode(ttypes.PlaceGiven, reply.ok_value)
             )
         except FrameError as bad:
-            self.record_failure(picker, query, str(bad))
+            self.record_silent(picker, str(bad), query.request)
             return None
 
     async def await_decision(
@@ -167,22 +174,28 @@
             self.metrics.count('picking_questions_failed_total', why='unable')
         return choice
 
-    def record_failure(
-        self, picker: Address, query: DestinationRequest, reason: str
-    ) -> None:
-        """Stop querying a picker that did not answer a request."""
-        self.record_silent(picker, reason, query.request)
-
     def record_silent(
-        self, picker: Address, reason: str, request: str = ''
+        self,
+        picker: Address,
+        reason: str,
+        request: str = '',
+        waited_s: float = 0.0,
     ) -> None:
-        """Stop querying this picker until it answers a poll."""
+        """Stop querying this picker until it answers a poll.
+
+        Parameters
+        ----------
+        waited_s : float
+            Seconds since the query was sent. If this process was not scheduled
+            meanwhile, it exceeds the timeout.
+        """
         self.metrics.count('picking_questions_failed_total', why='silent')
         log_change(
             'picking:picker_silent',
             picker=str(picker),
             request=request,
             reason=reason,
+            waited_s=round(waited_s, 4),
         )
         self.watch.contacts.for_control(str(picker)).record_failure()
         self.watch.start_poll(picker)
