Read the replies that arrived while a caller was not scheduled

What callers saw: on a busy machine an entry VM gave up pickers that had replied, and chose by itself: more requests at one upstream than it has slots for, and requests at upstreams that its picker knew to leave.

Cause: after a stall between looking for received bytes and looking for timers that are due (where the interpreter lock is taken again), the event loop ends a call before it reads the reply that has arrived meanwhile.

Fix: a call that times out first reads what was received. A metric counts such replies.

That the lock is what stalls the process is suspected, not shown.

--- a/godwitshunt/peer/link.py
+++ b/godwitshunt/peer/link.py
@@ -21,6 +21,7 @@
     OutcomeUnknown,
 )
 from godwitshunt.settings import Address
+from godwitshunt.telemetry import Metrics
 
 OUTBOX_FRAMES = 1024
 CONNECT_TIMEOUT_S = 2.0
@@ -47,6 +48,9 @@
 IDLE_AFTER_S = 5.0
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 QUIET_CHECK_FACTOR = 2
+# Passes of the event loop after which the bytes that had been received when a
+# call timed out are decoded.
+READ_PASSES = 4
 CONNECTION_ERRORS = (
     OSError,
     EOFError,
@@ -94,6 +98,8 @@
     ----------
     on_pushed : callable
         Called with each message from the peer that is not a reply.
+    metrics : Metrics
+        Counts replies that were read only after the timeout of their call.
     """
 
     def __init__(
@@ -101,10 +107,12 @@
         address: Address,
         options: PeerOptions,
         on_pushed: Callable[[Envelope], None],
+        metrics: Metrics,
     ) -> None:
         self.address = address
         self.options = options
         self.on_pushed = on_pushed
+        self.metrics = metrics
         self.outbox: asyncio.Queue[Envelope] = asyncio.Queue(OUTBOX_FRAMES)
         self.pending: dict[int, asyncio.Future[bytes]] = {}
         self.written: set[int] = set()
@@ -174,7 +182,7 @@
             self.pending.pop(call_id)
             return Err(NotSent(str(self.address), 'outbox full'))
         try:
-            return Ok(await asyncio.wait_for(reply, timeout_s))
+            return Ok(await self.wait_for_reply(reply, timeout_s))
         except TimeoutError:
             return Err(self.make_failure(call_id, 'no reply in time'))
         except OSError as error:
@@ -183,6 +191,31 @@
             self.pending.pop(call_id, None)
             self.written.discard(call_id)
 
+    async def wait_for_reply(
+        self, reply: asyncio.Future[bytes], timeout_s: float
+    ) -> bytes:
+        """Return a reply that arrives in time.
+
+        If this process was not scheduled for longer than the timeout, the
+        reply may have arrived meanwhile. What was received is read before the
+        call fails.
+
+        Raises
+        ------
+        TimeoutError
+            If no reply has arrived.
+        OSError
+            If the connection has failed.
+        """
+        await asyncio.wait((reply,), timeout=timeout_s)
+        if not reply.done():
+            for _ in range(READ_PASSES):
+                await asyncio.sleep(0)
+            if not reply.done():
+                raise TimeoutError
+            self.metrics.count('peer_replies_read_late_total')
+        return reply.result()
+
     def make_failure(self, call_id: int, reason: str) -> CallFailed:
         """Return the failure of a call, depending on whether it was written."""
         if call_id in self.written:
--- a/godwitshunt/peer/links.py
+++ b/godwitshunt/peer/links.py
@@ -135,7 +135,7 @@
         link = self.links.get(address)
         if link is None:
             on_pushed = partial(self.receive_pushed, address)
-            link = Link(address, self.options, on_pushed)
+            link = Link(address, self.options, on_pushed, self.metrics)
             link.start()
             self.links[address] = link
         return link
--- a/godwitshunt/peer/tests/test_links.py
+++ b/godwitshunt/peer/tests/test_links.py
@@ -1,6 +1,8 @@
 """Peer links over TCP sockets on the loopback interface."""
 
 import asyncio
+import threading
+import time
 from contextlib import asynccontextmanager
 
 import pytest
@@ -358,6 +360,83 @@
         assert pings
 
 
+class ThreadedServer:
+    """Links in a thread of their own, which answer while others stall."""
+
+    def __init__(self) -> None:
+        self.address = None
+        self.started = threading.Event()
+        self.stopped = None
+        self.thread = threading.Thread(target=asyncio.run, args=(self.run(),))
+
+    async def run(self) -> None:
+        """Answer each call after 20 ms."""
+
+        async def reply(sender: str, body: bytes) -> bytes:
+            await asyncio.sleep(0.02)
+            return body
+
+        self.stopped = asyncio.Event()
+        self.loop = asyncio.get_running_loop()
+        async with started_links('server') as links:
+            links.subscribe(KIND, reply)
+            self.address = links.options.listen
+            self.started.set()
+            await self.stopped.wait()
+
+    def __enter__(self):
+        self.thread.start()
+        assert self.started.wait(5)
+        return self
+
+    def __exit__(self, *raised):
+        self.loop.call_soon_threadsafe(self.stopped.set)
+        self.thread.join()
+
+
+async def test_reply_that_arrived_while_the_caller_stalled_is_read(
+    monkeypatch,
+):
+    """A process that waits for its interpreter lock blames its peer.
+
+    It gets the lock after it has looked for received bytes, and before it
+    looks for timers that are due.
+    """
+    selector = asyncio.get_running_loop()._selector
+    select = selector.select
+    stalls = []
+
+    def select_and_stall(timeout_s):
+        ready = select(timeout_s)
+        if stalls:
+            time.sleep(stalls.pop())
+        return ready
+
+    monkeypatch.setattr(selector, 'select', select_and_stall)
+    with ThreadedServer() as server:
+        async with started_links('a') as caller:
+            await caller.call(server.address, KIND, b'', 5)
+            call = caller.call(server.address, KIND, b'reply', 0.06)
+            calling = asyncio.create_task(call)
+            await asyncio.sleep(0)
+            stalls.append(0.1)
+            # The next pass of the loop looks for bytes without waiting.
+            await asyncio.sleep(0)
+            outcome = await calling
+            assert not stalls
+            assert outcome.is_ok(), outcome
+            assert b'peer_replies_read_late_total' in caller.metrics.render()
+
+
+async def test_call_fails_in_time_without_a_reply():
+    """The passes after the timeout wait for a peer that does not reply."""
+    with ThreadedServer() as server:
+        async with started_links('a') as caller:
+            await caller.call(server.address, KIND, b'', 5)
+            outcome = await caller.call(server.address, KIND, b'', 0.005)
+            assert isinstance(outcome.err_value, OutcomeUnknown)
+
+
 async def test_message_is_pushed_over_a_connection_of_the_peer():
     """A peer that only asks cannot be told anything in between."""
     pushed = asyncio.Queue()
