Complete an interrupted start of the cluster from any leader

What operators saw: POST /v1/init answered 409 already-initialised ("c0/... belongs to a cluster already") to the first operator of a new deployment whose first call was answered late or 504, and refused for good, even while fewer than all replicas were voters. The setup of test_leader_dies_between_commit_and _answer failed so: a 409 has no voters.

Cause: a replica that had been started and did not lead took the repeated command for a second start. The first replica loses its leadership where the machine is busy or a voter is silent for an election timeout; after that the leader refused the command too, because it was not the first one named. A repeat after the start was complete was refused as well, although a lost answer must be answered again. And a start that broke off was answered 503, not-run.

Fix: whichever replica leads adds those that are missing; one that does not lead says so, and the call goes on to the leader; the command succeeds again once all named replicas are voters; a start that broke off is answered 504, unknown. Only an unused first replica starts a cluster. A replica that belongs to another cluster or lost its folder is refused as before.

Of the new tests, those of the repeat, of the new leader and of the interrupted start fail on the code before. The docstring of test_interrupted_init_can_be_repeated said that a complete start is refused when repeated; what it asserts, that a lost folder is refused, is unchanged.

--- a/godwitshunt/configuration/cluster.py
+++ b/godwitshunt/configuration/cluster.py
@@ -8,9 +8,12 @@
 from godwitshunt.consensus import (
     AlreadyInitialised,
     BootstrapFailure,
+    ChangeUnderway,
+    CommitUnknown,
     ConsensusTask,
     Identity,
     MemberStatus,
+    NoQuorum,
     NotLeader,
     UnknownMember,
     bootstrap,
@@ -66,23 +69,44 @@
         """Bootstrap the log with all named replicas as voters, or resume it.
 
         An interrupted bootstrap leaves a cluster with fewer voters; unused
-        replicas that are not members of it then join. A name that is already
-        a member is never added again: its folder was lost, which `replace`
-        repairs.
+        replicas that are not members of it then join. Whichever replica leads
+        by then resumes it. A name that is already a member is never added
+        again: its folder was lost, which `replace` repairs.
+
+        The command is idempotent: if all named replicas are voters, it
+        succeeds again. So an operator who did not receive the answer learns
+        the outcome.
         """
         async with self.lock:
             if self.consensus.identity().unused:
-                return await bootstrap(self.consensus, self.other_replicas)
-            if not self.consensus.leadership().is_leader:
-                return Err(
-                    AlreadyInitialised(self.consensus.identity().replica)
-                )
-            return await self.join_missing()
+                if not self.is_first:
+                    return Err(NotLeader(None))
+                started = await bootstrap(self.consensus, self.other_replicas)
+                return self.as_interrupted(started)
+            leadership = self.consensus.leadership()
+            if not leadership.is_leader:
+                return Err(NotLeader(leadership.name))
+            return self.as_interrupted(await self.join_missing())
+
+    def as_interrupted(
+        self, outcome: Result[object, BootstrapFailure]
+    ) -> Result[object, BootstrapFailure]:
+        """Return what a failure means once the cluster has been started.
+
+        A leader that loses its quorum while replicas join has changed the
+        membership already, so its failure is no proof that nothing was done.
+        """
+        is_interrupted = isinstance(outcome, Err) and isinstance(
+            outcome.err_value, (NotLeader, NoQuorum, ChangeUnderway)
+        )
+        if is_interrupted and not self.consensus.identity().unused:
+            reason = f'not all replicas are voters yet: {outcome.err_value!r}'
+            return Err(CommitUnknown(reason))
+        return outcome
 
     async def join_missing(self) -> Result[object, BootstrapFailure]:
         """Make voters of the named replicas that are not members yet."""
-        own = self.consensus.identity().replica
-        outcome: Result[object, BootstrapFailure] = Err(AlreadyInitialised(own))
+        foreign: ReplicaId | None = None
         for address in self.other_replicas:
             identified = await self.consensus.transport.identify(
                 address,
@@ -92,10 +116,19 @@
                 return identified
             identity = identified.ok_value
             if self.is_missing(identity):
-                outcome = await self.make_voter(identity, address, ())
-                if isinstance(outcome, Err):
-                    return outcome
-        return outcome
+                joined = await self.make_voter(identity, address, ())
+                if isinstance(joined, Err):
+                    return joined
+            elif not self.is_voter(identity):
+                foreign = identity.replica
+        return Ok(None) if foreign is None else Err(AlreadyInitialised(foreign))
+
+    def is_voter(self, identity: Identity) -> bool:
+        """Return whether a replica is a voter with the folder that it has."""
+        return any(
+            member.voter and member.replica == identity.replica
+            for member in self.consensus.members()
+        )
 
     def is_missing(self, identity: Identity) -> bool:
         """Return whether a replica has yet to become a voter.
--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -327,11 +327,9 @@
         )
 
     async def init(self, request: OperatorRequest) -> OperatorAnswer:
-        """Initialise the cluster; only the first named replica does so."""
+        """Initialise the cluster, or complete an interrupted start."""
         if self.cluster is None:
             return answer({'outcome': 'initialised'})
-        if not self.cluster.is_first:
-            return refusal(problem_of(NotLeader(None)))
         outcome = await self.cluster.initialise()
         if isinstance(outcome, Err):
             return refusal(problem_of(outcome.err_value))
