Return assignments that arrive after their query has timed out

What callers saw: refusals 503 "no room in time", after more than half a second in the queue, when a region's picker had been frozen for a quarter of a second; engines were half empty meanwhile.

Cause: a picker that wakes up answers all queries that arrived while it was frozen. Their requests have been sent elsewhere after 60 ms, and the late replies were dropped: each assigned slot stayed reserved for 1 s, and queued requests stayed in the queue and took slots when their turn came.

Fix: a call passes on a reply that arrives after its timeout. The entry VM then reports the assignment without a request, which releases the slot, or withdraws the ticket. Tickets of a picker that fell silent while requests waited are withdrawn when it gives further ones. A call for decisions no longer carries the report of a VM that reports to another picker.

--- a/godwitshunt/peer/link.py
+++ b/godwitshunt/peer/link.py
@@ -48,6 +48,8 @@
 IDLE_AFTER_S = 5.0
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 QUIET_CHECK_FACTOR = 2
+# Calls that timed out and whose late replies are still wanted.
+MAX_LATE_CALLS = 256
 # Passes of the event loop after which the bytes that had been received when a
 # call timed out are decoded.
 READ_PASSES = 4
@@ -116,6 +118,8 @@
         self.outbox: asyncio.Queue[Envelope] = asyncio.Queue(OUTBOX_FRAMES)
         self.pending: dict[int, asyncio.Future[bytes]] = {}
         self.written: set[int] = set()
+        # What to do with late replies, by call.
+        self.late: dict[int, Callable[[bytes], None]] = {}
         self.call_ids = itertools.count(1)
         self.last_received_s = 0.0
         self.last_used_s = 0.0
@@ -172,8 +176,15 @@
         kind: MessageKind,
         body: bytes,
         timeout_s: float,
+        on_late: Callable[[bytes], None] | None = None,
     ) -> Result[bytes, CallFailed]:
-        """Send a message and wait for its reply."""
+        """Send a message and wait for its reply.
+
+        Parameters
+        ----------
+        on_late : callable or None
+            Called with the reply if it arrives after the timeout.
+        """
         call_id = next(self.call_ids)
         reply: asyncio.Future[bytes] = asyncio.Future()
         self.pending[call_id] = reply
@@ -184,6 +195,8 @@
         try:
             return Ok(await self.wait_for_reply(reply, timeout_s))
         except TimeoutError:
+            if on_late is not None and call_id in self.written:
+                self.expect_late(call_id, on_late)
             return Err(self.make_failure(call_id, 'no reply in time'))
         except OSError as error:
             return Err(self.make_failure(call_id, str(error)))
@@ -191,6 +204,14 @@
             self.pending.pop(call_id, None)
             self.written.discard(call_id)
 
+    def expect_late(
+        self, call_id: int, on_late: Callable[[bytes], None]
+    ) -> None:
+        """Keep what to do with the reply to a call that has timed out."""
+        if len(self.late) >= MAX_LATE_CALLS:
+            self.late.pop(next(iter(self.late)))
+        self.late[call_id] = on_late
+
     async def wait_for_reply(
         self, reply: asyncio.Future[bytes], timeout_s: float
     ) -> bytes:
@@ -378,14 +399,22 @@
             if not envelope.reply:
                 self.on_pushed(envelope)
                 continue
-            # A reply to a call that timed out is dropped; call ids are never
-            # reused on a link.
-            reply = self.pending.get(envelope.call)
-            if reply is not None and not reply.done():
-                reply.set_result(envelope.body or b'')
+            self.complete(envelope)
+
+    def complete(self, envelope: Envelope) -> None:
+        """Complete the call of a reply; call ids are never reused on a link."""
+        body = envelope.body or b''
+        reply = self.pending.get(envelope.call)
+        if reply is not None and not reply.done():
+            reply.set_result(body)
+            return
+        on_late = self.late.pop(envelope.call, None)
+        if on_late is not None:
+            on_late(body)
 
     def fail_pending(self, reason: str) -> None:
         """Fail every call that awaits a reply."""
+        self.late.clear()
         for reply in self.pending.values():
             if not reply.done():
                 reply.set_exception(ConnectionError(reason))
--- a/godwitshunt/peer/links.py
+++ b/godwitshunt/peer/links.py
@@ -89,15 +89,22 @@
         kind: MessageKind,
         body: bytes,
         timeout_s: float,
+        on_late: Callable[[bytes], None] | None = None,
     ) -> Result[bytes, CallFailed]:
         """Send a message to a peer and wait for its reply.
 
+        Parameters
+        ----------
+        on_late : callable or None
+            Called with the body of a reply that arrives after the timeout.
+
         Returns
         -------
         Result
             Body of the reply, or `NotSent` or `OutcomeUnknown`.
         """
-        return await self.link(address).call(kind, body, timeout_s)
+        link = self.link(address)
+        return await link.call(kind, body, timeout_s, on_late)
 
     def notify(self, address: Address, kind: MessageKind, body: bytes) -> None:
         """Send a message without a reply; delivery is not guaranteed."""
--- a/godwitshunt/peer/tests/test_links.py
+++ b/godwitshunt/peer/tests/test_links.py
@@ -465,3 +465,17 @@
                 break
             await asyncio.sleep(0.01)
         assert not server.push('a', MessageKind.load_report, b'late')
+
+
+async def test_reply_after_the_timeout_is_passed_on_once():
+    """What a peer has reserved for the caller is never returned."""
+    late = asyncio.Queue()
+    with ThreadedServer() as server:
+        async with started_links('a') as caller:
+            await caller.call(server.address, KIND, b'', 5)
+            outcome = await caller.call(
+                server.address, KIND, b'late', 0.005, late.put_nowait
+            )
+            assert isinstance(outcome.err_value, OutcomeUnknown)
+            assert await asyncio.wait_for(late.get(), 5) == b'late'
+            assert not caller.link(server.address).late
--- a/godwitshunt/picking/client.py
+++ b/godwitshunt/picking/client.py
@@ -1,5 +1,6 @@
 """Client of the picker in an entry VM, with a timeout."""
 
+from functools import partial
 from math import inf
 
 from result import Err
@@ -82,7 +83,11 @@
         # Services whose requests the picker queues.
         self.scheduled: set[str] = set()
         self.waiting = WaitingRequests(
-            neighbours.name, reports, links, self.record_silent, metrics
+            neighbours.name,
+            self.make_report,
+            links,
+            self.record_silent,
+            self.return_assignment,
         )
         self.notices = NoticeReceiver(reports.upstreams, timer.now)
 
@@ -126,6 +131,7 @@
             MessageKind.place_ask,
             encode(query_to_wire(query, report)),
             PICKER_TIMEOUT_S,
+            partial(self.return_late, picker),
         )
         if isinstance(reply, Err):
             failure = reply.err_value
@@ -158,6 +164,55 @@
         place = await self.waiting.wait(picker, reply.source, choice.ticket)
         return choice if place is None else self.apply_reply(place)
 
+    def return_late(self, picker: Address, body: bytes) -> None:
+        """Return an assignment that arrived after the timeout of its query.
+
+        The request has been sent elsewhere meanwhile. Without this, a picker
+        that was frozen for a moment would keep a slot for each query that had
+        arrived by then, or have it in its queue.
+        """
+        try:
+            reply = decode(ttypes.PlaceGiven, body)
+        except FrameError as bad:
+            log_change(
+                'picking:reply_malformed', picker=str(picker), reason=str(bad)
+            )
+            return
+        if reply.kind == AssignmentKind.queued:
+            self.waiting.abandon(picker, reply.source, reply.ticket)
+        else:
+            self.return_assignment(picker, reply)
+
+    def return_assignment(
+        self, picker: Address, reply: ttypes.PlaceGiven
+    ) -> None:
+        """Return the slot of an assignment that no request uses.
+
+        A report that includes the assignment, without a request for it,
+        releases the slot.
+        """
+        self.metrics.count('picking_decisions_unused_total')
+        if not reply.number:
+            return
+        if picker != self.reported_to:
+            withdrawal = self.reports.make_withdrawal(
+                reply.source, reply.number
+            )
+            self.links.notify(
+                picker, MessageKind.load_report, encode(withdrawal)
+            )
+        elif (
+            reply.source == self.watch.contacts.for_control(str(picker)).source
+        ):
+            self.reports.record_assignment(reply.source, reply.number)
+            self.schedule_report()
+
+    def make_report(
+        self, picker: Address, source: str
+    ) -> ttypes.LoadReport | None:
+        """Return a report for a picker; None if another one has the last."""
+        return self.reports.make(source) if picker == self.reported_to else None
+
     def record_scheduled(self, service: str, reply: ttypes.PlaceGiven) -> None:
         """Record whether the requests to a service are queued."""
         if reply.is_scheduled:
--- a/godwitshunt/picking/reports.py
+++ b/godwitshunt/picking/reports.py
@@ -83,16 +83,21 @@
             self.suspects_version_sent = 0
         self.last_assignment = max(self.last_assignment, number)
 
-    def make_withdrawal(self, source: str) -> ttypes.LoadReport:
+    def make_withdrawal(
+        self, source: str, last_assignment: int = 0
+    ) -> ttypes.LoadReport:
         """Return a report without requests, which replaces earlier ones.
 
         Parameters
         ----------
         source : str
             Control process that this VM does not report to any more.
+        last_assignment : int
+            Number of an assignment of that process that is not used.
         """
         self.number += 1
         last = self.last_assignment if source == self.assigned_by else 0
+        last = max(last, last_assignment)
         report = Report(self.session, self.number, {}, last)
         return report_to_wire(report, source, self.now())
 
--- a/godwitshunt/picking/tests/test_queue_messages.py
+++ b/godwitshunt/picking/tests/test_queue_messages.py
@@ -10,6 +10,7 @@
 import pytest
 
 from godwitshunt.picking.choices import HandOver, NoPlace, SendHere
+from godwitshunt.picking.client import REPORT_DELAY_S
 from godwitshunt.picking.region_queue import UNCOLLECTED_S
 from godwitshunt.picking.scheduled import extra_in_flight
 from godwitshunt.picking.tests.region import (
@@ -301,3 +302,45 @@
     first.client.send_report()
     assert len(tried) == 1
     task.cancel()
+
+
+async def test_assignments_that_arrive_late_are_returned():
+    """A picker that was frozen keeps slots for requests sent elsewhere."""
+    region, (first, second) = await start_region()
+    await fill(first, 1)
+    region.network.late.add(address(1))
+    assert await second.request_destination(waited_s=0.0) is None
+    assert in_flight(region) == 2
+    region.network.heal()
+    await region.poll(second.watch, 1)
+    region.timer.advance(REPORT_DELAY_S)
+    assert in_flight(region) == 1
+
+
+async def test_requests_that_were_queued_late_are_withdrawn():
+    """A picker that was frozen queues requests that were sent elsewhere."""
+    region, (first, second) = await start_region()
+    await fill(first)
+    region.network.late.add(address(1))
+    assert await second.request_destination(waited_s=0.0) is None
+    assert queue_of(region).waiting == 1
+    region.network.late.clear()
+    await run_until(lambda: not queue_of(region).waiting)
+    assert in_flight(region) == MOST
+
+
+async def test_tickets_of_a_silent_picker_are_withdrawn_when_it_is_back():
+    """Requests that were asked again elsewhere stay in its queue."""
+    region, (first, second) = await start_region()
+    await fill(first)
+    lost = await ask_queued(region, second)
+    region.network.frozen.add(address(1))
+    assert await lost is None
+    assert queue_of(region).waiting == 1
+    region.network.heal()
+    await region.poll(second.watch, 1)
+    abandoned = set(queue_of(region).tickets)
+    again = ask(second)
+    await run_until(lambda: not abandoned & queue_of(region).tickets.keys())
+    assert queue_of(region).waiting == 1
+    again.cancel()
--- a/godwitshunt/picking/waiting.py
+++ b/godwitshunt/picking/waiting.py
@@ -8,15 +8,15 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from result import Err
 
 from godwitshunt.exceptions import FrameError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
-from godwitshunt.picking.reports import ReportBuilder
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.settings import Address
-from godwitshunt.telemetry import Metrics
+from godwitshunt.telemetry import log_change
 
 # A picker holds a call for this long if it has no decision.
 HOLD_S = 0.05
@@ -26,6 +26,8 @@
 SILENT_AFTER_S = 0.06
 # Decisions that arrive before the answer that contains their ticket.
 MAX_EARLY = 256
+# Pickers whose abandoned tickets are kept.
+MAX_ABANDONED = 16
 
 
 @dataclass
@@ -79,28 +81,32 @@
     ----------
     name : str
         Name of this VM.
-    reports : ReportBuilder
-        Builds the report that each call carries.
+    make_report : callable
+        Returns the report that a call to a picker carries, if any.
     links : PeerLinks
         Connections to the pickers.
     on_silent : callable
         Called with a picker that did not answer, and why.
+    on_unused : callable
+        Called with a picker and a decision that no request uses.
     """
 
     def __init__(
         self,
         name: str,
-        reports: ReportBuilder,
+        make_report: Callable[[Address, str], ttypes.LoadReport | None],
         links: PeerLinks,
         on_silent: Callable[[Address, str], None],
-        metrics: Metrics,
+        on_unused: Callable[[Address, ttypes.PlaceGiven], None],
     ) -> None:
         self.name = name
-        self.reports = reports
+        self.make_report = make_report
         self.links = links
         self.on_silent = on_silent
-        self.metrics = metrics
+        self.on_unused = on_unused
         self.pickers: dict[tuple[Address, str], PickerTickets] = {}
+        # Tickets whose requests were asked again elsewhere, by picker.
+        self.abandoned: dict[tuple[Address, str], set[int]] = {}
 
     async def wait(
         self, picker: Address, source: str, ticket: int
@@ -117,9 +123,7 @@
         source : str
             Its process.
         """
-        tickets = self.pickers.setdefault(
-            (picker, source), PickerTickets(picker, source)
-        )
+        tickets = self.tickets_of(picker, source)
         if ticket in tickets.early:
             return tickets.early.pop(ticket)
         future = asyncio.get_running_loop().create_future()
@@ -131,6 +135,22 @@
             self.withdraw(tickets, ticket, future)
             raise
 
+    def tickets_of(self, picker: Address, source: str) -> PickerTickets:
+        """Return the tickets of a picker's process."""
+        key = (picker, source)
+        tickets = self.pickers.get(key)
+        if tickets is None:
+            tickets = PickerTickets(picker, source)
+            tickets.withdrawn |= self.abandoned.pop(key, set())
+            self.pickers[key] = tickets
+        return tickets
+
+    def abandon(self, picker: Address, source: str, ticket: int) -> None:
+        """Withdraw the ticket of a request that was asked again elsewhere."""
+        tickets = self.tickets_of(picker, source)
+        tickets.withdrawn.add(ticket)
+        self.start(tickets)
+
     def withdraw(
         self,
         tickets: PickerTickets,
@@ -142,7 +162,7 @@
             tickets.withdrawn.add(ticket)
             self.start(tickets)
         elif not future.cancelled() and future.result() is not None:
-            self.return_place(tickets, future.result())
+            self.on_unused(tickets.picker, future.result())
 
     def start(self, tickets: PickerTickets) -> None:
         """Start calls for a picker's tickets unless they are made already."""
@@ -168,19 +188,22 @@
         """Make one call and apply its decisions."""
         message = ttypes.PlaceWait(
             entry_name=self.name,
-            report=self.reports.make(tickets.source),
+            report=self.make_report(tickets.picker, tickets.source),
             source=tickets.source,
             tickets=sorted(tickets.waiting),
             withdrawn=sorted(tickets.withdrawn),
         )
+        withdrawn = frozenset(tickets.withdrawn)
         tickets.withdrawn.clear()
         reply = await self.links.call(
             tickets.picker,
             MessageKind.place_wait,
             encode(message),
             HOLD_S + SILENT_AFTER_S,
+            partial(self.return_late, tickets.picker),
         )
         if isinstance(reply, Err):
+            self.keep_abandoned(tickets, withdrawn | tickets.waiting.keys())
             self.lose(tickets, type(reply.err_value).__name__)
             return
         try:
@@ -198,22 +221,35 @@
             if tickets.decide(decided.ticket, decided.place):
                 continue
             if decided.ticket in tickets.withdrawn:
-                self.return_place(tickets, decided.place)
+                self.on_unused(tickets.picker, decided.place)
             elif len(tickets.early) < MAX_EARLY:
                 tickets.early[decided.ticket] = decided.place
         for ticket in decisions.unknown or ():
             tickets.decide(ticket, None)
 
-    def return_place(
-        self, tickets: PickerTickets, place: ttypes.PlaceGiven
+    def return_late(self, picker: Address, body: bytes) -> None:
+        """Return the decisions of an answer that came after its timeout."""
+        try:
+            decisions = decode(ttypes.PlaceDecisions, body)
+        except FrameError as bad:
+            log_change(
+                'picking:reply_malformed', picker=str(picker), reason=str(bad)
+            )
+            return
+        for decided in decisions.decided or ():
+            self.on_unused(picker, decided.place)
+
+    def keep_abandoned(
+        self, tickets: PickerTickets, numbers: frozenset[int]
     ) -> None:
-        """Return the slot of a decision that nobody uses.
+        """Keep tickets to withdraw once the picker gives further ones.
 
-        The next report includes the assignment without a request for it.
+        A picker that gives none removes them: the VM stops asking for them.
         """
-        self.metrics.count('picking_decisions_unused_total')
-        if self.reports.assigned_by == tickets.source:
-            self.reports.record_assignment(tickets.source, place.number or 0)
+        if len(self.abandoned) >= MAX_ABANDONED:
+            self.abandoned.clear()
+        key = (tickets.picker, tickets.source)
+        self.abandoned.setdefault(key, set()).update(numbers)
 
     def lose(self, tickets: PickerTickets, reason: str) -> None:
         """Give a silent picker up; its requests are asked again."""
--- a/godwitshunt/registry/tests/deployment.py
+++ b/godwitshunt/registry/tests/deployment.py
@@ -42,6 +42,8 @@
         Address of each VM by its name.
     cut : set
         Pairs of addresses: messages from the first to the second are lost.
+    late : set
+        Addresses of VMs whose replies arrive after the timeout.
     frozen : set
         Addresses of VMs that neither receive nor send.
     delay : callable
@@ -51,6 +53,7 @@
     handlers: dict[Address, dict[int, Handler]] = field(default_factory=dict)
     addresses: dict[str, Address] = field(default_factory=dict)
     cut: set[tuple[Address, Address]] = field(default_factory=set)
+    late: set[Address] = field(default_factory=set)
     frozen: set[Address] = field(default_factory=set)
     delay: Callable[[], None] = lambda: None
 
@@ -66,6 +69,7 @@
     def heal(self) -> None:
         """Deliver all messages again."""
         self.cut.clear()
+        self.late.clear()
         self.frozen.clear()
 
 
@@ -91,6 +95,7 @@
         kind: int,
         body: bytes,
         timeout_s: float,
+        on_late: Callable[[bytes], None] | None = None,
     ) -> Ok[bytes] | Err[NotSent | OutcomeUnknown]:
         """Deliver a message and its reply."""
         self.calls.append((target, kind))
@@ -102,6 +107,10 @@
         self.network.delay()
         if reply is None or not self.network.delivers(target, self.own):
             return Err(OutcomeUnknown(str(target), 'cut'))
+        if target in self.network.late:
+            if on_late is not None:
+                on_late(reply)
+            return Err(OutcomeUnknown(str(target), 'late'))
         return Ok(reply)
 
     def push(self, peer: str, kind: int, body: bytes) -> bool:
