Tell all entry VMs of a region of a limit that one was told

An entry VM whose picker is silent sent to a limited upstream until its own first answer; with many VMs in a region these first requests may exceed what is tolerated.

Fix: the picker pushes a first limit and repeats all with its replies to polls. Entry VMs report only limits that they were told in answers. Otherwise an old limit, whose age lacks the network delay each time, would outlast its end.

Shown by tests on virtual time only; the first of the two fails without the push, the second with reports of learned limits.

--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -61,6 +61,7 @@
         answer_headers=AnswerHeaderReader(
             names,
             upstreams.rate_limiter.table,
+            upstreams.observed_limits,
             upstreams.pauses,
             upstreams.departures,
             picker.schedule_report,
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -164,6 +164,8 @@
         self.context.upstreams.departures.remove_absent(view.upstreams, now_s)
         limiter = self.context.upstreams.rate_limiter
         limiter.remove_absent(view.upstreams, now_s)
+        observed_limits = self.context.upstreams.observed_limits
+        observed_limits.remove_absent(view.upstreams, now_s)
         limiter.share = self.context.rate_share()
         self.context.metrics.gauge('ingress_in_progress', self.in_progress)
         self.measure_buffers()
--- a/godwitshunt/ingress/tests/test_upstream_headers.py
+++ b/godwitshunt/ingress/tests/test_upstream_headers.py
@@ -20,6 +20,7 @@
     return AnswerHeaderReader(
         NAMES,
         RateLimitTable(),
+        RateLimitTable(),
         PauseTable(),
         DepartureTable(),
         lambda: None,
--- a/godwitshunt/ingress/upstream_headers.py
+++ b/godwitshunt/ingress/upstream_headers.py
@@ -35,7 +35,9 @@
     names : HeaderNames
         Names of the headers.
     rate_limits : RateLimitTable
-        Receives the stated rate limits.
+        Receives the stated rate limits, beside those that others report.
+    observed_limits : RateLimitTable
+        Receives the stated rate limits only.
     pauses : PauseTable
         Receives the pauses that refusals ask for.
     departures : DepartureTable
@@ -48,6 +50,7 @@
 
     names: HeaderNames
     rate_limits: RateLimitTable
+    observed_limits: RateLimitTable
     pauses: PauseTable
     departures: DepartureTable
     on_departure: Callable[[], None]
@@ -122,6 +125,7 @@
         before = self.rate_limits.per_s(notice.incarnation)
         if notice.per_s is not None:
             self.metrics.count('ingress_rate_limited_answers_total')
+        self.observed_limits.record(notice)
         if self.rate_limits.record(notice):
             log_change(
                 'ingress:upstream_rate_limit',
--- a/godwitshunt/picking/reports.py
+++ b/godwitshunt/picking/reports.py
@@ -122,7 +122,7 @@
         load_report.shown = attempts_to_wire(self.attempts)
         self.attempts.clear()
         load_report.rate_limits = rate_limits_to_wire(
-            self.upstreams.rate_limiter.table.limited(), now_s
+            self.upstreams.observed_limits.limited(), now_s
         )
         load_report.leaving = sorted(self.upstreams.departures.present())
         load_report.admitted = admitted_to_wire(self.limits.admitted)
--- a/godwitshunt/picking/tests/test_rate_limits.py
+++ b/godwitshunt/picking/tests/test_rate_limits.py
@@ -39,8 +39,9 @@
 def state(entry: Entry, per_s: float | None = LIMIT_PER_S, name='i-0') -> None:
     """Have an upstream state a limit in an answer to an entry VM."""
     now_s = entry.client.timer.now()
-    table = entry.reports.upstreams.rate_limiter.table
-    table.record(RateLimitNotice(name, per_s, now_s))
+    upstreams = entry.reports.upstreams
+    for table in (upstreams.rate_limiter.table, upstreams.observed_limits):
+        table.record(RateLimitNotice(name, per_s, now_s))
 
 
 async def send(region, entries, seconds: float) -> dict[str, list[float]]:
--- a/godwitshunt/picking/tests/test_upstream_notices.py
+++ b/godwitshunt/picking/tests/test_upstream_notices.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from godwitshunt.backpressure import RateLimitNotice
 from godwitshunt.backpressure.departures import RETENTION_S
 from godwitshunt.exceptions import FrameError
 from godwitshunt.peer import encode
@@ -78,6 +79,52 @@
     assert not any('i-0' in table for table in tables)
 
 
+def limit_of(entry) -> float | None:
+    """Return the rate limit that an entry VM keeps for the first engine."""
+    return entry.reports.upstreams.rate_limiter.table.per_s('i-0')
+
+
+def observe_limit(entry, per_s: float | None) -> None:
+    """Have an upstream state a rate limit in an answer to an entry VM."""
+    upstreams = entry.reports.upstreams
+    notice = RateLimitNotice('i-0', per_s, entry.client.timer.now())
+    upstreams.rate_limiter.table.record(notice)
+    upstreams.observed_limits.record(notice)
+
+
+async def test_first_limit_is_pushed_and_changes_follow_with_polls():
+    """VMs whose picker falls silent each send until they are answered."""
+    region, (told, other) = await start_region()
+    observe_limit(told, 2.0)
+    told.client.send_report()
+    assert limit_of(other) == pytest.approx(2)
+    region.timer.advance(0.1)
+    observe_limit(told, 3.0)
+    told.client.send_report()
+    assert limit_of(other) == pytest.approx(2)
+    await region.poll(other.watch, 1)
+    assert limit_of(other) == pytest.approx(3)
+
+
+async def test_end_of_a_limit_is_not_undone_by_vms_that_learned_it():
+    """A limit that VMs and pickers report to each other outlasts its end."""
+    region, (told, other) = await start_region()
+    observe_limit(told, 2.0)
+    told.client.send_report()
+    region.timer.advance(0.2)
+    table = region.pickers[1].picker.upstreams.rate_limiter.table
+    ended = RateLimitNotice('i-0', None, region.timer.now())
+    table.record(ended)
+    region.network.delay = lambda: region.timer.advance(0.3)
+    for _ in range(3):
+        await other.request_destination()
+        other.client.send_report()
+        assert table.per_s('i-0') is None
+    region.network.delay = lambda: None
+    await region.poll(other.watch, 1)
+    assert limit_of(other) is None
+
+
 async def test_malformed_notices_change_nothing():
     """A message without its fields ends the link's task."""
     upstreams = Upstreams()
--- a/godwitshunt/picking/upstream_notices.py
+++ b/godwitshunt/picking/upstream_notices.py
@@ -13,7 +13,10 @@
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.picking.attempt_reports import AttemptReport
 from godwitshunt.picking.upstreams import Upstreams
-from godwitshunt.picking.wire_limits import rate_limits_from_wire
+from godwitshunt.picking.wire_limits import (
+    rate_limits_from_wire,
+    rate_limits_to_wire,
+)
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.telemetry import Metrics, log_change
 
@@ -61,11 +64,12 @@
         attempts : iterable of AttemptReport
             The attempts in its report.
         """
-        self.record_rate_limits(load_report, attempts, now_s)
+        self.record_rate_limits(name, load_report, attempts, now_s)
         self.record_departures(name, load_report, now_s)
 
     def record_rate_limits(
         self,
+        name: str,
         load_report: ttypes.LoadReport,
         attempts: Iterable[AttemptReport],
         now_s: float,
@@ -74,6 +78,8 @@
 
         A report contains all limits that are in force at the entry VM. So an
         upstream that has answered it and is not among them stated no limit.
+        Other entry VMs learn of a first limit at once and of changes with
+        their polls: an upstream may state another number in each answer.
         """
         notices = rate_limits_from_wire(load_report.rate_limits, now_s)
         limited = {notice.incarnation for notice in notices}
@@ -83,14 +89,25 @@
             if attempt.is_answer and attempt.instance not in limited
         )
         table = self.upstreams.rate_limiter.table
+        new = []
         for notice in notices:
-            if table.record(notice):
-                log_change(
-                    'picking:upstream_rate_limit',
-                    instance=notice.incarnation,
-                    per_s=notice.per_s,
-                    age_s=round(now_s - notice.asof_s, 3),
-                )
+            before = table.per_s(notice.incarnation)
+            if not table.record(notice):
+                continue
+            log_change(
+                'picking:upstream_rate_limit',
+                instance=notice.incarnation,
+                per_s=notice.per_s,
+                age_s=round(now_s - notice.asof_s, 3),
+                source=name,
+            )
+            if before is None and notice.per_s is not None:
+                new.append(notice)
+        if new:
+            self.push(
+                ttypes.UpstreamNotices([], rate_limits_to_wire(new, now_s)),
+                name,
+            )
 
     def record_departures(
         self, name: str, load_report: ttypes.LoadReport, now_s: float
@@ -103,13 +120,11 @@
                 'picking:upstream_leaving', instance=instance, source=name
             )
         if new:
-            self.push_departures(new, name)
+            self.push(ttypes.UpstreamNotices(sorted(new), []), name)
 
-    def push_departures(
-        self, incarnations: Collection[str], reporter: str
-    ) -> None:
-        """Push departures to all entry VMs but the one that reported them."""
-        body = encode(ttypes.UpstreamNotices(sorted(incarnations)))
+    def push(self, notices: ttypes.UpstreamNotices, reporter: str) -> None:
+        """Push notices to all entry VMs but the one that reported them."""
+        body = encode(notices)
         for entry in self.entries():
             if entry == reporter:
                 continue
@@ -119,10 +134,15 @@
                 outcome='sent' if is_sent else 'unsent',
             )
 
-    def make_notices(self) -> ttypes.UpstreamNotices | None:
+    def make_notices(self, now_s: float) -> ttypes.UpstreamNotices | None:
         """Return all notices as a struct; None if there are none."""
         leaving = sorted(self.upstreams.departures.present())
-        return ttypes.UpstreamNotices(leaving) if leaving else None
+        limits = self.upstreams.rate_limiter.table.notices.values()
+        if not (leaving or limits):
+            return None
+        return ttypes.UpstreamNotices(
+            leaving, rate_limits_to_wire(limits, now_s)
+        )
 
 
 class NoticeReceiver:
@@ -149,16 +169,25 @@
             If the message is malformed.
         """
         notices = decode(ttypes.UpstreamNotices, body)
-        if notices.leaving is None:
+        if notices.leaving is None or notices.rate_limits is None:
             raise FrameError('UpstreamNotices: a field is missing')
         self.apply(control, notices)
 
     def apply(self, control: str, notices: ttypes.UpstreamNotices) -> None:
         """Record notices; log those that are new."""
+        now_s = self.now()
         departures = self.upstreams.departures
-        for instance in departures.record_all(
-            notices.leaving or (), self.now()
-        ):
+        for instance in departures.record_all(notices.leaving or (), now_s):
             log_change(
                 'picking:upstream_leaving', instance=instance, source=control
             )
+        table = self.upstreams.rate_limiter.table
+        for notice in rate_limits_from_wire(notices.rate_limits, now_s):
+            if table.record(notice):
+                log_change(
+                    'picking:upstream_rate_limit',
+                    instance=notice.incarnation,
+                    per_s=notice.per_s,
+                    age_s=round(now_s - notice.asof_s, 3),
+                    source=control,
+                )
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass, field
 from math import isfinite
 
-from godwitshunt.backpressure import DepartureTable, PauseTable, RateLimiter
+from godwitshunt.backpressure import (
+    DepartureTable,
+    PauseTable,
+    RateLimiter,
+    RateLimitTable,
+)
 from godwitshunt.manifest import Service
 from godwitshunt.picking.learned_answers import LearnedAnswers
 from godwitshunt.picking.learned_speed import LearnedSpeed
@@ -37,6 +42,10 @@
         Speed and outlier detection by service.
     rate_limiter : RateLimiter
         Keeps this process within its share of upstreams' rate limits.
+    observed_limits : RateLimitTable
+        Rate limits that upstreams have stated to this process itself. Only
+        these are reported: the age of a limit that processes sent each other
+        would lack the network delay each time, and outlast its end.
     pauses : PauseTable
         Upstreams that have asked this VM for a pause.
     departures : DepartureTable
@@ -49,6 +58,7 @@
     speeds: dict[str, LearnedSpeed] = field(default_factory=dict)
     outliers: dict[str, OutlierDetector] = field(default_factory=dict)
     rate_limiter: RateLimiter = field(default_factory=RateLimiter)
+    observed_limits: RateLimitTable = field(default_factory=RateLimitTable)
     pauses: PauseTable = field(default_factory=PauseTable)
     departures: DepartureTable = field(default_factory=DepartureTable)
     answers: LearnedAnswers = field(default_factory=LearnedAnswers)
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -1435,7 +1435,7 @@
 
     Attributes:
      - instance
-     - per_s: Requests per second from all VMs together.
+     - per_s: Requests per second from all VMs together; absent if the limit has ended.
      - age_ms: Milliseconds since the answer was received when this was sent.
 
     """
@@ -1529,16 +1529,19 @@
 
     Attributes:
      - leaving: Incarnations that are leaving.
+     - rate_limits
 
     """
 
     __slots__ = (
         'leaving',
+        'rate_limits',
     )
 
 
-    def __init__(self, leaving=None,):
+    def __init__(self, leaving=None, rate_limits=None,):
         self.leaving = leaving
+        self.rate_limits = rate_limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1559,6 +1562,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.rate_limits = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = RateLimitInfo()
+                        _elem32.read(iprot)
+                        self.rate_limits.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1572,8 +1586,15 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter27 in self.leaving:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter33 in self.leaving:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rate_limits is not None:
+            oprot.writeFieldBegin('rate_limits', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
+            for iter34 in self.rate_limits:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1666,11 +1687,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = UpstreamLoad()
-                        _elem33.read(iprot)
-                        self.loads.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = UpstreamLoad()
+                        _elem40.read(iprot)
+                        self.loads.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1692,65 +1713,65 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.shown = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = AttemptShown()
-                        _elem39.read(iprot)
-                        self.shown.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = AttemptShown()
+                        _elem46.read(iprot)
+                        self.shown.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = PrefixInfo()
-                        _elem45.read(iprot)
-                        self.prefixes.append(_elem45)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = PrefixInfo()
+                        _elem52.read(iprot)
+                        self.prefixes.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = AdmittedUnits()
-                        _elem51.read(iprot)
-                        self.admitted.append(_elem51)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = AdmittedUnits()
+                        _elem58.read(iprot)
+                        self.admitted.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype55, _size52) = iprot.readListBegin()
-                    for _i56 in range(_size52):
-                        _elem57 = SuspectInfo()
-                        _elem57.read(iprot)
-                        self.suspects.append(_elem57)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = SuspectInfo()
+                        _elem64.read(iprot)
+                        self.suspects.append(_elem64)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = RateLimitInfo()
-                        _elem63.read(iprot)
-                        self.rate_limits.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = RateLimitInfo()
+                        _elem70.read(iprot)
+                        self.rate_limits.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1771,8 +1792,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter70 in self.loads:
-                iter70.write(oprot)
+            for iter77 in self.loads:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1786,15 +1807,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter71 in self.shown:
-                iter71.write(oprot)
+            for iter78 in self.shown:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter72 in self.prefixes:
-                iter72.write(oprot)
+            for iter79 in self.prefixes:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1804,29 +1825,29 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter73 in self.admitted:
-                iter73.write(oprot)
+            for iter80 in self.admitted:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter74 in self.suspects:
-                iter74.write(oprot)
+            for iter81 in self.suspects:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter75 in self.rate_limits:
-                iter75.write(oprot)
+            for iter82 in self.rate_limits:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter76 in self.leaving:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter83 in self.leaving:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2016,11 +2037,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = TableHeld()
-                        _elem82.read(iprot)
-                        self.held.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = TableHeld()
+                        _elem89.read(iprot)
+                        self.held.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2033,11 +2054,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = PrefixInfo()
-                        _elem88.read(iprot)
-                        self.prefixes.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = PrefixInfo()
+                        _elem95.read(iprot)
+                        self.prefixes.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2064,22 +2085,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = TableNews()
-                        _elem94.read(iprot)
-                        self.newer.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = TableNews()
+                        _elem101.read(iprot)
+                        self.newer.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = SuspectInfo()
-                        _elem100.read(iprot)
-                        self.suspects.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = SuspectInfo()
+                        _elem107.read(iprot)
+                        self.suspects.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2105,8 +2126,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter101 in self.held:
-                iter101.write(oprot)
+            for iter108 in self.held:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -2116,8 +2137,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter102 in self.prefixes:
-                iter102.write(oprot)
+            for iter109 in self.prefixes:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2139,15 +2160,15 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter103 in self.newer:
-                iter103.write(oprot)
+            for iter110 in self.newer:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter104 in self.suspects:
-                iter104.write(oprot)
+            for iter111 in self.suspects:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2523,22 +2544,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = GrantInfo()
-                        _elem110.read(iprot)
-                        self.grants.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = GrantInfo()
+                        _elem117.read(iprot)
+                        self.grants.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = DemandInfo()
-                        _elem116.read(iprot)
-                        self.demands.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = DemandInfo()
+                        _elem123.read(iprot)
+                        self.demands.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2550,11 +2571,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.round_trips = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = RoundTripInfo()
-                        _elem122.read(iprot)
-                        self.round_trips.append(_elem122)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = RoundTripInfo()
+                        _elem129.read(iprot)
+                        self.round_trips.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2571,15 +2592,15 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter123 in self.grants:
-                iter123.write(oprot)
+            for iter130 in self.grants:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter124 in self.demands:
-                iter124.write(oprot)
+            for iter131 in self.demands:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reporters is not None:
@@ -2589,8 +2610,8 @@
         if self.round_trips is not None:
             oprot.writeFieldBegin('round_trips', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.round_trips))
-            for iter125 in self.round_trips:
-                iter125.write(oprot)
+            for iter132 in self.round_trips:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2814,43 +2835,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = UpstreamInfo()
-                        _elem131.read(iprot)
-                        self.upstreams.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = UpstreamInfo()
+                        _elem138.read(iprot)
+                        self.upstreams.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = StartEnded()
-                        _elem137.read(iprot)
-                        self.gone.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = StartEnded()
+                        _elem144.read(iprot)
+                        self.gone.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = EntryInfo()
-                        _elem143.read(iprot)
-                        self.entries.append(_elem143)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = EntryInfo()
+                        _elem150.read(iprot)
+                        self.entries.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype147, _size144) = iprot.readListBegin()
-                    for _i148 in range(_size144):
-                        _elem149 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem149)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2862,22 +2883,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = UpstreamLoad()
-                        _elem155.read(iprot)
-                        self.loads.append(_elem155)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = UpstreamLoad()
+                        _elem162.read(iprot)
+                        self.loads.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = AdmittedUnits()
-                        _elem161.read(iprot)
-                        self.admitted.append(_elem161)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = AdmittedUnits()
+                        _elem168.read(iprot)
+                        self.admitted.append(_elem168)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2924,29 +2945,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter162 in self.upstreams:
-                iter162.write(oprot)
+            for iter169 in self.upstreams:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter163 in self.gone:
-                iter163.write(oprot)
+            for iter170 in self.gone:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter164 in self.entries:
-                iter164.write(oprot)
+            for iter171 in self.entries:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter165 in self.gone_entries:
-                oprot.writeString(iter165.encode('utf-8') if sys.version_info[0] == 2 else iter165)
+            for iter172 in self.gone_entries:
+                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -2956,15 +2977,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter166 in self.loads:
-                iter166.write(oprot)
+            for iter173 in self.loads:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter167 in self.admitted:
-                iter167.write(oprot)
+            for iter174 in self.admitted:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
@@ -3062,33 +3083,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = TableNews()
-                        _elem173.read(iprot)
-                        self.tables.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = TableNews()
+                        _elem180.read(iprot)
+                        self.tables.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype177, _size174) = iprot.readListBegin()
-                    for _i178 in range(_size174):
-                        _elem179 = UpstreamLoad()
-                        _elem179.read(iprot)
-                        self.loads.append(_elem179)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = UpstreamLoad()
+                        _elem186.read(iprot)
+                        self.loads.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype183, _size180) = iprot.readListBegin()
-                    for _i184 in range(_size180):
-                        _elem185 = PrefixInfo()
-                        _elem185.read(iprot)
-                        self.prefixes.append(_elem185)
+                    (_etype190, _size187) = iprot.readListBegin()
+                    for _i191 in range(_size187):
+                        _elem192 = PrefixInfo()
+                        _elem192.read(iprot)
+                        self.prefixes.append(_elem192)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3115,11 +3136,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype189, _size186) = iprot.readListBegin()
-                    for _i190 in range(_size186):
-                        _elem191 = SuspectInfo()
-                        _elem191.read(iprot)
-                        self.suspects.append(_elem191)
+                    (_etype196, _size193) = iprot.readListBegin()
+                    for _i197 in range(_size193):
+                        _elem198 = SuspectInfo()
+                        _elem198.read(iprot)
+                        self.suspects.append(_elem198)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3152,22 +3173,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter192 in self.tables:
-                iter192.write(oprot)
+            for iter199 in self.tables:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter193 in self.loads:
-                iter193.write(oprot)
+            for iter200 in self.loads:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter194 in self.prefixes:
-                iter194.write(oprot)
+            for iter201 in self.prefixes:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -3193,8 +3214,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter195 in self.suspects:
-                iter195.write(oprot)
+            for iter202 in self.suspects:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -3456,10 +3477,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem201)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3481,11 +3502,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype205, _size202) = iprot.readListBegin()
-                    for _i206 in range(_size202):
-                        _elem207 = PauseInfo()
-                        _elem207.read(iprot)
-                        self.pauses.append(_elem207)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = PauseInfo()
+                        _elem214.read(iprot)
+                        self.pauses.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3568,8 +3589,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter208 in self.excluded:
-                oprot.writeString(iter208.encode('utf-8') if sys.version_info[0] == 2 else iter208)
+            for iter215 in self.excluded:
+                oprot.writeString(iter215.encode('utf-8') if sys.version_info[0] == 2 else iter215)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -3587,8 +3608,8 @@
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter209 in self.pauses:
-                iter209.write(oprot)
+            for iter216 in self.pauses:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waited_ms is not None:
@@ -3936,20 +3957,20 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype213, _size210) = iprot.readListBegin()
-                    for _i214 in range(_size210):
-                        _elem215 = iprot.readI64()
-                        self.tickets.append(_elem215)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = iprot.readI64()
+                        self.tickets.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype219, _size216) = iprot.readListBegin()
-                    for _i220 in range(_size216):
-                        _elem221 = iprot.readI64()
-                        self.withdrawn.append(_elem221)
+                    (_etype226, _size223) = iprot.readListBegin()
+                    for _i227 in range(_size223):
+                        _elem228 = iprot.readI64()
+                        self.withdrawn.append(_elem228)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3978,15 +3999,15 @@
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.tickets))
-            for iter222 in self.tickets:
-                oprot.writeI64(iter222)
+            for iter229 in self.tickets:
+                oprot.writeI64(iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 5)
             oprot.writeListBegin(TType.I64, len(self.withdrawn))
-            for iter223 in self.withdrawn:
-                oprot.writeI64(iter223)
+            for iter230 in self.withdrawn:
+                oprot.writeI64(iter230)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4133,21 +4154,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.decided = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = PlaceDecided()
-                        _elem229.read(iprot)
-                        self.decided.append(_elem229)
+                    (_etype234, _size231) = iprot.readListBegin()
+                    for _i235 in range(_size231):
+                        _elem236 = PlaceDecided()
+                        _elem236.read(iprot)
+                        self.decided.append(_elem236)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.unknown = []
-                    (_etype233, _size230) = iprot.readListBegin()
-                    for _i234 in range(_size230):
-                        _elem235 = iprot.readI64()
-                        self.unknown.append(_elem235)
+                    (_etype240, _size237) = iprot.readListBegin()
+                    for _i241 in range(_size237):
+                        _elem242 = iprot.readI64()
+                        self.unknown.append(_elem242)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4168,15 +4189,15 @@
         if self.decided is not None:
             oprot.writeFieldBegin('decided', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.decided))
-            for iter236 in self.decided:
-                iter236.write(oprot)
+            for iter243 in self.decided:
+                iter243.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unknown is not None:
             oprot.writeFieldBegin('unknown', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.unknown))
-            for iter237 in self.unknown:
-                oprot.writeI64(iter237)
+            for iter244 in self.unknown:
+                oprot.writeI64(iter244)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4239,33 +4260,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype241, _size238) = iprot.readListBegin()
-                    for _i242 in range(_size238):
-                        _elem243 = UpstreamInfo()
-                        _elem243.read(iprot)
-                        self.upstreams.append(_elem243)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = UpstreamInfo()
+                        _elem250.read(iprot)
+                        self.upstreams.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype247, _size244) = iprot.readListBegin()
-                    for _i248 in range(_size244):
-                        _elem249 = StartEnded()
-                        _elem249.read(iprot)
-                        self.gone.append(_elem249)
+                    (_etype254, _size251) = iprot.readListBegin()
+                    for _i255 in range(_size251):
+                        _elem256 = StartEnded()
+                        _elem256.read(iprot)
+                        self.gone.append(_elem256)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype253, _size250) = iprot.readListBegin()
-                    for _i254 in range(_size250):
-                        _elem255 = SuspectInfo()
-                        _elem255.read(iprot)
-                        self.suspects.append(_elem255)
+                    (_etype260, _size257) = iprot.readListBegin()
+                    for _i261 in range(_size257):
+                        _elem262 = SuspectInfo()
+                        _elem262.read(iprot)
+                        self.suspects.append(_elem262)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4282,22 +4303,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter256 in self.upstreams:
-                iter256.write(oprot)
+            for iter263 in self.upstreams:
+                iter263.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter257 in self.gone:
-                iter257.write(oprot)
+            for iter264 in self.gone:
+                iter264.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter258 in self.suspects:
-                iter258.write(oprot)
+            for iter265 in self.suspects:
+                iter265.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4439,6 +4460,7 @@
 UpstreamNotices.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimitInfo, None], False), None, ),  # 2
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -142,8 +142,8 @@
 /** A rate limit that an upstream has stated in an answer. */
 struct RateLimitInfo {
   1: string instance
-  /** Requests per second from all VMs together. */
-  2: double per_s
+  /** Requests per second from all VMs together; absent if the limit has ended. */
+  2: optional double per_s
   /** Milliseconds since the answer was received when this was sent. */
   3: i64 age_ms
 }
@@ -152,6 +152,7 @@
 struct UpstreamNotices {
   /** Incarnations that are leaving. */
   1: list<string> leaving
+  2: list<RateLimitInfo> rate_limits
 }
 
 /** All requests of an entry VM; a report with a higher number replaces it. */
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -128,7 +128,7 @@
         # Returns the grants and demand of this process's picker at a time.
         self.make_grants: Callable[[float], GrantNews | None] = no_grants
         # Returns what upstreams have stated to entry VMs that report here.
-        self.make_notices: Callable[[], ttypes.UpstreamNotices | None] = (
+        self.make_notices: Callable[[float], ttypes.UpstreamNotices | None] = (
             no_notices
         )
         self.report_listeners: list[ReportListener] = []
@@ -383,7 +383,7 @@
             suspects=suspects_to_wire(suspects.records, now_s),
             suspects_version=suspects.version,
             wants_grants=self.tables.misses_grants(now_s) or None,
-            notices=None if poll.from_control else self.make_notices(),
+            notices=None if poll.from_control else self.make_notices(now_s),
         )
 
     def suspects_for(self, poll: ttypes.Poll) -> SuspectUpdate:
@@ -454,7 +454,7 @@
     """Return no grants, where no picker runs."""
 
 
-def no_notices() -> None:
+def no_notices(now_s: float) -> None:
     """Return no notices of upstreams, where no picker runs."""
 
 
