Write rare log lines at once

What operators saw: a line of a decision appears up to a quarter of a second after it, and a process that is killed takes the last ones with it. test_invalid_limits_change_nothing_and_are_logged failed so on a busy machine: the line for one of four texts was missing when the answers were there.

Cause: the writing thread waits 0.25 s to gather a batch, whatever the line.

Fix: a line of a kind that was not logged for 0.25 s is written at once, with all before it; the lines of requests are gathered as before.

The new test failed before.

--- a/godwitshunt/telemetry/output.py
+++ b/godwitshunt/telemetry/output.py
@@ -4,13 +4,16 @@
 import threading
 import time
 from collections import deque
+from math import inf
 from typing import Any
 
 import orjson
 
 from godwitshunt.telemetry.budget import LineBudget, LineLimits
 
-# Each batch wakes the thread twice.
+# Each batch wakes the thread twice. Lines of a kind that was not logged for
+# this long are written at once: a process that is killed must not take its last
+# decisions with it. Those of requests are too many for that.
 FLUSH_INTERVAL_S = 0.25
 # Collectors read a pipe in pieces and may cut what was written at once and is
 # longer.
@@ -48,7 +51,9 @@
         self.reported_dropped = 0
         self.reported_at_s = 0.0
         self.closing = False
+        self.logged_s: dict[str, float] = {}
         self.wake = threading.Event()
+        self.urgent = threading.Event()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
     def start(self) -> None:
@@ -58,6 +63,7 @@
     def close(self) -> None:
         """Write the queued lines, for at most `CLOSE_TIMEOUT_S`."""
         self.closing = True
+        self.urgent.set()
         self.wake.set()
         self.thread.join(CLOSE_TIMEOUT_S)
 
@@ -69,6 +75,15 @@
             self.budget.dropped += 1
         elif self.budget.admit(message, now_s):
             self.enqueue(message)
+            if self.is_rare(message, now_s):
+                self.urgent.set()
+
+    def is_rare(self, message: dict[str, Any], now_s: float) -> bool:
+        """Return whether the last line of this kind was logged long ago."""
+        kind = str(message.get('message_type'))
+        before_s = self.logged_s.get(kind, -inf)
+        self.logged_s[kind] = now_s
+        return now_s - before_s > FLUSH_INTERVAL_S
 
     def enqueue(self, message: dict[str, Any]) -> None:
         """Encode a line and queue it for the writer thread."""
@@ -96,8 +111,9 @@
         while written and not (self.closing and not self.queue):
             self.wake.wait()
             self.wake.clear()
+            self.urgent.wait(FLUSH_INTERVAL_S)
             if not self.closing:
-                time.sleep(FLUSH_INTERVAL_S)
+                self.urgent.clear()
             written = self.write_batch()
 
     def write_batch(self) -> bool:
--- a/godwitshunt/telemetry/tests/test_output.py
+++ b/godwitshunt/telemetry/tests/test_output.py
@@ -2,8 +2,10 @@
 
 import json
 import os
+import select
 import time
 
+from godwitshunt.telemetry import output as output_module
 from godwitshunt.telemetry.budget import LineBudget, LineLimits
 from godwitshunt.telemetry.output import LineOutput
 
@@ -78,3 +80,23 @@
     first = [line for line in lines if LineBudget(limits).admit(line, 1.0)]
     second = [line for line in lines if LineBudget(limits).admit(line, 9.0)]
     assert first == second
+
+
+def test_rare_lines_are_written_at_once(monkeypatch):
+    """A process that is killed takes its last decisions with it."""
+    monkeypatch.setattr(output_module, 'FLUSH_INTERVAL_S', 60.0)
+    read_fd, write_fd = os.pipe()
+    output = LineOutput(write_fd)
+    output.start()
+    output({'message_type': 'registry:picker', 'number': 1})
+    assert select.select([read_fd], [], [], 30)[0]
+    assert json.loads(os.read(read_fd, 1000))['number'] == 1
+    output({'message_type': 'registry:picker', 'number': 2})
+    assert not select.select([read_fd], [], [], 0.2)[0]
+    output({'message_type': 'ingress:upstream_leaving', 'number': 3})
+    assert select.select([read_fd], [], [], 30)[0]
+    lines = os.read(read_fd, 1000).splitlines()
+    assert [json.loads(line)['number'] for line in lines] == [2, 3]
+    output.close()
+    os.close(write_fd)
+    os.close(read_fd)
