Return the assignment of a query whose request has ended

What callers saw: nothing by itself; a sibling, found by reading, of the assignments that arrive after their timeout. If the caller of a request leaves while its entry VM waits for the picker, the reply was dropped and its slot or place in the queue stayed taken for up to 1 s.

Fix: the reply to a cancelled call is passed on like a late one. The new test fails on the code before, which forgets cancelled calls.

--- a/godwitshunt/peer/link.py
+++ b/godwitshunt/peer/link.py
@@ -183,7 +183,8 @@
         Parameters
         ----------
         on_late : callable or None
-            Called with the reply if it arrives after the timeout.
+            Called with the reply if it arrives after the timeout, or after
+            this call was cancelled.
         """
         call_id = next(self.call_ids)
         reply: asyncio.Future[bytes] = asyncio.Future()
@@ -195,9 +196,11 @@
         try:
             return Ok(await self.wait_for_reply(reply, timeout_s))
         except TimeoutError:
-            if on_late is not None and call_id in self.written:
-                self.expect_late(call_id, on_late)
+            self.expect_late(call_id, on_late)
             return Err(self.make_failure(call_id, 'no reply in time'))
+        except asyncio.CancelledError:
+            self.expect_late(call_id, on_late)
+            raise
         except OSError as error:
             return Err(self.make_failure(call_id, str(error)))
         finally:
@@ -205,9 +208,11 @@
             self.written.discard(call_id)
 
     def expect_late(
-        self, call_id: int, on_late: Callable[[bytes], None]
+        self, call_id: int, on_late: Callable[[bytes], None] | None
     ) -> None:
-        """Keep what to do with the reply to a call that has timed out."""
+        """Keep what to do with the reply to a call that nobody waits for."""
+        if on_late is None or call_id not in self.written:
+            return
         if len(self.late) >= MAX_LATE_CALLS:
             self.late.pop(next(iter(self.late)))
         self.late[call_id] = on_late
--- a/godwitshunt/peer/links.py
+++ b/godwitshunt/peer/links.py
@@ -96,7 +96,8 @@
         Parameters
         ----------
         on_late : callable or None
-            Called with the body of a reply that arrives after the timeout.
+            Called with the body of a reply that arrives after the timeout, or
+            after the call was cancelled.
 
         Returns
         -------
--- a/godwitshunt/peer/tests/test_links.py
+++ b/godwitshunt/peer/tests/test_links.py
@@ -479,3 +479,16 @@
             assert isinstance(outcome.err_value, OutcomeUnknown)
             assert await asyncio.wait_for(late.get(), 5) == b'late'
             assert not caller.link(server.address).late
+
+
+async def test_reply_to_a_cancelled_call_is_passed_on():
+    """A request ends while its process waits for a peer that reserves."""
+    late = asyncio.Queue()
+    with ThreadedServer() as server:
+        async with started_links('a') as caller:
+            await caller.call(server.address, KIND, b'', 5)
+            call = caller.call(server.address, KIND, b'x', 5, late.put_nowait)
+            calling = asyncio.create_task(call)
+            await asyncio.sleep(0)
+            calling.cancel()
+            assert await asyncio.wait_for(late.get(), 5) == b'x'
