--- /dev/null
+++ b/tests/test_platform_partitions.py
@@ -0,0 +1,80 @@
+"""Entry VMs that lose their links to the upstreams, against real processes."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+
+from tests.partition_world import (
+    PATHS,
+    Cut,
+    PartitionWorld,
+    ask_all,
+    served_share,
+)
+from tests.platform_documents import ADDRESS_PREFIX
+
+pytestmark = pytest.mark.asyncio(loop_scope='module')
+
+NETWORK = f'{ADDRESS_PREFIX}.14'
+CUT_S = 5.0
+# Seconds after the cut from which callers of the VMs that are cut off are
+# served as well as the others.
+KNOWN_S = 1.5
+LEAST_SHARE = 0.97
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def started(tmp_path_factory):
+    """Return a deployment with three entry VMs in one region."""
+    deployment = PartitionWorld(tmp_path_factory.mktemp('cut'), NETWORK)
+    try:
+        await deployment.start()
+        yield deployment
+    finally:
+        await deployment.close()
+
+
+@pytest_asyncio.fixture(loop_scope='module')
+async def world(started):
+    """Return the deployment with all paths, and connections in use."""
+    started.heal()
+    await asyncio.sleep(2.0)
+    await ask_all(started.entry_zones, 1.0)
+    return started
+
+
+@pytest.mark.parametrize('kind', Cut)
+@pytest.mark.parametrize('count', [1, 2])
+async def test_callers_of_cut_off_vms_are_served(world, kind, count):
+    """A VM that reaches no upstream refuses its callers.
+
+    Those beside it reach all of them.
+    """
+    cut_off = world.north[:count]
+    others = (*world.north[count:], world.south)
+    world.cut(cut_off, kind)
+    sent = await ask_all(world.entry_zones, CUT_S)
+    least = LEAST_SHARE * served_share(sent, others, KNOWN_S)
+    shares = {
+        path: served_share(sent, cut_off, KNOWN_S, path) for path in PATHS
+    }
+    assert served_share(sent, cut_off, KNOWN_S) >= least, shares
+    assert served_share(sent, others) >= LEAST_SHARE
+    assert served_share(sent, others, KNOWN_S) == 1
+    # The region's upstreams are sound and have room.
+    here = world.share_in_north(sent, world.north, KNOWN_S)
+    assert here >= LEAST_SHARE
+
+
+@pytest.mark.parametrize('kind', Cut)
+async def test_callers_of_a_cut_off_region_are_served(world, kind):
+    """No VM of a region reaches its upstreams; another region's do."""
+    world.cut(world.north, kind)
+    sent = await ask_all(world.entry_zones, CUT_S)
+    least = LEAST_SHARE * served_share(sent, [world.south], KNOWN_S)
+    shares = {
+        path: served_share(sent, world.north, KNOWN_S, path) for path in PATHS
+    }
+    assert served_share(sent, world.north, KNOWN_S) >= least, shares
+    assert served_share(sent, [world.south], KNOWN_S) >= LEAST_SHARE
