Ask two entry VMs before an upstream counts as unreachable

A picker took the first failed connection of any VM as proof that the upstream was down: nobody of the region sent to it for a second, and for the time of a cold start it got a cold upstream's load only.

A path and an upstream have evidence of their own now: the VM that failed names the upstream in its own queries, and the picker closes it for all only if two VMs failed to connect within a second and no bytes came from it since. A line tells who reported and what followed.

--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -281,6 +281,9 @@
         now_s = self.context.timer.now()
         service = request.service.name
         avoided = self.context.neighbours.avoided_for(service, now_s)
+        # The picker knows whether any VM reaches an upstream, not whether this
+        # one does.
+        unreachable = self.context.upstreams.unreachable(now_s)
         return DestinationRequest(
             entry=self.context.settings.name,
             request=request.id,
@@ -289,7 +292,7 @@
             service=service,
             demand=self.demand(),
             remaining_s=request.remaining_s(now_s),
-            excluded=frozenset(self.sender.excluded) | avoided,
+            excluded=avoided.union(self.sender.excluded, unreachable),
             local=request.is_forwarded,
             organisation=request.organisation_name,
             cost=self.cost(),
--- a/godwitshunt/picking/attempt_recorder.py
+++ b/godwitshunt/picking/attempt_recorder.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from math import isfinite
 
 from godwitshunt.manifest import Service
 from godwitshunt.picking.attempt_reports import AttemptReport, AttemptResult
@@ -17,6 +18,20 @@
 NO_LOAD = Load()
 
 
+@dataclass(frozen=True)
+class Reporter:
+    """An entry VM that reports an attempt.
+
+    Parameters
+    ----------
+    entries : int
+        Number of entry VMs that report to the same picker.
+    """
+
+    name: str
+    entries: int
+
+
 @dataclass
 class AttemptRecorder:
     """Records attempts in the upstream statistics.
@@ -40,15 +55,27 @@
         self.listed: dict[str, tuple[str, ...]] = {}
 
     def record(
-        self, attempt: AttemptReport, service: Service, now_s: float
+        self,
+        attempt: AttemptReport,
+        service: Service,
+        now_s: float,
+        reporter: Reporter | None = None,
     ) -> None:
-        """Record one attempt."""
+        """Record one attempt.
+
+        Parameters
+        ----------
+        reporter : Reporter or None
+            The entry VM that made the attempt; None for this process itself.
+        """
         health = self.upstreams.health_of(attempt.instance)
         match attempt.shown:
             case AttemptResult.answered:
                 self.record_answer(attempt, service, now_s)
             case AttemptResult.replaced:
                 self.mark_replaced(attempt.instance)
+            case AttemptResult.unreached if reporter is not None:
+                self.record_failed_path(attempt, reporter, now_s)
             case AttemptResult.unreached:
                 health.record_connect_failure(now_s)
             case AttemptResult.full:
@@ -58,6 +85,25 @@
             case _:
                 self.record_outcome(attempt, outliers.Failed(), now_s)
 
+    def record_failed_path(
+        self, attempt: AttemptReport, reporter: Reporter, now_s: float
+    ) -> None:
+        """Record that one of several entry VMs failed to connect."""
+        health = self.upstreams.health_of(attempt.instance)
+        is_down = health.record_failed_path(
+            reporter.name, now_s, reporter.entries
+        )
+        log_change(
+            'picking:connection_failed',
+            instance=attempt.instance,
+            source=reporter.name,
+            failed_at=sorted(health.failed_connections),
+            heard_s=round(now_s - health.last_seen_s, 3)
+            if isfinite(health.last_seen_s)
+            else None,
+            unreachable=is_down,
+        )
+
     def record_answer(
         self,
         attempt: AttemptReport,
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -9,7 +9,7 @@
 from godwitshunt.configuration.revision import Revision
 from godwitshunt.organisations import LimitPool
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
-from godwitshunt.picking.attempt_recorder import AttemptRecorder
+from godwitshunt.picking.attempt_recorder import AttemptRecorder, Reporter
 from godwitshunt.picking.attempt_reports import attempts_from_wire
 from godwitshunt.picking.choices import (
     HandOver,
@@ -270,10 +270,11 @@
         attempts = attempts_from_wire(load_report.shown)
         self.notices.apply_report(name, load_report, attempts, now_s)
         revision = self.revision()
+        reporter = Reporter(name, len(self.registry.ledger.entries))
         for attempt in attempts:
             service = revision and service_of(revision, attempt.service)
             if service:
-                self.attempt_recorder.record(attempt, service, now_s)
+                self.attempt_recorder.record(attempt, service, now_s, reporter)
         self.queue.record_report(name, report)
 
     def record_waits(self, name: str, report: Report) -> None:
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -71,6 +71,14 @@
             self.health[instance] = health
         return health
 
+    def unreachable(self, now_s: float) -> frozenset[str]:
+        """Return the upstreams that this process failed to connect to."""
+        return frozenset(
+            instance
+            for instance, health in self.health.items()
+            if health.down_until_s > now_s
+        )
+
     def speed(self, service: Service) -> ServiceSpeed:
         """Return the speed of a service's upstreams without a queue."""
         return self.learned_speed(service).service_speed()
--- a/godwitshunt/routing/upstream_health.py
+++ b/godwitshunt/routing/upstream_health.py
@@ -10,6 +10,11 @@
 
 # No requests are sent for this time after a failed connection.
 CONNECT_BACKOFF_S = 1.0
+# VMs of a region that fail to connect to an upstream which is down.
+CONFIRMING_VMS = 2
+# Bytes from an upstream are reported by the age of their arrival, which lacks
+# the delay of the report.
+REPORT_DELAY_S = 0.05
 # No requests are sent for this time after the upstream refused one as full.
 FULL_BACKOFF_S = 0.15
 # Weight of one more answer in the moving average of delays, and the half-life
@@ -62,6 +67,9 @@
         Shared prefixes that they use.
     claims : dict
         Memory that each request needs, by its number.
+    failed_connections : dict
+        When the last connection of each VM failed, by its name; only VMs that
+        reach other upstreams.
     """
 
     in_flight: int = 0
@@ -76,6 +84,7 @@
     reserved_tokens: int = 0
     shared: SharedPrefixes = field(default_factory=SharedPrefixes)
     claims: dict[int, MemoryClaim] = field(default_factory=dict)
+    failed_connections: dict[str, float] = field(default_factory=dict)
 
     @property
     def load(self) -> Load:
@@ -130,6 +139,43 @@
         self.connect_failed_s = now_s
         self.down_until_s = now_s + CONNECT_BACKOFF_S
 
+    def record_failed_path(
+        self, reporter: str, now_s: float, reporters: int
+    ) -> bool:
+        """Record a failed connection of one of a region's VMs.
+
+        A VM may have lost its path to an upstream that the others reach. So
+        the upstream counts as unreachable only if two VMs have failed to
+        connect and no bytes have come from it since.
+
+        Parameters
+        ----------
+        reporter : str
+            Name of the VM.
+        reporters : int
+            Number of VMs that send requests to it.
+
+        Returns
+        -------
+        bool
+            True if the upstream counts as unreachable.
+        """
+        self.failed_connections = {
+            name: failed_s
+            for name, failed_s in self.failed_connections.items()
+            if now_s - failed_s < CONNECT_BACKOFF_S
+        }
+        self.failed_connections[reporter] = now_s
+        first_s = min(self.failed_connections.values())
+        is_confirmed = len(self.failed_connections) >= min(
+            CONFIRMING_VMS, reporters
+        )
+        is_heard = self.last_seen_s > first_s + REPORT_DELAY_S
+        if is_heard or not is_confirmed:
+            return False
+        self.record_connect_failure(now_s)
+        return True
+
     def unresponsive_s(self, now_s: float) -> float:
         """Return the seconds without bytes from it while requests wait.
 
--- a/tests/partition_world.py
+++ b/tests/partition_world.py
@@ -17,7 +17,7 @@
 OK = 200
 # Socket options of Linux for classic BPF programs, and the program's codes.
 ATTACH_FILTER, DETACH_FILTER = 26, 27
-LOAD_WORD, JUMP_IF_EQUAL, RETURN = 0x20, 0x15, 0x06
+LOAD_WORD, JUMP_IF_EQUAL, RETURN = 0x20, 0x15, 6
 IP_SOURCE = 0xFFF00000 + 12
 WHOLE_PACKET = 0xFFFFFFFF
 PATHS = ('/safe/x', '/unsafe/x', '/once/x', '/resumed/x')
@@ -108,24 +108,35 @@
     handle = connection.fileno()
     if handle < 0:
         return
-    raw = socket.socket(fileno=socket.dup(handle))
-    try:
-        if not hosts:
+    with socket.socket(fileno=socket.dup(handle)) as raw:
+        if hosts:
+            attach_filter(raw, filter_program(hosts))
+        else:
             with suppress(OSError):
                 raw.setsockopt(socket.SOL_SOCKET, DETACH_FILTER, 0)
-            return
-        count = len(hosts)
-        code = [(LOAD_WORD, 0, 0, IP_SOURCE)]
-        for place, host in enumerate(hosts):
-            number = struct.unpack('!I', socket.inet_aton(host))[0]
-            code.append((JUMP_IF_EQUAL, count - place, 0, number))
-        code += [(RETURN, 0, 0, WHOLE_PACKET), (RETURN, 0, 0, 0)]
-        program = b''.join(struct.pack('HBBI', *one) for one in code)
-        kept = ctypes.create_string_buffer(program)
-        described = struct.pack('HL', len(code), ctypes.addressof(kept))
-        raw.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, described)
-    finally:
-        raw.close()
+
+
+def filter_program(hosts):
+    """Return the instructions that drop what some hosts send."""
+    numbers = [struct.unpack('!I', socket.inet_aton(host))[0] for host in hosts]
+    compares = [
+        (JUMP_IF_EQUAL, len(hosts) - place, 0, number)
+        for place, number in enumerate(numbers)
+    ]
+    return [
+        (LOAD_WORD, 0, 0, IP_SOURCE),
+        *compares,
+        (RETURN, 0, 0, WHOLE_PACKET),
+        (RETURN, 0, 0, 0),
+    ]
+
+
+def attach_filter(raw, instructions):
+    """Attach a packet filter to a socket."""
+    code = b''.join(struct.pack('HBBI', *one) for one in instructions)
+    kept = ctypes.create_string_buffer(code)
+    described = struct.pack('HL', len(instructions), ctypes.addressof(kept))
+    raw.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, described)
 
 
 class PartitionWorld(World):
@@ -133,7 +144,8 @@
 
     def __init__(self, folder, network, scheduling=None):
         hosts = tuple(f'{network}.{number}' for number in (11, 12, 13, 21))
-        self.north, self.south = hosts[:3], hosts[3]
+        self.north = hosts[:3]
+        self.south = hosts[3]
         zones = ('zone-a', 'zone-a', 'zone-a', 'zone-b')
         super().__init__(
             folder,
