Keep an upstream that announces itself to another control VM

A minute later every VM took it for ended, for two minutes, although its announcements went on; callers got 503 'no upstream'. On the platform each upstream does so whose announcement failed once: it goes on at the next control VM.

Cause: a control VM that has not heard an incarnation for 60 s told of its end in the same words as of a withdrawal, and an end holds everywhere. It refused the incarnation's later announcements itself, too.

An expiry now removes the incarnation from the table of that control VM only (StartEnded.expired).

--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -295,18 +295,22 @@
     Attributes:
      - instance
      - born_ms
+     - expired: True if it has announced itself no more to this control VM, and possibly
+    to another one.
 
     """
 
     __slots__ = (
         'instance',
         'born_ms',
+        'expired',
     )
 
 
-    def __init__(self, instance=None, born_ms=None,):
+    def __init__(self, instance=None, born_ms=None, expired=None,):
         self.instance = instance
         self.born_ms = born_ms
+        self.expired = expired
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -327,6 +331,11 @@
                     self.born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.expired = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -345,6 +354,10 @@
             oprot.writeFieldBegin('born_ms', TType.I64, 2)
             oprot.writeI64(self.born_ms)
             oprot.writeFieldEnd()
+        if self.expired is not None:
+            oprot.writeFieldBegin('expired', TType.BOOL, 3)
+            oprot.writeBool(self.expired)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -382,6 +395,7 @@
      - http: Where callers reach it.
      - hop: Where other entry VMs forward requests to it.
      - accepting: False while it drains or has no configuration.
+     - without_paths: True while it reaches no upstream of its region.
 
     """
 
@@ -393,10 +407,11 @@
         'http',
         'hop',
         'accepting',
+        'without_paths',
     )
 
 
-    def __init__(self, name=None, session=None, region=None, failure_domain=None, http=None, hop=None, accepting=None,):
+    def __init__(self, name=None, session=None, region=None, failure_domain=None, http=None, hop=None, accepting=None, without_paths=None,):
         self.name = name
         self.session = session
         self.region = region
@@ -404,6 +419,7 @@
         self.http = http
         self.hop = hop
         self.accepting = accepting
+        self.without_paths = without_paths
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -451,6 +467,11 @@
                     self.accepting = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.without_paths = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -489,6 +510,10 @@
             oprot.writeFieldBegin('accepting', TType.BOOL, 7)
             oprot.writeBool(self.accepting)
             oprot.writeFieldEnd()
+        if self.without_paths is not None:
+            oprot.writeFieldBegin('without_paths', TType.BOOL, 8)
+            oprot.writeBool(self.without_paths)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4370,6 +4395,7 @@
     None,  # 0
     (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
     (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'expired', None, None, ),  # 3
 )
 all_structs.append(EntryInfo)
 EntryInfo.thrift_spec = (
@@ -4381,6 +4407,7 @@
     (5, TType.STRUCT, 'http', [Endpoint, None], None, ),  # 5
     (6, TType.STRUCT, 'hop', [Endpoint, None], None, ),  # 6
     (7, TType.BOOL, 'accepting', None, None, ),  # 7
+    (8, TType.BOOL, 'without_paths', None, None, ),  # 8
 )
 all_structs.append(SharedPrefix)
 SharedPrefix.thrift_spec = (
--- a/godwitshunt/registry/incarnations.py
+++ b/godwitshunt/registry/incarnations.py
@@ -29,10 +29,14 @@
         Name that the upstream gives itself.
     born_ms : int or None
         Its start time by its own clock, in Unix milliseconds; None if unknown.
+    expired : bool
+        True if one control VM has only stopped to hear it. It may announce
+        itself to another one.
     """
 
     instance: str
     born_ms: int | None = None
+    expired: bool = False
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/registry/merged_tables.py
+++ b/godwitshunt/registry/merged_tables.py
@@ -110,7 +110,7 @@
         ends = table.apply(update, asof_s, now_s)
         self.changes += has_changes(update)
         for ended in ends:
-            if ended.instance not in table.upstreams:
+            if ended.instance not in table.upstreams and not ended.expired:
                 self.ends.record(self.with_start_time(ended), now_s)
         return AppliedUpdate(control, ends)
 
--- a/godwitshunt/registry/records.py
+++ b/godwitshunt/registry/records.py
@@ -77,6 +77,8 @@
         Where other entry VMs forward requests to it.
     accepting : bool
         False while it drains or has no configuration.
+    reaches_upstreams : bool
+        False while it reaches no upstream of its region.
     """
 
     name: str
@@ -86,6 +88,7 @@
     http: Address
     hop: Address
     accepting: bool
+    reaches_upstreams: bool = True
 
 
 @dataclass(frozen=True)
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -30,6 +30,9 @@
 struct StartEnded {
   1: string instance
   2: optional i64 born_ms
+  /** True if it has announced itself no more to this control VM, and possibly
+      to another one. */
+  3: optional bool expired
 }
 
 /** An entry VM as it describes itself. */
@@ -44,6 +47,8 @@
   6: Endpoint hop
   /** False while it drains or has no configuration. */
   7: bool accepting
+  /** True while it reaches no upstream of its region. */
+  8: optional bool without_paths
 }
 
 /** A shared prompt prefix that requests use at an upstream. */
--- a/godwitshunt/registry/table.py
+++ b/godwitshunt/registry/table.py
@@ -72,7 +72,7 @@
 
 @dataclass(frozen=True)
 class Tombstone:
-    """An ended incarnation, with the version and the time of its end."""
+    """A removed incarnation, with the version and the time of its removal."""
 
     incarnation: EndedIncarnation
     version: int
@@ -210,7 +210,8 @@
         replaces them.
         """
         for ended in ends:
-            self.ends.record(ended, now_s)
+            if not ended.expired:
+                self.ends.record(ended, now_s)
             self.add_tombstone(ended, now_s)
         for announcement in upstreams:
             if self.ends.covers(
@@ -304,10 +305,19 @@
         self.ends.record(ended, now_s)
         self.add_tombstone(ended, now_s)
 
+    def expire(self, announcement: UpstreamAnnounced, now_s: float) -> None:
+        """Remove a silent incarnation, which another control VM may hear."""
+        self.entries.pop(announcement.instance)
+        expired = EndedIncarnation(
+            announcement.instance, announcement.born_ms, expired=True
+        )
+        self.add_tombstone(expired, now_s)
+
     def add_tombstone(self, ended: EndedIncarnation, now_s: float) -> None:
-        """Add the end of an incarnation as a new version."""
+        """Add the removal of an incarnation as a new version."""
         name = incarnation_name(ended.instance, ended.born_ms)
-        if name not in self.tombstones:
+        known = self.tombstones.get(name)
+        if known is None or known.incarnation != ended:
             self.tombstones[name] = Tombstone(
                 ended,
                 self.next_version(),
@@ -319,7 +329,7 @@
         for known in tuple(self.entries.values()):
             silent_s = now_s - known.last_seen_s
             if silent_s > EXPIRED_AFTER_S:
-                self.end_incarnation(known.announcement, now_s)
+                self.expire(known.announcement, now_s)
             elif silent_s > SILENT_AFTER_S and not known.silent:
                 known.silent = True
                 known.version = self.next_version()
--- a/godwitshunt/registry/views.py
+++ b/godwitshunt/registry/views.py
@@ -207,12 +207,14 @@
             self.entries[entry.name] = ReportedEntry(entry, version)
 
     def end_incarnation(self, ended: EndedIncarnation, now_s: float) -> None:
-        """End an incarnation; a later one of the upstream remains."""
+        """Remove an incarnation; a later one of the upstream remains."""
         known = self.upstreams.get(ended.instance)
         if known is not None and known.announcement.born_ms == ended.born_ms:
             self.upstreams.pop(ended.instance)
         name = incarnation_name(ended.instance, ended.born_ms)
         self.tombstones[name] = Tombstone(ended, self.version, now_s)
+        if ended.expired:
+            return
         born_ms = self.ended_born_ms.get(ended.instance)
         if born_ms is None or (ended.born_ms or 0) > born_ms:
             self.ended_born_ms[ended.instance] = ended.born_ms
--- a/godwitshunt/registry/wire.py
+++ b/godwitshunt/registry/wire.py
@@ -103,7 +103,10 @@
 
 def ends_to_wire(ends: Iterable[EndedIncarnation]) -> list[ttypes.StartEnded]:
     """Return ended incarnations as structs."""
-    return [ttypes.StartEnded(ended.instance, ended.born_ms) for ended in ends]
+    return [
+        ttypes.StartEnded(ended.instance, ended.born_ms, ended.expired or None)
+        for ended in ends
+    ]
 
 
 def ends_from_wire(
@@ -111,7 +114,9 @@
 ) -> tuple[EndedIncarnation, ...]:
     """Read ended incarnations."""
     return tuple(
-        EndedIncarnation(struct.instance, struct.born_ms)
+        EndedIncarnation(
+            struct.instance, struct.born_ms, expired=bool(struct.expired)
+        )
         for struct in structs or ()
     )
 
@@ -126,6 +131,7 @@
         http=address_to_wire(record.http),
         hop=address_to_wire(record.hop),
         accepting=record.accepting,
+        without_paths=None if record.reaches_upstreams else True,
     )
 
 
@@ -147,6 +153,7 @@
         http=address_from_wire(struct.http),
         hop=address_from_wire(struct.hop),
         accepting=bool(struct.accepting),
+        reaches_upstreams=not struct.without_paths,
     )
 
 
