--- a/godwitshunt/backpressure/__init__.py
+++ b/godwitshunt/backpressure/__init__.py
@@ -5,6 +5,7 @@
 limit among the processes that send to it. It performs no I/O.
 """
 
+from godwitshunt.backpressure.brittleness import BrittleNotice, BrittleTable
 from godwitshunt.backpressure.departures import DepartureTable
 from godwitshunt.backpressure.headers import (
     InvalidHeader,
@@ -25,6 +26,8 @@
 )
 
 __all__ = [
+    'BrittleNotice',
+    'BrittleTable',
     'DepartureTable',
     'InvalidHeader',
     'NO_SHARE',
--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -67,6 +67,8 @@
             upstreams.observed_limits,
             upstreams.pauses,
             upstreams.departures,
+            upstreams.brittle,
+            upstreams.observed_brittle,
             picker.schedule_report,
             timer,
             metrics,
@@ -82,6 +84,7 @@
         buffers=make_budget(settings.limits.buffer_bytes, metrics),
     )
     chooser.filter.has_cold_capacity = context.has_cold_capacity
+    chooser.filter.has_slot = context.has_slot
     context.paths.targets = context.probe_targets
     context.paths.on_change = context.follow_paths
     return context
--- a/godwitshunt/ingress/context.py
+++ b/godwitshunt/ingress/context.py
@@ -27,6 +27,7 @@
 from godwitshunt.registry import RegistryWatch, UpstreamSeen
 from godwitshunt.routing.cold_budget import STARTUP_HOLD_S, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds, RetryWindow
+from godwitshunt.routing.slot_shares import slot_share
 from godwitshunt.routing.upstream_paths import ProbeTarget
 from godwitshunt.settings import NodeSettings
 from godwitshunt.telemetry import Metrics
@@ -216,6 +217,21 @@
             count=self.neighbours.count_in_region(),
         )
 
+    def has_slot(self, upstream: UpstreamSeen) -> bool:
+        """Tell whether this VM's share of an upstream's slots has a free one.
+
+        A VM that chooses by itself does not know the others' requests.
+        """
+        announcement = upstream.announcement
+        share = slot_share(
+            announcement.incarnation,
+            announcement.slots,
+            self.neighbours.name,
+            self.neighbours.names_in_region(),
+        )
+        health = self.upstreams.health_of(announcement.incarnation)
+        return health.in_flight < share
+
     def has_cold_capacity(
         self, upstream: UpstreamSeen, request: ChoiceRequest
     ) -> bool:
--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -159,7 +159,7 @@
         upstream that is leaving ends as announced, whatever it runs.
         """
         announcement = completed.choice.upstream.announcement
-        if completed.attempt.closed_by_peer and not self.is_leaving(
+        if completed.attempt.closed_by_peer and not self.has_reason_to_end(
             announcement
         ):
             self.context.crash_detector.record_loss(
@@ -180,6 +180,16 @@
             reason=lost.reason,
         )
 
+    def has_reason_to_end(self, announcement: UpstreamAnnounced) -> bool:
+        """Tell whether an upstream ends whatever it runs.
+
+        A brittle one fails because of the requests that it rejects.
+        """
+        brittle = self.context.upstreams.brittle
+        return brittle.is_brittle(announcement.service) or self.is_leaving(
+            announcement
+        )
+
     def is_leaving(self, announcement: UpstreamAnnounced) -> bool:
         """Tell whether an upstream has announced that it leaves."""
         watch = self.context.watch
--- a/godwitshunt/ingress/header_names.py
+++ b/godwitshunt/ingress/header_names.py
@@ -31,6 +31,9 @@
     rate_limit : bytes
         Requests per second that the upstream that answered accepts from all
         VMs together; absent if it has no limit.
+    brittle : bytes
+        Rejections per second after which the upstream that answered fails;
+        absent if it bears any.
     leaving : bytes
         1 in the answers of an upstream that is leaving.
     key : bytes
@@ -51,6 +54,7 @@
     token_count: bytes = b'godwitshunt-prompt-tokens'
     urgency: bytes = b'godwitshunt-urgency'
     rate_limit: bytes = b'godwitshunt-rate-limit'
+    brittle: bytes = b'godwitshunt-brittle'
     leaving: bytes = b'godwitshunt-leaving'
     key: bytes = b'godwitshunt-key'
     organisation: bytes = b'godwitshunt-organisation'
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -167,7 +167,7 @@
             activity.record,
             on_head=partial(
                 context.answer_headers.read,
-                announcement.incarnation,
+                announcement,
                 self.request.id,
                 sent_s=sent_s,
             ),
--- a/godwitshunt/ingress/upstream_headers.py
+++ b/godwitshunt/ingress/upstream_headers.py
@@ -6,6 +6,8 @@
 from result import Err, Ok
 
 from godwitshunt.backpressure import (
+    BrittleNotice,
+    BrittleTable,
     DepartureTable,
     InvalidHeader,
     PauseTable,
@@ -16,6 +18,7 @@
 )
 from godwitshunt.exchange.upstream_messages import AnswerHead
 from godwitshunt.ingress.header_names import HeaderNames
+from godwitshunt.registry import UpstreamAnnounced
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Timer
 
@@ -42,8 +45,13 @@
         Receives the pauses that refusals ask for.
     departures : DepartureTable
         Receives the upstreams that state that they are leaving.
+    brittle : BrittleTable
+        Receives which services are brittle, beside those that others report.
+    observed_brittle : BrittleTable
+        Receives only which services have stated it here.
     on_departure : callable
-        Called when an upstream is first known to be leaving.
+        Called when an upstream is first known to be leaving, or a service to
+        be brittle.
     ignored : dict
         Last invalid header of each upstream, which is logged once.
     """
@@ -53,6 +61,8 @@
     observed_limits: RateLimitTable
     pauses: PauseTable
     departures: DepartureTable
+    brittle: BrittleTable
+    observed_brittle: BrittleTable
     on_departure: Callable[[], None]
     timer: Timer
     metrics: Metrics
@@ -60,7 +70,7 @@
 
     def read(
         self,
-        incarnation: str,
+        upstream: UpstreamAnnounced,
         request_id: str,
         head: AnswerHead,
         sent_s: float,
@@ -69,13 +79,14 @@
 
         Parameters
         ----------
-        incarnation : str
+        upstream : UpstreamAnnounced
             The upstream that has made the answer.
         request_id : str
             The request, for logs.
         sent_s : float
             When the request was sent, in monotonic seconds.
         """
+        incarnation = upstream.incarnation
         match read_decimal(head.headers, self.names.rate_limit):
             case Err(invalid):
                 self.log_ignored(incarnation, request_id, invalid)
@@ -83,6 +94,14 @@
                 asof_s = sent_s if per_s is None else self.timer.now()
                 notice = RateLimitNotice(incarnation, per_s, asof_s)
                 self.record_rate_limit(notice, request_id)
+        match read_decimal(head.headers, self.names.brittle):
+            case Err(invalid):
+                self.log_ignored(incarnation, request_id, invalid)
+            case Ok(per_s):
+                asof_s = sent_s if per_s is None else self.timer.now()
+                self.record_brittle(
+                    BrittleNotice(upstream.service, per_s, asof_s), request_id
+                )
         match read_flag(head.headers, self.names.leaving):
             case Err(invalid):
                 self.log_ignored(incarnation, request_id, invalid)
@@ -108,6 +127,18 @@
                         pause_s=pause_s,
                     )
 
+    def record_brittle(self, notice: BrittleNotice, request_id: str) -> None:
+        """Record how many rejections a service bears; log a change."""
+        self.observed_brittle.record(notice)
+        if self.brittle.record(notice):
+            self.on_departure()
+            log_change(
+                'ingress:service_brittle',
+                service=notice.service,
+                request=request_id,
+                rejections_per_s=notice.rejections_per_s,
+            )
+
     def record_departure(self, incarnation: str, request_id: str) -> None:
         """Record that an upstream is leaving; log it once."""
         if self.departures.record(incarnation, self.timer.now()):
--- a/godwitshunt/picking/attempt_recorder.py
+++ b/godwitshunt/picking/attempt_recorder.py
@@ -12,7 +12,6 @@
 from godwitshunt.picking.upstreams import Upstreams, of_service
 from godwitshunt.registry import Load, RegistryView, UpstreamSeen
 from godwitshunt.routing import outliers
-from godwitshunt.routing.upstream_health import FULL_BACKOFF_S
 from godwitshunt.telemetry import log_change
 
 NO_LOAD = Load()
@@ -79,7 +78,8 @@
             case AttemptResult.unreached:
                 self.upstreams.record_connect_failure(attempt.instance, now_s)
             case AttemptResult.full:
-                health.full_until_s = now_s + FULL_BACKOFF_S
+                backoff_s = self.upstreams.full_backoff_s(attempt.service)
+                health.full_until_s = now_s + backoff_s
                 if self.has_free_slot(attempt.instance):
                     self.record_outcome(attempt, outliers.Failed(), now_s)
             case _:
--- a/godwitshunt/picking/filters.py
+++ b/godwitshunt/picking/filters.py
@@ -15,11 +15,20 @@
 MIN_REMAINING_S = 1.5
 
 
+# No slot of a brittle upstream is known to be free.
+NO_FREE_SLOT = 'brittle, and no slot is free'
+
+
 def always(upstream: UpstreamSeen, request: ChoiceRequest) -> bool:
     """Permit any request to a cold upstream."""
     return True
 
 
+def has_any_slot(upstream: UpstreamSeen) -> bool:
+    """Permit any request to a brittle upstream."""
+    return True
+
+
 @dataclass
 class UpstreamFilter:
     """Selects the upstreams that can accept a request.
@@ -34,11 +43,15 @@
     has_cold_capacity : callable
         Returns whether this process may send one more request to a cold
         upstream.
+    has_slot : callable
+        Returns whether a slot of an upstream is known to be free for this
+        process. Brittle upstreams get no other requests.
     """
 
     region: str
     upstreams: Upstreams
     has_cold_capacity: Callable[[UpstreamSeen, ChoiceRequest], bool] = always
+    has_slot: Callable[[UpstreamSeen], bool] = has_any_slot
 
     def __post_init__(self) -> None:
         # Each choice looks up every upstream here.
@@ -91,6 +104,9 @@
             return 'asked for a pause'
         if incarnation in self.limits and self.rate_wait_s(upstream, now_s):
             return 'rate limit'
+        is_brittle = self.upstreams.brittle.is_brittle(request.service.name)
+        if is_brittle and not self.has_slot(upstream):
+            return NO_FREE_SLOT
         if self.may_be_cold(upstream, request) and not self.has_cold_capacity(
             upstream, request
         ):
--- a/godwitshunt/picking/neighbours.py
+++ b/godwitshunt/picking/neighbours.py
@@ -61,12 +61,18 @@
         """Return the entry VMs of all regions, this one included."""
         return max(1, len(self.last_seen))
 
-    def count_in_region(self) -> int:
+    def names_in_region(self) -> tuple[str, ...]:
         """Return the entry VMs of this region, this one included."""
-        here = sum(
-            region == self.region for region, _ in self.last_seen.values()
+        others = (
+            name
+            for name, (region, _) in self.last_seen.items()
+            if region == self.region and name != self.name
         )
-        return max(1, here)
+        return (self.name, *others)
+
+    def count_in_region(self) -> int:
+        """Return how many entry VMs this region has, this one included."""
+        return len(self.names_in_region())
 
     def avoid(self, destination: str, until_s: float) -> None:
         """Avoid a VM, or a service of a region, until a time."""
--- a/godwitshunt/picking/reports.py
+++ b/godwitshunt/picking/reports.py
@@ -8,7 +8,10 @@
 from godwitshunt.organisations import LimitPool, limits_of
 from godwitshunt.picking.attempt_reports import AttemptReport, attempts_to_wire
 from godwitshunt.picking.upstreams import Upstreams
-from godwitshunt.picking.wire_limits import rate_limits_to_wire
+from godwitshunt.picking.wire_limits import (
+    brittle_to_wire,
+    rate_limits_to_wire,
+)
 from godwitshunt.quarantine import SuspectTable
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.ledger import Report
@@ -124,6 +127,9 @@
         load_report.rate_limits = rate_limits_to_wire(
             self.upstreams.observed_limits.limited(), now_s
         )
+        load_report.brittle = brittle_to_wire(
+            self.upstreams.observed_brittle.stated(), now_s
+        )
         load_report.leaving = sorted(self.upstreams.departures.present())
         load_report.admitted = admitted_to_wire(self.limits.admitted)
         load_report.prefixes = prefixes_to_wire(
--- a/godwitshunt/picking/scheduled.py
+++ b/godwitshunt/picking/scheduled.py
@@ -17,6 +17,7 @@
     SendHere,
 )
 from godwitshunt.picking.destinations import Assignment, DestinationRequest
+from godwitshunt.picking.filters import NO_FREE_SLOT
 from godwitshunt.picking.picker import Picker, PickingContext
 from godwitshunt.picking.region_queue import (
     Arrival,
@@ -51,7 +52,7 @@
 PREFILL_SHARE = 0.7
 # Reasons that pass by themselves, for which a request waits. Rate limits and
 # pauses are left to the caller, who is told when they end.
-PASSING = frozenset((None, 'cold', 'refused a request as full'))
+PASSING = frozenset((None, 'cold', 'refused a request as full', NO_FREE_SLOT))
 
 
 @dataclass
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -131,6 +131,7 @@
             is_memory_bound=scheduling.limits_admission,
             reserves_urgent=scheduling.limits_admission,
         )
+        self.picker.chooser.filter.has_slot = registry.free_slots.has_slot
         self.limits = PickerLimits(
             self.picker.limits,
             tables,
--- a/godwitshunt/picking/upstream_notices.py
+++ b/godwitshunt/picking/upstream_notices.py
@@ -8,12 +8,18 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from godwitshunt.backpressure import RateLimitNotice
+from godwitshunt.backpressure import (
+    BrittleNotice,
+    BrittleTable,
+    RateLimitNotice,
+)
 from godwitshunt.exceptions import FrameError
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.picking.attempt_reports import AttemptReport
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.picking.wire_limits import (
+    brittle_from_wire,
+    brittle_to_wire,
     rate_limits_from_wire,
     rate_limits_to_wire,
 )
@@ -65,6 +71,7 @@
             The attempts in its report.
         """
         self.record_rate_limits(name, load_report, attempts, now_s)
+        self.record_brittle(name, load_report, attempts, now_s)
         self.record_departures(name, load_report, now_s)
 
     def record_rate_limits(
@@ -109,6 +116,26 @@
                 name,
             )
 
+    def record_brittle(
+        self,
+        name: str,
+        load_report: ttypes.LoadReport,
+        attempts: Iterable[AttemptReport],
+        now_s: float,
+    ) -> None:
+        """Update which services are brittle from an entry VM's report."""
+        notices = brittle_from_wire(load_report.brittle, now_s)
+        stated = {notice.service for notice in notices}
+        notices.extend(
+            BrittleNotice(attempt.service, None, now_s - attempt.took_s)
+            for attempt in attempts
+            if attempt.is_answer and attempt.service not in stated
+        )
+        new = record_brittle(self.upstreams.brittle, notices, name)
+        if new:
+            brittle = brittle_to_wire(new, now_s)
+            self.push(ttypes.UpstreamNotices([], [], brittle), name)
+
     def record_departures(
         self, name: str, load_report: ttypes.LoadReport, now_s: float
     ) -> None:
@@ -138,10 +165,13 @@
         """Return all notices as a struct; None if there are none."""
         leaving = sorted(self.upstreams.departures.present())
         limits = self.upstreams.rate_limiter.table.notices.values()
-        if not (leaving or limits):
+        brittle = self.upstreams.brittle.notices.values()
+        if not (leaving or limits or brittle):
             return None
         return ttypes.UpstreamNotices(
-            leaving, rate_limits_to_wire(limits, now_s)
+            leaving,
+            rate_limits_to_wire(limits, now_s),
+            brittle_to_wire(brittle, now_s),
         )
 
 
@@ -181,6 +211,11 @@
             log_change(
                 'picking:upstream_leaving', instance=instance, source=control
             )
+        record_brittle(
+            self.upstreams.brittle,
+            brittle_from_wire(notices.brittle, now_s),
+            control,
+        )
         table = self.upstreams.rate_limiter.table
         for notice in rate_limits_from_wire(notices.rate_limits, now_s):
             if table.record(notice):
@@ -191,3 +226,18 @@
                     age_s=round(now_s - notice.asof_s, 3),
                     source=control,
                 )
+
+
+def record_brittle(
+    table: BrittleTable, notices: Iterable[BrittleNotice], source: str
+) -> list[BrittleNotice]:
+    """Record notices and log changes; return those of a changed bound."""
+    new = [notice for notice in notices if table.record(notice)]
+    for notice in new:
+        log_change(
+            'picking:service_brittle',
+            service=notice.service,
+            rejections_per_s=notice.rejections_per_s,
+            source=source,
+        )
+    return new
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -5,6 +5,7 @@
 from math import isfinite
 
 from godwitshunt.backpressure import (
+    BrittleTable,
     DepartureTable,
     PauseTable,
     RateLimiter,
@@ -22,7 +23,10 @@
     OutlierDetector,
 )
 from godwitshunt.routing.selection import Demand, ServiceSpeed
-from godwitshunt.routing.upstream_health import UpstreamHealth
+from godwitshunt.routing.upstream_health import (
+    FULL_BACKOFF_S,
+    UpstreamHealth,
+)
 
 # Routes have many requests, so a probe soon shows that an upstream has
 # recovered. A longer ejection would only increase the load of the others.
@@ -46,6 +50,10 @@
         Rate limits that upstreams have stated to this process itself. Only
         these are reported: the age of a limit that processes sent each other
         would lack the network delay each time, and outlast its end.
+    brittle : BrittleTable
+        Services whose upstreams fail when they reject many requests.
+    observed_brittle : BrittleTable
+        What of this upstreams have stated to this process itself.
     pauses : PauseTable
         Upstreams that have asked this VM for a pause.
     departures : DepartureTable
@@ -61,6 +69,8 @@
     outliers: dict[str, OutlierDetector] = field(default_factory=dict)
     rate_limiter: RateLimiter = field(default_factory=RateLimiter)
     observed_limits: RateLimitTable = field(default_factory=RateLimitTable)
+    brittle: BrittleTable = field(default_factory=BrittleTable)
+    observed_brittle: BrittleTable = field(default_factory=BrittleTable)
     pauses: PauseTable = field(default_factory=PauseTable)
     departures: DepartureTable = field(default_factory=DepartureTable)
     answers: LearnedAnswers = field(default_factory=LearnedAnswers)
@@ -74,6 +84,13 @@
             self.health[instance] = health
         return health
 
+    def full_backoff_s(self, service: str) -> float:
+        """Return the pause after an upstream of a service was full."""
+        bearable = self.brittle.rejections_per_s(service)
+        if bearable is None:
+            return FULL_BACKOFF_S
+        return max(FULL_BACKOFF_S, 1 / max(1.0, bearable))
+
     def record_connect_failure(self, instance: str, now_s: float) -> None:
         """Record a failed connection."""
         health = self.health_of(instance)
--- a/godwitshunt/picking/wire_limits.py
+++ b/godwitshunt/picking/wire_limits.py
@@ -1,8 +1,8 @@
-"""Conversion of upstreams' rate limits to and from thrift structs."""
+"""Conversion of upstreams' limits to and from thrift structs."""
 
 from collections.abc import Iterable
 
-from godwitshunt.backpressure import RateLimitNotice
+from godwitshunt.backpressure import BrittleNotice, RateLimitNotice
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.wire import age_ms, time_of_age_s
 
@@ -29,3 +29,31 @@
         )
         for struct in structs or ()
     ]
+
+
+def brittle_to_wire(
+    notices: Iterable[BrittleNotice], now_s: float
+) -> list[ttypes.BrittleInfo] | None:
+    """Return notices as structs, with their ages; None if there are none."""
+    return [
+        ttypes.BrittleInfo(
+            notice.service,
+            notice.rejections_per_s,
+            age_ms(notice.asof_s, now_s),
+        )
+        for notice in notices
+    ] or None
+
+
+def brittle_from_wire(
+    structs: Iterable[ttypes.BrittleInfo] | None, now_s: float
+) -> list[BrittleNotice]:
+    """Read notices; ages become points in time."""
+    return [
+        BrittleNotice(
+            struct.service_name,
+            struct.rejections_per_s,
+            time_of_age_s(struct.age_ms, now_s),
+        )
+        for struct in structs or ()
+    ]
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -1548,6 +1548,100 @@
         return not (self == other)
 
 
+class BrittleInfo(object):
+    """
+    Rejections per second that each upstream of a service bears.
+
+    Attributes:
+     - service_name
+     - rejections_per_s: Absent once its upstreams state no bound any more.
+     - age_ms: Milliseconds since the answer that stated it, when this was sent.
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'rejections_per_s',
+        'age_ms',
+    )
+
+
+    def __init__(self, service_name=None, rejections_per_s=None, age_ms=None,):
+        self.service_name = service_name
+        self.rejections_per_s = rejections_per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.rejections_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BrittleInfo')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.rejections_per_s is not None:
+            oprot.writeFieldBegin('rejections_per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.rejections_per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamNotices(object):
     """
     What upstreams have stated in answers to any entry VM.
@@ -1555,18 +1649,21 @@
     Attributes:
      - leaving: Incarnations that are leaving.
      - rate_limits
+     - brittle
 
     """
 
     __slots__ = (
         'leaving',
         'rate_limits',
+        'brittle',
     )
 
 
-    def __init__(self, leaving=None, rate_limits=None,):
+    def __init__(self, leaving=None, rate_limits=None, brittle=None,):
         self.leaving = leaving
         self.rate_limits = rate_limits
+        self.brittle = brittle
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1598,6 +1695,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.brittle = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = BrittleInfo()
+                        _elem38.read(iprot)
+                        self.brittle.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1611,15 +1719,22 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter33 in self.leaving:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter39 in self.leaving:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter34 in self.rate_limits:
-                iter34.write(oprot)
+            for iter40 in self.rate_limits:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.brittle is not None:
+            oprot.writeFieldBegin('brittle', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.brittle))
+            for iter41 in self.brittle:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1664,6 +1779,8 @@
      - suspects: Requests that were lost to upstreams since the last report.
      - rate_limits: All rate limits of upstreams that are in force at the entry VM.
      - leaving: Incarnations that have stated in an answer that they are leaving.
+     - brittle: All services whose upstreams have told the entry VM that they are
+    brittle.
 
     """
 
@@ -1679,10 +1796,11 @@
         'suspects',
         'rate_limits',
         'leaving',
+        'brittle',
     )
 
 
-    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None, suspects=None, rate_limits=None, leaving=None,):
+    def __init__(self, number=None, loads=None, session=None, places_of=None, places_taken=None, shown=None, prefixes=None, admitted=None, suspects=None, rate_limits=None, leaving=None, brittle=None,):
         self.number = number
         self.loads = loads
         self.session = session
@@ -1694,6 +1812,7 @@
         self.suspects = suspects
         self.rate_limits = rate_limits
         self.leaving = leaving
+        self.brittle = brittle
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1712,11 +1831,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = UpstreamLoad()
-                        _elem40.read(iprot)
-                        self.loads.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = UpstreamLoad()
+                        _elem47.read(iprot)
+                        self.loads.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1738,65 +1857,76 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.shown = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = AttemptShown()
-                        _elem46.read(iprot)
-                        self.shown.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = AttemptShown()
+                        _elem53.read(iprot)
+                        self.shown.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = PrefixInfo()
-                        _elem52.read(iprot)
-                        self.prefixes.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = PrefixInfo()
+                        _elem59.read(iprot)
+                        self.prefixes.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = AdmittedUnits()
-                        _elem58.read(iprot)
-                        self.admitted.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = AdmittedUnits()
+                        _elem65.read(iprot)
+                        self.admitted.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = SuspectInfo()
-                        _elem64.read(iprot)
-                        self.suspects.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = SuspectInfo()
+                        _elem71.read(iprot)
+                        self.suspects.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = RateLimitInfo()
-                        _elem70.read(iprot)
-                        self.rate_limits.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = RateLimitInfo()
+                        _elem77.read(iprot)
+                        self.rate_limits.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem83)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.brittle = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = BrittleInfo()
+                        _elem89.read(iprot)
+                        self.brittle.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1817,8 +1947,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter77 in self.loads:
-                iter77.write(oprot)
+            for iter90 in self.loads:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1832,15 +1962,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter78 in self.shown:
-                iter78.write(oprot)
+            for iter91 in self.shown:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter79 in self.prefixes:
-                iter79.write(oprot)
+            for iter92 in self.prefixes:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1850,29 +1980,36 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter80 in self.admitted:
-                iter80.write(oprot)
+            for iter93 in self.admitted:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter81 in self.suspects:
-                iter81.write(oprot)
+            for iter94 in self.suspects:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter82 in self.rate_limits:
-                iter82.write(oprot)
+            for iter95 in self.rate_limits:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter83 in self.leaving:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter96 in self.leaving:
+                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.brittle is not None:
+            oprot.writeFieldBegin('brittle', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.brittle))
+            for iter97 in self.brittle:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2062,11 +2199,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = TableHeld()
-                        _elem89.read(iprot)
-                        self.held.append(_elem89)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = TableHeld()
+                        _elem103.read(iprot)
+                        self.held.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2079,11 +2216,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = PrefixInfo()
-                        _elem95.read(iprot)
-                        self.prefixes.append(_elem95)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = PrefixInfo()
+                        _elem109.read(iprot)
+                        self.prefixes.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2110,22 +2247,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = TableNews()
-                        _elem101.read(iprot)
-                        self.newer.append(_elem101)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = TableNews()
+                        _elem115.read(iprot)
+                        self.newer.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = SuspectInfo()
-                        _elem107.read(iprot)
-                        self.suspects.append(_elem107)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = SuspectInfo()
+                        _elem121.read(iprot)
+                        self.suspects.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2151,8 +2288,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter108 in self.held:
-                iter108.write(oprot)
+            for iter122 in self.held:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -2162,8 +2299,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter109 in self.prefixes:
-                iter109.write(oprot)
+            for iter123 in self.prefixes:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2185,15 +2322,15 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter110 in self.newer:
-                iter110.write(oprot)
+            for iter124 in self.newer:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter111 in self.suspects:
-                iter111.write(oprot)
+            for iter125 in self.suspects:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2569,22 +2706,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = GrantInfo()
-                        _elem117.read(iprot)
-                        self.grants.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = GrantInfo()
+                        _elem131.read(iprot)
+                        self.grants.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = DemandInfo()
-                        _elem123.read(iprot)
-                        self.demands.append(_elem123)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = DemandInfo()
+                        _elem137.read(iprot)
+                        self.demands.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2596,11 +2733,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.round_trips = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = RoundTripInfo()
-                        _elem129.read(iprot)
-                        self.round_trips.append(_elem129)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = RoundTripInfo()
+                        _elem143.read(iprot)
+                        self.round_trips.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2617,15 +2754,15 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter130 in self.grants:
-                iter130.write(oprot)
+            for iter144 in self.grants:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter131 in self.demands:
-                iter131.write(oprot)
+            for iter145 in self.demands:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reporters is not None:
@@ -2635,8 +2772,8 @@
         if self.round_trips is not None:
             oprot.writeFieldBegin('round_trips', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.round_trips))
-            for iter132 in self.round_trips:
-                iter132.write(oprot)
+            for iter146 in self.round_trips:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2860,43 +2997,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = UpstreamInfo()
-                        _elem138.read(iprot)
-                        self.upstreams.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = UpstreamInfo()
+                        _elem152.read(iprot)
+                        self.upstreams.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = StartEnded()
-                        _elem144.read(iprot)
-                        self.gone.append(_elem144)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = StartEnded()
+                        _elem158.read(iprot)
+                        self.gone.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = EntryInfo()
-                        _elem150.read(iprot)
-                        self.entries.append(_elem150)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = EntryInfo()
+                        _elem164.read(iprot)
+                        self.entries.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem156)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2908,22 +3045,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = UpstreamLoad()
-                        _elem162.read(iprot)
-                        self.loads.append(_elem162)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = UpstreamLoad()
+                        _elem176.read(iprot)
+                        self.loads.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = AdmittedUnits()
-                        _elem168.read(iprot)
-                        self.admitted.append(_elem168)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = AdmittedUnits()
+                        _elem182.read(iprot)
+                        self.admitted.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2970,29 +3107,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter169 in self.upstreams:
-                iter169.write(oprot)
+            for iter183 in self.upstreams:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter170 in self.gone:
-                iter170.write(oprot)
+            for iter184 in self.gone:
+                iter184.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter171 in self.entries:
-                iter171.write(oprot)
+            for iter185 in self.entries:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter172 in self.gone_entries:
-                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
+            for iter186 in self.gone_entries:
+                oprot.writeString(iter186.encode('utf-8') if sys.version_info[0] == 2 else iter186)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -3002,15 +3139,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter173 in self.loads:
-                iter173.write(oprot)
+            for iter187 in self.loads:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter174 in self.admitted:
-                iter174.write(oprot)
+            for iter188 in self.admitted:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
@@ -3108,33 +3245,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = TableNews()
-                        _elem180.read(iprot)
-                        self.tables.append(_elem180)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = TableNews()
+                        _elem194.read(iprot)
+                        self.tables.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = UpstreamLoad()
-                        _elem186.read(iprot)
-                        self.loads.append(_elem186)
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = UpstreamLoad()
+                        _elem200.read(iprot)
+                        self.loads.append(_elem200)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype190, _size187) = iprot.readListBegin()
-                    for _i191 in range(_size187):
-                        _elem192 = PrefixInfo()
-                        _elem192.read(iprot)
-                        self.prefixes.append(_elem192)
+                    (_etype204, _size201) = iprot.readListBegin()
+                    for _i205 in range(_size201):
+                        _elem206 = PrefixInfo()
+                        _elem206.read(iprot)
+                        self.prefixes.append(_elem206)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3161,11 +3298,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype196, _size193) = iprot.readListBegin()
-                    for _i197 in range(_size193):
-                        _elem198 = SuspectInfo()
-                        _elem198.read(iprot)
-                        self.suspects.append(_elem198)
+                    (_etype210, _size207) = iprot.readListBegin()
+                    for _i211 in range(_size207):
+                        _elem212 = SuspectInfo()
+                        _elem212.read(iprot)
+                        self.suspects.append(_elem212)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3198,22 +3335,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter199 in self.tables:
-                iter199.write(oprot)
+            for iter213 in self.tables:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter200 in self.loads:
-                iter200.write(oprot)
+            for iter214 in self.loads:
+                iter214.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter201 in self.prefixes:
-                iter201.write(oprot)
+            for iter215 in self.prefixes:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -3239,8 +3376,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter202 in self.suspects:
-                iter202.write(oprot)
+            for iter216 in self.suspects:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -3502,10 +3639,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem208)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3527,11 +3664,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype212, _size209) = iprot.readListBegin()
-                    for _i213 in range(_size209):
-                        _elem214 = PauseInfo()
-                        _elem214.read(iprot)
-                        self.pauses.append(_elem214)
+                    (_etype226, _size223) = iprot.readListBegin()
+                    for _i227 in range(_size223):
+                        _elem228 = PauseInfo()
+                        _elem228.read(iprot)
+                        self.pauses.append(_elem228)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3614,8 +3751,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter215 in self.excluded:
-                oprot.writeString(iter215.encode('utf-8') if sys.version_info[0] == 2 else iter215)
+            for iter229 in self.excluded:
+                oprot.writeString(iter229.encode('utf-8') if sys.version_info[0] == 2 else iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -3633,8 +3770,8 @@
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter216 in self.pauses:
-                iter216.write(oprot)
+            for iter230 in self.pauses:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waited_ms is not None:
@@ -3982,20 +4119,20 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype220, _size217) = iprot.readListBegin()
-                    for _i221 in range(_size217):
-                        _elem222 = iprot.readI64()
-                        self.tickets.append(_elem222)
+                    (_etype234, _size231) = iprot.readListBegin()
+                    for _i235 in range(_size231):
+                        _elem236 = iprot.readI64()
+                        self.tickets.append(_elem236)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype226, _size223) = iprot.readListBegin()
-                    for _i227 in range(_size223):
-                        _elem228 = iprot.readI64()
-                        self.withdrawn.append(_elem228)
+                    (_etype240, _size237) = iprot.readListBegin()
+                    for _i241 in range(_size237):
+                        _elem242 = iprot.readI64()
+                        self.withdrawn.append(_elem242)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4024,15 +4161,15 @@
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.tickets))
-            for iter229 in self.tickets:
-                oprot.writeI64(iter229)
+            for iter243 in self.tickets:
+                oprot.writeI64(iter243)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 5)
             oprot.writeListBegin(TType.I64, len(self.withdrawn))
-            for iter230 in self.withdrawn:
-                oprot.writeI64(iter230)
+            for iter244 in self.withdrawn:
+                oprot.writeI64(iter244)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4179,21 +4316,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.decided = []
-                    (_etype234, _size231) = iprot.readListBegin()
-                    for _i235 in range(_size231):
-                        _elem236 = PlaceDecided()
-                        _elem236.read(iprot)
-                        self.decided.append(_elem236)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = PlaceDecided()
+                        _elem250.read(iprot)
+                        self.decided.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.unknown = []
-                    (_etype240, _size237) = iprot.readListBegin()
-                    for _i241 in range(_size237):
-                        _elem242 = iprot.readI64()
-                        self.unknown.append(_elem242)
+                    (_etype254, _size251) = iprot.readListBegin()
+                    for _i255 in range(_size251):
+                        _elem256 = iprot.readI64()
+                        self.unknown.append(_elem256)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4214,15 +4351,15 @@
         if self.decided is not None:
             oprot.writeFieldBegin('decided', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.decided))
-            for iter243 in self.decided:
-                iter243.write(oprot)
+            for iter257 in self.decided:
+                iter257.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unknown is not None:
             oprot.writeFieldBegin('unknown', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.unknown))
-            for iter244 in self.unknown:
-                oprot.writeI64(iter244)
+            for iter258 in self.unknown:
+                oprot.writeI64(iter258)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4285,33 +4422,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype248, _size245) = iprot.readListBegin()
-                    for _i249 in range(_size245):
-                        _elem250 = UpstreamInfo()
-                        _elem250.read(iprot)
-                        self.upstreams.append(_elem250)
+                    (_etype262, _size259) = iprot.readListBegin()
+                    for _i263 in range(_size259):
+                        _elem264 = UpstreamInfo()
+                        _elem264.read(iprot)
+                        self.upstreams.append(_elem264)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype254, _size251) = iprot.readListBegin()
-                    for _i255 in range(_size251):
-                        _elem256 = StartEnded()
-                        _elem256.read(iprot)
-                        self.gone.append(_elem256)
+                    (_etype268, _size265) = iprot.readListBegin()
+                    for _i269 in range(_size265):
+                        _elem270 = StartEnded()
+                        _elem270.read(iprot)
+                        self.gone.append(_elem270)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype260, _size257) = iprot.readListBegin()
-                    for _i261 in range(_size257):
-                        _elem262 = SuspectInfo()
-                        _elem262.read(iprot)
-                        self.suspects.append(_elem262)
+                    (_etype274, _size271) = iprot.readListBegin()
+                    for _i275 in range(_size271):
+                        _elem276 = SuspectInfo()
+                        _elem276.read(iprot)
+                        self.suspects.append(_elem276)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4328,22 +4465,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter263 in self.upstreams:
-                iter263.write(oprot)
+            for iter277 in self.upstreams:
+                iter277.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter264 in self.gone:
-                iter264.write(oprot)
+            for iter278 in self.gone:
+                iter278.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter265 in self.suspects:
-                iter265.write(oprot)
+            for iter279 in self.suspects:
+                iter279.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4483,11 +4620,19 @@
     (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(BrittleInfo)
+BrittleInfo.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'rejections_per_s', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(UpstreamNotices)
 UpstreamNotices.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimitInfo, None], False), None, ),  # 2
+    (3, TType.LIST, 'brittle', (TType.STRUCT, [BrittleInfo, None], False), None, ),  # 3
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
@@ -4503,6 +4648,7 @@
     (9, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 9
     (10, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimitInfo, None], False), None, ),  # 10
     (11, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 11
+    (12, TType.LIST, 'brittle', (TType.STRUCT, [BrittleInfo, None], False), None, ),  # 12
 )
 all_structs.append(TableHeld)
 TableHeld.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -153,11 +153,21 @@
   3: i64 age_ms
 }
 
+/** Rejections per second that each upstream of a service bears. */
+struct BrittleInfo {
+  1: string service_name
+  /** Absent once its upstreams state no bound any more. */
+  2: optional double rejections_per_s
+  /** Milliseconds since the answer that stated it, when this was sent. */
+  3: i32 age_ms
+}
+
 /** What upstreams have stated in answers to any entry VM. */
 struct UpstreamNotices {
   /** Incarnations that are leaving. */
   1: list<string> leaving
   2: list<RateLimitInfo> rate_limits
+  3: optional list<BrittleInfo> brittle
 }
 
 /** All requests of an entry VM; a report with a higher number replaces it. */
@@ -183,6 +193,9 @@
   10: list<RateLimitInfo> rate_limits
   /** Incarnations that have stated in an answer that they are leaving. */
   11: list<string> leaving
+  /** All services whose upstreams have told the entry VM that they are
+      brittle. */
+  12: optional list<BrittleInfo> brittle
 }
 
 /** Versions of a control VM's table that the sender holds. */
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -21,6 +21,7 @@
 )
 from godwitshunt.registry.control_tables import ControlTables
 from godwitshunt.registry.entries import EntryTable
+from godwitshunt.registry.free_slots import FreeSlots
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.grant_wire import news_to_wire
 from godwitshunt.registry.ledger import LoadLedger, Report, SummedLoads
@@ -116,6 +117,7 @@
         )
         self.entries = EntryTable()
         self.ledger = LoadLedger()
+        self.free_slots = FreeSlots(self.view, self.ledger.entries)
         # Prefixes that entry VMs reported here, and those together with the
         # ones received from other control VMs. Only the first are sent to
         # other control VMs: a prefix sent back and forth would lose the network
