--- a/tests/brittle_server.py
+++ b/tests/brittle_server.py
@@ -90,6 +90,11 @@
         self.sequence = 0
         self.starting = asyncio.create_task(self.start())
 
+    async def start(self):
+        """Listen; VMs that were cut off stay so."""
+        await super().start()
+        self.apply_filters()
+
 
 class BrittleWorld(PartitionWorld):
     """Three entry VMs before two engines in the north."""
--- a/tests/platform_client.py
+++ b/tests/platform_client.py
@@ -68,6 +68,12 @@
 async def ask(entry, path, method='POST', body=b'hello', **fields):
     """Send a client's request; return its id and the answer."""
     attempt = fields.pop('attempt', None) or secrets.token_hex(8)
+    raw = render_request(path, attempt, method, body, **fields)
+    return attempt, await send(entry, FRONT, raw)
+
+
+def render_request(path, attempt, method='POST', body=b'hello', **fields):
+    """Return the bytes of a client's request."""
     extra = ''.join(
         f'{name.replace("_", "-")}: {content}\r\n'
         for name, content in fields.items()
@@ -77,4 +83,40 @@
         f'Attempt-Id: {attempt}\r\nDeadline-Ms: 3000\r\n{extra}'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
-    return attempt, await send(entry, FRONT, head.encode() + body)
+    return head.encode() + body
+
+
+@dataclass
+class KeptConnection:
+    """A client's connection that it uses for as long as it is open."""
+
+    entry: str
+    reader: asyncio.StreamReader | None = None
+    writer: asyncio.StreamWriter | None = None
+
+    async def ask(self, path, attempt, body=b'hello', wait_s=6.0):
+        """Send a request on the open connection, or on a new one."""
+        if self.writer is None:
+            opened = await asyncio.open_connection(self.entry, FRONT)
+            self.reader = opened[0]
+            self.writer = opened[1]
+        try:
+            return await self.exchange(path, attempt, body, wait_s)
+        except (ConnectionError, EOFError, TimeoutError):
+            self.close()
+            return Answer(0, {}, b'', complete=False)
+
+    async def exchange(self, path, attempt, body, wait_s):
+        """Send a request and read its answer."""
+        self.writer.write(render_request(path, attempt, body=body))
+        async with asyncio.timeout(wait_s):
+            answer = await read_answer(self.reader)
+        if not answer.complete or answer.fields.get('connection') == 'close':
+            self.close()
+        return answer
+
+    def close(self):
+        """Close the connection."""
+        if self.writer is not None:
+            self.writer.close()
+            self.writer = None
--- a/trials/soak.py
+++ b/trials/soak.py
@@ -1,9 +1,10 @@
 """A soak of the platform's programs: seeded faults while callers ask.
 
 Real processes on this machine are killed, paused, stopped and started again,
-in series that overlap, while configurations change. What callers and servers
-see is held against the promises; the seed repeats the choice of faults and
-their times, not the machine's timing.
+in series that overlap, while configurations change, entry VMs lose their links
+to servers, and engines fall over when they reject requests. What callers and
+servers see is held against the promises; the seed repeats the choice of faults
+and their times, not the machine's timing.
 """
 
 import asyncio
@@ -13,16 +14,19 @@
 import sys
 import tempfile
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
 import defopt
 
-from tests.platform_client import Answer, ask, call
+from tests.brittle_server import BrittleServer
+from tests.partition_world import Cut, PartitionWorld
+from tests.platform_client import Answer, KeptConnection, ask, call
 from tests.platform_documents import CONTROL as CONTROL_PORT
-from tests.platform_documents import CONTROL_HOSTS, configuration
-from tests.platform_world import ENTRY_ZONES, World, until
+from tests.platform_documents import NETWORK, configuration
+from tests.platform_world import until
 
 PATHS = ('/safe/x', '/unsafe/x', '/once/x', '/resumed/x', '/south/x')
 ONCE = ('/unsafe', '/once')
@@ -37,6 +41,10 @@
 # A process may use the grace time of the platform to end.
 GRACE_S = 8.0
 RECOVERY_S = 20.0
+# Requests at once of which brittle engines reject some.
+BURST = 60
+# Share of the cuts that concern one server only.
+ONE_SERVER_SHARE = 0.3
 
 
 @dataclass(frozen=True)
@@ -66,7 +74,7 @@
 class Soak:
     """One run of one seed."""
 
-    world: World
+    world: PartitionWorld
     random: Random
     findings: Findings = field(default_factory=Findings)
     seen: list[Seen] = field(default_factory=list)
@@ -80,33 +88,50 @@
     async def run(self, seconds: float) -> None:
         """Let callers ask while faults happen; then check everything."""
         async with asyncio.TaskGroup() as tasks:
-            for _ in range(CALLERS):
-                tasks.create_task(self.be_caller())
+            for number in range(CALLERS):
+                tasks.create_task(self.be_caller(keeps=bool(number % 2)))
             tasks.create_task(self.read_versions())
             await self.make_faults(seconds)
             self.over = True
+        for server in self.world.servers.values():
+            server.heal()
         await until(self.world.is_serving, RECOVERY_S)
         self.findings.check('serves again', True, 'all paths')
         self.check_answers()
 
-    async def be_caller(self) -> None:
-        """Ask one request after the other."""
+    async def be_caller(self, *, keeps: bool) -> None:
+        """Ask one request after the other.
+
+        Parameters
+        ----------
+        keeps : bool
+            Whether to use connections for as long as they are open.
+        """
+        entries = tuple(self.world.entry_zones)
+        kept = {entry: KeptConnection(entry) for entry in entries}
         while not self.over:
-            path = self.random.choice(PATHS)
-            attempt = secrets.token_hex(8)
-            answer = Answer(0, {}, b'', complete=False)
-            try:
-                entry = self.random.choice(list(ENTRY_ZONES))
-                _, answer = await ask(entry, path, attempt=attempt, body=BODY)
-            except (OSError, TimeoutError, ValueError):
-                answer = Answer(0, {}, b'', complete=False)
-            self.seen.append(Seen(path, attempt, answer))
+            entry = self.random.choice(entries)
+            await self.ask_once(entry, kept[entry] if keeps else None)
             await asyncio.sleep(PAUSE_S)
+        for connection in kept.values():
+            connection.close()
+
+    async def ask_once(self, entry: str, kept: KeptConnection | None) -> None:
+        """Ask one request; keep what came of it."""
+        path = self.random.choice(PATHS)
+        attempt = secrets.token_hex(8)
+        answer = Answer(0, {}, b'', complete=False)
+        with suppress(OSError, TimeoutError, ValueError):
+            if kept is None:
+                _, answer = await ask(entry, path, attempt=attempt, body=BODY)
+            else:
+                answer = await kept.ask(path, attempt, BODY)
+        self.seen.append(Seen(path, attempt, answer))
 
     async def read_versions(self) -> None:
         """Read the configuration; it must never be an older one."""
         while not self.over:
-            host = self.random.choice(CONTROL_HOSTS)
+            host = self.random.choice(self.world.control_hosts)
             least = self.acknowledged
             answer = await self.control('GET', host)
             if answer.status == 200:
@@ -137,7 +162,16 @@
         """Begin a fault each moment; they overlap."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
-        kinds = (self.kill, self.pause, self.stop, self.change, self.change)
+        kinds = (
+            self.kill,
+            self.pause,
+            self.stop,
+            self.change,
+            self.change,
+            self.cut,
+            self.cut,
+            self.be_brittle,
+        )
         async with asyncio.TaskGroup() as tasks:
             while loop.time() < end_s:
                 fault = self.random.choice(kinds)
@@ -146,10 +180,11 @@
 
     def pick(self) -> str | None:
         """Take a process that no other fault has; one of control at most."""
-        hosts = [*ENTRY_ZONES, *CONTROL_HOSTS]
+        hosts = [*self.world.entry_zones, *self.world.control_hosts]
         host = self.random.choice(hosts)
-        others = self.busy.intersection(CONTROL_HOSTS)
-        if host in self.busy or (host in CONTROL_HOSTS and others):
+        others = self.busy.intersection(self.world.control_hosts)
+        is_control = host in self.world.control_hosts
+        if host in self.busy or (is_control and others):
             return None
         self.busy.add(host)
         return host
@@ -197,7 +232,8 @@
 
     def has_begun(self, host: str) -> bool:
         """Tell whether a process's newest start is in its log."""
-        role = 'control' if host in CONTROL_HOSTS else 'ingress'
+        is_control = host in self.world.control_hosts
+        role = 'control' if is_control else 'ingress'
         lines = self.world.logged(host, f'{role}:started')
         return len(lines) > self.restarts[host]
 
@@ -207,19 +243,58 @@
         self.restarts[host] += self.has_begun(host)
         await self.world.start_process(
             host,
-            zone_of(host),
-            control=host in CONTROL_HOSTS,
+            self.world.entry_zones.get(host, 'zone-a'),
+            control=host in self.world.control_hosts,
             bootstrap=False,
         )
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
         self.busy.discard(host)
 
+    async def cut(self) -> None:
+        """Let entry VMs lose their links to all servers, or to one."""
+        hosts = self.random.sample(
+            list(self.world.entry_zones), self.random.choice((1, 1, 2, 3))
+        )
+        kind = self.random.choice(list(Cut))
+        servers = list(self.world.servers.values())
+        if self.random.random() < ONE_SERVER_SHARE:
+            servers = [self.random.choice(servers)]
+        self.faults.append(f'{kind.value} cut of {hosts}')
+        for server in servers:
+            server.cut(hosts, kind)
+        await asyncio.sleep(self.random.uniform(0.3, 3.0))
+        for server in servers:
+            server.heal(hosts)
+
+    async def be_brittle(self) -> None:
+        """Let engines fall over when they reject requests, and load them."""
+        engines = [
+            server
+            for server in self.world.servers.values()
+            if server.service == 'llm'
+        ]
+        self.faults.append('brittle engines')
+        for engine in engines:
+            engine.state_brittle()
+        await asyncio.sleep(0.5)
+        for engine in engines:
+            engine.is_strict = True
+        entries = tuple(self.world.entry_zones)
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(BURST):
+                entry = self.random.choice(entries)
+                tasks.create_task(self.ask_once(entry, None))
+                await asyncio.sleep(1 / BURST)
+        for engine in engines:
+            engine.is_strict = False
+            engine.stated = ''
+
     async def change(self) -> None:
         """Send a newer configuration to one control process."""
         self.sent += 1
         version = self.sent
         self.faults.append(f'configuration {version}')
-        host = self.random.choice(CONTROL_HOSTS)
+        host = self.random.choice(self.world.control_hosts)
         answer = await self.control('PUT', host, configuration(version))
         if answer.status == 200:
             self.acknowledged = max(self.acknowledged, version)
@@ -257,14 +332,10 @@
     return STREAM if path.startswith(STREAMS) else BODY
 
 
-def zone_of(host: str) -> str:
-    """Return the zone of a process; all of control stands in one."""
-    return ENTRY_ZONES.get(host, 'zone-a')
-
-
 async def soak(seed: int, seconds: float, folder: Path) -> Soak:
     """Run one seed on a deployment of its own."""
-    world = World(folder)
+    world = PartitionWorld(folder, NETWORK)
+    world.server_type = BrittleServer
     try:
         await world.start()
         run = Soak(world, Random(seed))
