Give requests that met only silence a last attempt

All VMs held their paths for lost, and their refusals of each other's requests used up the four attempts, or left no upstream that had not been given up. Such refusals, three at most, do not count now, and the last resort includes upstreams that were only silent.

--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -273,6 +273,7 @@
         self.trace.record_choice(choice, self.context.watch.age_s())
         if isinstance(choice, NoPlace) and self.may_try_silent():
             self.tries_silent = True
+            self.sender.excluded -= self.sender.silent
             return await self.choose_destination()
         return choice
 
--- a/godwitshunt/ingress/outcomes.py
+++ b/godwitshunt/ingress/outcomes.py
@@ -7,6 +7,8 @@
 # Attempts of any kind per request. Each refusal takes time, and after several
 # of them the remaining candidates are unlikely to do better.
 MAX_SENDS = 4
+# Refusals by VMs that reach no upstream, beside these attempts.
+MAX_USELESS_HOPS = 3
 # Another attempt would not be answered in less time than this.
 MIN_REMAINING_S = 0.05
 NO_ATTEMPT = 'no attempt was made'
@@ -120,6 +122,9 @@
         Attempts that may have run it so far.
     sends : int
         Attempts of any kind so far.
+    useless_hops : int
+        Refusals by VMs that reach no upstream, up to the most that do not
+        count as attempts.
     arrivals : int
         Attempts that reached an upstream.
     begun : bool
@@ -134,6 +139,7 @@
     attempts: int
     runs: int = 0
     sends: int = 0
+    useless_hops: int = 0
     arrivals: int = 0
     begun: bool = False
     fallback: WholeAnswer | None = None
@@ -141,7 +147,7 @@
 
     def next_step(self, outcome: AttemptOutcome, remaining_s: float) -> Step:
         """Record the outcome of an attempt; return the next step."""
-        self.sends += 1
+        self.count_send(outcome)
         match outcome:
             case Streamed():
                 return Finish()
@@ -161,6 +167,14 @@
             return Retry()
         return self.give_up()
 
+    def count_send(self, outcome: AttemptOutcome) -> None:
+        """Count an attempt; a few hops to VMs without paths are free."""
+        is_useless = isinstance(outcome, NotRun) and outcome.has_no_paths
+        if is_useless and self.useless_hops < MAX_USELESS_HOPS:
+            self.useless_hops += 1
+        else:
+            self.sends += 1
+
     def record_run(self, reason: str) -> None:
         """Record an attempt that may have run."""
         self.runs += 1
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -39,6 +39,7 @@
 from godwitshunt.routing.engine_memory import memory_claim
 from godwitshunt.routing.selection import Demand
 from godwitshunt.routing.upstream_health import UpstreamHealth
+from godwitshunt.routing.upstream_paths import Suspicion
 from godwitshunt.settings import Address
 from godwitshunt.timer import Timer
 
@@ -106,6 +107,8 @@
     ----------
     excluded : set of str
         Incarnations, VMs and regions that are not to be chosen again.
+    silent : set of str
+        Incarnations that were given up because they answered nothing.
     in_flight : bool
         True during an attempt.
     prompt_reader : str or None
@@ -121,6 +124,7 @@
     progress: Progress
     trace: RequestTrace
     excluded: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
     in_flight: bool = False
     prompt_reader: str | None = None
     watched: WatchedAttempt | None = None
@@ -254,6 +258,8 @@
         self.trace.record_attempt(completed.incarnation, outcome)
         if isinstance(outcome, (NotRun, Lost, Failed)):
             self.excluded.add(completed.incarnation)
+        if completed.suspicion is Suspicion.silence:
+            self.silent.add(completed.incarnation)
         self.feedback.report_upstream(completed)
 
     async def forward(self, choice: HandOver) -> AttemptOutcome:
--- a/tests/partition_world.py
+++ b/tests/partition_world.py
@@ -47,10 +47,18 @@
         How the connections of an entry VM fail, by its address.
     writers : set
         Open connections.
+    silent_until_s : float
+        Time of the loop until which it answers nothing.
     """
 
     cuts: dict[str, Cut] = field(default_factory=dict)
     writers: set = field(default_factory=set)
+    silent_until_s: float = 0.0
+
+    def be_silent(self, seconds):
+        """Answer nothing for a while, and go on then."""
+        now_s = asyncio.get_running_loop().time()
+        self.silent_until_s = now_s + seconds
 
     def cut(self, hosts, kind):
         """Cut entry VMs off."""
@@ -94,6 +102,8 @@
         if self.cuts.get(peer_of(writer)) is Cut.unanswered:
             await reader.read()
             return
+        now_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, self.silent_until_s - now_s))
         await super().answer(reader, writer, head, fields, body)
 
 
--- a/tests/test_platform_path_recovery.py
+++ b/tests/test_platform_path_recovery.py
@@ -113,3 +113,16 @@
     sent = await ask_all(world.north, CUT_S)
     assert served_share(sent, world.north, KNOWN_S) == 1
     assert any(vm == world.north[1] for _, vm in engine.arrivals)
+
+
+@pytest.mark.parametrize('names', [('north-llm',), None])
+async def test_upstreams_that_are_silent_for_a_second_serve_on(world, names):
+    """Sound upstreams, one or all, answer nothing for a second."""
+    asking = asyncio.create_task(ask_all(world.entry_zones, 4.0))
+    await asyncio.sleep(0.5)
+    for name in names or world.servers:
+        world.servers[name].be_silent(1.0)
+    sent = await asking
+    once = [one for one in sent if one.path in {'/unsafe/x', '/once/x'}]
+    assert served_share(once, world.entry_zones) == 1
+    assert served_share(sent, world.entry_zones) >= LEAST_SHARE
