Use open connections while new ones to upstreams are refused

The outcome of a probe now tells refused connections from silent ones; with refused ones the VM goes on with its open connections, as long as their keepalives are acknowledged, and relays what needs a new one.

--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -375,9 +375,14 @@
             return False
         if now - self.heard_s.get(place, -inf) < LIVE_HEARD_S:
             return True
-        socket = kept.channel.transport.get_extra_info('socket')
-        age_s = acknowledged_s(socket)
-        return age_s is not None and age_s < LIVE_ACKNOWLEDGED_S
+        return is_live(kept)
+
+    def has_live(self, place: Place) -> bool:
+        """Return whether an idle connection is known to be open."""
+        return any(
+            not kept.channel.ended and is_live(kept)
+            for kept in self.idle.get(place, ())
+        )
 
     def record_received(self, place: Place) -> None:
         """Record that an answer began."""
@@ -438,3 +443,9 @@
                 kept.channel.on_lost = None
                 kept.channel.close()
         self.idle.clear()
+
+
+def is_live(kept: IdleConnection) -> bool:
+    """Return whether the other machine acknowledged a probe just now."""
+    age_s = acknowledged_s(kept.channel.transport.get_extra_info('socket'))
+    return age_s is not None and age_s < LIVE_ACKNOWLEDGED_S
--- a/godwitshunt/ingress/context.py
+++ b/godwitshunt/ingress/context.py
@@ -5,9 +5,8 @@
 
 from godwitshunt.backpressure import NO_SHARE, RateShare, entry_share
 from godwitshunt.exchange.buffer_budget import BufferBudget
-from godwitshunt.exchange.upstream_pool import (
-    UpstreamPool,
-)
+from godwitshunt.exchange.upstream_messages import Place
+from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.ingress.active_revision import ActiveRevision
 from godwitshunt.ingress.authorization import Authorizer
 from godwitshunt.ingress.crash_detector import CrashDetector
@@ -24,7 +23,11 @@
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.quarantine import Quarantine
-from godwitshunt.registry import RegistryWatch, UpstreamSeen
+from godwitshunt.registry import (
+    RegistryWatch,
+    UpstreamAnnounced,
+    UpstreamSeen,
+)
 from godwitshunt.routing.cold_budget import STARTUP_HOLD_S, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds, RetryWindow
 from godwitshunt.routing.slot_shares import slot_share
@@ -168,29 +171,35 @@
             for upstream in self.own_upstreams()
             if upstream.announcement.service == service
             and (are_lost or upstream.announcement.incarnation in failed)
+            and not self.has_connection(upstream.announcement)
         )
 
+    def has_connection(self, announcement: UpstreamAnnounced) -> bool:
+        """Tell whether an open connection to an upstream may be used."""
+        if not self.paths.paths.keeps_connections:
+            return False
+        place = Place(announcement.address, announcement.incarnation)
+        return self.paths.are_lost and self.pool.has_live(place)
+
     def reaches_service(self, service: str) -> bool:
         """Tell whether this VM may reach an upstream of a service."""
         unreached = self.unreached(service)
-        if not (unreached or self.paths.are_lost):
+        if not unreached:
             return True
         own = {
             upstream.announcement.incarnation
             for upstream in self.own_upstreams()
             if upstream.announcement.service == service
         }
-        if not own:
-            return True
-        return not (self.paths.are_lost or own <= unreached)
+        return not own <= unreached
 
     def follow_paths(self) -> None:
         """Apply that this VM's paths to the upstreams are lost or back."""
-        if self.paths.are_lost:
-            # Kept connections may be silent as well.
-            self.pool.close_idle()
-        else:
+        if not self.paths.are_lost:
             self.upstreams.clear_connect_failures()
+        elif not self.paths.paths.keeps_connections:
+            # Kept connections are silent as well.
+            self.pool.close_idle()
         self.watch.report_now()
 
     def cold_share(self) -> float:
--- a/godwitshunt/ingress/path_monitor.py
+++ b/godwitshunt/ingress/path_monitor.py
@@ -209,7 +209,7 @@
             asyncio.create_task(self.prober.probe(target, suspicion))
             for target in targets
         ]
-        results = [ProbeResult.failed for _ in probing]
+        results = [ProbeResult.silent for _ in probing]
         waiting = set(probing)
         try:
             while waiting and ProbeResult.answered not in results:
--- a/godwitshunt/ingress/path_prober.py
+++ b/godwitshunt/ingress/path_prober.py
@@ -37,8 +37,10 @@
         try:
             async with deadline(PROBE_TIMEOUT_S):
                 reader, writer = await self.connect(target)
-        except (OSError, TimeoutError):
-            return ProbeResult.failed
+        except TimeoutError:
+            return ProbeResult.silent
+        except OSError:
+            return ProbeResult.refused
         answer_s = PROBE_TIMEOUT_S
         if suspicion is Suspicion.connection:
             answer_s = HOLD_S
@@ -76,11 +78,11 @@
         except TimeoutError:
             return self.unanswered(writer.get_extra_info('socket'))
         except OSError:
-            return ProbeResult.failed
-        return ProbeResult.answered if received else ProbeResult.failed
+            return ProbeResult.refused
+        return ProbeResult.answered if received else ProbeResult.refused
 
     def unanswered(self, connection: socket.socket) -> ProbeResult:
         """Return the result of a probe without an answer."""
         if is_acknowledged(connection):
             return ProbeResult.accepted
-        return ProbeResult.failed
+        return ProbeResult.silent
--- a/godwitshunt/ingress/tests/test_path_monitor.py
+++ b/godwitshunt/ingress/tests/test_path_monitor.py
@@ -91,8 +91,8 @@
 @pytest.mark.parametrize(
     ('results', 'reports'),
     [
-        ((ProbeResult.failed, ProbeResult.failed), 0),
-        ((ProbeResult.failed, ProbeResult.answered), 1),
+        ((ProbeResult.refused, ProbeResult.silent), 0),
+        ((ProbeResult.refused, ProbeResult.answered), 1),
     ],
 )
 async def test_failures_of_a_vm_without_paths_are_not_reported(
@@ -110,7 +110,7 @@
 async def test_paths_that_are_back_are_told():
     """Callers would go on to be served by way of another VM."""
     changes = []
-    failed, answered = ProbeResult.failed, ProbeResult.answered
+    failed, answered = ProbeResult.silent, ProbeResult.answered
     results = (failed, failed, answered, failed, answered, failed)
     monitor = monitor_of(results, on_change=lambda: changes.append('change'))
     monitor.suspect(Suspicion.connection, 'i-1', 'r')
@@ -177,7 +177,7 @@
     ('answer', 'suspicion', 'expected'),
     [
         (refuse, Suspicion.connection, ProbeResult.answered),
-        (reset, Suspicion.connection, ProbeResult.failed),
+        (reset, Suspicion.connection, ProbeResult.refused),
         (wait, Suspicion.connection, ProbeResult.accepted),
         (wait, Suspicion.silence, ProbeResult.accepted),
     ],
@@ -193,4 +193,4 @@
     """A process that has ended refuses connections."""
     target = ProbeTarget('i-1', Address(host=HOST, port=1), 'a', '/healthz')
     probed = await PathProber().probe(target, Suspicion.connection)
-    assert probed is ProbeResult.failed
+    assert probed is ProbeResult.refused
--- a/godwitshunt/routing/tests/test_upstream_paths.py
+++ b/godwitshunt/routing/tests/test_upstream_paths.py
@@ -14,7 +14,7 @@
 )
 from godwitshunt.settings import Address
 
-FAILED, ACCEPTED, ANSWERED = ProbeResult
+SILENT, REFUSED, ACCEPTED, ANSWERED = ProbeResult
 CONNECTION, SILENCE = Suspicion
 
 
@@ -26,11 +26,11 @@
 @pytest.mark.parametrize(
     ('suspicion', 'results', 'lost'),
     [
-        (CONNECTION, [FAILED, FAILED, FAILED], True),
-        (CONNECTION, [FAILED, ANSWERED, FAILED], False),
-        (CONNECTION, [FAILED, ACCEPTED, FAILED], False),
-        (SILENCE, [FAILED, ACCEPTED, ACCEPTED], True),
-        (SILENCE, [ANSWERED, FAILED, ACCEPTED], False),
+        (CONNECTION, [SILENT, SILENT, SILENT], True),
+        (CONNECTION, [SILENT, ANSWERED, SILENT], False),
+        (CONNECTION, [SILENT, ACCEPTED, SILENT], False),
+        (SILENCE, [SILENT, ACCEPTED, ACCEPTED], True),
+        (SILENCE, [ANSWERED, SILENT, ACCEPTED], False),
         (CONNECTION, [], False),
         (SILENCE, [], False),
     ],
@@ -50,16 +50,16 @@
     [
         ([ANSWERED], False),
         ([ANSWERED, ANSWERED], True),
-        ([ANSWERED, FAILED, ANSWERED], False),
-        ([ANSWERED, FAILED, ANSWERED, ACCEPTED], True),
+        ([ANSWERED, SILENT, ANSWERED], False),
+        ([ANSWERED, SILENT, ANSWERED, ACCEPTED], True),
     ],
 )
 def test_paths_are_back_after_two_rounds_that_reach_one(rounds, back):
     """A link that fails now and then would move all requests each time."""
     paths = UpstreamPaths()
-    paths.record_check(CONNECTION, [FAILED], 1.0)
+    paths.record_check(CONNECTION, [SILENT], 1.0)
     for probe_result in rounds:
-        paths.record_round([FAILED, probe_result], 2.0)
+        paths.record_round([SILENT, probe_result], 2.0)
     assert paths.are_lost is not back
 
 
@@ -81,3 +81,21 @@
         assert len(chosen) == PROBED_UPSTREAMS
         assert {one.failure_domain for one in chosen} == {'a', 'b'}
         assert 'a-0' not in {one.instance for one in chosen}
+
+
+@pytest.mark.parametrize(
+    ('suspicion', 'results', 'keeps'),
+    [
+        (CONNECTION, [REFUSED, REFUSED, SILENT], True),
+        (CONNECTION, [SILENT, SILENT, SILENT], False),
+        (SILENCE, [REFUSED, SILENT, ACCEPTED], False),
+    ],
+)
+def test_refused_connections_leave_open_ones(suspicion, results, keeps):
+    """Upstreams with as many connections as they accept refuse new ones.
+
+    The open ones were closed, and all requests went to other regions.
+    """
+    paths = UpstreamPaths()
+    paths.record_check(suspicion, results, 1.0)
+    assert paths.keeps_connections is keeps
--- a/godwitshunt/routing/upstream_paths.py
+++ b/godwitshunt/routing/upstream_paths.py
@@ -34,13 +34,15 @@
 class ProbeResult(IntEnum):
     """How a probe of an upstream ended.
 
-    `accepted`: the connection holds, but no answer came in time. A busy
-    upstream answers its health check late.
+    `silent`: nothing came back. `refused`: the connection was refused or reset.
+    `accepted`: it holds, but no answer came in time. A busy upstream answers
+    its health check late.
     """
 
-    failed = 0
-    accepted = 1
-    answered = 2
+    silent = 0
+    refused = 1
+    accepted = 2
+    answered = 3
 
 
 @dataclass(frozen=True)
@@ -71,6 +73,9 @@
     ----------
     lost_by : Suspicion or None
         What showed that all paths are lost; None if they are not.
+    keeps_connections : bool
+        True if new connections were refused: open ones may live on. So it is
+        where upstreams have as many connections as they accept.
     since_s : float
         When the paths were lost or back, in monotonic seconds.
     recovered_rounds : int
@@ -78,6 +83,7 @@
     """
 
     lost_by: Suspicion | None = None
+    keeps_connections: bool = False
     since_s: float = field(default=0.0)
     recovered_rounds: int = 0
 
@@ -101,6 +107,9 @@
         if not results or is_reached(suspicion, results):
             return False
         self.lost_by = suspicion
+        self.keeps_connections = (
+            self.are_refused and ProbeResult.refused in results
+        )
         self.since_s = now_s
         self.recovered_rounds = 0
         return True
--- a/tests/brittle_server.py
+++ b/tests/brittle_server.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from tests.limited_server import StatingWriter
 from tests.partition_world import PartitionedServer, PartitionWorld
 from tests.platform_server import FULL
 from tests.platform_world import World
@@ -53,7 +54,9 @@
         """Answer a request, or turn it away for want of a slot."""
         limit = SLOTS if self.is_strict else 2 * SLOTS
         if self.running >= limit:
-            writer.write(FULL)
+            # All answers state that it is brittle, refusals too.
+            stating = StatingWriter(writer, self.stated.encode(), breaks=False)
+            stating.write(FULL)
             self.reject()
             return
         self.running += 1
