Show when Linux breaks connections to silent machines

The users' pages say that TCP_USER_TIMEOUT replaces the count of keepalive probes. Connections of callers that are gone are broken after 120 s, not after 30 s as their count says: stated now, and left so, as the same setting lets a caller pause its reading.

--- a/godwitshunt/exchange/liveness.py
+++ b/godwitshunt/exchange/liveness.py
@@ -23,10 +23,12 @@
     interval_s : int
         Time between probes.
     count : int
-        Probes without an answer after which the connection is broken.
+        Probes without an answer after which the connection is broken, on
+        systems without `TCP_USER_TIMEOUT`.
     unread_s : int
-        Seconds that sent bytes may wait to be acknowledged, or the other
-        side's window may stay closed.
+        Seconds that sent bytes may wait to be acknowledged, that the other
+        side's window may stay closed, or that probes may stay without an
+        answer. On Linux it replaces `count` (tcp(7), `TCP_USER_TIMEOUT`).
     """
 
     idle_s: int
