--- a/godwitshunt/exchange/exchange.thrift
+++ b/godwitshunt/exchange/exchange.thrift
@@ -1,4 +1,4 @@
-/** What travels with a request that is forwarded to another region. */
+/** What travels with a request that is forwarded to another entry VM. */
 namespace py wire
 
 struct ForwardNote {
--- a/godwitshunt/ingress/context.py
+++ b/godwitshunt/ingress/context.py
@@ -138,6 +138,14 @@
         if active_revision is None:
             return []
         services = active_revision.services
+        upstreams = self.own_upstreams()
+        failed = self.upstreams.unreachable(self.timer.now())
+        sound = [
+            upstream
+            for upstream in upstreams
+            if not upstream.silent
+            and upstream.announcement.incarnation not in failed
+        ]
         return [
             ProbeTarget(
                 upstream.announcement.incarnation,
@@ -146,7 +154,7 @@
                 services[upstream.announcement.service].health_path
                 or DEFAULT_HEALTH_PATH,
             )
-            for upstream in self.own_upstreams()
+            for upstream in sound or upstreams
             if upstream.announcement.service in services
         ]
 
