--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -10,6 +10,7 @@
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.path_monitor import PathMonitor
 from godwitshunt.ingress.path_prober import PathProber
+from godwitshunt.ingress.reachability import Reachability
 from godwitshunt.ingress.upstream_headers import AnswerHeaderReader
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
 from godwitshunt.picking.chooser import Chooser
@@ -45,7 +46,8 @@
         Random(),
         settings.away_s,
     )
-    paths = PathMonitor(PathProber(source), timer, metrics)
+    path_monitor = PathMonitor(PathProber(source), timer, metrics)
+    pool = UpstreamPool(metrics, source=source, idle_each=IDLE_AT_EACH_UPSTREAM)
     context = IngressContext(
         settings=settings,
         names=names,
@@ -73,20 +75,22 @@
             timer,
             metrics,
         ),
-        crash_detector=CrashDetector(watch.quarantine, timer, source, paths),
-        paths=paths,
-        pool=UpstreamPool(
-            metrics, source=source, idle_each=IDLE_AT_EACH_UPSTREAM
+        crash_detector=CrashDetector(
+            watch.quarantine, timer, source, path_monitor
         ),
+        path_monitor=path_monitor,
+        reachability=Reachability(
+            settings.region, watch, upstreams, pool, path_monitor, timer
+        ),
+        pool=pool,
         hops=UpstreamPool(metrics, source=source),
         timer=timer,
         metrics=metrics,
         buffers=make_budget(settings.limits.buffer_bytes, metrics),
     )
+    context.reachability.services = context.services
     chooser.filter.has_cold_capacity = context.has_cold_capacity
     chooser.filter.has_slot = context.has_slot
-    context.paths.targets = context.probe_targets
-    context.paths.on_change = context.follow_paths
     return context
 
 
--- a/godwitshunt/ingress/context.py
+++ b/godwitshunt/ingress/context.py
@@ -1,18 +1,19 @@
 """The context that all requests of an entry VM share."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from godwitshunt.backpressure import NO_SHARE, RateShare, entry_share
 from godwitshunt.exchange.buffer_budget import BufferBudget
-from godwitshunt.exchange.upstream_messages import Place
 from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.ingress.active_revision import ActiveRevision
 from godwitshunt.ingress.authorization import Authorizer
 from godwitshunt.ingress.crash_detector import CrashDetector
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.path_monitor import PathMonitor
+from godwitshunt.ingress.reachability import Reachability
 from godwitshunt.ingress.upstream_headers import AnswerHeaderReader
+from godwitshunt.manifest import Service
 from godwitshunt.organisations import AdmissionShare
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
 from godwitshunt.picking.choices import ChoiceRequest
@@ -23,23 +24,14 @@
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.quarantine import Quarantine
-from godwitshunt.registry import (
-    RegistryWatch,
-    UpstreamAnnounced,
-    UpstreamSeen,
-)
+from godwitshunt.registry import RegistryWatch, UpstreamSeen
 from godwitshunt.routing.cold_budget import STARTUP_HOLD_S, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds, RetryWindow
 from godwitshunt.routing.slot_shares import slot_share
-from godwitshunt.routing.upstream_paths import ProbeTarget
 from godwitshunt.settings import NodeSettings
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import Timer
 
-# Path of the health check of a service that states none. Any answer shows that
-# an upstream is reached.
-DEFAULT_HEALTH_PATH = '/healthz'
-
 
 @dataclass
 class Budgets:
@@ -74,8 +66,10 @@
         Reads what upstreams state in their answers.
     crash_detector : CrashDetector
         Detects upstreams that crashed while they had requests.
-    paths : PathMonitor
+    path_monitor : PathMonitor
         Watches whether this VM reaches the upstreams of its region.
+    reachability : Reachability
+        Tells which of them it reaches.
     pool : UpstreamPool
         Connections to upstreams of this region.
     hops : UpstreamPool
@@ -99,7 +93,8 @@
     budgets: Budgets
     answer_headers: AnswerHeaderReader
     crash_detector: CrashDetector
-    paths: PathMonitor
+    path_monitor: PathMonitor
+    reachability: Reachability
     pool: UpstreamPool
     hops: UpstreamPool
     timer: Timer
@@ -123,93 +118,6 @@
         share = 1 / len(regions) / self.neighbours.count_in_region()
         return AdmissionShare(share, share)
 
-    def own_upstreams(self) -> list[UpstreamSeen]:
-        """Return the upstreams of this region that are not leaving."""
-        return [
-            upstream
-            for upstream in self.watch.view().upstreams.values()
-            if upstream.region == self.settings.region
-            and not upstream.announcement.draining
-        ]
-
-    def probe_targets(self) -> list[ProbeTarget]:
-        """Return the upstreams that show whether this VM reaches any."""
-        active_revision = self.active_revision()
-        if active_revision is None:
-            return []
-        services = active_revision.services
-        upstreams = self.own_upstreams()
-        failed = self.upstreams.unreachable(self.timer.now())
-        sound = [
-            upstream
-            for upstream in upstreams
-            if not upstream.silent
-            and upstream.announcement.incarnation not in failed
-        ]
-        return [
-            ProbeTarget(
-                upstream.announcement.incarnation,
-                upstream.announcement.address,
-                upstream.announcement.failure_domain,
-                services[upstream.announcement.service].health_path
-                or DEFAULT_HEALTH_PATH,
-            )
-            for upstream in sound or upstreams
-            if upstream.announcement.service in services
-        ]
-
-    def unreached(
-        self, service: str, *, tries_silent: bool = False
-    ) -> frozenset[str]:
-        """Return the upstreams of a service that this VM does not reach.
-
-        Parameters
-        ----------
-        tries_silent : bool
-            Whether to include upstreams that may be silent by themselves.
-        """
-        failed = self.upstreams.unreachable(self.timer.now())
-        are_lost = self.paths.are_lost
-        if tries_silent:
-            are_lost = self.paths.paths.are_refused
-        if not (failed or are_lost):
-            return frozenset()
-        return frozenset(
-            upstream.announcement.incarnation
-            for upstream in self.own_upstreams()
-            if upstream.announcement.service == service
-            and (are_lost or upstream.announcement.incarnation in failed)
-            and not self.has_connection(upstream.announcement)
-        )
-
-    def has_connection(self, announcement: UpstreamAnnounced) -> bool:
-        """Tell whether an open connection to an upstream may be used."""
-        if not self.paths.paths.keeps_connections:
-            return False
-        place = Place(announcement.address, announcement.incarnation)
-        return self.paths.are_lost and self.pool.has_live(place)
-
-    def reaches_service(self, service: str) -> bool:
-        """Tell whether this VM may reach an upstream of a service."""
-        unreached = self.unreached(service)
-        if not unreached:
-            return True
-        own = {
-            upstream.announcement.incarnation
-            for upstream in self.own_upstreams()
-            if upstream.announcement.service == service
-        }
-        return not own <= unreached
-
-    def follow_paths(self) -> None:
-        """Apply that this VM's paths to the upstreams are lost or back."""
-        if not self.paths.are_lost:
-            self.upstreams.clear_connect_failures()
-        elif not self.paths.paths.keeps_connections:
-            # Kept connections are silent as well.
-            self.pool.close_idle()
-        self.watch.report_now()
-
     def cold_share(self) -> float:
         """Return this VM's share of requests to cold upstreams of its region.
 
@@ -234,6 +142,11 @@
             count=self.neighbours.count_in_region(),
         )
 
+    def services(self) -> Mapping[str, Service]:
+        """Return the services of the active revision, by name."""
+        active_revision = self.active_revision()
+        return {} if active_revision is None else active_revision.services
+
     def has_slot(self, upstream: UpstreamSeen) -> bool:
         """Tell whether this VM's share of an upstream's slots has a free one.
 
--- a/godwitshunt/ingress/crash_detector.py
+++ b/godwitshunt/ingress/crash_detector.py
@@ -48,7 +48,7 @@
         Monotonic time.
     source : str or None
         Own IP address to connect from; None lets the system choose.
-    paths : PathMonitor or None
+    path_monitor : PathMonitor or None
         Tells whether this VM reaches any upstream; None if it always does.
     unchecked : dict
         Lost requests by incarnation, until that is checked.
@@ -59,7 +59,7 @@
     quarantine: Quarantine
     timer: Timer
     source: str | None = None
-    paths: PathMonitor | None = None
+    path_monitor: PathMonitor | None = None
     background: BackgroundTasks = field(default_factory=BackgroundTasks)
     unchecked: dict[str, list[LostRequest]] = field(default_factory=dict)
     checks: dict[str, CrashCheck] = field(default_factory=dict)
@@ -96,9 +96,9 @@
         """Check whether an incarnation has crashed; record its losses if so."""
         await asyncio.sleep(EXIT_DELAY_S)
         crashed = await self.refuses_connections(address)
-        if self.paths is not None:
-            await self.paths.wait_checked()
-            crashed = crashed and not self.paths.are_lost
+        if self.path_monitor is not None:
+            await self.path_monitor.wait_checked()
+            crashed = crashed and not self.path_monitor.are_lost
         self.expire()
         self.checks[incarnation] = CrashCheck(crashed, self.timer.now())
         lost = self.unchecked.pop(incarnation, [])
--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -103,7 +103,7 @@
     def report_upstream(self, completed: CompletedAttempt) -> None:
         """Report an attempt at an upstream of this region."""
         if completed.suspicion is not None:
-            self.context.paths.suspect(
+            self.context.path_monitor.suspect(
                 completed.suspicion, completed.incarnation, self.request.id
             )
         if isinstance(completed.outcome, Lost):
@@ -135,7 +135,9 @@
             self.context.upstreams.record_connect_failure(
                 report.instance, self.context.timer.now()
             )
-        self.context.paths.when_checked(partial(self.record_failure, report))
+        self.context.path_monitor.when_checked(
+            partial(self.record_failure, report)
+        )
 
     def record(self, report: AttemptReport) -> None:
         """Record an attempt and report it to the picker."""
@@ -147,7 +149,7 @@
 
     def record_failure(self, report: AttemptReport) -> None:
         """Record a failure, unless this VM has lost all its paths."""
-        if self.context.paths.are_lost:
+        if self.context.path_monitor.are_lost:
             self.context.metrics.count('ingress_reports_withheld_total')
             return
         self.record(report)
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -265,7 +265,7 @@
 
     async def choose_destination(self) -> Choice:
         """Choose a destination; upstreams that seem silent come last."""
-        await self.context.paths.wait_checked()
+        await self.context.path_monitor.wait_checked()
         choice = self.choose_relay() or await self.query_picker()
         if choice is None:
             choice = self.choose_locally()
@@ -286,7 +286,7 @@
         context = self.context
         if self.tries_silent:
             return None
-        if context.reaches_service(self.request.service.name):
+        if context.reachability.reaches_service(self.request.service.name):
             return None
         if self.request.is_forwarded:
             return NoPlace(False, RETRY_AFTER_S)
@@ -303,7 +303,7 @@
 
     def may_try_silent(self) -> bool:
         """Tell whether only upstreams that seem silent are left."""
-        paths = self.context.paths.paths
+        paths = self.context.path_monitor.paths
         if self.tries_silent or self.request.is_forwarded:
             return False
         return paths.are_lost and not paths.are_refused
@@ -332,7 +332,7 @@
         avoided = self.context.neighbours.avoided_for(service, now_s)
         # The picker knows whether any VM reaches an upstream, not whether this
         # one does.
-        unreachable = self.context.unreached(
+        unreachable = self.context.reachability.unreached(
             service, tries_silent=self.tries_silent
         )
         return DestinationRequest(
@@ -466,7 +466,7 @@
         """Return the input of this VM's own choice."""
         request = self.request
         now_s = self.context.timer.now()
-        unreached = self.context.unreached(
+        unreached = self.context.reachability.unreached(
             request.service.name, tries_silent=self.tries_silent
         )
         return ChoiceRequest(
@@ -583,7 +583,7 @@
             extra.append((ARRIVED_HEADER, b'true'))
         if self.request.is_forwarded and self.is_quarantined:
             extra.append((QUARANTINED_HEADER, b'true'))
-        if self.request.is_forwarded and self.context.paths.are_lost:
+        if self.request.is_forwarded and self.context.path_monitor.are_lost:
             extra.append((NO_PATHS_HEADER, b'true'))
         return WholeAnswer(
             answer.status,
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -197,11 +197,11 @@
             choice.predicted_s,
             may_repeat=route.repeatable and runs + 1 < route.attempts,
         )
-        self.context.paths.attempts.add(self.watched)
+        self.context.path_monitor.attempts.add(self.watched)
 
     def unwatch(self) -> None:
         """End the watch of the current attempt."""
-        self.context.paths.attempts.discard(self.watched)
+        self.context.path_monitor.attempts.discard(self.watched)
         self.watched = None
 
     def claim(self, choice: SendHere) -> MemoryClaim:
@@ -329,7 +329,7 @@
         """Record activity and, in a stream that has begun, its gaps."""
         on_activity()
         if self.watched is not None:
-            self.context.paths.record_received()
+            self.context.path_monitor.record_received()
         if self.progress.begun:
             self.trace.record_bytes(self.context.timer.now())
 
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -148,7 +148,7 @@
         """Listen for callers and for other entry VMs."""
         await self.listener.start()
         await self.hops.start()
-        self.context.paths.start()
+        self.context.path_monitor.start()
         self.subscription = self.context.timer.every(TICK_S, self.tick)
 
     def tick(self) -> None:
@@ -231,7 +231,7 @@
         if self.subscription is not None:
             self.subscription.cancel()
         await self.context.crash_detector.close()
-        await self.context.paths.close()
+        await self.context.path_monitor.close()
         self.context.pool.close()
         self.context.hops.close()
 
--- a/godwitshunt/ingress/tests/test_feedback.py
+++ b/godwitshunt/ingress/tests/test_feedback.py
@@ -125,7 +125,7 @@
     )
     context = SimpleNamespace(
         timer=SimpleNamespace(now=lambda: 1.0),
-        paths=None,
+        path_monitor=None,
         attempt_recorder=SimpleNamespace(
             record=lambda recorded, service, now_s: None
         ),
--- a/godwitshunt/ingress/tests/test_path_monitor.py
+++ b/godwitshunt/ingress/tests/test_path_monitor.py
@@ -47,7 +47,7 @@
 def feedback_of(monitor, recorded) -> AttemptFeedback:
     """Return the feedback of a request; reports are appended to a list."""
     context = SimpleNamespace(
-        paths=monitor,
+        path_monitor=monitor,
         timer=monitor.timer,
         metrics=monitor.metrics,
         upstreams=Upstreams(),
--- a/godwitshunt/programs/ingress_process.py
+++ b/godwitshunt/programs/ingress_process.py
@@ -145,7 +145,7 @@
             http=self.settings.http_endpoint,
             hop=self.settings.hop,
             accepting=self.ingress.accepting,
-            reaches_upstreams=not self.ingress.context.paths.are_lost,
+            reaches_upstreams=not self.ingress.context.path_monitor.are_lost,
         )
 
     def tell_control(self, revision: Revision) -> None:
