End a check of paths with the first upstream that is reached

A check ends with the first refutation now, and only requests that have failed wait for it. The test hangs on the code before.

--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -265,7 +265,9 @@
 
     async def choose_destination(self) -> Choice:
         """Choose a destination; upstreams that seem silent come last."""
-        await self.context.path_monitor.wait_checked()
+        if self.progress.sends:
+            # The check that a failed attempt began ends before the next one.
+            await self.context.path_monitor.wait_checked()
         choice = self.choose_relay() or await self.query_picker()
         if choice is None:
             choice = self.choose_locally()
--- a/godwitshunt/ingress/path_monitor.py
+++ b/godwitshunt/ingress/path_monitor.py
@@ -17,6 +17,7 @@
     Suspicion,
     UpstreamPaths,
     choose_targets,
+    is_reached,
 )
 from godwitshunt.telemetry import Metrics, log_change
 from godwitshunt.timer import Subscription, Timer
@@ -204,7 +205,7 @@
     async def probe(
         self, targets: list[ProbeTarget], suspicion: Suspicion
     ) -> list[ProbeResult]:
-        """Probe upstreams; stop where one has answered."""
+        """Probe upstreams; stop where one refutes the suspicion."""
         probing = [
             asyncio.create_task(self.prober.probe(target, suspicion))
             for target in targets
@@ -212,7 +213,7 @@
         results = [ProbeResult.silent for _ in probing]
         waiting = set(probing)
         try:
-            while waiting and ProbeResult.answered not in results:
+            while waiting and not is_reached(suspicion, results):
                 done, waiting = await asyncio.wait(
                     waiting, return_when=asyncio.FIRST_COMPLETED
                 )
--- a/godwitshunt/ingress/tests/test_path_monitor.py
+++ b/godwitshunt/ingress/tests/test_path_monitor.py
@@ -194,3 +194,19 @@
     target = ProbeTarget('i-1', Address(host=HOST, port=1), 'a', '/healthz')
     probed = await PathProber().probe(target, Suspicion.connection)
     assert probed is ProbeResult.refused
+
+
+async def test_check_ends_with_the_first_upstream_that_is_reached():
+    """Some upstreams are down: each check would wait for their time-outs."""
+
+    async def probe(target, suspicion):
+        if target.instance == 'i-2':
+            return ProbeResult.accepted
+        await asyncio.sleep(5.0)
+
+    monitor = monitor_of(())
+    monitor.prober = SimpleNamespace(probe=probe)
+    monitor.suspect(Suspicion.connection, 'i-1', 'r')
+    async with asyncio.timeout(1.0):
+        await monitor.wait_checked()
+    assert not monitor.are_lost
