Share what the change wrote twice, and test what it left untested

No test failed if open connections were not used while new ones are refused, or if a relayed request was charged twice or never: three files of tests now.

--- a/godwitshunt/backpressure/brittleness.py
+++ b/godwitshunt/backpressure/brittleness.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from godwitshunt.backpressure.notices import record_newest
+
 
 @dataclass(frozen=True)
 class BrittleNotice:
@@ -12,7 +14,7 @@
     ----------
     service : str
         The service; a restarted upstream bears no more than the one before.
-    rejections_per_s : float or None
+    per_s : float or None
         Rejections per second that an upstream bears; None if the answer
         states no bound.
     asof_s : float
@@ -21,7 +23,7 @@
     """
 
     service: str
-    rejections_per_s: float | None
+    per_s: float | None
     asof_s: float
 
 
@@ -47,14 +49,7 @@
 
     def record(self, notice: BrittleNotice) -> bool:
         """Record a notice; return whether it changes the bound."""
-        known = self.notices.get(notice.service)
-        if known is None and notice.rejections_per_s is None:
-            return False
-        if known is not None and notice.asof_s <= known.asof_s:
-            return False
-        self.notices[notice.service] = notice
-        before = None if known is None else known.rejections_per_s
-        return before != notice.rejections_per_s
+        return record_newest(self.notices, notice.service, notice)
 
     def is_brittle(self, service: str) -> bool:
         """Return whether the upstreams of a service are brittle."""
@@ -63,10 +58,10 @@
     def rejections_per_s(self, service: str) -> float | None:
         """Return the rejections that an upstream bears; None for any."""
         notice = self.notices.get(service)
-        return None if notice is None else notice.rejections_per_s
+        return None if notice is None else notice.per_s
 
     def stated(self) -> Iterator[BrittleNotice]:
         """Yield the notices of the services that are brittle."""
         for notice in self.notices.values():
-            if notice.rejections_per_s is not None:
+            if notice.per_s is not None:
                 yield notice
--- a/godwitshunt/backpressure/rate_limits.py
+++ b/godwitshunt/backpressure/rate_limits.py
@@ -3,6 +3,8 @@
 from collections.abc import Container, Iterator
 from dataclasses import dataclass, field
 
+from godwitshunt.backpressure.notices import record_newest
+
 # Notices of an upstream that is not present are kept for this long: it may be
 # missing from the table of a control VM that has restarted.
 RETENTION_S = 60.0
@@ -52,13 +54,7 @@
 
     def record(self, notice: RateLimitNotice) -> bool:
         """Record a notice; return whether it changes the limit."""
-        known = self.notices.get(notice.incarnation)
-        if known is None and notice.per_s is None:
-            return False
-        if known is not None and notice.asof_s <= known.asof_s:
-            return False
-        self.notices[notice.incarnation] = notice
-        return known is None or known.per_s != notice.per_s
+        return record_newest(self.notices, notice.incarnation, notice)
 
     def per_s(self, incarnation: str) -> float | None:
         """Return the rate limit of an upstream; None if it has none."""
--- a/godwitshunt/ingress/tests/test_hops.py
+++ b/godwitshunt/ingress/tests/test_hops.py
@@ -59,6 +59,16 @@
     return HttpRequest('GET', '/x', '', headers, b'')
 
 
+@pytest.mark.parametrize(
+    ('fields', 'cost'), [({}, 0.0), ({'due_cost': 7.5}, 7.5)]
+)
+def test_forwarded_request_costs_what_is_due(fields, cost):
+    """Its sender has charged a hand-over to another region, but no relay."""
+    request = forwarded_request('wards', **fields)
+    outcome = read_forwarded_request(request, active_revision(WARDS), CONTEXT)
+    assert outcome.ok_value.cost == pytest.approx(cost)
+
+
 @pytest.mark.parametrize(
     ('fields', 'grant'),
     [
--- a/godwitshunt/ingress/tests/test_incarnations.py
+++ b/godwitshunt/ingress/tests/test_incarnations.py
@@ -13,6 +13,7 @@
 from godwitshunt.ingress.task import IngressTask
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
 from godwitshunt.picking.attempt_reports import AttemptReport, AttemptResult
+from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.registry import RegistryView, UpstreamAnnounced
 from godwitshunt.routing.upstream_health import CONNECT_BACKOFF_S
@@ -78,7 +79,7 @@
     task.context = SimpleNamespace(
         watch=SimpleNamespace(view=lambda: view, round_trips=dict),
         timer=SimpleNamespace(now=lambda: NOW_S),
-        neighbours=SimpleNamespace(record_entries=lambda entries, now_s: None),
+        neighbours=Neighbours('e-1', 'kochi'),
         upstreams=Upstreams(),
         budgets=SimpleNamespace(cold=recorder),
         pool=recorder,
--- a/godwitshunt/ingress/upstream_headers.py
+++ b/godwitshunt/ingress/upstream_headers.py
@@ -136,7 +136,7 @@
                 'ingress:service_brittle',
                 service=notice.service,
                 request=request_id,
-                rejections_per_s=notice.rejections_per_s,
+                rejections_per_s=notice.per_s,
             )
 
     def record_departure(self, incarnation: str, request_id: str) -> None:
--- a/godwitshunt/picking/tests/test_limits_between_pickers.py
+++ b/godwitshunt/picking/tests/test_limits_between_pickers.py
@@ -59,10 +59,14 @@
             await region.poll(entry.watch)
 
 
-async def request_units(entry, requests: int) -> int:
+async def request_units(
+    entry, requests: int, *, cost: float = 1.0, local: bool = False
+) -> int:
     """Send requests at once; return how many were within the limit."""
     choices = [
-        await entry.request_destination(organisation=NAME, cost=1.0)
+        await entry.request_destination(
+            organisation=NAME, cost=cost, local=local
+        )
         for _ in range(requests)
     ]
     assert None not in choices
@@ -113,6 +117,17 @@
     assert 0.9 * PER_S * WINDOW_S <= admitted_units <= BOUND
 
 
+@pytest.mark.parametrize(('cost', 'is_charged'), [(1.0, True), (0.0, False)])
+async def test_forwarded_requests_are_charged_once(region, cost, is_charged):
+    """A VM without paths to upstreams relays what nobody has charged.
+
+    Requests that another region handed over have no cost left.
+    """
+    local_vm, _ = region.entries
+    admitted = await request_units(local_vm, 100, cost=cost, local=True)
+    assert (admitted <= BURST) is is_charged
+
+
 async def test_restarted_picker_admits_no_second_burst(region):
     """The previous process has already admitted the burst."""
     local_vm, _ = region.entries
--- a/godwitshunt/picking/upstream_notices.py
+++ b/godwitshunt/picking/upstream_notices.py
@@ -237,7 +237,7 @@
         log_change(
             'picking:service_brittle',
             service=notice.service,
-            rejections_per_s=notice.rejections_per_s,
+            rejections_per_s=notice.per_s,
             source=source,
         )
     return new
--- a/godwitshunt/picking/wire_limits.py
+++ b/godwitshunt/picking/wire_limits.py
@@ -38,7 +38,7 @@
     return [
         ttypes.BrittleInfo(
             notice.service,
-            notice.rejections_per_s,
+            notice.per_s,
             age_ms(notice.asof_s, now_s),
         )
         for notice in notices
--- a/tests/partition_world.py
+++ b/tests/partition_world.py
@@ -6,7 +6,7 @@
 import secrets
 import socket
 import struct
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -201,6 +201,24 @@
         return sum(served) / max(1, len(served))
 
 
+@asynccontextmanager
+async def running(deployment):
+    """Start a deployment, and end it afterwards."""
+    try:
+        await deployment.start()
+        yield deployment
+    finally:
+        await deployment.close()
+
+
+async def heal_and_use(deployment):
+    """Let all VMs reach all servers, and open connections."""
+    deployment.heal()
+    await asyncio.sleep(2.0)
+    await ask_all(deployment.entry_zones, 1.0)
+    return deployment
+
+
 @dataclass(frozen=True)
 class Sent:
     """One request, and how it ended.
--- a/tests/test_platform_brittle.py
+++ b/tests/test_platform_brittle.py
@@ -8,6 +8,7 @@
 
 from tests.brittle_server import SLOTS, WORK_S, BrittleWorld
 from tests.limited_server import ask_steadily
+from tests.partition_world import running
 from tests.platform_documents import ADDRESS_PREFIX
 from tests.platform_world import until
 
@@ -29,11 +30,8 @@
         NETWORK,
         scheduling if request.param else None,
     )
-    try:
-        await deployment.start()
+    async with running(deployment):
         yield deployment
-    finally:
-        await deployment.close()
 
 
 async def load(deployment, times, during=None):
--- a/tests/test_platform_path_recovery.py
+++ b/tests/test_platform_path_recovery.py
@@ -6,7 +6,14 @@
 import pytest
 import pytest_asyncio
 
-from tests.partition_world import Cut, PartitionWorld, ask_all, served_share
+from tests.partition_world import (
+    Cut,
+    PartitionWorld,
+    ask_all,
+    heal_and_use,
+    running,
+    served_share,
+)
 from tests.platform_documents import ADDRESS_PREFIX
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
@@ -22,21 +29,15 @@
 @pytest_asyncio.fixture(scope='module', loop_scope='module')
 async def started(tmp_path_factory):
     """Return a deployment with three entry VMs in one region."""
-    deployment = PartitionWorld(tmp_path_factory.mktemp('paths'), NETWORK)
-    try:
-        await deployment.start()
+    folder = tmp_path_factory.mktemp('paths')
+    async with running(PartitionWorld(folder, NETWORK)) as deployment:
         yield deployment
-    finally:
-        await deployment.close()
 
 
 @pytest_asyncio.fixture(loop_scope='module')
 async def world(started):
     """Return the deployment with all paths, and connections in use."""
-    started.heal()
-    await asyncio.sleep(2.0)
-    await ask_all(started.entry_zones, 1.0)
-    return started
+    return await heal_and_use(started)
 
 
 def direct_requests(world, host):
