Name the parts of prompts that were lost with an upstream

A line of a lost attempt named the whole content only. With bodies that are new each time no two lines had anything in common, and a part that crashes upstreams could not be told from upstreams that end by themselves.

--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -14,6 +14,7 @@
     NotRun,
     Streamed,
 )
+from godwitshunt.ingress.prompts import Prompt
 from godwitshunt.ingress.requests import RoutedRequest
 from godwitshunt.picking.attempt_reports import AttemptReport, AttemptResult
 from godwitshunt.picking.choices import HandOver, SendHere
@@ -26,6 +27,8 @@
 UNRESPONSIVE_AFTER_S = 2.0
 AVOID_VM_S = 1.0
 AVOID_REGION_S = 0.5
+# Parts of a prompt that a log line names.
+MAX_LOGGED_PARTS = 16
 
 
 @dataclass(frozen=True)
@@ -175,6 +178,7 @@
             'ingress:attempt_lost',
             request=self.request.id,
             fingerprint=str(self.request.fingerprint),
+            parts=describe_parts(self.request.prompt),
             instance=completed.incarnation,
             after_s=round(completed.took_s, 4),
             first_s=None if first_s is None else round(first_s, 4),
@@ -296,6 +300,11 @@
     return not (attempt.answer_started and attempt.closed_by_peer)
 
 
+def describe_parts(prompt: Prompt) -> list[str]:
+    """Return the first shared parts of a prompt, for logs."""
+    return [f'{part.key:x}' for part in prompt.shared_parts[:MAX_LOGGED_PARTS]]
+
+
 def target_incarnation(choice: SendHere | HandOver) -> str:
     """Return the incarnation of the process that a request is sent to.
 
--- a/godwitshunt/ingress/prompts.py
+++ b/godwitshunt/ingress/prompts.py
@@ -75,15 +75,20 @@
             counted[0],
         )
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """All parts but the last."""
+        return self.parts[:-1]
+
     @property
     def shared_tokens(self) -> int:
         """Tokens of all parts but the last."""
-        return sum(part.tokens for part in self.parts[:-1])
+        return sum(part.tokens for part in self.shared_parts)
 
     @property
     def shared_key(self) -> int | None:
         """Key of all shared parts together; None where there are none."""
-        shared = self.parts[:-1]
+        shared = self.shared_parts
         if not shared:
             return None
         return hash(tuple(part.key for part in shared)) & KEY_MASK
