--- a/godwitshunt/ingress/crash_detector.py
+++ b/godwitshunt/ingress/crash_detector.py
@@ -73,17 +73,16 @@
     ) -> None:
         """Record a request whose connection was closed within its answer."""
         now_s = self.timer.now()
-        lost = LostRequest(
-            request.fingerprint,
-            request.organisation_name,
-            len(request.http.body),
-            Loss(incarnation, now_s, exposure_s),
+        loss = Loss(
+            incarnation, now_s, exposure_s, observer=self.quarantine.name
         )
+        lost = lost_request(request, loss)
         check = self.checks.get(incarnation)
         if check is not None and now_s - check.at_s < CHECK_TTL_S:
-            self.record_if_crashed(lost, crashed=check.crashed)
+            if check.crashed:
+                self.quarantine.record_losses(lost)
             return
-        self.unchecked.setdefault(incarnation, []).append(lost)
+        self.unchecked.setdefault(incarnation, []).extend(lost)
         self.background.run(
             incarnation, partial(self.check_process, incarnation, address)
         )
@@ -94,6 +93,19 @@
 
     async def check_process(self, incarnation: str, address: Address) -> None:
         """Check whether an incarnation has crashed; record its losses if so."""
+        crashed = await self.has_crashed(incarnation, address)
+        lost = self.unchecked.pop(incarnation, [])
+        log_change(
+            'quarantine:place_checked',
+            place=incarnation,
+            ended=crashed,
+            lost=sum(each.part is None for each in lost),
+        )
+        if crashed:
+            self.quarantine.record_losses(lost)
+
+    async def has_crashed(self, incarnation: str, address: Address) -> bool:
+        """Check whether an incarnation has crashed by now."""
         await asyncio.sleep(EXIT_DELAY_S)
         crashed = await self.refuses_connections(address)
         if self.path_monitor is not None:
@@ -101,15 +113,7 @@
             crashed = crashed and not self.path_monitor.are_lost
         self.expire()
         self.checks[incarnation] = CrashCheck(crashed, self.timer.now())
-        lost = self.unchecked.pop(incarnation, [])
-        log_change(
-            'quarantine:place_checked',
-            place=incarnation,
-            ended=crashed,
-            lost=len(lost),
-        )
-        for each in lost:
-            self.record_if_crashed(each, crashed=crashed)
+        return crashed
 
     async def refuses_connections(self, address: Address) -> bool:
         """Tell whether an address refuses connections."""
@@ -127,11 +131,6 @@
         writer.close()
         return False
 
-    def record_if_crashed(self, lost: LostRequest, *, crashed: bool) -> None:
-        """Record a loss where its incarnation has crashed."""
-        if crashed:
-            self.quarantine.record_loss(lost)
-
     def expire(self) -> None:
         """Drop checks older than `CHECK_TTL_S`."""
         self.background.remove_done()
@@ -143,3 +142,16 @@
     async def close(self) -> None:
         """Stop all checks."""
         await self.background.close()
+
+
+def lost_request(request: RoutedRequest, loss: Loss) -> list[LostRequest]:
+    """Return a lost request and the parts of its prompt."""
+    organisation = request.organisation_name
+    content = LostRequest(
+        request.fingerprint, organisation, len(request.http.body), loss
+    )
+    parts = [
+        LostRequest(fingerprint, organisation, 0, loss, part)
+        for fingerprint, part in request.suspect_parts().items()
+    ]
+    return [content, *parts]
--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from godwitshunt.ingress.attempt import Attempt
+from godwitshunt.ingress.attempt import SUCCESS, Attempt
 from godwitshunt.ingress.context import IngressContext
 from godwitshunt.ingress.outcomes import (
     NO_ATTEMPT,
@@ -112,7 +112,7 @@
         if isinstance(completed.outcome, Lost):
             self.record_loss(completed, completed.outcome)
         if isinstance(completed.outcome, (Answered, Streamed, Failed)):
-            self.record_whole_answer()
+            self.record_whole_answer(completed.outcome)
         attempt_result = completed.attempt_result
         if attempt_result is None:
             return
@@ -206,11 +206,19 @@
         )
         return is_draining or has_stated or watch.has_ended(announcement)
 
-    def record_whole_answer(self) -> None:
-        """Clear a suspected request that was answered whole."""
+    def record_whole_answer(
+        self, outcome: Answered | Streamed | Failed
+    ) -> None:
+        """Clear a suspected request, and parts, that were answered whole.
+
+        An upstream may refuse a request before it processes the prompt; so
+        only a success shows that the parts crash nothing.
+        """
         quarantine = self.context.quarantine
         if quarantine.has_suspected_length(len(self.request.http.body)):
             quarantine.clear(self.request.fingerprint)
+        if is_success(outcome) and self.request.prompt.shared_parts:
+            quarantine.record_answer(self.request.part_fingerprints)
 
     def count_long_prompt(self, choice: SendHere) -> None:
         """Count whether a long prompt's shared parts were cached."""
@@ -286,6 +294,16 @@
         return None
 
 
+def is_success(outcome: Answered | Streamed | Failed) -> bool:
+    """Tell whether a whole answer is a success."""
+    match outcome:
+        case Streamed():
+            return True
+        case Answered(answer):
+            return answer.status in SUCCESS
+    return False
+
+
 def has_vm_failed(attempt: Attempt, outcome: AttemptOutcome) -> bool:
     """Tell whether a forwarded attempt shows that the other VM is unusable.
 
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -44,7 +44,12 @@
     SendHere,
 )
 from godwitshunt.picking.destinations import DestinationRequest
-from godwitshunt.quarantine import QuarantineStatus
+from godwitshunt.quarantine import (
+    CLEAR,
+    Assessment,
+    Fingerprint,
+    QuarantineStatus,
+)
 from godwitshunt.registry import UpstreamSeen
 from godwitshunt.routing.selection import Demand
 
@@ -80,8 +85,9 @@
     is_charged : bool
         True while one attempt is charged to the organisation's limit and has
         not run.
-    is_probe : bool
-        True where the request is tried on probation.
+    probed : tuple of Fingerprint
+        What this request tries on probation: its content, or parts of its
+        prompt.
     tries_silent : bool
         True where it may be sent to upstreams that have answered nothing.
     """
@@ -93,10 +99,15 @@
     caller_disconnected: bool = False
     is_charged: bool = False
     is_quarantined: bool = False
-    is_probe: bool = False
+    probed: tuple[Fingerprint, ...] = ()
     tries_silent: bool = False
     task: asyncio.Task | None = None
 
+    @property
+    def is_probe(self) -> bool:
+        """True where the request is tried on probation."""
+        return bool(self.probed)
+
     def __post_init__(self) -> None:
         route = self.request.route
         # The VM that forwarded the request counts the attempts. With two
@@ -161,8 +172,8 @@
             in_flight = self.sender.in_flight
             return self.progress.expire(in_flight=in_flight)
         finally:
-            if self.is_probe:
-                self.context.quarantine.end_probe(self.request.fingerprint)
+            for fingerprint in self.probed:
+                self.context.quarantine.end_probe(fingerprint)
 
     async def make_attempts(self) -> Step:
         """Make attempts until the request is settled."""
@@ -179,7 +190,7 @@
             return self.refuse(choice)
         if isinstance(choice, Limited):
             return self.refuse_limited(choice)
-        refusal = self.authorizer_refusal()
+        refusal = self.authorizer_refusal() or self.late_quarantine_step()
         if refusal is not None:
             return refusal
         outcome = await self.sender.send(choice)
@@ -202,13 +213,31 @@
         )
         if isinstance(outcome, NotRun) and outcome.is_final:
             self.retry_after_s = self.context.quarantine.length_s
-        table = self.context.quarantine.table
-        is_lost = isinstance(outcome, Lost)
-        if is_lost and table.has_losses(self.request.fingerprint):
+        if isinstance(outcome, Lost) and self.was_lost_before():
             await self.context.crash_detector.wait_checked(
                 target_incarnation(choice)
             )
 
+    def was_lost_before(self) -> bool:
+        """Tell whether the request, or a part of it, has crashed upstreams."""
+        table = self.context.quarantine.table
+        return any(
+            map(
+                table.has_losses,
+                (self.request.fingerprint, *self.request.part_fingerprints),
+            )
+        )
+
+    def late_quarantine_step(self) -> Step | None:
+        """Return the last step of a request quarantined while it waited.
+
+        The slot that a picker has assigned is released by the next report.
+        """
+        step = self.quarantine_step()
+        if step is not None:
+            self.context.picker.schedule_report()
+        return step
+
     def quarantine_step(self) -> Step | None:
         """Return the last step of a request that must not be sent.
 
@@ -216,10 +245,7 @@
         the next crash would be the third.
         """
         quarantine = self.context.quarantine
-        if not quarantine.has_suspected_length(len(self.request.http.body)):
-            return None
-        fingerprint = self.request.fingerprint
-        assessment = quarantine.assessment(fingerprint, is_probe=self.is_probe)
+        assessment = self.assessment()
         if assessment.status is QuarantineStatus.clear:
             return None
         if assessment.status is QuarantineStatus.quarantined:
@@ -233,11 +259,37 @@
         if self.progress.runs:
             self.progress.reasons.append(assessment.reason)
             return self.progress.give_up()
-        if assessment.status is QuarantineStatus.on_probation:
-            self.is_probe = True
-            quarantine.begin_probe(fingerprint)
+        is_begun = assessment.fingerprint in self.probed
+        if assessment.status is QuarantineStatus.on_probation and not is_begun:
+            self.probed = (*self.probed, assessment.fingerprint)
+            quarantine.begin_probe(assessment.fingerprint)
+            return self.quarantine_step()
         return None
 
+    def assessment(self) -> Assessment:
+        """Return the strictest assessment of the request and its parts."""
+        quarantine = self.context.quarantine
+        assessments = []
+        if quarantine.has_suspected_length(len(self.request.http.body)):
+            fingerprint = self.request.fingerprint
+            assessments.append(
+                quarantine.assessment(
+                    fingerprint, is_probe=fingerprint in self.probed
+                )
+            )
+        if quarantine.has_suspected_parts():
+            assessments.extend(
+                quarantine.assess_parts(
+                    self.request.part_fingerprints, self.probed
+                )
+            )
+        return max(assessments, key=self.strictness, default=CLEAR)
+
+    def strictness(self, assessment: Assessment) -> tuple[int, bool]:
+        """Return a sort key; what is tried already is less strict."""
+        is_new = assessment.fingerprint not in self.probed
+        return (assessment.strictness, is_new)
+
     async def choose_after_updates(self) -> Choice:
         """Choose a destination, waiting for updates while the VM warms up."""
         choice = await self.choose()
--- a/godwitshunt/ingress/requests.py
+++ b/godwitshunt/ingress/requests.py
@@ -10,13 +10,16 @@
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.prompts import Prompt
 from godwitshunt.manifest import Organisation, Route, Service
-from godwitshunt.quarantine import Fingerprint
+from godwitshunt.quarantine import Fingerprint, SuspectPart
 
 MILLISECONDS = 1000
 # Upstreams' queues have urgencies from 0 to 9. Levels of routes start here,
 # which leaves urgencies below it for requests that must not wait.
 URGENCY_OF_FIRST_LEVEL = 3
 LEAST_URGENT = 9
+# Parts of a prompt that are recorded where it is lost.
+MAX_SUSPECT_PARTS = 32
+MAX_PART_NAME = 80
 
 
 @dataclass(frozen=True)
@@ -110,11 +113,37 @@
             http.body,
         )
 
+    @cached_property
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Fingerprints of the parts that its prompt shares with others."""
+        keys = dict.fromkeys(part.key for part in self.prompt.shared_parts)
+        return tuple(
+            Fingerprint.from_prompt_part(
+                self.service.name, self.organisation_name, key
+            )
+            for key in tuple(keys)[:MAX_SUSPECT_PARTS]
+        )
+
+    def suspect_parts(self) -> dict[Fingerprint, SuspectPart]:
+        """Return what is recorded of these parts where they are lost."""
+        keys = dict.fromkeys(part.key for part in self.prompt.shared_parts)
+        return {
+            fingerprint: SuspectPart(part_name(self.service, key), position)
+            for position, (fingerprint, key) in enumerate(
+                zip(self.part_fingerprints, keys, strict=False)
+            )
+        }
+
     def remaining_s(self, now_s: float) -> float:
         """Return the seconds until it times out."""
         return self.deadline_at_s - now_s
 
 
+def part_name(service: Service, key: int) -> str:
+    """Return the name of a part of prompts, for operators and logs."""
+    return f'{service.name} {key:x}'[:MAX_PART_NAME]
+
+
 def caller_timeout_s(request: HttpRequest, names: HeaderNames) -> float:
     """Return the caller's timeout in seconds; infinite where not stated."""
     header = request.header(names.deadline_ms)
--- a/godwitshunt/ingress/tests/test_crash_detector.py
+++ b/godwitshunt/ingress/tests/test_crash_detector.py
@@ -22,6 +22,7 @@
         fingerprint=fingerprint,
         organisation_name='',
         http=SimpleNamespace(body=b'hello'),
+        suspect_parts=dict,
     )
 
 
--- a/godwitshunt/ingress/tests/test_feedback.py
+++ b/godwitshunt/ingress/tests/test_feedback.py
@@ -6,6 +6,7 @@
 
 from godwitshunt.ingress.feedback import AttemptFeedback, CompletedAttempt
 from godwitshunt.ingress.outcomes import Lost, NotRun, Streamed
+from godwitshunt.ingress.prompts import Prompt
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
 from godwitshunt.picking.attempt_reports import AttemptReport, AttemptResult
 from godwitshunt.picking.choices import HandOver
@@ -135,7 +136,7 @@
     request = SimpleNamespace(
         service=SERVICE,
         route=SimpleNamespace(name='r'),
-        prompt=SimpleNamespace(is_worth_caching=False),
+        prompt=Prompt(),
         http=SimpleNamespace(body=b''),
     )
     attempt = SimpleNamespace(misdirected=False, connected=True)
--- a/godwitshunt/ingress/tests/test_path_monitor.py
+++ b/godwitshunt/ingress/tests/test_path_monitor.py
@@ -10,6 +10,7 @@
 from godwitshunt.ingress.outcomes import Lost, NotRun
 from godwitshunt.ingress.path_monitor import PathMonitor, WatchedAttempt
 from godwitshunt.ingress.path_prober import PathProber
+from godwitshunt.ingress.prompts import Prompt
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.routing.upstream_paths import (
     ProbeResult,
@@ -62,6 +63,7 @@
         service=SimpleNamespace(name='llm'),
         route=SimpleNamespace(name='r'),
         fingerprint=b'',
+        prompt=Prompt(),
     )
     return AttemptFeedback(context, request)
 
--- a/godwitshunt/peer/messages.py
+++ b/godwitshunt/peer/messages.py
@@ -23,6 +23,7 @@
     load_report = 312
     place_wait = 313
     upstream_notices = 314
+    suspect_news = 315
     claim_request = 400
     claim_finish = 401
     claim_release = 402
--- a/godwitshunt/programs/ingress_process.py
+++ b/godwitshunt/programs/ingress_process.py
@@ -104,6 +104,9 @@
             self.metrics,
         )
 
+        quarantine = self.watch.quarantine
+        quarantine.name = f'{settings.region}/{settings.name}'
+        quarantine.on_observed = self.report_losses
         authorizer = self.ingress.context.authorizer
         authorizer.age_s = self.configuration.quorum_age_s
         authorizer.renew = self.configuration.poll_now
@@ -148,6 +151,13 @@
             reaches_upstreams=not self.ingress.context.path_monitor.are_lost,
         )
 
+    def report_losses(self) -> None:
+        """Report at once what this VM has observed of crashed upstreams."""
+        if self.watch.picker() is None:
+            self.watch.report_now()
+        else:
+            self.picker.schedule_report()
+
     def tell_control(self, revision: Revision) -> None:
         """Tell control at once that this VM takes requests from now on.
 
--- a/godwitshunt/quarantine/fingerprint.py
+++ b/godwitshunt/quarantine/fingerprint.py
@@ -1,21 +1,25 @@
-"""Fingerprints that are equal for all repeats of a request."""
+"""Fingerprints that are equal for all repeats of a request or prompt part."""
 
 import hashlib
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Self
 
 DIGEST_BYTES = 16
 LENGTH_BYTES = 8
+# Distinguishes parts of prompts from contents of requests.
+PART_TAG = b'part of a prompt'
+CACHED_PARTS = 8192
 
 
 @dataclass(frozen=True)
 class Fingerprint:
-    """Identifies a request by its content, equally on all VMs.
+    """Identifies a request, or a part of prompts, equally on all VMs.
 
-    A repeat has a new id but the same method, host, path, organisation and
-    body. Requests that differ in one byte have different fingerprints.
-    The organisation is included so that no organisation's requests are
-    quarantined because of another's.
+    A request is identified by its content. A repeat has a new id but the same
+    method, host, path, organisation and body. Requests that differ in one byte
+    have different fingerprints. The organisation is included so that no
+    organisation's requests are quarantined because of another's.
 
     Parameters
     ----------
@@ -55,18 +59,49 @@
         organisation : str
             The organisation that sent the request; empty for none.
         """
-        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-        parts = (
-            method.encode(),
-            host.lower(),
-            target,
-            organisation.encode(),
-            body,
+        return cls(
+            digest_of(
+                method.encode(),
+                host.lower(),
+                target,
+                organisation.encode(),
+                body,
+            )
         )
-        for part in parts:
-            digest.update(len(part).to_bytes(LENGTH_BYTES, 'big'))
-            digest.update(part)
-        return cls(digest.digest())
+
+    @classmethod
+    def from_prompt_part(
+        cls, service: str, organisation: str, key: int
+    ) -> Self:
+        """Return the fingerprint of a part of prompts.
+
+        A part may crash the upstreams of one service and be answered by those
+        of another. The organisation is included for the same reason as for
+        requests.
+
+        Parameters
+        ----------
+        key : int
+            Identifies the tokens of the part.
+        """
+        return cls(part_digest(service, organisation, key))
 
     def __str__(self) -> str:
         return self.digest.hex()
+
+
+def digest_of(*fields: bytes) -> bytes:
+    """Return a digest of several fields, whose borders count."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for each in fields:
+        digest.update(len(each).to_bytes(LENGTH_BYTES, 'big'))
+        digest.update(each)
+    return digest.digest()
+
+
+@lru_cache(maxsize=CACHED_PARTS)
+def part_digest(service: str, organisation: str, key: int) -> bytes:
+    """Return the digest of a part of prompts."""
+    return digest_of(
+        PART_TAG, service.encode(), organisation.encode(), b'%x' % key
+    )
--- a/godwitshunt/quarantine/records.py
+++ b/godwitshunt/quarantine/records.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 from godwitshunt.quarantine.fingerprint import Fingerprint
@@ -25,6 +25,9 @@
 MIN_EARLIER_S = 0.01
 # Clearances per record, by whole answers and by operators.
 MAX_CLEARANCES = 8
+# A part of prompts that was answered whole this long before its first loss, or
+# later, has been shown not to crash upstreams.
+PROOF_S = 60.0
 
 
 @dataclass(frozen=True)
@@ -42,12 +45,15 @@
         Seconds for which the process had the request.
     relays : int
         Number of messages that the report has passed.
+    observer : str
+        The entry VM that observed the loss; the first of several by name.
     """
 
     incarnation: str
     at_s: float
     exposure_s: float
     relays: int = 0
+    observer: str = ''
 
     @property
     def earliest_s(self) -> float:
@@ -55,16 +61,34 @@
         return self.at_s - self.relays * RELAY_DELAY_S
 
 
+@dataclass(frozen=True)
+class SuspectPart:
+    """A part that prompts of several requests share.
+
+    Parameters
+    ----------
+    name : str
+        Its service and key, for operators and logs.
+    position : int
+        Position in its prompts; 0 is the first. Parts at higher positions are
+        shared by fewer requests.
+    """
+
+    name: str
+    position: int
+
+
 @dataclass
 class SuspectRecord:
-    """One request and the crashes during which it was lost.
+    """One request, or part of prompts, and the crashes that it was lost in.
 
     Parameters
     ----------
     organisation : str
         The organisation that sent the request; empty for none.
     body_bytes : int
-        Length of its body; requests of other lengths are not compared.
+        Length of its body; requests of other lengths are not compared. Zero
+        for a part.
     losses : dict
         By incarnation.
     clearances : dict
@@ -72,6 +96,8 @@
         the request was answered whole, or an operator released it.
     version : int
         Version of the table at the last change of the record.
+    part : SuspectPart or None
+        None for the content of a request.
 
     Examples
     --------
@@ -95,6 +121,17 @@
     losses: dict[str, Loss] = field(default_factory=dict)
     clearances: dict[str, float] = field(default_factory=dict)
     version: int = 0
+    part: SuspectPart | None = None
+
+    @property
+    def is_proven(self) -> bool:
+        """True for a part that was answered shortly before its first loss."""
+        if self.part is None:
+            return False
+        first_s = min(
+            (loss.at_s for loss in self.counted_losses()), default=inf
+        )
+        return self.cleared_until_s > first_s - PROOF_S
 
     @property
     def cleared_until_s(self) -> float:
@@ -121,14 +158,15 @@
         so a loss that is relayed in a loop would otherwise never expire.
         """
         recorded = self.losses.get(loss.incarnation)
-        if recorded is not None and recorded.at_s <= loss.at_s + MIN_EARLIER_S:
+        merged = loss if recorded is None else merge_losses(recorded, loss)
+        if merged is recorded:
             return False
-        self.losses[loss.incarnation] = loss
+        self.losses[loss.incarnation] = merged
         if len(self.losses) <= MAX_LOSSES:
             return True
         oldest = min(self.losses.values(), key=loss_time)
         self.losses.pop(oldest.incarnation)
-        return oldest is not loss
+        return oldest is not merged
 
     def add_clearance(self, name: str, at_s: float) -> bool:
         """Add a time up to which losses do not count; return False if known.
@@ -147,7 +185,11 @@
 
     def join(self, other: 'SuspectRecord') -> bool:
         """Add all that another process knows; return False if known."""
-        changes = list(map(self.add_loss, other.losses.values()))
+        before = self.part
+        if before is not None and other.part is not None:
+            self.part = min(before, other.part, key=part_position)
+        changes = [self.part != before]
+        changes.extend(map(self.add_loss, other.losses.values()))
         changes.extend(
             self.add_clearance(name, at_s)
             for name, at_s in other.clearances.items()
@@ -177,6 +219,11 @@
                 last_counted_s = loss.at_s
         return count
 
+    def observers(self) -> list[str]:
+        """Return the entry VMs that observed counted losses, by name."""
+        names = {loss.observer for loss in self.counted_losses()}
+        return sorted(names - {''})
+
     def last_loss_s(self) -> float:
         """Return the time of the last counted loss."""
         return max((loss.at_s for loss in self.counted_losses()), default=-inf)
@@ -211,3 +258,23 @@
 def loss_time(loss: Loss) -> float:
     """Return when a request was lost."""
     return loss.at_s
+
+
+def part_position(part: SuspectPart) -> tuple[int, str]:
+    """Return a sort key of the positions of one part in several prompts."""
+    return (part.position, part.name)
+
+
+def merge_losses(recorded: Loss, reported: Loss) -> Loss:
+    """Return one of two reports of a loss; `recorded` if nothing changes.
+
+    The earlier one counts. All processes keep the same observer.
+    """
+    names = {recorded.observer, reported.observer} - {''}
+    observer = min(names, default='')
+    earlier = recorded
+    if reported.at_s + MIN_EARLIER_S < recorded.at_s:
+        earlier = reported
+    if earlier.observer == observer:
+        return earlier
+    return replace(earlier, observer=observer)
--- a/godwitshunt/quarantine/table.py
+++ b/godwitshunt/quarantine/table.py
@@ -1,31 +1,42 @@
 """A bounded table of the requests that were lost recently."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 
 from godwitshunt.quarantine.fingerprint import Fingerprint
-from godwitshunt.quarantine.records import Loss, SuspectRecord
-from godwitshunt.quarantine.verdicts import find_confirmed
+from godwitshunt.quarantine.records import Loss, SuspectPart, SuspectRecord
+from godwitshunt.quarantine.verdicts import (
+    SUSPECTED_CRASHES,
+    find_confirmed,
+)
 
 # A crashed engine loses as many requests as it has slots; this holds twenty
-# crashes of engines with 48 slots.
+# crashes of engines with 48 slots, and as many parts of prompts beside.
 MAX_RECORDS = 1024
-# Crashes from which on a request is reported to entry VMs, so that they record
-# its whole answers.
-SUSPECTED_CRASHES = 2
 # Records per message; the others are sent with the next one.
 MAX_DELTA_RECORDS = 256
 NEVER_EVALUATED = -1
+# Records whose last loss is older than the last of all by this are evicted
+# before the others.
+RECENT_S = 60.0
 
 
 @dataclass(frozen=True)
 class LostRequest:
-    """A request that one VM observed to be lost."""
+    """A request, or a part of its prompt, that one VM observed to be lost.
+
+    Parameters
+    ----------
+    part : SuspectPart or None
+        None for the content of the request.
+    """
 
     fingerprint: Fingerprint
     organisation: str
     body_bytes: int
     loss: Loss
+    part: SuspectPart | None = None
 
 
 @dataclass(frozen=True)
@@ -45,12 +56,14 @@
 
 @dataclass
 class SuspectTable:
-    """Lost requests, and which of them are confirmed to crash upstreams.
+    """Lost requests and parts, and which are confirmed to crash upstreams.
 
     Parameters
     ----------
     max_records : int
-        Maximum number of records.
+        Maximum number of records of requests, and of parts of prompts.
+    find_confirmed : callable
+        Returns the confirmed ones of the records, with their crashes.
 
     Examples
     --------
@@ -71,18 +84,32 @@
     evaluated_version: int = NEVER_EVALUATED
     confirmed_crashes: dict[Fingerprint, int] = field(default_factory=dict)
     suspected_lengths: frozenset[int] = frozenset()
+    has_suspected_parts: bool = False
+    find_confirmed: Callable[
+        [Iterable[SuspectRecord]], dict[Fingerprint, int]
+    ] = find_confirmed
 
     def record_loss(self, lost: LostRequest) -> bool:
         """Record a loss observed here; return False if it is known."""
+        return self.record_losses((lost,))
+
+    def record_losses(self, losses: Iterable[LostRequest]) -> bool:
+        """Record losses observed here; return False if all are known."""
+        changes = [self.record_without_bound(lost) for lost in losses]
+        self.evict()
+        return any(changes)
+
+    def record_without_bound(self, lost: LostRequest) -> bool:
+        """Record a loss; records beyond the bound remain."""
         record = self.records.get(lost.fingerprint) or SuspectRecord(
             lost.fingerprint,
             lost.organisation,
             lost.body_bytes,
+            part=lost.part,
         )
         if not record.add_loss(lost.loss):
             return False
         self.store(record)
-        self.evict()
         return True
 
     def clear(
@@ -122,6 +149,7 @@
             other.fingerprint,
             other.organisation,
             other.body_bytes,
+            part=other.part,
         )
         if not record.join(other):
             return False
@@ -137,19 +165,38 @@
     def evict(self) -> None:
         """Drop records beyond the bound.
 
+        Requests and parts of prompts are bounded separately, as a crash loses
+        several parts with each request.
+        """
+        if len(self.records) <= self.max_records:
+            return
+        for is_part in (False, True):
+            self.evict_among(
+                [
+                    record
+                    for record in self.records.values()
+                    if (record.part is not None) is is_part
+                ]
+            )
+
+    def evict_among(self, records: Iterable[SuspectRecord]) -> None:
+        """Drop those of some records that are beyond the bound.
+
         The bound is shared fairly between organisations, so that none can
         evict the records of others by sending many requests. The records with
         the least evidence are evicted first.
         """
-        if len(self.records) <= self.max_records:
-            return
         by_organisation: dict[str, list[SuspectRecord]] = {}
-        for record in self.records.values():
+        for record in records:
             by_organisation.setdefault(record.organisation, []).append(record)
         share = fair_share(map(len, by_organisation.values()), self.max_records)
-        for records in by_organisation.values():
-            records.sort(key=eviction_key, reverse=True)
-            for record in records[share:]:
+        for owned in by_organisation.values():
+            if len(owned) <= share:
+                continue
+            last_s = max(map(last_loss_s, owned))
+            key = partial(eviction_key, recent_s=last_s - RECENT_S)
+            owned.sort(key=key, reverse=True)
+            for record in owned[share:]:
                 self.records.pop(record.fingerprint)
 
     def since(
@@ -162,13 +209,17 @@
         Parameters
         ----------
         min_losses : int
-            Records with fewer losses are omitted unless they were cleared.
+            Records with fewer losses are omitted, unless they are of requests
+            that were cleared.
         """
         return tuple(
             record
             for record in self.records.values()
             if record.version > version
-            and (len(record.losses) >= min_losses or record.clearances)
+            and (
+                len(record.losses) >= min_losses
+                or (record.part is None and record.clearances)
+            )
         )
 
     def delta(self, version: int, min_losses: int = 0) -> SuspectUpdate:
@@ -185,9 +236,11 @@
         return SuspectUpdate(first, first[-1].version)
 
     def has_losses(self, fingerprint: Fingerprint) -> bool:
-        """Tell whether a request has counted losses."""
+        """Tell whether a request or part has losses that count against it."""
         record = self.records.get(fingerprint)
-        return record is not None and bool(record.counted_losses())
+        if record is None or record.is_proven:
+            return False
+        return bool(record.counted_losses())
 
     def has_suspected_length(self, body_bytes: int) -> bool:
         """Tell whether any suspected request has a body of a length."""
@@ -204,11 +257,18 @@
         if self.evaluated_version == self.version:
             return
         self.evaluated_version = self.version
-        self.confirmed_crashes = find_confirmed(self.records.values())
-        self.suspected_lengths = frozenset(
-            record.body_bytes
+        suspected = [
+            record
             for record in self.records.values()
-            if len(record.counted_losses()) >= SUSPECTED_CRASHES
+            if len(record.losses) >= SUSPECTED_CRASHES
+            and len(record.counted_losses()) >= SUSPECTED_CRASHES
+        ]
+        self.confirmed_crashes = self.find_confirmed(suspected)
+        self.suspected_lengths = frozenset(
+            record.body_bytes for record in suspected if record.part is None
+        )
+        self.has_suspected_parts = any(
+            record.part is not None for record in suspected
         )
 
     def expire(self, until_s: float) -> None:
@@ -222,9 +282,25 @@
                 self.records.pop(record.fingerprint)
 
 
-def eviction_key(record: SuspectRecord) -> tuple[int, float]:
-    """Return a sort key that is smallest for the first to be evicted."""
-    return (len(record.counted_losses()), record.last_loss_s())
+def last_loss_s(record: SuspectRecord) -> float:
+    """Return the time of the last counted loss of a record."""
+    return record.last_loss_s()
+
+
+def eviction_key(
+    record: SuspectRecord, recent_s: float
+) -> tuple[int, bool, bool, float]:
+    """Return a sort key that is smallest for the first to be evicted.
+
+    Of those lost equally often and recently, the one that its upstreams had
+    for longest is the least likely cause.
+    """
+    return (
+        len(record.counted_losses()),
+        not record.is_proven,
+        record.last_loss_s() > recent_s,
+        -record.total_exposure_s(),
+    )
 
 
 def fair_share(sizes: Iterable[int], total: int) -> int:
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -1056,6 +1056,7 @@
      - age_ms: Milliseconds since then when this was sent.
      - exposure_ms: Milliseconds for which it had the request.
      - relays: Number of messages that the report passed before this one.
+     - observer: The entry VM that observed the loss.
 
     """
 
@@ -1064,14 +1065,16 @@
         'age_ms',
         'exposure_ms',
         'relays',
+        'observer',
     )
 
 
-    def __init__(self, place=None, age_ms=None, exposure_ms=None, relays=None,):
+    def __init__(self, place=None, age_ms=None, exposure_ms=None, relays=None, observer=None,):
         self.place = place
         self.age_ms = age_ms
         self.exposure_ms = exposure_ms
         self.relays = relays
+        self.observer = observer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1102,6 +1105,11 @@
                     self.relays = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.observer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1128,6 +1136,10 @@
             oprot.writeFieldBegin('relays', TType.I32, 4)
             oprot.writeI32(self.relays)
             oprot.writeFieldEnd()
+        if self.observer is not None:
+            oprot.writeFieldBegin('observer', TType.STRING, 5)
+            oprot.writeString(self.observer.encode('utf-8') if sys.version_info[0] == 2 else self.observer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1238,7 +1250,8 @@
 
 class SuspectInfo(object):
     """
-    A request that was lost to upstreams, identified by its content.
+    A request that was lost to upstreams, identified by its content, or a part
+    of the prompts of such requests.
 
     Attributes:
      - fingerprint: 16 bytes.
@@ -1246,6 +1259,8 @@
      - body_bytes
      - losses
      - clearances
+     - part: Name of a part of prompts; absent for the content of a request.
+     - position: Position of the part in its prompts; 0 is the first.
 
     """
 
@@ -1255,15 +1270,19 @@
         'body_bytes',
         'losses',
         'clearances',
+        'part',
+        'position',
     )
 
 
-    def __init__(self, fingerprint=None, organisation=None, body_bytes=None, losses=None, clearances=None,):
+    def __init__(self, fingerprint=None, organisation=None, body_bytes=None, losses=None, clearances=None, part=None, position=None,):
         self.fingerprint = fingerprint
         self.organisation = organisation
         self.body_bytes = body_bytes
         self.losses = losses
         self.clearances = clearances
+        self.part = part
+        self.position = position
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1311,6 +1330,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.position = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1347,6 +1376,94 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 6)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I32, 7)
+            oprot.writeI32(self.position)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SuspectNews(object):
+    """
+    From a control VM to the entry VMs that poll it, when the quarantine status
+    of a request or a part changes.
+
+    Attributes:
+     - suspects
+
+    """
+
+    __slots__ = (
+        'suspects',
+    )
+
+
+    def __init__(self, suspects=None,):
+        self.suspects = suspects
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = SuspectInfo()
+                        _elem26.read(iprot)
+                        self.suspects.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectNews')
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter27 in self.suspects:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1677,32 +1794,32 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = RateLimitInfo()
-                        _elem32.read(iprot)
-                        self.rate_limits.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = RateLimitInfo()
+                        _elem39.read(iprot)
+                        self.rate_limits.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = BrittleInfo()
-                        _elem38.read(iprot)
-                        self.brittle.append(_elem38)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = BrittleInfo()
+                        _elem45.read(iprot)
+                        self.brittle.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1719,22 +1836,22 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter39 in self.leaving:
-                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
+            for iter46 in self.leaving:
+                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter40 in self.rate_limits:
-                iter40.write(oprot)
+            for iter47 in self.rate_limits:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter41 in self.brittle:
-                iter41.write(oprot)
+            for iter48 in self.brittle:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1831,11 +1948,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = UpstreamLoad()
-                        _elem47.read(iprot)
-                        self.loads.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = UpstreamLoad()
+                        _elem54.read(iprot)
+                        self.loads.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1857,76 +1974,76 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.shown = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = AttemptShown()
-                        _elem53.read(iprot)
-                        self.shown.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = AttemptShown()
+                        _elem60.read(iprot)
+                        self.shown.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = PrefixInfo()
-                        _elem59.read(iprot)
-                        self.prefixes.append(_elem59)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = PrefixInfo()
+                        _elem66.read(iprot)
+                        self.prefixes.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = AdmittedUnits()
-                        _elem65.read(iprot)
-                        self.admitted.append(_elem65)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = AdmittedUnits()
+                        _elem72.read(iprot)
+                        self.admitted.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = SuspectInfo()
-                        _elem71.read(iprot)
-                        self.suspects.append(_elem71)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = SuspectInfo()
+                        _elem78.read(iprot)
+                        self.suspects.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = RateLimitInfo()
-                        _elem77.read(iprot)
-                        self.rate_limits.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = RateLimitInfo()
+                        _elem84.read(iprot)
+                        self.rate_limits.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem83)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = BrittleInfo()
-                        _elem89.read(iprot)
-                        self.brittle.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = BrittleInfo()
+                        _elem96.read(iprot)
+                        self.brittle.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1947,8 +2064,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter90 in self.loads:
-                iter90.write(oprot)
+            for iter97 in self.loads:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.places_of is not None:
@@ -1962,15 +2079,15 @@
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shown))
-            for iter91 in self.shown:
-                iter91.write(oprot)
+            for iter98 in self.shown:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter92 in self.prefixes:
-                iter92.write(oprot)
+            for iter99 in self.prefixes:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.session is not None:
@@ -1980,36 +2097,36 @@
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter93 in self.admitted:
-                iter93.write(oprot)
+            for iter100 in self.admitted:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter94 in self.suspects:
-                iter94.write(oprot)
+            for iter101 in self.suspects:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter95 in self.rate_limits:
-                iter95.write(oprot)
+            for iter102 in self.rate_limits:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter96 in self.leaving:
-                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
+            for iter103 in self.leaving:
+                oprot.writeString(iter103.encode('utf-8') if sys.version_info[0] == 2 else iter103)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter97 in self.brittle:
-                iter97.write(oprot)
+            for iter104 in self.brittle:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2199,11 +2316,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = TableHeld()
-                        _elem103.read(iprot)
-                        self.held.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = TableHeld()
+                        _elem110.read(iprot)
+                        self.held.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2216,11 +2333,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = PrefixInfo()
-                        _elem109.read(iprot)
-                        self.prefixes.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = PrefixInfo()
+                        _elem116.read(iprot)
+                        self.prefixes.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2247,22 +2364,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.newer = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = TableNews()
-                        _elem115.read(iprot)
-                        self.newer.append(_elem115)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = TableNews()
+                        _elem122.read(iprot)
+                        self.newer.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = SuspectInfo()
-                        _elem121.read(iprot)
-                        self.suspects.append(_elem121)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = SuspectInfo()
+                        _elem128.read(iprot)
+                        self.suspects.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2288,8 +2405,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter122 in self.held:
-                iter122.write(oprot)
+            for iter129 in self.held:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.report is not None:
@@ -2299,8 +2416,8 @@
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter123 in self.prefixes:
-                iter123.write(oprot)
+            for iter130 in self.prefixes:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -2322,15 +2439,15 @@
         if self.newer is not None:
             oprot.writeFieldBegin('newer', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.newer))
-            for iter124 in self.newer:
-                iter124.write(oprot)
+            for iter131 in self.newer:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter125 in self.suspects:
-                iter125.write(oprot)
+            for iter132 in self.suspects:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -2706,22 +2823,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = GrantInfo()
-                        _elem131.read(iprot)
-                        self.grants.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = GrantInfo()
+                        _elem138.read(iprot)
+                        self.grants.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = DemandInfo()
-                        _elem137.read(iprot)
-                        self.demands.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = DemandInfo()
+                        _elem144.read(iprot)
+                        self.demands.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2733,11 +2850,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.round_trips = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = RoundTripInfo()
-                        _elem143.read(iprot)
-                        self.round_trips.append(_elem143)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = RoundTripInfo()
+                        _elem150.read(iprot)
+                        self.round_trips.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2754,15 +2871,15 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter144 in self.grants:
-                iter144.write(oprot)
+            for iter151 in self.grants:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter145 in self.demands:
-                iter145.write(oprot)
+            for iter152 in self.demands:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reporters is not None:
@@ -2772,8 +2889,8 @@
         if self.round_trips is not None:
             oprot.writeFieldBegin('round_trips', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.round_trips))
-            for iter146 in self.round_trips:
-                iter146.write(oprot)
+            for iter153 in self.round_trips:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2997,43 +3114,43 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = UpstreamInfo()
-                        _elem152.read(iprot)
-                        self.upstreams.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = UpstreamInfo()
+                        _elem159.read(iprot)
+                        self.upstreams.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = StartEnded()
-                        _elem158.read(iprot)
-                        self.gone.append(_elem158)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = StartEnded()
+                        _elem165.read(iprot)
+                        self.gone.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = EntryInfo()
-                        _elem164.read(iprot)
-                        self.entries.append(_elem164)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = EntryInfo()
+                        _elem171.read(iprot)
+                        self.entries.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.gone_entries = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone_entries.append(_elem170)
+                    (_etype175, _size172) = iprot.readListBegin()
+                    for _i176 in range(_size172):
+                        _elem177 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone_entries.append(_elem177)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3045,22 +3162,22 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype174, _size171) = iprot.readListBegin()
-                    for _i175 in range(_size171):
-                        _elem176 = UpstreamLoad()
-                        _elem176.read(iprot)
-                        self.loads.append(_elem176)
+                    (_etype181, _size178) = iprot.readListBegin()
+                    for _i182 in range(_size178):
+                        _elem183 = UpstreamLoad()
+                        _elem183.read(iprot)
+                        self.loads.append(_elem183)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.admitted = []
-                    (_etype180, _size177) = iprot.readListBegin()
-                    for _i181 in range(_size177):
-                        _elem182 = AdmittedUnits()
-                        _elem182.read(iprot)
-                        self.admitted.append(_elem182)
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = AdmittedUnits()
+                        _elem189.read(iprot)
+                        self.admitted.append(_elem189)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3107,29 +3224,29 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter183 in self.upstreams:
-                iter183.write(oprot)
+            for iter190 in self.upstreams:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter184 in self.gone:
-                iter184.write(oprot)
+            for iter191 in self.gone:
+                iter191.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter185 in self.entries:
-                iter185.write(oprot)
+            for iter192 in self.entries:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone_entries is not None:
             oprot.writeFieldBegin('gone_entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.gone_entries))
-            for iter186 in self.gone_entries:
-                oprot.writeString(iter186.encode('utf-8') if sys.version_info[0] == 2 else iter186)
+            for iter193 in self.gone_entries:
+                oprot.writeString(iter193.encode('utf-8') if sys.version_info[0] == 2 else iter193)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries_version is not None:
@@ -3139,15 +3256,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter187 in self.loads:
-                iter187.write(oprot)
+            for iter194 in self.loads:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted is not None:
             oprot.writeFieldBegin('admitted', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.admitted))
-            for iter188 in self.admitted:
-                iter188.write(oprot)
+            for iter195 in self.admitted:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
@@ -3245,33 +3362,33 @@
             elif fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = TableNews()
-                        _elem194.read(iprot)
-                        self.tables.append(_elem194)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = TableNews()
+                        _elem201.read(iprot)
+                        self.tables.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype198, _size195) = iprot.readListBegin()
-                    for _i199 in range(_size195):
-                        _elem200 = UpstreamLoad()
-                        _elem200.read(iprot)
-                        self.loads.append(_elem200)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = UpstreamLoad()
+                        _elem207.read(iprot)
+                        self.loads.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefixes = []
-                    (_etype204, _size201) = iprot.readListBegin()
-                    for _i205 in range(_size201):
-                        _elem206 = PrefixInfo()
-                        _elem206.read(iprot)
-                        self.prefixes.append(_elem206)
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = PrefixInfo()
+                        _elem213.read(iprot)
+                        self.prefixes.append(_elem213)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3298,11 +3415,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype210, _size207) = iprot.readListBegin()
-                    for _i211 in range(_size207):
-                        _elem212 = SuspectInfo()
-                        _elem212.read(iprot)
-                        self.suspects.append(_elem212)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = SuspectInfo()
+                        _elem219.read(iprot)
+                        self.suspects.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3335,22 +3452,22 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter213 in self.tables:
-                iter213.write(oprot)
+            for iter220 in self.tables:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter214 in self.loads:
-                iter214.write(oprot)
+            for iter221 in self.loads:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes is not None:
             oprot.writeFieldBegin('prefixes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefixes))
-            for iter215 in self.prefixes:
-                iter215.write(oprot)
+            for iter222 in self.prefixes:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefixes_version is not None:
@@ -3376,8 +3493,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter216 in self.suspects:
-                iter216.write(oprot)
+            for iter223 in self.suspects:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects_version is not None:
@@ -3639,10 +3756,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype220, _size217) = iprot.readListBegin()
-                    for _i221 in range(_size217):
-                        _elem222 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem222)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3664,11 +3781,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype226, _size223) = iprot.readListBegin()
-                    for _i227 in range(_size223):
-                        _elem228 = PauseInfo()
-                        _elem228.read(iprot)
-                        self.pauses.append(_elem228)
+                    (_etype233, _size230) = iprot.readListBegin()
+                    for _i234 in range(_size230):
+                        _elem235 = PauseInfo()
+                        _elem235.read(iprot)
+                        self.pauses.append(_elem235)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3751,8 +3868,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter229 in self.excluded:
-                oprot.writeString(iter229.encode('utf-8') if sys.version_info[0] == 2 else iter229)
+            for iter236 in self.excluded:
+                oprot.writeString(iter236.encode('utf-8') if sys.version_info[0] == 2 else iter236)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.local is not None:
@@ -3770,8 +3887,8 @@
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter230 in self.pauses:
-                iter230.write(oprot)
+            for iter237 in self.pauses:
+                iter237.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waited_ms is not None:
@@ -4119,20 +4236,20 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype234, _size231) = iprot.readListBegin()
-                    for _i235 in range(_size231):
-                        _elem236 = iprot.readI64()
-                        self.tickets.append(_elem236)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = iprot.readI64()
+                        self.tickets.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype240, _size237) = iprot.readListBegin()
-                    for _i241 in range(_size237):
-                        _elem242 = iprot.readI64()
-                        self.withdrawn.append(_elem242)
+                    (_etype247, _size244) = iprot.readListBegin()
+                    for _i248 in range(_size244):
+                        _elem249 = iprot.readI64()
+                        self.withdrawn.append(_elem249)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4161,15 +4278,15 @@
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.tickets))
-            for iter243 in self.tickets:
-                oprot.writeI64(iter243)
+            for iter250 in self.tickets:
+                oprot.writeI64(iter250)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 5)
             oprot.writeListBegin(TType.I64, len(self.withdrawn))
-            for iter244 in self.withdrawn:
-                oprot.writeI64(iter244)
+            for iter251 in self.withdrawn:
+                oprot.writeI64(iter251)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4316,21 +4433,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.decided = []
-                    (_etype248, _size245) = iprot.readListBegin()
-                    for _i249 in range(_size245):
-                        _elem250 = PlaceDecided()
-                        _elem250.read(iprot)
-                        self.decided.append(_elem250)
+                    (_etype255, _size252) = iprot.readListBegin()
+                    for _i256 in range(_size252):
+                        _elem257 = PlaceDecided()
+                        _elem257.read(iprot)
+                        self.decided.append(_elem257)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.unknown = []
-                    (_etype254, _size251) = iprot.readListBegin()
-                    for _i255 in range(_size251):
-                        _elem256 = iprot.readI64()
-                        self.unknown.append(_elem256)
+                    (_etype261, _size258) = iprot.readListBegin()
+                    for _i262 in range(_size258):
+                        _elem263 = iprot.readI64()
+                        self.unknown.append(_elem263)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4351,15 +4468,15 @@
         if self.decided is not None:
             oprot.writeFieldBegin('decided', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.decided))
-            for iter257 in self.decided:
-                iter257.write(oprot)
+            for iter264 in self.decided:
+                iter264.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unknown is not None:
             oprot.writeFieldBegin('unknown', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.unknown))
-            for iter258 in self.unknown:
-                oprot.writeI64(iter258)
+            for iter265 in self.unknown:
+                oprot.writeI64(iter265)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4422,33 +4539,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype262, _size259) = iprot.readListBegin()
-                    for _i263 in range(_size259):
-                        _elem264 = UpstreamInfo()
-                        _elem264.read(iprot)
-                        self.upstreams.append(_elem264)
+                    (_etype269, _size266) = iprot.readListBegin()
+                    for _i270 in range(_size266):
+                        _elem271 = UpstreamInfo()
+                        _elem271.read(iprot)
+                        self.upstreams.append(_elem271)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype268, _size265) = iprot.readListBegin()
-                    for _i269 in range(_size265):
-                        _elem270 = StartEnded()
-                        _elem270.read(iprot)
-                        self.gone.append(_elem270)
+                    (_etype275, _size272) = iprot.readListBegin()
+                    for _i276 in range(_size272):
+                        _elem277 = StartEnded()
+                        _elem277.read(iprot)
+                        self.gone.append(_elem277)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype274, _size271) = iprot.readListBegin()
-                    for _i275 in range(_size271):
-                        _elem276 = SuspectInfo()
-                        _elem276.read(iprot)
-                        self.suspects.append(_elem276)
+                    (_etype281, _size278) = iprot.readListBegin()
+                    for _i282 in range(_size278):
+                        _elem283 = SuspectInfo()
+                        _elem283.read(iprot)
+                        self.suspects.append(_elem283)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4465,22 +4582,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter277 in self.upstreams:
-                iter277.write(oprot)
+            for iter284 in self.upstreams:
+                iter284.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.gone))
-            for iter278 in self.gone:
-                iter278.write(oprot)
+            for iter285 in self.gone:
+                iter285.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter279 in self.suspects:
-                iter279.write(oprot)
+            for iter286 in self.suspects:
+                iter286.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4591,6 +4708,7 @@
     (2, TType.I64, 'age_ms', None, None, ),  # 2
     (3, TType.I64, 'exposure_ms', None, None, ),  # 3
     (4, TType.I32, 'relays', None, None, ),  # 4
+    (5, TType.STRING, 'observer', 'UTF8', None, ),  # 5
 )
 all_structs.append(Clearance)
 Clearance.thrift_spec = (
@@ -4606,6 +4724,13 @@
     (3, TType.I64, 'body_bytes', None, None, ),  # 3
     (4, TType.LIST, 'losses', (TType.STRUCT, [PlaceLost, None], False), None, ),  # 4
     (5, TType.LIST, 'clearances', (TType.STRUCT, [Clearance, None], False), None, ),  # 5
+    (6, TType.STRING, 'part', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'position', None, None, ),  # 7
+)
+all_structs.append(SuspectNews)
+SuspectNews.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 1
 )
 all_structs.append(AdmittedUnits)
 AdmittedUnits.thrift_spec = (
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -116,6 +116,8 @@
   3: i64 exposure_ms
   /** Number of messages that the report passed before this one. */
   4: i32 relays
+  /** The entry VM that observed the loss. */
+  5: optional string observer
 }
 
 /** A time up to which the losses of a request are disregarded: it was answered
@@ -127,7 +129,8 @@
   2: i64 age_ms
 }
 
-/** A request that was lost to upstreams, identified by its content. */
+/** A request that was lost to upstreams, identified by its content, or a part
+    of the prompts of such requests. */
 struct SuspectInfo {
   /** 16 bytes. */
   1: binary fingerprint
@@ -136,6 +139,16 @@
   3: i64 body_bytes
   4: list<PlaceLost> losses
   5: list<Clearance> clearances
+  /** Name of a part of prompts; absent for the content of a request. */
+  6: optional string part
+  /** Position of the part in its prompts; 0 is the first. */
+  7: optional i32 position
+}
+
+/** From a control VM to the entry VMs that poll it, when the quarantine status
+    of a request or a part changes. */
+struct SuspectNews {
+  1: list<SuspectInfo> suspects
 }
 
 /** Units that a process has admitted for an organisation since it started. */
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -6,7 +6,7 @@
 
 import secrets
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from typing import Self
 
@@ -14,9 +14,11 @@
 from godwitshunt.grants import GrantNews
 from godwitshunt.peer import MessageKind, PeerLinks, decode, encode
 from godwitshunt.quarantine import (
+    MAX_DELTA_RECORDS,
     QUARANTINE_S,
     SUSPECTED_CRASHES,
     Quarantine,
+    SuspectRecord,
     SuspectUpdate,
 )
 from godwitshunt.registry.control_tables import ControlTables
@@ -108,6 +110,7 @@
         self.source = secrets.token_hex(SOURCE_BYTES)
         self.upstreams = UpstreamTable()
         self.quarantine = Quarantine(QUARANTINE_S, timer.now, metrics)
+        self.quarantine.on_status_changed = self.push_suspects
         self.persistence = UpstreamPersistence(
             upstream_file,
             self.upstreams,
@@ -401,6 +404,19 @@
         min_losses = 0 if poll.from_control else SUSPECTED_CRASHES
         return self.quarantine.table.delta(version, min_losses)
 
+    def push_suspects(self, records: Sequence[SuspectRecord]) -> None:
+        """Send changes of what is quarantined to the entry VMs at once.
+
+        Their polls repeat them. Each crash under a cause costs an upstream, so
+        they do not wait for the next poll.
+        """
+        suspects = suspects_to_wire(
+            records[:MAX_DELTA_RECORDS], self.timer.now()
+        )
+        body = encode(ttypes.SuspectNews(suspects))
+        for name in self.entries.entries:
+            self.links.push(name, MessageKind.suspect_news, body)
+
     def own_update(
         self,
         held: ttypes.TableHeld | None,
--- a/godwitshunt/registry/suspect_wire.py
+++ b/godwitshunt/registry/suspect_wire.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterable
 
 from godwitshunt.exceptions import FrameError
-from godwitshunt.quarantine import Fingerprint, Loss, SuspectRecord
+from godwitshunt.quarantine import (
+    Fingerprint,
+    Loss,
+    SuspectPart,
+    SuspectRecord,
+)
 from godwitshunt.quarantine.fingerprint import DIGEST_BYTES
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.wire import MILLISECONDS
@@ -21,7 +26,8 @@
     record: SuspectRecord,
     now_s: float,
 ) -> ttypes.SuspectInfo:
-    """Return one lost request as a struct."""
+    """Return one lost request, or part of prompts, as a struct."""
+    part = record.part
     return ttypes.SuspectInfo(
         fingerprint=record.fingerprint.digest,
         organisation=record.organisation,
@@ -32,6 +38,7 @@
                 milliseconds_ago(loss.at_s, now_s),
                 int(loss.exposure_s * MILLISECONDS),
                 loss.relays,
+                loss.observer or None,
             )
             for loss in record.losses.values()
         ],
@@ -39,6 +46,8 @@
             ttypes.Clearance(name, milliseconds_ago(at_s, now_s))
             for name, at_s in record.clearances.items()
         ],
+        part=None if part is None else part.name,
+        position=None if part is None else part.position,
     )
 
 
@@ -77,6 +86,7 @@
         Fingerprint(struct.fingerprint),
         struct.organisation or '',
         int(struct.body_bytes),
+        part=part_from_wire(struct),
     )
     for clearance in struct.clearances or ():
         at_s = now_s - clearance.age_ms / MILLISECONDS
@@ -85,5 +95,13 @@
         exposure_s = lost.exposure_ms / MILLISECONDS
         at_s = now_s - lost.age_ms / MILLISECONDS
         relays = (lost.relays or 0) + 1
-        record.add_loss(Loss(lost.place, at_s, exposure_s, relays))
+        observer = lost.observer or ''
+        record.add_loss(Loss(lost.place, at_s, exposure_s, relays, observer))
     return record
+
+
+def part_from_wire(struct: ttypes.SuspectInfo) -> SuspectPart | None:
+    """Read which part of prompts was lost; None for the content of one."""
+    if struct.part is None:
+        return None
+    return SuspectPart(struct.part, int(struct.position or 0))
--- a/godwitshunt/registry/tests/test_suspects.py
+++ b/godwitshunt/registry/tests/test_suspects.py
@@ -2,12 +2,17 @@
 
 import pytest
 
-from godwitshunt.peer import encode
+from godwitshunt.peer import MessageKind, encode
 from godwitshunt.quarantine import (
     Fingerprint,
     Loss,
     LostRequest,
     QuarantineStatus,
+    SuspectPart,
+)
+from godwitshunt.registry.suspect_wire import (
+    suspects_from_wire,
+    suspects_to_wire,
 )
 from godwitshunt.registry.tests.deployment import Deployment, address
 
@@ -188,3 +193,49 @@
     await deployment.poll(watch, 2)
     assessment = deployment.controls[2].quarantine.assessment(LETHAL)
     assert assessment.status is QuarantineStatus.quarantined
+
+
+def record_lost_part(watch, upstream, at_s):
+    """Record that a request with the lethal part was lost."""
+    loss = Loss(upstream, at_s, 0.1, observer=watch.quarantine.name)
+    part = SuspectPart('llm bad', 1)
+    watch.quarantine.record_loss(LostRequest(LETHAL, '', 0, loss, part))
+
+
+async def test_verdict_is_pushed_to_entry_vms(deployment):
+    """Until their next polls they would crash one upstream each."""
+    watches = [deployment.entry(number, 'a') for number in (11, 12)]
+    for watch in watches:
+        await deployment.poll_controls(watch)
+        watch.links.subscribe(
+            MessageKind.suspect_news, watch.handle_suspect_news
+        )
+    for number in range(3):
+        record_lost_part(watches[0], f'i-{number}', float(number))
+    await deployment.poll(watches[0])
+    assert status(watches[1]) is QuarantineStatus.quarantined
+
+
+async def test_restarted_entry_vm_learns_of_quarantined_parts(deployment):
+    """Its callers send the part to it first."""
+    watch = deployment.entry(11, 'a')
+    await deployment.poll_controls(watch)
+    for number in range(3):
+        record_lost_part(watch, f'i-{number}', float(number))
+    await spread(deployment, watch)
+    new_entry = deployment.entry(12, 'b')
+    await deployment.poll_controls(new_entry)
+    assert new_entry.quarantine.assess_parts((LETHAL,))[0].status is (
+        QuarantineStatus.quarantined
+    )
+
+
+async def test_parts_and_observers_cross_the_wire(deployment):
+    """Turns to try a part, and the order of blame, depend on them."""
+    watch = deployment.entry(11, 'a')
+    watch.quarantine.name = 'north/e-11'
+    record_lost_part(watch, 'i-1', 0.0)
+    records = watch.quarantine.own.since(0)
+    received = suspects_from_wire(suspects_to_wire(records, 0.0), 0.0)
+    assert received[0].part == SuspectPart('llm bad', 1)
+    assert received[0].observers() == ['north/e-11']
--- a/godwitshunt/registry/watch.py
+++ b/godwitshunt/registry/watch.py
@@ -160,6 +160,7 @@
         """Start polling."""
         self.started_s = self.timer.now()
         self.contacts.local_only_until_s = self.started_s + LOCAL_ONLY_S
+        self.links.subscribe(MessageKind.suspect_news, self.handle_suspect_news)
         self.subscription = self.timer.every(WARM_UP_PERIOD_S, self.tick)
         self.timer.after(WARM_UP_S, self.end_warm_up)
         self.poll_all()
@@ -343,6 +344,26 @@
         message = decode(ttypes.PollReply, reply.ok_value)
         self.apply_reply(control, message, sent_s, sent)
 
+        if control == self.preferred() and self.has_unsent_losses(control):
+            self.timer.after(0, partial(self.start_poll, address))
+
+    def has_unsent_losses(self, control: str) -> bool:
+        """Return whether a control VM lacks losses that this VM observed."""
+        sent_version = self.contacts.for_control(control).suspects_sent_version
+        return self.quarantine.own.version > sent_version
+
+    async def handle_suspect_news(self, control: str, body: bytes) -> None:
+        """Apply a change of what is quarantined.
+
+        Raises
+        ------
+        FrameError
+            If the message is malformed.
+        """
+        news = decode(ttypes.SuspectNews, body)
+        now_s = self.timer.now()
+        self.quarantine.join(suspects_from_wire(news.suspects, now_s))
+
     def retry_initial_poll(self, address: Address) -> None:
         """Poll a control VM that has never answered again, soon."""
         never_answered = not self.contacts.for_control(str(address)).source
