Tell an answer's end from its upstream's crash

Cause: such an answer ends with its connection, the kernel closes the sockets of an exiting process cleanly, and the end was believed. It also cleared what had crashed the upstream, so nothing was ever quarantined on such routes.

An upstream that is leaving may exit after its last answers.

--- a/godwitshunt/exchange/upstream_messages.py
+++ b/godwitshunt/exchange/upstream_messages.py
@@ -109,15 +109,19 @@
     An answer without a length ends where the connection ends, and then a
     crash in its midst looks like its end.
     """
-    fields = dict(head.headers)
     if is_of_another(head, request):
         raise BrokenAnswerError('an answer to another request')
-    sized = b'content-length' in fields or b'transfer-encoding' in fields
-    bodyless = request.method == 'HEAD' or head.status in BODYLESS
-    if not (sized or bodyless or request.until_close):
+    if not (states_end(head, request) or request.until_close):
         raise BrokenAnswerError('an answer without a length')
 
 
+def states_end(head: AnswerHead, request: OutgoingRequest) -> bool:
+    """Tell whether an answer's end can be told from its connection's."""
+    fields = dict(head.headers)
+    sized = b'content-length' in fields or b'transfer-encoding' in fields
+    return sized or request.method == 'HEAD' or head.status in BODYLESS
+
+
 def is_of_another(head: AnswerHead, request: OutgoingRequest) -> bool:
     """Tell whether an answer repeats the id of another request."""
     told = dict(head.headers).get(request.id_header)
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -21,6 +21,7 @@
     AnswerHead,
     BrokenAnswerError,
     OutgoingRequest,
+    states_end,
 )
 from godwitshunt.exchange.upstream_pool import (
     UpstreamCall,
@@ -108,6 +109,9 @@
         it.
     answer_started : bool
         True where the head of an answer was received.
+    ends_with_connection : bool
+        True where the answer states no length and is not chunked, so that the
+        end of its connection is taken for its end.
     closed_by_peer : bool
         True where the other side had closed or reset the connection when the
         attempt ended.
@@ -127,6 +131,7 @@
     misdirected: bool = False
     connected: bool = False
     answer_started: bool = False
+    ends_with_connection: bool = False
     closed_by_peer: bool = False
     call: UpstreamCall | None = None
     last_bytes_s: float = field(default=0.0)
@@ -172,6 +177,7 @@
         if head.status != MISDIRECTED:
             self.on_head(head)
         fields = dict(head.headers)
+        self.ends_with_connection = not states_end(head, self.outgoing)
         if self.names.not_run in fields or head.status == MISDIRECTED:
             return await self.receive_refusal(head)
         if self.is_forward and OUTCOME_HEADER in fields:
--- a/godwitshunt/ingress/crash_detector.py
+++ b/godwitshunt/ingress/crash_detector.py
@@ -93,7 +93,9 @@
 
     async def check_process(self, incarnation: str, address: Address) -> None:
         """Check whether an incarnation has crashed; record its losses if so."""
-        crashed = await self.has_crashed(incarnation, address)
+        crashed = await self.has_crashed(address)
+        self.expire()
+        self.checks[incarnation] = CrashCheck(crashed, self.timer.now())
         lost = self.unchecked.pop(incarnation, [])
         log_change(
             'quarantine:place_checked',
@@ -104,15 +106,27 @@
         if crashed:
             self.quarantine.record_losses(lost)
 
-    async def has_crashed(self, incarnation: str, address: Address) -> bool:
-        """Check whether an incarnation has crashed by now."""
+    async def is_end_of_crash(self, incarnation: str, address: Address) -> bool:
+        """Check whether an answer ended because its upstream crashed.
+
+        An exiting process closes its connections cleanly, like the end of an
+        answer without a length.
+        """
+        check = self.checks.get(incarnation)
+        if check is not None and check.crashed:
+            return True
+        crashed = await self.has_crashed(address)
+        if crashed:
+            self.checks[incarnation] = CrashCheck(crashed, self.timer.now())
+        return crashed
+
+    async def has_crashed(self, address: Address) -> bool:
+        """Check whether the process at an address has ended by now."""
         await asyncio.sleep(EXIT_DELAY_S)
         crashed = await self.refuses_connections(address)
         if self.path_monitor is not None:
             await self.path_monitor.wait_checked()
             crashed = crashed and not self.path_monitor.are_lost
-        self.expire()
-        self.checks[incarnation] = CrashCheck(crashed, self.timer.now())
         return crashed
 
     async def refuses_connections(self, address: Address) -> bool:
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -17,6 +17,7 @@
 from godwitshunt.ingress.headers import upstream_headers
 from godwitshunt.ingress.hops import build_forward_request, host_header
 from godwitshunt.ingress.outcomes import (
+    Answered,
     AttemptOutcome,
     Failed,
     Lost,
@@ -180,7 +181,7 @@
         outcome: AttemptOutcome | None = None
         self.watch(choice, attempt)
         try:
-            outcome = await self.run_attempt(attempt)
+            outcome = await self.run_attempt(attempt, announcement)
         finally:
             health.end(activity.number, tokens)
             self.report(choice, attempt, outcome, activity, sent_s)
@@ -283,14 +284,42 @@
             self.excluded.add(failed)
         return outcome
 
-    async def run_attempt(self, attempt: Attempt) -> AttemptOutcome:
-        """Run an attempt, with `in_flight` set until its outcome is known."""
+    async def run_attempt(
+        self,
+        attempt: Attempt,
+        announcement: UpstreamAnnounced | None = None,
+    ) -> AttemptOutcome:
+        """Run an attempt, with `in_flight` set until its outcome is known.
+
+        Parameters
+        ----------
+        announcement : UpstreamAnnounced or None
+            The upstream; None for another VM.
+        """
         pool = self.context.hops if attempt.is_forward else self.context.pool
         self.in_flight = True
         outcome = await attempt.run(pool, self.writer)
+        if announcement is not None and attempt.ends_with_connection:
+            outcome = await self.confirm_end(outcome, announcement)
         self.in_flight = False
         return outcome
 
+    async def confirm_end(
+        self, outcome: AttemptOutcome, announcement: UpstreamAnnounced
+    ) -> AttemptOutcome:
+        """Return a loss if an answer ended because its upstream crashed.
+
+        An upstream that is leaving may exit after its last answers.
+        """
+        if not isinstance(outcome, (Answered, Streamed, Failed)):
+            return outcome
+        crashed = await self.context.crash_detector.is_end_of_crash(
+            announcement.incarnation, announcement.address
+        )
+        if crashed and not self.feedback.is_leaving(announcement):
+            return Lost('ended with its upstream')
+        return outcome
+
     def make_attempt(
         self,
         address: Address,
--- a/godwitshunt/ingress/tests/test_crash_detector.py
+++ b/godwitshunt/ingress/tests/test_crash_detector.py
@@ -109,6 +109,17 @@
     assert not upstream.losses
 
 
+@pytest.mark.parametrize('is_up', [True, False])
+async def test_end_of_an_answer_is_told_from_a_crash(upstream, is_up):
+    """An exiting process ends an answer without a length cleanly."""
+    if not is_up:
+        await upstream.stop()
+    address = Address(host=HOST, port=upstream.port)
+    is_crash = await upstream.detector.is_end_of_crash('i-1', address)
+    assert is_crash is not is_up
+    assert not upstream.losses
+
+
 @pytest.mark.parametrize(
     ('error', 'is_closed'),
     [
