Check again whether an upstream has crashed that was up a moment ago

Found by reading, beside the incident: a check that found an upstream up was used for all its losses of the next second. One that cut an answer short and crashed within that second was taken for up, so the crash counted against nobody, and a cause had one crash more. The check is now used for a tenth of a second, which covers the requests that one broken upstream loses together; a crash that was found stays found. The test failed before.

--- a/godwitshunt/ingress/crash_detector.py
+++ b/godwitshunt/ingress/crash_detector.py
@@ -24,8 +24,10 @@
 # An address in the own region answers within milliseconds unless it is cut
 # off.
 CONNECT_TIMEOUT_S = 0.25
-# A check is reused this long for other requests lost to the same incarnation.
-CHECK_TTL_S = 1.0
+# A crash that was found is not checked again for other requests lost to the same
+# incarnation. One that is still up may crash at any time later.
+CRASHED_TTL_S = 1.0
+ALIVE_TTL_S = 0.1
 
 
 @dataclass
@@ -35,6 +37,11 @@
     crashed: bool
     at_s: float
 
+    def is_valid(self, now_s: float) -> bool:
+        """Tell whether the check holds for a request that is lost now."""
+        ttl_s = CRASHED_TTL_S if self.crashed else ALIVE_TTL_S
+        return now_s - self.at_s < ttl_s
+
 
 @dataclass
 class CrashDetector:
@@ -78,7 +85,7 @@
         )
         lost = lost_request(request, loss)
         check = self.checks.get(incarnation)
-        if check is not None and now_s - check.at_s < CHECK_TTL_S:
+        if check is not None and check.is_valid(now_s):
             if check.crashed:
                 self.quarantine.record_losses(lost)
             return
@@ -146,11 +153,11 @@
         return False
 
     def expire(self) -> None:
-        """Drop checks older than `CHECK_TTL_S`."""
+        """Drop checks that do not hold any more."""
         self.background.remove_done()
         now_s = self.timer.now()
         for incarnation, check in tuple(self.checks.items()):
-            if now_s - check.at_s >= CHECK_TTL_S:
+            if not check.is_valid(now_s):
                 self.checks.pop(incarnation)
 
     async def close(self) -> None:
--- a/godwitshunt/ingress/tests/test_crash_detector.py
+++ b/godwitshunt/ingress/tests/test_crash_detector.py
@@ -98,6 +98,15 @@
     assert upstream.connects == 1
 
 
+async def test_crash_after_a_check_is_recorded(upstream):
+    """An upstream that breaks an answer may crash within the next second."""
+    await upstream.lose()
+    await asyncio.sleep(0.2)
+    await upstream.stop()
+    await upstream.lose()
+    assert upstream.losses == 1
+
+
 async def test_unreachable_upstream_counts_as_no_crash(upstream, monkeypatch):
     """A zone without power or a failed link is no crash."""
 
