--- a/godwitshunt/ingress/crash_detector.py
+++ b/godwitshunt/ingress/crash_detector.py
@@ -24,8 +24,8 @@
 # An address in the own region answers within milliseconds unless it is cut
 # off.
 CONNECT_TIMEOUT_S = 0.25
-# A crash that was found is not checked again for other requests lost to the same
-# incarnation. One that is still up may crash at any time later.
+# A crash that was found is not checked again for other requests lost to the
+# same incarnation. One that is still up may crash at any time later.
 CRASHED_TTL_S = 1.0
 ALIVE_TTL_S = 0.1
 
