--- a/godwitshunt/ingress/tests/test_quarantined_request.py
+++ b/godwitshunt/ingress/tests/test_quarantined_request.py
@@ -14,15 +14,18 @@
     RefuseWith,
     Retry,
 )
+from godwitshunt.picking.choices import SendHere
 from godwitshunt.quarantine import (
     Fingerprint,
     Loss,
     LostRequest,
     Quarantine,
+    SuspectPart,
 )
 from godwitshunt.telemetry import Metrics
 
 CRASHING = Fingerprint(bytes(16))
+PART = Fingerprint(bytes(range(16)))
 LENGTH_S = 100.0
 
 
@@ -42,6 +45,7 @@
             http=SimpleNamespace(body=b'hello'),
             service=SimpleNamespace(name='llm'),
             fingerprint=CRASHING,
+            part_fingerprints=(PART,),
         )
         self.progress = Progress(repeatable=True, attempts=attempts)
 
@@ -51,6 +55,13 @@
         loss = Loss(incarnation, self.now_s, 0.1)
         self.quarantine.record_loss(LostRequest(CRASHING, '', 5, loss))
 
+    def lose_part(self, incarnation):
+        """Record a crash under another request with a part of this one."""
+        self.now_s += 1
+        loss = Loss(incarnation, self.now_s, 0.1)
+        part = SuspectPart('llm 1', 0)
+        self.quarantine.record_loss(LostRequest(PART, '', 0, loss, part))
+
 
 @pytest.mark.parametrize(
     ('crashes', 'is_sent'),
@@ -113,3 +124,47 @@
     assert request.quarantine_step() is None
     request.progress.next_step(Lost('ended'), remaining_s=3.0)
     assert request.quarantine_step().outcome is Outcome.unknown
+
+
+def test_request_with_a_quarantined_part_is_not_sent():
+    """Its body is new, so its content was never lost."""
+    request = QuarantinedRequest(crashes=0)
+    for number in range(3):
+        assert request.quarantine_step() is None
+        request.lose_part(f'i-{number}')
+    step = request.quarantine_step()
+    assert step.kind is ProblemKind.quarantined
+    assert 'prompt part llm 1 lost to i-0, i-1, i-2' in step.detail
+    assert request.retry_after_s == LENGTH_S
+
+
+def test_request_with_a_suspected_part_is_not_retried():
+    """Its second attempt could be the third crash."""
+    request = QuarantinedRequest(crashes=0)
+    request.progress.next_step(Lost('ended'), remaining_s=3.0)
+    request.lose_part('i-1')
+    request.lose_part('i-2')
+    assert request.quarantine_step().outcome is Outcome.unknown
+
+
+async def test_request_quarantined_while_it_waits_is_not_sent(monkeypatch):
+    """Requests wait for their picker, or in its queue, for seconds."""
+    request = QuarantinedRequest(crashes=0)
+    reports = []
+    request.context.timer = SimpleNamespace(now=lambda: request.now_s)
+    request.context.picker = SimpleNamespace(
+        schedule_report=lambda: reports.append('report')
+    )
+    request.trace = SimpleNamespace(record_stage=lambda stage, now_s: None)
+    request.sender = None
+
+    async def choose():
+        for number in range(3):
+            request.lose_part(f'i-{number}')
+        return SendHere(None, 0.1, is_cold=False)
+
+    monkeypatch.setattr(request, 'choose_after_updates', choose)
+    monkeypatch.setattr(request, 'authorizer_refusal', lambda: None)
+    step = await request.make_attempts()
+    assert step.kind is ProblemKind.quarantined
+    assert reports == ['report']
--- a/godwitshunt/registry/tests/test_power_loss.py
+++ b/godwitshunt/registry/tests/test_power_loss.py
@@ -11,6 +11,7 @@
     Loss,
     LostRequest,
     QuarantineStatus,
+    SuspectPart,
 )
 from godwitshunt.registry.merged_tables import MergedTables
 from godwitshunt.registry.service import RegistryService
@@ -185,16 +186,18 @@
     assert started(tmp_path).upstreams.entries == {}
 
 
-async def test_quarantine_survives_a_loss_of_power(tmp_path):
-    """A request that crashed three upstreams must not crash three more."""
+@pytest.mark.parametrize('part', [None, SuspectPart('llm bad', 1)])
+async def test_quarantine_survives_a_loss_of_power(tmp_path, part):
+    """What crashed three upstreams must not crash three more."""
     before = started(tmp_path)
     before.announce(announced('i-1'))
     assert await before.flush()
     for number in range(3):
         before.timer.advance(1)
         loss = Loss(f'i-{number}', before.timer.now(), 0.1)
-        before.quarantine.record_loss(LostRequest(LETHAL, '', 5, loss))
+        before.quarantine.record_loss(LostRequest(LETHAL, '', 5, loss, part))
     await before.persistence.write()
     after = started(tmp_path)
     assessment = after.quarantine.assessment(LETHAL)
     assert assessment.status is QuarantineStatus.quarantined
+    assert after.quarantine.has_suspected_parts() is (part is not None)
--- a/godwitshunt/registry/tests/test_quarantine_api.py
+++ b/godwitshunt/registry/tests/test_quarantine_api.py
@@ -10,6 +10,7 @@
     Loss,
     LostRequest,
     QuarantineStatus,
+    SuspectPart,
 )
 from godwitshunt.registry.quarantine_api import QuarantineApi
 from godwitshunt.registry.tests.deployment import Deployment
@@ -76,3 +77,16 @@
     assert answer.status == 400
     status = deployment.controls[1].quarantine.assessment(LETHAL).status
     assert status is QuarantineStatus.quarantined
+
+
+async def test_parts_of_prompts_are_listed_by_name(deployment):
+    """Nobody recognises a part by its fingerprint."""
+    part = Fingerprint.from_prompt_part('llm', '', 0xBAD)
+    for number in range(3):
+        deployment.timer.advance(1)
+        loss = Loss(f'j-{number}', deployment.timer.now(), 0.1)
+        lost = LostRequest(part, '', 0, loss, SuspectPart('llm bad', 1))
+        deployment.controls[2].quarantine.record_loss(lost)
+    answer = await api(deployment).show(request('GET', '/v1/quarantine'))
+    parts = {each['part'] for each in json.loads(answer.body)['requests']}
+    assert parts == {'', 'llm bad'}
--- a/trials/soak.py
+++ b/trials/soak.py
@@ -2,7 +2,8 @@
 
 Real processes on this machine are killed, paused, stopped and started again,
 in series that overlap, while configurations change, entry VMs lose their links
-to servers, and engines fall over when they reject requests. What callers and
+to servers, engines fall over when they reject requests, and requests with one
+bad part of a prompt crash those that run them. What callers and
 servers see is held against the promises; the seed repeats the choice of faults
 and their times, not the machine's timing.
 """
@@ -22,6 +23,7 @@
 import defopt
 
 from tests.brittle_server import BrittleServer
+from tests.crashing_parts import is_bad_prompt, new_bad_part, render_prompt
 from tests.partition_world import Cut, PartitionWorld
 from tests.platform_client import Answer, KeptConnection, ask, call
 from tests.platform_documents import CONTROL as CONTROL_PORT
@@ -44,10 +46,43 @@
 # Requests at once of which brittle engines reject some.
 BURST = 60
 BRITTLE = 'brittle engines'
+BAD_REQUESTS = 6
+BAD_PERIOD_S = 0.3
+CRASHES_AFTER_S = 0.05
+# The platform lets so many requests with a bad part reach servers once all VMs
+# in touch know of its crashes.
+BAD_ALLOWED = 3
+CONTACT_S = 5.0
 # Share of the cuts that concern one server only.
 ONE_SERVER_SHARE = 0.3
 
 
+@dataclass
+class SoakServer(BrittleServer):
+    """A brittle server that crashes under a bad part of a prompt as well.
+
+    Parameters
+    ----------
+    bad_arrived : int
+        Requests with a bad part that reached it.
+    """
+
+    bad_arrived: int = 0
+
+    async def answer(self, reader, writer, head, fields, body):
+        """Answer a request; crash under a bad part."""
+        is_mine = fields.get('expect-instance') == self.instance
+        if not (is_mine and is_bad_prompt(fields.get('prefix-hash', ''))):
+            await super().answer(reader, writer, head, fields, body)
+            return
+        self.bad_arrived += 1
+        self.ran.append(fields['attempt-id'])
+        started = self.instance
+        await asyncio.sleep(CRASHES_AFTER_S)
+        if self.instance == started:
+            self.fall()
+
+
 @dataclass(frozen=True)
 class Seen:
     """One request as its caller saw it."""
@@ -85,6 +120,7 @@
     over: bool = False
     busy: set[str] = field(default_factory=set)
     restarts: Counter = field(default_factory=Counter)
+    bad_part: str = field(default_factory=new_bad_part)
 
     async def run(self, seconds: float) -> None:
         """Let callers ask while faults happen; then check everything."""
@@ -98,6 +134,7 @@
             server.heal()
         await until(self.world.is_serving, RECOVERY_S)
         self.findings.check('serves again', True, 'all paths')
+        await self.check_bad_part()
         self.check_answers()
 
     async def be_caller(self, *, keeps: bool) -> None:
@@ -172,6 +209,7 @@
             self.cut,
             self.cut,
             self.be_brittle,
+            self.send_bad,
         )
         async with asyncio.TaskGroup() as tasks:
             while loop.time() < end_s:
@@ -298,6 +336,41 @@
             engine.stated = ''
         self.busy.discard(BRITTLE)
 
+    async def send_bad(self) -> None:
+        """Send requests with a bad part, each with a body of its own."""
+        self.faults.append('requests with a bad part')
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(BAD_REQUESTS):
+                tasks.create_task(self.ask_bad())
+                await asyncio.sleep(BAD_PERIOD_S)
+
+    async def ask_bad(self) -> None:
+        """Send one request with a bad part."""
+        entry = self.random.choice(list(self.world.entry_zones))
+        prompt = render_prompt('a1', self.bad_part, secrets.token_hex(4))
+        with suppress(OSError, TimeoutError, ValueError):
+            await ask(
+                entry,
+                f'{self.random.choice(STREAMS)}/x',
+                body=secrets.token_bytes(8),
+                prefix_hash=prompt,
+            )
+
+    async def check_bad_part(self) -> None:
+        """Check that the bad part is kept back once no fault is left."""
+        await self.send_bad()
+        await asyncio.sleep(CONTACT_S)
+        await until(self.world.is_serving, RECOVERY_S)
+        before = self.count_bad()
+        await self.send_bad()
+        arrived = self.count_bad() - before
+        held = arrived <= BAD_ALLOWED
+        self.findings.check('bad part kept back', held, arrived)
+
+    def count_bad(self) -> int:
+        """Return how many requests with the bad part reached servers."""
+        return sum(one.bad_arrived for one in self.world.servers.values())
+
     async def change(self) -> None:
         """Send a newer configuration to one control process."""
         self.sent += 1
@@ -344,7 +417,7 @@
 async def soak(seed: int, seconds: float, folder: Path) -> Soak:
     """Run one seed on a deployment of its own."""
     world = PartitionWorld(folder, NETWORK)
-    world.server_type = BrittleServer
+    world.server_type = SoakServer
     try:
         await world.start()
         run = Soak(world, Random(seed))
