Evict lost parts with one look at each record

A crash of an engine with 48 requests of four shared parts records 240 names. At a full table the eviction sorted them with a key that counted each record's losses four times.

--- a/godwitshunt/quarantine/answered.py
+++ b/godwitshunt/quarantine/answered.py
@@ -19,6 +19,8 @@
     ----------
     max_parts : int
         Maximum number of parts.
+    times : OrderedDict
+        By the digest of the part's fingerprint, the oldest first.
 
     Examples
     --------
@@ -31,16 +33,16 @@
     """
 
     max_parts: int = MAX_ANSWERED
-    times: OrderedDict[Fingerprint, float] = field(default_factory=OrderedDict)
+    times: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
 
     def record(self, parts: Iterable[Fingerprint], now_s: float) -> None:
         """Record that a prompt with some parts was answered whole."""
         for part in parts:
-            self.times[part] = now_s
-            self.times.move_to_end(part)
+            self.times[part.digest] = now_s
+            self.times.move_to_end(part.digest)
         while len(self.times) > self.max_parts:
             self.times.popitem(last=False)
 
     def last_s(self, part: Fingerprint) -> float | None:
         """Return when a part was last answered; None if not known."""
-        return self.times.get(part)
+        return self.times.get(part.digest)
--- a/godwitshunt/quarantine/fingerprint.py
+++ b/godwitshunt/quarantine/fingerprint.py
@@ -70,6 +70,7 @@
         )
 
     @classmethod
+    @lru_cache(maxsize=CACHED_PARTS)
     def from_prompt_part(
         cls, service: str, organisation: str, key: int
     ) -> Self:
@@ -84,7 +85,11 @@
         key : int
             Identifies the tokens of the part.
         """
-        return cls(part_digest(service, organisation, key))
+        return cls(
+            digest_of(
+                PART_TAG, service.encode(), organisation.encode(), b'%x' % key
+            )
+        )
 
     def __str__(self) -> str:
         return self.digest.hex()
@@ -97,11 +102,3 @@
         digest.update(len(each).to_bytes(LENGTH_BYTES, 'big'))
         digest.update(each)
     return digest.digest()
-
-
-@lru_cache(maxsize=CACHED_PARTS)
-def part_digest(service: str, organisation: str, key: int) -> bytes:
-    """Return the digest of a part of prompts."""
-    return digest_of(
-        PART_TAG, service.encode(), organisation.encode(), b'%x' % key
-    )
--- a/godwitshunt/quarantine/records.py
+++ b/godwitshunt/quarantine/records.py
@@ -126,7 +126,7 @@
     @property
     def is_proven(self) -> bool:
         """True for a part that was answered shortly before its first loss."""
-        if self.part is None:
+        if self.part is None or not self.clearances:
             return False
         first_s = min(
             (loss.at_s for loss in self.counted_losses()), default=inf
@@ -140,6 +140,8 @@
 
     def counted_losses(self) -> list[Loss]:
         """Return the losses after the last clearance, oldest first."""
+        if len(self.losses) == 1 and not self.clearances:
+            return list(self.losses.values())
         cleared_until_s = self.cleared_until_s
         return sorted(
             (
--- a/godwitshunt/quarantine/state.py
+++ b/godwitshunt/quarantine/state.py
@@ -176,6 +176,8 @@
     def record_answer(self, parts: Iterable[Fingerprint]) -> None:
         """Record that a prompt with some parts was answered whole here."""
         self.answered.record(parts, self.now())
+        if not self.table.records:
+            return
         for part in parts:
             if part in self.table.records:
                 self.clear(part)
--- a/godwitshunt/quarantine/table.py
+++ b/godwitshunt/quarantine/table.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
+from math import inf
+from typing import Self
 
 from godwitshunt.quarantine.fingerprint import Fingerprint
 from godwitshunt.quarantine.records import Loss, SuspectPart, SuspectRecord
@@ -193,11 +195,11 @@
         for owned in by_organisation.values():
             if len(owned) <= share:
                 continue
-            last_s = max(map(last_loss_s, owned))
-            key = partial(eviction_key, recent_s=last_s - RECENT_S)
-            owned.sort(key=key, reverse=True)
-            for record in owned[share:]:
-                self.records.pop(record.fingerprint)
+            evidence = list(map(Evidence.from_record, owned))
+            recent_s = max(each.last_s for each in evidence) - RECENT_S
+            evidence.sort(key=partial(eviction_key, recent_s), reverse=True)
+            for each in evidence[share:]:
+                self.records.pop(each.fingerprint)
 
     def since(
         self,
@@ -282,13 +284,31 @@
                 self.records.pop(record.fingerprint)
 
 
-def last_loss_s(record: SuspectRecord) -> float:
-    """Return the time of the last counted loss of a record."""
-    return record.last_loss_s()
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """How likely a request or part is to be a cause, for evictions."""
+
+    fingerprint: Fingerprint
+    crashes: int
+    is_proven: bool
+    last_s: float
+    exposure_s: float
+
+    @classmethod
+    def from_record(cls, record: SuspectRecord) -> Self:
+        """Return the evidence that a record contains."""
+        losses = record.counted_losses()
+        return cls(
+            record.fingerprint,
+            len(losses),
+            record.is_proven,
+            losses[-1].at_s if losses else -inf,
+            sum(loss.exposure_s for loss in losses),
+        )
 
 
 def eviction_key(
-    record: SuspectRecord, recent_s: float
+    recent_s: float, evidence: Evidence
 ) -> tuple[int, bool, bool, float]:
     """Return a sort key that is smallest for the first to be evicted.
 
@@ -296,10 +316,10 @@
     for longest is the least likely cause.
     """
     return (
-        len(record.counted_losses()),
-        not record.is_proven,
-        record.last_loss_s() > recent_s,
-        -record.total_exposure_s(),
+        evidence.crashes,
+        not evidence.is_proven,
+        evidence.last_s > recent_s,
+        -evidence.exposure_s,
     )
 
 
