Take an upstream that keeps a connection open for one that is up

A process that has ended leaves no connection open, so one that is open still, idle or with a request, settles it without a new one. The end of a connection that is not read for a slow caller is not noticed, so it settles nothing. The detector's test failed before.

--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -384,6 +384,10 @@
             for kept in self.idle.get(place, ())
         )
 
+    def has_open(self, place: Place) -> bool:
+        """Return whether the other side keeps an idle connection open."""
+        return any(not kept.channel.ended for kept in self.idle.get(place, ()))
+
     def record_received(self, place: Place) -> None:
         """Record that an answer began."""
         self.heard_s[place] = asyncio.get_running_loop().time()
--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -1,8 +1,10 @@
 """Builds the context that an entry VM serves requests with."""
 
+from functools import partial
 from random import Random
 
 from godwitshunt.exchange.held_bytes import make_budget
+from godwitshunt.exchange.upstream_messages import Place
 from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.ingress.authorization import Authorizer
 from godwitshunt.ingress.context import Budgets, IngressContext
@@ -18,7 +20,7 @@
 from godwitshunt.registry import RegistryWatch
 from godwitshunt.routing.cold_budget import ColdBounds, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds
-from godwitshunt.settings import IngressSettings
+from godwitshunt.settings import Address, IngressSettings
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import Timer
 
@@ -76,7 +78,11 @@
             metrics,
         ),
         crash_detector=CrashDetector(
-            watch.quarantine, timer, source, path_monitor
+            watch.quarantine,
+            timer,
+            source,
+            path_monitor,
+            partial(has_open_connection, pool, path_monitor),
         ),
         path_monitor=path_monitor,
         reachability=Reachability(
@@ -94,6 +100,18 @@
     return context
 
 
+def has_open_connection(
+    pool: UpstreamPool,
+    path_monitor: PathMonitor,
+    incarnation: str,
+    address: Address,
+) -> bool:
+    """Tell whether an upstream keeps a connection of this VM open."""
+    return path_monitor.has_open_attempt(incarnation) or pool.has_open(
+        Place(address, incarnation)
+    )
+
+
 def make_budgets(settings: IngressSettings, now_s: float) -> Budgets:
     """Return the budgets for retries and for requests to cold upstreams."""
     bounds = settings.bounds
--- a/godwitshunt/ingress/crash_detector.py
+++ b/godwitshunt/ingress/crash_detector.py
@@ -3,10 +3,13 @@
 A connection that closes within an answer proves no crash: answers are cut
 short, connections are reset and links fail. An ended process refuses the next
 connection, while one that is cut off or without power refuses nothing. So
-another connection is opened to each upstream that closed one within an answer.
+another connection is opened to each upstream that closed one within an answer,
+unless one is open still: an upstream that has as many as it takes refuses new
+ones, while an ended process leaves none open.
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -43,6 +46,11 @@
         return now_s - self.at_s < ttl_s
 
 
+def knows_no_connection(incarnation: str, address: Address) -> bool:
+    """Know of no open connection."""
+    return False
+
+
 @dataclass
 class CrashDetector:
     """Detects upstreams that crashed while they had requests of this VM.
@@ -57,6 +65,8 @@
         Own IP address to connect from; None lets the system choose.
     path_monitor : PathMonitor or None
         Tells whether this VM reaches any upstream; None if it always does.
+    has_open_connection : callable
+        Tells whether a connection to an incarnation at an address is open.
     unchecked : dict
         Lost requests by incarnation, until that is checked.
     checks : dict
@@ -67,6 +77,7 @@
     timer: Timer
     source: str | None = None
     path_monitor: PathMonitor | None = None
+    has_open_connection: Callable[[str, Address], bool] = knows_no_connection
     background: BackgroundTasks = field(default_factory=BackgroundTasks)
     unchecked: dict[str, list[LostRequest]] = field(default_factory=dict)
     checks: dict[str, CrashCheck] = field(default_factory=dict)
@@ -100,7 +111,7 @@
 
     async def check_process(self, incarnation: str, address: Address) -> None:
         """Check whether an incarnation has crashed; record its losses if so."""
-        crashed = await self.has_crashed(address)
+        crashed = await self.has_crashed(incarnation, address)
         self.expire()
         self.checks[incarnation] = CrashCheck(crashed, self.timer.now())
         lost = self.unchecked.pop(incarnation, [])
@@ -122,14 +133,16 @@
         check = self.checks.get(incarnation)
         if check is not None and check.crashed:
             return True
-        crashed = await self.has_crashed(address)
+        crashed = await self.has_crashed(incarnation, address)
         if crashed:
             self.checks[incarnation] = CrashCheck(crashed, self.timer.now())
         return crashed
 
-    async def has_crashed(self, address: Address) -> bool:
+    async def has_crashed(self, incarnation: str, address: Address) -> bool:
         """Check whether the process at an address has ended by now."""
         await asyncio.sleep(EXIT_DELAY_S)
+        if self.has_open_connection(incarnation, address):
+            return False
         crashed = await self.refuses_connections(address)
         if self.path_monitor is not None:
             await self.path_monitor.wait_checked()
--- a/godwitshunt/ingress/path_monitor.py
+++ b/godwitshunt/ingress/path_monitor.py
@@ -63,6 +63,17 @@
     may_repeat: bool
     sent_s: float = inf
 
+    @property
+    def is_connection_open(self) -> bool:
+        """True if the connection is known to be open.
+
+        The end of one that is not read for a slow caller is not noticed.
+        """
+        call = self.attempt.call
+        if call is None or call.channel.read_paused:
+            return False
+        return not call.channel.ended
+
     def is_unacknowledged(self, now_s: float) -> bool:
         """Tell whether the request has not reached the upstream's machine."""
         if self.attempt.answer_started or self.attempt.call is None:
@@ -149,6 +160,13 @@
             self.suspect(suspicion, watched.instance, watched.request)
             return
 
+    def has_open_attempt(self, instance: str) -> bool:
+        """Return whether an upstream keeps the connection of a request open."""
+        return any(
+            watched.instance == instance and watched.is_connection_open
+            for watched in self.attempts
+        )
+
     def record_received(self) -> None:
         """Record that bytes came from an upstream."""
         self.received_s = self.timer.now()
--- a/godwitshunt/ingress/tests/test_crash_detector.py
+++ b/godwitshunt/ingress/tests/test_crash_detector.py
@@ -98,6 +98,16 @@
     assert upstream.connects == 1
 
 
+async def test_upstream_that_keeps_a_connection_open_is_up(upstream):
+    """One with as many connections as it takes refuses new ones."""
+    upstream.detector.has_open_connection = lambda incarnation, address: True
+    await upstream.stop()
+    await upstream.lose()
+    address = Address(host=HOST, port=upstream.port)
+    assert not await upstream.detector.is_end_of_crash('i-1', address)
+    assert not upstream.losses
+
+
 async def test_crash_after_a_check_is_recorded(upstream):
     """An upstream that breaks an answer may crash within the next second."""
     await upstream.lose()
--- a/godwitshunt/ingress/tests/test_path_monitor.py
+++ b/godwitshunt/ingress/tests/test_path_monitor.py
@@ -212,3 +212,15 @@
     async with asyncio.timeout(1.0):
         await monitor.wait_checked()
     assert not monitor.are_lost
+
+
+@pytest.mark.parametrize(
+    ('ended', 'read_paused', 'is_open'),
+    [(False, False, True), (True, False, False), (False, True, False)],
+)
+def test_open_connection_of_an_attempt(ended, read_paused, is_open):
+    """A process that has ended would be taken for one that is up."""
+    channel = SimpleNamespace(ended=ended, read_paused=read_paused)
+    attempt = SimpleNamespace(call=SimpleNamespace(channel=channel))
+    watched = WatchedAttempt('i-1', 'r', attempt, 0.1, may_repeat=False)
+    assert watched.is_connection_open is is_open
