--- a/godwitshunt/quarantine/state.py
+++ b/godwitshunt/quarantine/state.py
@@ -263,18 +263,18 @@
             All parts of the prompt that a part is assessed in; None for the
             content of a request.
         """
-        standing = self.standing(fingerprint)
-        if standing.status in FREE_STATUSES:
-            return standing
-        if is_probe or self.may_probe(standing, companions):
-            return replace(standing, status=QuarantineStatus.on_probation)
+        general = self.general_assessment(fingerprint)
+        if general.status in FREE_STATUSES:
+            return general
+        if is_probe or self.may_probe(general, companions):
+            return replace(general, status=QuarantineStatus.on_probation)
         return replace(
-            standing,
+            general,
             status=QuarantineStatus.quarantined,
-            wait_s=standing.wait_s or self.length_s,
+            wait_s=general.wait_s or self.length_s,
         )
 
-    def standing(self, fingerprint: Fingerprint) -> Assessment:
+    def general_assessment(self, fingerprint: Fingerprint) -> Assessment:
         """Return the assessment of a request or part, whoever may try it."""
         record = self.table.records.get(fingerprint)
         if record is None:
@@ -297,7 +297,7 @@
 
     def may_probe(
         self,
-        standing: Assessment,
+        general: Assessment,
         companions: Collection[Fingerprint] | None,
     ) -> bool:
         """Tell whether this VM may try a quarantined request or part now.
@@ -306,11 +306,11 @@
         prompt without the other suspected parts that may be the cause instead.
         Of several VMs one has the turn.
         """
-        record = self.table.records[standing.fingerprint]
+        record = self.table.records[general.fingerprint]
         if record.fingerprint in self.probing:
             return False
         now_s = self.now()
-        if standing.status is QuarantineStatus.on_probation:
+        if general.status is QuarantineStatus.on_probation:
             ended_s = record.last_loss_s() + self.length_s
             return self.probe_turns.is_due(record, self.name, ended_s, now_s)
         if companions is None:
@@ -362,7 +362,7 @@
 
     def log_status_change(self, fingerprint: Fingerprint) -> bool:
         """Log a change of status; return False where there is none."""
-        assessment = self.standing(fingerprint)
+        assessment = self.general_assessment(fingerprint)
         before = self.logged.get(fingerprint, QuarantineStatus.clear)
         if assessment.status is before:
             return False
