--- a/godwitshunt/quarantine/state.py
+++ b/godwitshunt/quarantine/state.py
@@ -158,7 +158,8 @@
         self.own.record_losses(losses)
         if not self.table.record_losses(losses):
             return
-        self.metrics.count('quarantine_losses_total', len(losses))
+        requests = sum(lost.part is None for lost in losses)
+        self.metrics.count('quarantine_losses_total', requests)
         for lost in losses:
             self.prove_answered(lost.fingerprint)
         self.log_changes()
