Try a request early that may have been blamed for another one's part

A content that is blamed is now tried by turns, like a part, if suspected parts that its prompt lacks may be the cause. The test failed before.

--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -274,7 +274,9 @@
             fingerprint = self.request.fingerprint
             assessments.append(
                 quarantine.assessment(
-                    fingerprint, is_probe=fingerprint in self.probed
+                    fingerprint,
+                    is_probe=fingerprint in self.probed,
+                    companions=self.request.part_fingerprints,
                 )
             )
         if quarantine.has_suspected_parts():
--- a/godwitshunt/ingress/tests/test_quarantined_request.py
+++ b/godwitshunt/ingress/tests/test_quarantined_request.py
@@ -168,3 +168,25 @@
     step = await request.make_attempts()
     assert step.kind is ProblemKind.quarantined
     assert reports == ['report']
+
+
+def test_request_blamed_for_another_ones_part_is_tried():
+    """Requests that many send alike are lost with a bad part each time."""
+    request = QuarantinedRequest(crashes=0)
+    quarantine = request.quarantine
+    quarantine.name = 'north/a'
+    for number in range(3):
+        request.now_s += 1
+        loss = Loss(f'i-{number}', request.now_s, 0.1, observer='north/a')
+        bad_part = Fingerprint(bytes((7,)) * 16)
+        part = SuspectPart('llm 7', 0)
+        quarantine.record_losses(
+            (
+                LostRequest(CRASHING, '', 5, loss),
+                LostRequest(bad_part, '', 0, loss, part),
+            )
+        )
+    assert request.quarantine_step().kind is ProblemKind.quarantined
+    request.now_s += 0.9
+    assert request.quarantine_step() is None
+    assert request.is_probe
--- a/godwitshunt/quarantine/state.py
+++ b/godwitshunt/quarantine/state.py
@@ -261,8 +261,8 @@
         is_probe : bool
             True for the request that is tried on probation.
         companions : collection of Fingerprint or None
-            All parts of the prompt that a part is assessed in; None for the
-            content of a request.
+            All parts of the prompt that it is assessed with; None where it is
+            not to be sent.
         """
         general = self.general_assessment(fingerprint)
         if general.status in FREE_STATUSES:
@@ -303,9 +303,9 @@
     ) -> bool:
         """Tell whether this VM may try a quarantined request or part now.
 
-        It may once the quarantine has ended. A part is tried earlier by a
-        prompt without the other suspected parts that may be the cause instead.
-        Of several VMs one has the turn.
+        It may once the quarantine has ended, and earlier if its prompt lacks
+        other suspected parts that may be the cause instead. Of several VMs one
+        has the turn.
         """
         record = self.table.records[general.fingerprint]
         if record.fingerprint in self.probing:
--- a/godwitshunt/quarantine/tests/test_parts.py
+++ b/godwitshunt/quarantine/tests/test_parts.py
@@ -275,6 +275,26 @@
     assert set(vm.table.confirmed()) == {BAD}
 
 
+def test_wrongly_confirmed_content_is_tried_early(fleet):
+    """A request that many send alike is lost with a bad part each time."""
+    content = Fingerprint(bytes(16))
+    vm = fleet.vms[VM]
+    for crash in range(3):
+        fleet.crash(crash, (BAD,))
+        loss = Loss(f'i-{crash}', fleet.now_s, 0.3, observer=VM)
+        vm.record_loss(LostRequest(content, '', 5, loss))
+    assert set(vm.table.confirmed()) == {content}
+    fleet.now_s += 0.9
+    assert vm.assessment(content, companions=(BAD,)).status is (
+        QuarantineStatus.quarantined
+    )
+    assert vm.assessment(content, companions=()).status is (
+        QuarantineStatus.on_probation
+    )
+    vm.clear(content)
+    assert set(vm.table.confirmed()) == {BAD}
+
+
 def test_sure_verdict_is_not_tried_early(fleet):
     """A try of a bad part crashes one more upstream."""
     fleet.vms[VM].record_answer((FIRST, LAST))
--- a/godwitshunt/quarantine/verdicts.py
+++ b/godwitshunt/quarantine/verdicts.py
@@ -127,7 +127,7 @@
     Parameters
     ----------
     record : SuspectRecord
-        A part that is confirmed as the cause.
+        A request or part that is confirmed as the cause.
     companions : container of Fingerprint
         All parts of the prompt.
     """
