Log bytes of upstreams that belong to no waiting request

The logs could not tell the hypotheses of the incident apart: a surplus byte, an answer that is read past and one without an id left no line, and nothing said how a connection was used before. A bounded line and a counter name them.

--- a/godwitshunt/exchange/upstream_messages.py
+++ b/godwitshunt/exchange/upstream_messages.py
@@ -124,10 +124,15 @@
 
 def is_of_another(head: AnswerHead, request: OutgoingRequest) -> bool:
     """Tell whether an answer repeats the id of another request."""
-    told = dict(head.headers).get(request.id_header)
+    told = named_request(head, request)
     return told is not None and told != request.request_id.encode()
 
 
+def named_request(head: AnswerHead, request: OutgoingRequest) -> bytes | None:
+    """Return the id that an answer repeats; None where it repeats none."""
+    return dict(head.headers).get(request.id_header)
+
+
 def told_idle_limit_s(headers: Headers) -> float:
     """Return for how long an upstream keeps the connection, less a margin.
 
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -11,12 +11,14 @@
 import h11
 from result import Err, Ok, Result
 
+from godwitshunt.exchange.attribution import StrayBytes, StrayKind, StrayLog
 from godwitshunt.exchange.channel import Channel
 from godwitshunt.exchange.deadline import deadline
 from godwitshunt.exchange.liveness import acknowledged_s
 from godwitshunt.exchange.requests import SLICE_BYTES
 from godwitshunt.exchange.upstream_messages import (
     IDLE_LIMIT_S,
+    REQUEST_ID,
     AnswerHead,
     BrokenAnswerError,
     ConnectFailed,
@@ -24,6 +26,8 @@
     Place,
     check_answer,
     is_of_another,
+    named_request,
+    states_end,
     told_idle_limit_s,
 )
 from godwitshunt.settings import Address
@@ -42,6 +46,35 @@
 BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
 
 
+@dataclass
+class ConnectionUse:
+    """How a connection has been used.
+
+    Parameters
+    ----------
+    made_s : float
+        When it was made, in seconds of the event loop.
+    requests : int
+        Requests that were sent on it.
+    last_request : str
+        Id of the last one.
+    """
+
+    made_s: float = 0.0
+    requests: int = 0
+    last_request: str = ''
+
+    def record(self, request_id: str) -> None:
+        """Record a request."""
+        self.requests += 1
+        self.last_request = request_id
+
+    @property
+    def is_shared(self) -> bool:
+        """True where other requests used it before the last one."""
+        return self.requests > 1
+
+
 @dataclass(eq=False)
 class IdleConnection:
     """A connection that waits for its next request."""
@@ -49,6 +82,7 @@
     channel: Channel
     connection: h11.Connection
     since_s: float
+    use: ConnectionUse
     idle_limit_s: float = IDLE_LIMIT_S
 
 
@@ -61,6 +95,8 @@
     channel: Channel
     connection: h11.Connection
     method: str
+    id_header: bytes = REQUEST_ID
+    use: ConnectionUse = field(default_factory=ConnectionUse)
     released: bool = False
     whole: bool = False
     idle_limit_s: float = IDLE_LIMIT_S
@@ -117,13 +153,43 @@
         """
         head = await self.next_head(silence_s)
         if request.skips_others and is_of_another(head, request):
+            self.record_stray(StrayKind.skipped, head)
             await self.skip(request)
             head = await self.next_head(silence_s)
+        self.record_doubts(head, request)
         check_answer(head, request)
         self.idle_limit_s = told_idle_limit_s(head.headers)
         self.pool.record_received(self.place)
         return head
 
+    def record_doubts(self, head: AnswerHead, request: OutgoingRequest) -> None:
+        """Record what leaves it open whose answer a head begins."""
+        if is_of_another(head, request):
+            self.record_stray(StrayKind.foreign, head)
+            return
+        if not (request.skips_others and self.use.is_shared):
+            return
+        if named_request(head, request) is None:
+            self.record_stray(StrayKind.unnamed, head)
+        if not states_end(head, request):
+            self.record_stray(StrayKind.unframed, head)
+
+    def record_stray(
+        self,
+        kind: StrayKind,
+        head: AnswerHead | None = None,
+        size: int = 0,
+    ) -> None:
+        """Record bytes that belong to no waiting request."""
+        named = None if head is None else dict(head.headers).get(self.id_header)
+        self.pool.record_stray(
+            kind,
+            self.place,
+            self.use,
+            named=(named or b'').decode('latin-1'),
+            size=size,
+        )
+
     async def next_head(self, silence_s: float | None) -> AnswerHead:
         """Return the next head that is no sign of life only."""
         event = await self.sign_of_life(silence_s)
@@ -236,6 +302,8 @@
         self.channel.resume()
         surplus = self.connection.trailing_data[0] or self.channel.received
         states = (self.connection.our_state, self.connection.their_state)
+        if surplus:
+            self.record_stray(StrayKind.surplus, size=len(surplus))
         if surplus or self.channel.ended or states != (h11.DONE, h11.DONE):
             self.channel.abort()
             return not surplus
@@ -283,6 +351,9 @@
     heard_s: dict[Place, float] = field(default_factory=dict)
     closed_after_s: dict[Place, float] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.strays = StrayLog(self.metrics)
+
     async def open(
         self,
         address: Address,
@@ -312,7 +383,10 @@
             h11.CLIENT,
             max_incomplete_event_size=HEAD_BYTES,
         )
-        made = IdleConnection(channel, connection, loop.time())
+        made_s = loop.time()
+        made = IdleConnection(
+            channel, connection, made_s, ConnectionUse(made_s)
+        )
         return Ok(self.call(place, made, request))
 
     def call(
@@ -322,12 +396,15 @@
         request: OutgoingRequest,
     ) -> UpstreamCall:
         """Return a call on a connection."""
+        kept.use.record(request.request_id)
         return UpstreamCall(
             self,
             place,
             kept.channel,
             kept.connection,
             request.method,
+            request.id_header,
+            kept.use,
         )
 
     def take(
@@ -353,9 +430,38 @@
             # Bytes on an idle connection belong to no request of ours: a
             # doubled or late answer would go to the next caller.
             waiting.pop()
+            self.record_idle_bytes(place, kept)
             self.discard(kept)
         return None
 
+    def record_idle_bytes(self, place: Place, kept: IdleConnection) -> None:
+        """Record what came on an idle connection, if anything did."""
+        size = len(kept.channel.received)
+        if size:
+            self.record_stray(StrayKind.idle, place, kept.use, size=size)
+
+    def record_stray(
+        self,
+        kind: StrayKind,
+        place: Place,
+        use: ConnectionUse,
+        *,
+        named: str = '',
+        size: int = 0,
+    ) -> None:
+        """Record bytes that belong to no waiting request."""
+        self.strays.record(
+            StrayBytes(
+                kind,
+                place.origin or str(place.address),
+                use.last_request,
+                named,
+                size,
+                asyncio.get_running_loop().time() - use.made_s,
+                use.requests,
+            )
+        )
+
     def may_use(
         self,
         place: Place,
@@ -402,7 +508,9 @@
         now = asyncio.get_running_loop().time()
         closed_after_s = self.closed_after_s.get(call.place, inf)
         limit_s = min(call.idle_limit_s, closed_after_s - CLOSE_MARGIN_S)
-        kept = IdleConnection(call.channel, call.connection, now, limit_s)
+        kept = IdleConnection(
+            call.channel, call.connection, now, call.use, limit_s
+        )
         call.channel.on_lost = partial(self.drop, call.place, kept)
         waiting.append(kept)
 
@@ -412,6 +520,7 @@
         if kept not in waiting:
             return
         waiting.remove(kept)
+        self.record_idle_bytes(place, kept)
         # A process that starts again at an address without a named origin would
         # be taken for one that closes connections early, and for good.
         if kept.channel.ended_cleanly and place.origin:
