Log changes of members, whose line was never written

Operators saw no line `consensus:membership_healed` and a traceback instead ("got multiple values for argument 'change'"), at each member that a leader added, in every play of a deployment with five control VMs. The cause: the line has a field with the name of `log_change`'s own parameter. The parameter is positional only now. The new test failed before with that TypeError.

--- a/godwitshunt/telemetry/records.py
+++ b/godwitshunt/telemetry/records.py
@@ -26,7 +26,7 @@
     return output
 
 
-def log_change(change: str, **fields: Any) -> None:
+def log_change(change: str, /, **fields: Any) -> None:
     """Write one log line.
 
     Parameters
