--- a/tests/brittle_server.py
+++ b/tests/brittle_server.py
@@ -6,7 +6,7 @@
 
 from tests.limited_server import StatingWriter
 from tests.partition_world import PartitionedServer, PartitionWorld
-from tests.platform_server import FULL
+from tests.platform_server import FULL, refusal
 from tests.platform_world import World
 
 SLOTS = 8
@@ -56,7 +56,7 @@
         if self.running >= limit:
             # All answers state that it is brittle, refusals too.
             stating = StatingWriter(writer, self.stated.encode(), breaks=False)
-            stating.write(FULL)
+            stating.write(refusal(FULL, fields))
             self.reject()
             return
         self.running += 1
--- a/tests/crashing_parts.py
+++ b/tests/crashing_parts.py
@@ -9,7 +9,7 @@
 from tests.crashing_server import CrashingServer, CrashingWorld
 from tests.partition_world import OK, PartitionWorld
 from tests.platform_client import Answer, ask
-from tests.platform_server import SEAL, chunk
+from tests.platform_server import MISDIRECTED, SEAL, chunk, refusal
 from tests.platform_world import World
 
 BAD_PREFIX = 'bad'
@@ -46,7 +46,7 @@
     async def answer(self, reader, writer, head, fields, body):
         """Answer a request; crash under a bad part."""
         if fields.get('expect-instance') != self.instance:
-            writer.write(b'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n')
+            writer.write(refusal(MISDIRECTED, fields))
             return
         started = self.instance
         is_bad = is_bad_prompt(fields.get('prefix-hash', ''))
--- a/tests/limited_server.py
+++ b/tests/limited_server.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from tests.platform_client import ask
-from tests.platform_server import Server
+from tests.platform_server import Server, refusal
 from tests.platform_world import World
 
 # The platform counts what reaches a server in any window of this length.
@@ -60,7 +60,7 @@
             self.arrivals.append(arrival)
             if self.rest:
                 self.rested.append(arrival)
-                writer.write(refusal(self.rest))
+                writer.write(rest_refusal(self.rest, fields))
                 return
             await asyncio.sleep(WORKS_S)
         stating = StatingWriter(writer, self.stated.encode(), self.breaks)
@@ -80,10 +80,9 @@
         return type(self)(self.host, self.service, self.zone, port=self.port)
 
 
-def refusal(rest):
+def rest_refusal(rest, fields):
     """Return a refusal that asks for rest."""
-    head = f'{FULL_HEAD}Retry-After: {rest}\r\nContent-Length: 0\r\n\r\n'
-    return head.encode()
+    return refusal(f'{FULL_HEAD}Retry-After: {rest}\r\n', fields)
 
 
 class StatingWriter:
--- a/tests/platform_server.py
+++ b/tests/platform_server.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 
 SEAL = 'server-seal: 3e1b'
-FULL = b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+FULL = 'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n'
+MISDIRECTED = 'HTTP/1.1 421 No\r\n'
 
 
 @dataclass
@@ -63,11 +64,11 @@
         path = head.split(b' ', 2)[1].decode()
         self.heads.append(head.decode('latin-1'))
         if fields.get('expect-instance') != self.instance:
-            writer.write(b'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n')
+            writer.write(refusal(MISDIRECTED, fields))
             return
         name = path.rsplit('/', 1)[1]
         if name == 'full':
-            writer.write(FULL)
+            writer.write(refusal(FULL, fields))
             return
         self.ran.append(fields['attempt-id'])
         echo = f'attempt-id: {fields["attempt-id"]}\r\n'
@@ -126,6 +127,12 @@
     return head.encode() + body
 
 
+def refusal(head, fields):
+    """Return a refusal, which repeats the request's id as any answer does."""
+    echo = f'attempt-id: {fields.get("attempt-id", "")}\r\n'
+    return f'{head}{echo}Content-Length: 0\r\n\r\n'.encode()
+
+
 def chunk(content):
     """Return one HTTP chunk."""
     return b'%x\r\n%s\r\n' % (len(content), content)
--- a/tests/stuttering_server.py
+++ b/tests/stuttering_server.py
@@ -9,7 +9,7 @@
 
 from tests.partition_world import PartitionedServer
 from tests.platform_client import Answer, KeptConnection
-from tests.platform_server import SEAL, chunk
+from tests.platform_server import MISDIRECTED, SEAL, chunk, refusal
 from tests.platform_world import World
 
 EVENTS = 8
@@ -57,9 +57,7 @@
         attempt = fields.get('attempt-id', '')
         echo = f'attempt-id: {attempt}\r\n'
         if fields.get('expect-instance') != self.instance:
-            writer.write(
-                f'HTTP/1.1 421 No\r\n{echo}Content-Length: 0\r\n\r\n'.encode()
-            )
+            writer.write(refusal(MISDIRECTED, fields))
             return
         self.ran.append(attempt)
         path = head.split(b' ', 2)[1].decode()
