Attribute each answer to its request by name, not by position

Callers got answers that were not their own or not whole: pieces of other requests within streams, plain answers that contained another one, or were another caller's. Upstreams answer twice, the second time late, while another request uses the connection.

Cause: bytes belonged to whoever waited on a connection. An answer without a length took all bytes up to the connection's end; one without an id was taken for ours; only the first event after a resume was checked.

Now a head counts by its id, and without one only on a connection that no other request has used; so does an answer without a length, which must not contain the head of another one either. Several foreign answers are read past. Every event has to be the next of its stream. A request is not sent twice on one connection. An upstream that sent stray bytes, or an answer without a length, gets one request on each connection for 30 s, so that what comes late reaches nobody; bytes on an idle connection end it at once.

In test_kept_connections.py requests have ids of their own, as one id is not sent twice on a connection; the stream in test_gathering.py counts on, as a thousand equal events are no stream.

--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -27,15 +27,13 @@
     StreamPipe,
 )
 from godwitshunt.exchange.requests import AnswerWriter
+from godwitshunt.exchange.upstream_call import UpstreamCall
 from godwitshunt.exchange.upstream_messages import (
     AnswerHead,
     BrokenAnswerError,
     OutgoingRequest,
 )
-from godwitshunt.exchange.upstream_pool import (
-    UpstreamCall,
-    UpstreamPool,
-)
+from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.routing.messages import Forward
 from godwitshunt.settings import Address
 
--- a/godwitshunt/exchange/attribution.py
+++ b/godwitshunt/exchange/attribution.py
@@ -1,20 +1,30 @@
-"""Records of bytes from upstreams that belong to no waiting request.
+"""Attribution of bytes from upstreams to requests.
 
 An upstream may answer a request twice, the second time when another request
 uses the connection. An answer belongs to the request whose id it repeats, and
-not to the one that happens to wait.
+not to the one that happens to wait. Bytes that belong to no waiting request
+are stray; an upstream that sent some gets one request on each connection for a
+while, so that what comes late reaches nobody.
 """
 
 import asyncio
+import re
 from collections import deque
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
+from godwitshunt.exchange.upstream_messages import BrokenAnswerError, Place
 from godwitshunt.telemetry import Metrics, log_change
 
 # Lines that are logged at most within a second; the counter counts all.
 LINES_PER_S = 20
 LINE_WINDOW_S = 1.0
+# An upstream that sent stray bytes gets one request on each connection for
+# this long.
+SINGLE_USE_S = 30.0
+STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d[ \r]')
+STATUS_LINE_START = b'HTTP/1.'
 
 
 class StrayKind(Enum):
@@ -24,7 +34,9 @@
     beyond the end of an answer. ``skipped``: an answer to another request that
     was read past. ``foreign``: one that was not. ``unnamed``: an answer without
     an id on a connection that other requests have used. ``unframed``: an answer
-    on such a connection that ends where the connection ends.
+    on such a connection that ends where the connection ends. ``embedded``: the
+    head of another answer within a body or a stream. ``out_of_turn``: an event
+    that is not the next one of its stream.
     """
 
     idle = 'idle'
@@ -33,6 +45,24 @@
     foreign = 'foreign'
     unnamed = 'unnamed'
     unframed = 'unframed'
+    embedded = 'embedded'
+    out_of_turn = 'out_of_turn'
+
+
+class StrayBytesError(BrokenAnswerError):
+    """An answer that contains, or may contain, bytes of another one.
+
+    Parameters
+    ----------
+    kind : StrayKind
+        What the bytes are.
+    reason : str
+        For logs.
+    """
+
+    def __init__(self, kind: StrayKind, reason: str) -> None:
+        super().__init__(reason)
+        self.kind = kind
 
 
 @dataclass(frozen=True)
@@ -43,11 +73,11 @@
     ----------
     kind : StrayKind
         What they are.
-    origin : str
-        Upstream that sent them, or its address where it has no name.
+    place : Place
+        Upstream that sent them.
     request : str
         Id of the request that uses the connection, or used it last.
-    named : str
+    named : bytes
         Id that the bytes repeat; empty where they repeat none.
     size : int
         Number of bytes, as far as they are known.
@@ -58,9 +88,9 @@
     """
 
     kind: StrayKind
-    origin: str
+    place: Place
     request: str
-    named: str
+    named: bytes
     size: int
     connection_age_s: float
     connection_requests: int
@@ -86,10 +116,94 @@
         log_change(
             'exchange:stray_bytes',
             kind=stray.kind.value,
-            instance=stray.origin,
+            instance=stray.place.origin or str(stray.place.address),
             request=stray.request,
-            named=stray.named,
+            named=stray.named.decode('latin-1'),
             bytes=stray.size,
             connection_age_s=round(stray.connection_age_s, 4),
             connection_requests=stray.connection_requests,
         )
+
+
+@dataclass
+class SingleUseTable:
+    """Places that get one request on each connection for a while.
+
+    Parameters
+    ----------
+    until_s : dict
+        Until when, in seconds of the event loop.
+    """
+
+    until_s: dict[Place, float] = field(default_factory=dict)
+
+    def record(self, place: Place, now_s: float) -> None:
+        """Add a place, or extend its time."""
+        if not self.has(place, now_s):
+            log_change(
+                'exchange:single_use_began',
+                instance=place.origin or str(place.address),
+                for_s=SINGLE_USE_S,
+            )
+        self.until_s[place] = now_s + SINGLE_USE_S
+
+    def has(self, place: Place, now_s: float) -> bool:
+        """Tell whether a place is in the table."""
+        if place not in self.until_s:
+            return False
+        if now_s < self.until_s[place]:
+            return True
+        self.until_s.pop(place)
+        return False
+
+    def remove_absent(self, present: Container[str]) -> None:
+        """Remove the places of upstreams that are not present."""
+        for place in tuple(self.until_s):
+            if place.origin and place.origin not in present:
+                self.until_s.pop(place)
+
+
+def named_id(received: bytes, id_header: bytes) -> bytes:
+    r"""Return the first id that bytes repeat; empty where they repeat none.
+
+    Examples
+    --------
+    >>> named_id(b'HTTP/1.1 200 OK\r\nRequest: r-1\r\n\r\n', b'request')
+    b'r-1'
+    """
+    found = header_line(id_header).search(received)
+    return b'' if found is None else found.group('content')
+
+
+def embeds_answer(body: bytes, names: Iterable[bytes]) -> bool:
+    r"""Tell whether a body contains the head of another answer.
+
+    Parameters
+    ----------
+    body : bytes
+        A body that may contain what does not belong to it.
+    names : iterable of bytes
+        Headers of which an upstream's answer has at least one.
+
+    Examples
+    --------
+    >>> embeds_answer(b'..HTTP/1.1 200 OK\r\nRequest: r-1\r\n', [b'request'])
+    True
+    >>> embeds_answer(b'..HTTP/1.1 200 OK\r\nDate: now\r\n', [b'request'])
+    False
+    """
+    status = STATUS_LINE.search(body)
+    if status is None:
+        return False
+    return any(header_line(name).search(body, status.end()) for name in names)
+
+
+def header_line(name: bytes) -> re.Pattern[bytes]:
+    """Return the pattern of a header's line within an answer's head."""
+    pattern = rb'\n%s[ \t]*:[ \t]*(?P<content>[^\r\n]*)' % re.escape(name)
+    return re.compile(pattern, re.IGNORECASE)
+
+
+def begins_answer(surplus: bytes) -> bool:
+    """Tell whether bytes begin with an answer's head, as far as they go."""
+    return STATUS_LINE_START.startswith(surplus[: len(STATUS_LINE_START)])
--- a/godwitshunt/exchange/relay.py
+++ b/godwitshunt/exchange/relay.py
@@ -8,12 +8,10 @@
 
 from godwitshunt.exchange.problems import Headers
 from godwitshunt.exchange.requests import AnswerWriter
+from godwitshunt.exchange.upstream_call import UpstreamCall
 from godwitshunt.exchange.upstream_messages import (
     BrokenAnswerError,
 )
-from godwitshunt.exchange.upstream_pool import (
-    UpstreamCall,
-)
 
 EVENT_END = b'\n\n'
 FINAL_EVENT = b'data: [DONE]\n\n'
@@ -227,6 +225,7 @@
         try:
             whole = self.events.take(self.call.available())
         except BrokenAnswerError as broken:
+            self.call.record_broken(broken)
             self.settle(str(broken))
             return
         fault = self.events.fault_at_end() if self.call.whole else None
--- a/godwitshunt/exchange/upstream_messages.py
+++ b/godwitshunt/exchange/upstream_messages.py
@@ -67,8 +67,10 @@
     until_close : bool
         True where an answer without a length counts as whole if the upstream
         ended its connection cleanly after it.
-    skips_others : bool
-        True where an answer with another request's id is read past.
+    repeats_id : bool
+        True where the upstream repeats `request_id` in all its answers: one
+        with another id is read past, and one without belongs to nobody on a
+        connection that other requests have used.
     origin : str
         Who is expected at the address. A connection that was made to another
         one there is not reused: it may be silent for good, and what is sent
@@ -87,7 +89,7 @@
     host: bytes | None = None
     id_header: bytes = REQUEST_ID
     until_close: bool = False
-    skips_others: bool = False
+    repeats_id: bool = False
     origin: str = ''
 
 
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -8,317 +8,38 @@
 from functools import partial
 from math import inf
 
-import h11
 from result import Err, Ok, Result
 
-from godwitshunt.exchange.attribution import StrayBytes, StrayKind, StrayLog
+from godwitshunt.exchange.attribution import (
+    SingleUseTable,
+    StrayBytes,
+    StrayKind,
+    StrayLog,
+    named_id,
+)
 from godwitshunt.exchange.channel import Channel
 from godwitshunt.exchange.deadline import deadline
-from godwitshunt.exchange.liveness import acknowledged_s
-from godwitshunt.exchange.requests import SLICE_BYTES
+from godwitshunt.exchange.upstream_call import UpstreamCall
+from godwitshunt.exchange.upstream_connection import (
+    ConnectionUse,
+    IdleConnection,
+    new_parser,
+)
 from godwitshunt.exchange.upstream_messages import (
-    IDLE_LIMIT_S,
-    REQUEST_ID,
-    AnswerHead,
-    BrokenAnswerError,
     ConnectFailed,
     OutgoingRequest,
     Place,
-    check_answer,
-    is_of_another,
-    named_request,
-    states_end,
-    told_idle_limit_s,
 )
 from godwitshunt.settings import Address
 from godwitshunt.telemetry import Metrics
 
 IDLE_EACH = 256
-# An upstream is known to be live if it has sent bytes on any connection, or
-# acknowledged a probe on this one, within these times. The kernel probes each
-# second.
+# An upstream is known to be live if it has sent bytes on any connection within
+# this time.
 LIVE_HEARD_S = 0.5
-LIVE_ACKNOWLEDGED_S = 1.2
 # An upstream that closed a connection after some idle time closes others after
 # the same time; they are used until this long before.
 CLOSE_MARGIN_S = 0.5
-HEAD_BYTES = 64 * 1024
-BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
-
-
-@dataclass
-class ConnectionUse:
-    """How a connection has been used.
-
-    Parameters
-    ----------
-    made_s : float
-        When it was made, in seconds of the event loop.
-    requests : int
-        Requests that were sent on it.
-    last_request : str
-        Id of the last one.
-    """
-
-    made_s: float = 0.0
-    requests: int = 0
-    last_request: str = ''
-
-    def record(self, request_id: str) -> None:
-        """Record a request."""
-        self.requests += 1
-        self.last_request = request_id
-
-    @property
-    def is_shared(self) -> bool:
-        """True where other requests used it before the last one."""
-        return self.requests > 1
-
-
-@dataclass(eq=False)
-class IdleConnection:
-    """A connection that waits for its next request."""
-
-    channel: Channel
-    connection: h11.Connection
-    since_s: float
-    use: ConnectionUse
-    idle_limit_s: float = IDLE_LIMIT_S
-
-
-@dataclass
-class UpstreamCall:
-    """One request on one connection, and its answer."""
-
-    pool: 'UpstreamPool'
-    place: Place
-    channel: Channel
-    connection: h11.Connection
-    method: str
-    id_header: bytes = REQUEST_ID
-    use: ConnectionUse = field(default_factory=ConnectionUse)
-    released: bool = False
-    whole: bool = False
-    idle_limit_s: float = IDLE_LIMIT_S
-
-    async def send(self, request: OutgoingRequest) -> None:
-        """Write the whole request."""
-        headers = [
-            (b'host', request.host or str(self.place.address).encode()),
-            *request.headers,
-            (request.id_header, request.request_id.encode()),
-        ]
-        if request.body or request.method not in BODYLESS_METHODS:
-            length = str(len(request.body)).encode()
-            headers.append((b'content-length', length))
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=headers,
-        )
-        parts = [self.connection.send(head)]
-        if len(request.body) > SLICE_BYTES:
-            self.channel.write(parts.pop())
-            await self.send_slices(request.body)
-        elif request.body:
-            parts.append(self.connection.send(h11.Data(data=request.body)))
-        parts.append(self.connection.send(h11.EndOfMessage()))
-        self.channel.write(b''.join(parts))
-        await self.channel.drain()
-
-    async def send_slices(self, body: bytes) -> None:
-        """Write a long body as fast as the upstream reads.
-
-        In one piece it would be copied to the send buffer, and be held twice.
-        """
-        for start in range(0, len(body), SLICE_BYTES):
-            data = body[start : start + SLICE_BYTES]
-            self.channel.write(self.connection.send(h11.Data(data=data)))
-            await self.channel.drain()
-
-    async def head(
-        self,
-        request: OutgoingRequest,
-        silence_s: float | None = None,
-    ) -> AnswerHead:
-        """Return the answer's head; raise where it is none or not ours.
-
-        Parameters
-        ----------
-        request : OutgoingRequest
-            Whose id an answer that repeats one has to repeat.
-        silence_s : float or None
-            Seconds without a sign of life, such as ``102 Processing``, after
-            which the other side counts as gone; None waits on.
-        """
-        head = await self.next_head(silence_s)
-        if request.skips_others and is_of_another(head, request):
-            self.record_stray(StrayKind.skipped, head)
-            await self.skip(request)
-            head = await self.next_head(silence_s)
-        self.record_doubts(head, request)
-        check_answer(head, request)
-        self.idle_limit_s = told_idle_limit_s(head.headers)
-        self.pool.record_received(self.place)
-        return head
-
-    def record_doubts(self, head: AnswerHead, request: OutgoingRequest) -> None:
-        """Record what leaves it open whose answer a head begins."""
-        if is_of_another(head, request):
-            self.record_stray(StrayKind.foreign, head)
-            return
-        if not (request.skips_others and self.use.is_shared):
-            return
-        if named_request(head, request) is None:
-            self.record_stray(StrayKind.unnamed, head)
-        if not states_end(head, request):
-            self.record_stray(StrayKind.unframed, head)
-
-    def record_stray(
-        self,
-        kind: StrayKind,
-        head: AnswerHead | None = None,
-        size: int = 0,
-    ) -> None:
-        """Record bytes that belong to no waiting request."""
-        named = None if head is None else dict(head.headers).get(self.id_header)
-        self.pool.record_stray(
-            kind,
-            self.place,
-            self.use,
-            named=(named or b'').decode('latin-1'),
-            size=size,
-        )
-
-    async def next_head(self, silence_s: float | None) -> AnswerHead:
-        """Return the next head that is no sign of life only."""
-        event = await self.sign_of_life(silence_s)
-        while isinstance(event, h11.InformationalResponse):
-            event = await self.sign_of_life(silence_s)
-        if not isinstance(event, h11.Response):
-            raise BrokenAnswerError('ended before an answer')
-        return AnswerHead(event.status_code, tuple(event.headers))
-
-    async def skip(self, request: OutgoingRequest) -> None:
-        """Read past an answer to another request, to where ours begins.
-
-        An upstream may answer a request twice, the second time where the
-        answer to the next one is due. Given up, a request that may not be
-        repeated would be lost although its own answer follows. The parser
-        takes one answer to a request; so it is made anew, as after sending.
-        """
-        chunk = await self.chunk()
-        while chunk:
-            chunk = await self.chunk()
-        surplus, ended = self.connection.trailing_data
-        if ended or self.connection.their_state is not h11.DONE:
-            raise BrokenAnswerError('an answer to another request')
-        self.whole = False
-        self.connection = h11.Connection(
-            h11.CLIENT,
-            max_incomplete_event_size=HEAD_BYTES,
-        )
-        sent = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=[(b'host', b'sent')],
-        )
-        self.connection.send(sent)
-        self.connection.send(h11.EndOfMessage())
-        if surplus:
-            self.connection.receive_data(surplus)
-
-    async def sign_of_life(self, silence_s: float | None) -> object:
-        """Return the next event; raise where none comes in time."""
-        if silence_s is None:
-            return await self.event()
-        try:
-            async with deadline(silence_s):
-                return await self.event()
-        except TimeoutError:
-            raise BrokenAnswerError('no sign of life') from None
-
-    async def chunk(self) -> bytes:
-        """Return the next bytes of the body; empty at its clean end."""
-        while not self.whole:
-            content = self.available()
-            if content or self.whole:
-                return content
-            self.feed(await self.channel.read())
-        return b''
-
-    def available(self) -> bytes:
-        """Return the part of the body that has come; note its clean end."""
-        parts = []
-        while not self.whole:
-            event = self.next_event()
-            match event:
-                case h11.Data():
-                    parts.append(event.data)
-                case h11.EndOfMessage():
-                    self.whole = True
-                case h11.ConnectionClosed():
-                    raise BrokenAnswerError('ended within the answer')
-                case _:
-                    break
-        return b''.join(parts)
-
-    async def event(self) -> object:
-        """Return the next event, reading where more is needed."""
-        event = self.next_event()
-        while event is h11.NEED_DATA:
-            self.feed(await self.channel.read())
-            event = self.next_event()
-        return event
-
-    def next_event(self) -> object:
-        """Return the next event, or NEED_DATA."""
-        try:
-            return self.connection.next_event()
-        except h11.RemoteProtocolError as wrong:
-            raise BrokenAnswerError(str(wrong)) from None
-
-    def feed(self, received: bytes) -> None:
-        """Take bytes of the answer; empty where the connection ended."""
-        if not received:
-            self.check_end()
-        self.connection.receive_data(received)
-
-    def check_end(self) -> None:
-        """Raise where the connection's end cannot be an answer's end.
-
-        An answer without a length ends where its connection ends; one whose
-        connection was reset looks the same to the parser, and the caller
-        would take a part for the whole.
-        """
-        if self.connection.their_state is h11.SEND_RESPONSE:
-            raise BrokenAnswerError('ended before an answer')
-        if not self.channel.ended_cleanly:
-            raise BrokenAnswerError('reset within the answer')
-
-    def release(self) -> bool:
-        """Give the connection back; False where more than the answer came."""
-        self.released = True
-        self.channel.resume()
-        surplus = self.connection.trailing_data[0] or self.channel.received
-        states = (self.connection.our_state, self.connection.their_state)
-        if surplus:
-            self.record_stray(StrayKind.surplus, size=len(surplus))
-        if surplus or self.channel.ended or states != (h11.DONE, h11.DONE):
-            self.channel.abort()
-            return not surplus
-        self.pool.keep(self)
-        return True
-
-    def abandon(self) -> None:
-        """Close the connection, unless it was given back.
-
-        Its answer may still come; on a connection that is closed it can
-        reach no other caller, and the upstream sees that nobody waits.
-        """
-        if not self.released:
-            self.released = True
-            self.channel.abort()
 
 
 @dataclass
@@ -339,6 +60,8 @@
         When an answer last began at each place.
     closed_after_s : dict
         Shortest idle time after which each place closed a connection.
+    single_use : SingleUseTable
+        Places that get one request on each connection.
     """
 
     metrics: Metrics
@@ -350,6 +73,7 @@
     )
     heard_s: dict[Place, float] = field(default_factory=dict)
     closed_after_s: dict[Place, float] = field(default_factory=dict)
+    single_use: SingleUseTable = field(default_factory=SingleUseTable)
 
     def __post_init__(self) -> None:
         self.strays = StrayLog(self.metrics)
@@ -361,7 +85,7 @@
     ) -> Result[UpstreamCall, ConnectFailed]:
         """Return a call on an idle or a new connection."""
         place = Place(address, request.origin)
-        if not request.fresh:
+        if not (request.fresh or self.is_used_once(place)):
             kept = self.take(place, request)
             if kept is not None:
                 return Ok(self.call(place, kept, request))
@@ -379,13 +103,9 @@
             self.metrics.count('upstream_connects_failed_total')
             return Err(ConnectFailed(repr(failed)))
         self.metrics.count('upstream_connects_total')
-        connection = h11.Connection(
-            h11.CLIENT,
-            max_incomplete_event_size=HEAD_BYTES,
-        )
         made_s = loop.time()
         made = IdleConnection(
-            channel, connection, made_s, ConnectionUse(made_s)
+            channel, new_parser(), made_s, ConnectionUse(made_s)
         )
         return Ok(self.call(place, made, request))
 
@@ -396,7 +116,7 @@
         request: OutgoingRequest,
     ) -> UpstreamCall:
         """Return a call on a connection."""
-        kept.use.record(request.request_id)
+        kept.use.record(request.request_id, request.method)
         return UpstreamCall(
             self,
             place,
@@ -412,55 +132,74 @@
         place: Place,
         request: OutgoingRequest,
     ) -> IdleConnection | None:
-        """Return an idle connection on which nothing came since its end."""
+        """Return an idle connection that a request may be sent on."""
         now = asyncio.get_running_loop().time()
         waiting = self.idle.get(place)
         while waiting:
             kept = waiting[-1]
-            silent = not (kept.channel.ended or kept.channel.received)
-            if silent and now - kept.since_s < kept.idle_limit_s:
+            if (
+                not kept.channel.ended
+                and now - kept.since_s < kept.idle_limit_s
+            ):
                 if not self.may_use(place, kept, request, now):
                     # Those below were idle for longer. Another request, or a
                     # probe's answer, may allow them.
                     return None
                 waiting.pop()
-                kept.channel.on_lost = None
+                kept.release_channel()
                 self.metrics.count('upstream_connections_reused_total')
                 return kept
-            # Bytes on an idle connection belong to no request of ours: a
-            # doubled or late answer would go to the next caller.
             waiting.pop()
-            self.record_idle_bytes(place, kept)
             self.discard(kept)
         return None
 
-    def record_idle_bytes(self, place: Place, kept: IdleConnection) -> None:
-        """Record what came on an idle connection, if anything did."""
-        size = len(kept.channel.received)
-        if size:
-            self.record_stray(StrayKind.idle, place, kept.use, size=size)
+    def receive_idle(
+        self,
+        place: Place,
+        kept: IdleConnection,
+        id_header: bytes,
+        received: bytes,
+    ) -> None:
+        """Discard a connection on which bytes came without a request.
+
+        A repeated or late answer would be taken for the next one.
+        """
+        if not received:
+            return
+        named = named_id(received, id_header)
+        self.record_stray(StrayKind.idle, place, kept.use, named, len(received))
+        waiting = self.idle.get(place, [])
+        if kept in waiting:
+            waiting.remove(kept)
+        self.discard(kept)
 
     def record_stray(
         self,
         kind: StrayKind,
         place: Place,
         use: ConnectionUse,
-        *,
-        named: str = '',
+        named: bytes = b'',
         size: int = 0,
     ) -> None:
         """Record bytes that belong to no waiting request."""
+        age_s = asyncio.get_running_loop().time() - use.made_s
         self.strays.record(
             StrayBytes(
-                kind,
-                place.origin or str(place.address),
-                use.last_request,
-                named,
-                size,
-                asyncio.get_running_loop().time() - use.made_s,
-                use.requests,
+                kind, place, use.last_request, named, size, age_s, use.requests
             )
         )
+        self.use_once(place)
+
+    def use_once(self, place: Place) -> None:
+        """Send one request on each connection to a place for a while."""
+        self.single_use.record(place, asyncio.get_running_loop().time())
+        for kept in self.idle.pop(place, ()):
+            self.discard(kept)
+
+    def is_used_once(self, place: Place) -> bool:
+        """Tell whether a place gets one request on each connection."""
+        now_s = asyncio.get_running_loop().time()
+        return self.single_use.has(place, now_s)
 
     def may_use(
         self,
@@ -474,6 +213,10 @@
         The upstream's machine may be gone without a word. A new connection to
         it would fail, and the request would be known not to have run.
         """
+        if kept.use.has_sent(request.request_id):
+            # A late answer to its first attempt could not be told from that
+            # to the second one.
+            return False
         idle_s = now - kept.since_s
         if idle_s < request.longest_idle_s:
             return True
@@ -481,12 +224,12 @@
             return False
         if now - self.heard_s.get(place, -inf) < LIVE_HEARD_S:
             return True
-        return is_live(kept)
+        return kept.is_live()
 
     def has_live(self, place: Place) -> bool:
         """Return whether an idle connection is known to be open."""
         return any(
-            not kept.channel.ended and is_live(kept)
+            not kept.channel.ended and kept.is_live()
             for kept in self.idle.get(place, ())
         )
 
@@ -501,7 +244,8 @@
     def keep(self, call: UpstreamCall) -> None:
         """Keep a connection whose answer ended cleanly."""
         waiting = self.idle[call.place]
-        if len(waiting) >= self.idle_each:
+        is_full = len(waiting) >= self.idle_each
+        if is_full or self.is_used_once(call.place):
             call.channel.close()
             return
         call.connection.start_next_cycle()
@@ -512,6 +256,9 @@
             call.channel, call.connection, now, call.use, limit_s
         )
         call.channel.on_lost = partial(self.drop, call.place, kept)
+        call.channel.sink = partial(
+            self.receive_idle, call.place, kept, call.id_header
+        )
         waiting.append(kept)
 
     def drop(self, place: Place, kept: IdleConnection) -> None:
@@ -520,7 +267,6 @@
         if kept not in waiting:
             return
         waiting.remove(kept)
-        self.record_idle_bytes(place, kept)
         # A process that starts again at an address without a named origin would
         # be taken for one that closes connections early, and for good.
         if kept.channel.ended_cleanly and place.origin:
@@ -531,7 +277,7 @@
 
     def discard(self, kept: IdleConnection) -> None:
         """Close a connection that is not used again."""
-        kept.channel.on_lost = None
+        kept.release_channel()
         self.metrics.count('upstream_connections_discarded_total')
         kept.channel.abort()
 
@@ -540,10 +286,11 @@
         for place in tuple(self.idle):
             if place.origin and place.origin not in present:
                 for kept in self.idle.pop(place):
-                    kept.channel.on_lost = None
+                    kept.release_channel()
                     kept.channel.close()
                 self.heard_s.pop(place, None)
                 self.closed_after_s.pop(place, None)
+        self.single_use.remove_absent(present)
 
     def close(self) -> None:
         """Close every idle connection, at the end of the process."""
@@ -553,12 +300,6 @@
         """Close every idle connection."""
         for waiting in self.idle.values():
             for kept in waiting:
-                kept.channel.on_lost = None
+                kept.release_channel()
                 kept.channel.close()
         self.idle.clear()
-
-
-def is_live(kept: IdleConnection) -> bool:
-    """Return whether the other machine acknowledged a probe just now."""
-    age_s = acknowledged_s(kept.channel.transport.get_extra_info('socket'))
-    return age_s is not None and age_s < LIVE_ACKNOWLEDGED_S
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -17,16 +17,14 @@
 )
 from godwitshunt.exchange.relay import EVENT_STREAM, StreamPipe
 from godwitshunt.exchange.requests import AnswerWriter
+from godwitshunt.exchange.upstream_call import UpstreamCall
 from godwitshunt.exchange.upstream_messages import (
     AnswerHead,
     BrokenAnswerError,
     OutgoingRequest,
     states_end,
 )
-from godwitshunt.exchange.upstream_pool import (
-    UpstreamCall,
-    UpstreamPool,
-)
+from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.ingress.events import NumberedEvents
 from godwitshunt.ingress.header_names import HeaderNames
 from godwitshunt.ingress.headers import CONNECTION_ONLY
@@ -254,7 +252,8 @@
         Raises
         ------
         BrokenAnswerError
-            Where the body is longer than `answer_bytes`.
+            Where the body is longer than `answer_bytes`, or may contain a part
+            of another answer.
         """
         parts = []
         size = 0
@@ -269,7 +268,11 @@
             if self.call.channel.held is not None:
                 self.call.channel.held.gather_answer(size)
         self.call.release()
-        return b''.join(parts)
+        body = b''.join(parts)
+        self.call.check_body(
+            body, (self.names.request_id, self.names.signature)
+        )
+        return body
 
     async def relay(
         self,
--- a/godwitshunt/ingress/events.py
+++ b/godwitshunt/ingress/events.py
@@ -1,31 +1,30 @@
 """Whole events of a stream whose ids increase by one."""
 
+import re
 from dataclasses import dataclass
 
-from godwitshunt.exchange.upstream_messages import (
-    BrokenAnswerError,
-)
+from godwitshunt.exchange.attribution import StrayBytesError, StrayKind
 
 EVENT_END = b'\n\n'
-ID_FIELD = b'id:'
+ID_LINE = re.compile(rb'^id:(.*)$', re.MULTILINE)
 
 
 @dataclass
 class NumberedEvents:
-    r"""Splits a stream into whole events and reads their ids.
+    r"""Splits a stream into whole events and checks their ids.
 
     Callers are sent whole events only, so that a broken stream can be resumed
-    between two events. A resumed stream must continue with the next id;
-    otherwise the caller would miss an event or receive one twice.
+    between two events. The id of each event must be the next one: otherwise
+    the caller would miss an event, receive one twice, or receive one of
+    another stream. Comments have no id.
 
     Parameters
     ----------
     last_id : int or None
-        Id of the last event that the caller has received.
+        Id of the last event that the caller has received; None before the
+        first one, whose id is 1.
     rest : bytes
         The start of an incomplete event.
-    expects_next : bool
-        True until the first event after a resume was checked.
 
     Examples
     --------
@@ -38,21 +37,19 @@
 
     last_id: int | None = None
     rest: bytes = b''
-    expects_next: bool = False
     chunks_taken: int = 0
 
     def resume(self) -> None:
         """Continue with another upstream after the last whole event."""
         self.rest = b''
-        self.expects_next = self.last_id is not None
 
     def take(self, chunk: bytes) -> bytes:
         """Add a chunk; return the events that it completes.
 
         Raises
         ------
-        BrokenAnswerError
-            Where a resumed stream does not continue with the next id.
+        StrayBytesError
+            Where an event is not the next one of the stream.
         """
         pending = self.rest + chunk if self.rest else chunk
         cut = pending.rfind(EVENT_END) + len(EVENT_END)
@@ -60,26 +57,29 @@
             self.rest = pending
             return b''
         whole = pending[:cut] if cut < len(pending) else pending
-        if self.expects_next:
-            self.check_first(whole)
+        self.last_id = self.check(whole)
         self.rest = pending[cut:]
         self.chunks_taken += 1
-        last = event_id(whole[whole.rfind(EVENT_END, 0, cut - 2) + 1 :])
-        self.last_id = self.last_id if last is None else last
         return whole
 
-    def check_first(self, whole: bytes) -> None:
-        """Check that a resumed stream continues with the next id.
+    def check(self, whole: bytes) -> int | None:
+        """Check whole events; return the id of the last one.
 
         Raises
         ------
-        BrokenAnswerError
-            Where it continues with another event.
+        StrayBytesError
+            Where an event is not the next one of the stream.
         """
-        first = event_id(whole[: whole.find(EVENT_END)])
-        if first != (self.last_id or 0) + 1:
-            raise BrokenAnswerError('resumed at another event')
-        self.expects_next = False
+        if b'\r' in whole:
+            # The lines of events end otherwise; those of an answer's head end
+            # so.
+            raise StrayBytesError(
+                StrayKind.embedded, 'an answer within a stream'
+            )
+        last_id = self.last_id
+        for event in whole.split(EVENT_END)[:-1]:
+            last_id = next_id(event, last_id)
+        return last_id
 
     def fault_at_end(self) -> str | None:
         """Return what is wrong with an ended stream; None for nothing."""
@@ -88,18 +88,46 @@
         return None
 
 
+def next_id(event: bytes, last_id: int | None) -> int | None:
+    r"""Return the last id of a stream after one more event.
+
+    Raises
+    ------
+    StrayBytesError
+        Where the event's id is not the next one.
+
+    Examples
+    --------
+    >>> next_id(b'id: 7\ndata: x', 6), next_id(b': a comment', 6)
+    (7, 6)
+    """
+    if is_comment(event):
+        return last_id
+    expected = (last_id or 0) + 1
+    if event_id(event) != expected:
+        raise StrayBytesError(
+            StrayKind.out_of_turn, f'an event other than {expected}'
+        )
+    return expected
+
+
 def event_id(event: bytes) -> int | None:
-    r"""Return the id of one event; None where it is no integer.
+    r"""Return the id of one event; None where it is not one integer.
 
     Examples
     --------
     >>> event_id(b'id: 7\ndata: x'), event_id(b'data: x')
     (7, None)
     """
-    for line in event.split(b'\n'):
-        if line.startswith(ID_FIELD):
-            try:
-                return int(line[len(ID_FIELD) :])
-            except ValueError:
-                return None
-    return None
+    ids = ID_LINE.findall(event)
+    if len(ids) != 1:
+        return None
+    try:
+        return int(ids[0])
+    except ValueError:
+        return None
+
+
+def is_comment(event: bytes) -> bool:
+    """Tell whether a block of a stream has only comments, or nothing."""
+    return all(not line or line.startswith(b':') for line in event.split(b'\n'))
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -440,7 +440,7 @@
             host=host_header(request.http),
             id_header=self.context.names.request_id,
             until_close=True,
-            skips_others=True,
+            repeats_id=True,
             origin=announcement.incarnation,
         )
 
--- a/godwitshunt/replay/sender.py
+++ b/godwitshunt/replay/sender.py
@@ -15,16 +15,14 @@
 from result import Err, Ok, Result
 
 from godwitshunt.exchange.relay import FINAL_EVENT
+from godwitshunt.exchange.upstream_call import UpstreamCall
 from godwitshunt.exchange.upstream_messages import (
     AnswerHead,
     BrokenAnswerError,
     ConnectFailed,
     OutgoingRequest,
 )
-from godwitshunt.exchange.upstream_pool import (
-    UpstreamCall,
-    UpstreamPool,
-)
+from godwitshunt.exchange.upstream_pool import UpstreamPool
 from godwitshunt.replay.prompts import chat_body
 from godwitshunt.replay.results import Ending, Sample
 from godwitshunt.replay.traces import TraceRequest
