Take bytes that fit no framing on a shared connection for stray

A late answer that falls between the chunks of another request's stream broke that stream off, one after the other: the upstream was not seen to stutter, and its connections were shared on.

--- a/godwitshunt/exchange/attribution.py
+++ b/godwitshunt/exchange/attribution.py
@@ -36,7 +36,8 @@
     an id on a connection that other requests have used. ``unframed``: an answer
     on such a connection that ends where the connection ends. ``embedded``: the
     head of another answer within a body or a stream. ``out_of_turn``: an event
-    that is not the next one of its stream.
+    that is not the next one of its stream. ``malformed``: bytes that are no
+    part of an answer, on a connection that other requests have used.
     """
 
     idle = 'idle'
@@ -47,6 +48,7 @@
     unframed = 'unframed'
     embedded = 'embedded'
     out_of_turn = 'out_of_turn'
+    malformed = 'malformed'
 
 
 class StrayBytesError(BrokenAnswerError):
--- a/godwitshunt/exchange/relay.py
+++ b/godwitshunt/exchange/relay.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import Protocol
 
+from godwitshunt.exchange.attribution import StrayBytesError
 from godwitshunt.exchange.problems import Headers
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.upstream_call import UpstreamCall
@@ -223,9 +224,8 @@
     def pass_on(self) -> None:
         """Send every whole event that has come."""
         try:
-            whole = self.events.take(self.call.available())
+            whole = self.take_events()
         except BrokenAnswerError as broken:
-            self.call.record_broken(broken)
             self.settle(str(broken))
             return
         fault = self.events.fault_at_end() if self.call.whole else None
@@ -236,6 +236,15 @@
         elif len(self.events.rest) > self.longest_event:
             self.settle('an event is too long')
 
+    def take_events(self) -> bytes:
+        """Return the whole events that have come."""
+        received = self.call.available()
+        try:
+            return self.events.take(received)
+        except StrayBytesError as stray:
+            self.call.record_stray(stray.kind)
+            raise
+
     def put(self, whole: bytes, *, is_last: bool) -> None:
         """Queue whole events; slow the upstream where the caller is slow."""
         if not self.writer.begun:
--- a/godwitshunt/exchange/tests/test_shared_connections.py
+++ b/godwitshunt/exchange/tests/test_shared_connections.py
@@ -130,6 +130,20 @@
     return pool.metrics.increases.get(key, 0)
 
 
+CHUNKS = b'transfer-encoding: chunked\r\n\r\n2\r\nhi\r\n'
+
+
+async def test_answer_within_chunks_is_found():
+    """An upstream that stutters within a stream, and is sent more requests."""
+    head = b'HTTP/1.1 200 OK\r\nrequest: r-2\r\n'
+    second = join(head, CHUNKS, answer('r-1'), b'0\r\n\r\n')
+    async with running(answer('r-1'), second) as (up, pool):
+        await ask(up, pool, 'r-1')
+        with pytest.raises(StrayBytesError):
+            await ask(up, pool, 'r-2')
+        assert strays(pool, StrayKind.malformed) == 1
+
+
 async def test_several_answers_to_others_are_read_past():
     """A request lost as two late answers came before its own."""
     late = answer('r-0', b'late') * 2
--- a/godwitshunt/exchange/upstream_call.py
+++ b/godwitshunt/exchange/upstream_call.py
@@ -203,9 +203,8 @@
                 StrayKind.embedded, 'an answer within the body of another one'
             )
         if self.use.is_shared and not begins_answer(self.surplus):
-            raise StrayBytesError(
-                StrayKind.surplus, 'a part of an answer beyond its end'
-            )
+            reason = 'a part of an answer beyond its end'
+            raise StrayBytesError(StrayKind.surplus, reason)
 
     def stray_error(
         self, kind: StrayKind, reason: str, named: bytes | None = None
@@ -214,11 +213,6 @@
         self.record_stray(kind, named)
         return StrayBytesError(kind, reason)
 
-    def record_broken(self, broken: BrokenAnswerError) -> None:
-        """Record why an answer is broken where stray bytes are the reason."""
-        if isinstance(broken, StrayBytesError):
-            self.record_stray(broken.kind)
-
     def record_stray(
         self, kind: StrayKind, named: bytes | None = None, size: int = 0
     ) -> None:
@@ -308,6 +302,10 @@
         try:
             return self.connection.next_event()
         except h11.RemoteProtocolError as wrong:
+            if self.use.is_shared:
+                raise self.stray_error(
+                    StrayKind.malformed, str(wrong)
+                ) from None
             raise BrokenAnswerError(str(wrong)) from None
 
     def feed(self, received: bytes) -> None:
