--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from godwitshunt.exchange.attribution import StrayBytesError
 from godwitshunt.exchange.deadline import STALL_S
 from godwitshunt.exchange.passed_headers import passed_on
 from godwitshunt.exchange.problems import (
@@ -151,6 +152,10 @@
             held.join(self.call.channel)
         try:
             return await self.send_and_receive(writer)
+        except StrayBytesError as stray:
+            # The upstream is not silent: an answer has come, if not ours.
+            self.answer_started = True
+            return Lost(str(stray))
         except (BrokenAnswerError, ConnectionError) as error:
             return Lost(str(error) or repr(error))
         finally:
