--- a/godwitshunt/ingress/events.py
+++ b/godwitshunt/ingress/events.py
@@ -6,6 +6,7 @@
 from godwitshunt.exchange.attribution import StrayBytesError, StrayKind
 
 EVENT_END = b'\n\n'
+NEXT_ID = b'\nid:'
 ID_LINE = re.compile(rb'^id:(.*)$', re.MULTILINE)
 
 
@@ -77,8 +78,17 @@
                 StrayKind.embedded, 'an answer within a stream'
             )
         last_id = self.last_id
-        for event in whole.split(EVENT_END)[:-1]:
-            last_id = next_id(event, last_id)
+        start = 0
+        while start < len(whole):
+            end = whole.find(EVENT_END, start)
+            expected = (last_id or 0) + 1
+            # Most events begin with their id; the others are parsed.
+            begins_with_id = whole.startswith(b'id: %d\n' % expected, start)
+            if begins_with_id and whole.find(NEXT_ID, start, end) < 0:
+                last_id = expected
+            else:
+                last_id = next_id(whole[start:end], last_id)
+            start = end + len(EVENT_END)
         return last_id
 
     def fault_at_end(self) -> str | None:
