--- a/godwitshunt/tracing/tests/test_timeline.py
+++ b/godwitshunt/tracing/tests/test_timeline.py
@@ -123,3 +123,16 @@
     single.write_text(json.dumps({**fields, 'handed_over': True}))
     timeline = build_timeline(REQUEST_ID, read_logs([mixed, single]))
     assert [line.source for line in timeline.lines] == ['near', 'far']
+
+
+def test_context_has_stray_bytes_of_the_request():
+    """A caller's wrong answer that no line of its request explains."""
+    kind = 'exchange:stray_bytes'
+    lines = [
+        make_ended_line(),
+        LogLine('near', kind, 100.0, {'request': REQUEST_ID, 'named': 'r-1'}),
+        LogLine('near', kind, 120.0, {'request': 'r-2', 'named': REQUEST_ID}),
+        LogLine('near', kind, 99.0, {'request': 'r-2', 'named': 'r-1'}),
+    ]
+    timeline = build_timeline(REQUEST_ID, lines)
+    assert [line.at_s for line in timeline.context] == [100.0, 120.0]
--- a/godwitshunt/tracing/timeline.py
+++ b/godwitshunt/tracing/timeline.py
@@ -8,6 +8,7 @@
 
 ENDED_KIND = 'ingress:request_ended'
 REFUSED_KIND = 'ingress:request_refused'
+STRAY_KIND = 'exchange:stray_bytes'
 # State changes of a process within this time before the start or after the end
 # of a request may explain its outcome.
 CONTEXT_WINDOW_S = 5.0
@@ -17,6 +18,7 @@
 # dependencies, departed upstreams, draining VMs.
 CONTEXT_KINDS = frozenset(
     (
+        'exchange:single_use_began',
         'ingress:draining',
         'ingress:drain_cut',
         'picking:upstream_left_out',
@@ -41,7 +43,8 @@
         Line of the VM that received the request from the caller, then the
         line of the VM that it was forwarded to, if any.
     context : tuple of LogLine
-        State changes of the same processes around that time.
+        State changes of the same processes around that time, and stray bytes
+        that met the request or were an answer to it.
     summary : str
         The attempts of the request and why it ended, as text.
     """
@@ -73,7 +76,8 @@
         (
             line
             for line in all_lines
-            if line.kind in CONTEXT_KINDS and is_within_spans(line, spans)
+            if is_about_stray_bytes(line, request)
+            or (line.kind in CONTEXT_KINDS and is_within_spans(line, spans))
         ),
         key=lambda line: line.at_s,
     )
@@ -91,6 +95,16 @@
     return line.fields.get('request') == request
 
 
+def is_about_stray_bytes(line: LogLine, request: str) -> bool:
+    """Return whether stray bytes met a request or were an answer to it.
+
+    A late answer to it may come long after its end.
+    """
+    if line.kind != STRAY_KIND:
+        return False
+    return request in {line.fields.get('request'), line.fields.get('named')}
+
+
 def is_within_spans(
     line: LogLine,
     spans: dict[str, tuple[float, float]],
