Write nothing to a caller once its request has ended

Guards against a class of fault: bytes belong to whoever waits on a connection. An answer writer that outlives its request (a task, a timer) could write on the caller's connection while it was idle: h11 lets a server answer without a request. The caller would take that answer for the one to its next request. After an answer was broken off while its bytes still waited to be sent, later bytes followed them.

By reading, no path of either program does so today; the writer refuses it from now on.

Evidence: on the former code test_nothing_is_written_once_a_request_has_ended got 'answer to late' without a request, and test_nothing_follows_an_answer_that_was_broken_off got 'surplus'. The tests of refusals within answers, second answers and bad input behind a request passed before, too.

--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -199,6 +199,7 @@
     def end_answer(self, answer: AnswerWriter) -> None:
         """Note that a request has its answer."""
         self.answering.discard(answer)
+        answer.ended = True
         if answer.channel.held is not None:
             answer.channel.held.end_request()
         if not self.answering:
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -59,9 +59,12 @@
     A caller that takes nothing of a complete answer for a minute is cut off;
     else its answer would stay in memory as long as it likes. The head and the
     last chunk of a stream are held until what follows them, as each send is a
-    system call and a packet.
+    system call and a packet. `ended` is set once the request has ended: bytes
+    that were written later would be read as the answer to the next request on
+    the connection.
 
-    Every method raises `ConnectionResetError` where the caller is gone.
+    Every method raises `ConnectionResetError` where the caller is gone or the
+    request has ended.
     """
 
     def __init__(self, connection: h11.Connection, channel: Channel) -> None:
@@ -70,6 +73,7 @@
         self.begun = False
         self.closing = False
         self.bodyless = False
+        self.ended = False
         self.held = b''
 
     async def whole(self, answer: WholeAnswer) -> None:
@@ -82,14 +86,14 @@
             headers.append((b'connection', b'close'))
         self.begun = True
         head = h11.Response(status_code=answer.status, headers=headers)
-        parts = [self.connection.send(head)]
+        parts = [self.render(head)]
         body = b'' if self.bodyless else answer.body
         if len(body) > SLICE_BYTES:
             self.channel.write(parts.pop())
             await self.send_slices(body)
         elif body:
-            parts.append(self.connection.send(h11.Data(data=body)))
-        parts.append(self.connection.send(h11.EndOfMessage()))
+            parts.append(self.render(h11.Data(data=body)))
+        parts.append(self.render(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
         await self.drain()
 
@@ -103,7 +107,7 @@
             data = body[start : start + SLICE_BYTES]
             if held is not None:
                 held.keep_answer(len(body) - start - len(data))
-            self.channel.write(self.connection.send(h11.Data(data=data)))
+            self.channel.write(self.render(h11.Data(data=data)))
             await self.drain()
 
     async def drain(self) -> None:
@@ -132,10 +136,10 @@
 
     def sign_of_life(self) -> None:
         """Tell a VM that waits that its request is being worked on."""
-        if self.begun or self.channel.ended:
+        if self.begun or self.ended or self.channel.ended:
             return
         told = h11.InformationalResponse(status_code=PROCESSING, headers=[])
-        self.channel.write(self.connection.send(told))
+        self.channel.write(self.render(told))
 
     def put_head(self, status: int, headers: Headers) -> None:
         """Hold the head of an answer that comes in chunks."""
@@ -144,28 +148,35 @@
             told.append((b'connection', b'close'))
         self.begun = True
         head = h11.Response(status_code=status, headers=told)
-        self.held = self.connection.send(head)
+        self.held = self.render(head)
 
     def put(self, chunk: bytes, *, is_last: bool = False) -> None:
         """Queue one chunk, the last one until the answer is finished.
 
         The channel tells when to pause.
         """
-        self.held += self.connection.send(h11.Data(data=chunk))
+        self.held += self.render(h11.Data(data=chunk))
         if not is_last:
             self.write()
 
     async def finish(self) -> None:
         """Send the final chunk: the answer is whole."""
-        self.held += self.connection.send(h11.EndOfMessage())
+        self.held += self.render(h11.EndOfMessage())
         self.write()
         await self.drain()
 
     def break_off(self) -> None:
         """Close without a final chunk, so that the caller sees the break."""
         self.write()
+        self.ended = True
         self.channel.close()
 
+    def render(self, event: h11.Event) -> bytes:
+        """Return a part of the answer as it goes over the wire."""
+        if self.ended:
+            raise ConnectionResetError('the request has ended')
+        return self.connection.send(event)
+
     def write(self) -> None:
         """Queue what is held."""
         if self.held:
