Run nothing for callers that are gone before their request is handled

A caller that closed its side while its first request ran had its next, already sent request handled all the same: the handler watches for a loss that has happened already.

--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -175,6 +175,8 @@
             raise RefusedInput(ProblemKind.connections, 'connection limit')
         while await self.wait_for_request(connection, channel):
             request = await self.read_request(connection, channel)
+            if channel.ended:
+                raise ConnectionResetError('the caller is gone')
             await self.handle(request, AnswerWriter(connection, channel))
             if not is_reusable(connection) or self.draining:
                 return
--- a/godwitshunt/exchange/tests/test_listener_attribution.py
+++ b/godwitshunt/exchange/tests/test_listener_attribution.py
@@ -170,3 +170,22 @@
         assert first.endswith(b'whole\r\n')
         assert second.startswith(b'HTTP/1.1 400 ')
         assert handled == ['/1']
+
+
+async def test_a_caller_that_is_gone_has_nothing_run():
+    """A caller sends two requests and closes its side during the first."""
+
+    async def run_to_the_end(request, writer):
+        await asyncio.sleep(QUIET_S / 4)
+        try:
+            await writer.whole(answer_to(request.path))
+        except ConnectionError:
+            handled_gone.append(request.path)
+
+    handled_gone = []
+    async with connected(run_to_the_end) as (_, writer, handled):
+        writer.write(request_for('/1') + request_for('/2'))
+        writer.write_eof()
+        await asyncio.sleep(QUIET_S)
+        assert handled in ([], ['/1'])
+        assert handled_gone == handled
