Answer no line breaks between the requests of a caller

A caller that sends a line break after a body got, besides its answer, a 400 that it had not asked for ('no request line received') on a connection that was then closed. A caller that had sent its next request by then took that refusal for its answer; a 400 isn't retried. RFC 9112, section 2.2: a server ignores empty lines before a request line.

Evidence: test_empty_lines_between_requests_get_no_answer got the answer to /1 followed by HTTP/1.1 400 before.

--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -28,6 +28,8 @@
 BODY_TIMEOUTS = 6
 LINGER_S = 0.2
 BACKLOG = 1024
+EMPTY_LINES = b'\r\n'
+LINE_BREAKS = (b'\r', b'\n')
 
 
 class RefusedInput(Exception):
@@ -151,12 +153,12 @@
     async def serve(self, channel: Channel) -> None:
         """Serve one connection until it ends."""
         self.metrics.count('http_connections_total')
-        connection = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self.options.limits.header_bytes,
-        )
+        connection = self.new_connection()
         try:
-            await self.serve_requests(connection, channel)
+            if len(self.tasks) > self.options.limits.connections:
+                raise RefusedInput(ProblemKind.connections, 'connection limit')
+            while await self.serve_request(connection, channel):
+                connection = self.next_cycle(connection)
         except RefusedInput as refused:
             self.metrics.count('http_refused_total', kind=refused.kind.slug)
             await self.refuse(connection, channel, refused)
@@ -165,22 +167,42 @@
         finally:
             channel.close()
 
-    async def serve_requests(
+    async def serve_request(
         self,
         connection: h11.Connection,
         channel: Channel,
-    ) -> None:
-        """Read and answer requests in turn."""
-        if len(self.tasks) > self.options.limits.connections:
-            raise RefusedInput(ProblemKind.connections, 'connection limit')
-        while await self.wait_for_request(connection, channel):
-            request = await self.read_request(connection, channel)
-            if channel.ended:
-                raise ConnectionResetError('the caller is gone')
-            await self.handle(request, AnswerWriter(connection, channel))
-            if not is_reusable(connection) or self.draining:
-                return
+    ) -> bool:
+        """Read and answer one request; False where no other may follow."""
+        if not await self.wait_for_request(connection, channel):
+            return False
+        request = await self.read_request(connection, channel)
+        if channel.ended:
+            raise ConnectionResetError('the caller is gone')
+        await self.handle(request, AnswerWriter(connection, channel))
+        return is_reusable(connection) and not self.draining
+
+    def new_connection(self) -> h11.Connection:
+        """Return the parser of a connection without a request."""
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self.options.limits.header_bytes,
+        )
+
+    def next_cycle(self, connection: h11.Connection) -> h11.Connection:
+        """Return the parser for the next request on a connection.
+
+        The parser refuses empty lines before a request (RFC 9112, section
+        2.2), and does not give back what it has received.
+        """
+        received = connection.trailing_data[0]
+        if not received.startswith(LINE_BREAKS):
             connection.start_next_cycle()
+            return connection
+        renewed = self.new_connection()
+        following = received.lstrip(EMPTY_LINES)
+        if following:
+            renewed.receive_data(following)
+        return renewed
 
     async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
         """Have one request answered."""
@@ -220,7 +242,7 @@
         self.idle.add(channel)
         try:
             async with asyncio.timeout(self.options.idle_timeout_s):
-                chunk = await channel.read()
+                chunk = await read_past_empty_lines(channel)
         except TimeoutError:
             return False
         finally:
@@ -399,6 +421,16 @@
         raise RefusedInput(kind_of_fault(wrong), str(wrong)) from None
 
 
+async def read_past_empty_lines(channel: Channel) -> bytes:
+    """Return what comes, without empty lines before it; empty at the end."""
+    chunk = await channel.read()
+    following = chunk.lstrip(EMPTY_LINES)
+    while chunk and not following:
+        chunk = await channel.read()
+        following = chunk.lstrip(EMPTY_LINES)
+    return following
+
+
 async def read_to_end(channel: Channel) -> None:
     """Read and drop what still comes."""
     chunk = await channel.read()
--- a/godwitshunt/exchange/tests/test_listener_attribution.py
+++ b/godwitshunt/exchange/tests/test_listener_attribution.py
@@ -189,3 +189,27 @@
         await asyncio.sleep(QUIET_S)
         assert handled in ([], ['/1'])
         assert handled_gone == handled
+
+
+@pytest.mark.parametrize('line_breaks', [(b'\r\n',), (b'\r', b'\n'), (b'\n',)])
+@pytest.mark.parametrize('is_pipelined', [True, False])
+async def test_empty_lines_between_requests_get_no_answer(
+    line_breaks, is_pipelined
+):
+    """Some callers send a line break after a body (RFC 9112, section 2.2).
+
+    A refusal of it would be taken for the answer to the next request.
+    """
+
+    async def answer(request, writer):
+        await writer.whole(answer_to(request.path))
+
+    async with connected(answer) as (reader, writer, _):
+        writer.writelines((request_for('/1', b'{}'), *line_breaks))
+        if not is_pipelined:
+            received = await read_until_quiet(reader)
+            assert received.endswith(b'answer to /1')
+        writer.write(request_for('/2'))
+        received = await read_until_quiet(reader)
+        assert received.endswith(b'answer to /2')
+        assert received.count(b'HTTP/1.1 200 ') == 1 + is_pipelined
