Repeat the id of a forwarded request in every answer between VMs

A VM's refusal of a forwarded request, and an answer of an upstream that repeats no id, named no request; the asking VM attributed them by position. A refusal that says *not run* of another request than the one that waits would have an unsafe request sent twice.

The VM that answers now repeats the id's header in refusals of admission and of the lifecycle, in refusals of notes, after a fault of its own and in answers and streams that it passes on, in both programs. An answer without an id is taken as before, as VMs of two builds serve together. Refusals of input that is not read whole (408, 413, 431) name none: they end their connection.

--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -28,6 +28,7 @@
 )
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.upstream_messages import (
+    REQUEST_ID,
     AnswerHead,
     BrokenAnswerError,
     OutgoingRequest,
@@ -44,7 +45,7 @@
 SIGN_OF_LIFE_S = 1.0
 SILENCE_S = 3.5
 TRANSIENT = frozenset((502, 503, 504))
-NOT_TOLD = frozenset((RESUME_HEADER, b'godwitshunt-entry'))
+NOT_TOLD = frozenset((RESUME_HEADER, REQUEST_ID, b'godwitshunt-entry'))
 KIND_BY_TYPE = MappingProxyType(
     {TYPE_PREFIX + kind.slug: kind for kind in ProblemKind},
 )
--- a/godwitshunt/exchange/gateway.py
+++ b/godwitshunt/exchange/gateway.py
@@ -39,6 +39,7 @@
 )
 from godwitshunt.exchange.request_task import RequestTask
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
+from godwitshunt.exchange.upstream_messages import REQUEST_ID
 from godwitshunt.exchange.upstream_pool import (
     UpstreamPool,
 )
@@ -163,6 +164,8 @@
 
     async def serve(self, request: HttpRequest, writer: AnswerWriter) -> None:
         """Admit a caller's or another VM's request and live its life."""
+        if request.header(FORWARD_HEADER) is not None:
+            writer.repeat_id(request, REQUEST_ID)
         match await self.admit(request):
             case Ok(admitted):
                 await self.live(admitted, writer)
--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -33,12 +33,28 @@
 
 
 class RefusedInput(Exception):
-    """Input that ends the connection after one typed answer."""
+    """Input that ends the connection after one typed answer.
 
-    def __init__(self, kind: ProblemKind, detail: str) -> None:
+    Parameters
+    ----------
+    kind : ProblemKind
+        Type of the answer.
+    detail : str
+        What was wrong.
+    request_id : tuple of bytes or None
+        Header that the answer repeats.
+    """
+
+    def __init__(
+        self,
+        kind: ProblemKind,
+        detail: str,
+        request_id: tuple[bytes, bytes] | None = None,
+    ) -> None:
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
+        self.request_id = request_id
 
 
 @dataclass(frozen=True)
@@ -216,7 +232,9 @@
         except Exception as fault:
             # A fault of ours must end one request only, and be seen.
             log_change('exchange:request_failed', error=repr(fault))
-            raise RefusedInput(ProblemKind.internal, 'see the log') from fault
+            raise RefusedInput(
+                ProblemKind.internal, 'see the log', answer.request_id
+            ) from fault
         finally:
             self.end_answer(answer)
 
@@ -341,6 +359,7 @@
             return
         answer = AnswerWriter(connection, channel)
         answer.closing = True
+        answer.request_id = refused.request_id
         # A refused HEAD request takes no body; it just sees the end.
         with suppress(ConnectionError, TimeoutError, h11.LocalProtocolError):
             await answer.whole(
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -59,9 +59,10 @@
     A caller that takes nothing of a complete answer for a minute is cut off;
     else its answer would stay in memory as long as it likes. The head and the
     last chunk of a stream are held until what follows them, as each send is a
-    system call and a packet. `ended` is set once the request has ended: bytes
-    that were written later would be read as the answer to the next request on
-    the connection.
+    system call and a packet. `request_id` is a header that the answer repeats,
+    so that another VM can tell to which of its requests it belongs. `ended` is
+    set once the request has ended: bytes that were written later would be read
+    as the answer to the next request on the connection.
 
     Every method raises `ConnectionResetError` where the caller is gone or the
     request has ended.
@@ -74,11 +75,18 @@
         self.closing = False
         self.bodyless = False
         self.ended = False
+        self.request_id: tuple[bytes, bytes] | None = None
         self.held = b''
 
+    def repeat_id(self, request: HttpRequest, id_header: bytes) -> None:
+        """Let the answer repeat the id that its request has, if it has one."""
+        request_id = request.header(id_header)
+        if request_id:
+            self.request_id = (id_header, request_id.encode('latin-1'))
+
     async def whole(self, answer: WholeAnswer) -> None:
         """Send an answer in one piece, with its length."""
-        headers = list(answer.headers)
+        headers = self.with_id(answer.headers)
         if answer.status not in BODYLESS:
             length = str(len(answer.body)).encode()
             headers.append((b'content-length', length))
@@ -143,7 +151,8 @@
 
     def put_head(self, status: int, headers: Headers) -> None:
         """Hold the head of an answer that comes in chunks."""
-        told = [*headers, (b'transfer-encoding', b'chunked')]
+        told = self.with_id(headers)
+        told.append((b'transfer-encoding', b'chunked'))
         if self.closing:
             told.append((b'connection', b'close'))
         self.begun = True
@@ -171,6 +180,15 @@
         self.ended = True
         self.channel.close()
 
+    def with_id(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return an answer's headers with the id that it repeats."""
+        told = list(headers)
+        if self.request_id is None:
+            return told
+        if all(name != self.request_id[0] for name, _ in headers):
+            told.append(self.request_id)
+        return told
+
     def render(self, event: h11.Event) -> bytes:
         """Return a part of the answer as it goes over the wire."""
         if self.ended:
--- a/godwitshunt/exchange/tests/test_forwarding.py
+++ b/godwitshunt/exchange/tests/test_forwarding.py
@@ -18,6 +18,7 @@
     Upstream,
     Vm,
     chat_bytes,
+    field_of,
     newer,
     raw,
     request_bytes,
@@ -392,3 +393,56 @@
         assert {reply.status for reply in replies} == {200}
         async with asyncio.timeout(5):
             await asyncio.gather(*closing)
+
+
+async def heads_of_refusal(vm: Vm, *requests: bytes) -> list[bytes]:
+    """Return the heads of a VM's answers on one connection."""
+    address = vm.address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    heads = []
+    for request in requests:
+        writer.write(request)
+        head = await reader.readuntil(b'\r\n\r\n')
+        heads.append(head)
+        await reader.readexactly(int(field_of(head, b'content-length')))
+    writer.close()
+    return heads
+
+
+async def test_refusals_of_forwarded_requests_repeat_their_ids():
+    """Without them the asking VM can attribute a refusal by position only."""
+    async with started_vm('z1', 'kozhikode') as vm:
+        requests = [
+            chat_bytes(Godwitshunt_Forward='e30=', Godwitshunt_Request=name)
+            for name in ('r-1', 'r-2')
+        ]
+        heads = await heads_of_refusal(vm, *requests)
+        told = [field_of(head, b'godwitshunt-request') for head in heads]
+        assert told == [b'r-1', b'r-2']
+
+
+async def test_callers_are_told_no_id_of_a_hop():
+    """The id of a hop is of no use to callers."""
+    async with AsyncExitStack() as stack:
+        regions = await two_regions(stack)
+        reply = await raw(regions.near.address, chat_bytes(PROMPT))
+        assert reply.body == scripts.answer_to(chat_bytes(PROMPT))
+        assert 'godwitshunt-request' not in reply.headers
+
+
+async def refuse_without_id(upstream, writer, request):
+    """Stand for an older VM that refuses and repeats no id."""
+    body = b'{"type": "urn:godwitshunt:problem:overloaded"}'
+    head = b'HTTP/1.1 503 Busy\r\nGodwitshunt-Outcome: not-run\r\n'
+    writer.write(b'%sContent-Length: %d\r\n\r\n%s' % (head, len(body), body))
+
+
+async def test_older_vm_that_repeats_no_id_is_understood():
+    """VMs of two builds serve together while a region is updated."""
+    older = Upstream('z9', refuse_without_id, region='kozhikode')
+    async with started_upstream(older), started_vm() as near:
+        near.choose.forwards = (Forward('kozhikode', 'z9', older.address),)
+        for _ in range(2):
+            reply = await raw(near.address, chat_bytes(PROMPT))
+            assert (reply.status, reply.outcome) == (503, 'not-run')
+        assert len(older.requests) == 2
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -313,6 +313,7 @@
         self, http: HttpRequest, writer: AnswerWriter
     ) -> None:
         """Serve a request that another entry VM forwarded."""
+        writer.repeat_id(http, self.context.names.request_id)
         if self.active_revision is None:
             detail = 'no revision is in force here yet'
             problem = Problem(ProblemKind.not_ready, detail, Outcome.not_run)
