Read past interim answers in the calls of operators and orders

An order or an operator's call whose server sent 100 or 102 before its answer counted as lost ('ended before its answer'), although the answer followed: the first head that came was taken for the answer. A lost order is sent again.

That a second answer reaches no other call, and that a part of an answer is none, held before: each call has its own connection.

--- a/godwitshunt/configuration/http_calls.py
+++ b/godwitshunt/configuration/http_calls.py
@@ -176,9 +176,7 @@
     status = 0
     body = bytearray()
     while len(body) <= MAX_ANSWER_BYTES:
-        match connection.next_event():
-            case h11.NEED_DATA:
-                connection.receive_data(await reader.read(READ_BYTES))
+        match await next_event(reader, connection):
             case h11.Response(status_code=code):
                 status = code
             case h11.Data(data=chunk):
@@ -188,3 +186,18 @@
             case _:
                 raise ConnectionResetError('ended before its answer')
     raise ConnectionResetError('the answer is too long')
+
+
+async def next_event(
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+) -> h11.Event:
+    """Return the next part of the answer, past interim answers."""
+    event = connection.next_event()
+    while event is h11.NEED_DATA or isinstance(
+        event, h11.InformationalResponse
+    ):
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        event = connection.next_event()
+    return event
