Count answers that more follows as broken in the replay tool

The tool counted an answer as whole also where the entry VM had sent a second one behind it: the one sign of an entry VM that answers twice was dropped, and the tool's figures could not show such a fault.

Evidence: test_an_answer_followed_by_more_is_not_counted_whole counted two whole answers before.

--- a/godwitshunt/replay/sender.py
+++ b/godwitshunt/replay/sender.py
@@ -298,7 +298,8 @@
         # A stream without its final marker is a part of an answer.
         if self.request.model and not self.tail.endswith(FINAL_EVENT):
             return self.sample(Ending.broken)
-        self.call.release()
+        if not self.call.release():
+            return self.sample(Ending.broken)
         in_time = self.elapsed_s() <= self.request.deadline_s
         return self.sample(Ending.whole if in_time else Ending.late)
 
