--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -120,7 +120,7 @@
     async def hear_head(self, head: AnswerHead) -> msg.Event:
         """Decide by the head how the body is read."""
         if self.streams and is_event_stream(head):
-            self.check_resumed(head)
+            self.check_stream(head)
             self.events.delivered = self.resume_offset
             return msg.HeadArrived()
         body = await self.read_whole()
@@ -133,13 +133,17 @@
         answer = WholeAnswer(head.status, self.told_headers(head), body)
         return msg.AnswerArrived(answer)
 
-    def check_resumed(self, head: AnswerHead) -> None:
-        """Refuse a stream that does not go on where the caller stands.
+    def check_stream(self, head: AnswerHead) -> None:
+        """Refuse a stream that is not chunked, or goes on at another event.
 
-        An engine that ignores the offset would start anew, and the caller
-        would get the beginning twice. The engine repeats the offset that it
-        resumes at, and only that is believed.
+        Bytes of another answer within a chunked stream break its chunks; with
+        a length they would be taken for events. An engine that ignores the
+        offset would start anew, and the caller would get the beginning twice.
+        The engine repeats the offset that it resumes at, and only that is
+        believed.
         """
+        if (b'transfer-encoding', b'chunked') not in head.headers:
+            raise BrokenAnswerError('a stream that is not chunked')
         if not self.resume_offset:
             return
         told = dict(head.headers).get(RESUME_HEADER)
