--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -74,6 +74,8 @@
         Longest answer that is read whole.
     resume_offset : int
         Whole events that the caller already has.
+    is_named : bool
+        True where the answer repeats the id of the request.
     """
 
     target: msg.Target
@@ -87,6 +89,12 @@
     call: UpstreamCall | None = None
     head: AnswerHead | None = None
     events: EventSplitter = field(default_factory=EventSplitter)
+    is_named: bool = False
+
+    @property
+    def is_forward(self) -> bool:
+        """True where the target is a VM, which answers a request once."""
+        return isinstance(self.target, Forward)
 
     async def dispatch(self, pool: UpstreamPool) -> msg.Event:
         """Send the request; read the head, and the body where unary."""
@@ -101,6 +109,7 @@
                 self.request,
                 self.longest_silence_s(),
             )
+            self.check_named(self.head)
             return await self.hear_head(self.head)
         except (BrokenAnswerError, ConnectionError) as broken:
             self.cancel()
@@ -113,10 +122,20 @@
         wait for their whole deadline. A call that may not be repeated waits
         on: given up, its answer would be lost with no other try allowed.
         """
-        if self.repeatable and isinstance(self.target, Forward):
+        if self.repeatable and self.is_forward:
             return SILENCE_S
         return None
 
+    def check_named(self, head: AnswerHead) -> None:
+        """Refuse an answer without an id where it may be another one's.
+
+        An upstream may answer a request twice, the second time late.
+        """
+        self.is_named = REQUEST_ID in dict(head.headers)
+        is_shared = self.call.use.is_shared
+        if is_shared and not (self.is_named or self.is_forward):
+            raise BrokenAnswerError('an answer without an id')
+
     async def hear_head(self, head: AnswerHead) -> msg.Event:
         """Decide by the head how the body is read."""
         if self.streams and is_event_stream(head):
@@ -124,7 +143,7 @@
             self.events.delivered = self.resume_offset
             return msg.HeadArrived()
         body = await self.read_whole()
-        if isinstance(self.target, Forward):
+        if self.is_forward:
             told = read_refusal(head, body)
             if told is not None:
                 return told
@@ -162,10 +181,24 @@
             if size > self.answer_bytes:
                 raise BrokenAnswerError('the answer is too long')
             parts.append(chunk)
-        if not self.call.release():
+        if not self.release():
             raise BrokenAnswerError('more came than the answer')
         return b''.join(parts)
 
+    def release(self) -> bool:
+        """Give the connection back; False where more than the answer came.
+
+        A connection is used again only where its answers repeat their ids:
+        a late second answer without one would be taken for that of the next
+        request.
+        """
+        if self.is_named or self.is_forward:
+            return self.call.release()
+        received = self.call.channel.received
+        surplus = self.call.connection.trailing_data[0] or received
+        self.call.abandon()
+        return not surplus
+
     async def relay(
         self,
         writer: AnswerWriter,
@@ -187,7 +220,7 @@
         finally:
             pipe.close()
         if fault is None:
-            self.call.release()
+            self.release()
             return msg.StreamEnded()
         self.cancel()
         return msg.StreamBroke(self.events.delivered, writer.begun, fault)
@@ -199,7 +232,7 @@
         an upstream are dropped, so that none can claim another's place.
         """
         headers = passed_on(head.headers)
-        if isinstance(self.target, Forward):
+        if self.is_forward:
             headers = (*headers, *own_headers(head.headers))
         return (*headers, *self.served)
 
--- a/godwitshunt/exchange/tests/test_second_answers.py
+++ b/godwitshunt/exchange/tests/test_second_answers.py
@@ -2,16 +2,57 @@
 
 import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
 
 from godwitshunt.exchange.tests import scripts
 from godwitshunt.exchange.tests.fakes import (
     Upstream,
     chat_bytes,
     raw,
+    request_bytes,
     started_upstream,
     started_vm,
 )
 
+# Time between a late second answer and the answer that is due.
+ANSWER_S = 0.03
+
+
+def without_id(answer: bytes) -> bytes:
+    """Return an answer that names no request."""
+    return b'\r\n'.join(
+        line
+        for line in answer.split(b'\r\n')
+        if not line.startswith(b'Godwitshunt-Request')
+    )
+
+
+@dataclass
+class Stuttering:
+    """Script of an upstream that repeats an answer where the next is due.
+
+    Parameters
+    ----------
+    repeats_ids, repeats_ids_late : bool
+        Whether its answers repeat ids, and whether the second ones do.
+    """
+
+    repeats_ids: bool
+    repeats_ids_late: bool
+    former: dict = field(default_factory=dict)
+
+    async def __call__(self, upstream, writer, request):
+        """Send the second answer to the request before, then the first."""
+        writer.write(self.former.get(writer, b''))
+        await writer.drain()
+        await asyncio.sleep(ANSWER_S)
+        named = scripts.whole(request)
+        unnamed = without_id(named)
+        writer.write(named if self.repeats_ids else unnamed)
+        self.former[writer] = named if self.repeats_ids_late else unnamed
+
 
 @asynccontextmanager
 async def deployed(script, service='chat'):
@@ -26,6 +67,54 @@
         yield vm
 
 
+STUTTERING = [(True, True), (True, False), (False, False)]
+
+
+@pytest.mark.parametrize('ids', STUTTERING)
+async def test_callers_get_no_second_answer_of_another_request(ids):
+    """A second answer comes where the answer to the next request is due."""
+    async with deployed(Stuttering(*ids)) as vm:
+        for number in range(6):
+            prompt = f'question {number}'
+            reply = await raw(vm.address, chat_bytes(prompt))
+            assert reply.body == f'answer to {prompt}'.encode()
+
+
+@pytest.mark.parametrize('ids', STUTTERING)
+async def test_no_second_answer_is_taken_for_a_call_that_runs_once(ids):
+    """A call without a key that is not declared as safe is sent once."""
+    async with deployed(Stuttering(*ids), 'pages') as vm:
+        for number in range(4):
+            path = f'/services/pages/{number}'
+            reply = await raw(vm.address, request_bytes('PUT', path))
+            assert reply.body == f'answer to /{number}'.encode()
+
+
+@pytest.mark.parametrize(
+    ('repeats_ids', 'connections'), [(True, 1), (False, 5)]
+)
+async def test_connections_are_kept_where_answers_repeat_ids(
+    repeats_ids, connections
+):
+    """Each request would else cost a connection."""
+
+    async def answer(upstream, writer, request):
+        answer = scripts.whole(request)
+        writer.write(answer if repeats_ids else without_id(answer))
+
+    async with deployed(answer) as vm:
+        for _ in range(5):
+            await raw(vm.address, chat_bytes('who?'))
+        assert vm.count(f'upstream_connects_total {connections}')
+
+
+async def test_surplus_after_an_answer_without_an_id_is_noticed():
+    """What came may be a part of a longer answer."""
+    async with deployed(scripts.long) as vm:
+        reply = await raw(vm.address, chat_bytes('who?'))
+        assert reply.body == b'answer to who?'
+
+
 async def sized_stream(upstream, writer, request):
     """Stream with a length, and another answer within the stream."""
     content = b''.join(scripts.events_for(request))
--- a/standins/host.py
+++ b/standins/host.py
@@ -8,6 +8,7 @@
 from godwitshunt.exchange.listener import Listener, ListenerOptions
 from godwitshunt.exchange.problems import json_answer
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
+from godwitshunt.exchange.upstream_messages import REQUEST_ID
 from godwitshunt.settings import Address, LimitSettings
 from godwitshunt.telemetry import Metrics
 from godwitshunt.timer import stop_on_signals
@@ -103,6 +104,7 @@
 
     async def handle(self, request: HttpRequest, writer: AnswerWriter) -> None:
         """Answer a request or one of the paths for tests."""
+        writer.repeat_id(request, REQUEST_ID)
         match request.path:
             case path if path == RUNS_PATH:
                 await writer.whole(json_answer(self.tell_runs()))
