Notice answers within the answers of the older entry program

What callers got: a stream that ended cleanly with the head and an event of another stream in it, and a plain 200 whose body began with another caller's whole answer.

Cause: an upstream that writes a chunk or a body with a length in parts may write a late second answer between them. The length then ends elsewhere: the rest of the own bytes is surplus, which comes too late where it is written later. The stream broke at the chunk's end and was resumed behind the foreign event.

A stream with a carriage return, which events of the contract do not have, is broken off before it is passed on and resumed at the own event. A whole body with a status line and the header of an id is broken where others have used the connection.

Evidence: test_no_event_of_another_answer_within_a_chunk_is_passed_on and test_no_answer_within_another_ones_body_is_passed_on failed before. A second answer that repeats no id, within the body of one that does, is not noticed.

--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at one upstream or VM: sending, reading, relaying."""
 
 import json
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import MappingProxyType
@@ -46,11 +47,36 @@
 SILENCE_S = 3.5
 TRANSIENT = frozenset((502, 503, 504))
 NOT_TOLD = frozenset((RESUME_HEADER, REQUEST_ID, b'godwitshunt-entry'))
+CARRIAGE_RETURN = b'\r'
+EMBEDDED_HEAD = re.compile(
+    rb'HTTP/1\.1 \d{3}[^\n]{0,100}\n(?:[^\n]{1,1000}\n){0,64}?%s:' % REQUEST_ID,
+    re.IGNORECASE,
+)
 KIND_BY_TYPE = MappingProxyType(
     {TYPE_PREFIX + kind.slug: kind for kind in ProblemKind},
 )
 
 
+class OwnEvents(EventSplitter):
+    """Cuts a stream into whole events, and refuses another answer in it.
+
+    An upstream may write a late second answer within a chunk of a stream. The
+    lines of its head end with a carriage return, those of events do not.
+    """
+
+    def take(self, chunk: bytes) -> bytes:
+        """Return the whole events that end in this chunk.
+
+        Raises
+        ------
+        BrokenAnswerError
+            Where the chunk may contain another answer.
+        """
+        if CARRIAGE_RETURN in chunk:
+            raise BrokenAnswerError('an answer within a stream')
+        return super().take(chunk)
+
+
 @dataclass
 class Attempt:
     """One sending of a request.
@@ -88,7 +114,7 @@
     resume_offset: int = 0
     call: UpstreamCall | None = None
     head: AnswerHead | None = None
-    events: EventSplitter = field(default_factory=EventSplitter)
+    events: EventSplitter = field(default_factory=OwnEvents)
     is_named: bool = False
 
     @property
@@ -183,7 +209,10 @@
             parts.append(chunk)
         if not self.release():
             raise BrokenAnswerError('more came than the answer')
-        return b''.join(parts)
+        body = b''.join(parts)
+        if self.call.use.is_shared and contains_answer(body):
+            raise BrokenAnswerError('an answer within another one')
+        return body
 
     def release(self) -> bool:
         """Give the connection back; False where more than the answer came.
@@ -242,6 +271,19 @@
             self.call.abandon()
 
 
+def contains_answer(body: bytes) -> bool:
+    r"""Tell whether a body contains the head of an answer with an id.
+
+    Examples
+    --------
+    >>> contains_answer(b'..HTTP/1.1 200 OK\r\nGodwitshunt-Request: 7\r\n')
+    True
+    >>> contains_answer(b'HTTP/1.1 200 OK has no Godwitshunt-Request: 7')
+    False
+    """
+    return EMBEDDED_HEAD.search(body) is not None
+
+
 def is_event_stream(head: AnswerHead) -> bool:
     """Tell whether an answer is a stream of events."""
     kind = dict(head.headers).get(b'content-type', b'')
--- a/godwitshunt/exchange/tests/test_second_answers.py
+++ b/godwitshunt/exchange/tests/test_second_answers.py
@@ -18,6 +18,7 @@
 
 # Time between a late second answer and the answer that is due.
 ANSWER_S = 0.03
+PIECE_S = 0.001
 
 
 def without_id(answer: bytes) -> bytes:
@@ -139,3 +140,64 @@
         reply = await raw(vm.address, chat_bytes('who?', stream=True))
         assert b'foreign' not in reply.body
         assert reply.body == b''.join(scripts.events_for(chat_bytes('who?')))
+
+
+LONG_PROMPT = '.' * 400
+FOREIGN_STREAM = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+    b'10\r\ndata: foreign\n\n\r\n0\r\n\r\n'
+)
+
+
+async def second_answer_within_a_chunk(upstream, writer, request):
+    """Stream in one chunk, written in two parts, with an answer between."""
+    content = b''.join(scripts.events_for(request))
+    cut = content.index(b'\n\n') + 2
+    head = scripts.stream_head(request)[0]
+    writer.writelines((head, b'%x\r\n' % len(content), content[:cut]))
+    writer.write(FOREIGN_STREAM)
+    await writer.drain()
+    await asyncio.sleep(ANSWER_S)
+    writer.writelines((content[cut:], b'\r\n0\r\n\r\n'))
+
+
+async def test_no_event_of_another_answer_within_a_chunk_is_passed_on():
+    """The upstream writes a chunk in parts, and another answer between them.
+
+    The chunk's length then ends elsewhere, but events came before.
+    """
+    async with deployed(second_answer_within_a_chunk) as vm:
+        reply = await raw(vm.address, chat_bytes(LONG_PROMPT, stream=True))
+        whole = scripts.events_for(chat_bytes(LONG_PROMPT))
+        assert reply.body == b''.join(whole)
+
+
+@dataclass
+class SecondAnswerWithinBody:
+    """Script of an upstream that repeats an answer within the next one."""
+
+    former: dict = field(default_factory=dict)
+
+    async def __call__(self, upstream, writer, request):
+        """Write head, second answer to the request before, then the body."""
+        own = scripts.whole(request)
+        cut = own.index(b'\r\n\r\n') + 4
+        writer.write(own[:cut])
+        writer.write(self.former.get(writer, b''))
+        for byte in own[cut:]:
+            await writer.drain()
+            await asyncio.sleep(PIECE_S)
+            writer.write(bytes((byte,)))
+        self.former[writer] = own
+
+
+async def test_no_answer_within_another_ones_body_is_passed_on():
+    """The body's length then ends within the other answer."""
+    async with deployed(SecondAnswerWithinBody()) as vm:
+        for number in range(4):
+            prompt = f'question {number}'
+            if number % 2:
+                prompt = f'{prompt} {LONG_PROMPT}'
+            reply = await raw(vm.address, chat_bytes(prompt))
+            assert reply.body == f'answer to {prompt}'.encode()
