--- a/godwitshunt/exchange/tests/test_bodies_and_methods.py
+++ b/godwitshunt/exchange/tests/test_bodies_and_methods.py
@@ -1,6 +1,7 @@
 """Answers that end elsewhere than their connection's next request begins."""
 
 import asyncio
+import secrets
 from contextlib import asynccontextmanager
 
 import pytest
@@ -56,7 +57,8 @@
 
 async def ask(pool, address, target, method='GET', body=b''):
     """Return status and body of the answer to a request."""
-    request = OutgoingRequest(method, target, (), body, target)
+    request_id = secrets.token_hex(8)
+    request = OutgoingRequest(method, target, (), body, request_id)
     call = (await pool.open(address, request)).ok_value
     try:
         return await exchange(call, request)
