--- a/godwitshunt/ingress/tests/test_mixed_answers.py
+++ b/godwitshunt/ingress/tests/test_mixed_answers.py
@@ -67,7 +67,13 @@
 async def attempt(pool, address, request_id, method='GET', body=b''):
     """Return the outcome of an attempt."""
     outgoing = OutgoingRequest(
-        method, '/', (), body, request_id, id_header=NAMES.request_id
+        method,
+        '/',
+        (),
+        body,
+        request_id,
+        id_header=NAMES.request_id,
+        repeats_id=True,
     )
     made = Attempt(
         names=NAMES,
