Show a wait behind a foreign answer on a new connection

An answer with another id is read past also where no other request has used the connection, so that none can be late on it. Where nothing follows, the request waits for its timeout, and one that may not be repeated for its deadline.

--- a/godwitshunt/ingress/tests/test_mixed_answers.py
+++ b/godwitshunt/ingress/tests/test_mixed_answers.py
@@ -156,3 +156,18 @@
         pool.close()
         assert isinstance(outcome, Answered)
         assert outcome.answer.status == 413
+
+
+async def test_no_answer_is_awaited_behind_a_foreign_one_on_a_new_connection():
+    """No late answer can come on a new connection.
+
+    The upstream confuses ids, and its own answer does not follow; the request
+    would be kept waiting for its whole deadline.
+    """
+    foreign = (answer(b'r-1', fields=SEAL),)
+    async with upstream([foreign]) as address:
+        pool = UpstreamPool(Metrics())
+        async with asyncio.timeout(2):
+            outcome = await attempt(pool, address, 'r-2')
+        pool.close()
+        assert isinstance(outcome, Lost)
