Drop the start of an event with the attempt that sent it

Callers of streams got an event that began with a part of another upstream's: where an attempt broke within the first event, its bytes stayed in front of the next attempt's, and the joined event had one id in its turn. Only a stream that had begun dropped them, and a stream begins with its first whole event.

--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -331,8 +331,7 @@
         is_forward: bool = False,
     ) -> Attempt:
         """Create an attempt; a stream that has begun is resumed."""
-        if self.progress.begun:
-            self.events.resume()
+        self.events.resume()
         return Attempt(
             names=self.context.names,
             address=address,
