Lose an attempt that resumes a stream as a failure

Callers of a stream that had begun saw it broken off, while the log told an answered request: an upstream that refused the resume with another status than 5xx counted as an answer, whose head then could not be written behind the stream's (exchange:request_failed). No other upstream was asked. It is a loss now, so that the stream is resumed elsewhere or broken off in order.

The test failed before (Answered where Lost is due), and passes.

--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -182,7 +182,7 @@
             return await self.receive_vm_refusal(head, fields)
         if head.status in SUCCESS:
             return await self.receive_success(head, fields, writer)
-        return await self.receive_failure(head)
+        return await self.receive_failure(head, writer)
 
     async def receive_refusal(self, head: AnswerHead) -> AttemptOutcome:
         """Receive the proof that the request did not run."""
@@ -232,7 +232,9 @@
         body = await self.read_whole()
         return Answered(WholeAnswer(head.status, caller_headers(head), body))
 
-    async def receive_failure(self, head: AnswerHead) -> AttemptOutcome:
+    async def receive_failure(
+        self, head: AnswerHead, writer: AnswerWriter
+    ) -> AttemptOutcome:
         """Receive a failure answer.
 
         A status that promises that the request did not run must not be passed
@@ -244,6 +246,8 @@
         answer = WholeAnswer(head.status, caller_headers(head), body)
         if head.status in SERVER_FAILURES:
             return Failed(answer)
+        if writer.begun:
+            return Lost(f'resumed as status {head.status}')
         return Answered(answer)
 
     async def read_whole(self) -> bytes:
--- a/godwitshunt/ingress/tests/test_attribution_review.py
+++ b/godwitshunt/ingress/tests/test_attribution_review.py
@@ -27,6 +27,10 @@
 )
 CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
 LAST_CHUNK = b'0\r\n\r\n'
+REFUSAL = (
+    b'HTTP/1.1 404 No\r\nrequest: r-1\r\nsignature: s\r\n'
+    b'content-length: 2\r\n\r\nno'
+)
 
 
 def event(number, content=b'own'):
@@ -165,3 +169,12 @@
     assert [type(one) for one in seen] == [Lost, Streamed]
     await request.writer.finish()
     assert caller_body(request.writer) == b''.join((event(1), event(2)))
+
+
+async def test_failure_does_not_follow_the_events_of_a_stream():
+    """An answer counted as delivered although its caller saw a break."""
+    begun = chunked(event(1), b'id: 2\nda')
+    seen = await outcomes_of(
+        OneRequest(), b''.join((STREAM_HEAD, CHUNKED, begun)), REFUSAL
+    )
+    assert [type(one) for one in seen] == [Lost, Lost]
