Bound the wait for the end of an answer to another request

Callers of repeatable requests waited up to their deadline although another upstream could have answered: a late second answer that was cut short was read past without a limit, as the limit held for heads only.

The test (a foreign answer four bytes short, then silence) timed out after 5 s before, and is refused after the given 0.1 s.

--- a/godwitshunt/exchange/upstream_call.py
+++ b/godwitshunt/exchange/upstream_call.py
@@ -1,8 +1,8 @@
 """One request on a connection to an upstream or another VM."""
 
-from collections.abc import Iterable
+from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import h11
 
@@ -34,6 +34,8 @@
 if TYPE_CHECKING:
     from godwitshunt.exchange.upstream_pool import UpstreamPool
 
+Received = TypeVar('Received')
+
 BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
 # Answers to other requests that are read past at most.
 MAX_SKIPPED = 4
@@ -130,7 +132,7 @@
         skipped = 0
         while is_of_another(head, request) and self.may_skip(request, skipped):
             self.record_stray(StrayKind.skipped, named_request(head, request))
-            await self.skip(request)
+            await self.in_time(self.skip(request), silence_s)
             skipped += 1
             head = await self.next_head(silence_s)
         self.check_attribution(head, request)
@@ -262,11 +264,17 @@
 
     async def sign_of_life(self, silence_s: float | None) -> object:
         """Return the next event; raise where none comes in time."""
+        return await self.in_time(self.event(), silence_s)
+
+    async def in_time(
+        self, received: Awaitable[Received], silence_s: float | None
+    ) -> Received:
+        """Return what is received; raise where it does not come in time."""
         if silence_s is None:
-            return await self.event()
+            return await received
         try:
             async with deadline(silence_s):
-                return await self.event()
+                return await received
         except TimeoutError:
             raise BrokenAnswerError('no sign of life') from None
 
