See the head of another answer that ends a body or is cut short there

Callers could get an answer whose end is the start of its repetition (no length, connection closed within the second head), or a late refusal without id and signature that fills the rest of a body with a length: only heads with such a header were seen. A body that ends with a head, or within one, is refused now. The last status line alone is tried, so that the check stays linear.

A status line that is itself cut short is not seen: texts end so too.

--- a/godwitshunt/exchange/attribution.py
+++ b/godwitshunt/exchange/attribution.py
@@ -25,6 +25,12 @@
 SINGLE_USE_S = 30.0
 STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d[ \r]')
 STATUS_LINE_START = b'HTTP/1.'
+# The head of an answer up to the end of what was received, cut short or not.
+FINAL_HEAD = re.compile(
+    rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n'
+    rb'(?:[!-9;-~]+:[^\r\n]*\r\n)*'
+    rb'(?:[!-9;-~]*(?::[^\r\n]*)?\r?|\r\n)\Z'
+)
 
 
 class StrayKind(Enum):
@@ -178,6 +184,9 @@
 def embeds_answer(body: bytes, names: Iterable[bytes]) -> bool:
     r"""Tell whether a body contains the head of another answer.
 
+    A body that ends with a head, or within one, has no room for the headers
+    that a whole answer would have.
+
     Parameters
     ----------
     body : bytes
@@ -189,12 +198,16 @@
     --------
     >>> embeds_answer(b'..HTTP/1.1 200 OK\r\nRequest: r-1\r\n', [b'request'])
     True
-    >>> embeds_answer(b'..HTTP/1.1 200 OK\r\nDate: now\r\n', [b'request'])
+    >>> embeds_answer(b'..HTTP/1.1 200 OK\r\nDa', [b'request'])
+    True
+    >>> embeds_answer(b'..HTTP/1.1 200 OK\r\n\r\nok', [b'request'])
     False
     """
     status = STATUS_LINE.search(body)
     if status is None:
         return False
+    if FINAL_HEAD.match(body, body.rfind(STATUS_LINE_START)):
+        return True
     return any(header_line(name).search(body, status.end()) for name in names)
 
 
