Refuse any answer's head in a body on a shared connection, and wait less behind a foreign one

A late refusal without id and signature within a body with a length was passed on in a 200 (test_no_body_with_another_answer_is_delivered[unnamed_failure]); a request behind a foreign answer on a new connection, where none can be late, waited for its deadline.

--- a/godwitshunt/exchange/attribution.py
+++ b/godwitshunt/exchange/attribution.py
@@ -33,6 +33,13 @@
 )
 
 
+# The head of an answer with its empty line.
+WHOLE_HEAD = re.compile(
+    rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n'
+    rb'(?:[!-9;-~]+:[^\r\n]*\r\n){0,64}\r\n'
+)
+
+
 class StrayKind(Enum):
     """What bytes that belong to no waiting request are.
 
@@ -183,7 +190,9 @@
     return b'' if found is None else found.group('content')
 
 
-def embeds_answer(body: bytes, names: Iterable[bytes]) -> bool:
+def embeds_answer(
+    body: bytes, names: Iterable[bytes], *, any_head: bool = False
+) -> bool:
     r"""Tell whether a body contains the head of another answer.
 
     A body that ends with a head, or within one, has no room for the headers
@@ -195,6 +204,9 @@
         A body that may contain what does not belong to it.
     names : iterable of bytes
         Headers of which an upstream's answer has at least one.
+    any_head : bool
+        True to find whole heads without any of them, too; a body that quotes
+        one is then taken for mixed.
 
     Examples
     --------
@@ -210,6 +222,8 @@
         return False
     if FINAL_HEAD.match(body, body.rfind(STATUS_LINE_START)):
         return True
+    if any_head and WHOLE_HEAD.search(body):
+        return True
     return any(header_line(name).search(body, status.end()) for name in names)
 
 
--- a/godwitshunt/exchange/upstream_call.py
+++ b/godwitshunt/exchange/upstream_call.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
+from math import inf
 from typing import TYPE_CHECKING, TypeVar
 
 import h11
@@ -39,6 +40,8 @@
 BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
 # Answers to other requests that are read past at most.
 MAX_SKIPPED = 4
+# Time for an answer to follow one to another request on a new connection.
+FOREIGN_WAIT_S = 1.0
 
 
 @dataclass
@@ -129,6 +132,9 @@
             which the other side counts as gone; None waits on.
         """
         head = await self.next_head(silence_s)
+        if is_of_another(head, request) and not self.use.is_shared:
+            # No late answer can come here: ours may never follow.
+            silence_s = min(silence_s or inf, FOREIGN_WAIT_S)
         skipped = 0
         while is_of_another(head, request) and self.may_skip(request, skipped):
             self.record_stray(StrayKind.skipped, named_request(head, request))
@@ -199,8 +205,9 @@
         StrayBytesError
             Where it may contain one.
         """
-        may_be_mixed = self.use.is_shared or self.is_unframed
-        if may_be_mixed and embeds_answer(body, names):
+        is_shared = self.use.is_shared
+        may_be_mixed = is_shared or self.is_unframed
+        if may_be_mixed and embeds_answer(body, names, any_head=is_shared):
             raise self.stray_error(
                 StrayKind.embedded, 'an answer within the body of another one'
             )
