Count a connection that stray bytes end as discarded once

Operators saw more connections discarded than made: the connection that got bytes while idle was discarded with all others to its place, and then again.

--- a/godwitshunt/exchange/tests/test_attribution_review.py
+++ b/godwitshunt/exchange/tests/test_attribution_review.py
@@ -73,3 +73,14 @@
         await ask(up, pool, 'r-1')
         with pytest.raises(StrayBytesError):
             await ask(up, pool, 'r-2')
+
+
+async def test_connection_that_is_ended_by_stray_bytes_is_counted_once():
+    """A count of discarded connections above that of made ones."""
+    async with running(answer('r-1'), b'') as (up, pool):
+        await ask(up, pool, 'r-1')
+        up.connections[0].write(answer('r-1'))
+        await asyncio.sleep(SILENCE_S)
+        assert not any(pool.idle.values())
+        discarded = ('upstream_connections_discarded_total', ())
+        assert pool.metrics.increases[discarded] == 1
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -162,16 +162,13 @@
     ) -> None:
         """Discard a connection on which bytes came without a request.
 
-        A repeated or late answer would be taken for the next one.
+        A repeated or late answer would be taken for the next one. The other
+        idle connections to the place are discarded too, as it is used once.
         """
-        if not received:
-            return
-        named = named_id(received, id_header)
-        self.record_stray(StrayKind.idle, place, kept.use, named, len(received))
-        waiting = self.idle.get(place, [])
-        if kept in waiting:
-            waiting.remove(kept)
-        self.discard(kept)
+        if received:
+            named = named_id(received, id_header)
+            size = len(received)
+            self.record_stray(StrayKind.idle, place, kept.use, named, size)
 
     def record_stray(
         self,
