Refuse a head that goes on as that of another answer

A caller could get a whole foreign stream or answer under its own id: where a head was written in two parts, cut within a header's content, and a late answer without id came between them, the parser joined both heads.

Tests: the one with the cut head failed before; a late answer at each place of an answer with a length passes on both.

--- a/godwitshunt/exchange/attribution.py
+++ b/godwitshunt/exchange/attribution.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from godwitshunt.exchange.problems import Headers
 from godwitshunt.exchange.upstream_messages import BrokenAnswerError, Place
 from godwitshunt.telemetry import Metrics, log_change
 
@@ -211,6 +212,20 @@
     return any(header_line(name).search(body, status.end()) for name in names)
 
 
+def head_embeds_answer(headers: Headers) -> bool:
+    """Tell whether an answer's head goes on as that of another one.
+
+    Examples
+    --------
+    >>> head_embeds_answer(((b'signature', b'sHTTP/1.1 200 OK'),))
+    True
+    >>> head_embeds_answer(((b'via', b'HTTP/1.1 gateway'),))
+    False
+    """
+    lines = b''.join(b'%s\r' % content for _, content in headers)
+    return STATUS_LINE.search(lines) is not None
+
+
 def header_line(name: bytes) -> re.Pattern[bytes]:
     """Return the pattern of a header's line within an answer's head."""
     pattern = rb'\n%s[ \t]*:[ \t]*(?P<content>[^\r\n]*)' % re.escape(name)
--- a/godwitshunt/exchange/tests/test_attribution_review.py
+++ b/godwitshunt/exchange/tests/test_attribution_review.py
@@ -84,3 +84,33 @@
         assert not any(pool.idle.values())
         discarded = ('upstream_connections_discarded_total', ())
         assert pool.metrics.increases[discarded] == 1
+
+
+# The head up to a part of a header's line, behind which another one begins.
+CUT_HEAD = b'HTTP/1.1 200 OK\r\nrequest: r-2\r\nsignature: '
+PLACES = range(len(answer('r-2', b'own')))
+
+
+async def test_head_that_goes_on_as_another_one_is_broken():
+    """A late answer without id delivered behind the id of the next one."""
+    mixed = join(CUT_HEAD, answer('', b'late'))
+    async with running(answer('r-1'), mixed) as (up, pool):
+        await ask(up, pool, 'r-1')
+        with pytest.raises(StrayBytesError):
+            await ask(up, pool, 'r-2')
+
+
+@pytest.mark.parametrize('place', PLACES)
+@pytest.mark.parametrize('late_id', ['', 'r-1'])
+async def test_late_answer_at_any_place_reaches_nobody(place, late_id):
+    """A part of another answer delivered, wherever it came."""
+    whole = answer('r-2', b'own')
+    late = answer(late_id, b'late')
+    mixed = join(whole[:place], late, whole[place:])
+    async with running(answer('r-1'), mixed) as (up, pool):
+        await ask(up, pool, 'r-1')
+        try:
+            body = await ask(up, pool, 'r-2')
+        except BrokenAnswerError:
+            return
+        assert body == b'own'
--- a/godwitshunt/exchange/upstream_call.py
+++ b/godwitshunt/exchange/upstream_call.py
@@ -11,6 +11,7 @@
     StrayKind,
     begins_answer,
     embeds_answer,
+    head_embeds_answer,
     named_id,
 )
 from godwitshunt.exchange.channel import Channel
@@ -174,11 +175,26 @@
         self.is_unframed = not states_end(head, request)
         if self.is_unframed:
             self.pool.use_once(self.place)
-        if self.use.is_shared and named is None:
+        if self.use.is_shared:
+            self.check_shared(head, named)
+
+    def check_shared(self, head: AnswerHead, named: bytes | None) -> None:
+        """Check an answer on a connection that other requests have used.
+
+        Raises
+        ------
+        StrayBytesError
+            Where an answer to one of them may be, or come to be, a part of it.
+        """
+        if named is None:
             raise self.stray_error(
                 StrayKind.unnamed, 'an answer without id on a reused connection'
             )
-        if self.use.is_shared and self.is_unframed:
+        if head_embeds_answer(head.headers):
+            raise self.stray_error(
+                StrayKind.embedded, 'an answer within the head of another one'
+            )
+        if self.is_unframed:
             raise self.stray_error(
                 StrayKind.unframed,
                 'an answer without a length on a reused connection',
