--- a/godwitshunt/ingress/events.py
+++ b/godwitshunt/ingress/events.py
@@ -6,7 +6,7 @@
 from godwitshunt.exchange.attribution import StrayBytesError, StrayKind
 
 EVENT_END = b'\n\n'
-NEXT_ID = b'\nid:'
+OTHER_ID = b'\nid:'
 ID_LINE = re.compile(rb'^id:(.*)$', re.MULTILINE)
 
 
@@ -78,17 +78,8 @@
                 StrayKind.embedded, 'an answer within a stream'
             )
         last_id = self.last_id
-        start = 0
-        while start < len(whole):
-            end = whole.find(EVENT_END, start)
-            expected = (last_id or 0) + 1
-            # Most events begin with their id; the others are parsed.
-            begins_with_id = whole.startswith(b'id: %d\n' % expected, start)
-            if begins_with_id and whole.find(NEXT_ID, start, end) < 0:
-                last_id = expected
-            else:
-                last_id = next_id(whole[start:end], last_id)
-            start = end + len(EVENT_END)
+        for event in whole.split(EVENT_END)[:-1]:
+            last_id = next_id(event, last_id)
         return last_id
 
     def fault_at_end(self) -> str | None:
@@ -111,9 +102,12 @@
     >>> next_id(b'id: 7\ndata: x', 6), next_id(b': a comment', 6)
     (7, 6)
     """
+    expected = (last_id or 0) + 1
+    # Nearly all events begin so, and parsing takes several times longer.
+    if event.startswith(b'id: %d\n' % expected) and OTHER_ID not in event:
+        return expected
     if is_comment(event):
         return last_id
-    expected = (last_id or 0) + 1
     if event_id(event) != expected:
         raise StrayBytesError(
             StrayKind.out_of_turn, f'an event other than {expected}'
