--- a/godwitshunt/exchange/attribution.py
+++ b/godwitshunt/exchange/attribution.py
@@ -24,6 +24,9 @@
 # An upstream that sent stray bytes gets one request on each connection for
 # this long.
 SINGLE_USE_S = 30.0
+# The same for one that sent an answer without length and chunks. The next one
+# may come much later, and would be refused on a shared connection.
+UNFRAMED_SINGLE_USE_S = 600.0
 STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d[ \r]')
 STATUS_LINE_START = b'HTTP/1.'
 # The head of an answer up to the end of what was received, cut short or not.
@@ -153,15 +156,16 @@
 
     until_s: dict[Place, float] = field(default_factory=dict)
 
-    def record(self, place: Place, now_s: float) -> None:
+    def record(self, place: Place, now_s: float, for_s: float) -> None:
         """Add a place, or extend its time."""
         if not self.has(place, now_s):
             log_change(
                 'exchange:single_use_began',
                 instance=place.origin or str(place.address),
-                for_s=SINGLE_USE_S,
+                for_s=for_s,
             )
-        self.until_s[place] = now_s + SINGLE_USE_S
+        until_s = now_s + for_s
+        self.until_s[place] = max(until_s, self.until_s.get(place, until_s))
 
     def has(self, place: Place, now_s: float) -> bool:
         """Tell whether a place is in the table."""
@@ -244,7 +248,7 @@
 
 def header_line(name: bytes) -> re.Pattern[bytes]:
     """Return the pattern of a header's line within an answer's head."""
-    pattern = rb'\n%s[ \t]*:[ \t]*(?P<content>[^\r\n]*)' % re.escape(name)
+    pattern = rb'\n%s[ \t]*:[ \t]*(?P<content>[^\r\n]{0,64})' % re.escape(name)
     return re.compile(pattern, re.IGNORECASE)
 
 
--- a/godwitshunt/exchange/tests/test_shared_connections.py
+++ b/godwitshunt/exchange/tests/test_shared_connections.py
@@ -227,7 +227,7 @@
 
 async def test_connections_are_kept_again_after_a_while(monkeypatch):
     """New connections for good after one late answer."""
-    monkeypatch.setattr('godwitshunt.exchange.attribution.SINGLE_USE_S', 0.1)
+    monkeypatch.setattr(UpstreamPool.use_once, '__defaults__', (0.1,))
     answers = [answer(f'r-{one}') for one in (1, 2, 3)]
     answers[0] *= 2
     async with running(*answers) as (up, pool):
@@ -238,6 +238,18 @@
         assert len(up.connections) == 2
 
 
+async def test_rare_answers_without_a_length_are_not_lost(monkeypatch):
+    """One of them refused after each end of single use."""
+    monkeypatch.setattr(UpstreamPool.use_once, '__defaults__', (0.1,))
+    unframed = answer('r-1', framed=False)
+    answers = (unframed, answer('r-2'), answer('r-3', framed=False))
+    async with running(*answers) as (up, pool):
+        await ask(up, pool, 'r-1')
+        await asyncio.sleep(0.15)
+        await ask(up, pool, 'r-2')
+        assert await ask(up, pool, 'r-3') == b'hi'
+
+
 async def test_bytes_on_an_idle_connection_end_it():
     """A late answer that waits on an idle connection for its next request."""
     async with running(answer('r-1'), answer('r-2')) as (up, pool):
--- a/godwitshunt/exchange/upstream_call.py
+++ b/godwitshunt/exchange/upstream_call.py
@@ -8,6 +8,7 @@
 import h11
 
 from godwitshunt.exchange.attribution import (
+    UNFRAMED_SINGLE_USE_S,
     StrayBytesError,
     StrayKind,
     begins_answer,
@@ -180,7 +181,7 @@
             return
         self.is_unframed = not states_end(head, request)
         if self.is_unframed:
-            self.pool.use_once(self.place)
+            self.pool.use_once(self.place, UNFRAMED_SINGLE_USE_S)
         if self.use.is_shared:
             self.check_shared(head, named)
 
@@ -209,6 +210,9 @@
     def check_body(self, body: bytes, names: Iterable[bytes]) -> None:
         """Check that a whole body contains no part of another answer.
 
+        The connection has to be released before: what came beyond the body
+        counts, and was recorded then.
+
         Parameters
         ----------
         body : bytes
--- a/godwitshunt/exchange/upstream_pool.py
+++ b/godwitshunt/exchange/upstream_pool.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from godwitshunt.exchange.attribution import (
+    SINGLE_USE_S,
     SingleUseTable,
     StrayBytes,
     StrayKind,
@@ -178,7 +179,10 @@
         named: bytes = b'',
         size: int = 0,
     ) -> None:
-        """Record bytes that belong to no waiting request."""
+        """Record bytes that belong to no waiting request.
+
+        The place that sent them gets one request on each connection.
+        """
         age_s = asyncio.get_running_loop().time() - use.made_s
         self.strays.record(
             StrayBytes(
@@ -187,9 +191,13 @@
         )
         self.use_once(place)
 
-    def use_once(self, place: Place) -> None:
-        """Send one request on each connection to a place for a while."""
-        self.single_use.record(place, asyncio.get_running_loop().time())
+    def use_once(self, place: Place, for_s: float = SINGLE_USE_S) -> None:
+        """Send one request on each connection to a place for a while.
+
+        Idle connections to it are closed.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self.single_use.record(place, now_s, for_s)
         for kept in self.idle.pop(place, ()):
             self.discard(kept)
 
--- a/godwitshunt/ingress/attempt.py
+++ b/godwitshunt/ingress/attempt.py
@@ -278,9 +278,9 @@
                 self.call.channel.held.gather_answer(size)
         self.call.release()
         body = b''.join(parts)
-        self.call.check_body(
-            body, (self.names.request_id, self.names.signature)
-        )
+        if not self.is_forward:
+            names = (self.names.request_id, self.names.signature)
+            self.call.check_body(body, names)
         return body
 
     async def relay(
