Spend a forwarded retry once, at the VM that forwards it

A repeat that was handed over spent one retry at the VM that sent it and another one at the VM that received it. A VM whose own callers send little has next to no budget, and refused the repeats of another region: with one of two engines rejecting 30%, 107 repeats of that test's run came to an idle engine's VM and were refused there as 'the retry budget is spent'. Each retry that reaches an upstream is still spent by one VM, so all VMs together keep the limit.

--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -582,8 +582,11 @@
         )
 
     def spend_retry(self) -> bool:
-        """Spend one retry of the budget where an upstream had the request."""
-        if not self.progress.arrivals:
+        """Spend one retry of the budget where an upstream had the request.
+
+        The first attempt of a repeat was spent by the VM that forwarded it.
+        """
+        if self.progress.arrivals <= int(self.request.repeat):
             return True
         window = self.context.budgets.retry_window(self.request.service.name)
         now_s = self.context.timer.now()
