Count first tries before the rejections in the retry budget's window

All arrivals count now, those of the calm seconds too, as first tries and as retries; the bound is as it was.

--- a/tests/rejecting_server.py
+++ b/tests/rejecting_server.py
@@ -84,7 +84,6 @@
             is_rejecting = names is None or name in names
             server.rejected_share = share if is_rejecting else 0.0
             server.random = Random(seed * len(self.servers) + number)
-            server.received.clear()
             server.rejected = 0
             server.most_running = 0
 
@@ -121,7 +120,8 @@
 def excess_retries(servers):
     """Return by how many retries a window exceeds the budget, at most.
 
-    The first arrival of a request at any server is no retry.
+    The first arrival of a request at any server is no retry. Requests count
+    that came before any were rejected, as they do in the budget's window.
     """
     arrivals = sorted(one for server in servers for one in server.received)
     known = set()
