Tell rejections at random from rejections by load

An upstream that rejects a part of its requests whatever its load was taken for full: closed for 0.15 s for all VMs by each rejection, and ejected as failing. The recorder now keeps the attempts of the last 5 s at each upstream with the requests of all VMs there. A rejection at no more than three quarters of the slots, at a load at which most requests are accepted, and not after five others in a row, leaves the upstream open; its expected rejections add to its cost, so that others are preferred. Brittle and ejected upstreams are treated as before.

--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -61,7 +61,7 @@
         neighbours=picker.neighbours,
         chooser=chooser,
         attempt_recorder=AttemptRecorder(
-            upstreams, watch.view, watch.mark_replaced
+            upstreams, watch.view, watch.mark_replaced, metrics
         ),
         picker=picker,
         budgets=make_budgets(settings, timer.now()),
--- a/godwitshunt/picking/attempt_recorder.py
+++ b/godwitshunt/picking/attempt_recorder.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import isfinite
 
 from godwitshunt.manifest import Service
@@ -12,7 +12,7 @@
 from godwitshunt.picking.upstreams import Upstreams, of_service
 from godwitshunt.registry import Load, RegistryView, UpstreamSeen
 from godwitshunt.routing import outliers
-from godwitshunt.telemetry import log_change
+from godwitshunt.telemetry import Metrics, log_change
 
 NO_LOAD = Load()
 
@@ -43,11 +43,14 @@
         Returns the known upstreams and the loads of other VMs there.
     mark_replaced : callable
         Called with an incarnation that is no longer at its address.
+    metrics : Metrics
+        Counts rejections.
     """
 
     upstreams: Upstreams
     view: Callable[[], RegistryView]
     mark_replaced: Callable[[str], None]
+    metrics: Metrics = field(default_factory=Metrics)
 
     def __post_init__(self) -> None:
         self.listed_for: Mapping[str, UpstreamSeen] | None = None
@@ -67,7 +70,6 @@
         reporter : Reporter or None
             The entry VM that made the attempt; None for this process itself.
         """
-        health = self.upstreams.health_of(attempt.instance)
         match attempt.shown:
             case AttemptResult.answered:
                 self.record_answer(attempt, service, now_s)
@@ -78,13 +80,61 @@
             case AttemptResult.unreached:
                 self.upstreams.record_connect_failure(attempt.instance, now_s)
             case AttemptResult.full:
-                backoff_s = self.upstreams.full_backoff_s(attempt.service)
-                health.full_until_s = now_s + backoff_s
-                if self.has_free_slot(attempt.instance):
-                    self.record_outcome(attempt, outliers.Failed(), now_s)
+                self.record_rejection(attempt, now_s)
             case _:
                 self.record_outcome(attempt, outliers.Failed(), now_s)
 
+    def record_rejection(self, attempt: AttemptReport, now_s: float) -> None:
+        """Record that an upstream rejected a request as not run.
+
+        It gets no requests for a moment, unless its load does not explain the
+        rejection.
+        """
+        is_unrelated = self.is_unrelated_to_load(attempt, now_s)
+        self.metrics.count(
+            'picking_rejections_total',
+            service=attempt.service,
+            why='unrelated' if is_unrelated else 'load',
+        )
+        if is_unrelated:
+            return
+        health = self.upstreams.health_of(attempt.instance)
+        backoff_s = self.upstreams.full_backoff_s(attempt.service)
+        health.full_until_s = now_s + backoff_s
+        if self.has_free_slot(attempt.instance):
+            self.record_outcome(attempt, outliers.Failed(), now_s)
+
+    def is_unrelated_to_load(
+        self, attempt: AttemptReport, now_s: float
+    ) -> bool:
+        """Return whether an upstream's load does not explain a rejection.
+
+        Brittle upstreams fail when they reject requests, and the outcome of an
+        ejected one ends its probe, whatever the reason.
+        """
+        instance = attempt.instance
+        upstream = self.view().upstreams.get(instance)
+        if (
+            upstream is None
+            or self.upstreams.brittle.is_brittle(attempt.service)
+            or self.upstreams.is_ejected(attempt.service, instance)
+        ):
+            return False
+        in_flight = self.in_flight(instance)
+        slots = upstream.announcement.slots
+        window = self.upstreams.health_of(instance).rejections
+        is_unrelated = window.record_rejected(in_flight, slots, now_s)
+        if is_unrelated and window.must_report(now_s):
+            log_change(
+                'picking:upstream_rejects',
+                instance=instance,
+                load=in_flight,
+                slots=slots,
+                rejected=window.unrelated,
+                attempts=len(window.attempts),
+            )
+        return is_unrelated
+
     def record_failed_path(
         self, attempt: AttemptReport, reporter: Reporter, now_s: float
     ) -> None:
@@ -120,6 +170,8 @@
             self.upstreams.answers.record(attempt.route, attempt.answer_tokens)
         health = self.upstreams.health_of(attempt.instance)
         health.record_response_time(attempt.first_s, attempt.predicted_s, now_s)
+        in_flight = self.in_flight(attempt.instance)
+        health.rejections.record_accepted(in_flight, now_s)
         if self.has_free_slot(attempt.instance):
             speed = self.upstreams.learned_speed(service)
             speed.record_answer(attempt.first_s, attempt.took_s)
--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -512,4 +512,4 @@
         total_s += SILENT_PENALTY_S
     if health.unresponsive_s(now_s) > UNRESPONSIVE_AFTER_S:
         total_s += UNRESPONSIVE_PENALTY_S
-    return total_s
+    return total_s + health.rejections.cost_s(now_s)
--- a/godwitshunt/picking/service.py
+++ b/godwitshunt/picking/service.py
@@ -150,6 +150,7 @@
             self.picker.upstreams,
             registry.view,
             registry.mark_replaced,
+            metrics,
         )
 
     @classmethod
--- a/godwitshunt/picking/tests/test_choice_equivalence.py
+++ b/godwitshunt/picking/tests/test_choice_equivalence.py
@@ -175,6 +175,7 @@
             penalty_s += 2
         if health.unresponsive_s(request.now_s) > UNRESPONSIVE_AFTER_S:
             penalty_s += 1
+        penalty_s += health.rejections.cost_s(request.now_s)
         return Candidate(
             instance=name,
             region=upstream.region,
@@ -345,6 +346,10 @@
         """Record an attempt at an upstream."""
         upstreams = self.chooser.upstreams
         health = upstreams.health_of(name)
+        if self.chance(0.1):
+            for _ in range(4):
+                health.rejections.record_accepted(2, self.now_s)
+            health.rejections.record_rejected(1, 8, self.now_s)
         match self.random.randrange(9):
             case 0 | 1 | 2:
                 late_s = self.random.uniform(-1, 2)
--- a/godwitshunt/picking/upstreams.py
+++ b/godwitshunt/picking/upstreams.py
@@ -169,6 +169,11 @@
         detector = self.outliers.get(service)
         return frozenset() if detector is None else detector.excluded(now_s)
 
+    def is_ejected(self, service: str, instance: str) -> bool:
+        """Return whether an upstream is ejected or being probed."""
+        detector = self.outliers.get(service)
+        return detector is not None and detector.is_ejected(instance)
+
     def record_sent(self, service: str, instance: str) -> None:
         """Record that a request, possibly a probe, is sent to an upstream."""
         detector = self.outliers.get(service)
--- a/godwitshunt/routing/upstream_health.py
+++ b/godwitshunt/routing/upstream_health.py
@@ -7,6 +7,7 @@
 
 from godwitshunt.registry.records import Load, MemoryClaim
 from godwitshunt.registry.shared_prefixes import SharedPrefixes
+from godwitshunt.routing.rejections import RejectionWindow
 
 # No requests are sent for this time after a failed connection.
 CONNECT_BACKOFF_S = 1.0
@@ -70,6 +71,8 @@
     failed_connections : dict
         When the last connection of each VM failed, by its name; only VMs that
         reach other upstreams.
+    rejections : RejectionWindow
+        The last requests that it accepted or rejected.
     """
 
     in_flight: int = 0
@@ -85,6 +88,7 @@
     shared: SharedPrefixes = field(default_factory=SharedPrefixes)
     claims: dict[int, MemoryClaim] = field(default_factory=dict)
     failed_connections: dict[str, float] = field(default_factory=dict)
+    rejections: RejectionWindow = field(default_factory=RejectionWindow)
 
     @property
     def load(self) -> Load:
