Show streams that break off within their first event on real processes

The new case `torn` of tests/test_platform_stuttering.py fails on: the first event of the second attempt begins with a part of the first one's.

--- a/tests/stuttering_server.py
+++ b/tests/stuttering_server.py
@@ -38,6 +38,8 @@
         Share of the answers with neither a length nor chunks.
     repeats_unframed : bool
         True to repeat an unframed answer before its connection is closed.
+    torn_share : float
+        Share of the streams that break off within their first event.
     names_repeated : bool
         False to leave the request's id out of repeated answers.
     repeated : int
@@ -47,6 +49,7 @@
     repeated_share: float = REPEATED_SHARE
     unframed_share: float = 0.0
     repeats_unframed: bool = False
+    torn_share: float = 0.0
     names_repeated: bool = True
     repeated: int = 0
     random: Random = field(default_factory=Random)
@@ -64,6 +67,9 @@
         is_framed = self.random.random() >= self.unframed_share
         first = int(fields.get('last-event-id', 0)) + 1
         parts = render_answer(path, attempt, first, is_framed=is_framed)
+        if path.startswith(STREAMS) and self.random.random() < self.torn_share:
+            await self.tear(writer, parts)
+            return
         if not path.startswith(STREAMS):
             parts = [b''.join(parts)]
         for part in parts:
@@ -79,6 +85,14 @@
         if not is_framed:
             writer.close()
 
+    async def tear(self, writer, parts):
+        """Break a stream off within its first event."""
+        writer.write(parts[0])
+        writer.write(parts[1][: len(parts[1]) // 2])
+        await writer.drain()
+        await asyncio.sleep(EVENT_PERIOD_S)
+        writer.transport.abort()
+
     async def repeat(self, writer, again, *, is_framed):
         """Write an answer again, after the next request if it is framed."""
         self.repeated += 1
--- a/tests/test_platform_stuttering.py
+++ b/tests/test_platform_stuttering.py
@@ -26,6 +26,7 @@
 # The platform's aim for requests whose answers are framed or repeatable.
 SERVED_SHARE = 0.85
 ONCE = ('/unsafe', '/once')
+TORN = {'torn_share': 0.2}
 UNFRAMED = {'unframed_share': 1 / 3}
 
 
@@ -48,16 +49,24 @@
     'changes',
     [
         {},
+        TORN,
         UNFRAMED,
         {**UNFRAMED, 'repeats_unframed': True},
         {**UNFRAMED, 'repeats_unframed': True, 'names_repeated': False},
     ],
-    ids=['framed', 'unframed', 'unframed_repeated', 'repeated_without_ids'],
+    ids=[
+        'framed',
+        'torn',
+        'unframed',
+        'unframed_repeated',
+        'repeated_without_ids',
+    ],
 )
 async def test_callers_get_no_part_of_a_repeated_answer(world, changes):
     """A late second answer that is passed on within another answer."""
     defaults = {
         'unframed_share': 0.0,
+        'torn_share': 0.0,
         'repeats_unframed': False,
         'names_repeated': True,
         'repeated': 0,
