Let servers stutter in the soak, and compare its answers by content

The soak's servers gave each request of a path the same bytes, so that a part of another answer could not be told from the own one, and none of them answered twice. Now for 1 to 4 s at a time some of them repeat answers 1 to 60 ms later on the same connection, with and without the id, and give some without a length and chunks, beside all other faults; ten more callers without a pause use the connections meanwhile, and each run begins with such servers.

Each answer names its request: whole answers must be the own bytes, those that broke off the first of them (before: only of streams, now also of answers with a length), every 2xx carries the id, nothing comes on a kept connection while no request waits, and what cannot be read as an answer is a finding (before, it passed as no answer). 'events in order' is a part of 'begun and own'.

--- a/tests/limited_server.py
+++ b/tests/limited_server.py
@@ -38,6 +38,8 @@
         Text of `Retry-After` in the refusal of every request; empty to serve.
     rested : list of (float, str)
         When it refused a request so, and from which VM.
+    works_s : float
+        Work of a request, in seconds.
     """
 
     stated: str = ''
@@ -45,6 +47,7 @@
     breaks: bool = False
     rest: str = ''
     rested: list[tuple[float, str]] = field(default_factory=list)
+    works_s: float = WORKS_S
 
     def state_limit(self, text):
         """State a rate limit from now on; None ends it."""
@@ -62,7 +65,7 @@
                 self.rested.append(arrival)
                 writer.write(refusal(self.rest))
                 return
-            await asyncio.sleep(WORKS_S)
+            await asyncio.sleep(self.works_s)
         stating = StatingWriter(writer, self.stated.encode(), self.breaks)
         await super().answer(reader, stating, head, fields, body)
 
@@ -112,6 +115,10 @@
         """Wait until the written bytes are sent."""
         await self.writer.drain()
 
+    def close(self):
+        """Close the connection."""
+        self.writer.close()
+
 
 @dataclass(frozen=True)
 class Hosts:
--- a/tests/platform_client.py
+++ b/tests/platform_client.py
@@ -34,14 +34,31 @@
         writer.close()
 
 
-async def read_answer(reader):
-    """Read one answer."""
+async def read_answer(reader, *, keeps_part=False):
+    """Read one answer.
+
+    Parameters
+    ----------
+    keeps_part : bool
+        True to return what came of an answer with a length that broke off.
+
+    Raises
+    ------
+    EOFError
+        Where the connection ended within the head, or within a body with a
+        length of which no part is wanted.
+    """
     head = await reader.readuntil(b'\r\n\r\n')
     status = int(head.split(b' ', 2)[1])
     fields = fields_of(head)
     if fields.get('transfer-encoding') != 'chunked':
         length = int(fields.get('content-length', 0))
-        return Answer(status, fields, await reader.readexactly(length))
+        try:
+            return Answer(status, fields, await reader.readexactly(length))
+        except asyncio.IncompleteReadError as broken:
+            if not keeps_part:
+                raise
+            return Answer(status, fields, broken.partial, complete=False)
     parts = []
     while True:
         try:
--- a/tests/stuttering_server.py
+++ b/tests/stuttering_server.py
@@ -7,9 +7,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from tests.partition_world import PartitionedServer
 from tests.platform_client import Answer, KeptConnection
-from tests.platform_server import SEAL, chunk
+from tests.platform_server import SEAL, Server, chunk
 from tests.platform_world import World
 
 EVENTS = 8
@@ -24,7 +23,7 @@
 
 
 @dataclass
-class StutteringServer(PartitionedServer):
+class StutteringServer(Server):
     """A server that repeats some answers later on the same connection.
 
     Every answer names its request in its body, so that a part of another one
--- a/trials/soak.py
+++ b/trials/soak.py
@@ -2,40 +2,45 @@
 
 Real processes on this machine are killed, paused, stopped and started again,
 in series that overlap, while configurations change, entry VMs lose their links
-to servers, engines fall over when they reject requests, and requests with one
-bad part of a prompt crash those that run them. What callers and
-servers see is held against the promises; the seed repeats the choice of faults
-and their times, not the machine's timing.
+to servers, engines fall over when they reject requests, requests with one bad
+part of a prompt crash those that run them, and servers answer twice, the second
+time late. What callers and servers see is held against the promises, and each
+answer against the one that its request must get; the seed repeats the choice of
+faults and their times, not the machine's timing.
 """
 
 import asyncio
 import json
 import secrets
+import shutil
 import signal
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 from random import Random
 
 import defopt
 
-from tests.brittle_server import BrittleServer
-from tests.crashing_parts import is_bad_prompt, new_bad_part, render_prompt
+from tests.crashing_parts import new_bad_part, render_prompt
 from tests.partition_world import Cut, PartitionWorld
-from tests.platform_client import Answer, KeptConnection, ask, call
+from tests.platform_client import Answer, ask, call
 from tests.platform_documents import CONTROL as CONTROL_PORT
 from tests.platform_documents import NETWORK, configuration
 from tests.platform_world import until
+from tests.soak_client import WatchedConnection
+from tests.soak_server import SoakServer
+from tests.stuttering_server import expected_body, runs_of
 
 PATHS = ('/safe/x', '/unsafe/x', '/once/x', '/resumed/x', '/south/x')
 ONCE = ('/unsafe', '/once')
 STREAMS = ('/once', '/resumed')
 # These say that a request did not run and never will.
 REFUSALS = frozenset((408, 421, 429, 503))
-STREAM = b''.join(b'id: %d\ndata: x%d\n\n' % (one, one) for one in range(1, 9))
 BODY = b'hello'
 CALLERS = 6
 PAUSE_S = 0.05
@@ -51,48 +56,35 @@
 # Long enough for crashed engines to come back, and to crash again.
 LAST_BAD_REQUESTS = 14
 LAST_BAD_PERIOD_S = 0.5
-CRASHES_AFTER_S = 0.05
 # The platform lets so many requests with a bad part reach servers once all VMs
 # in touch know of its crashes.
 BAD_ALLOWED = 3
 CONTACT_S = 5.0
 # Share of the cuts that concern one server only.
 ONE_SERVER_SHARE = 0.3
+STUTTER_S = (1.0, 4.0)
+# Callers without a pause, whose requests follow at once on the connections of
+# those that stutter.
+STUTTER_CALLERS = 10
 
 
-@dataclass
-class SoakServer(BrittleServer):
-    """A brittle server that crashes under a bad part of a prompt as well.
+@dataclass(frozen=True)
+class Seen:
+    """One request as its caller saw it.
 
     Parameters
     ----------
-    bad_arrived : int
-        Requests with a bad part that reached it.
+    entry : str
+        Address of the entry VM.
+    unasked : bytes or None
+        What came on the connection since its last answer; None on a new one.
     """
 
-    bad_arrived: int = 0
-
-    async def answer(self, reader, writer, head, fields, body):
-        """Answer a request; crash under a bad part."""
-        is_mine = fields.get('expect-instance') == self.instance
-        if not (is_mine and is_bad_prompt(fields.get('prefix-hash', ''))):
-            await super().answer(reader, writer, head, fields, body)
-            return
-        self.bad_arrived += 1
-        self.ran.append(fields['attempt-id'])
-        started = self.instance
-        await asyncio.sleep(CRASHES_AFTER_S)
-        if self.instance == started:
-            self.fall()
-
-
-@dataclass(frozen=True)
-class Seen:
-    """One request as its caller saw it."""
-
     path: str
     attempt: str
     answer: Answer
+    entry: str = ''
+    unasked: bytes | None = None
 
 
 @dataclass
@@ -138,36 +130,57 @@
         await until(self.world.is_serving, RECOVERY_S)
         self.findings.check('serves again', True, 'all paths')
         await self.check_bad_part()
-        self.check_answers()
+        self.check_answers(self.count_runs())
 
-    async def be_caller(self, *, keeps: bool) -> None:
+    async def be_caller(
+        self, *, keeps: bool, pause_s: float = PAUSE_S, end_s: float = inf
+    ) -> None:
         """Ask one request after the other.
 
         Parameters
         ----------
         keeps : bool
             Whether to use connections for as long as they are open.
+        pause_s : float
+            Seconds between an answer and the next request.
+        end_s : float
+            Time of the event loop at which to stop, if before the end.
         """
+        loop = asyncio.get_running_loop()
         entries = tuple(self.world.entry_zones)
-        kept = {entry: KeptConnection(entry) for entry in entries}
-        while not self.over:
+        kept = {entry: WatchedConnection(entry) for entry in entries}
+        while not self.over and loop.time() < end_s:
             entry = self.random.choice(entries)
-            await self.ask_once(entry, kept[entry] if keeps else None)
-            await asyncio.sleep(PAUSE_S)
+            await self.ask_once(kept[entry])
+            if not keeps:
+                kept[entry].close()
+            await asyncio.sleep(pause_s)
         for connection in kept.values():
+            unasked = await connection.read_unasked()
+            if unasked is not None:
+                self.findings.check('nothing unasked', not unasked, unasked)
             connection.close()
 
-    async def ask_once(self, entry: str, kept: KeptConnection | None) -> None:
+    async def ask_once(self, connection: WatchedConnection) -> None:
         """Ask one request; keep what came of it."""
         path = self.random.choice(PATHS)
         attempt = secrets.token_hex(8)
+        unasked = await connection.read_unasked()
         answer = Answer(0, {}, b'', complete=False)
-        with suppress(OSError, TimeoutError, ValueError):
-            if kept is None:
-                _, answer = await ask(entry, path, attempt=attempt, body=BODY)
-            else:
-                answer = await kept.ask(path, attempt, BODY)
-        self.seen.append(Seen(path, attempt, answer))
+        try:
+            answer = await connection.ask(path, attempt, BODY)
+        except ValueError as wrong:
+            connection.close()
+            self.findings.check('readable', False, f'{path} {attempt}: {wrong}')
+        except OSError:
+            connection.close()
+        self.seen.append(Seen(path, attempt, answer, connection.entry, unasked))
+
+    async def ask_apart(self, entry: str) -> None:
+        """Ask one request on a connection of its own."""
+        connection = WatchedConnection(entry)
+        await self.ask_once(connection)
+        connection.close()
 
     async def read_versions(self) -> None:
         """Read the configuration; it must never be an older one."""
@@ -213,8 +226,12 @@
             self.cut,
             self.be_brittle,
             self.send_bad,
+            self.stutter,
+            self.stutter,
         )
         async with asyncio.TaskGroup() as tasks:
+            # Every run has stuttering servers.
+            tasks.create_task(self.stutter())
             while loop.time() < end_s:
                 fault = self.random.choice(kinds)
                 tasks.create_task(fault())
@@ -308,6 +325,31 @@
         for server in servers:
             server.heal(hosts)
 
+    async def stutter(self) -> None:
+        """Let some servers answer twice, and ask without a pause."""
+        free = [
+            server
+            for server in self.world.servers.values()
+            if server.host not in self.busy
+        ]
+        count = self.random.randint(1, len(self.world.servers))
+        servers = self.random.sample(free, min(count, len(free)))
+        names = [server.host for server in servers]
+        self.faults.append(f'stuttering {names}')
+        self.busy.update(names)
+        for server in servers:
+            server.stutter(self.random)
+        seconds = self.random.uniform(*STUTTER_S)
+        end_s = asyncio.get_running_loop().time() + seconds
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(STUTTER_CALLERS):
+                tasks.create_task(
+                    self.be_caller(keeps=True, pause_s=0.0, end_s=end_s)
+                )
+        for server in servers:
+            server.answer_once()
+        self.busy.difference_update(names)
+
     async def be_brittle(self) -> None:
         """Let engines fall over when they reject requests, and load them.
 
@@ -332,7 +374,7 @@
         async with asyncio.TaskGroup() as tasks:
             for _ in range(BURST):
                 entry = self.random.choice(entries)
-                tasks.create_task(self.ask_once(entry, None))
+                tasks.create_task(self.ask_apart(entry))
                 await asyncio.sleep(1 / BURST)
         for engine in engines:
             engine.is_strict = False
@@ -376,6 +418,10 @@
         """Return how many requests with the bad part reached servers."""
         return sum(one.bad_arrived for one in self.world.servers.values())
 
+    def count_repeated(self) -> int:
+        """Return how many answers servers gave twice."""
+        return sum(one.repeated for one in self.world.servers.values())
+
     async def change(self) -> None:
         """Send a newer configuration to one control process."""
         self.sent += 1
@@ -386,37 +432,40 @@
         if answer.status == 200:
             self.acknowledged = max(self.acknowledged, version)
 
-    def check_answers(self) -> None:
+    def count_runs(self) -> Counter:
+        """Return how often servers ran each request, by its id."""
+        return runs_of(self.world.servers.values())
+
+    def check_answers(self, runs: Mapping[str, int]) -> None:
         """Hold every answer against what the servers ran."""
-        runs = Counter(
-            attempt
-            for server in self.world.servers.values()
-            for attempt in server.ran
-        )
         for one in self.seen:
-            self.check_answer(one, runs[one.attempt])
+            self.check_answer(one, runs.get(one.attempt, 0))
 
     def check_answer(self, one: Seen, runs: int) -> None:
         """Hold one answer against how often its request ran."""
         answer = one.answer
-        is_stream = one.path.startswith(STREAMS)
-        if answer.status == 200 and answer.complete:
-            right = answer.body == expected(one.path)
-            own = answer.fields.get('attempt-id') == one.attempt
-            signed = 'server-seal' in answer.fields
-            self.findings.check('whole and own', right and own and signed, one)
-        elif answer.status == 200 and is_stream:
-            in_order = STREAM.startswith(answer.body)
-            self.findings.check('events in order', in_order, one)
+        if one.unasked is not None:
+            self.findings.check('nothing unasked', not one.unasked, one)
+        if 200 <= answer.status < 300:
+            self.check_content(one)
         if one.path.startswith(ONCE):
             self.findings.check('at most once', runs <= 1, one)
             if answer.status in REFUSALS:
                 self.findings.check('not run is true', not runs, one)
 
-
-def expected(path: str) -> bytes:
-    """Return the whole body that a path is answered with."""
-    return STREAM if path.startswith(STREAMS) else BODY
+    def check_content(self, one: Seen) -> None:
+        """Hold the bytes of an answer against those of the own one."""
+        answer = one.answer
+        own = answer.fields.get('attempt-id') == one.attempt
+        self.findings.check('carries its id', own, one)
+        whole = expected_body(one.path, one.attempt)
+        if answer.complete:
+            signed = 'server-seal' in answer.fields
+            right = answer.body == whole
+            self.findings.check('whole and own', right and own and signed, one)
+        else:
+            begun = whole.startswith(answer.body)
+            self.findings.check('begun and own', begun, one)
 
 
 async def soak(seed: int, seconds: float, folder: Path) -> Soak:
@@ -432,7 +481,26 @@
         await world.close()
 
 
-def main(*, seed: int = 1, seeds: int = 1, seconds: float = 20.0) -> None:
+def run_seed(
+    seed: int, seconds: float, folder: Path, keep: Path | None
+) -> Soak:
+    """Run one seed; keep its logs where it fails."""
+    run = None
+    try:
+        run = asyncio.run(soak(seed, seconds, folder))
+    finally:
+        if keep is not None and (run is None or run.findings.broken):
+            shutil.copytree(folder, keep / str(seed), dirs_exist_ok=True)
+    return run
+
+
+def main(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    keep: Path | None = None,
+) -> None:
     """Run seeds one after the other, and print what they found.
 
     Exit code 1 where a promise was broken.
@@ -440,16 +508,18 @@
     :param seed: the first seed.
     :param seeds: how many.
     :param seconds: how long faults are made in each.
+    :param keep: folder for the logs of runs that fail; none by default.
     """
     broken = 0
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as folder:
-            run = asyncio.run(soak(number, seconds, Path(folder)))
+            run = run_seed(number, seconds, Path(folder), keep)
         broken += len(run.findings.broken)
         served = sum(one.answer.status == 200 for one in run.seen)
         print(
             f'seed {number}: {len(run.faults)} faults, '
-            f'{served} of {len(run.seen)} served, '
+            f'{served} of {len(run.seen)} served, {run.count_repeated()} '
+            'answers repeated, '
             f'{dict(run.findings.checks)}, broken {run.findings.broken}',
         )
     sys.exit(int(broken > 0))
