Draw each of the soak's faults and callers from a generator of its own

One generator was shared by all tasks, so that each caller's request changed the faults that followed, and a seed repeated neither their choice nor their moments.

Callers wait after a failure, also those without a pause: beside a killed entry VM they opened connections in a loop.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,6 @@
 import asyncio
 from contextlib import suppress
 from functools import partial
-from random import Random
 
 import pytest
 
@@ -139,14 +138,14 @@
 )
 async def test_bytes_without_a_request_are_found(surplus, promises):
     """Bytes beyond an answer that are read as a part of the next one."""
-    checked = Soak(None, Random(1), Findings())
+    checked = Soak(None, None, Findings())
     async with await asyncio.start_server(
         partial(answer_twice, REFUSED, surplus), ENTRY, FRONT
     ):
         connection = WatchedConnection(ENTRY)
-        await checked.ask_once(connection)
+        await checked.ask_once(connection, '/safe/x')
         await asyncio.sleep(0.05)
-        await checked.ask_once(connection)
+        await checked.ask_once(connection, '/safe/x')
         connection.close()
         await asyncio.sleep(0.05)
     checked.check_answers({})
@@ -156,11 +155,11 @@
 
 async def test_an_unreadable_answer_is_found():
     """Events where the head of an answer is due, taken for no answer."""
-    checked = Soak(None, Random(1), Findings())
+    checked = Soak(None, None, Findings())
     async with await asyncio.start_server(
         partial(answer_twice, NO_HEAD, b''), ENTRY, FRONT
     ):
-        await checked.ask_apart(ENTRY)
+        await checked.ask_apart(ENTRY, '/once/x')
         await asyncio.sleep(0.05)
     assert broken_promises(checked) == ['readable']
 
--- a/trials/soak.py
+++ b/trials/soak.py
@@ -121,8 +121,10 @@
         """Let callers ask while faults happen; then check everything."""
         async with asyncio.TaskGroup() as tasks:
             for number in range(CALLERS):
-                tasks.create_task(self.be_caller(keeps=bool(number % 2)))
-            tasks.create_task(self.read_versions())
+                tasks.create_task(
+                    self.be_caller(self.new_draw(), keeps=bool(number % 2))
+                )
+            tasks.create_task(self.read_versions(self.new_draw()))
             await self.make_faults(seconds)
             self.over = True
         for server in self.world.servers.values():
@@ -133,7 +135,12 @@
         self.check_answers(self.count_runs())
 
     async def be_caller(
-        self, *, keeps: bool, pause_s: float = PAUSE_S, end_s: float = inf
+        self,
+        draw: Random,
+        *,
+        keeps: bool,
+        pause_s: float = PAUSE_S,
+        end_s: float = inf,
     ) -> None:
         """Ask one request after the other.
 
@@ -142,7 +149,7 @@
         keeps : bool
             Whether to use connections for as long as they are open.
         pause_s : float
-            Seconds between an answer and the next request.
+            Seconds between a success and the next request.
         end_s : float
             Time of the event loop at which to stop, if before the end.
         """
@@ -150,20 +157,21 @@
         entries = tuple(self.world.entry_zones)
         kept = {entry: WatchedConnection(entry) for entry in entries}
         while not self.over and loop.time() < end_s:
-            entry = self.random.choice(entries)
-            await self.ask_once(kept[entry])
+            entry = draw.choice(entries)
+            answer = await self.ask_once(kept[entry], draw.choice(PATHS))
             if not keeps:
                 kept[entry].close()
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(pause_s if answer.status == 200 else PAUSE_S)
         for connection in kept.values():
             unasked = await connection.read_unasked()
             if unasked is not None:
                 self.findings.check('nothing unasked', not unasked, unasked)
             connection.close()
 
-    async def ask_once(self, connection: WatchedConnection) -> None:
-        """Ask one request; keep what came of it."""
-        path = self.random.choice(PATHS)
+    async def ask_once(
+        self, connection: WatchedConnection, path: str
+    ) -> Answer:
+        """Ask one request; keep and return what came of it."""
         attempt = secrets.token_hex(8)
         unasked = await connection.read_unasked()
         answer = Answer(0, {}, b'', complete=False)
@@ -175,17 +183,18 @@
         except OSError:
             connection.close()
         self.seen.append(Seen(path, attempt, answer, connection.entry, unasked))
+        return answer
 
-    async def ask_apart(self, entry: str) -> None:
+    async def ask_apart(self, entry: str, path: str) -> None:
         """Ask one request on a connection of its own."""
         connection = WatchedConnection(entry)
-        await self.ask_once(connection)
+        await self.ask_once(connection, path)
         connection.close()
 
-    async def read_versions(self) -> None:
+    async def read_versions(self, draw: Random) -> None:
         """Read the configuration; it must never be an older one."""
         while not self.over:
-            host = self.random.choice(self.world.control_hosts)
+            host = draw.choice(self.world.control_hosts)
             least = self.acknowledged
             answer = await self.control('GET', host)
             if answer.status == 200:
@@ -231,16 +240,20 @@
         )
         async with asyncio.TaskGroup() as tasks:
             # Every run has stuttering servers.
-            tasks.create_task(self.stutter())
+            tasks.create_task(self.stutter(self.new_draw()))
             while loop.time() < end_s:
                 fault = self.random.choice(kinds)
-                tasks.create_task(fault())
+                tasks.create_task(fault(self.new_draw()))
                 await asyncio.sleep(self.random.uniform(0.3, 1.0))
 
-    def pick(self) -> str | None:
+    def new_draw(self) -> Random:
+        """Return a generator whose use doesn't depend on other tasks."""
+        return Random(self.random.getrandbits(64))
+
+    def pick(self, draw: Random) -> str | None:
         """Take a process that no other fault has; one of control at most."""
         hosts = [*self.world.entry_zones, *self.world.control_hosts]
-        host = self.random.choice(hosts)
+        host = draw.choice(hosts)
         others = self.busy.intersection(self.world.control_hosts)
         is_control = host in self.world.control_hosts
         if host in self.busy or (is_control and others):
@@ -248,29 +261,29 @@
         self.busy.add(host)
         return host
 
-    async def kill(self) -> None:
+    async def kill(self, draw: Random) -> None:
         """Kill a process and start it again."""
-        host = self.pick()
+        host = self.pick(draw)
         if host is not None:
             self.faults.append(f'kill {host}')
             self.world.processes[host].send_signal(signal.SIGKILL)
-            await self.start_again(host)
+            await self.start_again(host, draw)
 
-    async def pause(self) -> None:
+    async def pause(self, draw: Random) -> None:
         """Let a process stand still for a while."""
-        host = self.pick()
+        host = self.pick(draw)
         if host is None:
             return
         self.faults.append(f'pause {host}')
         process = self.world.processes[host]
         process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        await asyncio.sleep(draw.uniform(0.2, 2.0))
         process.send_signal(signal.SIGCONT)
         self.busy.discard(host)
 
-    async def stop(self) -> None:
+    async def stop(self, draw: Random) -> None:
         """Tell a process to end, and start it again."""
-        host = self.pick()
+        host = self.pick(draw)
         if host is None:
             return
         self.faults.append(f'stop {host}')
@@ -287,7 +300,7 @@
         # itself; it has taken nothing by then.
         clean = code == 0 or (code == -signal.SIGTERM and not began)
         self.findings.check('ends when told', clean, f'{host}: {code}')
-        await self.start_again(host)
+        await self.start_again(host, draw)
 
     def has_begun(self, host: str) -> bool:
         """Tell whether a process's newest start is in its log."""
@@ -296,7 +309,7 @@
         lines = self.world.logged(host, f'{role}:started')
         return len(lines) > self.restarts[host]
 
-    async def start_again(self, host: str) -> None:
+    async def start_again(self, host: str, draw: Random) -> None:
         """Start a process that ended."""
         await self.world.processes[host].wait()
         self.restarts[host] += self.has_begun(host)
@@ -306,51 +319,56 @@
             control=host in self.world.control_hosts,
             bootstrap=False,
         )
-        await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        await asyncio.sleep(draw.uniform(0.5, 2.0))
         self.busy.discard(host)
 
-    async def cut(self) -> None:
+    async def cut(self, draw: Random) -> None:
         """Let entry VMs lose their links to all servers, or to one."""
-        hosts = self.random.sample(
-            list(self.world.entry_zones), self.random.choice((1, 1, 2, 3))
+        hosts = draw.sample(
+            list(self.world.entry_zones), draw.choice((1, 1, 2, 3))
         )
-        kind = self.random.choice(list(Cut))
+        kind = draw.choice(list(Cut))
         servers = list(self.world.servers.values())
-        if self.random.random() < ONE_SERVER_SHARE:
-            servers = [self.random.choice(servers)]
+        if draw.random() < ONE_SERVER_SHARE:
+            servers = [draw.choice(servers)]
         self.faults.append(f'{kind.value} cut of {hosts}')
         for server in servers:
             server.cut(hosts, kind)
-        await asyncio.sleep(self.random.uniform(0.3, 3.0))
+        await asyncio.sleep(draw.uniform(0.3, 3.0))
         for server in servers:
             server.heal(hosts)
 
-    async def stutter(self) -> None:
+    async def stutter(self, draw: Random) -> None:
         """Let some servers answer twice, and ask without a pause."""
         free = [
             server
             for server in self.world.servers.values()
             if server.host not in self.busy
         ]
-        count = self.random.randint(1, len(self.world.servers))
-        servers = self.random.sample(free, min(count, len(free)))
+        count = draw.randint(1, len(self.world.servers))
+        servers = draw.sample(free, min(count, len(free)))
         names = [server.host for server in servers]
         self.faults.append(f'stuttering {names}')
         self.busy.update(names)
         for server in servers:
-            server.stutter(self.random)
-        seconds = self.random.uniform(*STUTTER_S)
+            server.stutter(draw)
+        seconds = draw.uniform(*STUTTER_S)
         end_s = asyncio.get_running_loop().time() + seconds
         async with asyncio.TaskGroup() as tasks:
             for _ in range(STUTTER_CALLERS):
                 tasks.create_task(
-                    self.be_caller(keeps=True, pause_s=0.0, end_s=end_s)
+                    self.be_caller(
+                        Random(draw.getrandbits(64)),
+                        keeps=True,
+                        pause_s=0.0,
+                        end_s=end_s,
+                    )
                 )
         for server in servers:
             server.answer_once()
         self.busy.difference_update(names)
 
-    async def be_brittle(self) -> None:
+    async def be_brittle(self, draw: Random) -> None:
         """Let engines fall over when they reject requests, and load them.
 
         One at a time: the end of one would make the engines of another fall
@@ -373,8 +391,8 @@
         entries = tuple(self.world.entry_zones)
         async with asyncio.TaskGroup() as tasks:
             for _ in range(BURST):
-                entry = self.random.choice(entries)
-                tasks.create_task(self.ask_apart(entry))
+                entry = draw.choice(entries)
+                tasks.create_task(self.ask_apart(entry, draw.choice(PATHS)))
                 await asyncio.sleep(1 / BURST)
         for engine in engines:
             engine.is_strict = False
@@ -382,34 +400,38 @@
         self.busy.discard(BRITTLE)
 
     async def send_bad(
-        self, count: int = BAD_REQUESTS, period_s: float = BAD_PERIOD_S
+        self,
+        draw: Random,
+        count: int = BAD_REQUESTS,
+        period_s: float = BAD_PERIOD_S,
     ) -> None:
         """Send requests with a bad part, each with a body of its own."""
         self.faults.append('requests with a bad part')
         async with asyncio.TaskGroup() as tasks:
             for _ in range(count):
-                tasks.create_task(self.ask_bad())
+                tasks.create_task(self.ask_bad(draw))
                 await asyncio.sleep(period_s)
 
-    async def ask_bad(self) -> None:
+    async def ask_bad(self, draw: Random) -> None:
         """Send one request with a bad part."""
-        entry = self.random.choice(list(self.world.entry_zones))
+        entry = draw.choice(list(self.world.entry_zones))
         prompt = render_prompt('a1', self.bad_part, secrets.token_hex(4))
         with suppress(OSError, TimeoutError, ValueError):
             await ask(
                 entry,
-                f'{self.random.choice(STREAMS)}/x',
+                f'{draw.choice(STREAMS)}/x',
                 body=secrets.token_bytes(8),
                 prefix_hash=prompt,
             )
 
     async def check_bad_part(self) -> None:
         """Check that the bad part is kept back once no fault is left."""
-        await self.send_bad()
+        draw = self.new_draw()
+        await self.send_bad(draw)
         await asyncio.sleep(CONTACT_S)
         await until(self.world.is_serving, RECOVERY_S)
         before = self.count_bad()
-        await self.send_bad(LAST_BAD_REQUESTS, LAST_BAD_PERIOD_S)
+        await self.send_bad(draw, LAST_BAD_REQUESTS, LAST_BAD_PERIOD_S)
         arrived = self.count_bad() - before
         held = arrived <= BAD_ALLOWED
         self.findings.check('bad part kept back', held, arrived)
@@ -422,12 +444,12 @@
         """Return how many answers servers gave twice."""
         return sum(one.repeated for one in self.world.servers.values())
 
-    async def change(self) -> None:
+    async def change(self, draw: Random) -> None:
         """Send a newer configuration to one control process."""
         self.sent += 1
         version = self.sent
         self.faults.append(f'configuration {version}')
-        host = self.random.choice(self.world.control_hosts)
+        host = draw.choice(self.world.control_hosts)
         answer = await self.control('PUT', host, configuration(version))
         if answer.status == 200:
             self.acknowledged = max(self.acknowledged, version)
