--- a/tests/stuttering_server.py
+++ b/tests/stuttering_server.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from tests.platform_client import Answer, KeptConnection
-from tests.platform_server import SEAL, Server, chunk
+from tests.platform_server import MISDIRECTED, SEAL, Server, chunk, refusal
 from tests.platform_world import World
 
 EVENTS = 8
@@ -56,9 +56,7 @@
         attempt = fields.get('attempt-id', '')
         echo = f'attempt-id: {attempt}\r\n'
         if fields.get('expect-instance') != self.instance:
-            writer.write(
-                f'HTTP/1.1 421 No\r\n{echo}Content-Length: 0\r\n\r\n'.encode()
-            )
+            writer.write(refusal(MISDIRECTED, fields))
             return
         self.ran.append(attempt)
         path = head.split(b' ', 2)[1].decode()
