--- a/godwitshunt/exchange/attempts.py
+++ b/godwitshunt/exchange/attempts.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from godwitshunt.exchange import messages as msg
+from godwitshunt.exchange.attribution import StrayBytesError, StrayKind
 from godwitshunt.exchange.outgoing import (
     RESUME_HEADER,
 )
@@ -29,6 +30,7 @@
 from godwitshunt.exchange.requests import AnswerWriter
 from godwitshunt.exchange.upstream_call import UpstreamCall
 from godwitshunt.exchange.upstream_messages import (
+    REQUEST_ID,
     AnswerHead,
     BrokenAnswerError,
     OutgoingRequest,
@@ -42,12 +44,35 @@
 SIGN_OF_LIFE_S = 1.0
 SILENCE_S = 3.5
 TRANSIENT = frozenset((502, 503, 504))
-NOT_TOLD = frozenset((RESUME_HEADER, b'godwitshunt-entry'))
+NOT_TOLD = frozenset((RESUME_HEADER, REQUEST_ID, b'godwitshunt-entry'))
+CARRIAGE_RETURN = b'\r'
 KIND_BY_TYPE = MappingProxyType(
     {TYPE_PREFIX + kind.slug: kind for kind in ProblemKind},
 )
 
 
+class OwnEvents(EventSplitter):
+    """Cuts a stream into whole events, and refuses another answer in it.
+
+    An upstream may write a late second answer within a chunk of a stream. The
+    lines of its head end with a carriage return, those of events do not.
+    """
+
+    def take(self, chunk: bytes) -> bytes:
+        """Return the whole events that end in this chunk.
+
+        Raises
+        ------
+        StrayBytesError
+            Where the chunk may contain another answer.
+        """
+        if CARRIAGE_RETURN in chunk:
+            raise StrayBytesError(
+                StrayKind.embedded, 'an answer within a stream'
+            )
+        return super().take(chunk)
+
+
 @dataclass
 class Attempt:
     """One sending of a request.
@@ -71,6 +96,8 @@
         Longest answer that is read whole.
     resume_offset : int
         Whole events that the caller already has.
+    is_named : bool
+        True where the answer repeats the id of the request.
     """
 
     target: msg.Target
@@ -83,7 +110,13 @@
     resume_offset: int = 0
     call: UpstreamCall | None = None
     head: AnswerHead | None = None
-    events: EventSplitter = field(default_factory=EventSplitter)
+    events: EventSplitter = field(default_factory=OwnEvents)
+    is_named: bool = False
+
+    @property
+    def is_forward(self) -> bool:
+        """True where the target is a VM, which answers a request once."""
+        return isinstance(self.target, Forward)
 
     async def dispatch(self, pool: UpstreamPool) -> msg.Event:
         """Send the request; read the head, and the body where unary."""
@@ -98,6 +131,7 @@
                 self.request,
                 self.longest_silence_s(),
             )
+            self.check_named(self.head)
             return await self.hear_head(self.head)
         except (BrokenAnswerError, ConnectionError) as broken:
             self.cancel()
@@ -110,18 +144,30 @@
         wait for their whole deadline. A call that may not be repeated waits
         on: given up, its answer would be lost with no other try allowed.
         """
-        if self.repeatable and isinstance(self.target, Forward):
+        if self.repeatable and self.is_forward:
             return SILENCE_S
         return None
 
+    def check_named(self, head: AnswerHead) -> None:
+        """Refuse an answer without an id where it may be another one's.
+
+        An upstream may answer a request twice, the second time late.
+        """
+        self.is_named = REQUEST_ID in dict(head.headers)
+        is_shared = self.call.use.is_shared
+        if is_shared and not (self.is_named or self.is_forward):
+            raise self.call.stray_error(
+                StrayKind.unnamed, 'an answer without id on a reused connection'
+            )
+
     async def hear_head(self, head: AnswerHead) -> msg.Event:
         """Decide by the head how the body is read."""
         if self.streams and is_event_stream(head):
-            self.check_resumed(head)
+            self.check_stream(head)
             self.events.delivered = self.resume_offset
             return msg.HeadArrived()
         body = await self.read_whole()
-        if isinstance(self.target, Forward):
+        if self.is_forward:
             told = read_refusal(head, body)
             if told is not None:
                 return told
@@ -130,13 +176,17 @@
         answer = WholeAnswer(head.status, self.told_headers(head), body)
         return msg.AnswerArrived(answer)
 
-    def check_resumed(self, head: AnswerHead) -> None:
-        """Refuse a stream that does not go on where the caller stands.
+    def check_stream(self, head: AnswerHead) -> None:
+        """Refuse a stream that is not chunked, or goes on at another event.
 
-        An engine that ignores the offset would start anew, and the caller
-        would get the beginning twice. The engine repeats the offset that it
-        resumes at, and only that is believed.
+        Bytes of another answer within a chunked stream break its chunks; with
+        a length they would be taken for events. An engine that ignores the
+        offset would start anew, and the caller would get the beginning twice.
+        The engine repeats the offset that it resumes at, and only that is
+        believed.
         """
+        if (b'transfer-encoding', b'chunked') not in head.headers:
+            raise BrokenAnswerError('a stream that is not chunked')
         if not self.resume_offset:
             return
         told = dict(head.headers).get(RESUME_HEADER)
@@ -155,9 +205,25 @@
             if size > self.answer_bytes:
                 raise BrokenAnswerError('the answer is too long')
             parts.append(chunk)
-        if not self.call.release():
+        if not self.release():
             raise BrokenAnswerError('more came than the answer')
-        return b''.join(parts)
+        body = b''.join(parts)
+        self.call.check_body(body, (REQUEST_ID,))
+        return body
+
+    def release(self) -> bool:
+        """Give the connection back; False where more than the answer came.
+
+        A connection is used again only where its answers repeat their ids:
+        a late second answer without one would be taken for that of the next
+        request.
+        """
+        if self.is_named or self.is_forward:
+            return self.call.release()
+        received = self.call.channel.received
+        surplus = self.call.connection.trailing_data[0] or received
+        self.call.abandon()
+        return not surplus
 
     async def relay(
         self,
@@ -180,7 +246,7 @@
         finally:
             pipe.close()
         if fault is None:
-            self.call.release()
+            self.release()
             return msg.StreamEnded()
         self.cancel()
         return msg.StreamBroke(self.events.delivered, writer.begun, fault)
@@ -192,7 +258,7 @@
         an upstream are dropped, so that none can claim another's place.
         """
         headers = passed_on(head.headers)
-        if isinstance(self.target, Forward):
+        if self.is_forward:
             headers = (*headers, *own_headers(head.headers))
         return (*headers, *self.served)
 
--- a/godwitshunt/exchange/requests.py
+++ b/godwitshunt/exchange/requests.py
@@ -59,9 +59,13 @@
     A caller that takes nothing of a complete answer for a minute is cut off;
     else its answer would stay in memory as long as it likes. The head and the
     last chunk of a stream are held until what follows them, as each send is a
-    system call and a packet.
+    system call and a packet. `request_id` is a header that the answer repeats,
+    so that another VM can tell to which of its requests it belongs. `ended` is
+    set once the request has ended: bytes that were written later would be read
+    as the answer to the next request on the connection.
 
-    Every method raises `ConnectionResetError` where the caller is gone.
+    Every method raises `ConnectionResetError` where the caller is gone or the
+    request has ended.
     """
 
     def __init__(self, connection: h11.Connection, channel: Channel) -> None:
@@ -70,11 +74,19 @@
         self.begun = False
         self.closing = False
         self.bodyless = False
+        self.ended = False
+        self.request_id: tuple[bytes, bytes] | None = None
         self.held = b''
 
+    def repeat_id(self, request: HttpRequest, id_header: bytes) -> None:
+        """Let the answer repeat the id that its request has, if it has one."""
+        request_id = request.header(id_header)
+        if request_id:
+            self.request_id = (id_header, request_id.encode('latin-1'))
+
     async def whole(self, answer: WholeAnswer) -> None:
         """Send an answer in one piece, with its length."""
-        headers = list(answer.headers)
+        headers = self.with_id(answer.headers)
         if answer.status not in BODYLESS:
             length = str(len(answer.body)).encode()
             headers.append((b'content-length', length))
@@ -82,14 +94,14 @@
             headers.append((b'connection', b'close'))
         self.begun = True
         head = h11.Response(status_code=answer.status, headers=headers)
-        parts = [self.connection.send(head)]
+        parts = [self.render(head)]
         body = b'' if self.bodyless else answer.body
         if len(body) > SLICE_BYTES:
             self.channel.write(parts.pop())
             await self.send_slices(body)
         elif body:
-            parts.append(self.connection.send(h11.Data(data=body)))
-        parts.append(self.connection.send(h11.EndOfMessage()))
+            parts.append(self.render(h11.Data(data=body)))
+        parts.append(self.render(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
         await self.drain()
 
@@ -103,7 +115,7 @@
             data = body[start : start + SLICE_BYTES]
             if held is not None:
                 held.keep_answer(len(body) - start - len(data))
-            self.channel.write(self.connection.send(h11.Data(data=data)))
+            self.channel.write(self.render(h11.Data(data=data)))
             await self.drain()
 
     async def drain(self) -> None:
@@ -132,40 +144,57 @@
 
     def sign_of_life(self) -> None:
         """Tell a VM that waits that its request is being worked on."""
-        if self.begun or self.channel.ended:
+        if self.begun or self.ended or self.channel.ended:
             return
         told = h11.InformationalResponse(status_code=PROCESSING, headers=[])
-        self.channel.write(self.connection.send(told))
+        self.channel.write(self.render(told))
 
     def put_head(self, status: int, headers: Headers) -> None:
         """Hold the head of an answer that comes in chunks."""
-        told = [*headers, (b'transfer-encoding', b'chunked')]
+        told = self.with_id(headers)
+        told.append((b'transfer-encoding', b'chunked'))
         if self.closing:
             told.append((b'connection', b'close'))
         self.begun = True
         head = h11.Response(status_code=status, headers=told)
-        self.held = self.connection.send(head)
+        self.held = self.render(head)
 
     def put(self, chunk: bytes, *, is_last: bool = False) -> None:
         """Queue one chunk, the last one until the answer is finished.
 
         The channel tells when to pause.
         """
-        self.held += self.connection.send(h11.Data(data=chunk))
+        self.held += self.render(h11.Data(data=chunk))
         if not is_last:
             self.write()
 
     async def finish(self) -> None:
         """Send the final chunk: the answer is whole."""
-        self.held += self.connection.send(h11.EndOfMessage())
+        self.held += self.render(h11.EndOfMessage())
         self.write()
         await self.drain()
 
     def break_off(self) -> None:
         """Close without a final chunk, so that the caller sees the break."""
         self.write()
+        self.ended = True
         self.channel.close()
 
+    def with_id(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return an answer's headers with the id that it repeats."""
+        told = list(headers)
+        if self.request_id is None:
+            return told
+        if all(name != self.request_id[0] for name, _ in headers):
+            told.append(self.request_id)
+        return told
+
+    def render(self, event: h11.Event) -> bytes:
+        """Return a part of the answer as it goes over the wire."""
+        if self.ended:
+            raise ConnectionResetError('the request has ended')
+        return self.connection.send(event)
+
     def write(self) -> None:
         """Queue what is held."""
         if self.held:
