--- a/godwitshunt/exchange/attribution.py
+++ b/godwitshunt/exchange/attribution.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from godwitshunt.exchange.problems import Headers
 from godwitshunt.exchange.upstream_messages import BrokenAnswerError, Place
 from godwitshunt.telemetry import Metrics, log_change
 
@@ -23,6 +24,9 @@
 # An upstream that sent stray bytes gets one request on each connection for
 # this long.
 SINGLE_USE_S = 30.0
+# The same for one that sent an answer without length and chunks. The next one
+# may come much later, and would be refused on a shared connection.
+UNFRAMED_SINGLE_USE_S = 600.0
 STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d[ \r]')
 STATUS_LINE_START = b'HTTP/1.'
 # The head of an answer up to the end of what was received, cut short or not.
@@ -33,6 +37,13 @@
 )
 
 
+# The head of an answer with its empty line.
+WHOLE_HEAD = re.compile(
+    rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n'
+    rb'(?:[!-9;-~]+:[^\r\n]*\r\n){0,64}\r\n'
+)
+
+
 class StrayKind(Enum):
     """What bytes that belong to no waiting request are.
 
@@ -145,15 +156,16 @@
 
     until_s: dict[Place, float] = field(default_factory=dict)
 
-    def record(self, place: Place, now_s: float) -> None:
+    def record(self, place: Place, now_s: float, for_s: float) -> None:
         """Add a place, or extend its time."""
         if not self.has(place, now_s):
             log_change(
                 'exchange:single_use_began',
                 instance=place.origin or str(place.address),
-                for_s=SINGLE_USE_S,
+                for_s=for_s,
             )
-        self.until_s[place] = now_s + SINGLE_USE_S
+        until_s = now_s + for_s
+        self.until_s[place] = max(until_s, self.until_s.get(place, until_s))
 
     def has(self, place: Place, now_s: float) -> bool:
         """Tell whether a place is in the table."""
@@ -183,7 +195,9 @@
     return b'' if found is None else found.group('content')
 
 
-def embeds_answer(body: bytes, names: Iterable[bytes]) -> bool:
+def embeds_answer(
+    body: bytes, names: Iterable[bytes], *, any_head: bool = False
+) -> bool:
     r"""Tell whether a body contains the head of another answer.
 
     A body that ends with a head, or within one, has no room for the headers
@@ -195,6 +209,9 @@
         A body that may contain what does not belong to it.
     names : iterable of bytes
         Headers of which an upstream's answer has at least one.
+    any_head : bool
+        True to find whole heads without any of them, too; a body that quotes
+        one is then taken for mixed.
 
     Examples
     --------
@@ -210,12 +227,28 @@
         return False
     if FINAL_HEAD.match(body, body.rfind(STATUS_LINE_START)):
         return True
+    if any_head and WHOLE_HEAD.search(body):
+        return True
     return any(header_line(name).search(body, status.end()) for name in names)
 
 
+def head_embeds_answer(headers: Headers) -> bool:
+    """Tell whether an answer's head goes on as that of another one.
+
+    Examples
+    --------
+    >>> head_embeds_answer(((b'signature', b'sHTTP/1.1 200 OK'),))
+    True
+    >>> head_embeds_answer(((b'via', b'HTTP/1.1 gateway'),))
+    False
+    """
+    lines = b''.join(b'%s\r' % content for _, content in headers)
+    return STATUS_LINE.search(lines) is not None
+
+
 def header_line(name: bytes) -> re.Pattern[bytes]:
     """Return the pattern of a header's line within an answer's head."""
-    pattern = rb'\n%s[ \t]*:[ \t]*(?P<content>[^\r\n]*)' % re.escape(name)
+    pattern = rb'\n%s[ \t]*:[ \t]*(?P<content>[^\r\n]{0,64})' % re.escape(name)
     return re.compile(pattern, re.IGNORECASE)
 
 
--- a/godwitshunt/exchange/upstream_call.py
+++ b/godwitshunt/exchange/upstream_call.py
@@ -2,15 +2,18 @@
 
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
+from math import inf
 from typing import TYPE_CHECKING, TypeVar
 
 import h11
 
 from godwitshunt.exchange.attribution import (
+    UNFRAMED_SINGLE_USE_S,
     StrayBytesError,
     StrayKind,
     begins_answer,
     embeds_answer,
+    head_embeds_answer,
     named_id,
 )
 from godwitshunt.exchange.channel import Channel
@@ -39,6 +42,8 @@
 BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
 # Answers to other requests that are read past at most.
 MAX_SKIPPED = 4
+# Time for an answer to follow one to another request on a new connection.
+FOREIGN_WAIT_S = 1.0
 
 
 @dataclass
@@ -129,6 +134,9 @@
             which the other side counts as gone; None waits on.
         """
         head = await self.next_head(silence_s)
+        if is_of_another(head, request) and not self.use.is_shared:
+            # No late answer can come here: ours may never follow.
+            silence_s = min(silence_s or inf, FOREIGN_WAIT_S)
         skipped = 0
         while is_of_another(head, request) and self.may_skip(request, skipped):
             self.record_stray(StrayKind.skipped, named_request(head, request))
@@ -173,12 +181,27 @@
             return
         self.is_unframed = not states_end(head, request)
         if self.is_unframed:
-            self.pool.use_once(self.place)
-        if self.use.is_shared and named is None:
+            self.pool.use_once(self.place, UNFRAMED_SINGLE_USE_S)
+        if self.use.is_shared:
+            self.check_shared(head, named)
+
+    def check_shared(self, head: AnswerHead, named: bytes | None) -> None:
+        """Check an answer on a connection that other requests have used.
+
+        Raises
+        ------
+        StrayBytesError
+            Where an answer to one of them may be, or come to be, a part of it.
+        """
+        if named is None:
             raise self.stray_error(
                 StrayKind.unnamed, 'an answer without id on a reused connection'
             )
-        if self.use.is_shared and self.is_unframed:
+        if head_embeds_answer(head.headers):
+            raise self.stray_error(
+                StrayKind.embedded, 'an answer within the head of another one'
+            )
+        if self.is_unframed:
             raise self.stray_error(
                 StrayKind.unframed,
                 'an answer without a length on a reused connection',
@@ -187,6 +210,9 @@
     def check_body(self, body: bytes, names: Iterable[bytes]) -> None:
         """Check that a whole body contains no part of another answer.
 
+        The connection has to be released before: what came beyond the body
+        counts, and was recorded then.
+
         Parameters
         ----------
         body : bytes
@@ -199,8 +225,9 @@
         StrayBytesError
             Where it may contain one.
         """
-        may_be_mixed = self.use.is_shared or self.is_unframed
-        if may_be_mixed and embeds_answer(body, names):
+        is_shared = self.use.is_shared
+        may_be_mixed = is_shared or self.is_unframed
+        if may_be_mixed and embeds_answer(body, names, any_head=is_shared):
             raise self.stray_error(
                 StrayKind.embedded, 'an answer within the body of another one'
             )
