--- a/trials/soak.py
+++ b/trials/soak.py
@@ -11,6 +11,7 @@
 import asyncio
 import json
 import secrets
+import shutil
 import signal
 import sys
 import tempfile
@@ -31,6 +32,8 @@
 from tests.platform_world import until
 
 PATHS = ('/safe/x', '/unsafe/x', '/once/x', '/resumed/x', '/south/x')
+# Those that show that a deployment serves.
+CHECKED_PATHS = ('/safe/x', '/south/x', '/resumed/x')
 ONCE = ('/unsafe', '/once')
 STREAMS = ('/once', '/resumed')
 # These say that a request did not run and never will.
@@ -135,11 +138,21 @@
             self.over = True
         for server in self.world.servers.values():
             server.heal()
-        await until(self.world.is_serving, RECOVERY_S)
-        self.findings.check('serves again', True, 'all paths')
-        await self.check_bad_part()
+        if await self.check_recovery():
+            await self.check_bad_part()
         self.check_answers()
 
+    async def check_recovery(self) -> bool:
+        """Check that all paths are served again through all entry VMs."""
+        is_serving = True
+        try:
+            await until(self.world.is_serving, RECOVERY_S)
+        except TimeoutError:
+            is_serving = False
+        detail = 'all paths' if is_serving else await find_unserved(self.world)
+        self.findings.check('serves again', is_serving, detail)
+        return is_serving
+
     async def be_caller(self, *, keeps: bool) -> None:
         """Ask one request after the other.
 
@@ -365,7 +378,7 @@
         """Check that the bad part is kept back once no fault is left."""
         await self.send_bad()
         await asyncio.sleep(CONTACT_S)
-        await until(self.world.is_serving, RECOVERY_S)
+        await self.check_recovery()
         before = self.count_bad()
         await self.send_bad(LAST_BAD_REQUESTS, LAST_BAD_PERIOD_S)
         arrived = self.count_bad() - before
@@ -414,6 +427,23 @@
                 self.findings.check('not run is true', not runs, one)
 
 
+async def find_unserved(world: PartitionWorld) -> list[str]:
+    """Return how entry VMs answer the paths that are not served."""
+    unserved = []
+    for entry in world.entry_zones:
+        for path in CHECKED_PATHS:
+            answer = Answer(0, {}, b'no answer', complete=False)
+            with suppress(OSError, TimeoutError):
+                _, answer = await ask(entry, path)
+            if answer.status != 200:
+                wait = answer.fields.get('retry-after')
+                unserved.append(
+                    f'{entry} {path}: {answer.status}, '
+                    f'retry-after {wait}, {answer.body.decode()}'
+                )
+    return unserved
+
+
 def expected(path: str) -> bytes:
     """Return the whole body that a path is answered with."""
     return STREAM if path.startswith(STREAMS) else BODY
@@ -432,7 +462,13 @@
         await world.close()
 
 
-def main(*, seed: int = 1, seeds: int = 1, seconds: float = 20.0) -> None:
+def main(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    logs: Path | None = None,
+) -> None:
     """Run seeds one after the other, and print what they found.
 
     Exit code 1 where a promise was broken.
@@ -440,11 +476,14 @@
     :param seed: the first seed.
     :param seeds: how many.
     :param seconds: how long faults are made in each.
+    :param logs: where the logs of seeds that break a promise are kept.
     """
     broken = 0
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as folder:
             run = asyncio.run(soak(number, seconds, Path(folder)))
+            if run.findings.broken and logs is not None:
+                shutil.copytree(folder, logs / str(number), dirs_exist_ok=True)
         broken += len(run.findings.broken)
         served = sum(one.answer.status == 200 for one in run.seen)
         print(
