Clear a request sent alike by a whole answer after its first loss already

A request that many callers send alike, under which an engine fell once, was answered whole hundreds of times and then lost to two more engines within a second: three losses without an answer in between, as whole answers cleared only what was lost twice. It was refused for 900 s.

Entry VMs are still told nothing of requests that were lost once: a clearance is sent to them only with two losses, or where the losses are not known.

--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -209,13 +209,17 @@
     def record_whole_answer(
         self, outcome: Answered | Streamed | Failed
     ) -> None:
-        """Clear a suspected request, and parts, that were answered whole.
+        """Clear a lost request, and parts, that were answered whole.
+
+        A request that many callers send alike is cleared after its first loss
+        already: a loss long ago would otherwise count beside those of a short
+        outage.
 
         An upstream may refuse a request before it processes the prompt; so
         only a success shows that the parts crash nothing.
         """
         quarantine = self.context.quarantine
-        if quarantine.has_suspected_length(len(self.request.http.body)):
+        if quarantine.has_lost_length(len(self.request.http.body)):
             quarantine.clear(self.request.fingerprint)
         if is_success(outcome) and self.request.prompt.shared_parts:
             quarantine.record_answer(self.request.part_fingerprints)
--- a/godwitshunt/ingress/tests/test_feedback.py
+++ b/godwitshunt/ingress/tests/test_feedback.py
@@ -12,11 +12,21 @@
 from godwitshunt.picking.choices import HandOver
 from godwitshunt.picking.neighbours import Neighbours
 from godwitshunt.picking.upstreams import Upstreams
+from godwitshunt.quarantine import (
+    Fingerprint,
+    Loss,
+    LostRequest,
+    Quarantine,
+    QuarantineStatus,
+)
 from godwitshunt.registry import Load, RegistryView
 from godwitshunt.routing.upstream_health import UpstreamHealth
+from godwitshunt.telemetry import Metrics
 
 SERVICE = SimpleNamespace(name='llm', engine=True)
 SLOTS = 48
+CONTENT = Fingerprint(bytes(16))
+BODY = b'hello'
 
 
 def recorder_at_load(in_flight: int) -> AttemptRecorder:
@@ -131,7 +141,7 @@
             record=lambda recorded, service, now_s: None
         ),
         picker=SimpleNamespace(report_attempt=reports.append),
-        quarantine=SimpleNamespace(has_suspected_length=lambda length: False),
+        quarantine=SimpleNamespace(has_lost_length=lambda length: False),
     )
     request = SimpleNamespace(
         service=SERVICE,
@@ -189,3 +199,63 @@
     )
     assert (excluded == 'e-2') is is_avoided
     assert bool(neighbours.avoided_for('llm', 1.5)) is is_avoided
+
+
+def lose(quarantine, incarnation, at_s):
+    """Record a crash under a content that many callers send."""
+    loss = Loss(incarnation, at_s, 0.1)
+    quarantine.record_loss(LostRequest(CONTENT, '', len(BODY), loss))
+
+
+def report_answer(quarantine):
+    """Report a whole answer of an upstream to the content."""
+    context = SimpleNamespace(
+        timer=SimpleNamespace(now=lambda: 1.0),
+        quarantine=quarantine,
+        picker=SimpleNamespace(report_attempt=lambda report: None),
+        attempt_recorder=SimpleNamespace(
+            record=lambda recorded, service, now_s: None
+        ),
+    )
+    request = SimpleNamespace(
+        service=SERVICE,
+        route=SimpleNamespace(name='r'),
+        prompt=Prompt(),
+        http=SimpleNamespace(body=BODY),
+        fingerprint=CONTENT,
+    )
+    chosen = SimpleNamespace(
+        upstream=SimpleNamespace(
+            announcement=SimpleNamespace(incarnation='i-9')
+        ),
+        predicted_s=0.1,
+        unread_tokens=0,
+        waiting_tokens=0.0,
+        is_cached=False,
+        is_cold=False,
+    )
+    attempt = SimpleNamespace(misdirected=False, connected=True)
+    completed = CompletedAttempt(chosen, attempt, Streamed(), 0.06, 0.5)
+    AttemptFeedback(context, request).report_upstream(completed)
+
+
+@pytest.mark.parametrize(
+    ('is_answered', 'status'),
+    [
+        (True, QuarantineStatus.suspected),
+        (False, QuarantineStatus.quarantined),
+    ],
+)
+def test_answer_after_the_first_crash_clears_a_request(is_answered, status):
+    """A crash long ago counted beside two crashes of a short outage.
+
+    Many callers had sent the same request and got whole answers in between;
+    then all of them were refused for minutes.
+    """
+    quarantine = Quarantine(900.0, lambda: 60.0, Metrics())
+    lose(quarantine, 'i-0', at_s=1.0)
+    if is_answered:
+        report_answer(quarantine)
+    lose(quarantine, 'i-1', at_s=100.0)
+    lose(quarantine, 'i-2', at_s=101.0)
+    assert quarantine.assessment(CONTENT).status is status
--- a/godwitshunt/quarantine/state.py
+++ b/godwitshunt/quarantine/state.py
@@ -224,6 +224,10 @@
         """Tell whether any suspected request has a body of a length."""
         return self.table.has_suspected_length(body_bytes)
 
+    def has_lost_length(self, body_bytes: int) -> bool:
+        """Tell whether any lost request has a body of a length."""
+        return self.table.has_lost_length(body_bytes)
+
     def has_suspected_parts(self) -> bool:
         """Tell whether any part of prompts is suspected."""
         self.table.evaluate()
--- a/godwitshunt/quarantine/table.py
+++ b/godwitshunt/quarantine/table.py
@@ -86,6 +86,7 @@
     evaluated_version: int = NEVER_EVALUATED
     confirmed_crashes: dict[Fingerprint, int] = field(default_factory=dict)
     suspected_lengths: frozenset[int] = frozenset()
+    lost_lengths: frozenset[int] = frozenset()
     has_suspected_parts: bool = False
     find_confirmed: Callable[
         [Iterable[SuspectRecord]], dict[Fingerprint, int]
@@ -212,7 +213,7 @@
         ----------
         min_losses : int
             Records with fewer losses are omitted, unless they are of requests
-            that were cleared.
+            that were cleared and whose losses are not known.
         """
         return tuple(
             record
@@ -220,7 +221,7 @@
             if record.version > version
             and (
                 len(record.losses) >= min_losses
-                or (record.part is None and record.clearances)
+                or (record.part is None and not record.losses)
             )
         )
 
@@ -249,6 +250,11 @@
         self.evaluate()
         return body_bytes in self.suspected_lengths
 
+    def has_lost_length(self, body_bytes: int) -> bool:
+        """Tell whether any lost request has a body of a length."""
+        self.evaluate()
+        return body_bytes in self.lost_lengths
+
     def confirmed(self) -> dict[Fingerprint, int]:
         """Return the confirmed requests with their numbers of crashes."""
         self.evaluate()
@@ -259,13 +265,21 @@
         if self.evaluated_version == self.version:
             return
         self.evaluated_version = self.version
-        suspected = [
+        lost = [
             record
             for record in self.records.values()
+            if record.losses and record.counted_losses()
+        ]
+        suspected = [
+            record
+            for record in lost
             if len(record.losses) >= SUSPECTED_CRASHES
             and len(record.counted_losses()) >= SUSPECTED_CRASHES
         ]
         self.confirmed_crashes = self.find_confirmed(suspected)
+        self.lost_lengths = frozenset(
+            record.body_bytes for record in lost if record.part is None
+        )
         self.suspected_lengths = frozenset(
             record.body_bytes for record in suspected if record.part is None
         )
--- a/godwitshunt/quarantine/tests/test_state.py
+++ b/godwitshunt/quarantine/tests/test_state.py
@@ -3,6 +3,7 @@
 import pytest
 
 from godwitshunt.quarantine import (
+    SUSPECTED_CRASHES,
     Fingerprint,
     Loss,
     LostRequest,
@@ -101,3 +102,24 @@
     """Only bodies with the length of a suspected one need a fingerprint."""
     assert quarantine.has_suspected_length(5)
     assert not quarantine.has_suspected_length(6)
+
+
+def test_answers_are_hashed_from_the_first_loss_to_the_next_answer(clock):
+    """A lost request must not cost a hash of each answer for an hour."""
+    quarantine = Quarantine(LENGTH_S, clock, Metrics())
+    lose(quarantine, 'i-0')
+    assert quarantine.has_lost_length(5)
+    assert not quarantine.has_lost_length(6)
+    assert not quarantine.has_suspected_length(5)
+    assert quarantine.clear(CRASHING)
+    assert not quarantine.has_lost_length(5)
+
+
+def test_entry_vms_are_not_told_of_single_losses(clock):
+    """The requests that each crash loses are retried and answered."""
+    quarantine = Quarantine(LENGTH_S, clock, Metrics())
+    lose(quarantine, 'i-0')
+    assert not quarantine.table.since(0, SUSPECTED_CRASHES)
+    quarantine.clear(CRASHING)
+    assert not quarantine.table.since(0, SUSPECTED_CRASHES)
+    assert quarantine.table.since(0)
