Clear a lost request where another region's answer was whole, too

A VM whose request was lost, and answered whole after it was handed over, kept the loss: only answers of its own region's upstreams cleared. The other VM knows nothing of what was lost once. With all engines of a region down, each answer comes that way.

--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -251,6 +251,8 @@
         now_s = self.context.timer.now()
         entry = choice.entry
         neighbours = self.context.neighbours
+        if isinstance(outcome, (Answered, Streamed, Failed)):
+            self.record_whole_answer(outcome)
         if isinstance(outcome, Lost) and attempt.closed_by_peer:
             self.context.crash_detector.record_loss(
                 self.request,
--- a/godwitshunt/ingress/tests/test_feedback.py
+++ b/godwitshunt/ingress/tests/test_feedback.py
@@ -207,11 +207,12 @@
     quarantine.record_loss(LostRequest(CONTENT, '', len(BODY), loss))
 
 
-def report_answer(quarantine):
-    """Report a whole answer of an upstream to the content."""
+def report_answer(quarantine, *, is_handed_over):
+    """Report a whole answer to the content."""
     context = SimpleNamespace(
         timer=SimpleNamespace(now=lambda: 1.0),
         quarantine=quarantine,
+        neighbours=Neighbours('e-1', 'tvm'),
         picker=SimpleNamespace(report_attempt=lambda report: None),
         attempt_recorder=SimpleNamespace(
             record=lambda recorded, service, now_s: None
@@ -224,6 +225,12 @@
         http=SimpleNamespace(body=BODY),
         fingerprint=CONTENT,
     )
+    feedback = AttemptFeedback(context, request)
+    attempt = SimpleNamespace(misdirected=False, connected=True)
+    if is_handed_over:
+        entry = SimpleNamespace(name='e-2', region='kochi', session='s')
+        feedback.report_vm(HandOver(entry, 0.1), attempt, Streamed(), 0.5)
+        return
     chosen = SimpleNamespace(
         upstream=SimpleNamespace(
             announcement=SimpleNamespace(incarnation='i-9')
@@ -234,19 +241,12 @@
         is_cached=False,
         is_cold=False,
     )
-    attempt = SimpleNamespace(misdirected=False, connected=True)
     completed = CompletedAttempt(chosen, attempt, Streamed(), 0.06, 0.5)
-    AttemptFeedback(context, request).report_upstream(completed)
+    feedback.report_upstream(completed)
 
 
-@pytest.mark.parametrize(
-    ('is_answered', 'status'),
-    [
-        (True, QuarantineStatus.suspected),
-        (False, QuarantineStatus.quarantined),
-    ],
-)
-def test_answer_after_the_first_crash_clears_a_request(is_answered, status):
+@pytest.mark.parametrize('is_handed_over', [False, True])
+def test_answer_after_the_first_crash_clears_a_request(is_handed_over):
     """A crash long ago counted beside two crashes of a short outage.
 
     Many callers had sent the same request and got whole answers in between;
@@ -254,8 +254,16 @@
     """
     quarantine = Quarantine(900.0, lambda: 60.0, Metrics())
     lose(quarantine, 'i-0', at_s=1.0)
-    if is_answered:
-        report_answer(quarantine)
+    report_answer(quarantine, is_handed_over=is_handed_over)
     lose(quarantine, 'i-1', at_s=100.0)
     lose(quarantine, 'i-2', at_s=101.0)
-    assert quarantine.assessment(CONTENT).status is status
+    assert quarantine.assessment(CONTENT).status is QuarantineStatus.suspected
+
+
+def test_request_without_an_answer_is_quarantined():
+    """A request that crashes each upstream must not be cleared."""
+    quarantine = Quarantine(900.0, lambda: 60.0, Metrics())
+    for number, at_s in enumerate((1.0, 100.0, 101.0)):
+        lose(quarantine, f'i-{number}', at_s)
+    status = quarantine.assessment(CONTENT).status
+    assert status is QuarantineStatus.quarantined
