Try a request early that was answered whole before an outage

Three engines that fell within seconds under requests that callers send alike had these refused for 900 s: no answer came in between, and no other part was suspected, which alone allowed an early try.

A request that was answered whole within 60 s before its first loss is still quarantined after three crashes, but tried once a turn of 1 s until five crashes at three times speak against it. Not taken: to need five crashes for contents as for parts, which test_verdicts excludes.

--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -27,6 +27,9 @@
 UNRESPONSIVE_AFTER_S = 2.0
 AVOID_VM_S = 1.0
 AVOID_REGION_S = 0.5
+# Whole answers to bodies up to this length are remembered by content. Longer
+# ones are seldom sent alike, and take long to hash.
+HASHED_BYTES = 4096
 # Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 16
 
@@ -219,7 +222,10 @@
         only a success shows that the parts crash nothing.
         """
         quarantine = self.context.quarantine
-        if quarantine.has_lost_length(len(self.request.http.body)):
+        body_bytes = len(self.request.http.body)
+        if body_bytes <= HASHED_BYTES:
+            quarantine.record_content_answer(self.request.fingerprint)
+        elif quarantine.has_lost_length(body_bytes):
             quarantine.clear(self.request.fingerprint)
         if is_success(outcome) and self.request.prompt.shared_parts:
             quarantine.record_answer(self.request.part_fingerprints)
--- a/godwitshunt/ingress/tests/test_feedback.py
+++ b/godwitshunt/ingress/tests/test_feedback.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from godwitshunt.ingress.feedback import AttemptFeedback, CompletedAttempt
+from godwitshunt.ingress.feedback import (
+    HASHED_BYTES,
+    AttemptFeedback,
+    CompletedAttempt,
+)
 from godwitshunt.ingress.outcomes import Lost, NotRun, Streamed
 from godwitshunt.ingress.prompts import Prompt
 from godwitshunt.picking.attempt_recorder import AttemptRecorder
@@ -141,13 +145,14 @@
             record=lambda recorded, service, now_s: None
         ),
         picker=SimpleNamespace(report_attempt=reports.append),
-        quarantine=SimpleNamespace(has_lost_length=lambda length: False),
+        quarantine=Quarantine(900.0, lambda: 1.0, Metrics()),
     )
     request = SimpleNamespace(
         service=SERVICE,
         route=SimpleNamespace(name='r'),
         prompt=Prompt(),
         http=SimpleNamespace(body=b''),
+        fingerprint=CONTENT,
     )
     attempt = SimpleNamespace(misdirected=False, connected=True)
     completed = CompletedAttempt(chosen, attempt, Streamed(), 0.06, 0.5)
@@ -203,11 +208,11 @@
 
 def lose(quarantine, incarnation, at_s):
     """Record a crash under a content that many callers send."""
-    loss = Loss(incarnation, at_s, 0.1)
+    loss = Loss(incarnation, at_s, 0.1, observer=quarantine.name)
     quarantine.record_loss(LostRequest(CONTENT, '', len(BODY), loss))
 
 
-def report_answer(quarantine, *, is_handed_over):
+def report_answer(quarantine, *, is_handed_over=False, body=BODY):
     """Report a whole answer to the content."""
     context = SimpleNamespace(
         timer=SimpleNamespace(now=lambda: 1.0),
@@ -222,7 +227,7 @@
         service=SERVICE,
         route=SimpleNamespace(name='r'),
         prompt=Prompt(),
-        http=SimpleNamespace(body=BODY),
+        http=SimpleNamespace(body=body),
         fingerprint=CONTENT,
     )
     feedback = AttemptFeedback(context, request)
@@ -267,3 +272,40 @@
         lose(quarantine, f'i-{number}', at_s)
     status = quarantine.assessment(CONTENT).status
     assert status is QuarantineStatus.quarantined
+
+
+@pytest.mark.parametrize('body', [BODY, bytes(HASHED_BYTES + 1)])
+def test_request_answered_before_an_outage_is_tried_early(body):
+    """Requests sent alike were refused for minutes after three crashes.
+
+    Answers to long bodies are not remembered.
+    """
+    clock = SimpleNamespace(now_s=60.0)
+    quarantine = Quarantine(900.0, lambda: clock.now_s, Metrics(), name='n/a')
+    report_answer(quarantine, body=body)
+    for number, at_s in enumerate((61.0, 62.0, 63.0)):
+        lose(quarantine, f'i-{number}', at_s)
+    clock.now_s = 63.1
+    assessment = quarantine.assessment(CONTENT, companions=())
+    assert assessment.status is QuarantineStatus.quarantined
+    clock.now_s = 63.9
+    assessment = quarantine.assessment(CONTENT, companions=())
+    is_tried = assessment.status is QuarantineStatus.on_probation
+    assert is_tried is (body == BODY)
+
+
+def test_request_that_turns_bad_is_not_tried_for_ever():
+    """Early tries must end, or a request crashes an upstream each second."""
+    clock = SimpleNamespace(now_s=60.0)
+    quarantine = Quarantine(900.0, lambda: clock.now_s, Metrics(), name='n/a')
+    report_answer(quarantine)
+    crashes = 0
+    for step in range(3000):
+        clock.now_s = 61 + step / 10
+        assessment = quarantine.assessment(CONTENT, companions=())
+        if assessment.status is not QuarantineStatus.quarantined:
+            quarantine.begin_probe(CONTENT)
+            lose(quarantine, f'i-{crashes}', clock.now_s)
+            quarantine.end_probe(CONTENT)
+            crashes += 1
+    assert crashes == 5
--- a/godwitshunt/quarantine/records.py
+++ b/godwitshunt/quarantine/records.py
@@ -25,7 +25,7 @@
 MIN_EARLIER_S = 0.01
 # Clearances per record, by whole answers and by operators.
 MAX_CLEARANCES = 8
-# A part of prompts that was answered whole this long before its first loss, or
+# A request or part that was answered whole this long before its first loss, or
 # later, has been shown not to crash upstreams.
 PROOF_S = 60.0
 
@@ -126,7 +126,12 @@
     @property
     def is_proven(self) -> bool:
         """True for a part that was answered shortly before its first loss."""
-        if self.part is None or not self.clearances:
+        return self.part is not None and self.was_answered_before
+
+    @property
+    def was_answered_before(self) -> bool:
+        """True where it was answered whole shortly before its first loss."""
+        if not self.clearances:
             return False
         first_s = min(
             (loss.at_s for loss in self.counted_losses()), default=inf
--- a/godwitshunt/quarantine/state.py
+++ b/godwitshunt/quarantine/state.py
@@ -18,7 +18,11 @@
 from godwitshunt.quarantine.probes import ProbeTurns
 from godwitshunt.quarantine.records import SuspectRecord
 from godwitshunt.quarantine.table import LostRequest, SuspectTable
-from godwitshunt.quarantine.verdicts import SUSPECTED_CRASHES, is_contested
+from godwitshunt.quarantine.verdicts import (
+    SUSPECTED_CRASHES,
+    is_contested,
+    is_doubtful,
+)
 from godwitshunt.telemetry import Metrics, log_change
 
 # Losses are retained for this many times the length of a quarantine. A request
@@ -127,6 +131,8 @@
         Name of this VM among all; empty for one that sends no requests.
     answered : AnsweredParts
         Parts of prompts that were answered whole here.
+    answered_contents : AnsweredParts
+        Contents of requests that were answered whole here.
     on_observed : callable
         Called when this process has observed something to report.
     on_status_changed : callable
@@ -145,6 +151,7 @@
     clearance_numbers: Iterator[int] = field(default_factory=count)
     name: str = ''
     answered: AnsweredParts = field(default_factory=AnsweredParts)
+    answered_contents: AnsweredParts = field(default_factory=AnsweredParts)
     probe_turns: ProbeTurns = field(default_factory=ProbeTurns)
     on_observed: Callable[[], None] = ignore_observation
     on_status_changed: Callable[[list[SuspectRecord]], None] = ignore_records
@@ -183,16 +190,24 @@
             if part in self.table.records:
                 self.clear(part)
 
+    def record_content_answer(self, fingerprint: Fingerprint) -> None:
+        """Record that a request with some content was answered whole here."""
+        self.answered_contents.record((fingerprint,), self.now())
+        if fingerprint in self.table.records:
+            self.clear(fingerprint)
+
     def prove_answered(self, fingerprint: Fingerprint) -> bool:
-        """Report when a part was answered here; False if that adds nothing."""
+        """Report when it was answered here; False if that adds nothing."""
         record = self.table.records.get(fingerprint)
-        answered_s = self.answered.last_s(fingerprint)
+        answered_s = self.answered.last_s(
+            fingerprint
+        ) or self.answered_contents.last_s(fingerprint)
         if record is None or answered_s is None:
             return False
         losses = record.counted_losses()
         if not losses or answered_s <= record.cleared_until_s:
             return False
-        if record.is_proven and answered_s < losses[0].at_s:
+        if record.was_answered_before and answered_s < losses[0].at_s:
             return False
         self.add_clearance(record, answered_s)
         return True
@@ -308,8 +323,8 @@
         """Tell whether this VM may try a quarantined request or part now.
 
         It may once the quarantine has ended, and earlier if its prompt lacks
-        other suspected parts that may be the cause instead. Of several VMs one
-        has the turn.
+        other suspected parts that may be the cause instead, or if the request
+        was answered shortly before its losses. Of several VMs one has the turn.
         """
         record = self.table.records[general.fingerprint]
         if record.fingerprint in self.probing:
@@ -320,9 +335,11 @@
             return self.probe_turns.is_due(record, self.name, ended_s, now_s)
         if companions is None:
             return False
-        return self.probe_turns.is_due_early(
-            record, self.name, now_s
-        ) and is_contested(record, self.table.records.values(), companions)
+        if not self.probe_turns.is_due_early(record, self.name, now_s):
+            return False
+        return is_doubtful(record) or is_contested(
+            record, self.table.records.values(), companions
+        )
 
     def begin_probe(self, fingerprint: Fingerprint) -> None:
         """Start to try a request on probation; its repeats wait."""
--- a/godwitshunt/quarantine/verdicts.py
+++ b/godwitshunt/quarantine/verdicts.py
@@ -23,7 +23,8 @@
 # confirmed by its next two crashes.
 UNEXPLAINED_CRASH_TIMES = 2
 # Crashes, and distinct times of them, that confirm a part although it was
-# answered whole shortly before, or other suspected parts may explain some.
+# answered whole shortly before, or other suspected parts may explain some. A
+# request that was answered whole shortly before is tried early until then.
 STRONG_CRASHES = 5
 STRONG_CRASH_TIMES = 3
 
@@ -117,6 +118,19 @@
     return any(crashes < crashed_incarnations(other) for other in confirmed)
 
 
+def is_doubtful(record: SuspectRecord) -> bool:
+    """Tell whether a confirmed request may have been lost by chance.
+
+    A request that many callers send alike is lost in each crash of an outage,
+    although it was answered until then.
+    """
+    return (
+        record.part is None
+        and record.was_answered_before
+        and not has_strong_evidence(record, set())
+    )
+
+
 def is_contested(
     record: SuspectRecord,
     records: Iterable[SuspectRecord],
--- a/tests/test_platform_alike.py
+++ b/tests/test_platform_alike.py
@@ -23,6 +23,8 @@
 # Two crashes so far apart are known to be two.
 APART_S = 0.6
 ROUNDS = 4
+# A request that may be no cause is tried within some seconds.
+RECOVERY_S = 10.0
 
 
 @pytest_asyncio.fixture(loop_scope='module')
@@ -46,6 +48,12 @@
     await asyncio.sleep(DOWN_S)
 
 
+async def is_served(entry):
+    """Tell whether the request is served at an entry VM."""
+    _, answer = await ask(entry, PATH)
+    return answer.status == OK
+
+
 async def ask_everywhere(world):
     """Return the statuses and problem types of answers at all entry VMs."""
     answers = await asyncio.gather(*(ask(entry, PATH) for entry in world.north))
@@ -69,3 +77,18 @@
     await until(world.is_serving, 10.0)
     answers = await ask_everywhere(world)
     assert set(answers) == {(OK, 'late')}
+
+
+@pytest.mark.parametrize('entry_number', [0])
+async def test_requests_sent_alike_are_served_after_an_outage(
+    world, entry_number
+):
+    """Three crashes without an answer in between had them refused for minutes.
+
+    """
+    served = await ask_everywhere(world)
+    assert {status for status, _ in served} == {OK}
+    await fall_under_requests(world, 2)
+    await fall_under_requests(world, 1)
+    entry = world.north[entry_number]
+    await until(lambda: is_served(entry), RECOVERY_S)
