--- a/trials/soak.py
+++ b/trials/soak.py
@@ -449,17 +449,31 @@
     return STREAM if path.startswith(STREAMS) else BODY
 
 
-async def soak(seed: int, seconds: float, folder: Path) -> Soak:
-    """Run one seed on a deployment of its own."""
+async def soak(
+    seed: int, seconds: float, folder: Path, kept: Path | None = None
+) -> Soak:
+    """Run one seed on a deployment of its own.
+
+    Parameters
+    ----------
+    folder : Path
+        For the deployment's settings and logs.
+    kept : Path or None
+        Where these are copied to if the run fails.
+    """
     world = PartitionWorld(folder, NETWORK)
     world.server_type = SoakServer
+    run = Soak(world, Random(seed))
+    has_failed = True
     try:
         await world.start()
-        run = Soak(world, Random(seed))
         await run.run(seconds)
+        has_failed = bool(run.findings.broken)
         return run
     finally:
         await world.close()
+        if has_failed and kept is not None:
+            shutil.copytree(folder, kept, dirs_exist_ok=True)
 
 
 def main(
@@ -481,9 +495,8 @@
     broken = 0
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as folder:
-            run = asyncio.run(soak(number, seconds, Path(folder)))
-            if run.findings.broken and logs is not None:
-                shutil.copytree(folder, logs / str(number), dirs_exist_ok=True)
+            kept = None if logs is None else logs / str(number)
+            run = asyncio.run(soak(number, seconds, Path(folder), kept))
         broken += len(run.findings.broken)
         served = sum(one.answer.status == 200 for one in run.seen)
         print(
