--- a/godwitshunt/ingress/feedback.py
+++ b/godwitshunt/ingress/feedback.py
@@ -27,6 +27,9 @@
 UNRESPONSIVE_AFTER_S = 2.0
 AVOID_VM_S = 1.0
 AVOID_REGION_S = 0.5
+# Whole answers to bodies up to this length are remembered by content. Longer
+# ones are seldom sent alike, and take long to hash.
+HASHED_BYTES = 4096
 # Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 16
 
@@ -209,13 +212,20 @@
     def record_whole_answer(
         self, outcome: Answered | Streamed | Failed
     ) -> None:
-        """Clear a suspected request, and parts, that were answered whole.
+        """Clear a lost request, and parts, that were answered whole.
+
+        A request that many callers send alike is cleared after its first loss
+        already: a loss long ago would otherwise count beside those of a short
+        outage.
 
         An upstream may refuse a request before it processes the prompt; so
         only a success shows that the parts crash nothing.
         """
         quarantine = self.context.quarantine
-        if quarantine.has_suspected_length(len(self.request.http.body)):
+        body_bytes = len(self.request.http.body)
+        if body_bytes <= HASHED_BYTES:
+            quarantine.record_content_answer(self.request.fingerprint)
+        elif quarantine.has_lost_length(body_bytes):
             quarantine.clear(self.request.fingerprint)
         if is_success(outcome) and self.request.prompt.shared_parts:
             quarantine.record_answer(self.request.part_fingerprints)
@@ -247,6 +257,8 @@
         now_s = self.context.timer.now()
         entry = choice.entry
         neighbours = self.context.neighbours
+        if isinstance(outcome, (Answered, Streamed, Failed)):
+            self.record_whole_answer(outcome)
         if isinstance(outcome, Lost) and attempt.closed_by_peer:
             self.context.crash_detector.record_loss(
                 self.request,
--- a/trials/soak.py
+++ b/trials/soak.py
@@ -37,6 +37,8 @@
 from tests.stuttering_server import expected_body, runs_of
 
 PATHS = ('/safe/x', '/unsafe/x', '/once/x', '/resumed/x', '/south/x')
+# Those that show that a deployment serves.
+CHECKED_PATHS = ('/safe/x', '/south/x', '/resumed/x')
 ONCE = ('/unsafe', '/once')
 STREAMS = ('/once', '/resumed')
 # These say that a request did not run and never will.
@@ -430,7 +432,8 @@
             await until(self.world.is_serving, RECOVERY_S)
         except TimeoutError:
             serves = False
-        self.findings.check('serves again', serves, moment)
+        unserved = () if serves else await find_unserved(self.world)
+        self.findings.check('serves again', serves, (moment, *unserved))
 
     async def check_bad_part(self) -> None:
         """Check that the bad part is kept back once no fault is left."""
@@ -498,6 +501,23 @@
             self.findings.check('begun and own', begun, one)
 
 
+async def find_unserved(world: PartitionWorld) -> list[str]:
+    """Return how entry VMs answer the paths that are not served."""
+    unserved = []
+    for entry in world.entry_zones:
+        for path in CHECKED_PATHS:
+            answer = Answer(0, {}, b'no answer', complete=False)
+            with suppress(OSError, TimeoutError):
+                _, answer = await ask(entry, path)
+            if answer.status != 200:
+                wait = answer.fields.get('retry-after')
+                unserved.append(
+                    f'{entry} {path}: {answer.status}, '
+                    f'retry-after {wait}, {answer.body.decode()}'
+                )
+    return unserved
+
+
 async def soak(seed: int, seconds: float, folder: Path) -> Soak:
     """Run one seed on a deployment of its own."""
     world = PartitionWorld(folder, NETWORK)
