Lower a learned time for which an idle upstream gets no requests

Callers were refused as overloaded for as long as the process lived, although nothing ran at the one upstream of their region: after a cut with answers of 1 to 1.8 s its picker had learned .695 s, above the limit of .64 s, and refused requests correct nothing. Each refusal at an idle upstream for that reason now lowers the time by the largest step of a sample, so that one of the next requests is sent and measures it. test_an_idle_upstream_that_was_slow_is_used_again[0] failed before.

--- a/godwitshunt/picking/chooser.py
+++ b/godwitshunt/picking/chooser.py
@@ -260,10 +260,22 @@
             self.late_kinds.discard(late_key(request))
             return None
         self.late_kinds.add(late_key(request))
+        self.relax_speed(request, search, best)
         over_s = best.predicted_s - request.route.objective_s
         wait_s = self.jitter(max(MIN_RETRY_S, over_s))
         return NoPlace(True, wait_s, (best,))
 
+    def relax_speed(
+        self, request: ChoiceRequest, search: Search, best: RankedCandidate
+    ) -> None:
+        """Lower a learned time for which an idle upstream gets no requests.
+
+        Only an answer could correct it otherwise, and there will be none.
+        """
+        is_idle = not best.candidate.in_flight
+        if is_idle and search.speed.first_s > wait_limit_s(request, 0):
+            self.upstreams.learned_speed(request.service).decrease()
+
     def retry_wait_s(self, request: ChoiceRequest, view: RegistryView) -> float:
         """Return the retry delay of a request without an upstream."""
         if not request.pauses and not self.filter.limits:
--- a/godwitshunt/picking/learned_speed.py
+++ b/godwitshunt/picking/learned_speed.py
@@ -101,6 +101,11 @@
             bounded_s = min(MAX_TOKEN_S, max(MIN_TOKEN_S, sample_s))
             self.token_s = step_towards(self.token_s, bounded_s)
 
+    def decrease(self) -> None:
+        """Lower the time to an answer by the largest step of a sample."""
+        lower_s = self.first_s * (1 - MAX_DECREASE_SHARE)
+        self.first_s = max(MIN_FIRST_S, lower_s)
+
     def service_speed(self) -> ServiceSpeed:
         """Return the speed in the form that predictions use."""
         tokens_per_s = 1 / self.token_s if self.token_s else 0.0
--- a/godwitshunt/picking/tests/test_chooser.py
+++ b/godwitshunt/picking/tests/test_chooser.py
@@ -116,6 +116,35 @@
     assert chosen.retry_after_s > 0
 
 
+@pytest.mark.parametrize(('in_flight', 'kind'), [(0, SendHere), (1, NoPlace)])
+def test_an_idle_upstream_that_was_slow_is_used_again(in_flight, kind):
+    """Requests refused for good, as no answer corrects a learned time.
+
+    Answers that were late during a partition raise the learned time above the
+    objective; refused requests never lower it.
+    """
+    service = SimpleNamespace(name='app', engine=None, cold_start=None)
+    announcement = UpstreamAnnounced('a-0', 'app', ADDRESS, 'a', 8, False, 0, 1)
+    upstream = UpstreamSeen(announcement, 'kochi', 0.0, None, silent=False)
+    one = RegistryView(
+        upstreams={'a-0': upstream},
+        entries={},
+        loads={'a-0': Load(in_flight=in_flight, pending_tokens=0)},
+        entry_points={},
+    )
+    chooser = Chooser(
+        'kochi', Upstreams(), Neighbours('k-e', 'kochi'), Random(1)
+    )
+    speed = chooser.upstreams.learned_speed(service)
+    for _ in range(40):
+        speed.record_answer(1.0, 1.0)
+    request = replace(make_request(Demand(0, 0, 0)), service=service)
+    revision = SimpleNamespace(evacuated=frozenset())
+    for _ in range(20):
+        chosen = chooser.choose(request, one, revision)
+    assert isinstance(chosen, kind)
+
+
 def test_the_longest_prompts_are_read_by_an_idle_engine():
     """Reading 53,000 tokens takes 1.5 s, longer than the objective.
 
