--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -179,9 +179,11 @@
 async def test_a_platform_that_does_not_recover_is_found(monkeypatch):
     """A run that ends without its other findings, or passes."""
     monkeypatch.setattr('trials.soak.RECOVERY_S', 0.1)
-    checked = Soak(SimpleNamespace(is_serving=serves_nothing), None, Findings())
+    world = SimpleNamespace(is_serving=serves_nothing, entry_zones=(ENTRY,))
+    checked = Soak(world, None, Findings())
     await checked.check_serving('all paths')
     assert broken_promises(checked) == ['serves again']
+    assert f'{ENTRY} /safe/x: 0' in checked.findings.broken[0]
 
 
 async def serves_nothing():
