--- a/godwitshunt/exchange/attribution.py
+++ b/godwitshunt/exchange/attribution.py
@@ -18,7 +18,8 @@
 from godwitshunt.exchange.upstream_messages import BrokenAnswerError, Place
 from godwitshunt.telemetry import Metrics, log_change
 
-# Lines that are logged at most within a second; the counter counts all.
+# Lines of each kind that are logged at most within a second; the counter counts
+# all.
 LINES_PER_S = 20
 LINE_WINDOW_S = 1.0
 # An upstream that sent stray bytes gets one request on each connection for
@@ -120,18 +121,19 @@
     """Counts stray bytes, and logs a bounded number of them."""
 
     metrics: Metrics
-    logged_s: deque[float] = field(
-        default_factory=lambda: deque(maxlen=LINES_PER_S)
-    )
+    logged_s: dict[StrayKind, deque[float]] = field(default_factory=dict)
 
     def record(self, stray: StrayBytes) -> None:
         """Count and log stray bytes."""
         self.metrics.count('upstream_stray_bytes_total', kind=stray.kind.value)
         now_s = asyncio.get_running_loop().time()
-        is_full = len(self.logged_s) == LINES_PER_S
-        if is_full and now_s - self.logged_s[0] < LINE_WINDOW_S:
+        logged_s = self.logged_s.setdefault(
+            stray.kind, deque(maxlen=LINES_PER_S)
+        )
+        is_full = len(logged_s) == LINES_PER_S
+        if is_full and now_s - logged_s[0] < LINE_WINDOW_S:
             return
-        self.logged_s.append(now_s)
+        logged_s.append(now_s)
         log_change(
             'exchange:stray_bytes',
             kind=stray.kind.value,
--- a/godwitshunt/exchange/tests/test_attribution.py
+++ b/godwitshunt/exchange/tests/test_attribution.py
@@ -1,5 +1,7 @@
 """Bytes of upstreams that belong to no waiting request."""
 
+from dataclasses import replace
+
 import eliot
 import pytest
 
@@ -23,7 +25,10 @@
     log = StrayLog(metrics)
     for _ in range(5 * LINES_PER_S):
         log.record(STRAY)
-    assert len(captured_lines) == LINES_PER_S
+    log.record(replace(STRAY, kind=StrayKind.unnamed))
+    kinds = [line['kind'] for line in captured_lines]
+    assert kinds.count('idle') == LINES_PER_S
+    assert kinds[LINES_PER_S:] == ['unnamed']
     line = captured_lines[0]
     assert (line['instance'], line['request'], line['named']) == (
         'i-1',
