Let a stand-in's reset be a reset

Trace: the entry VM was cut off with its connections *reset* while the stream ran, and saw a clean end: the stand-in closed the connection, which sends FIN where nothing is unread. The platform tells an answer that is reset on the way from one that ends. The stand-in now sends RST; no check changes.

--- a/tests/partition_world.py
+++ b/tests/partition_world.py
@@ -67,7 +67,7 @@
         if kind is Cut.reset:
             for writer in tuple(self.writers):
                 if peer_of(writer) in hosts:
-                    writer.transport.abort()
+                    reset(writer)
 
     def heal(self, hosts=None):
         """Let entry VMs reach this server again."""
@@ -88,7 +88,7 @@
     async def accept(self, reader, writer):
         """Serve a connection, unless its VM is cut off."""
         if self.cuts.get(peer_of(writer)) in {Cut.reset, Cut.no_new}:
-            writer.transport.abort()
+            reset(writer)
             return
         self.writers.add(writer)
         try:
@@ -113,6 +113,15 @@
     return '' if peer is None else peer[0]
 
 
+def reset(writer):
+    """Reset a connection; a close alone would end an answer cleanly."""
+    connection = writer.get_extra_info('socket')
+    if connection.fileno() >= 0:
+        linger = struct.pack('ii', 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def drop_packets(connection, hosts):
     """Drop the packets that a socket gets from some hosts."""
     handle = connection.fileno()
