Take no end of an answer for whole while no path to its upstream is known

An answer without a length that ended cleanly counted as whole although its upstream refused connections, if the VM had lost its paths: that proves no crash, but no end either. test_end_of_an_answer_is_unknown_without_paths failed before.

--- a/godwitshunt/ingress/crash_detector.py
+++ b/godwitshunt/ingress/crash_detector.py
@@ -128,26 +128,35 @@
         """Check whether an answer ended because its upstream crashed.
 
         An exiting process closes its connections cleanly, like the end of an
-        answer without a length.
+        answer without a length. Where this VM has lost its paths, a refused
+        connection proves no crash, but the answer's end is not known either.
         """
         check = self.checks.get(incarnation)
         if check is not None and check.crashed:
             return True
-        crashed = await self.has_crashed(incarnation, address)
-        if crashed:
-            self.checks[incarnation] = CrashCheck(crashed, self.timer.now())
-        return crashed
+        refused = await self.is_refused(incarnation, address)
+        if refused and not await self.has_lost_paths():
+            self.checks[incarnation] = CrashCheck(True, self.timer.now())
+        return refused
 
     async def has_crashed(self, incarnation: str, address: Address) -> bool:
         """Check whether the process at an address has ended by now."""
+        refused = await self.is_refused(incarnation, address)
+        return refused and not await self.has_lost_paths()
+
+    async def is_refused(self, incarnation: str, address: Address) -> bool:
+        """Check whether an upstream seems to have ended by now."""
         await asyncio.sleep(EXIT_DELAY_S)
         if self.has_open_connection(incarnation, address):
             return False
-        crashed = await self.refuses_connections(address)
-        if self.path_monitor is not None:
-            await self.path_monitor.wait_checked()
-            crashed = crashed and not self.path_monitor.are_lost
-        return crashed
+        return await self.refuses_connections(address)
+
+    async def has_lost_paths(self) -> bool:
+        """Tell whether this VM reaches no upstream at all."""
+        if self.path_monitor is None:
+            return False
+        await self.path_monitor.wait_checked()
+        return self.path_monitor.are_lost
 
     async def refuses_connections(self, address: Address) -> bool:
         """Tell whether an address refuses connections."""
--- a/godwitshunt/ingress/tests/test_crash_detector.py
+++ b/godwitshunt/ingress/tests/test_crash_detector.py
@@ -139,6 +139,23 @@
     assert not upstream.losses
 
 
+async def checked_at_once():
+    """Wait for a check that is done."""
+
+
+async def test_end_of_an_answer_is_unknown_without_paths(upstream):
+    """A part of an answer taken for the whole as the VM lost its paths."""
+    await upstream.stop()
+    upstream.detector.path_monitor = SimpleNamespace(
+        are_lost=True, wait_checked=checked_at_once
+    )
+    address = Address(host=HOST, port=upstream.port)
+    assert await upstream.detector.is_end_of_crash('i-1', address)
+    assert not upstream.detector.checks
+    await upstream.lose()
+    assert not upstream.losses
+
+
 @pytest.mark.parametrize(
     ('error', 'is_closed'),
     [
