--- a/godwitshunt/ingress/crash_detector.py
+++ b/godwitshunt/ingress/crash_detector.py
@@ -128,14 +128,16 @@
         """Check whether an answer ended because its upstream crashed.
 
         An exiting process closes its connections cleanly, like the end of an
-        answer without a length. Where this VM has lost its paths, a refused
-        connection proves no crash, but the answer's end is not known either.
+        answer without a length. Where this VM has lost its paths, nothing
+        proves a crash, but the answer's end is not known either.
         """
         check = self.checks.get(incarnation)
         if check is not None and check.crashed:
             return True
         refused = await self.is_refused(incarnation, address)
-        if refused and not await self.has_lost_paths():
+        if await self.has_lost_paths():
+            return True
+        if refused:
             self.checks[incarnation] = CrashCheck(True, self.timer.now())
         return refused
 
--- a/godwitshunt/ingress/tests/test_crash_detector.py
+++ b/godwitshunt/ingress/tests/test_crash_detector.py
@@ -143,9 +143,11 @@
     """Wait for a check that is done."""
 
 
-async def test_end_of_an_answer_is_unknown_without_paths(upstream):
+@pytest.mark.parametrize('is_up', [True, False])
+async def test_end_of_an_answer_is_unknown_without_paths(upstream, is_up):
     """A part of an answer taken for the whole as the VM lost its paths."""
-    await upstream.stop()
+    if not is_up:
+        await upstream.stop()
     upstream.detector.path_monitor = SimpleNamespace(
         are_lost=True, wait_checked=checked_at_once
     )
