--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,7 +29,9 @@
 OPERATOR_WAIT_S = 1.0
 ACK_S = 6.0
 BACKOFF_S = 0.1
-FREEZE_S = 3.0
+# The operator's next order comes this long after the one before.
+NEXT_ORDER_S = 2.0
+FREEZE_S = 5.0
 # `contact_ms`, `evacuation_ms` and `max_extension_ms`.
 CONTACT_S = 5.0
 EVACUATION_S = 5.0
@@ -118,6 +120,7 @@
             process.send_signal(signal.SIGSTOP)
         thaw_s = time.monotonic() + FREEZE_S
         await self.order('DELETE', follower)
+        await asyncio.sleep(NEXT_ORDER_S)
         await self.order('POST', leader)
         acknowledged_s = time.monotonic()
         await asyncio.sleep(thaw_s - time.monotonic())
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,9 +29,9 @@
 SLOTS = 100
 # Pairs of crashes; the requests of a pair share the first part of their
 # prompts, as requests on one subject do.
-PAIRS = 4
-REQUESTS = 240
-SENT_EACH_S = 0.004
+PAIRS = 6
+REQUESTS = 300
+SENT_EACH_S = 0.0032
 DEADLINE_S = 2.0
 # After the first request of a round.
 CRASH_AFTER_S = 2.25
