--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,11 +1,13 @@
-"""A late withdrawal of an evacuation undoes a newer evacuation.
+"""Two seeds lose their disks, and two other machines much later.
 
 Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 """
 
 import asyncio
+import json
 import os
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -15,167 +17,204 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent))
 
-from tests.platform_client import Answer, ask, call
-from tests.platform_documents import CONTROL
-from tests.platform_world import World
+from tests.platform_client import Answer, call
+from tests.platform_documents import CONTROL, boot_document, configuration
+from tests.platform_world import ROOT, World
 
 HERE = Path(__file__).resolve().parent
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-ZONE = 'zone-a'
-ORDER = f'/-/evacuations/{ZONE}'
-SUCCESS = range(200, 300)
-# An operator moves on after a second without a response, and gives an order
-# up after `ack_ms`.
-OPERATOR_WAIT_S = 1.0
-ACK_S = 6.0
-BACKOFF_S = 0.1
-# The operator's next order comes this long after the one before.
-NEXT_ORDER_S = 2.0
-FREEZE_S = 5.0
-# `contact_ms`, `evacuation_ms` and `max_extension_ms`.
-CONTACT_S = 5.0
-EVACUATION_S = 5.0
-EXTENSION_S = 8.0
-CHECKED_S = 4.0
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+CONFIGURATION = '/-/config'
+OK = 200
+# Five control machines, of which two may be lost at once; three are seeds.
+CONTROL_MACHINES = 5
+SEEDS = 3
+# Traffic starts so long after the machines do.
+LEAD_S = 12.0
+# A machine is down for so long.
+DOWN_S = 0.5
+# Twice `catch_up_s`, for which a machine that is back counts as lost.
+BACK_S = 8.0
+# No more losses begin after this time; all has to end within two minutes.
+LAST_LOSS_S = 50.0
+# A second without a response, and a pause.
+CALL_S = 1.0
+RETRY_S = 0.2
+# Time for the next configuration to be acknowledged, above `recovery_s` (12)
+# and `ack_ms` (6,000); then for reading back, above `contact_ms` (5,000).
+CHANGE_S = 16.0
+READ_S = 10.0
 
 
-class NotAcknowledgedError(Exception):
-    """An order got no acknowledgement; the case cannot go on."""
+@dataclass
+class ReviewWorld(World):
+    """A deployment with five control machines, of which three are seeds."""
+
+    async def start_process(self, host, zone, *, control, bootstrap=True):
+        """Start one process."""
+        path = self.folder / f'{host}.json'
+        document = boot_document(
+            host,
+            zone,
+            self.folder,
+            control=control,
+            bootstrap=bootstrap,
+            seeds=self.control_hosts[:SEEDS],
+        )
+        path.write_text(json.dumps(document))
+        script = 'platform/control.py' if control else 'platform/entry.py'
+        log = (self.folder / f'{host}.log').open('ab')
+        self.processes[host] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            script,
+            cwd=ROOT,
+            env={**os.environ, 'GODWITSHUNT_BOOT': str(path)},
+            stdout=log,
+            stderr=log,
+        )
 
 
 @dataclass
-class Record:
-    """What was sent, answered and run."""
+class Case:
+    """One run.
 
+    Parameters
+    ----------
+    acknowledged : int
+        Newest version of the configuration that was acknowledged.
+    """
+
+    world: World
+    acknowledged: int = 1
+    lines: list = field(default_factory=list)
     begun_s: float = field(default_factory=time.monotonic)
-    lines: list[str] = field(default_factory=list)
 
     def add(self, text):
-        """Add a line with the seconds since the start."""
+        """Add a line to the record."""
         self.lines.append(f'{time.monotonic() - self.begun_s:7.3f} s  {text}')
 
     def write(self):
-        """Write the file."""
+        """Write the record."""
         text = '\n'.join(self.lines)
         (HERE / 'record.txt').write_text(f'{text}\n')
 
-
-@dataclass
-class Case:
-    """One run."""
-
-    world: World
-    record: Record
-
-    async def order(self, method, first):
-        """Give an order: to one machine first, then to the others in turn."""
-        hosts = [first]
-        hosts += [host for host in self.world.control_hosts if host != first]
-        give_up_s = time.monotonic() + ACK_S
-        place = 0
-        while time.monotonic() < give_up_s:
-            host = hosts[place % len(hosts)]
-            place += 1
-            self.record.add(f'operator sends {method} {ORDER} to {host}')
-            status = await self.status_of(host, method)
-            self.record.add(f'operator gets {status or "no answer"}')
-            if status in SUCCESS:
-                return
-            await asyncio.sleep(BACKOFF_S * place)
-        raise NotAcknowledgedError(f'{method} {ORDER}')
-
-    async def status_of(self, host, method):
-        """Return the status of one call, 0 without one within a second."""
-        try:
-            async with asyncio.timeout(OPERATOR_WAIT_S):
-                answer = await call(host, CONTROL, method, ORDER)
-        except (OSError, TimeoutError):
-            answer = Answer(0, {}, b'', complete=False)
-        return answer.status
+    async def run(self):
+        """Lose two disks at a time, until the configuration is lost."""
+        await asyncio.sleep(LEAD_S - (time.monotonic() - self.begun_s))
+        first, *seeds = self.world.control_hosts[:SEEDS]
+        others = self.world.control_hosts[SEEDS:]
+        is_kept = await self.change()
+        while is_kept and time.monotonic() - self.begun_s < LAST_LOSS_S:
+            if self.leader() == first:
+                await self.kill((first,), wipes=False)
+            else:
+                await self.kill(seeds, wipes=True)
+                await self.change()
+                await self.kill(others, wipes=True)
+            is_kept = await self.change()
+        return HELD if await self.is_readable() else BROKEN
 
     def leader(self):
         """Return the address of the control machine that leads."""
-        names = {
-            host.replace('.', '-'): host for host in self.world.control_hosts
-        }
-        newest = {}
+        newest = {'term': -1, 'leader': ''}
         for host in self.world.control_hosts:
             for line in self.world.logged(host, 'consensus:leader'):
-                if line['leader'] and line['term'] >= newest.get('term', 0):
+                if line['leader'] and line['term'] >= newest['term']:
                     newest = line
-        return names[newest['leader']]
+        return newest['leader'].replace('-', '.')
 
-    async def run(self):
-        """Evacuate, take back while one machine stands still, evacuate anew."""
-        leader = self.leader()
-        follower = next(
-            host for host in self.world.control_hosts if host != leader
-        )
-        self.record.add(f'{leader} leads, {follower} follows')
-        await self.order('POST', leader)
-        process = self.world.processes[follower]
-        if HAS_TROUBLE:
-            self.record.add(f'{follower} is frozen')
-            process.send_signal(signal.SIGSTOP)
-        thaw_s = time.monotonic() + FREEZE_S
-        await self.order('DELETE', follower)
-        await asyncio.sleep(NEXT_ORDER_S)
-        await self.order('POST', leader)
-        acknowledged_s = time.monotonic()
-        await asyncio.sleep(thaw_s - time.monotonic())
+    async def kill(self, hosts, *, wipes):
+        """Kill machines, and start them again; wait until they are back.
+
+        Parameters
+        ----------
+        wipes : bool
+            Whether they lose their disks.
+        """
         if HAS_TROUBLE:
-            self.record.add(f'{follower} wakes')
-            process.send_signal(signal.SIGCONT)
-        due_s = max(
-            acknowledged_s + EVACUATION_S + EXTENSION_S,
-            time.monotonic() + CONTACT_S,
+            names = ', '.join(hosts)
+            self.add(f'{names} are killed, disks lost: {wipes}')
+            for host in hosts:
+                self.world.processes[host].send_signal(signal.SIGKILL)
+            await asyncio.sleep(DOWN_S)
+            for host in hosts:
+                await self.world.processes[host].wait()
+                if wipes:
+                    shutil.rmtree(self.world.folder / host)
+                await self.start(host)
+            self.add(f'{names} are started')
+        await asyncio.sleep(BACK_S)
+        self.add(f'{self.leader()} leads')
+
+    async def start(self, host):
+        """Start a control machine again."""
+        await self.world.start_process(
+            host, 'zone-a', control=True, bootstrap=False
+        )
+
+    async def send(self, host, method, document=None):
+        """Make one call, and wait a second for its answer."""
+        try:
+            async with asyncio.timeout(CALL_S):
+                return await call(
+                    host, CONTROL, method, CONFIGURATION, document
+                )
+        except (OSError, TimeoutError):
+            return Answer(0, {}, b'', complete=False)
+
+    async def change(self):
+        """Send the next configuration; tell whether it is acknowledged."""
+        version = self.acknowledged + 1
+        give_up_s = time.monotonic() + CHANGE_S
+        while time.monotonic() < give_up_s:
+            for host in self.world.control_hosts:
+                answer = await self.send(host, 'PUT', configuration(version))
+                if answer.status == OK:
+                    self.acknowledged = version
+                    self.add(f'version {version} acknowledged by {host}')
+                    return True
+            await asyncio.sleep(RETRY_S)
+        self.add(f'version {version} not acknowledged within {CHANGE_S} s')
+        return False
+
+    async def is_readable(self):
+        """Tell whether what was acknowledged can be read back."""
+        give_up_s = time.monotonic() + READ_S
+        while time.monotonic() < give_up_s:
+            for host in self.world.control_hosts:
+                answer = await self.send(host, 'GET')
+                if answer.status == OK:
+                    version = json.loads(answer.body)['version']
+                    self.add(f'{host} gives back version {version}')
+                    return version >= self.acknowledged
+            await asyncio.sleep(RETRY_S)
+        self.add(
+            f'version {self.acknowledged} was acknowledged; no machine gives '
+            f'a configuration back within {READ_S} s',
         )
-        await asyncio.sleep(due_s - time.monotonic())
-        return await self.check(acknowledged_s)
-
-    async def check(self, acknowledged_s):
-        """Send requests; tell whether servers of the zone run any."""
-        ran_before = {
-            name: len(server.ran) for name, server in self.world.servers.items()
-        }
-        after_s = time.monotonic() - acknowledged_s
-        self.record.add(f'{after_s:.1f} s after the acknowledgement:')
-        until_s = time.monotonic() + CHECKED_S
-        while time.monotonic() < until_s:
-            for entry in self.world.entry_zones:
-                attempt, answer = await ask(entry, '/safe/x')
-                self.record.add(f'{attempt} at {entry}: {answer.status}')
-            await asyncio.sleep(0.1)
-        broken = 0
-        for name, server in self.world.servers.items():
-            ran = server.ran[ran_before[name] :]
-            self.record.add(f'{name} of {server.zone} ran {len(ran)}: {ran}')
-            if server.zone == ZONE:
-                broken += len(ran)
-        self.record.add(f'{broken} requests reached servers of {ZONE}')
-        return BROKEN if broken else HELD
+        return False
 
 
 async def main(folder):
     """Start a deployment, run the case, and end it."""
     network = f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
-    world = World(
+    hosts = (f'{network}.{1 + place}' for place in range(CONTROL_MACHINES))
+    world = ReviewWorld(
         folder,
-        control_hosts=tuple(f'{network}.{number}' for number in (1, 2, 3)),
+        control_hosts=tuple(hosts),
         entry_zones={f'{network}.11': 'zone-a', f'{network}.21': 'zone-b'},
         network=network,
     )
-    record = Record()
+    case = Case(world)
     try:
         await world.start()
-        return await Case(world, record).run()
-    except (NotAcknowledgedError, OSError, TimeoutError) as failed:
-        record.add(f'the case could not run: {failed!r}')
+        return await case.run()
+    except (OSError, TimeoutError) as failed:
+        case.add(f'the case could not run: {failed!r}')
         return NOT_RUN
     finally:
         await world.close()
-        record.write()
+        case.write()
 
 
 if __name__ == '__main__':
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A request that ran is refused as one that did not, as its engine crashes.
+"""A late withdrawal of an evacuation undoes a newer evacuation.
 
 Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 """
@@ -6,7 +6,7 @@
 import asyncio
 import os
 import random
-import secrets
+import signal
 import sys
 import tempfile
 import time
@@ -15,242 +15,167 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent))
 
-from tests.platform_client import FRONT, render_request, send
-from tests.platform_documents import configuration
-from tests.platform_server import SEAL, Server, chunk
+from tests.platform_client import Answer, ask, call
+from tests.platform_documents import CONTROL
 from tests.platform_world import World
 
 HERE = Path(__file__).resolve().parent
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+ZONE = 'zone-a'
+ORDER = f'/-/evacuations/{ZONE}'
+SUCCESS = range(200, 300)
+# An operator moves on after a second without a response, and gives an order
+# up after `ack_ms`.
+OPERATOR_WAIT_S = 1.0
+ACK_S = 6.0
+BACKOFF_S = 0.1
+# The operator's next order comes this long after the one before.
+NEXT_ORDER_S = 2.0
+FREEZE_S = 5.0
+# `contact_ms`, `evacuation_ms` and `max_extension_ms`.
+CONTACT_S = 5.0
+EVACUATION_S = 5.0
+EXTENSION_S = 8.0
+CHECKED_S = 4.0
 BROKEN, HELD, NOT_RUN = 1, 0, 2
-# Statuses that promise that a request has not run and never will.
-PROMISES = frozenset((408, 421, 429, 503))
-ENGINES = 4
-SLOTS = 100
-# Pairs of crashes; the requests of a pair share the first part of their
-# prompts, as requests on one subject do.
-PAIRS = 6
-REQUESTS = 300
-SENT_EACH_S = 0.0032
-DEADLINE_S = 2.0
-# After the first request of a round.
-CRASH_AFTER_S = 2.25
-DOWN_S = 1.0
-ROUND_S = 3.6
-# Seconds to the first event of long requests, and of others.
-LONG_S = (2.5, 3.0)
-SHORT_S = (0.05, 0.2)
-# Each third request is a short one, on a subject of its own.
-SHORT_EACH = 3
-MILLISECONDS = 1000
-TIMEOUT_MS = 6000
-OBJECTIVE_MS = 4000
 
 
-@dataclass
-class Engine(Server):
-    """An engine whose first event comes after a second or more."""
-
-    writers: set = field(default_factory=set)
-    begun: dict = field(default_factory=dict)
-    up: bool = True
-
-    async def accept(self, reader, writer):
-        """Serve a connection."""
-        self.writers.add(writer)
-        try:
-            await super().accept(reader, writer)
-        finally:
-            self.writers.discard(writer)
-
-    async def stream(self, writer, fields, echo, name):
-        """Work until the first event is due, or until the deadline."""
-        self.begun[fields['attempt-id']] = time.monotonic()
-        is_long = fields['prefix-hash'].startswith('aa')
-        work_s = random.uniform(*(LONG_S if is_long else SHORT_S))
-        deadline_s = float(fields['deadline-ms']) / MILLISECONDS
-        await asyncio.sleep(min(work_s, deadline_s))
-        if work_s > deadline_s:
-            tail = f'{echo}{SEAL}\r\nContent-Length: 0\r\n\r\n'
-            writer.write(f'HTTP/1.1 504 Late\r\n{tail}'.encode())
-            return
-        head = (
-            'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
-            f'{echo}{SEAL}\r\nTransfer-Encoding: chunked\r\n\r\n'
-        )
-        writer.write(head.encode())
-        for number in range(1, 9):
-            writer.write(chunk(b'id: %d\ndata: x\n\n' % number))
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
-
-    async def crash(self):
-        """End like a killed process, and start again as another one."""
-        self.up = False
-        self.listener.close()
-        for writer in tuple(self.writers):
-            writer.transport.abort()
-        await asyncio.sleep(DOWN_S)
-        self.instance = secrets.token_hex(4)
-        self.sequence = 0
-        await self.start()
-        self.up = True
-
-
-class ReviewWorld(World):
-    """A deployment with four engines in its north."""
-
-    async def start(self):
-        """Start everything, then the other engines."""
-        await super().start()
-        for number in range(ENGINES):
-            name = f'engine-{number}'
-            host = f'{self.network}.{120 + number}'
-            self.servers[name] = Engine(host, 'llm', 'zone-a')
-            await self.servers[name].start()
-        for name in ('north-llm', 'north-llm-2'):
-            await self.withdraw(name)
-        changed = configuration(2)
-        changed['routes'][2] |= {
-            'timeout_ms': TIMEOUT_MS,
-            'target_latency_ms': OBJECTIVE_MS,
-        }
-        engine = {'slots': SLOTS, 'kv_capacity': 400_000, 'stride': 5}
-        changed['services'][1] = {'name': 'llm', 'engine': engine}
-        await self.control('PUT', '/-/config', changed)
-        await asyncio.sleep(3.0)
-
-    async def withdraw(self, name):
-        """Let a server leave."""
-        server = self.servers.pop(name)
-        for host in self.control_hosts:
-            path = f'/-/instances/{server.instance}'
-            await self.control('DELETE', path, host=host)
-        server.listener.close()
-
-    async def announce(self, name, place=0, **changes):
-        """Send the heartbeat of a server that is up."""
-        server = self.servers.get(name)
-        if server is None or not getattr(server, 'up', True):
-            return None
-        if isinstance(server, Engine):
-            changes['slots'] = SLOTS
-        return await super().announce(name, place, **changes)
+class NotAcknowledgedError(Exception):
+    """An order got no acknowledgement; the case cannot go on."""
 
 
 @dataclass
-class Case:
-    """One run."""
+class Record:
+    """What was sent, answered and run."""
 
-    world: World
-    lines: list = field(default_factory=list)
     begun_s: float = field(default_factory=time.monotonic)
-    answers: dict = field(default_factory=dict)
+    lines: list[str] = field(default_factory=list)
 
     def add(self, text):
-        """Add a line to the record."""
+        """Add a line with the seconds since the start."""
         self.lines.append(f'{time.monotonic() - self.begun_s:7.3f} s  {text}')
 
     def write(self):
-        """Write the record."""
+        """Write the file."""
         text = '\n'.join(self.lines)
         (HERE / 'record.txt').write_text(f'{text}\n')
 
-    async def run(self):
-        """Crash one engine in each round of requests."""
-        self.begun_s = time.monotonic()
-        for number in range(2 * PAIRS):
-            await self.play_round(number)
-        return self.check()
 
-    async def play_round(self, number):
-        """Send requests whose deadlines pass in turn; crash an engine then."""
-        crashing = asyncio.create_task(self.crash(number % ENGINES))
-        loop = asyncio.get_running_loop()
-        begun_s = loop.time()
-        asking = []
-        for place in range(REQUESTS):
-            due_s = begun_s + place * SENT_EACH_S
-            await asyncio.sleep(due_s - loop.time())
-            subject = f'aa{number // 2}' if place % SHORT_EACH else 'bb'
-            asking.append(asyncio.create_task(self.ask(subject)))
-        await asyncio.gather(crashing, *asking)
-        await asyncio.sleep(begun_s + ROUND_S - loop.time())
+@dataclass
+class Case:
+    """One run."""
 
-    async def crash(self, number):
-        """Crash an engine; it is back a second later."""
-        await asyncio.sleep(CRASH_AFTER_S)
-        if HAS_TROUBLE:
-            self.add(f'engine-{number} crashes')
-            await self.world.servers[f'engine-{number}'].crash()
-            self.add(f'engine-{number} is back')
+    world: World
+    record: Record
+
+    async def order(self, method, first):
+        """Give an order: to one machine first, then to the others in turn."""
+        hosts = [first]
+        hosts += [host for host in self.world.control_hosts if host != first]
+        give_up_s = time.monotonic() + ACK_S
+        place = 0
+        while time.monotonic() < give_up_s:
+            host = hosts[place % len(hosts)]
+            place += 1
+            self.record.add(f'operator sends {method} {ORDER} to {host}')
+            status = await self.status_of(host, method)
+            self.record.add(f'operator gets {status or "no answer"}')
+            if status in SUCCESS:
+                return
+            await asyncio.sleep(BACKOFF_S * place)
+        raise NotAcknowledgedError(f'{method} {ORDER}')
+
+    async def status_of(self, host, method):
+        """Return the status of one call, 0 without one within a second."""
+        try:
+            async with asyncio.timeout(OPERATOR_WAIT_S):
+                answer = await call(host, CONTROL, method, ORDER)
+        except (OSError, TimeoutError):
+            answer = Answer(0, {}, b'', complete=False)
+        return answer.status
+
+    def leader(self):
+        """Return the address of the control machine that leads."""
+        names = {
+            host.replace('.', '-'): host for host in self.world.control_hosts
+        }
+        newest = {}
+        for host in self.world.control_hosts:
+            for line in self.world.logged(host, 'consensus:leader'):
+                if line['leader'] and line['term'] >= newest.get('term', 0):
+                    newest = line
+        return names[newest['leader']]
 
-    async def ask(self, subject):
-        """Send one request, and wait past its deadline."""
-        attempt = secrets.token_hex(8)
-        entry = next(iter(self.world.entry_zones))
-        raw = render_request(
-            '/once/x',
-            attempt,
-            Model='m',
-            Token_Count='383,40',
-            Prefix_Hash=f'{subject}:92,{secrets.token_hex(4)}:291',
-        ).replace(
-            b'Deadline-Ms: 3000',
-            b'Deadline-Ms: %d' % (DEADLINE_S * MILLISECONDS),
+    async def run(self):
+        """Evacuate, take back while one machine stands still, evacuate anew."""
+        leader = self.leader()
+        follower = next(
+            host for host in self.world.control_hosts if host != leader
         )
-        sent_s = time.monotonic()
-        self.add(f'{attempt} sent')
-        try:
-            answer = await send(entry, FRONT, raw, DEADLINE_S + 0.5)
-        except (OSError, TimeoutError) as failed:
-            self.add(f'{attempt} {failed!r}')
-            return
-        took_s = time.monotonic() - sent_s
-        self.add(f'{attempt} answered {answer.status} after {took_s:.3f} s')
-        self.answers[attempt] = answer
+        self.record.add(f'{leader} leads, {follower} follows')
+        await self.order('POST', leader)
+        process = self.world.processes[follower]
+        if HAS_TROUBLE:
+            self.record.add(f'{follower} is frozen')
+            process.send_signal(signal.SIGSTOP)
+        thaw_s = time.monotonic() + FREEZE_S
+        await self.order('DELETE', follower)
+        await asyncio.sleep(NEXT_ORDER_S)
+        await self.order('POST', leader)
+        acknowledged_s = time.monotonic()
+        await asyncio.sleep(thaw_s - time.monotonic())
+        if HAS_TROUBLE:
+            self.record.add(f'{follower} wakes')
+            process.send_signal(signal.SIGCONT)
+        due_s = max(
+            acknowledged_s + EVACUATION_S + EXTENSION_S,
+            time.monotonic() + CONTACT_S,
+        )
+        await asyncio.sleep(due_s - time.monotonic())
+        return await self.check(acknowledged_s)
 
-    def check(self):
-        """Tell whether a request that ran was refused as not run."""
-        begun = {}
-        for name, server in self.world.servers.items():
-            for attempt, at_s in getattr(server, 'begun', {}).items():
-                begun.setdefault(attempt, []).append((name, at_s))
-        statuses = {}
+    async def check(self, acknowledged_s):
+        """Send requests; tell whether servers of the zone run any."""
+        ran_before = {
+            name: len(server.ran) for name, server in self.world.servers.items()
+        }
+        after_s = time.monotonic() - acknowledged_s
+        self.record.add(f'{after_s:.1f} s after the acknowledgement:')
+        until_s = time.monotonic() + CHECKED_S
+        while time.monotonic() < until_s:
+            for entry in self.world.entry_zones:
+                attempt, answer = await ask(entry, '/safe/x')
+                self.record.add(f'{attempt} at {entry}: {answer.status}')
+            await asyncio.sleep(0.1)
         broken = 0
-        for attempt, answer in self.answers.items():
-            statuses[answer.status] = statuses.get(answer.status, 0) + 1
-            if answer.status in PROMISES and attempt in begun:
-                broken += 1
-                self.add(
-                    f'BROKEN: {attempt} ran at {begun[attempt]}, answered '
-                    f'{answer.status}: {answer.body.decode()}',
-                )
-        twice = sum(len(one) > 1 for one in begun.values())
-        self.add(f'statuses {statuses}, run {len(begun)}, run twice {twice}')
-        self.add(f'{broken} requests ran and were refused as not run')
+        for name, server in self.world.servers.items():
+            ran = server.ran[ran_before[name] :]
+            self.record.add(f'{name} of {server.zone} ran {len(ran)}: {ran}')
+            if server.zone == ZONE:
+                broken += len(ran)
+        self.record.add(f'{broken} requests reached servers of {ZONE}')
         return BROKEN if broken else HELD
 
 
 async def main(folder):
     """Start a deployment, run the case, and end it."""
     network = f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
-    world = ReviewWorld(
+    world = World(
         folder,
         control_hosts=tuple(f'{network}.{number}' for number in (1, 2, 3)),
         entry_zones={f'{network}.11': 'zone-a', f'{network}.21': 'zone-b'},
         network=network,
     )
-    case = Case(world)
+    record = Record()
     try:
         await world.start()
-        return await case.run()
-    except (OSError, TimeoutError) as failed:
-        case.add(f'the case could not run: {failed!r}')
+        return await Case(world, record).run()
+    except (NotAcknowledgedError, OSError, TimeoutError) as failed:
+        record.add(f'the case could not run: {failed!r}')
         return NOT_RUN
     finally:
         await world.close()
-        case.write()
+        record.write()
 
 
 if __name__ == '__main__':
