--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -178,6 +179,14 @@
         record.write()
 
 
+def report_failure(kind, error, trace):
+    """Exit with 2 where the case itself fails; Python alone says 1."""
+    traceback.print_exception(kind, error, trace)
+    sys.stderr.flush()
+    os._exit(NOT_RUN)
+
+
 if __name__ == '__main__':
+    sys.excepthook = report_failure
     with tempfile.TemporaryDirectory() as name:
         sys.exit(asyncio.run(main(Path(name))))
