consensus: log the leader's voters, and whom a joiner asks

A voter that was lost could not be told from one that never came back: the log had each change of members, but neither which voters the leader misses and since when, nor whom a replica without a leader asks to be let in.

The leader logs its voters and the lost ones with their seconds when either changes, and sets consensus_voters, consensus_voters_lost and consensus_voter_lost_seconds. A joiner logs whom it asks when that changes.

--- a/godwitshunt/consensus/healer.py
+++ b/godwitshunt/consensus/healer.py
@@ -13,6 +13,7 @@
     HealingOptions,
     next_change,
 )
+from godwitshunt.consensus.health import VoterHealthLog
 from godwitshunt.consensus.status import MemberStatus
 from godwitshunt.consensus.task import ConsensusTask
 from godwitshunt.exceptions import FrameError
@@ -60,6 +61,12 @@
     joining: bool = False
     changing: bool = False
     told_leader: Address | None = None
+    asked: tuple[Address, ...] = ()
+    health: VoterHealthLog = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create what follows from the parameters."""
+        self.health = VoterHealthLog(self.consensus.metrics)
 
     def start(self) -> None:
         """Take others' requests to join, and begin to check."""
@@ -77,11 +84,15 @@
         now_s = self.timer.now()
         if not leadership.is_leader:
             self.led_since_s = None
+            self.health.reset()
             if leadership.name is None or self.silence_s() > LEADERLESS_S:
                 self.background('joining', self.join)
             return
         if self.led_since_s is None:
             self.led_since_s = now_s
+        led_s = now_s - self.led_since_s
+        members = heard_while_leading(self.consensus.members(), led_s)
+        self.health.note(members, led_s)
         if now_s - self.led_since_s >= SETTLE_S:
             self.background('changing', self.heal)
 
@@ -116,7 +127,9 @@
             ),
         )
         told = () if self.told_leader is None else (self.told_leader,)
-        for address in dict.fromkeys((*told, *self.known())):
+        targets = tuple(dict.fromkeys((*told, *self.known())))
+        self.log_join(targets)
+        for address in targets:
             if address == own:
                 continue
             answer = await self.links.call(
@@ -128,6 +141,17 @@
             if isinstance(answer, Ok) and self.hear_join(answer.ok_value):
                 return
 
+    def log_join(self, targets: tuple[Address, ...]) -> None:
+        """Log whom this replica asks to be let in, when that changes."""
+        if targets != self.asked:
+            self.asked = targets
+            log_change(
+                'consensus:join_asked',
+                targets=[str(one) for one in targets],
+                named_leader=str(self.told_leader),
+                silent_s=round(self.silence_s(), 3),
+            )
+
     def hear_join(self, body: bytes) -> bool:
         """Take the reply to a request to join; True from a leader."""
         reply = decode(wire.JoinReply, body)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -62,14 +62,7 @@
         Worlds share addresses: another one, of another test process, is
         waited for.
         """
-        target = ROOT / 'target'
-        target.mkdir(exist_ok=True)
-        self.lock = (target / f'world-{self.network}.lock').open('w')
-        await asyncio.to_thread(fcntl.flock, self.lock, fcntl.LOCK_EX)
-        key = ROOT / 'target' / 'cluster.key'
-        key.parent.mkdir(exist_ok=True)
-        if not key.exists():
-            key.write_text(secrets.token_hex(32))
+        await asyncio.to_thread(self.take_addresses)
         for host in self.control_hosts:
             await self.start_process(host, 'zone-a', control=True)
         for host, zone in self.entry_zones.items():
@@ -87,9 +80,18 @@
         await until(self.is_serving, 20.0)
         await until(self.knows_engines, 20.0)
 
+    def take_addresses(self):
+        """Wait until no other world uses the addresses; have a key."""
+        target = ROOT / 'target'
+        target.mkdir(exist_ok=True)
+        self.lock = (target / f'world-{self.network}.lock').open('w')
+        fcntl.flock(self.lock, fcntl.LOCK_EX)
+        key = target / 'cluster.key'
+        if not key.exists():
+            key.write_text(secrets.token_hex(32))
+
     async def start_process(self, host, zone, *, control, bootstrap=True):
         """Start one process."""
-        path = self.folder / f'{host}.json'
         document = boot_document(
             host,
             zone,
@@ -99,8 +101,13 @@
             seeds=self.control_hosts,
             scheduling=self.scheduling,
         )
-        path.write_text(json.dumps(document))
         script = 'platform/control.py' if control else self.entry_script
+        await self.start_with(host, document, script)
+
+    async def start_with(self, host, document, script):
+        """Start a program with a settings file."""
+        path = self.folder / f'{host}.json'
+        path.write_text(json.dumps(document))
         log = (self.folder / f'{host}.log').open('ab')
         self.processes[host] = await asyncio.create_subprocess_exec(
             sys.executable,
