consensus: a wiped replica finds the leader, whoever else lost a disk

Cause: a replica with an empty folder kept one hint at the leader, and each reply replaced it, also one that named nobody. The seed that had lost its disk, too, was asked after the one that knew the leader, so that the hint was gone before the next round used it. The trace shows it: consensus:join_asked names the two seeds in each round and never the leader. The two stale voters stayed in the quorum of five. Where all VMs of the settings had lost their disks nothing could tell them of a leader, although the leader knew where they were.

Change: a joiner asks all contacts at once; what a reply names is asked in the same round, and expires instead of being replaced. Replies name the members and the VMs that answered lately. The leader calls silent members, and takes one that answers with another folder for a candidate; an answer to its own call needs no silence of the old folder beside it, so a new leader no longer waits 1.5 s. Changes follow one another without waiting for the next check, and end with the leadership that proposed them.

--- a/godwitshunt/consensus/consensus.thrift
+++ b/godwitshunt/consensus/consensus.thrift
@@ -32,12 +32,20 @@
   3: i32 port
 }
 
+/** Where a control VM is reached by its peers. */
+struct PeerAddress {
+  1: string host
+  2: i32 port
+}
+
 struct JoinReply {
   /** True where the VM that answers leads. */
   1: bool leads
   /** The leader's address, as far as the VM that answers knows it. */
   2: optional string host
   3: optional i32 port
+  /** Members, and other control VMs that this one has heard from. */
+  4: optional list<PeerAddress> contacts
 }
 
 struct VoteRequestBody {
--- a/godwitshunt/consensus/gen/wire/ttypes.py
+++ b/godwitshunt/consensus/gen/wire/ttypes.py
@@ -479,12 +479,95 @@
         return not (self == other)
 
 
+class PeerAddress(object):
+    """
+    Where a control VM is reached by its peers.
+
+    Attributes:
+     - host
+     - port
+
+    """
+
+    __slots__ = (
+        'host',
+        'port',
+    )
+
+
+    def __init__(self, host=None, port=None,):
+        self.host = host
+        self.port = port
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeerAddress')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 2)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class JoinReply(object):
     """
     Attributes:
      - leads: True where the VM that answers leads.
      - host: The leader's address, as far as the VM that answers knows it.
      - port
+     - contacts: Members, and other control VMs that this one has heard from.
 
     """
 
@@ -492,13 +575,15 @@
         'leads',
         'host',
         'port',
+        'contacts',
     )
 
 
-    def __init__(self, leads=None, host=None, port=None,):
+    def __init__(self, leads=None, host=None, port=None, contacts=None,):
         self.leads = leads
         self.host = host
         self.port = port
+        self.contacts = contacts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -524,6 +609,17 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.contacts = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = PeerAddress()
+                        _elem12.read(iprot)
+                        self.contacts.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -546,6 +642,13 @@
             oprot.writeFieldBegin('port', TType.I32, 3)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.contacts is not None:
+            oprot.writeFieldBegin('contacts', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.contacts))
+            for iter13 in self.contacts:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -798,11 +901,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = LogEntry()
-                        _elem12.read(iprot)
-                        self.entries.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = LogEntry()
+                        _elem19.read(iprot)
+                        self.entries.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -847,8 +950,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter13 in self.entries:
-                iter13.write(oprot)
+            for iter20 in self.entries:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -1923,12 +2026,19 @@
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
     (3, TType.I32, 'port', None, None, ),  # 3
 )
+all_structs.append(PeerAddress)
+PeerAddress.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'port', None, None, ),  # 2
+)
 all_structs.append(JoinReply)
 JoinReply.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'leads', None, None, ),  # 1
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
     (3, TType.I32, 'port', None, None, ),  # 3
+    (4, TType.LIST, 'contacts', (TType.STRUCT, [PeerAddress, None], False), None, ),  # 4
 )
 all_structs.append(VoteRequestBody)
 VoteRequestBody.thrift_spec = (
--- a/godwitshunt/consensus/healer.py
+++ b/godwitshunt/consensus/healer.py
@@ -1,19 +1,24 @@
 """The task that joins a replica to its cluster and heals the membership."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from result import Err, Ok
 
-from godwitshunt.consensus.codec import read_replica, replica_name
-from godwitshunt.consensus.events import MemberChange
+from godwitshunt.consensus.codec import read_replica
+from godwitshunt.consensus.events import AddLearner, MemberChange
+from godwitshunt.consensus.failures import ChangeUnderway
 from godwitshunt.consensus.gen.wire import ttypes as wire
 from godwitshunt.consensus.healing import (
     Candidate,
+    Candidates,
     HealingOptions,
+    is_silent,
     next_change,
 )
 from godwitshunt.consensus.health import VoterHealthLog
+from godwitshunt.consensus.joiner import Joiner
 from godwitshunt.consensus.status import MemberStatus
 from godwitshunt.consensus.task import ConsensusTask
 from godwitshunt.exceptions import FrameError
@@ -23,13 +28,18 @@
 from godwitshunt.timer import Subscription, Timer
 
 CHECK_PERIOD_S = 0.25
-JOIN_TIMEOUT_S = 0.8
-# Members that took the same change for done ask again; the leader is new to
-# them for a moment after an election, and its view of silence with it.
-SETTLE_S = 1.5
-# Without a leader's message for so long a replica asks to be let in: it may
+# Between two looks at a change that waits for others.
+POLL_S = 0.05
+# For so long after it was admitted a learner is looked at each POLL_S.
+CATCH_UP_S = 2.0
+# Without a leader's message for so long a voter asks to be let in: it may
 # have been taken out while it was cut off. Above the time of an election.
 LEADERLESS_S = 2.5
+# A replica that is no voter cannot be elected, and has to ask for a leader.
+LEADERLESS_LEARNER_S = 1.0
+# A member that is silent for so long is asked which folder it has.
+PROBE_AFTER_S = 0.5
+PROBE_TIMEOUT_S = 0.8
 
 
 @dataclass
@@ -55,23 +65,27 @@
     links: PeerLinks
     timer: Timer
     options: HealingOptions = field(default_factory=HealingOptions)
-    candidates: dict[str, Candidate] = field(default_factory=dict)
-    led_since_s: float | None = None
     subscription: Subscription | None = None
-    joining: bool = False
-    changing: bool = False
-    told_leader: Address | None = None
-    asked: tuple[Address, ...] = ()
+    joining: asyncio.Task[None] | None = None
+    healing: asyncio.Task[None] | None = None
+    probing: set[Address] = field(default_factory=set)
+    admitted_s: float = float('-inf')
+    refused: tuple[MemberChange, str] | None = None
+    candidates: Candidates = field(init=False)
+    joiner: Joiner = field(init=False)
     health: VoterHealthLog = field(init=False)
 
     def __post_init__(self) -> None:
         """Create what follows from the parameters."""
+        self.candidates = Candidates(self.options)
+        self.joiner = Joiner(self.consensus, self.known, self.links, self.timer)
         self.health = VoterHealthLog(self.consensus.metrics)
 
     def start(self) -> None:
-        """Take others' requests to join, and begin to check."""
+        """Accept others' requests to join, and begin to check."""
         self.links.subscribe(MessageKind.replica_join, self.on_join)
         self.subscription = self.timer.every(CHECK_PERIOD_S, self.check)
+        self.check()
 
     async def close(self) -> None:
         """Check no more."""
@@ -79,86 +93,52 @@
             self.subscription.cancel()
 
     def check(self) -> None:
-        """Begin what is due: a request to join, or a change of members."""
+        """Begin what is due: a request to join, or changes of members."""
         leadership = self.consensus.leadership()
-        now_s = self.timer.now()
         if not leadership.is_leader:
-            self.led_since_s = None
-            self.health.reset()
-            if leadership.name is None or self.silence_s() > LEADERLESS_S:
-                self.background('joining', self.join)
+            self.stop_healing()
+            if leadership.name is None or self.is_leaderless():
+                self.begin_join()
             return
-        if self.led_since_s is None:
-            self.led_since_s = now_s
-        led_s = now_s - self.led_since_s
-        members = heard_while_leading(self.consensus.members(), led_s)
-        self.health.note(members, led_s)
-        if now_s - self.led_since_s >= SETTLE_S:
-            self.background('changing', self.heal)
-
-    def silence_s(self) -> float:
-        """Return how long no leader's message has come here, in seconds."""
-        return self.timer.now() - self.consensus.replica.state.heard_s
-
-    def background(self, flag: str, work: Callable) -> None:
-        """Run work in a task unless the last one is still under way."""
-        if not getattr(self, flag):
-            setattr(self, flag, True)
-            self.consensus.spawn(self.guard(flag, work))
-
-    async def guard(self, flag: str, work: Callable) -> None:
-        """Do work; note that it is over however it ends."""
-        try:
-            await work()
-        except FrameError as bad:
-            log_change('consensus:join_malformed', fault=str(bad))
-        finally:
-            setattr(self, flag, False)
-
-    async def join(self) -> None:
-        """Tell every known control VM, the leader first, that we are here."""
-        identity = self.consensus.identity()
-        own = self.consensus.options.address
-        body = encode(
-            wire.JoinRequest(
-                replica=replica_name(identity.replica),
-                host=own.host,
-                port=own.port,
-            ),
-        )
-        told = () if self.told_leader is None else (self.told_leader,)
-        targets = tuple(dict.fromkeys((*told, *self.known())))
-        self.log_join(targets)
-        for address in targets:
-            if address == own:
-                continue
-            answer = await self.links.call(
-                address,
-                MessageKind.replica_join,
-                body,
-                JOIN_TIMEOUT_S,
-            )
-            if isinstance(answer, Ok) and self.hear_join(answer.ok_value):
-                return
+        members = self.members()
+        self.health.note(members, self.led_s())
+        self.probe_silent(members)
+        self.begin_healing()
 
-    def log_join(self, targets: tuple[Address, ...]) -> None:
-        """Log whom this replica asks to be let in, when that changes."""
-        if targets != self.asked:
-            self.asked = targets
-            log_change(
-                'consensus:join_asked',
-                targets=[str(one) for one in targets],
-                named_leader=str(self.told_leader),
-                silent_s=round(self.silence_s(), 3),
-            )
+    def is_leaderless(self) -> bool:
+        """Tell whether no leader's message has come here for too long."""
+        state = self.consensus.replica.state
+        is_voter = state.membership.is_voter(state.identity)
+        limit_s = LEADERLESS_S if is_voter else LEADERLESS_LEARNER_S
+        return self.timer.now() - state.heard_s > limit_s
+
+    def led_s(self) -> float:
+        """Return for how long this replica has led, in seconds."""
+        return self.timer.now() - self.consensus.replica.state.leader_since_s
 
-    def hear_join(self, body: bytes) -> bool:
-        """Take the reply to a request to join; True from a leader."""
-        reply = decode(wire.JoinReply, body)
-        self.told_leader = None
-        if reply.host:
-            self.told_leader = Address(host=reply.host, port=reply.port)
-        return bool(reply.leads)
+    def members(self) -> tuple[MemberStatus, ...]:
+        """Return the members, as far as this leader can know them."""
+        return heard_while_leading(self.consensus.members(), self.led_s())
+
+    def begin_join(self) -> None:
+        """Ask to be let in, unless that is under way."""
+        if self.joining is None or self.joining.done():
+            self.joining = self.consensus.spawn(self.joiner.join())
+
+    def begin_healing(self) -> None:
+        """Make the changes that are due, unless that is under way."""
+        if self.healing is None or self.healing.done():
+            self.healing = self.consensus.spawn(self.heal())
+
+    def stop_healing(self) -> None:
+        """End the changes of a leadership that is over.
+
+        A change that this replica proposed then would else be waited for,
+        also where it leads again long before the wait ends.
+        """
+        self.health.reset()
+        if self.healing is not None:
+            self.healing.cancel()
 
     async def on_join(self, sender: str, body: bytes) -> bytes:
         """Note who asks to join, where this replica leads."""
@@ -169,14 +149,29 @@
         leadership = self.consensus.leadership()
         if leadership.is_leader:
             address = Address(host=asked.host, port=asked.port)
-            now_s = self.timer.now()
-            self.candidates[sender] = Candidate(replica, address, now_s)
-        reply = wire.JoinReply(leads=leadership.is_leader)
-        leader = self.leader_address(leadership.name)
-        if leader is not None:
-            reply.host = leader.host
-            reply.port = leader.port
-        return encode(reply)
+            self.candidates.note(
+                Candidate(replica, address, self.timer.now()),
+            )
+            self.probe_replaced(sender)
+            self.begin_healing()
+        return encode(self.reply(leadership.is_leader, leadership.name))
+
+    def reply(self, leads: bool, leader: str | None) -> wire.JoinReply:
+        """Return the reply to a request to join."""
+        named = [one.address for one in self.consensus.members()]
+        named.extend(self.joiner.contacts.answering(self.timer.now()))
+        reply = wire.JoinReply(
+            leads=leads,
+            contacts=[
+                wire.PeerAddress(address.host, address.port)
+                for address in dict.fromkeys(named)
+            ],
+        )
+        address = self.leader_address(leader)
+        if address is not None:
+            reply.host = address.host
+            reply.port = address.port
+        return reply
 
     def leader_address(self, name: str | None) -> Address | None:
         """Return where the leader is reached, as the log states it."""
@@ -185,30 +180,114 @@
                 return member.address
         return None
 
+    def probe_silent(self, members: tuple[MemberStatus, ...]) -> None:
+        """Ask silent members which folder they have.
+
+        A VM that lost its disk may know nobody who could let it in, where
+        all VMs of its settings lost theirs; its leader still knows where it
+        is.
+        """
+        for member in members:
+            if is_silent(member, PROBE_AFTER_S):
+                self.begin_probe(member)
+
+    def probe_replaced(self, name: str) -> None:
+        """Ask a VM which folder it has, as it has asked to join."""
+        for member in self.consensus.members():
+            if member.replica.name == name:
+                self.begin_probe(member)
+
+    def begin_probe(self, member: MemberStatus) -> None:
+        """Ask who answers at a member's address, unless that is under way."""
+        if member.address not in self.probing:
+            self.probing.add(member.address)
+            self.consensus.spawn(self.probe(member))
+
+    async def probe(self, member: MemberStatus) -> None:
+        """Note a VM that answers with another folder than its member's."""
+        try:
+            found = await self.consensus.transport.identify(
+                member.address,
+                PROBE_TIMEOUT_S,
+            )
+        except FrameError as bad:
+            log_change('consensus:probe_malformed', fault=str(bad))
+            return
+        finally:
+            self.probing.discard(member.address)
+        if isinstance(found, Err):
+            return
+        replica = found.ok_value.replica
+        if replica.name != member.replica.name or replica == member.replica:
+            return
+        self.candidates.note(
+            Candidate(
+                replica,
+                member.address,
+                self.timer.now(),
+                confirmed=True,
+            ),
+        )
+        if self.consensus.leadership().is_leader:
+            self.begin_healing()
+
     async def heal(self) -> None:
-        """Make the one change of members that is due."""
-        now_s = self.timer.now()
-        led_s = now_s - (self.led_since_s or now_s)
-        change = next_change(
-            heard_while_leading(self.consensus.members(), led_s),
-            self.candidates.values(),
-            self.options,
-            now_s,
+        """Make the changes of members that are due, one after the other."""
+        while self.consensus.leadership().is_leader:
+            change = next_change(
+                self.members(),
+                self.candidates.alive(self.timer.now()),
+                self.options,
+            )
+            if change is None:
+                if not self.awaits_learner():
+                    return
+                await asyncio.sleep(POLL_S)
+            elif not await self.make(change):
+                return
+
+    def awaits_learner(self) -> bool:
+        """Tell whether a learner that was just admitted has yet to catch up."""
+        if self.timer.now() - self.admitted_s > CATCH_UP_S:
+            return False
+        return any(
+            not member.voter and not member.caught_up
+            for member in self.consensus.members()
         )
-        if change is not None:
-            await self.make(change)
 
-    async def make(self, change: MemberChange) -> None:
-        """Commit a change; the next check decides anew, whatever comes."""
+    async def make(self, change: MemberChange) -> bool:
+        """Commit a change; tell whether the next one can be decided on."""
+        began_s = self.timer.now()
         changed = await self.consensus.change_members(change)
-        outcome = 'committed'
-        if isinstance(changed, Err):
-            outcome = repr(changed.err_value)
+        match changed:
+            case Err(ChangeUnderway()):
+                await asyncio.sleep(POLL_S)
+                return True
+            case Err(failure):
+                self.log_refused(change, repr(failure))
+                return False
+            case Ok():
+                self.refused = None
+        now_s = self.timer.now()
+        if isinstance(change, AddLearner):
+            self.admitted_s = now_s
         log_change(
             'consensus:membership_healed',
             change=repr(change),
-            outcome=outcome,
+            took_s=round(now_s - began_s, 3),
+            led_s=round(self.led_s(), 3),
         )
+        return True
+
+    def log_refused(self, change: MemberChange, failure: str) -> None:
+        """Log a change that failed, once in a row."""
+        if self.refused != (change, failure):
+            self.refused = (change, failure)
+            log_change(
+                'consensus:membership_not_healed',
+                change=repr(change),
+                failure=failure,
+            )
 
 
 def heard_while_leading(
--- a/godwitshunt/consensus/healing.py
+++ b/godwitshunt/consensus/healing.py
@@ -6,8 +6,7 @@
 before is gone.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from godwitshunt.consensus.events import (
     AddLearner,
@@ -52,18 +51,61 @@
     ----------
     heard_s : float
         When it asked last, on the leader's monotonic clock.
+    confirmed : bool
+        Whether the leader called the address of the member that this replica
+        replaces, and it answered. A request to join may be old when it is
+        read; an answer is newer than the call.
     """
 
     replica: ReplicaId
     address: Address
     heard_s: float
+    confirmed: bool = False
+
+
+@dataclass
+class Candidates:
+    """Replicas that asked to join, one for each VM.
+
+    Parameters
+    ----------
+    options : HealingOptions
+        How long one counts as alive.
+    """
+
+    options: HealingOptions
+    by_name: dict[str, Candidate] = field(default_factory=dict)
+
+    def note(self, candidate: Candidate) -> None:
+        """Note a candidate; a late request replaces no confirmed one."""
+        name = candidate.replica.name
+        known = self.by_name.get(name)
+        if known is not None and known.confirmed and not candidate.confirmed:
+            if known.replica == candidate.replica:
+                self.by_name[name] = replace(known, heard_s=candidate.heard_s)
+                return
+            if self.is_alive(known, candidate.heard_s):
+                return
+        self.by_name[name] = candidate
+
+    def alive(self, now_s: float) -> tuple[Candidate, ...]:
+        """Return the candidates that asked lately; forget the others."""
+        self.by_name = {
+            name: one
+            for name, one in self.by_name.items()
+            if self.is_alive(one, now_s)
+        }
+        return tuple(self.by_name.values())
+
+    def is_alive(self, candidate: Candidate, now_s: float) -> bool:
+        """Tell whether a candidate asked lately."""
+        return now_s - candidate.heard_s <= self.options.candidate_s
 
 
 def next_change(
     members: tuple[MemberStatus, ...],
-    candidates: Iterable[Candidate],
+    alive: tuple[Candidate, ...],
     options: HealingOptions,
-    now_s: float,
 ) -> MemberChange | None:
     """Return the one change to make now; None where nothing is to be done.
 
@@ -71,16 +113,11 @@
     ----------
     members : tuple of MemberStatus
         As the leader knows them.
-    candidates : iterable of Candidate
-        Replicas that asked to join.
+    alive : tuple of Candidate
+        Replicas that asked to join lately.
     options : HealingOptions
         Sizes and durations.
-    now_s : float
-        Seconds on the leader's monotonic clock.
     """
-    alive = tuple(
-        one for one in candidates if now_s - one.heard_s <= options.candidate_s
-    )
     due = (
         remove_proven_gone(members, alive, options),
         promote_caught_up(members, options),
@@ -99,15 +136,16 @@
     """Take out a folder whose VM answers with another one.
 
     Left in, it counts for majorities that it can never be part of again: two
-    such voters of five, and the next loss ends the quorum. The member must be
-    silent, too, so that a late message of an older folder takes nobody out.
+    such voters of five, and the next loss ends the quorum. Where the answer
+    is not confirmed the member must be silent, too, so that a late message of
+    an older folder takes nobody out.
     """
-    by_name = {one.replica.name: one.replica for one in alive}
+    by_name = {one.replica.name: one for one in alive}
     for member in members:
         newer = by_name.get(member.replica.name)
-        if newer is None or newer == member.replica:
+        if newer is None or newer.replica == member.replica:
             continue
-        if is_silent(member, options.candidate_s / 2):
+        if newer.confirmed or is_silent(member, options.candidate_s / 2):
             return RemoveMember(member.replica)
     return None
 
--- a/godwitshunt/consensus/task.py
+++ b/godwitshunt/consensus/task.py
@@ -196,11 +196,15 @@
         except Exception as fault:
             self.stop_after(fault)
 
-    def spawn(self, work: Coroutine[None, None, None]) -> None:
+    def spawn(
+        self,
+        work: Coroutine[None, None, None],
+    ) -> asyncio.Task[None]:
         """Run work in a task that ends at the latest with this one."""
         task = asyncio.create_task(work)
         self.spawned.add(task)
         task.add_done_callback(self.spawned.discard)
+        return task
 
     async def close(self) -> None:
         """Stop taking part; what is under way ends as unknown."""
--- a/godwitshunt/consensus/tests/test_formation.py
+++ b/godwitshunt/consensus/tests/test_formation.py
@@ -17,6 +17,7 @@
 )
 from godwitshunt.consensus.healing import (
     Candidate,
+    Candidates,
     HealingOptions,
     next_change,
 )
@@ -106,10 +107,10 @@
     )
 
 
-def candidate(number, folder='b', heard_s=100.0):
+def candidate(number, folder='b', heard_s=100.0, confirmed=False):
     """Return a replica that asked to join."""
     replica = ReplicaId(f'vm-{number}', folder)
-    return Candidate(replica, address(number), heard_s)
+    return Candidate(replica, address(number), heard_s, confirmed)
 
 
 FIVE = tuple(member(number) for number in range(1, 6))
@@ -150,6 +151,30 @@
             RemoveMember(ReplicaId('vm-5', 'a')),
             id='its VM answers with another folder: the old one is gone',
         ),
+        pytest.param(
+            FIVE,
+            (candidate(5, confirmed=True),),
+            RemoveMember(ReplicaId('vm-5', 'a')),
+            id='its VM answers a call with another folder: no silence needed',
+        ),
+        pytest.param(
+            FIVE,
+            (
+                candidate(5, folder='a', confirmed=True),
+                candidate(5, folder='old'),
+            ),
+            None,
+            id='a late message after the answer to a call counts for nothing',
+        ),
+        pytest.param(
+            FIVE,
+            (
+                candidate(5, confirmed=True),
+                candidate(5, heard_s=100.5),
+            ),
+            RemoveMember(ReplicaId('vm-5', 'a')),
+            id='a replica that asks again stays confirmed',
+        ),
         pytest.param(
             FIVE,
             (candidate(5, folder='old'),),
@@ -194,4 +219,7 @@
 )
 def test_next_change(members, candidates, change):
     """VMs of control join, lose their disks, fall silent, are replaced."""
-    assert next_change(members, candidates, OPTIONS, 100.0) == change
+    asked = Candidates(OPTIONS)
+    for one in candidates:
+        asked.note(one)
+    assert next_change(members, asked.alive(100.0), OPTIONS) == change
--- a/trials/lost_disks.py
+++ b/trials/lost_disks.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 from dataclasses import dataclass, field
+from functools import partial
 from math import inf
 from pathlib import Path
 from random import Random
@@ -44,7 +45,15 @@
 
 @dataclass
 class ControlWorld(World):
-    """Five control processes, three of them seeds; no entries or servers."""
+    """Five control processes; no entries or servers.
+
+    Parameters
+    ----------
+    seeds : int
+        How many of them the settings name.
+    """
+
+    seeds: int = SEEDS
 
     async def start(self):
         """Start all processes and have the first configuration accepted."""
@@ -62,10 +71,29 @@
             self.folder,
             control=True,
             bootstrap=bootstrap,
-            seeds=self.control_hosts[:SEEDS],
+            seeds=self.seed_hosts,
         )
         await self.start_with(host, document, 'platform/control.py')
 
+    @property
+    def seed_hosts(self):
+        """Addresses that the settings name."""
+        return self.control_hosts[: self.seeds]
+
+    async def move_leadership(self):
+        """Restart leaders with their disks until no seed leads."""
+        while self.leader() in self.seed_hosts:
+            leader = self.leader()
+            self.processes[leader].send_signal(signal.SIGKILL)
+            await self.processes[leader].wait()
+            await until(partial(self.has_other_leader, leader), START_S)
+            await self.start_control(leader)
+            await until(self.is_whole, START_S)
+
+    async def has_other_leader(self, before):
+        """Tell whether another VM leads than before."""
+        return self.leader() != before
+
     async def is_whole(self):
         """Tell whether the leader sees every voter."""
         return self.whole_since({}) is not None
@@ -161,9 +189,9 @@
         kind = self.random.choice(('seeds', 'others', 'leader', 'any'))
         match kind:
             case 'seeds':
-                return tuple(self.random.sample(hosts[:SEEDS], 2))
+                return tuple(self.random.sample(self.world.seed_hosts, 2))
             case 'others':
-                return hosts[SEEDS:]
+                return hosts[-2:]
             case 'leader':
                 rest = [host for host in hosts if host != leader]
                 return (leader, self.random.choice(rest))
@@ -234,15 +262,19 @@
             return Answer(0, {}, b'', complete=False)
 
 
-def make_world(folder, network):
+def make_world(folder, network=NETWORK, seeds=SEEDS):
     """Return a deployment of control processes on a network of its own."""
     hosts = tuple(f'{network}.{1 + place}' for place in range(CONTROL_VMS))
     return ControlWorld(
-        folder, control_hosts=hosts, entry_zones={}, network=network
+        folder,
+        control_hosts=hosts,
+        entry_zones={},
+        network=network,
+        seeds=seeds,
     )
 
 
-async def lose_disks(seed, losses, gap_s, folder, network):
+async def lose_disks(seed, losses, folder, gap_s=CATCH_UP_S, network=NETWORK):
     """Run one seed on a deployment of its own."""
     world = make_world(folder, network)
     try:
@@ -258,7 +290,7 @@
     """Run one seed; keep its logs where it fails."""
     with tempfile.TemporaryDirectory() as name:
         run = asyncio.run(
-            lose_disks(seed, losses, gap_s, Path(name), network),
+            lose_disks(seed, losses, Path(name), gap_s, network),
         )
         if run.broken and keep is not None:
             shutil.copytree(name, keep / str(seed), dirs_exist_ok=True)
