configuration: a late copy of an evacuation's order changes nothing

Cause: an order that waited anywhere (a socket, a relay's call) was carried out as if it were new. A woken process reads a request before the end of its connection, a relay went on for seconds after its caller had left, and the command had no condition on the state that it was meant for.

Change: a change without a number is carried out only while its caller waits (read on before acting, no stall of this process above 0.8 s in the last second; before each relay, and at the leader for its own stalls). The command names the revision of the VM that read it, and has no effect on a domain that was changed after it. A VM that lags repeats the change with the leader's revision while the caller waits. A domain that is as wanted is acknowledged in any case. What fails a check is 503 without effect. Manifests and upstreams' orders keep their numbers and names, and need no caller.

--- a/godwitshunt/configuration/commands.py
+++ b/godwitshunt/configuration/commands.py
@@ -65,10 +65,19 @@
 
 @dataclass(frozen=True)
 class ChangeEvacuation:
-    """Stop or resume sending to the upstreams of a failure domain."""
+    """Stop or resume sending to the upstreams of a failure domain.
+
+    Parameters
+    ----------
+    based_on : int or None
+        Revision at a time at which the operator still wanted this. The
+        command has no effect on a domain that was changed after it; None for
+        no such condition, in log entries of earlier versions.
+    """
 
     failure_domain: str
     evacuated: bool
+    based_on: int | None = None
 
 
 @dataclass(frozen=True)
@@ -213,6 +222,20 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class EvacuationSuperseded:
+    """Nothing was changed: the domain was changed after `based_on`.
+
+    Parameters
+    ----------
+    revision : int
+        The newest revision, for an operator who still wants the change.
+    """
+
+    failure_domain: str
+    revision: int
+
+
 @dataclass(frozen=True)
 class OrderIssued:
     """The order may be sent under its fencing number."""
@@ -256,6 +279,7 @@
 Outcome = (
     ManifestOutcome
     | Applied
+    | EvacuationSuperseded
     | OrderIssued
     | OrderUnknown
     | OrderConflict
--- a/godwitshunt/configuration/configuration.thrift
+++ b/godwitshunt/configuration/configuration.thrift
@@ -52,6 +52,8 @@
 struct ChangeEvacuation {
   1: string failure_domain
   2: bool evacuated
+  /** Applied only if the domain has not changed since this revision. */
+  3: optional i64 based_on
 }
 
 /** An order to an upstream; committed before it is sent. */
@@ -128,6 +130,8 @@
   1: string method
   2: string path
   3: binary body
+  /** Revision that the forwarding replica had when the caller still waited. */
+  4: optional i64 based_on
 }
 
 struct OperatorReply {
--- a/godwitshunt/configuration/gen/wire/ttypes.py
+++ b/godwitshunt/configuration/gen/wire/ttypes.py
@@ -630,18 +630,21 @@
     Attributes:
      - failure_domain
      - evacuated
+     - based_on: Applied only if the domain has not changed since this revision.
 
     """
 
     __slots__ = (
         'failure_domain',
         'evacuated',
+        'based_on',
     )
 
 
-    def __init__(self, failure_domain=None, evacuated=None,):
+    def __init__(self, failure_domain=None, evacuated=None, based_on=None,):
         self.failure_domain = failure_domain
         self.evacuated = evacuated
+        self.based_on = based_on
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -662,6 +665,11 @@
                     self.evacuated = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.based_on = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -680,6 +688,10 @@
             oprot.writeFieldBegin('evacuated', TType.BOOL, 2)
             oprot.writeBool(self.evacuated)
             oprot.writeFieldEnd()
+        if self.based_on is not None:
+            oprot.writeFieldBegin('based_on', TType.I64, 3)
+            oprot.writeI64(self.based_on)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1497,6 +1509,7 @@
      - method
      - path
      - body
+     - based_on: Revision that the forwarding replica had when the caller still waited.
 
     """
 
@@ -1504,13 +1517,15 @@
         'method',
         'path',
         'body',
+        'based_on',
     )
 
 
-    def __init__(self, method=None, path=None, body=None,):
+    def __init__(self, method=None, path=None, body=None, based_on=None,):
         self.method = method
         self.path = path
         self.body = body
+        self.based_on = based_on
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1536,6 +1551,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.based_on = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1558,6 +1578,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 3)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.based_on is not None:
+            oprot.writeFieldBegin('based_on', TType.I64, 4)
+            oprot.writeI64(self.based_on)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1709,6 +1733,7 @@
     None,  # 0
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'evacuated', None, None, ),  # 2
+    (3, TType.I64, 'based_on', None, None, ),  # 3
 )
 all_structs.append(IssueOrder)
 IssueOrder.thrift_spec = (
@@ -1774,6 +1799,7 @@
     (1, TType.STRING, 'method', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'path', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
+    (4, TType.I64, 'based_on', None, None, ),  # 4
 )
 all_structs.append(OperatorReply)
 OperatorReply.thrift_spec = (
--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -4,7 +4,7 @@
 import hmac
 import json
 from collections.abc import Awaitable, Callable
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Any
 
 from result import Err, Ok
@@ -12,6 +12,7 @@
 from godwitshunt.configuration.cluster import Cluster, ReplaceRequest
 from godwitshunt.configuration.commands import (
     Accepted,
+    Applied,
     ChangeEvacuation,
     ChangeVms,
     Pending,
@@ -26,6 +27,7 @@
     whole_answer,
 )
 from godwitshunt.configuration.problems import (
+    SUPERSEDED,
     OperatorProblem,
     invalid_document,
     problem_of,
@@ -35,22 +37,35 @@
 from godwitshunt.configuration.update_wire import require_fields
 from godwitshunt.consensus import NotLeader
 from godwitshunt.exceptions import DocumentError
+from godwitshunt.exchange.channel import Channel
+from godwitshunt.exchange.problems import TYPE_PREFIX
 from godwitshunt.exchange.requests import AnswerWriter, HttpRequest
+from godwitshunt.exchange.waiting_caller import Presence, WaitingCaller
 from godwitshunt.manifest import parse_manifest
 from godwitshunt.manifest.documents import parse_document
 from godwitshunt.peer import MessageKind, decode, encode
 from godwitshunt.settings import Address
+from godwitshunt.telemetry import log_change
+from godwitshunt.timer.stalls import StallMonitor
 
 StatusPart = Callable[[], dict[str, Any]]
 Route = Callable[[OperatorRequest], Awaitable[OperatorAnswer]]
 
 FORWARD_TIMEOUT_S = 5.0
+# Callers give a call up after a second without an answer and send it again to
+# another replica.
+CALLER_PATIENCE_S = 0.8
+# What came while this process stood still is read within this time.
+READ_AFTER_STALL_S = 1.0
+MAX_ATTEMPTS = 3
 EVACUATIONS_PATH = '/v1/evacuations/'
 BODY = 'request body'
 PROBLEM_TYPE = 'application/problem+json'
 HTTP_OK = 200
 HTTP_ACCEPTED = 202
+HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
+MAX_LOGGED_PATH = 200
 
 
 def answer(document: dict[str, Any], status: int = HTTP_OK) -> OperatorAnswer:
@@ -63,6 +78,31 @@
     return OperatorAnswer(problem.status, problem.body(), PROBLEM_TYPE)
 
 
+def superseding_revision(reply: OperatorAnswer) -> int | None:
+    """Return the revision that a change came too late for, None for none."""
+    if reply.status != HTTP_UNAVAILABLE:
+        return None
+    problem = json.loads(reply.body)
+    if problem.get('type') != TYPE_PREFIX + SUPERSEDED:
+        return None
+    return problem['revision']
+
+
+def is_final(reply: OperatorAnswer) -> bool:
+    """Tell whether no other replica needs to be asked after a reply."""
+    if reply.status != HTTP_UNAVAILABLE:
+        return True
+    return superseding_revision(reply) is not None
+
+
+def read_reply(body: bytes) -> OperatorAnswer:
+    """Return the answer in the reply of another replica."""
+    reply = decode(ttypes.OperatorReply, body)
+    if reply.status >= HTTP_BAD_REQUEST:
+        return OperatorAnswer(reply.status, reply.body, PROBLEM_TYPE)
+    return OperatorAnswer(reply.status, reply.body)
+
+
 class OperatorApi:
     """Authenticates and routes calls, and forwards them to the leader.
 
@@ -85,6 +125,11 @@
         self.service = service
         self.cluster = cluster
         self.token_sha256 = token_sha256
+        self.stalls = StallMonitor(
+            service.timer,
+            CALLER_PATIENCE_S,
+            READ_AFTER_STALL_S,
+        )
         self.status_parts: list[StatusPart] = []
         if cluster is not None:
             self.status_parts.append(cluster.describe)
@@ -113,12 +158,22 @@
     def start(self) -> None:
         """Accept the calls that other replicas forward."""
         self.service.links.subscribe(MessageKind.operator_call, self.on_call)
+        self.stalls.start()
+
+    def close(self) -> None:
+        """Stop the periodic work."""
+        self.stalls.close()
 
     async def serve(self, request: HttpRequest, writer: AnswerWriter) -> None:
         """Answer a request of the HTTP listener."""
-        reply = await self.handle(read_request(request))
+        caller = self.caller_of(writer.channel)
+        reply = await self.handle(read_request(request, caller))
         await writer.whole(whole_answer(reply))
 
+    def caller_of(self, channel: Channel) -> WaitingCaller:
+        """Return the caller whose request was just read from a channel."""
+        return WaitingCaller.on_channel(channel, self.stalls)
+
     async def handle(self, request: OperatorRequest) -> OperatorAnswer:
         """Answer an operator's request, after checking the token."""
         public = self.answer_without_token(request)
@@ -133,11 +188,63 @@
         return await self.handle_trusted(request)
 
     async def handle_trusted(self, request: OperatorRequest) -> OperatorAnswer:
-        """Answer an authenticated request, locally or through the leader."""
+        """Answer an authenticated request, locally or through the leader.
+
+        A change that its caller may not want any more has no effect: the
+        caller may have had the answer to another copy of it, and have sent a
+        newer change since.
+        """
+        based_on = self.service.state.revision
+        for _ in range(MAX_ATTEMPTS):
+            given_up = await self.refuse_given_up(request)
+            if given_up is not None:
+                return given_up
+            reply = await self.attempt(replace(request, based_on=based_on))
+            newer = superseding_revision(reply)
+            if newer is None:
+                return reply
+            based_on = newer
+        return reply
+
+    async def attempt(self, request: OperatorRequest) -> OperatorAnswer:
+        """Answer a request locally, else through the leader."""
         local = await self.answer_locally(request)
-        if local.status == HTTP_UNAVAILABLE:
-            return await self.forward(request, local)
-        return local
+        if is_final(local):
+            return local
+        return await self.forward(request, local)
+
+    async def refuse_given_up(
+        self,
+        request: OperatorRequest,
+    ) -> OperatorAnswer | None:
+        """Return a refusal unless the caller still waits for a change."""
+        if not request.may_undo_newer:
+            return None
+        presence = await self.presence_of(request.caller)
+        if presence is Presence.waiting:
+            return None
+        self.service.metrics.count('operator_given_up_total')
+        log_change(
+            'operator:given_up',
+            method=request.method,
+            path=request.path[:MAX_LOGGED_PATH],
+            caller=presence.value,
+            revision=self.service.state.revision,
+        )
+        return refusal(
+            OperatorProblem(
+                'given-up',
+                HTTP_UNAVAILABLE,
+                'the caller may not wait for this call any more',
+            ),
+        )
+
+    async def presence_of(self, caller: WaitingCaller | None) -> Presence:
+        """Tell whether a caller, or the replica that relays it, waits."""
+        if caller is not None:
+            return await caller.presence()
+        is_unknown = self.stalls.is_recent()
+        return Presence.unknown if is_unknown else Presence.waiting
 
     def answer_without_token(
         self, request: OperatorRequest
@@ -190,11 +297,20 @@
     ) -> OperatorAnswer:
         """Forward a call to the other replicas until one of them is the leader.
 
-        Every call that makes a change carries a number or a name and is
-        idempotent, so the next replica may be tried after a lost reply.
+        Every call that makes a change carries a number or a name, or the
+        revision that it is based on. So the next replica may be tried after a
+        lost reply, as long as the caller waits.
         """
-        call = ttypes.OperatorCall(request.method, request.path, request.body)
+        call = ttypes.OperatorCall(
+            request.method,
+            request.path,
+            request.body,
+            request.based_on,
+        )
         for address in self.forward_order():
+            given_up = await self.refuse_given_up(request)
+            if given_up is not None:
+                return given_up
             reply = await self.service.links.call(
                 address,
                 MessageKind.operator_call,
@@ -202,14 +318,9 @@
                 FORWARD_TIMEOUT_S,
             )
             if isinstance(reply, Ok):
-                remote_reply = decode(ttypes.OperatorReply, reply.ok_value)
-                if remote_reply.status != HTTP_UNAVAILABLE:
-                    kind = PROBLEM_TYPE if remote_reply.status >= 400 else None
-                    return OperatorAnswer(
-                        remote_reply.status,
-                        remote_reply.body,
-                        kind or 'application/json',
-                    )
+                remote = read_reply(reply.ok_value)
+                if is_final(remote):
+                    return remote
         return local
 
     def forward_order(self) -> tuple[Address, ...]:
@@ -229,8 +340,16 @@
         """Answer a call that another replica forwarded."""
         call = decode(ttypes.OperatorCall, body)
         require_fields(call, 'method', 'path', 'body')
-        request = OperatorRequest(call.method, call.path, '', call.body)
-        local = await self.answer_locally(request)
+        request = OperatorRequest(
+            call.method,
+            call.path,
+            '',
+            call.body,
+            based_on=call.based_on,
+        )
+        local = await self.refuse_given_up(request)
+        if local is None:
+            local = await self.answer_locally(request)
         return encode(ttypes.OperatorReply(local.status, local.body))
 
     async def apply(self, request: OperatorRequest) -> OperatorAnswer:
@@ -259,10 +378,23 @@
         """Begin or end the evacuation of a failure domain."""
         name = request.path.removeprefix(EVACUATIONS_PATH)
         begins = request.method == 'PUT'
-        outcome = await self.service.propose(ChangeEvacuation(name, begins))
-        if isinstance(outcome, Err):
-            return refusal(problem_of(outcome.err_value))
-        return answer({'failure_domain': name, **asdict(outcome.ok_value)})
+        based_on = request.based_on
+        if based_on is None:
+            based_on = self.service.state.revision
+        committed = await self.service.propose(
+            ChangeEvacuation(name, begins, based_on),
+        )
+        outcome = committed.err() or committed.ok()
+        if isinstance(outcome, Applied):
+            return answer({'failure_domain': name, **asdict(outcome)})
+        log_change(
+            'operator:evacuation_refused',
+            failure_domain=name,
+            begins=begins,
+            based_on=based_on,
+            reason=repr(outcome),
+        )
+        return refusal(problem_of(outcome))
 
     def manifest_answer(self, committed: Ok | Err) -> OperatorAnswer:
         """Return the answer for the outcome of accepting a manifest."""
--- a/godwitshunt/configuration/operator_http.py
+++ b/godwitshunt/configuration/operator_http.py
@@ -4,8 +4,12 @@
 
 from godwitshunt.exchange.problems import WholeAnswer
 from godwitshunt.exchange.requests import HttpRequest
+from godwitshunt.exchange.waiting_caller import WaitingCaller
 
 BEARER = 'Bearer '
+# Late copies are harmless: manifests have a number and orders a name, under
+# which each is accepted once; the last one is a question with a body.
+REPEATABLE = frozenset(('/v1/manifest', '/v1/orders', '/v1/explain'))
 
 
 @dataclass(frozen=True)
@@ -16,12 +20,24 @@
     ----------
     token : str
         Bearer token of the ``Authorization`` header, empty without one.
+    caller : WaitingCaller or None
+        Who sent it; None where another replica relays it.
+    based_on : int or None
+        Revision of the replica that read it, at a time at which the caller
+        still waited; None for the newest of the replica that handles it.
     """
 
     method: str
     path: str
     token: str
     body: bytes
+    caller: WaitingCaller | None = None
+    based_on: int | None = None
+
+    @property
+    def may_undo_newer(self) -> bool:
+        """Whether a late copy of it may undo a newer change."""
+        return self.method != 'GET' and self.path not in REPEATABLE
 
 
 @dataclass(frozen=True)
@@ -33,7 +49,10 @@
     content_type: str = 'application/json'
 
 
-def read_request(request: HttpRequest) -> OperatorRequest:
+def read_request(
+    request: HttpRequest,
+    caller: WaitingCaller | None = None,
+) -> OperatorRequest:
     """Return the operator request of an HTTP request."""
     credentials = request.header(b'authorization') or ''
     return OperatorRequest(
@@ -41,6 +60,7 @@
         path=request.path,
         token=credentials.removeprefix(BEARER),
         body=request.body,
+        caller=caller,
     )
 
 
--- a/godwitshunt/configuration/problems.py
+++ b/godwitshunt/configuration/problems.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from godwitshunt.configuration.commands import (
+    EvacuationSuperseded,
     NumberConflict,
     NumberTooOld,
     OrderConflict,
@@ -27,6 +28,8 @@
 from godwitshunt.exceptions import DocumentError
 from godwitshunt.exchange.problems import TYPE_PREFIX
 
+SUPERSEDED = 'superseded'
+
 
 @dataclass(frozen=True)
 class OperatorProblem:
@@ -98,6 +101,13 @@
                 f'answers for numbers below {oldest_known} are not kept',
                 extra={'number': number, 'oldest_known': oldest_known},
             )
+        case EvacuationSuperseded(failure_domain, revision):
+            return OperatorProblem(
+                SUPERSEDED,
+                503,
+                f'{failure_domain} was changed after this was read',
+                extra={'revision': revision},
+            )
         case OrderConflict(order):
             return OperatorProblem(
                 'order-conflict',
--- a/godwitshunt/configuration/state.py
+++ b/godwitshunt/configuration/state.py
@@ -13,6 +13,7 @@
 NUMBER_WINDOW = 4096
 MAX_GENERATIONS = 8
 MAX_ORDERS = 1024
+MAX_EVACUATIONS_CHANGED = 1024
 
 
 @dataclass(frozen=True)
@@ -53,6 +54,11 @@
         The last `MAX_ORDERS` orders by name.
     weight_units : int
         Total units ever taken from the weight store's token bucket.
+    evacuations_changed : mapping
+        Revision that last began or ended the evacuation of each failure
+        domain; the last `MAX_EVACUATIONS_CHANGED`.
+    evacuations_forgotten : int
+        The newest revision that is not listed there any more.
     """
 
     revision: int = 0
@@ -63,6 +69,8 @@
     fencing: int = 0
     orders: Mapping[str, OrderIssued] = field(default_factory=dict)
     weight_units: int = 0
+    evacuations_changed: Mapping[str, int] = field(default_factory=dict)
+    evacuations_forgotten: int = 0
 
     def with_document(self, document: Document) -> 'ControlState':
         """Return the state with the next revision of the document."""
--- a/godwitshunt/configuration/tests/test_operator_api.py
+++ b/godwitshunt/configuration/tests/test_operator_api.py
@@ -2,17 +2,28 @@
 
 import hashlib
 import json
+from dataclasses import replace
 
 import pytest
 import trustme
 
+from godwitshunt.configuration.document import EVACUATIONS
+from godwitshunt.configuration.gen.wire.ttypes import (
+    OperatorCall,
+    OperatorReply,
+)
 from godwitshunt.configuration.http_calls import HttpCall
-from godwitshunt.configuration.operator_api import OperatorApi
+from godwitshunt.configuration.operator_api import (
+    EVACUATIONS_PATH,
+    OperatorApi,
+)
 from godwitshunt.configuration.operator_client import call_any
 from godwitshunt.configuration.operator_http import OperatorRequest
 from godwitshunt.configuration.tests.fakes import Deployment, manifest
 from godwitshunt.exchange.caller_tls import caller_context
 from godwitshunt.exchange.listener import Listener, ListenerOptions
+from godwitshunt.exchange.waiting_caller import Presence
+from godwitshunt.peer import decode, encode
 from godwitshunt.peer.tests.test_links import make_tls
 from godwitshunt.programs.operator_session import read_authority
 from godwitshunt.settings import LimitSettings
@@ -21,6 +32,8 @@
 TOKEN = 'token'
 TOKEN_SHA256 = hashlib.sha256(TOKEN.encode()).hexdigest()
 VALID_MANIFEST = manifest().model_dump_json().encode()
+OLDER_MANIFEST = manifest(1, objective={'cost': 3}).model_dump_json().encode()
+NEWER_MANIFEST = manifest(2).model_dump_json().encode()
 UNKNOWN_FIELD = b'{"colour": "red"}'
 
 
@@ -177,3 +190,136 @@
     await listener.close()
     assert [answer.is_ok() for answer in answers] == [True, False, False]
     assert answers[0].ok_value.status == 200
+
+
+class FakeCaller:
+    """A caller whose presence a test sets.
+
+    Parameters
+    ----------
+    *presences : Presence
+        What is seen in turn; the last one stays.
+    """
+
+    def __init__(self, *presences):
+        self.presences = list(presences)
+
+    async def presence(self):
+        """Return what is seen next."""
+        if len(self.presences) > 1:
+            return self.presences.pop(0)
+        return self.presences[0]
+
+
+def make_apis(deployment):
+    """Return the started API of each replica."""
+    apis = {
+        name: OperatorApi(service, TOKEN_SHA256)
+        for name, service in deployment.services.items()
+    }
+    for api in apis.values():
+        api.start()
+    return apis
+
+
+async def evacuate(api, method, *presences):
+    """Give an order as a caller of some presence; return the answer."""
+    caller = FakeCaller(*(presences or (Presence.waiting,)))
+    path = f'{EVACUATIONS_PATH}zone-a'
+    return await api.handle_trusted(
+        OperatorRequest(method, path, '', b'', caller),
+    )
+
+
+def is_evacuated(deployment, replica='c1'):
+    """Tell whether the domain is evacuated, as a replica knows it."""
+    state = deployment.services[replica].state
+    return 'zone-a' in state.document.section(EVACUATIONS)
+
+
+def lag(deployment, revision):
+    """Make the second replica a follower that knows an old revision only."""
+    follower = deployment.services['c2']
+    follower.log = deployment.follower_log
+    follower.machine.log = deployment.follower_log
+    follower.machine.state = replace(follower.state, revision=revision)
+
+
+@pytest.mark.parametrize('presence', [Presence.gone, Presence.unknown])
+async def test_an_order_that_was_given_up_has_no_effect(deployment, presence):
+    """A frozen replica carried out an order whose caller had left."""
+    api = make_apis(deployment)['c1']
+    reply = await evacuate(api, 'PUT', presence)
+    assert reply.status == 503
+    assert json.loads(reply.body)['outcome'] == 'not-run'
+    assert not is_evacuated(deployment)
+
+
+async def test_reads_are_answered_whoever_waits(deployment):
+    """A read changes nothing, and needs no proof of a caller."""
+    await send_request(deployment, 'POST', '/v1/manifest', VALID_MANIFEST)
+    api = make_apis(deployment)['c1']
+    request = OperatorRequest(
+        'GET', '/v1/manifest', '', b'', FakeCaller(Presence.unknown)
+    )
+    assert (await api.handle_trusted(request)).status == 200
+
+
+async def test_a_manifest_is_accepted_whoever_waits(deployment):
+    """A manifest whose sender is gone has a number, and is accepted once."""
+    api = make_apis(deployment)['c1']
+    caller = FakeCaller(Presence.gone)
+    for body, status in ((NEWER_MANIFEST, 200), (OLDER_MANIFEST, 409)):
+        reply = await api.handle_trusted(
+            OperatorRequest('POST', '/v1/manifest', '', body, caller)
+        )
+        assert reply.status == status
+    assert deployment.services['c1'].state.highest_number == 2
+
+
+async def test_a_relayed_order_is_bound_to_when_it_was_read(deployment):
+    """A relay that was held up on its way undid a newer order."""
+    apis = make_apis(deployment)
+    await evacuate(apis['c1'], 'PUT')
+    based_on = deployment.services['c2'].state.revision
+    await evacuate(apis['c1'], 'DELETE')
+    await evacuate(apis['c1'], 'PUT')
+    path = f'{EVACUATIONS_PATH}zone-a'
+    call = OperatorCall('DELETE', path, b'', based_on)
+    reply = decode(OperatorReply, await apis['c1'].on_call('c2', encode(call)))
+    assert reply.status == 503
+    assert is_evacuated(deployment)
+
+
+async def test_an_order_at_a_replica_that_lags_is_acknowledged(deployment):
+    """A follower does not know of the newest order yet, its caller does."""
+    apis = make_apis(deployment)
+    await evacuate(apis['c1'], 'PUT')
+    lag(deployment, revision=0)
+    reply = await evacuate(apis['c2'], 'DELETE')
+    assert reply.status == 200
+    assert not is_evacuated(deployment)
+
+
+async def test_an_order_is_repeated_only_while_its_caller_waits(deployment):
+    """A replica that lags repeated an order whose caller had left."""
+    apis = make_apis(deployment)
+    await evacuate(apis['c1'], 'PUT')
+    lag(deployment, revision=0)
+    waits_once = (Presence.waiting, Presence.waiting, Presence.gone)
+    reply = await evacuate(apis['c2'], 'DELETE', *waits_once)
+    assert reply.status == 503
+    assert is_evacuated(deployment)
+
+
+async def test_an_order_read_after_a_stall_of_the_leader_is_refused(
+    deployment,
+):
+    """A relayed order waited in the socket of a leader that was frozen."""
+    apis = make_apis(deployment)
+    deployment.timer.time_s += 5.0
+    path = f'{EVACUATIONS_PATH}zone-a'
+    call = OperatorCall('PUT', path, b'', 0)
+    reply = decode(OperatorReply, await apis['c1'].on_call('c2', encode(call)))
+    assert reply.status == 503
+    assert not is_evacuated(deployment)
--- a/godwitshunt/configuration/wire.py
+++ b/godwitshunt/configuration/wire.py
@@ -39,10 +39,11 @@
             )
         case commands.ChangeHolders(region, names):
             entry.change_holders = ttypes.ChangeHolders(region, list(names))
-        case commands.ChangeEvacuation(failure_domain, evacuated):
+        case commands.ChangeEvacuation():
             entry.change_evacuation = ttypes.ChangeEvacuation(
-                failure_domain,
-                evacuated,
+                command.failure_domain,
+                command.evacuated,
+                command.based_on,
             )
         case commands.IssueOrder():
             entry.issue_order = ttypes.IssueOrder(**asdict(command))
@@ -107,6 +108,7 @@
             return commands.ChangeEvacuation(
                 body.failure_domain,
                 bool(body.evacuated),
+                body.based_on,
             )
         case ttypes.IssueOrder():
             return commands.IssueOrder(
@@ -135,6 +137,8 @@
         'fencing': state.fencing,
         'orders': [asdict(order) for order in state.orders.values()],
         'weight_units': state.weight_units,
+        'evacuations_changed': dict(state.evacuations_changed),
+        'evacuations_forgotten': state.evacuations_forgotten,
     }
     return pack(fields)
 
@@ -183,5 +187,8 @@
             fencing=fields['fencing'],
             orders={order.order: order for order in orders},
             weight_units=fields['weight_units'],
+            # Snapshots of earlier versions lack these.
+            evacuations_changed=fields.get('evacuations_changed', {}),
+            evacuations_forgotten=fields.get('evacuations_forgotten', 0),
         ),
     )
--- a/godwitshunt/consensus/healer.py
+++ b/godwitshunt/consensus/healer.py
@@ -277,8 +277,14 @@
             took_s=round(now_s - began_s, 3),
             led_s=round(self.led_s(), 3),
         )
+        self.note_health()
         return True
 
+    def note_health(self) -> None:
+        """Publish which voters answer, as this leader sees it."""
+        if self.consensus.leadership().is_leader:
+            self.health.note(self.members(), self.led_s())
+
     def log_refused(self, change: MemberChange, failure: str) -> None:
         """Log a change that failed, once in a row."""
         if self.refused != (change, failure):
--- a/godwitshunt/exchange/channel.py
+++ b/godwitshunt/exchange/channel.py
@@ -39,7 +39,9 @@
     `on_writable` is called when the other side has caught up.
     `ended_cleanly` tells an end of the other side's bytes from a reset: an
     answer without a length is whole only after the former. Where `held` is
-    set, the bytes that wait to be sent are counted there.
+    set, the bytes that wait to be sent are counted there. `connected_s` is the
+    time of the event loop at which it was connected; `requests` counts those
+    that were handed to a handler.
     """
 
     def __init__(
@@ -62,10 +64,13 @@
         self.held: HeldBytes | None = None
         self.backlog: deque[bytes] = deque()
         self.backlog_bytes = 0
+        self.connected_s = 0.0
+        self.requests = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Take over a new connection."""
         self.transport = transport
+        self.connected_s = asyncio.get_running_loop().time()
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         if self.accepted is None:
             probe(transport.get_extra_info('socket'), OUTGOING)
--- a/godwitshunt/exchange/listener.py
+++ b/godwitshunt/exchange/listener.py
@@ -224,6 +224,7 @@
         """Have one request answered."""
         answer.closing = self.draining or self.last_answers
         answer.bodyless = request.method == 'HEAD'
+        answer.channel.requests += 1
         self.answering.add(answer)
         try:
             await self.handler(request, answer)
--- a/godwitshunt/programs/control_process.py
+++ b/godwitshunt/programs/control_process.py
@@ -146,6 +146,7 @@
         """Answer what is under way, then close every part."""
         await self.listener.close()
         await self.healer.close()
+        self.api.close()
         self.picker.close()
         await self.registry.close()
         await self.placement.close()
