registry: a late copy of a departure ends no newer start of a server

What callers would see: a server that leaves sends its DELETE to a control VM that stands still, then to another one, and starts again under its name. The first VM wakes, reads the DELETE, and ends the new start for good: it gets no requests there as long as it lives. Provoked in a unit test, not seen on real processes.

Cause: the call carries no start time, and ended whatever was known by then. Now it counts only while its caller waits, as an operator's order does; else 503, and the server sends it to another VM. Heartbeats need no such check: they carry a start and a sequence.

The test fails without the check for callers that are gone or not known to wait.

--- a/tests/test_platform_heartbeats.py
+++ b/tests/test_platform_heartbeats.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from godwitshunt.exceptions import DocumentError
+from godwitshunt.exchange.waiting_caller import Presence
 from godwitshunt.peer import decode, encode
 from godwitshunt.registry.gen.wire import ttypes
 from godwitshunt.registry.service import RegistryService
@@ -235,3 +236,35 @@
     refused = waits and not on_disk
     expected = 503 if refused else 200
     assert answer.status == expected
+
+
+class FakeCaller:
+    """A caller of a departure that is seen in one way."""
+
+    def __init__(self, presence):
+        self.seen = presence
+
+    async def presence(self):
+        """Tell whether the caller waits."""
+        return self.seen
+
+
+@pytest.mark.parametrize('presence', list(Presence))
+async def test_a_late_departure_ends_no_newer_start(presence):
+    """A frozen VM read a departure after the server had started again."""
+    service = started()
+    service.flush = flush_at_once
+    calls = ControlCalls(None, service, frozenset())
+    service.announce(read_heartbeat('i-1', json.dumps(SOUND).encode()))
+    departure = SimpleNamespace(
+        method='DELETE', path='/-/instances/i-1', body=b''
+    )
+    answer = await calls.answer(departure, FakeCaller(presence))
+    has_left = 'i-1' not in service.upstreams.entries
+    assert has_left == (presence is Presence.waiting)
+    assert answer.status == {True: 200, False: 503}[has_left]
+
+
+async def flush_at_once():
+    """Tell that all is on disk."""
+    return True
