--- a/godwitshunt/consensus/folder.py
+++ b/godwitshunt/consensus/folder.py
@@ -226,8 +226,10 @@
     snapshot = None
     if snapshot_blob is not None:
         snapshot = read_snapshot(snapshot_blob, stored.identity)
-    join_snapshot(stored.log, snapshot)
-    if scan.good_bytes < len(blob):
+    if join_snapshot(stored.log, snapshot):
+        # Entries that are appended now follow the snapshot, not the file.
+        replace_file(files, LOG, log_after_snapshot(stored))
+    elif scan.good_bytes < len(blob):
         files.truncate(LOG, scan.good_bytes)
     # A process that was killed before its sync leaves records, and names,
     # that can be read here and would yet be lost with the power; the replica
@@ -266,20 +268,32 @@
     log.append((entry,))
 
 
-def join_snapshot(log: Log, snapshot: Snapshot | None) -> None:
+def join_snapshot(log: Log, snapshot: Snapshot | None) -> bool:
     """Make the log go on from the snapshot.
 
     A crash between the two replacements leaves a log from before the
     snapshot; what it holds after the snapshot is kept only if it belongs to
     the same history.
+
+    Returns
+    -------
+    bool
+        Whether the log was emptied, and its file does not fit any more.
     """
     covered = 0 if snapshot is None else snapshot.index
     if log.base_index > covered:
         raise StorageCorrupt(SNAPSHOT, f'no snapshot up to {log.base_index}')
-    if snapshot is None:
-        return
-    if log.term_at(snapshot.index) != snapshot.term:
-        log.reset(snapshot.index, snapshot.term)
+    if snapshot is None or log.term_at(snapshot.index) == snapshot.term:
+        return False
+    log.reset(snapshot.index, snapshot.term)
+    return True
+
+
+def log_after_snapshot(stored: StoredState) -> bytes:
+    """Return the file of a log that is empty after its snapshot."""
+    log = stored.log
+    header = log_header(stored.identity, log.base_index, log.base_term)
+    return header + vote_record(SaveVote(stored.term, stored.voted_for))
 
 
 def log_header(identity: ReplicaId, base_index: int, base_term: int) -> bytes:
--- a/godwitshunt/consensus/tests/test_storage.py
+++ b/godwitshunt/consensus/tests/test_storage.py
@@ -235,3 +235,35 @@
     folder.close()
     with pytest.raises(kind), typed_errors(tmp_path):
         fail()
+
+
+@pytest.mark.parametrize('keeps_cache', [True, False])
+@pytest.mark.parametrize('last', [3, 15])
+@pytest.mark.parametrize('point', range(8, 24))
+def test_entries_after_an_installed_snapshot_are_kept(point, last, keeps_cache):
+    """A follower is killed between the two files of a leader's snapshot.
+
+    Its log file ended before the snapshot, or had another history there. The
+    entries that it saved next could not be read at the start after, or were
+    dropped without a word.
+    """
+    files = MemoryFileSystem(stop_at=point, keeps_cache=keeps_cache)
+    installed = Snapshot(10, 4, Membership(), b'of the leader')
+    old = tuple(entry(index, 1) for index in range(1, last + 1))
+    try:
+        folder = open_folder(files)
+        folder.save((SaveVote(1, CANDIDATE), SaveEntries(old)))
+        folder.save((SaveVote(4, None), SaveSnapshot(installed, 10, 4, ())))
+    except PowerLoss:
+        files.stop()
+    files.stop_at = None
+    files.locked = False
+    folder = open_folder(files, '2')
+    if folder.stored.snapshot != installed:
+        return
+    folder.save((SaveVote(5, None),))
+    folder.save((SaveEntries((entry(11, 5), entry(12, 5))),))
+    files.locked = False
+    stored = open_folder(files, '2').stored
+    assert [one.index for one in stored.log.entries] == [11, 12]
+    assert (stored.log.base_index, stored.term) == (10, 5)
