Tests: a new VM beside seeds without disks, and a third VM that stands still

Two siblings of the seeds that never joined again, provoked on real processes: a new VM whose settings name only VMs that lost their disks at the same time, and two lost disks while a third voter is frozen.

--- a/tests/test_platform_lost_disks.py
+++ b/tests/test_platform_lost_disks.py
@@ -1,13 +1,23 @@
 """Control VMs lose their disks two at a time, as processes."""
 
+import asyncio
+import signal
 from contextlib import asynccontextmanager
+from functools import partial
 from random import Random
 
 import pytest
 
-from trials.lost_disks import LostDisks, lose_disks, make_world
+from tests.platform_world import until
+from trials.lost_disks import (
+    CATCH_UP_S,
+    LostDisks,
+    lose_disks,
+    make_world,
+)
 
 LOSSES = 4
+STILL_S = 2.0
 
 
 @asynccontextmanager
@@ -40,6 +50,32 @@
         assert run.broken == []
 
 
+async def test_a_new_vm_joins_through_seeds_without_disks(tmp_path):
+    """All VMs that a new one knows lost their disks, and know nobody."""
+    async with started(tmp_path, seeds=2) as run:
+        world = run.world
+        await world.move_leadership()
+        new = f'{world.network}.9'
+        lost = await run.wipe(world.seed_hosts)
+        await world.start_control(new)
+        await until(partial(world.knows_leader, new), CATCH_UP_S)
+        await until(partial(world.is_whole, lost), CATCH_UP_S)
+
+
+async def test_two_disks_are_lost_while_a_third_vm_stands_still(tmp_path):
+    """The voters are whole again soon after the third one has woken."""
+    async with started(tmp_path) as run:
+        world = run.world
+        lost_hosts, frozen = world.control_hosts[:2], world.control_hosts[2]
+        world.processes[frozen].send_signal(signal.SIGSTOP)
+        lost = await run.wipe(lost_hosts)
+        await asyncio.sleep(STILL_S)
+        world.processes[frozen].send_signal(signal.SIGCONT)
+        await until(partial(world.is_whole, lost), CATCH_UP_S)
+        await run.check_readable()
+        assert run.broken == []
+
+
 async def test_pairs_lose_their_disks_as_often_as_is_borne(tmp_path):
     """Each pair is lost as soon as the one before counts as healthy."""
     run = await lose_disks(seed=1, losses=LOSSES, folder=tmp_path)
--- a/trials/lost_disks.py
+++ b/trials/lost_disks.py
@@ -94,9 +94,14 @@
         """Tell whether another VM leads than before."""
         return self.leader() != before
 
-    async def is_whole(self):
-        """Tell whether the leader sees every voter."""
-        return self.whole_since({}) is not None
+    async def is_whole(self, replaced=None):
+        """Tell whether the leader sees every voter, none with an old disk."""
+        return self.whole_since(replaced or {}) is not None
+
+    async def knows_leader(self, host):
+        """Tell whether a VM has heard a leader."""
+        lines = self.logged(host, 'consensus:leader')
+        return any(line['leader'] for line in lines)
 
     def voters(self):
         """Return the newest report of a leader on its voters, None before."""
@@ -201,16 +206,7 @@
         """Kill VMs, start them without disks, and time the repair."""
         world = self.world
         leader = world.leader()
-        before = world.incarnations()
-        names = [host.replace('.', '-') for host in hosts]
-        lost = {name: before[name] for name in names if name in before}
-        for host in hosts:
-            world.processes[host].send_signal(signal.SIGKILL)
-        await asyncio.sleep(self.random.uniform(*DOWN_S))
-        for host in hosts:
-            await world.processes[host].wait()
-            shutil.rmtree(world.folder / host)
-            await world.start_control(host)
+        lost = await self.wipe(hosts)
         started_s = time.time()
         next_s = started_s + self.gap_s
         acknowledged_s = await self.change(started_s)
@@ -223,6 +219,26 @@
         if acknowledged_s > RECOVERY_S:
             self.broken.append(f'nothing acknowledged after {hosts}')
 
+    async def wipe(self, hosts):
+        """Kill VMs and start them without disks.
+
+        Returns
+        -------
+        dict
+            Incarnations by name that are lost.
+        """
+        world = self.world
+        before = world.incarnations()
+        for host in hosts:
+            world.processes[host].send_signal(signal.SIGKILL)
+        await asyncio.sleep(self.random.uniform(*DOWN_S))
+        for host in hosts:
+            await world.processes[host].wait()
+            shutil.rmtree(world.folder / host)
+            await world.start_control(host)
+        names = {vm.replace('.', '-') for vm in hosts}
+        return {name: old for name, old in before.items() if name in names}
+
     async def change(self, started_s):
         """Change the configuration; return how long that took."""
         version = self.acknowledged + 1
