configuration: a manifest whose entries only changed places is accepted

Cause: diff compared sections as mappings, which ignores the order of their entries; the digest does not. The delta left such a section out, and every replica answered ManifestUnreadable(DigestMismatch). Sections are now compared with their order, and one whose entries changed places goes whole, as before where an entry changed, too.

A property test of diff and patch was there; it drew the same entries in another order too rarely to find this.

--- a/godwitshunt/configuration/delta.py
+++ b/godwitshunt/configuration/delta.py
@@ -29,7 +29,7 @@
     changes = {
         name: diff_section(base.section(name), target.section(name))
         for name in SECTIONS
-        if base.section(name) != target.section(name)
+        if not is_same(base.section(name), target.section(name))
     }
     scalars = {
         key: scalar
@@ -39,6 +39,11 @@
     return {'scalars': scalars, 'sections': changes}
 
 
+def is_same(before: Section, after: Section) -> bool:
+    """Tell whether two sections have the same entries in the same order."""
+    return before == after and list(before) == list(after)
+
+
 def diff_section(before: Section, after: Section) -> dict[str, Any]:
     """Return the delta of one section.
 
