ingress: a lost attempt is counted before its upstream's crash is checked

Cause: after an attempt that was lost, the request waits until it is known whether the upstream crashed; only then was the attempt counted. A deadline that passed in that wait found no attempt that may have run and none under way. The outcome is now recorded as soon as the attempt has ended, before anything is waited for.

Read for the same gap: the end of an answer that ends with its connection is confirmed while the attempt is still under way; relays count at the sender; the exchange slice keeps sent attempts in its state.

--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -194,9 +194,14 @@
         if refusal is not None:
             return refusal
         outcome = await self.sender.send(choice)
+        # Before anything is waited for: the deadline may pass meanwhile.
+        settled = self.progress.record(outcome)
         await self.record_outcome(choice, outcome)
+        if settled is not None:
+            return settled
         now_s = self.context.timer.now()
-        return self.progress.next_step(outcome, self.request.remaining_s(now_s))
+        remaining_s = self.request.remaining_s(now_s)
+        return self.progress.retry_or_give_up(remaining_s)
 
     async def record_outcome(
         self,
--- a/godwitshunt/ingress/outcomes.py
+++ b/godwitshunt/ingress/outcomes.py
@@ -147,6 +147,22 @@
 
     def next_step(self, outcome: AttemptOutcome, remaining_s: float) -> Step:
         """Record the outcome of an attempt; return the next step."""
+        settled = self.record(outcome)
+        return (
+            self.retry_or_give_up(remaining_s) if settled is None else settled
+        )
+
+    def record(self, outcome: AttemptOutcome) -> Step | None:
+        """Record the outcome of an attempt.
+
+        Done at the end of the attempt: a deadline that passes later is told
+        by what is recorded whether the request may have run.
+
+        Returns
+        -------
+        Step or None
+            The last step, None where another attempt may follow.
+        """
         self.count_send(outcome)
         match outcome:
             case Streamed():
@@ -163,6 +179,10 @@
                 self.fallback = answer
             case Lost(reason):
                 self.record_run(reason)
+        return None
+
+    def retry_or_give_up(self, remaining_s: float) -> Step:
+        """Return the step after an attempt that did not settle the request."""
         if self.may_retry(remaining_s):
             return Retry()
         return self.give_up()
