registry: a departure is on as many disks as may be lost, and one

Cause: a departure was acknowledged once it was on one disk; the others learn of it with their next poll. It is now copied to (voters - 1) / 2 other control VMs, at the same time as it is written here, and acknowledged when all of them have it on disk. They keep it in their own tables. A copy names the incarnation, so that a late one ends no newer start.

Not measured: a wave of departures, and the way through the log.

--- a/godwitshunt/peer/messages.py
+++ b/godwitshunt/peer/messages.py
@@ -24,6 +24,7 @@
     place_wait = 313
     upstream_notices = 314
     suspect_news = 315
+    upstream_departure = 316
     claim_request = 400
     claim_finish = 401
     claim_release = 402
--- a/godwitshunt/programs/control_process.py
+++ b/godwitshunt/programs/control_process.py
@@ -78,6 +78,7 @@
                 settings.region,
                 settings.domains,
                 self.known_control,
+                self.disks_to_lose,
             ),
             self.links,
             self.timer,
@@ -122,6 +123,17 @@
         named = (*self.service.others, *members)
         return tuple(dict.fromkeys(named))
 
+    def disks_to_lose(self) -> int:
+        """Return how many disks of voters may be lost at once.
+
+        A replica that is not let in yet doesn't know the voters; where others
+        are known, one disk is not enough.
+        """
+        voters = sum(one.voter for one in self.consensus.members())
+        if voters:
+            return (voters - 1) // 2
+        return min(1, len(self.service.others))
+
     async def start(self) -> None:
         """Start every part, the listener for operators last."""
         await start_listening(self.links.start, 'peer', self.settings.peer)
--- a/godwitshunt/registry/gen/wire/ttypes.py
+++ b/godwitshunt/registry/gen/wire/ttypes.py
@@ -4623,6 +4623,158 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Departure(object):
+    """
+    An upstream's departure, for the disk of another control VM; one is set.
+
+    Attributes:
+     - draining: It drains: its newest announcement.
+     - gone: It is gone.
+
+    """
+
+    __slots__ = (
+        'draining',
+        'gone',
+    )
+
+
+    def __init__(self, draining=None, gone=None,):
+        self.draining = draining
+        self.gone = gone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.draining = UpstreamInfo()
+                    self.draining.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.gone = StartEnded()
+                    self.gone.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Departure')
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.STRUCT, 1)
+            self.draining.write(oprot)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.STRUCT, 2)
+            self.gone.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DepartureReply(object):
+    """
+    Attributes:
+     - kept: True once the departure is on disk.
+
+    """
+
+    __slots__ = (
+        'kept',
+    )
+
+
+    def __init__(self, kept=None,):
+        self.kept = kept
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.kept = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DepartureReply')
+        if self.kept is not None:
+            oprot.writeFieldBegin('kept', TType.BOOL, 1)
+            oprot.writeBool(self.kept)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Endpoint)
 Endpoint.thrift_spec = (
     None,  # 0
@@ -4953,5 +5105,16 @@
     (2, TType.LIST, 'gone', (TType.STRUCT, [StartEnded, None], False), None, ),  # 2
     (3, TType.LIST, 'suspects', (TType.STRUCT, [SuspectInfo, None], False), None, ),  # 3
 )
+all_structs.append(Departure)
+Departure.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'draining', [UpstreamInfo, None], None, ),  # 1
+    (2, TType.STRUCT, 'gone', [StartEnded, None], None, ),  # 2
+)
+all_structs.append(DepartureReply)
+DepartureReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'kept', None, None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/godwitshunt/registry/registry.thrift
+++ b/godwitshunt/registry/registry.thrift
@@ -453,3 +453,16 @@
   /** Requests that were lost to upstreams. */
   3: list<SuspectInfo> suspects
 }
+
+/** An upstream's departure, for the disk of another control VM; one is set. */
+struct Departure {
+  /** It drains: its newest announcement. */
+  1: optional UpstreamInfo draining
+  /** It is gone. */
+  2: optional StartEnded gone
+}
+
+struct DepartureReply {
+  /** True once the departure is on disk. */
+  1: bool kept
+}
--- a/godwitshunt/registry/service.py
+++ b/godwitshunt/registry/service.py
@@ -22,6 +22,7 @@
     SuspectUpdate,
 )
 from godwitshunt.registry.control_tables import ControlTables
+from godwitshunt.registry.departures import Departures
 from godwitshunt.registry.entries import EntryTable
 from godwitshunt.registry.free_slots import FreeSlots
 from godwitshunt.registry.gen.wire import ttypes
@@ -118,6 +119,9 @@
             timer,
             metrics,
         )
+        self.departures = Departures(
+            location, self.upstreams, self.flush, links, timer
+        )
         self.entries = EntryTable()
         self.ledger = LoadLedger()
         self.free_slots = FreeSlots(self.view, self.ledger.entries)
@@ -177,6 +181,7 @@
         self.persistence.restore()
         self.links.subscribe(MessageKind.registry_poll, self.on_poll)
         self.subscription = self.timer.every(TICK_S, self.tick)
+        self.departures.start()
         self.tables.start()
 
     async def close(self) -> None:
@@ -184,15 +189,21 @@
         if self.subscription is not None:
             self.subscription.cancel()
         await self.tables.close()
+        await self.departures.close()
         await self.background.close()
 
     async def flush(self) -> bool:
-        """Wait until the current state is on disk; False if that failed.
+        """Wait until the current state is on disk; False if that failed."""
+        return await self.persistence.flush()
+
+    async def keep_departure(self, instance: str) -> bool:
+        """Wait until a departure outlasts lost disks; False if it does not.
 
         An upstream's departure is acknowledged only afterwards: restored as
-        ready after a loss of power, it would receive requests again.
+        ready after a loss of power, or forgotten with a disk, it would
+        receive requests again.
         """
-        return await self.persistence.flush()
+        return await self.departures.keep(instance)
 
     def announce(self, announcement: UpstreamAnnounced) -> AnnounceOutcome:
         """Apply an upstream's announcement."""
--- a/godwitshunt/registry/table.py
+++ b/godwitshunt/registry/table.py
@@ -294,6 +294,19 @@
         self.ends.record(EndedIncarnation(instance), now_s, now_ms)
         self.add_tombstone(EndedIncarnation(instance), now_s)
 
+    def end(self, ended: EndedIncarnation, now_s: float) -> None:
+        """End the incarnation that another control VM was told of.
+
+        One that was started since goes on.
+        """
+        known = self.entries.get(ended.instance)
+        born_ms = None if known is None else known.announcement.born_ms
+        if known is not None and ended.born_ms in {None, born_ms}:
+            self.end_incarnation(known.announcement, now_s)
+            return
+        self.ends.record(ended, now_s)
+        self.add_tombstone(ended, now_s)
+
     def end_incarnation(
         self,
         announcement: UpstreamAnnounced,
--- a/godwitshunt/registry/table_updates.py
+++ b/godwitshunt/registry/table_updates.py
@@ -49,12 +49,15 @@
         Region of each failure domain.
     others : callable
         Returns the peer addresses of the known control VMs.
+    copies : callable
+        Returns on how many other disks an acknowledged departure has to be.
     """
 
     address: Address
     region: str
     regions: Mapping[str, str]
     others: Callable[[], tuple[Address, ...]]
+    copies: Callable[[], int] = int
 
 
 NO_TABLE = ttypes.TableHeld(source='', version=0, entries_version=0)
--- a/tests/test_platform_heartbeats.py
+++ b/tests/test_platform_heartbeats.py
@@ -223,7 +223,7 @@
         asked.append(dict(service.upstreams.entries))
         return on_disk
 
-    service.flush = flush
+    service.departures.flush = flush
     calls = ControlCalls(None, service, frozenset())
     body = json.dumps({**SOUND, 'state': state}).encode()
     request = SimpleNamespace(
@@ -253,7 +253,7 @@
 async def test_a_late_departure_ends_no_newer_start(presence):
     """A frozen VM read a departure after the server had started again."""
     service = started()
-    service.flush = flush_at_once
+    service.departures.flush = flush_at_once
     calls = ControlCalls(None, service, frozenset())
     service.announce(read_heartbeat('i-1', json.dumps(SOUND).encode()))
     departure = SimpleNamespace(
