configuration: a superseded order costs no log entry

A VM that lags by a heartbeat names an old revision, and its order was written to the log and synced before it was refused and repeated. The leader now refuses it by what it has applied, which supersedes it for good.

--- a/godwitshunt/configuration/operator_api.py
+++ b/godwitshunt/configuration/operator_api.py
@@ -15,9 +15,11 @@
     Applied,
     ChangeEvacuation,
     ChangeVms,
+    EvacuationSuperseded,
     Pending,
 )
 from godwitshunt.configuration.document import MALFORMED_ERRORS
+from godwitshunt.configuration.evacuations import change_evacuation
 from godwitshunt.configuration.explanation import explain, explain_route
 from godwitshunt.configuration.gen.wire import ttypes
 from godwitshunt.configuration.operator_http import (
@@ -381,10 +383,12 @@
         based_on = request.based_on
         if based_on is None:
             based_on = self.service.state.revision
-        committed = await self.service.propose(
-            ChangeEvacuation(name, begins, based_on),
-        )
-        outcome = committed.err() or committed.ok()
+        command = ChangeEvacuation(name, begins, based_on)
+        _, outcome = change_evacuation(self.service.state, command)
+        # What this replica has applied supersedes the command for good.
+        if not isinstance(outcome, EvacuationSuperseded):
+            committed = await self.service.propose(command)
+            outcome = committed.err() or committed.ok()
         if isinstance(outcome, Applied):
             return answer({'failure_domain': name, **asdict(outcome)})
         log_change(
--- a/godwitshunt/configuration/tests/test_operator_api.py
+++ b/godwitshunt/configuration/tests/test_operator_api.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import json
-from dataclasses import replace
 
 import pytest
 import trustme
@@ -237,12 +236,12 @@
     return 'zone-a' in state.document.section(EVACUATIONS)
 
 
-def lag(deployment, revision):
-    """Make the second replica a follower that knows an old revision only."""
+def lag(deployment, state):
+    """Make the second replica a follower that has an old state only."""
     follower = deployment.services['c2']
     follower.log = deployment.follower_log
     follower.machine.log = deployment.follower_log
-    follower.machine.state = replace(follower.state, revision=revision)
+    follower.machine.state = state
 
 
 @pytest.mark.parametrize('presence', [Presence.gone, Presence.unknown])
@@ -284,18 +283,21 @@
     based_on = deployment.services['c2'].state.revision
     await evacuate(apis['c1'], 'DELETE')
     await evacuate(apis['c1'], 'PUT')
+    entries = len(deployment.log.entries)
     path = f'{EVACUATIONS_PATH}zone-a'
     call = OperatorCall('DELETE', path, b'', based_on)
     reply = decode(OperatorReply, await apis['c1'].on_call('c2', encode(call)))
     assert reply.status == 503
     assert is_evacuated(deployment)
+    assert len(deployment.log.entries) == entries
 
 
 async def test_an_order_at_a_replica_that_lags_is_acknowledged(deployment):
     """A follower does not know of the newest order yet, its caller does."""
     apis = make_apis(deployment)
+    before = deployment.services['c2'].state
     await evacuate(apis['c1'], 'PUT')
-    lag(deployment, revision=0)
+    lag(deployment, before)
     reply = await evacuate(apis['c2'], 'DELETE')
     assert reply.status == 200
     assert not is_evacuated(deployment)
@@ -304,8 +306,9 @@
 async def test_an_order_is_repeated_only_while_its_caller_waits(deployment):
     """A replica that lags repeated an order whose caller had left."""
     apis = make_apis(deployment)
+    before = deployment.services['c2'].state
     await evacuate(apis['c1'], 'PUT')
-    lag(deployment, revision=0)
+    lag(deployment, before)
     waits_once = (Presence.waiting, Presence.waiting, Presence.gone)
     reply = await evacuate(apis['c2'], 'DELETE', *waits_once)
     assert reply.status == 503
