--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -196,6 +196,17 @@
             server.listener.close()
         self.lock.close()
 
+    def leader(self):
+        """Return the address of the control process that leads."""
+        lines = [
+            line
+            for host in self.control_hosts
+            for line in self.logged(host, 'consensus:leader')
+            if line['leader']
+        ]
+        newest = max(lines, key=lambda line: (line['term'], line['timestamp']))
+        return newest['leader'].replace('-', '.')
+
     def logged(self, host, kind):
         """Return the log lines of a kind that a process wrote."""
         lines = (self.folder / f'{host}.log').read_text().splitlines()
--- a/tests/test_platform_late_orders.py
+++ b/tests/test_platform_late_orders.py
@@ -84,18 +84,6 @@
         return answer.status
 
 
-def leader_of(world):
-    """Return the address of the control VM that leads."""
-    lines = [
-        line
-        for host in world.control_hosts
-        for line in world.logged(host, 'consensus:leader')
-        if line['leader']
-    ]
-    newest = max(lines, key=lambda line: (line['term'], line['timestamp']))
-    return newest['leader'].replace('-', '.')
-
-
 async def count_in_zone(world):
     """Send requests; return how many ran on upstreams of the zone."""
     servers = [one for one in world.servers.values() if one.zone == ZONE]
@@ -109,7 +97,7 @@
 async def give_orders(world, case):
     """Have a VM read an order only after a newer one was acknowledged."""
     operator = Operator(world)
-    leader = leader_of(world)
+    leader = world.leader()
     followers = [host for host in world.control_hosts if host != leader]
     frozen = leader if case.frozen == LEADER else followers[0]
     other = followers[-1]
--- a/trials/lost_disks.py
+++ b/trials/lost_disks.py
@@ -134,17 +134,6 @@
             return None
         return newest['timestamp']
 
-    def leader(self):
-        """Return the address of the VM that leads, as logged last."""
-        lines = [
-            line
-            for host in self.control_hosts
-            for line in self.logged(host, 'consensus:leader')
-            if line['leader']
-        ]
-        newest = max(lines, key=lambda line: (line['term'], line['timestamp']))
-        return newest['leader'].replace('-', '.')
-
 
 @dataclass(frozen=True)
 class Repair:
