--- a/godwitshunt/consensus/joiner.py
+++ b/godwitshunt/consensus/joiner.py
@@ -107,7 +107,7 @@
         if isinstance(answer, Err):
             return False
         try:
-            return self.hear_reply(address, answer.ok_value)
+            return self.handle_reply(address, answer.ok_value)
         except FrameError as bad:
             log_change(
                 'consensus:join_malformed',
@@ -116,7 +116,7 @@
             )
             return False
 
-    def hear_reply(self, address: Address, body: bytes) -> bool:
+    def handle_reply(self, address: Address, body: bytes) -> bool:
         """Note whom a reply names; True if it comes from a leader."""
         reply = decode(wire.JoinReply, body)
         now_s = self.timer.now()
