ingress: log and count each decision on a retry

The lines of a request told its attempts, but not which retries were spent, nor by which count of VMs and of first tries.

Retries are limited as before.

--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -593,12 +593,19 @@
         """
         if self.progress.arrivals <= int(self.request.repeat):
             return True
-        window = self.context.budgets.retry_window(self.request.service.name)
+        service = self.request.service.name
+        window = self.context.budgets.retry_window(service)
+        vms = self.context.neighbours.count()
         now_s = self.context.timer.now()
-        if window.spend(now_s, self.context.neighbours.count()):
-            return True
-        self.context.metrics.count('ingress_retries_denied_total')
-        return False
+        decision = window.spend(now_s, vms)
+        self.trace.record_retry(
+            decision,
+            self.progress,
+            vms,
+            now_s - self.context.budgets.cold.started_s,
+            self.context.metrics,
+        )
+        return decision.is_allowed
 
     def spend_cold_request(self, choice: SendHere) -> bool:
         """Spend one request of a cold upstream's budget."""
--- a/godwitshunt/ingress/outcomes.py
+++ b/godwitshunt/ingress/outcomes.py
@@ -133,6 +133,8 @@
         An upstream's failure, returned where no better answer is received.
     reasons : list of str
         Why each attempt did not succeed.
+    last_outcome : str
+        Kind of the last attempt's outcome, for logs and metrics.
     """
 
     repeatable: bool
@@ -144,6 +146,7 @@
     begun: bool = False
     fallback: WholeAnswer | None = None
     reasons: list[str] = field(default_factory=list)
+    last_outcome: str = ''
 
     def next_step(self, outcome: AttemptOutcome, remaining_s: float) -> Step:
         """Record the outcome of an attempt; return the next step."""
@@ -164,6 +167,7 @@
             The last step, None where another attempt may follow.
         """
         self.count_send(outcome)
+        self.last_outcome = type(outcome).__name__
         match outcome:
             case Streamed():
                 return Finish()
--- a/godwitshunt/ingress/request_trace.py
+++ b/godwitshunt/ingress/request_trace.py
@@ -13,6 +13,7 @@
     SendHere,
     describe_candidate,
 )
+from godwitshunt.routing.retry_window import RetryDecision
 from godwitshunt.telemetry import Metrics, log_change
 
 
@@ -52,6 +53,8 @@
         Age in seconds of the control VMs' data at the last choice.
     stages : dict
         Milliseconds from the request's arrival to each stage.
+    first_tries : int
+        How often the retry window counted the request as a first try.
     """
 
     request: RoutedRequest
@@ -62,6 +65,7 @@
     longest_gap_s: float = 0.0
     control_age_s: float = 0.0
     stages: dict[str, float] = field(default_factory=dict)
+    first_tries: int = 0
 
     def record_stage(self, stage: Stage, now_s: float) -> None:
         """Record the first time that a stage is reached."""
@@ -96,6 +100,48 @@
         attempt_result = 'ended' if outcome is None else type(outcome).__name__
         self.attempts.append(f'{destination}:{attempt_result}')
 
+    def record_retry(
+        self,
+        decision: RetryDecision,
+        progress: Progress,
+        vms: int,
+        process_age_s: float,
+        metrics: Metrics,
+    ) -> None:
+        """Write the log line and the metrics of a retry's decision.
+
+        Parameters
+        ----------
+        vms : int
+            VMs that the fixed allowance was divided by.
+        process_age_s : float
+            Seconds since this process started.
+        """
+        service = self.request.service.name
+        kind = progress.last_outcome
+        allowed = decision.is_allowed
+        metrics.count(
+            'ingress_retries_total',
+            service=service,
+            kind=kind,
+            allowed='yes' if allowed else 'no',
+        )
+        if not allowed:
+            metrics.count('ingress_retries_denied_total')
+        log_change(
+            'ingress:retry_decided',
+            request=self.request.id,
+            service=service,
+            allowed=allowed,
+            kind=kind,
+            arrivals=progress.arrivals,
+            first_tries=decision.first_tries,
+            retries=decision.retries,
+            allowance=round(decision.allowance, 2),
+            vms=vms,
+            process_age_s=round(process_age_s, 2),
+        )
+
     def record_answer_start(self, now_s: float) -> None:
         """Record the first time that the caller is sent answer data."""
         if self.first_s is None:
@@ -154,4 +200,5 @@
             shared_tokens=request.prompt.shared_tokens,
             control_age_s=round(self.control_age_s, 2),
             stages=self.stages,
+            first_tries=self.first_tries,
         )
--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -232,6 +232,10 @@
         if not self.progress.arrivals:
             service = self.request.service.name
             self.context.budgets.retry_window(service).record_first_try(now_s)
+            self.trace.first_tries += 1
+            self.context.metrics.count(
+                'ingress_first_tries_total', service=service
+            )
 
     def report(
         self,
--- a/godwitshunt/ingress/tests/test_forwarded_retries.py
+++ b/godwitshunt/ingress/tests/test_forwarded_retries.py
@@ -6,6 +6,7 @@
 
 from godwitshunt.ingress.lifecycle import RequestLifecycle
 from godwitshunt.ingress.outcomes import Lost, NotRun, Progress
+from godwitshunt.ingress.request_trace import RequestTrace
 from godwitshunt.routing.retry_window import RetryBounds, RetryWindow
 from godwitshunt.telemetry import Metrics
 
@@ -21,13 +22,17 @@
     def __init__(self, *, repeat: bool):
         self.window = RetryWindow(RetryBounds(share=0.0, allowance=10.0))
         self.request = SimpleNamespace(
-            repeat=repeat, service=SimpleNamespace(name='llm')
+            id='r-1', repeat=repeat, service=SimpleNamespace(name='llm')
         )
+        self.trace = RequestTrace(self.request)
         self.progress = Progress(
             repeatable=True, attempts=3, arrivals=int(repeat)
         )
         self.context = SimpleNamespace(
-            budgets=SimpleNamespace(retry_window=lambda service: self.window),
+            budgets=SimpleNamespace(
+                retry_window=lambda service: self.window,
+                cold=SimpleNamespace(started_s=0.0),
+            ),
             timer=SimpleNamespace(now=lambda: NOW_S),
             neighbours=SimpleNamespace(count=lambda: 1),
             metrics=Metrics(),
--- a/godwitshunt/routing/retry_window.py
+++ b/godwitshunt/routing/retry_window.py
@@ -38,6 +38,26 @@
     window_s: float = 10.0
 
 
+@dataclass(frozen=True)
+class RetryDecision:
+    """Whether a retry was allowed, and what decided it.
+
+    Parameters
+    ----------
+    is_allowed : bool
+        True where the retry is counted and may be sent.
+    first_tries, retries : int
+        Sent by this VM within the window; this retry is included if allowed.
+    allowance : float
+        This VM's part of the fixed allowance.
+    """
+
+    is_allowed: bool
+    first_tries: int
+    retries: int
+    allowance: float
+
+
 @dataclass
 class RetryWindow:
     """First tries and retries that this VM sent to one service.
@@ -52,13 +72,13 @@
     Examples
     --------
     >>> window = RetryWindow(RetryBounds(share=0.5, allowance=0))
-    >>> window.spend(now_s=0, vms=1)
+    >>> window.spend(now_s=0, vms=1).is_allowed
     False
     >>> window.record_first_try(0), window.record_first_try(0)
     (None, None)
-    >>> window.spend(now_s=1, vms=1), window.spend(now_s=1, vms=1)
-    (True, False)
-    >>> window.spend(now_s=20, vms=1)
+    >>> [window.spend(now_s=1, vms=1).is_allowed for _ in range(2)]
+    [True, False]
+    >>> window.spend(now_s=20, vms=1).is_allowed
     False
     """
 
@@ -71,8 +91,8 @@
         self.expire(now_s)
         self.first_tries.append(now_s)
 
-    def spend(self, now_s: float, vms: int) -> bool:
-        """Count one retry; return False if the limit is reached.
+    def spend(self, now_s: float, vms: int) -> RetryDecision:
+        """Count one retry, unless the limit is reached.
 
         Parameters
         ----------
@@ -86,10 +106,12 @@
             self.bounds.allowance * ALLOWANCE_SHARE / max(1, vms)
         )
         limit = self.bounds.share * len(self.first_tries) + own_allowance
-        if len(self.retries) + 1 > limit:
-            return False
-        self.retries.append(now_s)
-        return True
+        is_allowed = len(self.retries) + 1 <= limit
+        if is_allowed:
+            self.retries.append(now_s)
+        return RetryDecision(
+            is_allowed, len(self.first_tries), len(self.retries), own_allowance
+        )
 
     def expire(self, now_s: float) -> None:
         """Remove entries older than the window."""
--- a/godwitshunt/routing/tests/test_shared_budgets.py
+++ b/godwitshunt/routing/tests/test_shared_budgets.py
@@ -29,7 +29,7 @@
         if random.choice(FIRST_TRY_CHOICES):
             window.record_first_try(now_s)
             first_tries.append(now_s)
-        elif window.spend(now_s, vms):
+        elif window.spend(now_s, vms).is_allowed:
             retries.append(now_s)
     for end_s in retries:
         retries_in_window = sum(
