--- a/tests/test_platform_retry_budget.py
+++ b/tests/test_platform_retry_budget.py
@@ -27,7 +27,7 @@
 class TimingServer(Server):
     """A server that notes when each request arrives."""
 
-    arrivals: ClassVar[dict[str, list[float]]] = defaultdict(list)
+    arrivals: ClassVar[dict] = defaultdict(list)
 
     async def answer(self, reader, writer, head, fields, body):
         """Note the time, then answer."""
