routing: the fixed allowance for retries is leased, by failure domains

Cause: each VM had an equal part of the fixed allowance, among the VMs that it knew, from its birth. A process that starts has the whole part of its VM again within the same window; and in a cut it knows only the VMs of its own region, so the parts of three regions add up to three allowances.

No request counted as a first try twice.

A part is now counted by the failure domains of the settings and by the VMs of the own domain, begins a window and a lease after the process, and lapses where control VMs have not listed the process for the length of the lease. Whoever divides the allowance without a VM does so later than that VM ceased to spend. Parts are no longer rounded down: of many VMs each had less than its part.

An allowance earned in proportion to a process's age was the other way: the process that ended and the one that begins spend up to two parts in one window, so all parts would have to be half as large.

--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -18,6 +18,7 @@
 from godwitshunt.picking.chooser import Chooser
 from godwitshunt.picking.client import PickerClient
 from godwitshunt.registry import RegistryWatch
+from godwitshunt.routing.allowance_lease import AllowanceLease
 from godwitshunt.routing.cold_budget import ColdBounds, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds
 from godwitshunt.settings import Address, IngressSettings
@@ -121,4 +122,5 @@
         bounds.retry_allowance,
         bounds.retry_window_s,
     )
-    return Budgets(retries, ColdBudget(cold, now_s), {})
+    lease = AllowanceLease(bounds.retry_window_s, now_s)
+    return Budgets(retries, ColdBudget(cold, now_s), {}, lease)
--- a/godwitshunt/ingress/context.py
+++ b/godwitshunt/ingress/context.py
@@ -25,6 +25,7 @@
 from godwitshunt.picking.upstreams import Upstreams
 from godwitshunt.quarantine import Quarantine
 from godwitshunt.registry import RegistryWatch, UpstreamSeen
+from godwitshunt.routing.allowance_lease import AllowanceLease
 from godwitshunt.routing.cold_budget import STARTUP_HOLD_S, ColdBudget
 from godwitshunt.routing.retry_window import RetryBounds, RetryWindow
 from godwitshunt.routing.slot_shares import slot_share
@@ -40,6 +41,7 @@
     bounds: RetryBounds
     cold: ColdBudget
     retries: dict[str, RetryWindow]
+    lease: AllowanceLease
 
     def retry_window(self, service: str) -> RetryWindow:
         """Return the retry window of a service."""
@@ -118,6 +120,25 @@
         share = 1 / len(regions) / self.neighbours.count_in_region()
         return AdmissionShare(share, share)
 
+    def allowance_sharers(self) -> int:
+        """Return into how many equal parts all VMs divide an allowance.
+
+        By failure domains of the settings: a VM that is cut off may know no VM
+        of the others. Without any in the settings, by all known VMs.
+        """
+        if not self.settings.domains:
+            return self.neighbours.count()
+        domains = {self.settings.failure_domain, *self.settings.domains}
+        return len(domains) * self.neighbours.count_in_domain()
+
+    def renew_lease(self) -> None:
+        """Renew the lease of the allowance where control VMs list this VM."""
+        own = self.watch.own_state().record
+        listed = self.watch.view().entries.get(own.name)
+        if listed is not None and listed.session == own.session:
+            age_s = self.watch.age_s()
+            self.budgets.lease.renew(self.timer.now() - age_s)
+
     def cold_share(self) -> float:
         """Return this VM's share of requests to cold upstreams of its region.
 
--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -595,13 +595,14 @@
             return True
         service = self.request.service.name
         window = self.context.budgets.retry_window(service)
-        vms = self.context.neighbours.count()
         now_s = self.context.timer.now()
-        decision = window.spend(now_s, vms)
+        sharers = self.context.allowance_sharers()
+        part = self.context.budgets.lease.part(now_s, sharers)
+        decision = window.spend(now_s, part)
         self.trace.record_retry(
             decision,
             self.progress,
-            vms,
+            sharers,
             now_s - self.context.budgets.cold.started_s,
             self.context.metrics,
         )
--- a/godwitshunt/ingress/request_trace.py
+++ b/godwitshunt/ingress/request_trace.py
@@ -104,7 +104,7 @@
         self,
         decision: RetryDecision,
         progress: Progress,
-        vms: int,
+        sharers: int,
         process_age_s: float,
         metrics: Metrics,
     ) -> None:
@@ -112,8 +112,8 @@
 
         Parameters
         ----------
-        vms : int
-            VMs that the fixed allowance was divided by.
+        sharers : int
+            Parts that the fixed allowance was divided into.
         process_age_s : float
             Seconds since this process started.
         """
@@ -138,7 +138,7 @@
             first_tries=decision.first_tries,
             retries=decision.retries,
             allowance=round(decision.allowance, 2),
-            vms=vms,
+            sharers=sharers,
             process_age_s=round(process_age_s, 2),
         )
 
--- a/godwitshunt/ingress/task.py
+++ b/godwitshunt/ingress/task.py
@@ -157,6 +157,7 @@
         now_s = self.context.timer.now()
         self.context.neighbours.record_entries(view.entries, now_s)
         self.context.neighbours.round_trips = self.context.watch.round_trips()
+        self.context.renew_lease()
         self.context.upstreams.remove_absent(view.upstreams)
         self.context.pool.remove_absent(view.upstreams)
         self.context.budgets.cold.remove_absent(frozenset(view.upstreams))
--- a/godwitshunt/ingress/tests/test_forwarded_retries.py
+++ b/godwitshunt/ingress/tests/test_forwarded_retries.py
@@ -32,9 +32,10 @@
             budgets=SimpleNamespace(
                 retry_window=lambda service: self.window,
                 cold=SimpleNamespace(started_s=0.0),
+                lease=SimpleNamespace(part=lambda now_s, sharers: 1.0),
             ),
             timer=SimpleNamespace(now=lambda: NOW_S),
-            neighbours=SimpleNamespace(count=lambda: 1),
+            allowance_sharers=lambda: 1,
             metrics=Metrics(),
         )
 
--- a/godwitshunt/picking/neighbours.py
+++ b/godwitshunt/picking/neighbours.py
@@ -13,6 +13,15 @@
 UNKNOWN_ROUND_TRIP_S = 0.1
 
 
+@dataclass(frozen=True)
+class ListedVm:
+    """Where an entry VM is, and when control VMs last listed it."""
+
+    region: str
+    failure_domain: str
+    listed_s: float
+
+
 @dataclass
 class Neighbours:
     """Entry VMs that share budgets with this one, and avoided destinations.
@@ -23,19 +32,22 @@
         Name of this VM.
     region : str
         Region of this VM.
+    failure_domain : str
+        Its failure domain; empty where it shares nothing by domains.
     round_trips : dict
         Measured round trip to the control VMs of each other region, in
         seconds.
-    last_seen : dict
-        Region of each known entry VM, and when it was last listed.
+    listed : dict
+        Each known entry VM.
     avoided_until : dict
         Time until which a VM, or ``REGION SERVICE``, gets no request.
     """
 
     name: str
     region: str
+    failure_domain: str = ''
     round_trips: dict[str, float] = field(default_factory=dict)
-    last_seen: dict[str, tuple[str, float]] = field(default_factory=dict)
+    listed: dict[str, ListedVm] = field(default_factory=dict)
     avoided_until: dict[str, float] = field(default_factory=dict)
 
     def round_trip_s(self, region: str) -> float:
@@ -51,22 +63,26 @@
     ) -> None:
         """Record the entry VMs that the control VMs list now."""
         for name, entry in entries.items():
-            self.last_seen[name] = (entry.region, now_s)
-        self.last_seen[self.name] = (self.region, now_s)
-        for name, (_, heard_s) in tuple(self.last_seen.items()):
-            if now_s - heard_s > ENTRY_TTL_S:
-                self.last_seen.pop(name)
+            self.listed[name] = ListedVm(
+                entry.region, entry.failure_domain, now_s
+            )
+        self.listed[self.name] = ListedVm(
+            self.region, self.failure_domain, now_s
+        )
+        for name, vm in tuple(self.listed.items()):
+            if now_s - vm.listed_s > ENTRY_TTL_S:
+                self.listed.pop(name)
 
     def count(self) -> int:
         """Return the entry VMs of all regions, this one included."""
-        return max(1, len(self.last_seen))
+        return max(1, len(self.listed))
 
     def names_in_region(self) -> tuple[str, ...]:
         """Return the entry VMs of this region, this one included."""
         others = (
             name
-            for name, (region, _) in self.last_seen.items()
-            if region == self.region and name != self.name
+            for name, vm in self.listed.items()
+            if vm.region == self.region and name != self.name
         )
         return (self.name, *others)
 
@@ -74,6 +90,15 @@
         """Return how many entry VMs this region has, this one included."""
         return len(self.names_in_region())
 
+    def count_in_domain(self) -> int:
+        """Return how many entry VMs its domain has, this one included."""
+        others = (
+            name
+            for name, vm in self.listed.items()
+            if vm.failure_domain == self.failure_domain and name != self.name
+        )
+        return 1 + sum(1 for _ in others)
+
     def avoid(self, destination: str, until_s: float) -> None:
         """Avoid a VM, or a service of a region, until a time."""
         self.avoided_until[destination] = until_s
--- a/godwitshunt/programs/ingress_process.py
+++ b/godwitshunt/programs/ingress_process.py
@@ -87,7 +87,7 @@
             suspects=self.watch.quarantine.own,
         )
         self.picker = PickerClient(
-            Neighbours(settings.name, settings.region),
+            Neighbours(settings.name, settings.region, settings.failure_domain),
             self.reports,
             self.watch,
             self.links,
--- a/godwitshunt/routing/retry_window.py
+++ b/godwitshunt/routing/retry_window.py
@@ -1,8 +1,8 @@
 """Limit on retries in a sliding window, over all VMs together.
 
-Each VM may retry a share of its own first tries, plus an equal part of a fixed
-allowance. So the sum over all VMs stays below the limit, however requests are
-distributed among them.
+Each VM may retry a share of its own first tries, plus its part of a fixed
+allowance, which `AllowanceLease` tells. So the sum over all VMs stays below
+the limit, however requests are distributed among them.
 
 References
 ----------
@@ -12,14 +12,13 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from math import floor
 
 # Part of the share of first tries that a VM spends. The windows of two VMs, or
 # of a process and of the one before it, overlap in part only: the first tries
 # that they count lie within two windows, of which the limit counts one.
 SHARE_PART = 0.5
-# Share of the fixed allowance that is distributed. The rest covers retries that
-# callers' own attempts and VMs that have just started add to a window.
+# Share of the fixed allowance that is distributed. The rest covers requests
+# that upstreams make while they run a retry, and retries that arrive late.
 ALLOWANCE_SHARE = 0.7
 
 
@@ -76,13 +75,13 @@
     Examples
     --------
     >>> window = RetryWindow(RetryBounds(share=0.5, allowance=0))
-    >>> window.spend(now_s=0, vms=1).is_allowed
+    >>> window.spend(now_s=0, part=1).is_allowed
     False
     >>> for _ in range(4):
     ...     window.record_first_try(0)
-    >>> [window.spend(now_s=1, vms=1).is_allowed for _ in range(2)]
+    >>> [window.spend(now_s=1, part=1).is_allowed for _ in range(2)]
     [True, False]
-    >>> window.spend(now_s=20, vms=1).is_allowed
+    >>> window.spend(now_s=20, part=1).is_allowed
     False
     """
 
@@ -95,20 +94,18 @@
         self.expire(now_s)
         self.first_tries.append(now_s)
 
-    def spend(self, now_s: float, vms: int) -> RetryDecision:
+    def spend(self, now_s: float, part: float) -> RetryDecision:
         """Count one retry, unless the limit is reached.
 
         Parameters
         ----------
         now_s : float
             Monotonic time in seconds.
-        vms : int
-            VMs that may retry requests of this service.
+        part : float
+            This VM's part of the fixed allowance, 0 to 1.
         """
         self.expire(now_s)
-        own_allowance = floor(
-            self.bounds.allowance * ALLOWANCE_SHARE / max(1, vms)
-        )
+        own_allowance = self.bounds.allowance * ALLOWANCE_SHARE * part
         earned = self.bounds.share * SHARE_PART * len(self.first_tries)
         limit = earned + own_allowance
         is_allowed = len(self.retries) + 1 <= limit
--- a/godwitshunt/routing/tests/test_shared_budgets.py
+++ b/godwitshunt/routing/tests/test_shared_budgets.py
@@ -29,7 +29,7 @@
         if random.choice(FIRST_TRY_CHOICES):
             window.record_first_try(now_s)
             first_tries.append(now_s)
-        elif window.spend(now_s, vms).is_allowed:
+        elif window.spend(now_s, 1 / vms).is_allowed:
             retries.append(now_s)
     for end_s in retries:
         retries_in_window = sum(
@@ -53,7 +53,7 @@
         window = before if sent_s < moved_s else after
         window.record_first_try(sent_s)
         is_failing = sent_s > moved_s - 0.5
-        while is_failing and window.spend(sent_s, 1).is_allowed:
+        while is_failing and window.spend(sent_s, part=1).is_allowed:
             retries.append(sent_s)
     assert retries
     for start_s in retries:
