ingress: a request is one first try, when it is first sent

What callers may see: more repeats than the limit allows where upstreams are dark. Cause: each attempt of a request that no upstream had was counted as a first try when it was chosen, before it was connected, so a request that found four silent upstreams, at one VM or at two, earned for four.

A first try is counted once, when the request is written to a connection. What is counted late or not at all only earns less.

--- a/godwitshunt/ingress/sending.py
+++ b/godwitshunt/ingress/sending.py
@@ -156,7 +156,6 @@
             context.picker.schedule_report,
         )
         sent_s = context.timer.now()
-        self.count_first_try(sent_s)
         health.begin(activity.number, tokens, sent_s, self.claim(choice))
         if choice.chosen_by_picker:
             context.picker.schedule_start_report()
@@ -228,8 +227,11 @@
         return self.events.last_id * engine.tokens_per_event
 
     def count_first_try(self, now_s: float) -> None:
-        """Count a request that no upstream has received in the retry window."""
-        if not self.progress.arrivals:
+        """Count a request in the retry window when it is first sent.
+
+        An attempt that did not connect, here or at another VM, sent nothing.
+        """
+        if not self.progress.arrivals and not self.trace.first_tries:
             service = self.request.service.name
             self.context.budgets.retry_window(service).record_first_try(now_s)
             self.trace.first_tries += 1
@@ -356,6 +358,7 @@
         self.trace.record_stage(stage, now_s)
         if stage is Stage.sent and self.watched is not None:
             self.watched.sent_s = now_s
+            self.count_first_try(now_s)
 
     def record_activity(self, on_activity: Callable[[], None]) -> None:
         """Record activity and, in a stream that has begun, its gaps."""
