exchange: an event without end costs no more than its length

What callers saw: nothing yet. Where an upstream sends bytes without the end of an event, all other requests on the VM wait. Cause: the start of the event was copied and searched whole with each packet; up to the longest event of 8 MiB this grows with the square.

The start of an event is kept in one buffer of which each byte is searched once. From 64 KiB on it counts as held by its caller, as other answers do that are gathered, so many such streams together stay within the VM's budget.

--- a/godwitshunt/exchange/relay.py
+++ b/godwitshunt/exchange/relay.py
@@ -22,11 +22,43 @@
 TIMER_SLACK = 0.5
 # Bytes that are gathered at most before they are passed on.
 GATHERED_BYTES = 16 * 1024
+# The start of an event counts as held by its caller from this size on.
+COUNTED_EVENT_BYTES = 64 * 1024
 # An upstream is slowed this long for a slow caller. It ends an answer that
 # stays unread for some seconds; so the answer is then read on and held.
 READ_ON_AFTER_S = 1.0
 
 
+def cut_events(rest: bytearray, chunk: bytes) -> bytes:
+    r"""Return the whole events that end in a chunk.
+
+    Each byte is searched once: an event without an end costs no more than its
+    length.
+
+    Parameters
+    ----------
+    rest : bytearray
+        The start of an event whose end has not come; updated.
+
+    Examples
+    --------
+    >>> rest = bytearray(b'data: a\n')
+    >>> cut_events(rest, b'\ndata: b'), rest
+    (b'data: a\n\n', bytearray(b'data: b'))
+    """
+    if not rest and chunk.endswith(EVENT_END):
+        return chunk
+    start = max(0, len(rest) - len(EVENT_END) + 1)
+    rest.extend(chunk)
+    end = rest.rfind(EVENT_END, start)
+    if end < 0:
+        return b''
+    end += len(EVENT_END)
+    whole = bytes(rest[:end])
+    del rest[:end]
+    return whole
+
+
 @dataclass
 class EventSplitter:
     r"""Cuts a stream into whole events, of which it counts the number only.
@@ -39,7 +71,7 @@
     ----------
     delivered : int
         Whole events that the caller has, those of earlier attempts included.
-    rest : bytes
+    rest : bytearray
         The start of an event whose end has not come.
     finished : bool
         True once the final event has come.
@@ -54,20 +86,15 @@
     """
 
     delivered: int = 0
-    rest: bytes = b''
+    rest: bytearray = field(default_factory=bytearray)
     finished: bool = False
 
     def take(self, chunk: bytes) -> bytes:
         """Return the whole events that end in this chunk."""
-        pending = self.rest + chunk if self.rest else chunk
-        cut = pending.rfind(EVENT_END) + len(EVENT_END)
-        if cut < len(EVENT_END):
-            self.rest = pending
-            return b''
-        whole = pending[:cut] if cut < len(pending) else pending
-        self.rest = pending[cut:]
-        self.delivered += whole.count(EVENT_END)
-        self.finished = whole.endswith(FINAL_EVENT)
+        whole = cut_events(self.rest, chunk)
+        if whole:
+            self.delivered += whole.count(EVENT_END)
+            self.finished = whole.endswith(FINAL_EVENT)
         return whole
 
     def fault_at_end(self) -> str | None:
@@ -80,7 +107,7 @@
 class WholeEvents(Protocol):
     """Cuts a stream into whole events."""
 
-    rest: bytes
+    rest: bytearray
 
     def take(self, chunk: bytes) -> bytes:
         """Return the whole events that end in this chunk.
@@ -130,6 +157,8 @@
         None where the stream came to its clean end, else why it broke.
     reading_on : bool
         True while the stream is read although its caller is slow.
+    counted_bytes : int
+        Bytes of an event's start that count as held.
     """
 
     call: UpstreamCall
@@ -148,6 +177,7 @@
         default_factory=lambda: asyncio.get_running_loop().create_future(),
     )
     reading_on: bool = False
+    counted_bytes: int = 0
     patience: asyncio.TimerHandle | None = None
 
     def open(self) -> None:
@@ -168,6 +198,7 @@
         self.call.channel.sink = None
         self.writer.channel.on_writable = None
         self.stop_patience()
+        self.count_rest(0)
 
     def take(self, received: bytes) -> None:
         """Take bytes as they come; empty bytes where the connection ended."""
@@ -235,6 +266,17 @@
             self.settle(fault)
         elif len(self.events.rest) > self.longest_event:
             self.settle('an event is too long')
+        else:
+            self.count_rest(len(self.events.rest))
+
+    def count_rest(self, size: int) -> None:
+        """Count the start of a long event as held by its caller."""
+        counted_bytes = size if size >= COUNTED_EVENT_BYTES else 0
+        if counted_bytes == self.counted_bytes:
+            return
+        self.counted_bytes = counted_bytes
+        if self.writer.channel.held is not None:
+            self.writer.channel.held.gather_answer(counted_bytes)
 
     def take_events(self) -> bytes:
         """Return the whole events that have come."""
--- a/godwitshunt/ingress/events.py
+++ b/godwitshunt/ingress/events.py
@@ -1,9 +1,10 @@
 """Whole events of a stream whose ids increase by one."""
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from godwitshunt.exchange.attribution import StrayBytesError, StrayKind
+from godwitshunt.exchange.relay import cut_events
 
 EVENT_END = b'\n\n'
 OTHER_ID = b'\nid:'
@@ -24,7 +25,7 @@
     last_id : int or None
         Id of the last event that the caller has received; None before the
         first one, whose id is 1.
-    rest : bytes
+    rest : bytearray
         The start of an incomplete event.
 
     Examples
@@ -37,12 +38,12 @@
     """
 
     last_id: int | None = None
-    rest: bytes = b''
+    rest: bytearray = field(default_factory=bytearray)
     chunks_taken: int = 0
 
     def resume(self) -> None:
         """Continue with another upstream after the last whole event."""
-        self.rest = b''
+        self.rest.clear()
 
     def take(self, chunk: bytes) -> bytes:
         """Add a chunk; return the events that it completes.
@@ -52,15 +53,10 @@
         StrayBytesError
             Where an event is not the next one of the stream.
         """
-        pending = self.rest + chunk if self.rest else chunk
-        cut = pending.rfind(EVENT_END) + len(EVENT_END)
-        if cut < len(EVENT_END):
-            self.rest = pending
-            return b''
-        whole = pending[:cut] if cut < len(pending) else pending
-        self.last_id = self.check(whole)
-        self.rest = pending[cut:]
-        self.chunks_taken += 1
+        whole = cut_events(self.rest, chunk)
+        if whole:
+            self.last_id = self.check(whole)
+            self.chunks_taken += 1
         return whole
 
     def check(self, whole: bytes) -> int | None:
