exchange: informational answers without end are given up

What callers saw: nothing yet. Where an upstream sends 1xx answers without end, its requests hang until their deadline, although another upstream could serve those that may be repeated, and the VM spends its processor on reading them. Cause: each such answer is a sign of life and starts the silence timeout anew; nothing bounds their number. Evidence: test_endless_answers sends twelve kinds of bytes without end over real sockets; before, this kind did not end within 20 s, and all others did.

A call takes 100 at once and 20 more each second; VMs send two a second while they serve a forwarded request.

--- a/godwitshunt/exchange/upstream_call.py
+++ b/godwitshunt/exchange/upstream_call.py
@@ -1,5 +1,6 @@
 """One request on a connection to an upstream or another VM."""
 
+import asyncio
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
 from math import inf
@@ -42,6 +43,10 @@
 BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
 # Answers to other requests that are read past at most.
 MAX_SKIPPED = 4
+# Informational answers that are read before an answer: so many at once, and so
+# many more each second.
+INFORMATIONAL_BURST = 100
+INFORMATIONAL_PER_S = 20
 # Time for an answer to follow one to another request on a new connection.
 FOREIGN_WAIT_S = 1.0
 
@@ -251,7 +256,13 @@
     async def next_head(self, silence_s: float | None) -> AnswerHead:
         """Return the next head that is no sign of life only."""
         event = await self.sign_of_life(silence_s)
+        start_s = asyncio.get_running_loop().time()
+        received = 0
         while isinstance(event, h11.InformationalResponse):
+            received += 1
+            passed_s = asyncio.get_running_loop().time() - start_s
+            if received > INFORMATIONAL_BURST + INFORMATIONAL_PER_S * passed_s:
+                raise BrokenAnswerError('informational answers without end')
             event = await self.sign_of_life(silence_s)
         if not isinstance(event, h11.Response):
             raise BrokenAnswerError('ended before an answer')
