--- a/godwitshunt/ingress/tests/test_incarnations.py
+++ b/godwitshunt/ingress/tests/test_incarnations.py
@@ -85,6 +85,7 @@
         pool=recorder,
         answer_headers=recorder,
         rate_share=lambda: NO_SHARE,
+        renew_lease=lambda: None,
         metrics=SimpleNamespace(gauge=lambda name, value: None),
         buffers=None,
     )
