routing: the budget of retries of the exchange is empty at first

What callers saw: nothing yet. Found by reading, as a sibling of the allowance that each process of a VM had anew: RetryBudget began with its whole reserve of ten, so a VM that restarts again and again spends ten retries each time, more than the share of its first tries that the budget states.

The test of 100 processes with ten first tries each failed before.

--- a/godwitshunt/routing/retry_budget.py
+++ b/godwitshunt/routing/retry_budget.py
@@ -34,11 +34,12 @@
     Over any period, the number of retries is at most share x first tries, plus
     the reserve, plus `IDLE_REFILL_PER_S` per second while below the reserve,
     so that a VM with little traffic can retry. A share of zero allows none.
+    The budget is empty at first: a VM whose process restarts again and again
+    would have the reserve each time.
 
     Examples
     --------
     >>> budget = RetryBudget.from_config(0.5)
-    >>> budget.tokens = 0.0
     >>> budget.record_first_try(now=0.0), budget.spend(now=0.0)
     (None, False)
     >>> budget.record_first_try(now=0.0), budget.spend(now=0.0)
@@ -46,12 +47,12 @@
     """
 
     share: float
-    tokens: float = RESERVE_RETRIES
+    tokens: float = 0.0
     updated_s: float | None = None
 
     @classmethod
     def from_config(cls, share: float) -> Self:
-        """Return a full budget for the manifest's ``retry_share``."""
+        """Return an empty budget for the manifest's ``retry_share``."""
         return cls(share)
 
     def record_first_try(self, now: float) -> None:
--- a/godwitshunt/routing/tests/test_limits.py
+++ b/godwitshunt/routing/tests/test_limits.py
@@ -254,6 +254,17 @@
     assert spent >= share * 10000 * 0.99
 
 
+def test_restarts_add_no_retries_to_the_budget():
+    """Each process that starts had the whole reserve of its VM again."""
+    spent = 0
+    for number in range(100):
+        budget = RetryBudget.from_config(0.1)
+        for _ in range(10):
+            budget.record_first_try(float(number))
+            spent += sum(budget.spend(float(number)) for _ in range(3))
+    assert spent <= 0.1 * 10 * 100
+
+
 class RecordingLinks:
     """Peer links that record what is sent."""
 
