Tests: stuttering upstreams are played until there is enough to tell

Nothing was wrong with the answers; the test's own callers were slow. Seven seconds are played as before, and on a slow machine as long as it takes for both numbers, a minute at most. The numbers and all checks of the answers are as they were.

--- a/tests/stuttering_server.py
+++ b/tests/stuttering_server.py
@@ -16,6 +16,7 @@
 REPEATED_SHARE = 0.3
 LATEST_S = 0.06
 CALLERS = 12
+LONGEST_S = 60.0
 PATHS = ('/safe/x', '/unsafe/x', '/once/x', '/resumed/x', '/south/x')
 STREAMS = ('/once', '/resumed')
 REPEATABLE = ('/safe', '/resumed', '/south')
@@ -177,24 +178,36 @@
         return whole.startswith(self.answer.body)
 
 
-async def ask_for(entries, seconds, seed, paths=PATHS):
-    """Send requests on kept connections for some seconds."""
+async def ask_for(entries, seconds, seed, is_enough, paths=PATHS):
+    """Send requests on kept connections for some seconds.
+
+    Parameters
+    ----------
+    is_enough : callable
+        Tells by what was received whether it is enough to tell anything. Until
+        then requests go on after the time is over, up to `LONGEST_S`.
+    """
     received = []
     loop = asyncio.get_running_loop()
-    end_s = loop.time() + seconds
+    start_s = loop.time()
+
+    def is_over():
+        played_s = loop.time() - start_s
+        is_long = played_s >= seconds and is_enough(received)
+        return is_long or played_s >= LONGEST_S
+
     async with asyncio.TaskGroup() as tasks:
         for number in range(CALLERS):
             entry = entries[number % len(entries)]
             draw = Random(seed * CALLERS + number)
-            tasks.create_task(be_caller(entry, end_s, draw, paths, received))
+            tasks.create_task(be_caller(entry, is_over, draw, paths, received))
     return received
 
 
-async def be_caller(entry, end_s, draw, paths, received):
+async def be_caller(entry, is_over, draw, paths, received):
     """Send one request after the other on a kept connection."""
-    loop = asyncio.get_running_loop()
     kept = KeptConnection(entry)
-    while loop.time() < end_s:
+    while not is_over():
         path = draw.choice(paths)
         attempt = secrets.token_hex(8)
         answer = TIMED_OUT
--- a/tests/test_platform_stuttering.py
+++ b/tests/test_platform_stuttering.py
@@ -22,6 +22,8 @@
     f'{NETWORK}.21': 'zone-b',
 }
 PLAYED_S = 7.0
+LEAST_REPEATED = 100
+LEAST_RECEIVED = 500
 SEED = 1
 # The platform's aim for requests whose answers are framed or repeatable.
 SERVED_SHARE = 0.85
@@ -72,9 +74,13 @@
         'repeated': 0,
     }
     world.stutter(SEED, **{**defaults, **changes})
-    received = await ask_for(tuple(ENTRY_ZONES), PLAYED_S, SEED)
-    assert sum(one.repeated for one in world.servers.values()) > 100
-    assert len(received) > 500
+
+    def is_enough(received):
+        repeated = sum(one.repeated for one in world.servers.values())
+        return repeated > LEAST_REPEATED and len(received) > LEAST_RECEIVED
+
+    received = await ask_for(tuple(ENTRY_ZONES), PLAYED_S, SEED, is_enough)
+    assert is_enough(received)
     assert not wrong_answers(received)
     runs = runs_of(world.servers.values())
     once = [one for one in received if one.path.startswith(ONCE)]
