exchange: an answer is read before a long body is written to its end

Cause: the body was written to its end before any answer was read; an upstream that has answered and reads no more blocks the writing. Evidence: the listed test, which failed each time.

A sign of life or an upstream that reads on ends no body.

--- a/godwitshunt/exchange/upstream_call.py
+++ b/godwitshunt/exchange/upstream_call.py
@@ -1,6 +1,7 @@
 """One request on a connection to an upstream or another VM."""
 
 import asyncio
+import re
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
 from math import inf
@@ -43,6 +44,10 @@
 BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
 # Answers to other requests that are read past at most.
 MAX_SKIPPED = 4
+# An upstream that has answered, and takes nothing more of the request for this
+# long, does not want the rest.
+UNREAD_AFTER_S = 0.3
+FINAL_STATUS = re.compile(rb'HTTP/1\.[01] [2-5]')
 # Informational answers that are read before an answer: so many at once, and so
 # many more each second.
 INFORMATIONAL_BURST = 100
@@ -89,7 +94,7 @@
     idle_limit_s: float = IDLE_LIMIT_S
 
     async def send(self, request: OutgoingRequest) -> None:
-        """Write the whole request."""
+        """Write the request, to its end unless it is answered before."""
         headers = [
             (b'host', request.host or str(self.place.address).encode()),
             *request.headers,
@@ -106,22 +111,62 @@
         parts = [self.connection.send(head)]
         if len(request.body) > SLICE_BYTES:
             self.channel.write(parts.pop())
-            await self.send_slices(request.body)
+            if not await self.send_slices(request.body):
+                return
         elif request.body:
             parts.append(self.connection.send(h11.Data(data=request.body)))
         parts.append(self.connection.send(h11.EndOfMessage()))
         self.channel.write(b''.join(parts))
         await self.channel.drain()
 
-    async def send_slices(self, body: bytes) -> None:
+    async def send_slices(self, body: bytes) -> bool:
         """Write a long body as fast as the upstream reads.
 
         In one piece it would be copied to the send buffer, and be held twice.
+
+        Returns
+        -------
+        bool
+            False where the upstream has answered and does not read the rest.
         """
         for start in range(0, len(body), SLICE_BYTES):
             data = body[start : start + SLICE_BYTES]
             self.channel.write(self.connection.send(h11.Data(data=data)))
+            if not await self.drain():
+                return False
+        return True
+
+    async def drain(self) -> bool:
+        """Wait until a part of the body is taken; False for an early answer.
+
+        Raises
+        ------
+        ConnectionResetError
+            Where the upstream is gone without an answer.
+        """
+        if not self.channel.write_paused:
             await self.channel.drain()
+            return True
+        draining = asyncio.create_task(self.channel.drain())
+        try:
+            return await self.is_drained(draining)
+        finally:
+            draining.cancel()
+
+    async def is_drained(self, draining: asyncio.Task[None]) -> bool:
+        """Wait for a task that drains; False where an answer comes first."""
+        unsent_bytes = self.channel.buffered_bytes()
+        while True:
+            await asyncio.wait((draining,), timeout=UNREAD_AFTER_S)
+            is_answered = FINAL_STATUS.search(self.channel.received) is not None
+            if draining.done():
+                if not is_answered:
+                    draining.result()
+                return draining.exception() is None
+            before_bytes = unsent_bytes
+            unsent_bytes = self.channel.buffered_bytes()
+            if is_answered and unsent_bytes >= before_bytes:
+                return False
 
     async def head(
         self,
