--- a/godwitshunt/ingress/lifecycle.py
+++ b/godwitshunt/ingress/lifecycle.py
@@ -603,7 +603,7 @@
             decision,
             self.progress,
             sharers,
-            now_s - self.context.budgets.cold.started_s,
+            now_s - self.context.budgets.lease.started_s,
             self.context.metrics,
         )
         return decision.is_allowed
--- a/godwitshunt/ingress/tests/test_forwarded_retries.py
+++ b/godwitshunt/ingress/tests/test_forwarded_retries.py
@@ -31,8 +31,9 @@
         self.context = SimpleNamespace(
             budgets=SimpleNamespace(
                 retry_window=lambda service: self.window,
-                cold=SimpleNamespace(started_s=0.0),
-                lease=SimpleNamespace(part=lambda now_s, sharers: 1.0),
+                lease=SimpleNamespace(
+                    started_s=0.0, part=lambda now_s, sharers: 1.0
+                ),
             ),
             timer=SimpleNamespace(now=lambda: NOW_S),
             allowance_sharers=lambda: 1,
