routing: new processes have a growing part of their own share of the allowance

Cause: with the lease alone a process has nothing but the share of its few first tries for 15 s.

Two of the three tenths of the allowance that nobody spent are divided among new processes, in the same parts; each grows over a window with the process's age. However often a process is replaced, the ages of those that follow add up to one window, so all of them together spend one such part. Established processes have seven tenths as before; a tenth is left.

--- a/godwitshunt/routing/allowance_lease.py
+++ b/godwitshunt/routing/allowance_lease.py
@@ -7,7 +7,9 @@
 - is a lease: a VM that control VMs have not listed for `LEASE_S` has none, as
   others may divide the allowance without it;
 - begins a window and a lease after the process: until then the process before
-  may have spent it within the same window.
+  may have spent it within the same window. A new process has a part of another
+  share, which grows with its age: however often a process is replaced, the
+  ages of those that follow add up to one window.
 
 No I/O; callers pass the time in.
 
@@ -21,6 +23,11 @@
 from math import inf
 
 LEASE_S = 5.0
+# Shares of the allowance that are divided among all VMs: one for established
+# processes, one for new ones. The rest covers requests that upstreams make
+# while they run a retry, and retries that arrive late.
+ESTABLISHED_SHARE = 0.7
+NEW_SHARE = 0.2
 
 
 @dataclass
@@ -40,9 +47,9 @@
     --------
     >>> lease = AllowanceLease(window_s=10, started_s=0)
     >>> lease.renew(14)
-    >>> lease.part(now_s=14, sharers=4), lease.part(now_s=16, sharers=4)
-    (0.0, 0.25)
-    >>> lease.part(now_s=20, sharers=4)
+    >>> lease.part(now_s=5, sharers=1), lease.part(now_s=16, sharers=1)
+    (0.1, 0.7)
+    >>> lease.part(now_s=20, sharers=1)
     0.0
     """
 
@@ -64,6 +71,9 @@
         sharers : int
             Equal parts that the allowance is divided into.
         """
-        is_new = now_s - self.started_s < self.window_s + LEASE_S
-        is_expired = now_s - self.listed_s > LEASE_S
-        return 0.0 if is_new or is_expired else 1 / sharers
+        if now_s - self.listed_s > LEASE_S:
+            return 0.0
+        age_s = now_s - self.started_s
+        if age_s >= self.window_s + LEASE_S:
+            return ESTABLISHED_SHARE / sharers
+        return NEW_SHARE * min(1.0, age_s / self.window_s) / sharers
--- a/godwitshunt/routing/retry_window.py
+++ b/godwitshunt/routing/retry_window.py
@@ -17,9 +17,6 @@
 # of a process and of the one before it, overlap in part only: the first tries
 # that they count lie within two windows, of which the limit counts one.
 SHARE_PART = 0.5
-# Share of the fixed allowance that is distributed. The rest covers requests
-# that upstreams make while they run a retry, and retries that arrive late.
-ALLOWANCE_SHARE = 0.7
 
 
 @dataclass(frozen=True)
@@ -105,7 +102,7 @@
             This VM's part of the fixed allowance, 0 to 1.
         """
         self.expire(now_s)
-        own_allowance = self.bounds.allowance * ALLOWANCE_SHARE * part
+        own_allowance = self.bounds.allowance * part
         earned = self.bounds.share * SHARE_PART * len(self.first_tries)
         limit = earned + own_allowance
         is_allowed = len(self.retries) + 1 <= limit
