routing: the first processes of a deployment have their part of the allowance soon

Cause: each process is taken for the follower of one that may have spent the VM's part within the window. At the first start of the whole deployment there is none, which the platform states (bootstrap) and the settings now tell: the part begins once others have listed the VM for the length of a lease.

--- a/godwitshunt/ingress/assembly.py
+++ b/godwitshunt/ingress/assembly.py
@@ -122,5 +122,7 @@
         bounds.retry_allowance,
         bounds.retry_window_s,
     )
-    lease = AllowanceLease(bounds.retry_window_s, now_s)
+    lease = AllowanceLease(
+        bounds.retry_window_s, now_s, is_first=settings.is_first_start
+    )
     return Budgets(retries, ColdBudget(cold, now_s), {}, lease)
--- a/godwitshunt/routing/allowance_lease.py
+++ b/godwitshunt/routing/allowance_lease.py
@@ -40,6 +40,8 @@
         Length of the window that the allowance holds for, in seconds.
     started_s : float
         Monotonic time at which this process started.
+    is_first : bool
+        True where no process of this VM came before this one.
     listed_s : float
         Monotonic time at which control VMs last listed this process.
 
@@ -55,6 +57,7 @@
 
     window_s: float
     started_s: float
+    is_first: bool = False
     listed_s: float = -inf
 
     def renew(self, listed_s: float) -> None:
@@ -74,6 +77,7 @@
         if now_s - self.listed_s > LEASE_S:
             return 0.0
         age_s = now_s - self.started_s
-        if age_s >= self.window_s + LEASE_S:
+        before_s = 0.0 if self.is_first else self.window_s
+        if age_s >= before_s + LEASE_S:
             return ESTABLISHED_SHARE / sharers
         return NEW_SHARE * min(1.0, age_s / self.window_s) / sharers
--- a/godwitshunt/settings/models.py
+++ b/godwitshunt/settings/models.py
@@ -246,6 +246,9 @@
     away_s : float
         Penalty, in seconds of waiting, for serving a request in another
         region.
+    is_first_start : bool
+        Whether the whole deployment starts for the first time. Set for later
+        starts, too, a VM retries more than its part of the limit.
     """
 
     hop: Address
@@ -254,6 +257,7 @@
     farewell_s: float = Field(default=2.0, ge=0)
     drain_limit_s: float = Field(default=7.3, gt=0)
     away_s: float = Field(default=0.0, ge=0)
+    is_first_start: bool = False
 
 
 class ControlSettings(NodeSettings):
--- a/tests/test_retry_fleet.py
+++ b/tests/test_retry_fleet.py
@@ -6,7 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.retry_fleet import VMS, Event, Fleet
+from godwitshunt.routing.allowance_lease import (
+    ESTABLISHED_SHARE,
+    LEASE_S,
+    NEW_SHARE,
+    AllowanceLease,
+)
+from tests.retry_fleet import BOUNDS, VMS, Event, Fleet
 
 PLAYED_S = 45.0
 SECONDS = st.floats(0, PLAYED_S)
@@ -46,3 +52,13 @@
     """Restarts, cuts, isolated VMs and moving traffic in any order."""
     window = play(events, seed)
     assert window is None or window.use <= 1, window
+
+
+def test_a_first_process_has_its_part_soon():
+    """Requests of a new deployment were not repeated for 15 s."""
+    lease = AllowanceLease(BOUNDS.window_s, 0.0, is_first=True)
+    later = AllowanceLease(BOUNDS.window_s, 0.0)
+    for each in (lease, later):
+        each.renew(LEASE_S)
+    assert lease.part(LEASE_S, 9) == ESTABLISHED_SHARE / 9
+    assert later.part(LEASE_S, 9) < NEW_SHARE / 9
