--- a/godwitshunt/routing/allowance_lease.py
+++ b/godwitshunt/routing/allowance_lease.py
@@ -1,7 +1,7 @@
 """A VM's part of an allowance that all VMs share.
 
 The parts add up to no more than the allowance in any window, whichever VMs
-restart or cannot reach each other, since a part
+restart and whichever failure domains cannot reach each other, since a part
 
 - is counted by failure domains of the settings, not by VMs that are in sight;
 - is a lease: a VM that control VMs have not listed for `LEASE_S` has none, as
--- a/trials/lost_disks.py
+++ b/trials/lost_disks.py
@@ -4,9 +4,10 @@
 lose their disks. So the voters have to be whole again by then, and nothing
 that was acknowledged may be lost. Half of that time is for the start of the
 processes. A VM whose process needs longer to start counts as slowed, hence as
-lost, until it runs; the repair has the other half then. At the last loss all
-other VMs lose power at the same moment and keep their disks. The seed repeats
-the choice of VMs and times, not the machine's timing.
+lost, until it runs; the repair has the other half then. After these losses
+comes one more at which all other VMs lose power at the same moment and keep
+their disks. The seed repeats the choice of VMs and times, not the machine's
+timing.
 """
 
 import asyncio
@@ -190,11 +191,18 @@
 
     async def run(self, losses):
         """Lose pairs of disks; stop where a promise is broken."""
-        for left in reversed(range(losses)):
+        for _ in range(losses):
             if not self.broken:
-                await self.lose(self.draw_pair(), others_lose_power=not left)
+                await self.lose(self.draw_pair())
         await self.check_readable()
 
+    async def run_until_dark(self, losses):
+        """Lose pairs of disks, and one more as all others lose power."""
+        await self.run(losses)
+        if not self.broken:
+            await self.lose(self.draw_pair(), others_lose_power=True)
+            await self.check_readable()
+
     def draw_pair(self):
         """Return two VMs: seeds, others, one of them the leader, or any."""
         hosts = self.world.control_hosts
@@ -352,13 +360,21 @@
     )
 
 
-async def lose_disks(seed, losses, folder, gap_s=CATCH_UP_S, network=NETWORK):
+async def lose_disks(
+    seed,
+    losses,
+    folder,
+    gap_s=CATCH_UP_S,
+    network=NETWORK,
+    *,
+    goes_dark=False,
+):
     """Run one seed on a deployment of its own."""
     world = make_world(folder, network)
     try:
         await world.start()
         run = LostDisks(world, Random(seed), gap_s)
-        await run.run(losses)
+        await (run.run_until_dark if goes_dark else run.run)(losses)
         return run
     finally:
         await world.close()
@@ -368,7 +384,9 @@
     """Run one seed; keep its logs where it fails."""
     with tempfile.TemporaryDirectory() as name:
         run = asyncio.run(
-            lose_disks(seed, losses, Path(name), gap_s, network),
+            lose_disks(
+                seed, losses, Path(name), gap_s, network, goes_dark=True
+            ),
         )
         if run.broken and keep is not None:
             shutil.copytree(name, keep / str(seed), dirs_exist_ok=True)
