--- a/review/tests/deployment.py
+++ b/review/tests/deployment.py
@@ -133,7 +133,7 @@
 
     def write(self):
         """Write everything to the file."""
-        self.path.write_text('\n'.join(self.lines) + '\n')
+        self.path.write_text(''.join(f'{line}\n' for line in self.lines))
 
 
 async def exchange(address, raw, wait_s):
