--- a/review/tests/deployment.py
+++ b/review/tests/deployment.py
@@ -195,6 +195,7 @@
     )
     state: str = 'ready'
     sequence: int = 0
+    place: int = field(default_factory=lambda: random.randrange(5))
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     ran: list = field(default_factory=list)
     listener: object = None
@@ -241,12 +242,13 @@
             await asyncio.sleep(BEAT_S)
 
     async def beat(self):
-        """Send a heartbeat to a node of the list, and to others until a 2xx.
+        """Send a heartbeat to the next node of the list, until a 2xx.
 
         Returns the node that acknowledged it; None where none did.
         """
-        nodes = random.sample(self.controls, len(self.controls))
-        for node in nodes:
+        for _ in self.controls:
+            node = self.controls[self.place % len(self.controls)]
+            self.place += 1
             document = self.heartbeat()
             path = f'/-/instances/{self.instance}'
             status, _ = await call_control(node, 'PUT', path, document)
