--- a/review/tests/deployment.py
+++ b/review/tests/deployment.py
@@ -10,6 +10,7 @@
 import os
 import random
 import secrets
+import shutil
 import signal
 import socket
 import sys
@@ -50,6 +51,7 @@
     'reuse_window_s': 10,
     'ttl_max_s': 5,
 }
+HELD, CANNOT_RUN, BROKEN = 0, 2, 3
 LIMITS = {
     'max_header_bytes': 16384,
     'max_body_bytes': 4194304,
@@ -434,12 +436,14 @@
             if process.returncode is None:
                 process.send_signal(signal.SIGKILL)
             await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def play(scene, folder):
     """Play a scene on a new deployment; return the exit code.
 
-    A scene returns why the rule is broken, or an empty text.
+    A scene returns why the rule is broken, or an empty text. Python exits with
+    1 by itself where a script is at fault, so a broken rule has another code.
     """
     record = Record(folder / 'record.txt')
     deployment = Deployment(record)
@@ -450,14 +454,14 @@
         broken = await scene(deployment)
     except (OSError, TimeoutError, asyncio.CancelledError) as failed:
         record.note(f'the case could not run: {failed!r}')
-        return 2
+        return CANNOT_RUN
     finally:
         await deployment.close()
         record.write()
     record.note(f'RULE BROKEN: {broken}' if broken else 'the rule held')
     record.write()
     sys.stdout.write(f'{record.lines[-1]}\n')
-    return 1 if broken else 0
+    return BROKEN if broken else HELD
 
 
 def run(scene, script):
