--- a/review/tests/deployment.py
+++ b/review/tests/deployment.py
@@ -439,13 +439,13 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-async def play(scene, folder):
+async def play(scene, path):
     """Play a scene on a new deployment; return the exit code.
 
     A scene returns why the rule is broken, or an empty text. Python exits with
     1 by itself where a script is at fault, so a broken rule has another code.
     """
-    record = Record(folder / 'record.txt')
+    record = Record(path)
     deployment = Deployment(record)
     # A case that is told to stop ends its processes, too.
     loop = asyncio.get_running_loop()
@@ -465,6 +465,10 @@
 
 
 def run(scene, script):
-    """Play a scene and exit with its code."""
-    folder = Path(script).resolve().parent.parent
-    sys.exit(asyncio.run(play(scene, folder)))
+    """Play a scene, record it beside its tests; exit with its code."""
+    run_case(scene, Path(script).resolve().parent.parent / 'record.txt')
+
+
+def run_case(scene, path):
+    """Play a scene, record it in a file, and exit with its code."""
+    sys.exit(asyncio.run(play(scene, path)))
