--- a/review/tests/deployment.py
+++ b/review/tests/deployment.py
@@ -60,11 +60,6 @@
 }
 
 
-def has_trouble():
-    """Tell whether the disruption is played."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 def free_network():
     """Return the beginning of loopback addresses whose ports are free."""
     for _ in range(50):
@@ -464,11 +459,6 @@
     return BROKEN if broken else HELD
 
 
-def run(scene, script):
-    """Play a scene, record it beside its tests; exit with its code."""
-    run_case(scene, Path(script).resolve().parent.parent / 'record.txt')
-
-
 def run_case(scene, path):
     """Play a scene, record it in a file, and exit with its code."""
     sys.exit(asyncio.run(play(scene, path)))
